--- a/eslint.config.js
+++ b/eslint.config.js
@@ -2,7 +2,7 @@
 import tseslint from 'typescript-eslint';
 
 export default tseslint.config(
-  {ignores: ['**/lib/**', '**/node_modules/**', 'artifacts/**']},
+  {ignores: ['**/lib/**', '**/node_modules/**', 'artifacts/**', 'target/**']},
   ...tseslint.configs.recommended,
   {
     rules: {
--- a/packages/admission/src/admission.ts
+++ b/packages/admission/src/admission.ts
@@ -3,7 +3,7 @@
 
 import type {RefusalReason} from '@lockpin/types';
 import {AdaptiveLimit} from './adaptiveLimit.js';
-import {FairQueue} from './fairQueue.js';
+import {FairQueue, waitsUntil} from './fairQueue.js';
 import type {WaitingCall} from './fairQueue.js';
 
 /** What became of a call that was offered. */
@@ -73,7 +73,10 @@
       return this.startOrRefuse(now, call);
     }
     const wait = this.expectedWait(call);
-    if (now + wait + this.duration > call.deadline) {
+    if (call.mayWait === false) {
+      return refused('upstream-busy', wait);
+    }
+    if (now + wait + this.duration > waitsUntil(call)) {
       return refused('deadline-too-short', wait);
     }
     if (this.isOverShare(call)) {
@@ -146,7 +149,7 @@
       if (call === undefined) {
         break;
       }
-      if (now + this.duration > call.deadline) {
+      if (now + this.duration > waitsUntil(call)) {
         expired.push(call);
         continue;
       }
--- a/packages/admission/src/fairQueue.ts
+++ b/packages/admission/src/fairQueue.ts
@@ -11,6 +11,18 @@
   readonly priority: number;
   /** Time after which its answer is of no use, in milliseconds since 1970. */
   readonly deadline: number;
+  /**
+   * Time by which an answer must be expected for the call to wait at all;
+   * the deadline when absent.
+   */
+  readonly usefulUntil?: number;
+  /** False when the call goes elsewhere rather than wait; true when absent. */
+  readonly mayWait?: boolean;
+}
+
+/** The time by which a waiting call must be expected to be answered. */
+export function waitsUntil({deadline, usefulUntil}: WaitingCall): number {
+  return Math.min(deadline, usefulUntil ?? deadline);
 }
 
 interface CustomerQueue {
@@ -156,7 +168,7 @@
   /** Calls whose answer would come too late even if they ran now. */
   overdue(now: number, neededMilliseconds: number): readonly WaitingCall[] {
     return [...this.byId.values()].filter(
-      ({deadline}) => now + neededMilliseconds > deadline,
+      (call) => now + neededMilliseconds > waitsUntil(call),
     );
   }
 
--- a/packages/brain/src/__tests__/__fixtures__/callWorld.ts
+++ b/packages/brain/src/__tests__/__fixtures__/callWorld.ts
@@ -267,7 +267,7 @@
     };
     this.later(HOP, () => this.tellEntry(id, {kind: 'call-arrived', call}));
     this.later(HOP + WAIT, () =>
-      this.tellEntry(id, {kind: 'deadline-passed', callId: id}),
+      this.tellEntry(id, {kind: 'deadline-passed', callId: id, wasSent: true}),
     );
   }
 
--- a/packages/brain/src/__tests__/__fixtures__/floorWorld.ts
+++ b/packages/brain/src/__tests__/__fixtures__/floorWorld.ts
@@ -82,7 +82,7 @@
 
   ejectedCount(): number {
     return this.guards
-      .flatMap((guard) => guard.standings())
+      .flatMap((guard) => guard.standings(this.now))
       .filter(({state}) => state === 'ejected' || state === 'probation').length;
   }
 
--- a/packages/brain/src/entry/entryBrain.ts
+++ b/packages/brain/src/entry/entryBrain.ts
@@ -2,7 +2,7 @@
 /** The entry of a node: routes calls, retries them, and refuses truthfully. */
 
 import {CustomerShares, DEFAULT_ENTRY_CAPACITY} from '@lockpin/admission';
-import {UpstreamLoads, chooseUpstream} from '@lockpin/routing';
+import {TypicalDurations, UpstreamLoads} from '@lockpin/routing';
 import type {LoadHint, RoutingCandidate} from '@lockpin/routing';
 import type {
   RandomSource,
@@ -15,7 +15,10 @@
   EntryAction,
   EntryCall,
   EntryEvent,
+  OfferTerms,
 } from './entryMessages.js';
+import {DEFAULT_ENTRY_SETTINGS} from './entrySettings.js';
+import type {EntrySettings} from './entrySettings.js';
 import {RetryPolicy} from './retryPolicy.js';
 import type {RetryState} from './retryPolicy.js';
 import {SubsetCache} from './subsetCache.js';
@@ -28,12 +31,24 @@
 /** When a caller that found no upstream may come back, in milliseconds. */
 const NO_UPSTREAM_RETRY_MILLISECONDS = 500;
 
-interface Candidate extends RoutingCandidate {
-  readonly box: string;
-}
+/**
+ * An attempt of a repeatable call is overdue after this many times its usual
+ * duration: three in a hundred calls of healthy upstreams take that long.
+ */
+const OVERDUE_FACTOR = 2.5;
+
+/** Share of the route's goal after which an attempt is overdue at the latest. */
+const OVERDUE_GOAL_SHARE = 0.55;
+
+/** Earlier than this, a scheduling delay could be the cause. */
+const SHORTEST_OVERDUE_MILLISECONDS = 60;
 
 interface CallState extends RetryState {
-  readonly tried: Set<string>;
+  /** Upstreams that an offer on the present terms was made to. */
+  tried: Set<string>;
+  /** Upstreams that may have run the call. */
+  readonly ran: Set<string>;
+  terms: OfferTerms;
   upstream: string;
   /** An attempt that may have run is behind us. */
   mayHaveRun: boolean;
@@ -43,17 +58,21 @@
 
 /** Decides by (now, random, event) alone. */
 export class EntryBrain {
-  readonly loads = new UpstreamLoads();
+  readonly loads: UpstreamLoads;
   private readonly calls = new Map<string, CallState>();
-  private readonly retries = new RetryPolicy();
+  private readonly durations = new TypicalDurations();
+  private readonly retries: RetryPolicy;
   private readonly shares = new CustomerShares(DEFAULT_ENTRY_CAPACITY);
   private readonly subsets: SubsetCache;
 
   constructor(
-    box: string,
+    private readonly box: string,
     private readonly dataCentre: string,
     private readonly boxes: BoxKnowledge,
+    private readonly settings: EntrySettings = DEFAULT_ENTRY_SETTINGS,
   ) {
+    this.loads = new UpstreamLoads(settings.linkPatience);
+    this.retries = new RetryPolicy(settings);
     this.subsets = new SubsetCache(box, dataCentre);
   }
 
@@ -77,6 +96,7 @@
       case 'attempt-answered':
         this.attemptEnded(state);
         this.heard(now, state.upstream, event.hint);
+        this.timed(state, event);
         return this.answered(now, random, state, event);
       case 'attempt-refused':
         this.attemptEnded(state);
@@ -86,8 +106,12 @@
         this.attemptEnded(state);
         this.loads.linkFailed(state.upstream, now, random());
         return this.lost(now, random, state, event.wasSent);
+      case 'attempt-silent':
+        return this.silent(now, random, state);
+      case 'attempt-overdue':
+        return this.overdue(now, random, state);
       case 'deadline-passed':
-        return this.deadlinePassed(now, random, state);
+        return this.deadlinePassed(now, random, state, event.wasSent);
       case 'caller-left':
         this.end(state);
         return [{kind: 'cancel-attempt', callId: event.callId}];
@@ -103,10 +127,11 @@
     random: RandomSource,
     call: Pick<EntryCall, 'view'>,
     tried: ReadonlySet<string> = new Set(),
-  ): {readonly name: string; readonly box: string} | undefined {
+  ): RoutingCandidate | undefined {
     const candidates = this.candidates(call, tried);
-    const {loads, dataCentre} = this;
-    return chooseUpstream({now, random, dataCentre, loads}, candidates);
+    const {loads, dataCentre, box} = this;
+    const context = {now, random, dataCentre, box, loads};
+    return this.settings.choose(context, candidates);
   }
 
   private arrived(
@@ -118,10 +143,12 @@
       const after = OVER_SHARE_RETRY_MILLISECONDS;
       return [refuse(call.id, 'customer-over-share', 'not-run', after)];
     }
-    this.retries.firstAttempt(call);
+    this.retries.firstAttempt(now, call);
     const state: CallState = {
       call,
       tried: new Set(),
+      ran: new Set(),
+      terms: this.settings.immediateOffers > 0 ? 'immediate' : 'may-wait',
       upstream: '',
       paidAttempts: 1,
       reroutes: 0,
@@ -144,13 +171,56 @@
     reasonIfNone: RefusalReason,
     retryAfter = NO_UPSTREAM_RETRY_MILLISECONDS,
   ): readonly EntryAction[] {
-    const chosen = this.chooseFor(now, random, state.call, state.tried);
+    this.relaxTerms(state);
+    const chosen = this.chooseNext(now, random, state);
     if (chosen === undefined) {
       return this.finalRefusal(state, reasonIfNone, retryAfter);
     }
     return [this.send(state, chosen.name, chosen.box, chosen.name)];
   }
 
+  /** After some offers in vain, ask for less. */
+  private relaxTerms(state: CallState): void {
+    const {immediateOffers} = this.settings;
+    if (state.terms === 'immediate' && state.tried.size >= immediateOffers) {
+      this.setTerms(state, 'may-wait');
+    }
+  }
+
+  private setTerms(state: CallState, terms: OfferTerms): void {
+    state.terms = terms;
+    state.tried = new Set();
+  }
+
+  /** The next upstream, on easier terms when none is left on the present ones. */
+  private chooseNext(
+    now: number,
+    random: RandomSource,
+    state: CallState,
+  ): RoutingCandidate | undefined {
+    const found = this.chooseUntried(now, random, state);
+    if (found !== undefined || this.settings.immediateOffers === 0) {
+      return found;
+    }
+    if (state.terms === 'last-resort') {
+      return undefined;
+    }
+    this.setTerms(
+      state,
+      state.terms === 'immediate' ? 'may-wait' : 'last-resort',
+    );
+    return this.chooseNext(now, random, state);
+  }
+
+  private chooseUntried(
+    now: number,
+    random: RandomSource,
+    {call, tried, ran}: CallState,
+  ): RoutingCandidate | undefined {
+    const excluded = ran.size === 0 ? tried : new Set([...tried, ...ran]);
+    return this.chooseFor(now, random, call, excluded);
+  }
+
   private attemptAtHome(
     state: CallState,
     key: NonNullable<EntryCall['onceKey']>,
@@ -185,14 +255,91 @@
     state.tried.add(loadKey);
     state.isAttempting = true;
     this.loads.sent(loadKey);
-    const {call, paidAttempts} = state;
+    const {call, paidAttempts, terms} = state;
     const number = paidAttempts + (call.isCallersRetry ? 1 : 0);
     return {
       kind: 'attempt',
-      attempt: {callId: call.id, call, upstream, box, number},
+      attempt: {
+        callId: call.id,
+        call,
+        upstream,
+        box,
+        number,
+        terms,
+        expectedMilliseconds: this.durations.of(call.route.name),
+        overdueMilliseconds: this.overdueAfter(state),
+      },
     };
   }
 
+  /** Only calls that can be sent elsewhere are ever overdue. */
+  private overdueAfter(state: CallState): number | undefined {
+    const {replacesOverdue} = this.settings;
+    const mayReplace =
+      this.retries.mayRepeat(state) && this.retries.mayPay(state, 1);
+    if (!replacesOverdue || !mayReplace) {
+      return undefined;
+    }
+    const {name, spec} = state.call.route;
+    const goal = spec.goalMilliseconds ?? spec.waitMilliseconds;
+    const latest = goal * OVERDUE_GOAL_SHARE;
+    const usual = this.durations.of(name);
+    const usualLimit = usual === undefined ? latest : usual * OVERDUE_FACTOR;
+    return Math.max(
+      SHORTEST_OVERDUE_MILLISECONDS,
+      Math.min(latest, usualLimit),
+    );
+  }
+
+  /** The guard said nothing, and was not told to go: the call did not run. */
+  private silent(
+    now: number,
+    random: RandomSource,
+    state: CallState,
+  ): readonly EntryAction[] {
+    this.attemptEnded(state);
+    this.loads.linkFailed(state.upstream, now, random());
+    const cancel: EntryAction = {
+      kind: 'cancel-attempt',
+      callId: state.call.id,
+    };
+    const next = this.retries.takeReroute(state)
+      ? this.attempt(now, random, state, 'guard-silent')
+      : this.finalRefusal(
+          state,
+          'guard-silent',
+          NO_UPSTREAM_RETRY_MILLISECONDS,
+        );
+    return [cancel, ...next];
+  }
+
+  /** Sends a repeatable call elsewhere, if something pays for it. */
+  private overdue(
+    now: number,
+    random: RandomSource,
+    state: CallState,
+  ): readonly EntryAction[] {
+    if (!state.isAttempting || !this.retries.mayRepeat(state)) {
+      return [];
+    }
+    if (!this.retries.mayPay(state, 1)) {
+      return [];
+    }
+    const excluded = new Set([...state.ran, state.upstream]);
+    const again = this.chooseFor(now, random, state.call, excluded);
+    if (again === undefined || !this.retries.payRetry(now, state)) {
+      return [];
+    }
+    state.mayHaveRun = true;
+    state.ran.add(state.upstream);
+    this.attemptEnded(state);
+    this.setTerms(state, 'may-wait');
+    return [
+      {kind: 'cancel-attempt', callId: state.call.id},
+      this.send(state, again.name, again.box, again.name),
+    ];
+  }
+
   private answered(
     now: number,
     random: RandomSource,
@@ -204,10 +351,11 @@
     if (
       isWorthRetry &&
       this.retries.mayRepeat(state) &&
-      this.retries.payRetry(state)
+      this.retries.payRetry(now, state)
     ) {
       state.mayHaveRun = true;
-      const again = this.chooseFor(now, random, state.call, state.tried);
+      state.ran.add(state.upstream);
+      const again = this.chooseUntried(now, random, state);
       if (again !== undefined) {
         return [this.send(state, again.name, again.box, again.name)];
       }
@@ -222,11 +370,14 @@
     refusal: Refusal,
   ): readonly EntryAction[] {
     const {reason, outcome, retryAfterMilliseconds} = refusal;
-    state.mayHaveRun ||= outcome === 'unknown';
+    if (outcome === 'unknown') {
+      state.mayHaveRun = true;
+      state.ran.add(state.upstream);
+    }
     if (state.call.onceKey !== undefined) {
       return this.final(state, reason, outcome, retryAfterMilliseconds);
     }
-    if (this.retries.mayGoElsewhere(state, refusal)) {
+    if (this.retries.mayGoElsewhere(now, state, refusal)) {
       return this.attempt(now, random, state, reason, retryAfterMilliseconds);
     }
     return this.finalRefusal(state, reason, retryAfterMilliseconds);
@@ -238,7 +389,10 @@
     state: CallState,
     wasSent: boolean,
   ): readonly EntryAction[] {
-    state.mayHaveRun ||= wasSent;
+    if (wasSent) {
+      state.mayHaveRun = true;
+      state.ran.add(state.upstream);
+    }
     if (state.call.onceKey !== undefined) {
       return this.homeRefusal(
         state,
@@ -249,7 +403,7 @@
     const isFree = !wasSent && this.retries.takeReroute(state);
     if (
       isFree ||
-      (this.retries.mayRepeat(state) && this.retries.payRetry(state))
+      (this.retries.mayRepeat(state) && this.retries.payRetry(now, state))
     ) {
       return this.attempt(now, random, state, reason);
     }
@@ -260,10 +414,11 @@
     now: number,
     random: RandomSource,
     state: CallState,
+    wasSent: boolean,
   ): readonly EntryAction[] {
     if (state.isAttempting) {
       this.loads.linkFailed(state.upstream, now, random());
-      state.mayHaveRun = true;
+      state.mayHaveRun ||= wasSent;
     }
     const {id, onceKey} = state.call;
     const refusal =
@@ -315,10 +470,20 @@
     }
   }
 
+  private timed(
+    {call}: CallState,
+    event: EntryEvent & {readonly kind: 'attempt-answered'},
+  ): void {
+    const {status, ranMilliseconds} = event;
+    if (ranMilliseconds !== undefined && status < FIRST_FAILED_STATUS) {
+      this.durations.add(call.route.name, ranMilliseconds);
+    }
+  }
+
   private candidates(
     call: Pick<EntryCall, 'view'>,
     tried: ReadonlySet<string>,
-  ): readonly Candidate[] {
+  ): readonly RoutingCandidate[] {
     return this.subsets
       .subset(call.view)
       .filter(({name, box}) => !tried.has(name) && this.boxes.isUsable(box));
--- a/packages/brain/src/entry/entryMessages.ts
+++ b/packages/brain/src/entry/entryMessages.ts
@@ -27,6 +27,15 @@
   readonly isCallersRetry: boolean;
 }
 
+/** Whether a guard may let a call wait, or run it on a doubted upstream. */
+export type OfferTerms =
+  /** Only with a free slot of an upstream in good standing. */
+  | 'immediate'
+  /** Also after waiting. */
+  | 'may-wait'
+  /** Whatever the upstream's standing: nothing better is left. */
+  | 'last-resort';
+
 /** What happens to a call. */
 export type EntryEvent =
   | {readonly kind: 'call-arrived'; readonly call: EntryCall}
@@ -37,6 +46,8 @@
       /** The answer is whole and at hand; false when it is already flowing. */
       readonly isWhole: boolean;
       readonly hint: LoadHint | undefined;
+      /** How long the upstream took; undefined when the guard did not say. */
+      readonly ranMilliseconds: number | undefined;
     }
   | {
       readonly kind: 'attempt-refused';
@@ -51,7 +62,16 @@
       /** False only when the guard cannot have received it. */
       readonly wasSent: boolean;
     }
-  | {readonly kind: 'deadline-passed'; readonly callId: string}
+  /** The guard neither started the call nor let it wait within its time. */
+  | {readonly kind: 'attempt-silent'; readonly callId: string}
+  /** The attempt takes far longer than such calls usually do. */
+  | {readonly kind: 'attempt-overdue'; readonly callId: string}
+  | {
+      readonly kind: 'deadline-passed';
+      readonly callId: string;
+      /** False when the attempt under way certainly did not begin to run. */
+      readonly wasSent: boolean;
+    }
   | {readonly kind: 'caller-left'; readonly callId: string}
   /** The answer went to the caller to its end, or broke on the way. */
   | {readonly kind: 'answer-ended'; readonly callId: string};
@@ -65,6 +85,14 @@
   readonly box: string;
   /** 1 for the first; raised only by attempts that the retry budget paid. */
   readonly number: number;
+  readonly terms: OfferTerms;
+  /** How long such calls usually take; undefined when not known. */
+  readonly expectedMilliseconds: number | undefined;
+  /**
+   * Time after which the attempt counts as overdue; undefined when nothing
+   * could be done about it.
+   */
+  readonly overdueMilliseconds: number | undefined;
 }
 
 /** What an entry wants done. */
--- /dev/null
+++ b/packages/brain/src/entry/entrySettings.ts
@@ -0,0 +1,66 @@
+// Copyright (c) 2026 the lockpin contributors. MIT licence, see LICENSE.
+/** What a deployment may choose of the entry's way of offering calls. */
+
+import {
+  DEFAULT_LINK_PATIENCE,
+  RetryBudget,
+  chooseUpstream,
+} from '@lockpin/routing';
+import type {
+  ChooseUpstream,
+  LinkPatience,
+  RetryAllowance,
+} from '@lockpin/routing';
+import type {RefusalReason} from '@lockpin/types';
+
+/** The entry's way of offering calls. */
+export interface EntrySettings {
+  readonly choose: ChooseUpstream;
+  readonly linkPatience: LinkPatience;
+  /** Makes the budget that pays for the retries of one service. */
+  readonly createBudget: () => RetryAllowance;
+  /**
+   * Offers of a call that ask for a free slot at once, before one that may
+   * wait; with 0 every offer may wait.
+   */
+  readonly immediateOffers: number;
+  /** Times a call may go elsewhere without being paid for. */
+  readonly mostReroutes: number;
+  /** Refusals after which going elsewhere costs nothing. */
+  readonly freeRefusals: ReadonlySet<RefusalReason>;
+  /** Whether repeatable calls that take too long are sent elsewhere. */
+  readonly replacesOverdue: boolean;
+}
+
+/** Refusals that tell of an upstream's standing: going elsewhere costs nothing. */
+const STANDING_REFUSALS: readonly RefusalReason[] = [
+  'upstream-ejected',
+  'upstream-draining',
+  'node-leaving',
+  'no-upstream',
+];
+
+/** The way of a fleet whose guards limit retries themselves. */
+export const DEFAULT_ENTRY_SETTINGS: EntrySettings = {
+  choose: chooseUpstream,
+  linkPatience: DEFAULT_LINK_PATIENCE,
+  createBudget: () => new RetryBudget(),
+  immediateOffers: 0,
+  mostReroutes: 3,
+  freeRefusals: new Set(STANDING_REFUSALS),
+  replacesOverdue: false,
+};
+
+/** Refusals by guards that did not reach an upstream with the call. */
+export const UNSENT_REFUSALS: ReadonlySet<RefusalReason> =
+  new Set<RefusalReason>([
+    ...STANDING_REFUSALS,
+    'upstream-busy',
+    'upstream-doubted',
+    'upstream-replaced',
+    'upstream-unreachable',
+    'reservation-expired',
+    'queue-full',
+    'deadline-too-short',
+    'not-ready',
+  ]);
--- a/packages/brain/src/entry/retryPolicy.ts
+++ b/packages/brain/src/entry/retryPolicy.ts
@@ -1,53 +1,47 @@
 // Copyright (c) 2026 the lockpin contributors. MIT licence, see LICENSE.
 /** Which calls an entry may send again, and what pays for it. */
 
-import {RetryBudget} from '@lockpin/routing';
-import type {Refusal, RefusalReason} from '@lockpin/types';
+import type {RetryAllowance} from '@lockpin/routing';
+import type {Refusal} from '@lockpin/types';
 import type {EntryCall} from './entryMessages.js';
+import type {EntrySettings} from './entrySettings.js';
 
-/** Times a call is sent elsewhere because of news about an upstream. */
-const MOST_REROUTES = 3;
-
-/** Attempts of one call in all that the retry budget may pay. */
+/** Attempts of one call that may be paid for where its route does not say. */
 const MOST_PAID_ATTEMPTS = 3;
 
-/** Refusals that tell of an upstream's standing: going elsewhere costs nothing. */
-const REROUTED: ReadonlySet<RefusalReason> = new Set<RefusalReason>([
-  'upstream-ejected',
-  'upstream-draining',
-  'node-leaving',
-  'no-upstream',
-]);
-
 /** What the policy keeps of a call. */
 export interface RetryState {
   readonly call: EntryCall;
+  /** Upstreams that may have run the call. */
+  readonly ran: ReadonlySet<string>;
   paidAttempts: number;
   reroutes: number;
 }
 
 /** One retry budget for each service. */
 export class RetryPolicy {
-  private readonly budgets = new Map<string, RetryBudget>();
+  private readonly budgets = new Map<string, RetryAllowance>();
+
+  constructor(private readonly settings: EntrySettings) {}
 
   /** A call adds its route's share to the budget. */
-  firstAttempt(call: EntryCall): void {
-    this.budget(call).firstAttempt(call.route.spec.retryShare);
+  firstAttempt(now: number, call: EntryCall): void {
+    this.budget(call).firstAttempt(now, call.route.spec.retryShare);
   }
 
   /** Whether a refused call may be sent elsewhere; pays for it when so. */
-  mayGoElsewhere(state: RetryState, refusal: Refusal): boolean {
+  mayGoElsewhere(now: number, state: RetryState, refusal: Refusal): boolean {
     const {reason, outcome} = refusal;
     if (!state.call.isReplayable || reason === 'deadline-passed') {
       return false;
     }
-    if (REROUTED.has(reason) && outcome === 'not-run') {
+    if (this.settings.freeRefusals.has(reason) && outcome === 'not-run') {
       return this.takeReroute(state);
     }
     return (
       reason !== 'retries-exhausted' &&
       (outcome === 'not-run' || this.mayRepeat(state)) &&
-      this.payRetry(state)
+      this.payRetry(now, state)
     );
   }
 
@@ -58,30 +52,42 @@
 
   /** Takes one of the free changes of upstream. */
   takeReroute(state: RetryState): boolean {
-    if (!state.call.isReplayable || state.reroutes >= MOST_REROUTES) {
+    if (!state.call.isReplayable || this.isRerouted(state)) {
       return false;
     }
     state.reroutes += 1;
     return true;
   }
 
+  /** Whether a further attempt may be paid for, beside those still running. */
+  mayPay({call, ran, paidAttempts}: RetryState, running = 0): boolean {
+    const mostRuns = call.route.spec.mostAttempts ?? MOST_PAID_ATTEMPTS;
+    return (
+      paidAttempts < MOST_PAID_ATTEMPTS &&
+      ran.size + running < mostRuns &&
+      !call.isCallersRetry
+    );
+  }
+
   /** Takes one attempt out of the service's budget. */
-  payRetry(state: RetryState): boolean {
-    const isSpent =
-      state.paidAttempts >= MOST_PAID_ATTEMPTS || state.call.isCallersRetry;
-    if (isSpent || !this.budget(state.call).takeRetry()) {
+  payRetry(now: number, state: RetryState): boolean {
+    if (!this.mayPay(state) || !this.budget(state.call).takeRetry(now)) {
       return false;
     }
     state.paidAttempts += 1;
     return true;
   }
 
-  private budget(call: EntryCall): RetryBudget {
+  private isRerouted({reroutes}: RetryState): boolean {
+    return reroutes >= this.settings.mostReroutes;
+  }
+
+  private budget(call: EntryCall): RetryAllowance {
     const found = this.budgets.get(call.view.name);
     if (found !== undefined) {
       return found;
     }
-    const made = new RetryBudget();
+    const made = this.settings.createBudget();
     this.budgets.set(call.view.name, made);
     return made;
   }
--- a/packages/brain/src/entry/subsetCache.ts
+++ b/packages/brain/src/entry/subsetCache.ts
@@ -5,16 +5,11 @@
 import {chooseSubset} from '@lockpin/routing';
 import type {RoutingCandidate} from '@lockpin/routing';
 
-/** An upstream that this entry may call, with its box. */
-export interface SubsetMember extends RoutingCandidate {
-  readonly box: string;
-}
-
 /** Remembers the subset of each service as long as its view stands. */
 export class SubsetCache {
   private readonly subsets = new WeakMap<
     ServiceView,
-    readonly SubsetMember[]
+    readonly RoutingCandidate[]
   >();
 
   constructor(
@@ -23,7 +18,7 @@
   ) {}
 
   /** The upstreams in service that this entry calls. */
-  subset(view: ServiceView): readonly SubsetMember[] {
+  subset(view: ServiceView): readonly RoutingCandidate[] {
     const found = this.subsets.get(view);
     if (found !== undefined) {
       return found;
@@ -31,8 +26,8 @@
     const members = view.upstreams
       .filter(({spec}) => spec.state === 'in-service')
       .map(({name, spec}) => {
-        const {dataCentre, slots, box} = spec;
-        return {name, dataCentre, slots, box};
+        const {dataCentre, slots, box, coldUntil = 0} = spec;
+        return {name, dataCentre, slots, box, coldUntil};
       });
     const subset = chooseSubset(this.box, this.dataCentre, members);
     this.subsets.set(view, subset);
--- a/packages/brain/src/guard/guardBrain.ts
+++ b/packages/brain/src/guard/guardBrain.ts
@@ -7,7 +7,13 @@
 import type {OnceDecision, OnceHome} from '@lockpin/once';
 import type {LoadHint} from '@lockpin/routing';
 import type {RandomSource, RefusalOutcome, RefusalReason} from '@lockpin/types';
-import type {GuardAction, GuardCall, GuardEvent} from './guardMessages.js';
+import {DEFAULT_GUARD_SETTINGS} from './guardMessages.js';
+import type {
+  GuardAction,
+  GuardCall,
+  GuardEvent,
+  GuardSettings,
+} from './guardMessages.js';
 import {GuardedServices} from './guardedServices.js';
 import type {ServiceState} from './guardedServices.js';
 import {onceRefusal} from './onceRefusals.js';
@@ -17,6 +23,8 @@
 interface KnownCall {
   readonly call: GuardCall;
   readonly upstream: UpstreamGuard;
+  /** When its slot was reserved; undefined before, and once it was sent. */
+  reservedAt: number | undefined;
 }
 
 /** Decides by (now, random, event) alone. */
@@ -28,8 +36,11 @@
   /** No permit is taken before the holders stream was read to its end. */
   private mayTakePermits = false;
 
-  constructor(home: OnceHome) {
-    this.services = new GuardedServices(home);
+  constructor(
+    home: OnceHome,
+    private readonly settings: GuardSettings = DEFAULT_GUARD_SETTINGS,
+  ) {
+    this.services = new GuardedServices(home, settings);
     this.reports = new ReportSchedule(home, this.services);
   }
 
@@ -39,12 +50,17 @@
   }
 
   /** What entries are told of an upstream with each answer. */
-  hintOf(upstream: string): LoadHint | undefined {
-    return this.services.upstream(upstream)?.hint();
+  hintOf(now: number, upstream: string): LoadHint | undefined {
+    return this.services.upstream(upstream)?.hint(now);
+  }
+
+  /** Identity of the process behind an upstream; undefined when not known. */
+  lifetimeOf(upstream: string): string | undefined {
+    return this.services.upstream(upstream)?.lifetime;
   }
 
   /** The standing of each upstream, for status. */
-  standings(): readonly {
+  standings(now: number): readonly {
     readonly upstream: string;
     readonly state: string;
     readonly occupied: number;
@@ -52,7 +68,7 @@
     readonly denial: string;
   }[] {
     return [...this.services.upstreams()].map((upstream) => {
-      const {state, occupied, limit} = upstream.hint();
+      const {state, occupied, limit} = upstream.hint(now);
       const shown = upstream.condemned ? 'condemned' : state;
       const {name, denial} = upstream;
       return {upstream: name, state: shown, occupied, limit, denial};
@@ -67,6 +83,8 @@
     switch (event.kind) {
       case 'call-offered':
         return this.offered(now, random, event.call);
+      case 'call-go':
+        return this.go(now, event.callId);
       case 'call-cancelled':
         return this.givenUp(now, event.callId, 'caller-left');
       case 'call-deadline-passed':
@@ -75,6 +93,8 @@
         return this.answered(now, event);
       case 'upstream-failed':
         return this.upstreamFailed(now, event.callId, event.wasSent);
+      case 'upstream-refused':
+        return this.upstreamRefused(now, event.callId, event.reason);
       case 'services-changed':
         this.services.configure(event.services);
         return [];
@@ -99,9 +119,9 @@
     call: GuardCall,
   ): readonly GuardAction[] {
     const service = this.services.get(call.service);
-    const upstream = this.services.choose(call, random);
+    const upstream = this.services.choose(now, call, random);
     if (service === undefined || upstream === undefined) {
-      return [refuse(call, 'no-upstream', 'not-run', undefined)];
+      return [refuse(now, call, 'no-upstream', 'not-run', undefined)];
     }
     if (call.repetition === 'once-only') {
       return this.offeredOnce(now, call, service, upstream);
@@ -117,16 +137,17 @@
   ): readonly GuardAction[] {
     const key = parseOnceKey(call.onceKey ?? '');
     if (key === undefined) {
-      return [refuse(call, 'once-key-malformed', 'not-run', upstream)];
+      return [refuse(now, call, 'once-key-malformed', 'not-run', upstream)];
     }
     const decision = service.ledger.begin(now, key, call.requestDigest);
     if (decision.kind === 'run') {
       return this.admit(now, call, upstream);
     }
-    return [this.answerRepeat(call, upstream, decision)];
+    return [this.answerRepeat(now, call, upstream, decision)];
   }
 
   private answerRepeat(
+    now: number,
     call: GuardCall,
     upstream: UpstreamGuard,
     decision: Exclude<OnceDecision, {readonly kind: 'run'}>,
@@ -135,7 +156,7 @@
       return {kind: 'answer-stored', callId: call.id, answer: decision.answer};
     }
     const {reason, outcome} = onceRefusal(decision.kind);
-    return refuse(call, reason, outcome, upstream);
+    return refuse(now, call, reason, outcome, upstream);
   }
 
   private admit(
@@ -145,7 +166,7 @@
   ): readonly GuardAction[] {
     const reason = this.isLeaving
       ? 'node-leaving'
-      : upstream.refusalReason(call);
+      : upstream.refusalReason(now, call);
     if (reason !== undefined) {
       return [this.refuseForGood(now, call, upstream, reason)];
     }
@@ -154,13 +175,15 @@
       const after = offer.retryAfterMilliseconds;
       return [this.refuseForGood(now, call, upstream, offer.reason, after)];
     }
-    this.calls.set(call.id, {call, upstream});
+    const known: KnownCall = {call, upstream, reservedAt: undefined};
+    this.calls.set(call.id, known);
     if (offer.kind === 'start') {
-      return [this.run(call, upstream)];
+      return [this.run(now, known)];
     }
+    const queued: GuardAction = {kind: 'queue', callId: call.id};
     return offer.displaced === undefined
-      ? []
-      : this.refuseWaiting(now, offer.displaced.id, 'queue-full');
+      ? [queued]
+      : [queued, ...this.refuseWaiting(now, offer.displaced.id, 'queue-full')];
   }
 
   /** The call has not run and, once refused, never will under its key. */
@@ -172,7 +195,7 @@
     retryAfter = upstream.retryAfter(now),
   ): GuardAction {
     this.services.ledgerOf(call)?.refused(call.onceKey ?? '');
-    return refuse(call, reason, 'not-run', upstream, retryAfter);
+    return refuse(now, call, reason, 'not-run', upstream, retryAfter);
   }
 
   private refuseWaiting(
@@ -194,11 +217,62 @@
     return known;
   }
 
-  private run(call: GuardCall, upstream: UpstreamGuard): GuardAction {
+  /** A call has its slot: it runs, or the slot is kept until the entry says go. */
+  private run(now: number, known: KnownCall): GuardAction {
+    const {call, upstream} = known;
+    if (call.needsGo === true) {
+      known.reservedAt = now;
+      return {kind: 'reserve', callId: call.id};
+    }
     this.services.ledgerOf(call)?.started(call.onceKey ?? '');
     return {kind: 'run', callId: call.id, upstream: upstream.name};
   }
 
+  /** Only a reservation that still stands is acted upon. */
+  private go(now: number, callId: string): readonly GuardAction[] {
+    const known = this.calls.get(callId);
+    if (known?.reservedAt === undefined) {
+      return [];
+    }
+    const {call, upstream} = known;
+    known.reservedAt = undefined;
+    upstream.sent(now, call);
+    return [{kind: 'run', callId, upstream: upstream.name}];
+  }
+
+  /** The call was never sent, and never will be. */
+  private releaseReservation(
+    now: number,
+    {call, upstream}: KnownCall,
+    reason: RefusalReason,
+  ): readonly GuardAction[] {
+    this.calls.delete(call.id);
+    const freed = upstream.release(now, call.id);
+    return [
+      this.refuseForGood(now, call, upstream, reason),
+      ...this.freed(now, freed),
+    ];
+  }
+
+  private upstreamRefused(
+    now: number,
+    callId: string,
+    reason: 'upstream-refused' | 'upstream-replaced',
+  ): readonly GuardAction[] {
+    const known = this.take(callId);
+    if (known === undefined) {
+      return [];
+    }
+    const {call, upstream} = known;
+    const wasDoubted = upstream.isDoubted(now);
+    const freed = upstream.refused(now, callId, reason);
+    return [
+      this.refuseForGood(now, call, upstream, reason),
+      ...this.doubtNoted(now, upstream, wasDoubted),
+      ...this.freed(now, freed),
+    ];
+  }
+
   private givenUp(
     now: number,
     callId: string,
@@ -212,6 +286,9 @@
     if (upstream.withdraw(callId)) {
       return this.refuseWaiting(now, callId, reason);
     }
+    if (known.reservedAt !== undefined) {
+      return this.releaseReservation(now, known, reason);
+    }
     if (call.repetition === 'once-only' && reason === 'caller-left') {
       // It goes on, so that a repeat of the key is told how it ended.
       return [];
@@ -220,12 +297,14 @@
     this.services.ledgerOf(call)?.broke(call.onceKey ?? '');
     const isFault =
       reason === 'deadline-passed' && upstream.isOverdue(now, callId);
+    const wasDoubted = upstream.isDoubted(now);
     const {freed, change} = upstream.failed(now, callId, isFault);
     return [
       {kind: 'abort', callId},
-      refuse(call, reason, 'unknown', upstream),
+      refuse(now, call, reason, 'unknown', upstream),
       ...this.freed(now, freed),
       ...this.noted(now, upstream, change),
+      ...this.doubtNoted(now, upstream, wasDoubted),
     ];
   }
 
@@ -245,8 +324,13 @@
     } else {
       this.services.ledgerOf(call)?.answered(key, answer);
     }
+    const wasDoubted = upstream.isDoubted(now);
     const {freed, change} = upstream.answered(now, callId, status, isShed);
-    return [...this.freed(now, freed), ...this.noted(now, upstream, change)];
+    return [
+      ...this.freed(now, freed),
+      ...this.noted(now, upstream, change),
+      ...this.doubtNoted(now, upstream, wasDoubted),
+    ];
   }
 
   private upstreamFailed(
@@ -259,17 +343,22 @@
       return [];
     }
     const {call, upstream} = known;
+    const wasDoubted = upstream.isDoubted(now);
     const {freed, change} = upstream.failed(now, callId, true);
     const after = [
       ...this.freed(now, freed),
       ...this.noted(now, upstream, change),
+      ...this.doubtNoted(now, upstream, wasDoubted),
     ];
     if (!wasSent) {
       const reason = 'upstream-unreachable';
       return [this.refuseForGood(now, call, upstream, reason), ...after];
     }
     this.services.ledgerOf(call)?.broke(call.onceKey ?? '');
-    return [refuse(call, 'upstream-failed', 'unknown', upstream), ...after];
+    return [
+      refuse(now, call, 'upstream-failed', 'unknown', upstream),
+      ...after,
+    ];
   }
 
   private freed(now: number, freed: Freed): readonly GuardAction[] {
@@ -282,7 +371,7 @@
         return [];
       }
       known.upstream.start(now, known.call);
-      return [this.run(known.call, known.upstream)];
+      return [this.run(now, known)];
     });
     return [...started, ...expired];
   }
@@ -314,6 +403,20 @@
     return [event, ...refusals, ...reports];
   }
 
+  private doubtNoted(
+    now: number,
+    upstream: UpstreamGuard,
+    wasDoubted: boolean,
+  ): readonly GuardAction[] {
+    const isDoubted = upstream.isDoubted(now);
+    if (isDoubted === wasDoubted) {
+      return [];
+    }
+    const detail = {remaining: upstream.retryAfter(now)};
+    const event = isDoubted ? 'upstream-doubted' : 'upstream-trusted';
+    return [{kind: 'timeline', event, subject: upstream.name, detail}];
+  }
+
   private replied(
     now: number,
     service: string,
@@ -339,8 +442,11 @@
 
   private tick(now: number): readonly GuardAction[] {
     const actions: GuardAction[] = [];
+    actions.push(...this.expireReservations(now));
     for (const upstream of this.services.upstreams()) {
+      const wasDoubted = upstream.isDoubted(now);
       const {freed, changes} = upstream.review(now);
+      actions.push(...this.doubtNoted(now, upstream, wasDoubted));
       actions.push(...this.freed(now, freed));
       for (const change of changes) {
         actions.push(...this.noted(now, upstream, change));
@@ -349,9 +455,23 @@
     actions.push(...this.reports.due(now));
     return actions;
   }
+
+  private expireReservations(now: number): readonly GuardAction[] {
+    const {reservationMilliseconds} = this.settings;
+    return [...this.calls.values()]
+      .filter(
+        ({reservedAt}) =>
+          reservedAt !== undefined &&
+          now - reservedAt > reservationMilliseconds,
+      )
+      .flatMap((known) =>
+        this.releaseReservation(now, known, 'reservation-expired'),
+      );
+  }
 }
 
 function refuse(
+  now: number,
   call: GuardCall,
   reason: RefusalReason,
   outcome: RefusalOutcome,
@@ -363,6 +483,6 @@
     callId: call.id,
     refusal: {reason, outcome, retryAfterMilliseconds},
     upstream: upstream?.name ?? '',
-    hint: upstream?.hint(),
+    hint: upstream?.hint(now),
   };
 }
--- a/packages/brain/src/guard/guardMessages.ts
+++ b/packages/brain/src/guard/guardMessages.ts
@@ -26,8 +26,35 @@
   readonly onceKey: string | undefined;
   /** Hash of method, path and body, by which a reused key is found out. */
   readonly requestDigest: string;
+  /** By the clock here: an answer later than this is worth less. */
+  readonly usefulUntil?: number;
+  /** The entry must say go before the call may run; see Attempt. */
+  readonly needsGo?: boolean;
+  /** False when the entry would rather go elsewhere than wait here. */
+  readonly mayWait?: boolean;
+  /** The entry has nothing better: even a doubted upstream will do. */
+  readonly mayRunDoubted?: boolean;
+  /** How long such calls usually take, by all the entry has seen. */
+  readonly expectedMilliseconds?: number;
 }
 
+/** How the guard treats calls; what is given up on is set by the owner. */
+export interface GuardSettings {
+  /** Whether a few bad calls in a row keep ordinary work away for a moment. */
+  readonly hasQuickDoubt: boolean;
+  /** Whether retries are limited here; false where entries alone do so. */
+  readonly limitsRetries: boolean;
+  /** A slot kept for an entry that does not say go is given back after this. */
+  readonly reservationMilliseconds: number;
+}
+
+/** Reservations end well after the slowest round trip between data centres. */
+export const DEFAULT_GUARD_SETTINGS: GuardSettings = {
+  hasQuickDoubt: false,
+  limitsRetries: true,
+  reservationMilliseconds: 250,
+};
+
 /** A service that has upstreams on this box. */
 export interface GuardedService {
   readonly name: string;
@@ -39,6 +66,8 @@
 /** What happens to a guard. */
 export type GuardEvent =
   | {readonly kind: 'call-offered'; readonly call: GuardCall}
+  /** The entry holds the reservation to be good: the call may run. */
+  | {readonly kind: 'call-go'; readonly callId: string}
   | {readonly kind: 'call-cancelled'; readonly callId: string}
   | {readonly kind: 'call-deadline-passed'; readonly callId: string}
   | {
@@ -56,6 +85,12 @@
       /** False only when not a byte of the call reached the upstream. */
       readonly wasSent: boolean;
     }
+  /** The upstream itself said that it did not run the call. */
+  | {
+      readonly kind: 'upstream-refused';
+      readonly callId: string;
+      readonly reason: 'upstream-refused' | 'upstream-replaced';
+    }
   | {
       readonly kind: 'services-changed';
       readonly services: readonly GuardedService[];
@@ -77,6 +112,10 @@
 /** What a guard wants done. */
 export type GuardAction =
   | {readonly kind: 'run'; readonly callId: string; readonly upstream: string}
+  /** There is a slot, kept until the entry says go. */
+  | {readonly kind: 'reserve'; readonly callId: string}
+  /** The call waits for a slot. */
+  | {readonly kind: 'queue'; readonly callId: string}
   | {
       readonly kind: 'refuse';
       readonly callId: string;
--- a/packages/brain/src/guard/guardedServices.ts
+++ b/packages/brain/src/guard/guardedServices.ts
@@ -4,7 +4,11 @@
 import {OnceLedger} from '@lockpin/once';
 import type {OnceHome} from '@lockpin/once';
 import type {RandomSource} from '@lockpin/types';
-import type {GuardCall, GuardedService} from './guardMessages.js';
+import type {
+  GuardCall,
+  GuardedService,
+  GuardSettings,
+} from './guardMessages.js';
 import {UpstreamGuard} from './upstreamGuard.js';
 
 /** What a guard keeps of one service. */
@@ -21,7 +25,10 @@
   private readonly states = new Map<string, ServiceState>();
   private readonly guards = new Map<string, UpstreamGuard>();
 
-  constructor(private readonly home: OnceHome) {}
+  constructor(
+    private readonly home: OnceHome,
+    private readonly settings: GuardSettings,
+  ) {}
 
   all(): IterableIterator<ServiceState> {
     return this.states.values();
@@ -60,9 +67,15 @@
         const {name} = resource;
         const {sensitivity} = service;
         names.add(name);
-        this.guards.get(name)?.configure(resource, sensitivity);
-        if (!this.guards.has(name)) {
-          this.guards.set(name, new UpstreamGuard(name, resource, sensitivity));
+        const found = this.guards.get(name);
+        if (found !== undefined && found.lifetime === resource.spec.lifetime) {
+          found.configure(resource, sensitivity);
+        } else {
+          // What was learnt of another process says nothing of this one.
+          this.guards.set(
+            name,
+            new UpstreamGuard(name, resource, sensitivity, this.settings),
+          );
         }
       }
     }
@@ -70,13 +83,17 @@
   }
 
   /** The upstream a call names, or for a once-only one the least occupied. */
-  choose(call: GuardCall, random: RandomSource): UpstreamGuard | undefined {
+  choose(
+    now: number,
+    call: GuardCall,
+    random: RandomSource,
+  ): UpstreamGuard | undefined {
     if (call.upstream !== undefined) {
       return this.guards.get(call.upstream);
     }
     const state = this.states.get(call.service);
     const own = state === undefined ? [] : this.guardsOf(state);
-    const open = own.filter((guard) => guard.hint().state === 'accepting');
+    const open = own.filter((guard) => guard.hint(now).state === 'accepting');
     const usable = open.length > 0 ? open : own;
     const least = Math.min(...usable.map(({occupied}) => occupied));
     const equal = usable.filter(({occupied}) => occupied === least);
--- a/packages/brain/src/guard/upstreamGuard.ts
+++ b/packages/brain/src/guard/upstreamGuard.ts
@@ -6,10 +6,11 @@
 import {
   ALL_CALLS,
   DETECTION_SETTINGS,
+  Doubt,
   EjectionCycle,
   GrayDetector,
 } from '@lockpin/detection';
-import type {CycleChange, Verdict} from '@lockpin/detection';
+import type {CallEvidenceKind, CycleChange, Verdict} from '@lockpin/detection';
 import type {GuardReport, HolderReply} from '@lockpin/floor';
 import {RetryBudget} from '@lockpin/routing';
 import type {LoadHint} from '@lockpin/routing';
@@ -19,7 +20,7 @@
   Sensitivity,
   UpstreamSpec,
 } from '@lockpin/types';
-import type {GuardCall} from './guardMessages.js';
+import type {GuardCall, GuardSettings} from './guardMessages.js';
 
 /** A suspect upstream announces this part of its limit, so that calls go elsewhere. */
 const SUSPECT_LIMIT_SHARE = 0.25;
@@ -28,9 +29,29 @@
 const FIRST_FAILED_STATUS = 500;
 const NOT_IMPLEMENTED_STATUS = 501;
 
+/**
+ * A call is late when it takes this many times what is usual for its kind. One
+ * call in a hundred of a healthy upstream takes about three times as long.
+ */
+const LATE_FACTOR = 3.5;
+
+/** Added to the time that is usual, so that scheduling delays do not count. */
+const LATE_ALLOWANCE_MILLISECONDS = 60;
+
+/** How much longer calls take on an upstream that is cold. */
+const COLD_FACTOR = 2;
+
 interface RunningCall {
   readonly call: GuardCall;
   readonly startedAt: number;
+  /** The upstream works on it; false while its slot is only reserved. */
+  readonly isSent: boolean;
+}
+
+/** What the end of a call led to. */
+export interface CallEnd {
+  readonly freed: Freed;
+  readonly change: StandingChange | undefined;
 }
 
 /** A change of an upstream's standing, for the time line. */
@@ -46,6 +67,11 @@
   private readonly cycle: EjectionCycle;
   private readonly retries = new RetryBudget();
   private readonly running = new Map<string, RunningCall>();
+  private readonly doubt = new Doubt();
+  /** Calls whose lateness was already taken as evidence. */
+  private readonly countedLate = new Set<string>();
+  /** Another process answers at the address. */
+  private isReplaced = false;
   private spec: UpstreamSpec;
   private lastVerdict: Verdict;
   private severity = 0;
@@ -57,12 +83,16 @@
     readonly name: string,
     resource: Resource<'Upstream'>,
     sensitivity: Sensitivity,
+    private readonly settings: GuardSettings,
   ) {
-    const settings = DETECTION_SETTINGS[sensitivity];
+    const settingsOfDetection = DETECTION_SETTINGS[sensitivity];
     this.spec = resource.spec;
-    this.admission = new Admission(resource.spec.slots, true);
-    this.detector = new GrayDetector(settings);
-    this.cycle = new EjectionCycle(settings);
+    this.admission = new Admission(
+      resource.spec.slots,
+      !settings.hasQuickDoubt,
+    );
+    this.detector = new GrayDetector(settingsOfDetection);
+    this.cycle = new EjectionCycle(settingsOfDetection);
     this.lastVerdict = this.detector.verdict(0);
   }
 
@@ -90,22 +120,37 @@
     this.cycle.setSettings(DETECTION_SETTINGS[sensitivity]);
   }
 
-  hint(): LoadHint {
+  /** Identity of the process that calls are meant for; undefined if unknown. */
+  get lifetime(): string | undefined {
+    return this.spec.lifetime;
+  }
+
+  isDoubted(now: number): boolean {
+    return this.settings.hasQuickDoubt && this.doubt.isDoubted(now);
+  }
+
+  hint(now: number): LoadHint {
     const limit = this.lastVerdict.suspect
       ? Math.max(1, this.admission.currentLimit * SUSPECT_LIMIT_SHARE)
       : this.admission.currentLimit;
     return {
-      state: this.announcedState(),
+      state: this.announcedState(now),
       occupied: this.admission.occupied,
       limit,
     };
   }
 
   /** Why no call of this kind may come now; undefined when one may. */
-  refusalReason(call: GuardCall): RefusalReason | undefined {
+  refusalReason(now: number, call: GuardCall): RefusalReason | undefined {
     if (this.isDraining) {
       return 'upstream-draining';
     }
+    if (this.isReplaced) {
+      return 'upstream-replaced';
+    }
+    if (this.isDoubted(now) && !this.mayRunDoubted(now, call)) {
+      return 'upstream-doubted';
+    }
     if (this.cycle.state === 'ejected') {
       return 'upstream-ejected';
     }
@@ -113,12 +158,14 @@
     if (probing && !this.mayProbe(call)) {
       return 'upstream-ejected';
     }
-    return this.retryRefusal(call);
+    return this.settings.limitsRetries ? this.retryRefusal(call) : undefined;
   }
 
   /** When a refused call may find this upstream back, in milliseconds. */
   retryAfter(now: number): number {
-    return Math.ceil(this.cycle.remainingHold(now));
+    return Math.ceil(
+      Math.max(this.cycle.remainingHold(now), this.doubt.remaining(now)),
+    );
   }
 
   offer(now: number, call: GuardCall): Offer {
@@ -130,7 +177,34 @@
   }
 
   start(now: number, call: GuardCall): void {
-    this.running.set(call.id, {call, startedAt: now});
+    const isSent = call.needsGo !== true;
+    this.running.set(call.id, {call, startedAt: now, isSent});
+    if (this.isDoubted(now)) {
+      this.doubt.probed(now);
+    }
+  }
+
+  /** The entry said go: the call is sent now. */
+  sent(now: number, call: GuardCall): void {
+    this.running.set(call.id, {call, startedAt: now, isSent: true});
+  }
+
+  /** Gives back a slot whose call was never sent. */
+  release(now: number, callId: string): Freed {
+    this.countedLate.delete(callId);
+    this.running.delete(callId);
+    return this.admission.finish(now, callId, undefined);
+  }
+
+  /** The upstream said that it did not run the call. */
+  refused(
+    now: number,
+    callId: string,
+    reason: 'upstream-refused' | 'upstream-replaced',
+  ): Freed {
+    this.isReplaced ||= reason === 'upstream-replaced';
+    this.observe(now, callId, 'refused');
+    return this.release(now, callId);
   }
 
   isRunning(callId: string): boolean {
@@ -151,7 +225,7 @@
     callId: string,
     status: number,
     isShed: boolean,
-  ): {readonly freed: Freed; readonly change: StandingChange | undefined} {
+  ): CallEnd {
     const isFailure =
       status >= FIRST_FAILED_STATUS && status !== NOT_IMPLEMENTED_STATUS;
     if (isShed) {
@@ -159,23 +233,18 @@
     } else if (!isFailure) {
       this.admission.succeeded();
     }
-    return this.ended(now, callId, isFailure && !isShed);
+    const isError = isFailure && !isShed;
+    this.observe(now, callId, isError ? 'error' : this.pace(now, callId));
+    return this.ended(now, callId, isError);
   }
 
   /** The exchange broke, or took longer than its caller could wait. */
-  failed(
-    now: number,
-    callId: string,
-    isUpstreamsFault: boolean,
-  ): {readonly freed: Freed; readonly change: StandingChange | undefined} {
+  failed(now: number, callId: string, isUpstreamsFault: boolean): CallEnd {
     if (isUpstreamsFault) {
+      this.observe(now, callId, 'broken');
       return this.ended(now, callId, true);
     }
-    this.running.delete(callId);
-    return {
-      freed: this.admission.finish(now, callId, undefined),
-      change: undefined,
-    };
+    return {freed: this.release(now, callId), change: undefined};
   }
 
   /** Whether a running call has taken far longer than its kind does. */
@@ -192,6 +261,7 @@
     readonly changes: readonly StandingChange[];
   } {
     this.detector.closeSpan(now, () => this.countOverdue(now));
+    this.noteLateCalls(now);
     const changes = [this.judge(now), this.noted(this.cycle.review(now))];
     return {
       freed: this.admission.review(now),
@@ -264,16 +334,64 @@
     return counts;
   }
 
-  private announcedState(): LoadHint['state'] {
-    if (this.isDraining) {
+  private announcedState(now: number): LoadHint['state'] {
+    if (this.isDraining || this.isReplaced) {
       return 'draining';
     }
+    if (this.isDoubted(now)) {
+      return 'doubted';
+    }
     const {state} = this.cycle;
     return state === 'in-service' || state === 'condemned'
       ? 'accepting'
       : state;
   }
 
+  /** Repeatable calls find out how it is; others only when all are doubted. */
+  private mayRunDoubted(now: number, call: GuardCall): boolean {
+    const isProbe =
+      call.repetition === 'repeatable' && this.doubt.isProbeDue(now);
+    return isProbe || call.mayRunDoubted === true;
+  }
+
+  /** Whether a call that ended well took far longer than its kind does. */
+  private pace(now: number, callId: string): CallEvidenceKind {
+    return this.isLate(now, callId) ? 'slow' : 'well';
+  }
+
+  private isLate(now: number, callId: string): boolean {
+    const running = this.running.get(callId);
+    const usual = running?.call.expectedMilliseconds;
+    if (running === undefined || usual === undefined || !running.isSent) {
+      return false;
+    }
+    const isCold = now < (this.spec.coldUntil ?? 0);
+    const expected = usual * (isCold ? COLD_FACTOR : 1);
+    const limit = expected * LATE_FACTOR + LATE_ALLOWANCE_MILLISECONDS;
+    return now - running.startedAt > limit;
+  }
+
+  private noteLateCalls(now: number): void {
+    if (!this.settings.hasQuickDoubt) {
+      return;
+    }
+    for (const callId of this.running.keys()) {
+      if (!this.countedLate.has(callId) && this.isLate(now, callId)) {
+        this.countedLate.add(callId);
+        this.doubt.observe(now, 'overdue');
+      }
+    }
+  }
+
+  /** Evidence for quick doubt; what was counted as late is not counted twice. */
+  private observe(now: number, callId: string, kind: CallEvidenceKind): void {
+    const wasCounted = this.countedLate.delete(callId);
+    const isKnown = this.running.has(callId);
+    if (this.settings.hasQuickDoubt && isKnown && !wasCounted) {
+      this.doubt.observe(now, kind);
+    }
+  }
+
   /** One repeatable call at a time finds out whether it is well again. */
   private mayProbe(call: GuardCall): boolean {
     return call.repetition === 'repeatable' && this.admission.occupied === 0;
@@ -281,17 +399,13 @@
 
   private retryRefusal(call: GuardCall): RefusalReason | undefined {
     if (call.attempt === 1) {
-      this.retries.firstAttempt(call.retryShare);
+      this.retries.firstAttempt(0, call.retryShare);
       return undefined;
     }
     return this.retries.takeRetry() ? undefined : 'retries-exhausted';
   }
 
-  private ended(
-    now: number,
-    callId: string,
-    failed: boolean,
-  ): {readonly freed: Freed; readonly change: StandingChange | undefined} {
+  private ended(now: number, callId: string, failed: boolean): CallEnd {
     const running = this.running.get(callId);
     this.running.delete(callId);
     if (running === undefined) {
@@ -349,6 +463,6 @@
 }
 
 function waiting(call: GuardCall): WaitingCall {
-  const {id, customer, weight, priority, deadline} = call;
-  return {id, customer, weight, priority, deadline};
+  const {id, customer, weight, priority, deadline, usefulUntil, mayWait} = call;
+  return {id, customer, weight, priority, deadline, usefulUntil, mayWait};
 }
--- a/packages/brain/src/index.ts
+++ b/packages/brain/src/index.ts
@@ -1,6 +1,7 @@
 // Copyright (c) 2026 the lockpin contributors. MIT licence, see LICENSE.
 export * from './entry/entryBrain.js';
 export * from './entry/entryMessages.js';
+export * from './entry/entrySettings.js';
 export * from './guard/guardBrain.js';
 export * from './guard/guardMessages.js';
 export {REPORT_INTERVAL_MILLISECONDS} from './guard/reportSchedule.js';
--- /dev/null
+++ b/packages/detection/src/doubt.ts
@@ -0,0 +1,117 @@
+// Copyright (c) 2026 the lockpin contributors. MIT licence, see LICENSE.
+/**
+ * Quick doubt about one upstream: a few bad calls in a row keep ordinary work
+ * away for a moment, until probes by repeatable calls end well. It complements
+ * the sequential tests, which are sure but need many calls.
+ */
+
+/** How a call to the upstream ended, as evidence. */
+export type CallEvidenceKind =
+  | 'well'
+  /** The connection broke, or the bytes were no answer to the call. */
+  | 'broken'
+  /** The upstream's own failure status. */
+  | 'error'
+  /** It said that it did not run the call although it had a free slot. */
+  | 'refused'
+  /** It answered, far later than calls of this kind usually take. */
+  | 'slow'
+  /** It has not answered although most calls of this kind would have ended. */
+  | 'overdue';
+
+/** Weight of each kind; doubt begins when the decaying sum reaches 1.5. */
+const WEIGHT: Readonly<Record<Exclude<CallEvidenceKind, 'well'>, number>> = {
+  broken: 1.5,
+  error: 1,
+  refused: 1,
+  slow: 0.8,
+  overdue: 1,
+};
+
+const DOUBT_AT = 1.5;
+
+/** What a further call leaves of the sum. */
+const KEPT_AFTER_BAD = 0.7;
+const KEPT_AFTER_GOOD = 0.4;
+
+/** First time in doubt; upstreams' own bursts of failures last about a second. */
+const FIRST_HOLD_MILLISECONDS = 1000;
+const LONGEST_HOLD_MILLISECONDS = 4000;
+
+/** After this long without doubt, the next one is a first one again. */
+const FORGIVEN_AFTER_MILLISECONDS = 5000;
+
+/** Time between probes while in doubt. */
+const PROBE_INTERVAL_MILLISECONDS = 200;
+
+/** Probes in a row that must end well. */
+const PROBES_TO_CLEAR = 2;
+
+/** The standing of one upstream by its last calls. */
+export class Doubt {
+  private sum = 0;
+  private until = 0;
+  private strikes = 0;
+  private nextProbeAt = 0;
+  private clearedProbes = 0;
+
+  /** Whether ordinary work should go elsewhere. */
+  isDoubted(now: number): boolean {
+    return now < this.until;
+  }
+
+  /** Milliseconds until ordinary work may come again. */
+  remaining(now: number): number {
+    return Math.max(0, this.until - now);
+  }
+
+  /** Whether a repeatable call may find out how the upstream is. */
+  isProbeDue(now: number): boolean {
+    return now >= this.nextProbeAt;
+  }
+
+  /** A repeatable call was sent to find out. */
+  probed(now: number): void {
+    this.nextProbeAt = now + PROBE_INTERVAL_MILLISECONDS;
+  }
+
+  /** Takes in one piece of evidence; true when the standing changed. */
+  observe(now: number, kind: CallEvidenceKind): boolean {
+    const before = this.isDoubted(now);
+    if (kind === 'well') {
+      this.sum *= KEPT_AFTER_GOOD;
+      this.probeEndedWell(now);
+    } else {
+      this.sum = this.sum * KEPT_AFTER_BAD + WEIGHT[kind];
+      this.clearedProbes = 0;
+      if (before || this.sum >= DOUBT_AT) {
+        this.hold(now);
+      }
+    }
+    return before !== this.isDoubted(now);
+  }
+
+  private probeEndedWell(now: number): void {
+    if (!this.isDoubted(now)) {
+      return;
+    }
+    this.clearedProbes += 1;
+    this.nextProbeAt = now;
+    if (this.clearedProbes >= PROBES_TO_CLEAR) {
+      this.until = now;
+      this.sum = 0;
+    }
+  }
+
+  private hold(now: number): void {
+    if (now - this.until > FORGIVEN_AFTER_MILLISECONDS) {
+      this.strikes = 0;
+    }
+    const length = FIRST_HOLD_MILLISECONDS * 2 ** this.strikes;
+    this.until = now + Math.min(LONGEST_HOLD_MILLISECONDS, length);
+    this.strikes += 1;
+    this.nextProbeAt = now + PROBE_INTERVAL_MILLISECONDS;
+    this.clearedProbes = 0;
+    this.sum = 0;
+  }
+}
--- a/packages/detection/src/index.ts
+++ b/packages/detection/src/index.ts
@@ -2,6 +2,7 @@
 export * from './callStatistics.js';
 export * from './cumulativeSum.js';
 export * from './customerEvidence.js';
+export * from './doubt.js';
 export * from './ejectionCycle.js';
 export * from './grayDetector.js';
 export * from './peerBaseline.js';
--- /dev/null
+++ b/packages/fleet/src/boxRecord.ts
@@ -0,0 +1,74 @@
+// Copyright (c) 2026 the lockpin contributors. MIT licence, see LICENSE.
+/** What each box says of itself to the others. */
+
+/** One box with the upstream that it guards. The newest statement counts. */
+export interface BoxRecord {
+  readonly box: string;
+  readonly dataCentre: string;
+  /** Where the node of the box takes calls from other nodes. */
+  readonly peerAddress: string;
+  /** The service of its upstream; empty before the upstream has announced itself. */
+  readonly service: string;
+  readonly slots: number;
+  /** False from when its upstream said that it drains or leaves. */
+  readonly takesWork: boolean;
+  /** The upstream answers slowly until then, in milliseconds since 1970. */
+  readonly coldUntil: number;
+  /** When the box said so, in milliseconds since 1970; rises with each statement. */
+  readonly statedAt: number;
+}
+
+/**
+ * A box that has not renewed its record for this long is forgotten. Boxes are
+ * replaced for good several times a day in a large fleet.
+ */
+export const RECORD_LIFE_MILLISECONDS = 900_000;
+
+/** A record is renewed at this age, so that two renewals may fail. */
+export const RECORD_RENEWAL_MILLISECONDS = 300_000;
+
+/** Whether two records say the same, whenever they were stated. */
+export function isSameStatement(a: BoxRecord, b: BoxRecord): boolean {
+  return (
+    a.box === b.box &&
+    a.dataCentre === b.dataCentre &&
+    a.peerAddress === b.peerAddress &&
+    a.service === b.service &&
+    a.slots === b.slots &&
+    a.takesWork === b.takesWork
+  );
+}
+
+/** Reads a stored record; undefined when it is none of this release. */
+export function readBoxRecord(bytes: Buffer): BoxRecord | undefined {
+  try {
+    const value = JSON.parse(bytes.toString('utf8')) as BoxRecord;
+    return isBoxRecord(value) ? value : undefined;
+  } catch (error) {
+    if (error instanceof SyntaxError) {
+      return undefined;
+    }
+    throw error;
+  }
+}
+
+/** The stored form of a record. */
+export function writeBoxRecord(record: BoxRecord): Buffer {
+  return Buffer.from(JSON.stringify(record));
+}
+
+function isBoxRecord(value: unknown): value is BoxRecord {
+  const record = value as BoxRecord | null;
+  return (
+    typeof record === 'object' &&
+    record !== null &&
+    typeof record.box === 'string' &&
+    typeof record.dataCentre === 'string' &&
+    typeof record.peerAddress === 'string' &&
+    typeof record.service === 'string' &&
+    typeof record.slots === 'number' &&
+    typeof record.takesWork === 'boolean' &&
+    typeof record.coldUntil === 'number' &&
+    typeof record.statedAt === 'number'
+  );
+}
--- /dev/null
+++ b/packages/fleet/src/declaredConfiguration.ts
@@ -0,0 +1,42 @@
+// Copyright (c) 2026 the lockpin contributors. MIT licence, see LICENSE.
+/** A configuration that its operators declare as a whole, at one version. */
+
+import type {Resource} from '@lockpin/types';
+
+/** A service that calls of a route go to, with its share of them. */
+export interface Destination {
+  readonly service: string;
+  /** Relative to the other destinations of the route. */
+  readonly weight: number;
+}
+
+/** A kind of call, found by host and path. */
+export interface DeclaredRoute {
+  readonly host: string;
+  readonly rules: Resource<'Route'>;
+  /** At least one. */
+  readonly destinations: readonly Destination[];
+}
+
+/** A service as its operators declare it; its upstreams announce themselves. */
+export interface DeclaredService {
+  readonly name: string;
+  /** Connections that each of its upstreams accepts at the most. */
+  readonly mostConnections: number;
+}
+
+/** What callers may send, and how long they may take. */
+export interface CallerLimits {
+  readonly headerBytes: number;
+  readonly bodyBytes: number;
+  readonly headerMilliseconds: number;
+  readonly idleMilliseconds: number;
+}
+
+/** All that operators declare. A higher version replaces a lower one whole. */
+export interface DeclaredConfiguration {
+  readonly version: number;
+  readonly routes: readonly DeclaredRoute[];
+  readonly services: readonly DeclaredService[];
+  readonly limits: CallerLimits;
+}
--- /dev/null
+++ b/packages/fleet/src/fleetMessages.ts
@@ -0,0 +1,90 @@
+// Copyright (c) 2026 the lockpin contributors. MIT licence, see LICENSE.
+/** What the fleet's control is told, and what it decides. */
+
+import type {BoxRecord} from './boxRecord.js';
+import type {DeclaredConfiguration} from './declaredConfiguration.js';
+import type {OwnUpstream, UpstreamAnnouncement} from './ownUpstream.js';
+import type {
+  RecordPage,
+  RecordStream,
+  StoreResult,
+  StoredRecord,
+} from './recordStore.js';
+import type {StreamRead} from './streamFollower.js';
+
+/** Who a node is. */
+export interface NodeIdentity {
+  readonly box: string;
+  readonly dataCentre: string;
+  readonly peerAddress: string;
+}
+
+/** A question to another node, asked when the store does not answer. */
+export interface PeerQuestion {
+  /** The asker's version; 0 when it has none. */
+  readonly version: number;
+  /** Whether the asker lacks the records of the boxes. */
+  readonly wantsBoxes: boolean;
+  /** The asker's own record, if it has one to tell. */
+  readonly own: BoxRecord | undefined;
+}
+
+/** What another node knows. */
+export interface PeerKnowledge {
+  /** Only when it is newer than the asker's. */
+  readonly configuration: DeclaredConfiguration | undefined;
+  readonly boxes: readonly BoxRecord[];
+}
+
+/** What happens to the fleet's control. */
+export type FleetEvent =
+  | {readonly kind: 'tick'}
+  | {
+      readonly kind: 'read-ended';
+      readonly stream: RecordStream;
+      readonly result: StoreResult<RecordPage>;
+    }
+  | {readonly kind: 'write-ended'; readonly result: StoreResult<undefined>}
+  | {
+      readonly kind: 'upstream-announced';
+      readonly announcement: UpstreamAnnouncement;
+    }
+  /** A peer told the version that is in force there. */
+  | {
+      readonly kind: 'peer-version-heard';
+      readonly address: string;
+      readonly version: number;
+    }
+  | {
+      readonly kind: 'peer-replied';
+      readonly address: string;
+      /** Undefined when the peer did not answer. */
+      readonly knowledge: PeerKnowledge | undefined;
+    };
+
+/** What the fleet's control wants done. */
+export type FleetAction =
+  | StreamRead
+  | {readonly kind: 'write'; readonly record: StoredRecord}
+  | {
+      readonly kind: 'ask-peer';
+      readonly address: string;
+      readonly question: PeerQuestion;
+    }
+  /** A newer version is in force from here on. */
+  | {
+      readonly kind: 'configuration-changed';
+      readonly configuration: DeclaredConfiguration;
+      readonly source: string;
+    }
+  | {
+      readonly kind: 'upstream-changed';
+      readonly upstream: OwnUpstream;
+    }
+  /** For the log and the time line. */
+  | {
+      readonly kind: 'note';
+      readonly event: string;
+      readonly subject: string;
+      readonly detail: Readonly<Record<string, string | number | boolean>>;
+    };
--- /dev/null
+++ b/packages/fleet/src/fleetRouting.ts
@@ -0,0 +1,126 @@
+// Copyright (c) 2026 the lockpin contributors. MIT licence, see LICENSE.
+/** Where a call goes under the version in force. */
+
+import type {ServiceView} from '@lockpin/configuration';
+import type {RandomSource, Resource} from '@lockpin/types';
+import type {BoxDirectory} from './boxDirectory.js';
+import type {
+  DeclaredConfiguration,
+  DeclaredRoute,
+} from './declaredConfiguration.js';
+import {RouteTable} from './routeTable.js';
+import {WeightedSpread} from './weightedSpread.js';
+
+/** A call's route and service, both of one version. */
+export interface RoutedCall {
+  readonly version: number;
+  readonly route: Resource<'Route'>;
+  readonly view: ServiceView;
+}
+
+/** Lives as long as one version of the configuration is in force. */
+export class FleetRouting {
+  private readonly table: RouteTable;
+  private readonly spreads = new Map<string, WeightedSpread>();
+  private readonly views = new Map<string, ServiceView>();
+  private readonly mostConnections: ReadonlyMap<string, number>;
+
+  constructor(
+    readonly configuration: DeclaredConfiguration,
+    private readonly directory: BoxDirectory,
+    private readonly random: RandomSource,
+    before?: FleetRouting,
+  ) {
+    this.table = new RouteTable(configuration);
+    this.mostConnections = new Map(
+      configuration.services.map(({name, mostConnections}) => [
+        name,
+        mostConnections,
+      ]),
+    );
+    before?.spreads.forEach((spread, name) => this.spreads.set(name, spread));
+  }
+
+  /** The route and service of a call; undefined when no route covers it. */
+  find(host: string, path: string): RoutedCall | undefined {
+    const found = this.table.find(host, path);
+    if (found === undefined) {
+      return undefined;
+    }
+    return {
+      version: this.configuration.version,
+      route: found.rules,
+      view: this.view(this.serviceFor(found)),
+    };
+  }
+
+  /** The service as calls see it; the same object until something changes. */
+  view(service: string): ServiceView {
+    const upstreams = this.directory.upstreamsOf(
+      service,
+      this.mostConnections.get(service) ?? DEFAULT_CONNECTIONS,
+    );
+    const known = this.views.get(service);
+    if (known !== undefined && known.upstreams === upstreams) {
+      return known;
+    }
+    const made = makeView(service, this.configuration.version, upstreams);
+    this.views.set(service, made);
+    return made;
+  }
+
+  private serviceFor({rules, destinations}: DeclaredRoute): string {
+    if (destinations.length === 1) {
+      return destinations[0]?.service ?? '';
+    }
+    const known = this.spreads.get(rules.name);
+    if (known !== undefined && isSameSplit(known.destinations, destinations)) {
+      return known.next();
+    }
+    const made = new WeightedSpread(destinations, this.random);
+    this.spreads.set(rules.name, made);
+    return made.next();
+  }
+}
+
+/** Connections of an upstream whose service does not say. */
+const DEFAULT_CONNECTIONS = 100;
+
+function isSameSplit(
+  a: WeightedSpread['destinations'],
+  b: WeightedSpread['destinations'],
+): boolean {
+  return (
+    a.length === b.length &&
+    a.every(
+      ({service, weight}, i) =>
+        service === b[i]?.service && weight === b[i]?.weight,
+    )
+  );
+}
+
+function makeView(
+  name: string,
+  version: number,
+  upstreams: readonly Resource<'Upstream'>[],
+): ServiceView {
+  return {
+    name,
+    customer: name,
+    upstreams,
+    routes: [],
+    service: {
+      kind: 'Service',
+      name,
+      version,
+      spec: {
+        floorSlots: 0,
+        targetSlots: 0,
+        loadReportPath: '',
+        sensitivity: 'fast',
+        host: '',
+        callerCredentialHash: '',
+      },
+    },
+  };
+}
--- /dev/null
+++ b/packages/fleet/src/index.ts
@@ -0,0 +1,12 @@
+// Copyright (c) 2026 the lockpin contributors. MIT licence, see LICENSE.
+export * from './boxDirectory.js';
+export * from './boxRecord.js';
+export * from './declaredConfiguration.js';
+export * from './fleetBrain.js';
+export * from './fleetMessages.js';
+export * from './fleetRouting.js';
+export * from './ownUpstream.js';
+export * from './recordStore.js';
+export * from './routeTable.js';
+export * from './streamFollower.js';
+export * from './weightedSpread.js';
--- /dev/null
+++ b/packages/fleet/src/streamFollower.ts
@@ -0,0 +1,113 @@
+// Copyright (c) 2026 the lockpin contributors. MIT licence, see LICENSE.
+/** When a node reads a stream of the store, and from where. */
+
+import type {RandomSource} from '@lockpin/types';
+import type {RecordPage, RecordStream, StoreResult} from './recordStore.js';
+
+/** A read that is to be made now. */
+export type StreamRead =
+  | {readonly kind: 'read-newest'; readonly stream: RecordStream}
+  | {
+      readonly kind: 'follow';
+      readonly stream: RecordStream;
+      readonly from: number;
+      readonly waitMilliseconds: number;
+    };
+
+/** First pause after a failed read; doubled with each further one. */
+const FIRST_BACKOFF_MILLISECONDS = 150;
+
+/** Records must be back within two seconds of the store's return. */
+const LONGEST_BACKOFF_MILLISECONDS = 1000;
+
+/**
+ * Changes tend to come in series. Reading on after a pause gathers them in one
+ * answer, since every call to the store is paid for.
+ */
+const GATHER_MILLISECONDS = 150;
+
+/**
+ * A read of a store that has gone silent hangs until its time is up. Nodes
+ * read at different times, and the first to hear tells the others, so that
+ * the wait may grow with the number of nodes.
+ */
+const WAIT_PER_NODE_MILLISECONDS = 500;
+const SHORTEST_WAIT_MILLISECONDS = 2000;
+const LONGEST_WAIT_MILLISECONDS = 10_000;
+
+/** One read at a time; every failure is followed by a pause. */
+export class StreamFollower {
+  private from: number | undefined;
+  private isReading = false;
+  private nextAt = 0;
+  private failures = 0;
+
+  constructor(private readonly stream: RecordStream) {}
+
+  /** Reads failed, one after the other, until now. */
+  get failureCount(): number {
+    return this.failures;
+  }
+
+  /** Whether the stream was read at all. */
+  get hasRead(): boolean {
+    return this.from !== undefined;
+  }
+
+  /** The read that is due now, if any. */
+  due(
+    now: number,
+    random: RandomSource,
+    nodes: number,
+  ): StreamRead | undefined {
+    if (this.isReading || now < this.nextAt) {
+      return undefined;
+    }
+    this.isReading = true;
+    const {stream, from} = this;
+    return from === undefined
+      ? {kind: 'read-newest', stream}
+      : {
+          kind: 'follow',
+          stream,
+          from,
+          waitMilliseconds: waitFor(random, nodes),
+        };
+  }
+
+  /** Takes in the end of a read. */
+  ended(
+    now: number,
+    random: RandomSource,
+    result: StoreResult<RecordPage>,
+  ): void {
+    this.isReading = false;
+    if (result.ok) {
+      this.failures = 0;
+      this.from = result.value.end;
+      const isNews = result.value.records.length > 0;
+      this.nextAt = isNews ? now + GATHER_MILLISECONDS : now;
+      return;
+    }
+    if (result.failure.kind === 'history-gone') {
+      this.from = undefined;
+      this.nextAt = now;
+      return;
+    }
+    const pause = Math.min(
+      LONGEST_BACKOFF_MILLISECONDS,
+      FIRST_BACKOFF_MILLISECONDS * 2 ** this.failures,
+    );
+    this.failures += 1;
+    this.nextAt = now + pause * (0.5 + random());
+  }
+}
+
+/** Random, so that nodes that started together soon read at different times. */
+function waitFor(random: RandomSource, nodes: number): number {
+  const longest = Math.min(
+    LONGEST_WAIT_MILLISECONDS,
+    Math.max(SHORTEST_WAIT_MILLISECONDS, nodes * WAIT_PER_NODE_MILLISECONDS),
+  );
+  return Math.round(longest * (0.5 + random() / 2));
+}
--- a/packages/node/src/connection/peerChannels.ts
+++ b/packages/node/src/connection/peerChannels.ts
@@ -12,8 +12,11 @@
 
 const EXCHANGE_DEADLINE_MILLISECONDS = 2500;
 
+/** No call is under way this long after its channel was renewed. */
+const RENEWED_CLOSE_MILLISECONDS = 30_000;
+
 /** One channel for each address, least recently used dropped first. */
-export class PeerChannels {
+export class PeerChannels<Request = PeerRequest, Reply = PeerReply> {
   private readonly clients = new Map<string, PeerClient>();
 
   constructor(private readonly traffic: ControlTraffic) {}
@@ -35,18 +38,30 @@
   /** Sends a control message; undefined when the peer does not answer. */
   exchange(
     address: string,
-    request: PeerRequest,
-    done: (reply: PeerReply | undefined) => void,
+    request: Request,
+    done: (reply: Reply | undefined) => void,
   ): void {
     const deadline = Date.now() + EXCHANGE_DEADLINE_MILLISECONDS;
     const sent = encode(request);
     this.traffic.sent('exchanges', sent.length);
     this.client(address).exchange(sent, {deadline}, (error, bytes) => {
       this.traffic.received('exchanges', bytes?.length ?? 0);
-      done(error || !bytes ? undefined : decode<PeerReply>(bytes));
+      done(error || !bytes ? undefined : decode<Reply>(bytes));
     });
   }
 
+  /**
+   * The next call to an address gets a connection of its own; calls under way
+   * on the present one may still end.
+   */
+  renew(address: string): void {
+    const client = this.clients.get(address);
+    this.clients.delete(address);
+    if (client !== undefined) {
+      setTimeout(() => client.close(), RENEWED_CLOSE_MILLISECONDS).unref();
+    }
+  }
+
   close(): void {
     this.clients.forEach((client) => client.close());
     this.clients.clear();
--- a/packages/node/src/connection/peerServer.ts
+++ b/packages/node/src/connection/peerServer.ts
@@ -8,21 +8,21 @@
 import {CHANNEL_OPTIONS, peerService} from './peerProtocol.js';
 
 /** What the server hands on. */
-export interface PeerServerHandlers {
+export interface PeerServerHandlers<Request = PeerRequest, Reply = PeerReply> {
   readonly call: (stream: grpc.ServerDuplexStream<Buffer, Buffer>) => void;
   /** A stream that carries many exchanges. */
   readonly exchanges: (stream: grpc.ServerDuplexStream<Buffer, Buffer>) => void;
-  readonly exchange: (
-    request: PeerRequest,
-    reply: (reply: PeerReply) => void,
-  ) => void;
+  readonly exchange: (request: Request, reply: (reply: Reply) => void) => void;
 }
 
 /** The gRPC server of a node. */
-export class PeerServer {
+export class PeerServer<Request = PeerRequest, Reply = PeerReply> {
   private readonly server = new grpc.Server(CHANNEL_OPTIONS);
 
-  constructor(handlers: PeerServerHandlers, traffic: ControlTraffic) {
+  constructor(
+    handlers: PeerServerHandlers<Request, Reply>,
+    traffic: ControlTraffic,
+  ) {
     this.server.addService(peerService, {
       call: handlers.call,
       exchanges: handlers.exchanges,
@@ -31,7 +31,7 @@
         done: grpc.sendUnaryData<Buffer>,
       ) => {
         traffic.received('exchanges', call.request.length);
-        handlers.exchange(decode<PeerRequest>(call.request), (reply) => {
+        handlers.exchange(decode<Request>(call.request), (reply) => {
           const bytes = encode(reply);
           traffic.sent('exchanges', bytes.length);
           done(null, bytes);
--- a/packages/node/src/connection/upstreamPools.ts
+++ b/packages/node/src/connection/upstreamPools.ts
@@ -1,9 +1,17 @@
 // Copyright (c) 2026 the lockpin contributors. MIT licence, see LICENSE.
 /** Connections to the upstreams on this box, few and never reused after a cut. */
 
-import {Pool} from 'undici';
+import {Client, Pool} from 'undici';
 import type {Resource} from '@lockpin/types';
 
+/** Deadlines are the guard's; an upstream on the same box connects at once. */
+const CONNECTION_OPTIONS = {
+  pipelining: 1,
+  headersTimeout: 0,
+  bodyTimeout: 0,
+  connectTimeout: 1000,
+} as const;
+
 interface PoolEntry {
   readonly pool: Pool;
   readonly address: string;
@@ -19,6 +27,17 @@
     return this.pools.get(upstream)?.pool;
   }
 
+  /**
+   * A connection for one call, closed after it. Nothing that an earlier call
+   * left on a connection, nor an idle one's silent end, can harm such a call.
+   */
+  single(upstream: string): Client | undefined {
+    const address = this.pools.get(upstream)?.address;
+    return address === undefined
+      ? undefined
+      : new Client(`http://${address}`, CONNECTION_OPTIONS);
+  }
+
   /** Makes pools for what is new and closes those of what is gone. */
   configure(upstreams: readonly Resource<'Upstream'>[]): void {
     const names = new Set(upstreams.map(({name}) => name));
@@ -45,10 +64,7 @@
     void found?.pool.close();
     const pool = new Pool(`http://${spec.address}`, {
       connections,
-      pipelining: 1,
-      headersTimeout: 0,
-      bodyTimeout: 0,
-      connectTimeout: 1000,
+      ...CONNECTION_OPTIONS,
     });
     this.pools.set(name, {pool, address: spec.address, connections});
   }
--- a/packages/node/src/operators/nodeStatus.ts
+++ b/packages/node/src/operators/nodeStatus.ts
@@ -17,7 +17,7 @@
   const isVisible = (name: string): boolean =>
     isFleetWide(operator) || name.startsWith(`${operator.scope}/`);
   const upstreams = guard
-    .standings()
+    .standings(Date.now())
     .filter(({upstream}) => isVisible(upstream));
   const {box, dataCentre, incarnation} = control.membership.own;
   const members = isFleetWide(operator)
--- a/packages/node/src/process/composition.ts
+++ b/packages/node/src/process/composition.ts
@@ -18,7 +18,11 @@
 import type {RequestHandler} from '../connection/httpServer.js';
 import {createOperatorApp} from '../operators/operatorApp.js';
 import {createCallerApp} from '../request/callerApp.js';
-import {EntryService} from '../request/entryService.js';
+import {lockpinCallerProtocol} from '../request/callerProtocol.js';
+import {
+  EntryService,
+  GUARD_SILENCE_MILLISECONDS,
+} from '../request/entryService.js';
 import {GuardService} from '../request/guardService.js';
 import {serveExchangeStream} from '../request/exchangeStreamServer.js';
 import {serveGuardStream} from '../request/guardStreams.js';
@@ -202,8 +206,11 @@
     brain: host.entry,
     logger: parts.resolve(TOKENS.logger),
     metrics: parts.resolve(TOKENS.metrics),
-    largestBodyBytes: settings.largestBodyBytes,
-    state: () => host.control.keeper.state,
+    largestBodyBytes: () => settings.largestBodyBytes,
+    protocol: lockpinCallerProtocol(() => host.control.keeper.state),
+    needsGo: (box, repetition) =>
+      box !== settings.box && repetition === 'at-most-once',
+    silenceMilliseconds: GUARD_SILENCE_MILLISECONDS,
     isReady: () => host.isReady,
     isLeaving: () => host.isLeaving,
     incarnation: (box) => membership.get(box)?.incarnation,
--- /dev/null
+++ b/packages/node/src/process/fleetComposition.ts
@@ -0,0 +1,227 @@
+// Copyright (c) 2026 the lockpin contributors. MIT licence, see LICENSE.
+/** The composition root of a node in a declared fleet, by tsyringe. */
+
+import 'reflect-metadata';
+import {container as root, instanceCachingFactory} from 'tsyringe';
+import type {DependencyContainer, InjectionToken} from 'tsyringe';
+import type {PeerKnowledge, PeerQuestion} from '@lockpin/fleet';
+import type {Logger} from '@lockpin/logger';
+import {makeIncarnation} from '@lockpin/once';
+import {PeerChannels} from '../connection/peerChannels.js';
+import {PeerServer} from '../connection/peerServer.js';
+import {UpstreamPools} from '../connection/upstreamPools.js';
+import type {VersionNews} from '../request/frames.js';
+import {
+  EntryService,
+  GUARD_SILENCE_MILLISECONDS,
+} from '../request/entryService.js';
+import {serveExchangeStream} from '../request/exchangeStreamServer.js';
+import type {VersionExchange} from '../request/exchangeStreamServer.js';
+import {GuardService} from '../request/guardService.js';
+import {serveGuardStream} from '../request/guardStreams.js';
+import {RemoteExchanges} from '../request/remoteExchanges.js';
+import {BoundedWriter} from './boundedWriter.js';
+import {ControlTraffic} from './controlTraffic.js';
+import {DecisionLog} from './decisionLog.js';
+import {FleetHost} from './fleetHost.js';
+import type {FleetPorts} from './fleetPorts.js';
+import {createPrometheusMetrics} from './prometheusMetrics.js';
+import type {TextMetrics} from './prometheusMetrics.js';
+import {Subscribers} from './subscribers.js';
+
+const STANDARD_OUTPUT = 1;
+
+/** A body that is accepted before any configuration says how large it may be. */
+const FIRST_LARGEST_BODY_BYTES = 1024 * 1024;
+
+/** What can be asked of the container. */
+export const FLEET_TOKENS = {
+  ports: Symbol('ports') as InjectionToken<FleetPorts>,
+  writer: Symbol('writer') as InjectionToken<BoundedWriter>,
+  log: Symbol('log') as InjectionToken<DecisionLog>,
+  metrics: Symbol('metrics') as InjectionToken<TextMetrics>,
+  host: Symbol('host') as InjectionToken<FleetHost>,
+  pools: Symbol('pools') as InjectionToken<UpstreamPools>,
+  channels: Symbol('channels') as InjectionToken<
+    PeerChannels<PeerQuestion, PeerKnowledge>
+  >,
+  versions: Symbol('versions') as InjectionToken<Subscribers<VersionNews>>,
+  remote: Symbol('remote') as InjectionToken<RemoteExchanges>,
+  guardService: Symbol('guardService') as InjectionToken<GuardService>,
+  entryService: Symbol('entryService') as InjectionToken<EntryService>,
+  peerServer: Symbol('peerServer') as InjectionToken<
+    PeerServer<PeerQuestion, PeerKnowledge>
+  >,
+} as const;
+
+/** Registers every part; each is made once, when it is first asked for. */
+export function composeFleetNode(ports: FleetPorts): DependencyContainer {
+  const container = root.createChildContainer();
+  const once = <T>(
+    token: InjectionToken<T>,
+    make: (parts: DependencyContainer) => T,
+  ): void => {
+    container.register(token, {useFactory: instanceCachingFactory(make)});
+  };
+  container.register(FLEET_TOKENS.ports, {useValue: ports});
+  once(FLEET_TOKENS.writer, () => new BoundedWriter(STANDARD_OUTPUT));
+  once(FLEET_TOKENS.log, createLog);
+  once(FLEET_TOKENS.metrics, () => createPrometheusMetrics());
+  once(FLEET_TOKENS.host, createHost);
+  once(FLEET_TOKENS.pools, () => new UpstreamPools());
+  once(FLEET_TOKENS.channels, () => new PeerChannels(new ControlTraffic()));
+  once(FLEET_TOKENS.versions, () => new Subscribers<VersionNews>());
+  once(FLEET_TOKENS.remote, createRemoteExchanges);
+  once(FLEET_TOKENS.guardService, createGuardService);
+  once(FLEET_TOKENS.entryService, createEntryService);
+  once(FLEET_TOKENS.peerServer, createPeerServer);
+  return container;
+}
+
+function createLog(parts: DependencyContainer): DecisionLog {
+  const {box, dataCentre} = parts.resolve(FLEET_TOKENS.ports).settings;
+  const writer = parts.resolve(FLEET_TOKENS.writer);
+  return new DecisionLog({
+    clock: Date.now,
+    writeLine: (line) => writer.writeLine(line),
+    common: {box, dataCentre},
+  });
+}
+
+function createHost(parts: DependencyContainer): FleetHost {
+  const {settings, store, readConfiguration} = parts.resolve(
+    FLEET_TOKENS.ports,
+  );
+  const channels = parts.resolve(FLEET_TOKENS.channels);
+  const incarnation = makeIncarnation(Date.now(), Math.random);
+  return new FleetHost(
+    settings,
+    incarnation,
+    {
+      clock: Date.now,
+      random: Math.random,
+      every,
+      store,
+      askPeer: (address, question, done) =>
+        channels.exchange(address, question, done),
+    },
+    readConfiguration,
+    parts.resolve(FLEET_TOKENS.log),
+  );
+}
+
+function createRemoteExchanges(parts: DependencyContainer): RemoteExchanges {
+  const channels = parts.resolve(FLEET_TOKENS.channels);
+  return new RemoteExchanges(
+    (address) => channels.client(address),
+    versionExchange(parts),
+    (address) => channels.renew(address),
+  );
+}
+
+function versionExchange(parts: DependencyContainer): VersionExchange {
+  const host = parts.resolve(FLEET_TOKENS.host);
+  const versions = parts.resolve(FLEET_TOKENS.versions);
+  return {
+    own: () => versionNews(host),
+    onOther: ({address, version}) => host.peerVersionHeard(address, version),
+    subscribe: (changed) => versions.add(changed),
+  };
+}
+
+/** What peers are told of the version in force here. */
+export function versionNews(host: FleetHost): VersionNews {
+  return {version: host.fleet.version, address: host.settings.peerAddress};
+}
+
+function createGuardService(parts: DependencyContainer): GuardService {
+  const host = parts.resolve(FLEET_TOKENS.host);
+  const log = parts.resolve(FLEET_TOKENS.log);
+  const metrics = parts.resolve(FLEET_TOKENS.metrics);
+  const {upstreamProtocol} = parts.resolve(FLEET_TOKENS.ports);
+  return new GuardService({
+    clock: Date.now,
+    random: Math.random,
+    every,
+    brain: host.guard,
+    pools: parts.resolve(FLEET_TOKENS.pools),
+    protocol: upstreamProtocol,
+    onOther: (action) => host.guardActed(action),
+    onEnded: (record) => {
+      log.guardCall(record);
+      const {outcome, ranMilliseconds} = record;
+      metrics.increment('guard.calls', {outcome});
+      metrics.timing('guard.milliseconds', ranMilliseconds, {outcome});
+    },
+  });
+}
+
+function createEntryService(parts: DependencyContainer): EntryService {
+  const host = parts.resolve(FLEET_TOKENS.host);
+  const guard = parts.resolve(FLEET_TOKENS.guardService);
+  const remote = parts.resolve(FLEET_TOKENS.remote);
+  const log = parts.resolve(FLEET_TOKENS.log);
+  const {callerProtocol, settings} = parts.resolve(FLEET_TOKENS.ports);
+  return new EntryService({
+    clock: Date.now,
+    random: Math.random,
+    brain: host.entry,
+    logger: loggerOf(log),
+    metrics: parts.resolve(FLEET_TOKENS.metrics),
+    largestBodyBytes: () =>
+      host.routing?.configuration.limits.bodyBytes ?? FIRST_LARGEST_BODY_BYTES,
+    protocol: callerProtocol({
+      routing: () => host.routing,
+      settings: () => host.settings,
+    }),
+    isReady: () => host.isReady,
+    isLeaving: () => false,
+    incarnation: () => undefined,
+    needsGo: (box) => box !== settings.box,
+    silenceMilliseconds: GUARD_SILENCE_MILLISECONDS,
+    onSilence: (box) => remote.wasSilent(host.peerAddress(box)),
+    onEnded: (record) => log.call(record),
+    begin: (box, head, handlers) =>
+      box === settings.box
+        ? guard.begin(head, handlers)
+        : remote.begin(host.peerAddress(box), head, handlers),
+  });
+}
+
+function createPeerServer(
+  parts: DependencyContainer,
+): PeerServer<PeerQuestion, PeerKnowledge> {
+  const host = parts.resolve(FLEET_TOKENS.host);
+  const guard = parts.resolve(FLEET_TOKENS.guardService);
+  const versions = versionExchange(parts);
+  return new PeerServer<PeerQuestion, PeerKnowledge>(
+    {
+      call: (stream) =>
+        serveGuardStream(stream, (head, handlers) =>
+          guard.begin(head, handlers),
+        ),
+      exchanges: (stream) =>
+        serveExchangeStream(
+          stream,
+          (head, handlers) => guard.begin(head, handlers),
+          versions,
+        ),
+      exchange: (question, reply) => reply(host.fleet.answer(question)),
+    },
+    new ControlTraffic(),
+  );
+}
+
+function loggerOf(log: DecisionLog): Logger {
+  return {
+    debug: () => undefined,
+    info: (message, fields) => log.event('info', {message, ...fields}),
+    warn: (message, fields) => log.event('warning', {message, ...fields}),
+    error: (message, fields) => log.event('error', {message, ...fields}),
+  };
+}
+
+function every(milliseconds: number, run: () => void): () => void {
+  const timer = setInterval(run, milliseconds);
+  return () => clearInterval(timer);
+}
--- /dev/null
+++ b/packages/node/src/process/fleetHost.ts
@@ -0,0 +1,297 @@
+// Copyright (c) 2026 the lockpin contributors. MIT licence, see LICENSE.
+/** Drives the brains of a node in a declared fleet. */
+
+import {
+  DEFAULT_GUARD_SETTINGS,
+  EntryBrain,
+  GuardBrain,
+  UNSENT_REFUSALS,
+} from '@lockpin/brain';
+import type {EntrySettings, GuardAction, GuardEvent} from '@lockpin/brain';
+import {FleetBrain, FleetRouting, upstreamName} from '@lockpin/fleet';
+import type {
+  FleetAction,
+  FleetEvent,
+  OwnUpstream,
+  PeerKnowledge,
+  PeerQuestion,
+  ReadConfiguration,
+  RecordStore,
+  UpstreamAnnouncement,
+} from '@lockpin/fleet';
+import {WindowedRetryBudget, chooseByScore} from '@lockpin/routing';
+import type {Clock, RandomSource, Resource} from '@lockpin/types';
+import type {DecisionLog} from './decisionLog.js';
+import type {FleetNodeSettings} from './fleetPorts.js';
+
+/** While calls are under way the guard ticks more often by itself. */
+const TICK_MILLISECONDS = 100;
+
+/**
+ * Part of the fleet's retries that its entries use. The rest covers entries
+ * that start anew without a memory of what they spent, and calls that
+ * upstreams make for a call that is itself repeated.
+ */
+const RETRY_SHARE = 0.7;
+
+/** Offers that ask for a free slot at once, before one that may wait. */
+const IMMEDIATE_OFFERS = 4;
+
+/** Offers in all; each costs a round trip, and the caller waits meanwhile. */
+const MOST_REROUTES = 10;
+
+/** An offer is answered in a round trip, so one silence is reason enough. */
+const LINK_PATIENCE = {
+  failuresToAvoid: 1,
+  firstAvoidanceMilliseconds: 500,
+  longestAvoidanceMilliseconds: 8000,
+} as const;
+
+/** All that the host needs of the world. */
+export interface FleetEnvironment {
+  readonly clock: Clock;
+  readonly random: RandomSource;
+  readonly every: (milliseconds: number, run: () => void) => () => void;
+  readonly store: RecordStore;
+  readonly askPeer: (
+    address: string,
+    question: PeerQuestion,
+    done: (knowledge: PeerKnowledge | undefined) => void,
+  ) => void;
+}
+
+/** What the host tells the rest of the process. */
+export interface FleetHostListeners {
+  readonly onGuardEvent: (event: GuardEvent) => void;
+  readonly onUpstreams: (upstreams: readonly Resource<'Upstream'>[]) => void;
+  readonly onVersion: (version: number) => void;
+}
+
+/** Lives as long as the process. */
+export class FleetHost {
+  readonly fleet: FleetBrain;
+  readonly guard: GuardBrain;
+  readonly entry: EntryBrain;
+  private currentRouting: FleetRouting | undefined;
+  private listeners: FleetHostListeners | undefined;
+  private stopTicking: (() => void) | undefined;
+  private hasLeft = false;
+
+  constructor(
+    private currentSettings: FleetNodeSettings,
+    incarnation: string,
+    private readonly environment: FleetEnvironment,
+    readConfiguration: ReadConfiguration,
+    private readonly log: DecisionLog,
+  ) {
+    const {box, dataCentre, peerAddress} = currentSettings;
+    this.fleet = new FleetBrain(
+      {box, dataCentre, peerAddress},
+      readConfiguration,
+    );
+    this.guard = new GuardBrain(
+      {box, incarnation},
+      {...DEFAULT_GUARD_SETTINGS, hasQuickDoubt: true, limitsRetries: false},
+    );
+    this.entry = new EntryBrain(
+      box,
+      dataCentre,
+      {isUsable: () => true, incarnation: () => undefined},
+      this.entrySettings(),
+    );
+  }
+
+  get settings(): FleetNodeSettings {
+    return this.currentSettings;
+  }
+
+  get routing(): FleetRouting | undefined {
+    return this.currentRouting;
+  }
+
+  /** A node that knows no configuration would have to guess. */
+  get isReady(): boolean {
+    return this.currentRouting !== undefined;
+  }
+
+  get isLeaving(): boolean {
+    return this.hasLeft;
+  }
+
+  /** The address at which a box's node takes calls of other nodes. */
+  peerAddress(box: string): string {
+    return this.fleet.directory.get(box)?.peerAddress ?? '';
+  }
+
+  start(listeners: FleetHostListeners): void {
+    this.listeners = listeners;
+    this.stopTicking = this.environment.every(TICK_MILLISECONDS, () => {
+      this.handle({kind: 'tick'});
+      listeners.onGuardEvent({kind: 'tick'});
+    });
+    this.handle({kind: 'tick'});
+  }
+
+  stop(): void {
+    this.stopTicking?.();
+  }
+
+  /** The guard refuses new calls from here on; entries go elsewhere at once. */
+  leave(): void {
+    this.hasLeft = true;
+    this.listeners?.onGuardEvent({kind: 'leaving'});
+  }
+
+  /** Takes over settings that may change while the process runs. */
+  reload(settings: FleetNodeSettings): void {
+    this.currentSettings = settings;
+  }
+
+  /** Takes in what the upstream beside this node says of itself. */
+  announced(announcement: UpstreamAnnouncement): void {
+    this.handle({kind: 'upstream-announced', announcement});
+  }
+
+  /** A peer told the version that is in force there. */
+  peerVersionHeard(address: string, version: number): void {
+    this.handle({kind: 'peer-version-heard', address, version});
+  }
+
+  /** Logs what the guard came to believe; permits are not used here. */
+  guardActed(
+    action: GuardAction & {readonly kind: 'report' | 'timeline'},
+  ): void {
+    if (action.kind === 'timeline') {
+      const {event, subject, detail} = action;
+      this.log.event(event, {subject, ...detail});
+    }
+  }
+
+  private entrySettings(): EntrySettings {
+    return {
+      choose: chooseByScore,
+      linkPatience: LINK_PATIENCE,
+      createBudget: () => this.createBudget(),
+      immediateOffers: IMMEDIATE_OFFERS,
+      mostReroutes: MOST_REROUTES,
+      freeRefusals: UNSENT_REFUSALS,
+      replacesOverdue: true,
+    };
+  }
+
+  private createBudget(): WindowedRetryBudget {
+    const {ratio, windowMilliseconds} = this.currentSettings.retries;
+    return new WindowedRetryBudget({
+      ratio: ratio * RETRY_SHARE,
+      windowMilliseconds,
+      extra: () => {
+        const {extra} = this.currentSettings.retries;
+        return (extra * RETRY_SHARE) / Math.max(1, this.fleet.directory.size);
+      },
+    });
+  }
+
+  private handle(event: FleetEvent): void {
+    const {clock, random} = this.environment;
+    for (const action of this.fleet.handle(clock(), random, event)) {
+      this.perform(action);
+    }
+  }
+
+  private perform(action: FleetAction): void {
+    const {store, askPeer} = this.environment;
+    switch (action.kind) {
+      case 'read-newest':
+        void store
+          .readNewest(action.stream)
+          .then((result) =>
+            this.handle({kind: 'read-ended', stream: action.stream, result}),
+          );
+        break;
+      case 'follow':
+        void store
+          .follow(action.stream, action.from, action.waitMilliseconds)
+          .then((result) =>
+            this.handle({kind: 'read-ended', stream: action.stream, result}),
+          );
+        break;
+      case 'write':
+        void store
+          .write('boxes', action.record)
+          .then((result) => this.handle({kind: 'write-ended', result}));
+        break;
+      case 'ask-peer':
+        askPeer(action.address, action.question, (knowledge) =>
+          this.handle({
+            kind: 'peer-replied',
+            address: action.address,
+            knowledge,
+          }),
+        );
+        break;
+      case 'configuration-changed':
+        this.configurationChanged(action);
+        break;
+      case 'upstream-changed':
+        this.upstreamChanged(action.upstream);
+        break;
+      case 'note':
+        this.log.event(action.event, {
+          subject: action.subject,
+          ...action.detail,
+        });
+        break;
+    }
+  }
+
+  private configurationChanged({
+    configuration,
+    source,
+  }: FleetAction & {readonly kind: 'configuration-changed'}): void {
+    const before = this.currentRouting;
+    this.currentRouting = new FleetRouting(
+      configuration,
+      this.fleet.directory,
+      this.environment.random,
+      before,
+    );
+    this.log.event('configuration-in-force', {
+      version: configuration.version,
+      before: before?.configuration.version ?? 0,
+      source,
+      routes: configuration.routes.length,
+    });
+    this.listeners?.onVersion(configuration.version);
+  }
+
+  private upstreamChanged(upstream: OwnUpstream): void {
+    const {box, dataCentre} = this.currentSettings;
+    const {service, address, slots, takesWork, lifetime, coldUntil} = upstream;
+    const resource: Resource<'Upstream'> = {
+      kind: 'Upstream',
+      name: upstreamName(service, box),
+      version: upstream.sequence,
+      spec: {
+        address,
+        dataCentre,
+        box,
+        slots,
+        connections: slots,
+        state: takesWork ? 'in-service' : 'draining',
+        lifetime,
+        coldUntil,
+      },
+    };
+    this.log.event('upstream-announced', {
+      subject: resource.name,
+      lifetime,
+      sequence: upstream.sequence,
+      state: resource.spec.state,
+    });
+    this.listeners?.onUpstreams([resource]);
+    this.listeners?.onGuardEvent({
+      kind: 'services-changed',
+      services: [{name: service, sensitivity: 'fast', upstreams: [resource]}],
+    });
+  }
+}
--- /dev/null
+++ b/packages/node/src/process/fleetPorts.ts
@@ -0,0 +1,51 @@
+// Copyright (c) 2026 the lockpin contributors. MIT licence, see LICENSE.
+/** What a node of a declared fleet is given from outside. */
+
+import type {
+  FleetRouting,
+  ReadConfiguration,
+  RecordStore,
+} from '@lockpin/fleet';
+import type {CallerProtocol} from '../request/callerProtocol.js';
+import type {UpstreamProtocol} from '../request/upstreamProtocol.js';
+
+/** How many retries the whole fleet may make for a service. */
+export interface FleetRetryLimit {
+  /** Retries for each call of the window. */
+  readonly ratio: number;
+  readonly windowMilliseconds: number;
+  /** Retries of a window on top, for all nodes together. */
+  readonly extra: number;
+}
+
+/** Settings of one node, checked by whoever read them. */
+export interface FleetNodeSettings {
+  readonly box: string;
+  readonly dataCentre: string;
+  /** The service whose upstream runs on this box; calls begin in its name. */
+  readonly service: string;
+  readonly callerAddress: string;
+  readonly peerAddress: string;
+  /** Where the metrics are read; empty for nowhere. */
+  readonly metricsAddress: string;
+  /** From the signal to stop until the process is killed, in milliseconds. */
+  readonly stopLimitMilliseconds: number;
+  readonly retries: FleetRetryLimit;
+}
+
+/** What the caller's side may ask of the fleet. */
+export interface FleetKnowledge {
+  /** Undefined before any configuration is known. */
+  readonly routing: () => FleetRouting | undefined;
+  readonly settings: () => FleetNodeSettings;
+}
+
+/** Functions that differ between deployments. */
+export interface FleetPorts {
+  /** As they were at the start. */
+  readonly settings: FleetNodeSettings;
+  readonly store: RecordStore;
+  readonly readConfiguration: ReadConfiguration;
+  readonly callerProtocol: (fleet: FleetKnowledge) => CallerProtocol;
+  readonly upstreamProtocol: UpstreamProtocol;
+}
--- /dev/null
+++ b/packages/node/src/process/prometheusMetrics.ts
@@ -0,0 +1,50 @@
+// Copyright (c) 2026 the lockpin contributors. MIT licence, see LICENSE.
+/** Counters, levels and latency histograms as text, by prom-client. */
+
+import {Counter, Gauge, Histogram, Registry} from 'prom-client';
+import type {MetricName, MetricTags, NodeMetrics} from './metrics.js';
+
+/** Upper ends of the latency buckets, in milliseconds. */
+const LATENCY_BUCKETS = [
+  1, 2, 5, 10, 20, 50, 100, 200, 300, 500, 800, 1200, 2000, 3000, 5000,
+];
+
+/** Metrics that can also be read as text. */
+export interface TextMetrics extends NodeMetrics {
+  readonly text: () => Promise<string>;
+}
+
+/** Keeps the figures of one process. */
+export function createPrometheusMetrics(): TextMetrics {
+  const registry = new Registry();
+  const counters = new Map<MetricName, Counter>();
+  const gauges = new Map<MetricName, Gauge>();
+  const histograms = new Map<MetricName, Histogram>();
+  const options = (name: MetricName, tags: MetricTags) => ({
+    name: `lockpin_${name.replaceAll('.', '_')}`,
+    help: `See docs/reference/metrics.md: ${name}.`,
+    labelNames: Object.keys(tags),
+    registers: [registry],
+  });
+  return {
+    increment: (name, tags = {}) => {
+      const counter = counters.get(name) ?? new Counter(options(name, tags));
+      counters.set(name, counter);
+      counter.inc(tags);
+    },
+    timing: (name, milliseconds, tags = {}) => {
+      const histogram =
+        histograms.get(name) ??
+        new Histogram({...options(name, tags), buckets: LATENCY_BUCKETS});
+      histograms.set(name, histogram);
+      histogram.observe(tags, milliseconds);
+    },
+    gauge: (name, value, tags = {}) => {
+      const gauge = gauges.get(name) ?? new Gauge(options(name, tags));
+      gauges.set(name, gauge);
+      gauge.set(tags, value);
+    },
+    text: () => registry.metrics(),
+    close: () => registry.clear(),
+  };
+}
--- /dev/null
+++ b/packages/node/src/process/runFleetNode.ts
@@ -0,0 +1,139 @@
+// Copyright (c) 2026 the lockpin contributors. MIT licence, see LICENSE.
+/** Starts a node of a declared fleet, and stops it so that no call is cut. */
+
+import type {Server} from 'node:http';
+import {setTimeout as pause} from 'node:timers/promises';
+import type {DependencyContainer} from 'tsyringe';
+import {startHttpServer} from '../connection/httpServer.js';
+import type {RequestHandler} from '../connection/httpServer.js';
+import {FLEET_TOKENS, versionNews} from './fleetComposition.js';
+import type {StopResult} from './runNode.js';
+
+/** A node that runs. */
+export interface RunningFleetNode {
+  /** Whether callers should be sent here. */
+  readonly isReady: () => boolean;
+  /** Lets callers go elsewhere, finishes what is in flight, and closes; once. */
+  readonly stop: () => Promise<StopResult>;
+}
+
+const STOP_POLL_MILLISECONDS = 20;
+
+/** Guards elsewhere take over at once; this box refuses their calls from then. */
+const LEAVE_AFTER_MILLISECONDS = 100;
+
+/**
+ * Share of the stop limit in which callers are still served: they are told to
+ * go elsewhere by two readiness checks a second apart, and come until then.
+ */
+const SERVE_SHARE = 0.42;
+
+/** Kept of the stop limit for the process to end by itself. */
+const EXIT_RESERVE_MILLISECONDS = 400;
+
+/** Added to the time after which idle connections of callers are closed. */
+const IDLE_ALLOWANCE_MILLISECONDS = 1000;
+
+/** Starts every part of a composed node. */
+export async function runFleetNode(
+  container: DependencyContainer,
+): Promise<RunningFleetNode> {
+  const {settings} = container.resolve(FLEET_TOKENS.ports);
+  const host = container.resolve(FLEET_TOKENS.host);
+  const guard = container.resolve(FLEET_TOKENS.guardService);
+  const entry = container.resolve(FLEET_TOKENS.entryService);
+  const pools = container.resolve(FLEET_TOKENS.pools);
+  const versions = container.resolve(FLEET_TOKENS.versions);
+  const remote = container.resolve(FLEET_TOKENS.remote);
+  const stopping: StopState = {isStopping: false, closesConnections: false};
+  await container.resolve(FLEET_TOKENS.peerServer).start(settings.peerAddress);
+  const callers = await startHttpServer(
+    settings.callerAddress,
+    (request, response) => {
+      if (stopping.closesConnections) {
+        response.shouldKeepAlive = false;
+      }
+      void entry.serve(request, response);
+    },
+  );
+  if (settings.metricsAddress !== '') {
+    await startHttpServer(settings.metricsAddress, metricsHandler(container));
+  }
+  host.start({
+    onGuardEvent: (event) => guard.handle(event),
+    onUpstreams: (upstreams) => pools.configure(upstreams),
+    onVersion: () => {
+      applyLimits(container, callers);
+      const news = versionNews(host);
+      remote.tellVersion(news);
+      versions.tell(news);
+    },
+  });
+  let result: Promise<StopResult> | undefined;
+  return {
+    isReady: () => host.isReady && !stopping.isStopping,
+    stop: () => (result ??= stopFleetNode(container, callers, stopping)),
+  };
+}
+
+interface StopState {
+  isStopping: boolean;
+  closesConnections: boolean;
+}
+
+/** The limits of the version in force hold for connections, old and new. */
+function applyLimits(container: DependencyContainer, callers: Server): void {
+  const host = container.resolve(FLEET_TOKENS.host);
+  const limits = host.routing?.configuration.limits;
+  if (limits === undefined) {
+    return;
+  }
+  callers.keepAliveTimeout =
+    limits.idleMilliseconds + IDLE_ALLOWANCE_MILLISECONDS;
+  callers.headersTimeout = limits.headerMilliseconds;
+}
+
+function metricsHandler(container: DependencyContainer): RequestHandler {
+  const metrics = container.resolve(FLEET_TOKENS.metrics);
+  const host = container.resolve(FLEET_TOKENS.host);
+  const guard = container.resolve(FLEET_TOKENS.guardService);
+  const writer = container.resolve(FLEET_TOKENS.writer);
+  return (_request, response) => {
+    metrics.gauge('guard.occupied', guard.callCount);
+    metrics.gauge('configuration.version', host.fleet.version);
+    metrics.gauge('members.usable', host.fleet.directory.size);
+    metrics.gauge('log.dropped', writer.counts.dropped);
+    void metrics.text().then((text) => response.end(text));
+  };
+}
+
+async function stopFleetNode(
+  container: DependencyContainer,
+  callers: Server,
+  stopping: StopState,
+): Promise<StopResult> {
+  const host = container.resolve(FLEET_TOKENS.host);
+  const guard = container.resolve(FLEET_TOKENS.guardService);
+  const entry = container.resolve(FLEET_TOKENS.entryService);
+  const {stopLimitMilliseconds} = host.settings;
+  const begunAt = Date.now();
+  const limit = begunAt + stopLimitMilliseconds - EXIT_RESERVE_MILLISECONDS;
+  stopping.isStopping = true;
+  await pause(LEAVE_AFTER_MILLISECONDS);
+  host.leave();
+  await pause(stopLimitMilliseconds * SERVE_SHARE - LEAVE_AFTER_MILLISECONDS);
+  stopping.closesConnections = true;
+  callers.close();
+  callers.closeIdleConnections();
+  const isBusy = (): boolean => guard.callCount + entry.callCount > 0;
+  while (isBusy() && Date.now() < limit) {
+    await pause(STOP_POLL_MILLISECONDS);
+  }
+  const isFinished = !isBusy();
+  host.stop();
+  callers.closeAllConnections();
+  container.resolve(FLEET_TOKENS.peerServer).stop();
+  container.resolve(FLEET_TOKENS.channels).close();
+  container.resolve(FLEET_TOKENS.pools).close();
+  return isFinished ? 'finished' : 'limit-reached';
+}
--- a/packages/node/src/request/callerExchange.ts
+++ b/packages/node/src/request/callerExchange.ts
@@ -7,8 +7,8 @@
 import type {CallerRequest} from './callerRequest.js';
 import type {Exchange} from './exchange.js';
 import type {AnswerHead, CallHead} from './frames.js';
-import {callHeaders} from './headers.js';
-import {sendProblem} from './problem.js';
+import type {CallerProtocol} from './callerProtocol.js';
+import {CallStory} from './callStory.js';
 
 /** Bodies up to this size are held so that the call can be sent again. */
 export const HELD_BODY_BYTES = 64 * 1024;
@@ -27,6 +27,12 @@
   /** An answer at hand that may still be set aside for a retry. */
   heldAnswer: AnswerHead | undefined;
   timer: NodeJS.Timeout | undefined;
+  /** Runs while the guard has neither started the call nor let it wait. */
+  silenceTimer: NodeJS.Timeout | undefined;
+  overdueTimer: NodeJS.Timeout | undefined;
+  /** The attempt under way may run: it needs no go, or has been given it. */
+  isGoGiven = true;
+  readonly story = new CallStory();
   private isStreaming = false;
   private isEnded = false;
 
@@ -41,12 +47,24 @@
     private readonly requestDigest: string,
     /** When the call began, in milliseconds since 1970. */
     readonly arrivedAt: number,
+    private readonly protocol: CallerProtocol,
   ) {}
 
   get isReplayable(): boolean {
     return this.body !== undefined;
   }
 
+  /** Ends the timers of the attempt under way. */
+  clearAttemptTimers(): void {
+    clearTimeout(this.silenceTimer);
+    clearTimeout(this.overdueTimer);
+  }
+
+  /** The status that went to the caller; 0 when none did. */
+  get status(): number {
+    return this.hasBegun ? this.response.statusCode : 0;
+  }
+
   /** Whether the answer has begun to go to the caller. */
   get hasBegun(): boolean {
     return this.response.headersSent;
@@ -57,11 +75,14 @@
   }
 
   /** The first frame of an attempt. */
-  head(attempt: Attempt, remaining: number): CallHead {
+  head(now: number, attempt: Attempt, needsGo: boolean): CallHead {
     const {route, customer, weight, path, onceKey, view} = this.call;
-    const headers = callHeaders(this.request.rawHeaders);
-    const extra = ['lockpin-retry', String(attempt.number)];
+    const {goalMilliseconds} = route.spec;
+    const age = now - this.arrivedAt;
+    const usefulFor =
+      goalMilliseconds === undefined ? undefined : goalMilliseconds - age;
     return {
+      requestId: this.requestId,
       service: view.name,
       upstream: attempt.upstream,
       customer,
@@ -69,7 +90,7 @@
       route: shortName(route.name),
       repetition: route.spec.repetition,
       priority: route.spec.priority,
-      remaining,
+      remaining: Math.max(0, attempt.call.deadline - now),
       attempt: attempt.number,
       retryShare: route.spec.retryShare,
       onceKey: onceKey?.text,
@@ -77,13 +98,20 @@
       method: this.request.method ?? 'GET',
       path,
       headers: [
-        ...headers,
-        ...this.requestIdHeader(),
-        ...(attempt.number > 1 ? extra : []),
+        ...this.protocol.callHeaders(
+          this.request,
+          this.requestId,
+          attempt.number,
+        ),
         ...this.lengthHeader(),
       ],
       body: this.body,
       hasMore: this.body === undefined,
+      needsGo,
+      terms: attempt.terms,
+      usefulFor:
+        usefulFor !== undefined && usefulFor > 0 ? usefulFor : undefined,
+      expectedMilliseconds: attempt.expectedMilliseconds,
     };
   }
 
@@ -107,10 +135,8 @@
 
   /** Sends the head of an answer, and its body when it is at hand. */
   sendHead(head: AnswerHead): void {
-    const headers = [...head.headers];
-    headers.push('lockpin-outcome', 'answered');
-    headers.push('lockpin-upstream', head.upstream);
-    this.response.writeHead(head.status, headers);
+    const headers = this.protocol.answerHeaders(head);
+    this.response.writeHead(head.status, [...headers]);
     if (!head.hasMore) {
       this.isEnded = true;
       this.endWith(head.body);
@@ -155,13 +181,7 @@
       // The rest of the body is not wanted; its connection cannot be used again.
       this.response.shouldKeepAlive = false;
     }
-    sendProblem(this.response, refusal, this.requestId, extraHeaders);
-  }
-
-  private requestIdHeader(): readonly string[] {
-    return this.request.headers['x-request-id'] === undefined
-      ? ['x-request-id', this.requestId]
-      : [];
+    this.protocol.refuse(this.response, refusal, this.requestId, extraHeaders);
   }
 
   /** undici checks a streamed body against the length that was announced. */
--- a/packages/node/src/request/callerRequest.ts
+++ b/packages/node/src/request/callerRequest.ts
@@ -36,6 +36,8 @@
   readonly onceKey: OnceKey | undefined;
   readonly isFirstWithKey: boolean;
   readonly isCallersRetry: boolean;
+  /** Version of the configuration that the call is served under. */
+  readonly version: number;
 }
 
 /** Finds the service that a request names. */
@@ -86,6 +88,7 @@
     onceKey: key.value,
     isFirstWithKey: single(request, CALLER_HEADERS.firstWithKey) === 'first',
     isCallersRetry: single(request, CALLER_HEADERS.retry) !== undefined,
+    version: state.version,
   });
 }
 
@@ -111,7 +114,7 @@
   request: IncomingMessage,
   route: Resource<'Route'>,
 ): Result<OnceKey | undefined, RefusalReason> {
-  if (route.spec.repetition === 'repeatable') {
+  if (route.spec.repetition !== 'once-only') {
     return success(undefined);
   }
   const text = single(request, route.spec.onceKeyHeader);
--- a/packages/node/src/request/entryService.ts
+++ b/packages/node/src/request/entryService.ts
@@ -2,17 +2,22 @@
 /** The entry's side of a call: from the caller's request to its answer. */
 
 import type {IncomingMessage, ServerResponse} from 'node:http';
-import {v7} from 'uuid';
 import type {
   Attempt,
   EntryAction,
   EntryBrain,
   EntryEvent,
 } from '@lockpin/brain';
-import type {ConfigurationState, ServiceView} from '@lockpin/configuration';
+import type {ServiceView} from '@lockpin/configuration';
 import type {Logger} from '@lockpin/logger';
 import {mintOnceKey} from '@lockpin/once';
-import type {Clock, RandomSource, Refusal, RefusalReason} from '@lockpin/types';
+import type {
+  Clock,
+  RandomSource,
+  Refusal,
+  RefusalReason,
+  Repetition,
+} from '@lockpin/types';
 import {sha256Hex} from '@lockpin/utils';
 import type {NodeMetrics} from '../process/metrics.js';
 import {
@@ -20,13 +25,20 @@
   HELD_BODY_BYTES,
   ONCE_BODY_BYTES,
 } from './callerExchange.js';
-import {readCallerRequest} from './callerRequest.js';
+import type {CallerProtocol} from './callerProtocol.js';
 import type {CallerRequest} from './callerRequest.js';
+import type {CallRecord} from './callStory.js';
 import type {Exchange, ExchangeHandlers} from './exchange.js';
 import type {AnswerHead, CallHead} from './frames.js';
-import {sendProblem} from './problem.js';
 import {readBody} from './readBody.js';
 
+/**
+ * A guard that is asked to keep a slot answers within a round trip and a turn
+ * of its loop; much later than that, its process or the way to it is in
+ * trouble. Ten times a slow round trip between data centres.
+ */
+export const GUARD_SILENCE_MILLISECONDS = 100;
+
 /** What the entry's service needs of its process. */
 export interface EntryServiceDependencies {
   readonly clock: Clock;
@@ -34,12 +46,20 @@
   readonly brain: EntryBrain;
   readonly logger: Logger;
   readonly metrics: NodeMetrics;
-  readonly largestBodyBytes: number;
-  readonly state: () => ConfigurationState;
+  readonly largestBodyBytes: () => number;
+  readonly protocol: CallerProtocol;
   readonly isReady: () => boolean;
   readonly isLeaving: () => boolean;
   /** The process now on a box, for minting once keys. */
   readonly incarnation: (box: string) => string | undefined;
+  /** Whether a guard must reserve a slot for a call before it may run it. */
+  readonly needsGo: (box: string, repetition: Repetition) => boolean;
+  /** A guard that has not said that it has the call by then is passed over. */
+  readonly silenceMilliseconds: number;
+  /** The guard of a box was silent. */
+  readonly onSilence?: (box: string) => void;
+  /** Told of every call at its end. */
+  readonly onEnded?: (record: CallRecord) => void;
   /** Begins an exchange with the guard of a box. */
   readonly begin: (
     box: string,
@@ -79,13 +99,15 @@
     request: IncomingMessage,
     response: ServerResponse,
   ): Promise<void> {
-    const requestId = String(request.headers['x-request-id'] ?? v7());
+    const arrivedAt = this.dependencies.clock();
+    const {protocol} = this.dependencies;
+    const requestId = protocol.requestId(request);
     const reason = this.reasonNotToServe();
     if (reason !== undefined) {
-      this.refuseEarly(response, requestId, reason);
+      this.refuseEarly(response, requestId, reason, request);
       return;
     }
-    const read = readCallerRequest(this.dependencies.state(), request);
+    const read = protocol.read(request);
     if (!read.ok) {
       this.refuseEarly(response, requestId, read.failure, request);
       return;
@@ -98,7 +120,7 @@
     if (body === 'cut' || response.destroyed) {
       return;
     }
-    this.arrived(request, response, requestId, read.value, body);
+    this.arrived(request, response, requestId, read.value, body, arrivedAt);
   }
 
   /** A key bound to the home of an upstream that takes calls now. */
@@ -123,7 +145,7 @@
     request: IncomingMessage,
     call: CallerRequest,
   ): Promise<Buffer | undefined | 'too-large' | 'cut'> {
-    const {largestBodyBytes} = this.dependencies;
+    const largestBodyBytes = this.dependencies.largestBodyBytes();
     const length = Number(request.headers['content-length'] ?? Number.NaN);
     if (length > largestBodyBytes) {
       return 'too-large';
@@ -147,6 +169,7 @@
     requestId: string,
     call: CallerRequest,
     body: Buffer | undefined,
+    arrivedAt: number,
   ): void {
     this.serial += 1;
     const id = String(this.serial);
@@ -162,13 +185,16 @@
       response,
       body,
       digest,
-      this.dependencies.clock(),
+      arrivedAt,
+      this.dependencies.protocol,
     );
     this.exchanges.set(id, exchange);
     response.on('close', () => this.closed(exchange));
+    this.watchConnection(request, response, exchange);
+    const deadline = arrivedAt + call.waitMilliseconds;
     exchange.timer = setTimeout(
-      () => this.handle({kind: 'deadline-passed', callId: id}),
-      call.waitMilliseconds,
+      () => this.deadlinePassed(exchange),
+      deadline - this.dependencies.clock(),
     );
     this.handle({
       kind: 'call-arrived',
@@ -178,7 +204,7 @@
         route: call.route,
         customer: call.customer,
         bytes: body?.length ?? HELD_BODY_BYTES,
-        deadline: this.dependencies.clock() + call.waitMilliseconds,
+        deadline,
         onceKey: call.onceKey,
         isFirstWithKey: call.isFirstWithKey,
         isReplayable: exchange.isReplayable,
@@ -187,6 +213,32 @@
     });
   }
 
+  /**
+   * The answer to a pipelined request has no connection of its own until its
+   * turn comes, and is not told when the caller leaves.
+   */
+  private watchConnection(
+    request: IncomingMessage,
+    response: ServerResponse,
+    exchange: CallerExchange,
+  ): void {
+    const {socket} = request;
+    const left = (): void => this.closed(exchange);
+    socket.setMaxListeners(0);
+    socket.once('close', left);
+    response.once('finish', () => socket.off('close', left));
+  }
+
+  private deadlinePassed(exchange: CallerExchange): void {
+    const wasSent = exchange.exchange !== undefined && exchange.isGoGiven;
+    exchange.story.ended(this.age(exchange), 'deadline-passed');
+    this.handle({kind: 'deadline-passed', callId: exchange.id, wasSent});
+  }
+
+  private age(exchange: CallerExchange): number {
+    return this.dependencies.clock() - exchange.arrivedAt;
+  }
+
   private handle(event: EntryEvent): void {
     const {brain, clock, random} = this.dependencies;
     for (const action of brain.handle(clock(), random, event)) {
@@ -213,6 +265,7 @@
         break;
       case 'cancel-attempt':
         exchange.attemptSerial += 1;
+        exchange.clearAttemptTimers();
         exchange.exchange?.cancel();
         exchange.exchange = undefined;
         break;
@@ -222,8 +275,18 @@
   private attempt(exchange: CallerExchange, attempt: Attempt): void {
     exchange.attemptSerial += 1;
     exchange.heldAnswer = undefined;
-    const remaining = attempt.call.deadline - this.dependencies.clock();
-    const head = exchange.head(attempt, Math.max(0, remaining));
+    const {clock, brain} = this.dependencies;
+    const now = clock();
+    const needsGo = this.needsGo(exchange, attempt);
+    const head = exchange.head(now, attempt, needsGo);
+    const known = brain.loads.lastHint(attempt.upstream ?? '', now);
+    exchange.story.offered(
+      this.age(exchange),
+      attempt,
+      known && {state: known.hint.state, age: known.age},
+    );
+    exchange.isGoGiven = !needsGo;
+    this.setAttemptTimers(exchange, attempt, needsGo);
     const serial = exchange.attemptSerial;
     const handlers = this.handlersFor(exchange, serial);
     const begun = this.dependencies.begin(attempt.box, head, handlers);
@@ -233,6 +296,45 @@
     }
   }
 
+  private needsGo(exchange: CallerExchange, {box}: Attempt): boolean {
+    const {repetition} = exchange.call.route.spec;
+    return exchange.isReplayable && this.dependencies.needsGo(box, repetition);
+  }
+
+  private setAttemptTimers(
+    exchange: CallerExchange,
+    {box, overdueMilliseconds}: Attempt,
+    needsGo: boolean,
+  ): void {
+    const {silenceMilliseconds, onSilence} = this.dependencies;
+    const callId = exchange.id;
+    exchange.clearAttemptTimers();
+    if (needsGo) {
+      exchange.silenceTimer = setTimeout(() => {
+        exchange.story.ended(this.age(exchange), 'guard-silent');
+        onSilence?.(box);
+        this.handle({kind: 'attempt-silent', callId});
+      }, silenceMilliseconds);
+    }
+    if (overdueMilliseconds !== undefined) {
+      exchange.overdueTimer = setTimeout(
+        () => this.handle({kind: 'attempt-overdue', callId}),
+        overdueMilliseconds,
+      );
+    }
+  }
+
+  /** The guard has a slot for the call. */
+  private slotFound(exchange: CallerExchange): void {
+    clearTimeout(exchange.silenceTimer);
+    if (exchange.isGoGiven) {
+      exchange.streamBody();
+      return;
+    }
+    exchange.isGoGiven = true;
+    exchange.exchange?.go();
+  }
+
   private handlersFor(
     exchange: CallerExchange,
     serial: number,
@@ -246,7 +348,8 @@
       }
     };
     return {
-      onContinue: () => ifCurrent(() => exchange.streamBody()),
+      onContinue: () => ifCurrent(() => this.slotFound(exchange)),
+      onQueued: () => ifCurrent(() => clearTimeout(exchange.silenceTimer)),
       onAnswer: (head) =>
         ifCurrent(() => this.answered(exchange, callId, head)),
       onChunk: (bytes) => this.chunk(exchange, isCurrent(), bytes),
@@ -256,16 +359,19 @@
           this.ended(exchange);
         }),
       onRefusal: ({refusal, upstream, hint}) =>
-        ifCurrent(() =>
+        ifCurrent(() => {
+          exchange.clearAttemptTimers();
+          exchange.story.ended(this.age(exchange), refusal.reason);
           this.handle({
             kind: 'attempt-refused',
             callId,
             refusal,
             upstream,
             hint,
-          }),
-        ),
-      onLost: (wasSent) => ifCurrent(() => this.lost(exchange, wasSent)),
+          });
+        }),
+      onLost: (wasSent) =>
+        ifCurrent(() => this.lost(exchange, wasSent && exchange.isGoGiven)),
     };
   }
 
@@ -275,9 +381,18 @@
     head: AnswerHead,
   ): void {
     exchange.heldAnswer = head;
-    const {status, hint} = head;
+    const {status, hint, ranMilliseconds} = head;
     const isWhole = !head.hasMore;
-    this.handle({kind: 'attempt-answered', callId, status, isWhole, hint});
+    exchange.clearAttemptTimers();
+    exchange.story.ended(this.age(exchange), String(status));
+    this.handle({
+      kind: 'attempt-answered',
+      callId,
+      status,
+      isWhole,
+      hint,
+      ranMilliseconds,
+    });
   }
 
   private passAnswer(exchange: CallerExchange): void {
@@ -290,11 +405,31 @@
     metrics.timing('calls.milliseconds', clock() - exchange.arrivedAt);
     exchange.heldAnswer = undefined;
     exchange.sendHead(head);
+    this.record(exchange, 'answered', '');
     if (!head.hasMore) {
       this.ended(exchange);
     }
   }
 
+  private record(
+    exchange: CallerExchange,
+    outcome: CallRecord['outcome'],
+    reason: string,
+  ): void {
+    const {requestId, call, story, status} = exchange;
+    this.dependencies.onEnded?.({
+      requestId,
+      service: call.view.name,
+      route: call.route.name,
+      version: call.version,
+      outcome,
+      reason,
+      status,
+      milliseconds: Math.round(this.age(exchange)),
+      attempts: story.attempts,
+    });
+  }
+
   private chunk(
     exchange: CallerExchange,
     isCurrent: boolean,
@@ -316,6 +451,8 @@
       this.ended(exchange);
       return;
     }
+    exchange.clearAttemptTimers();
+    exchange.story.ended(this.age(exchange), 'guard-lost');
     this.handle({kind: 'attempt-lost', callId: exchange.id, wasSent});
   }
 
@@ -353,8 +490,10 @@
       outcome: 'not-run',
       retryAfterMilliseconds: reason === 'not-ready' ? 500 : 0,
     };
-    response.shouldKeepAlive = false;
-    sendProblem(response, refusal, requestId);
+    if (request === undefined || !hasShortBody(request)) {
+      response.shouldKeepAlive = false;
+    }
+    this.dependencies.protocol.refuse(response, refusal, requestId, {});
     request?.resume();
     this.dependencies.metrics.increment('calls.refused', {reason});
     this.dependencies.logger.debug('call refused', {requestId, reason});
@@ -363,6 +502,7 @@
   private note(exchange: CallerExchange, refusal: Refusal): void {
     const {reason, outcome} = refusal;
     const {requestId, call} = exchange;
+    this.record(exchange, outcome, reason);
     this.dependencies.metrics.increment('calls.refused', {reason});
     this.dependencies.logger.debug('call refused', {
       requestId,
@@ -375,6 +515,7 @@
   /** The caller left, or its answer is through. */
   private closed(exchange: CallerExchange): void {
     if (this.exchanges.has(exchange.id) && !exchange.isOver) {
+      this.record(exchange, 'caller-left', 'caller-left');
       this.handle({kind: 'caller-left', callId: exchange.id});
       this.forget(exchange);
     }
@@ -387,8 +528,15 @@
 
   private forget(exchange: CallerExchange): void {
     clearTimeout(exchange.timer);
+    exchange.clearAttemptTimers();
     this.exchanges.delete(exchange.id);
   }
 }
 
 const EMPTY = Buffer.alloc(0);
+
+/** Whether what is left of a request can be read and dropped at no great cost. */
+function hasShortBody({headers}: IncomingMessage): boolean {
+  const length = Number(headers['content-length'] ?? 0);
+  return !('transfer-encoding' in headers) && length <= HELD_BODY_BYTES;
+}
--- a/packages/node/src/request/exchange.ts
+++ b/packages/node/src/request/exchange.ts
@@ -5,8 +5,10 @@
 
 /** What a guard does to the entry that called it. */
 export interface ExchangeHandlers {
-  /** There is a slot: send the rest of the body. */
+  /** There is a slot: say go, or send the rest of the body. */
   readonly onContinue: () => void;
+  /** The call waits for a slot. */
+  readonly onQueued: () => void;
   readonly onAnswer: (head: AnswerHead) => void;
   /** Returns false when the caller cannot take more for now. */
   readonly onChunk: (bytes: Buffer) => boolean;
@@ -21,6 +23,8 @@
   /** Returns false when no more should be sent until onContinue. */
   readonly sendChunk: (bytes: Buffer) => boolean;
   readonly sendEnd: () => void;
+  /** Takes the slot that the guard keeps. */
+  readonly go: () => void;
   /** The caller can take more of the answer. */
   readonly resume: () => void;
   readonly cancel: () => void;
--- a/packages/node/src/request/exchangeStream.ts
+++ b/packages/node/src/request/exchangeStream.ts
@@ -5,12 +5,18 @@
 import type {Exchange, ExchangeHandlers} from './exchange.js';
 import {FrameBatch, readBatch} from './frameBatch.js';
 import type {NumberedFrame} from './frameBatch.js';
-import type {CallHead} from './frames.js';
+import type {CallHead, VersionNews} from './frames.js';
 import {neverSent} from './remoteExchange.js';
 
 /** A stream that carried nothing this long is ended. */
 const IDLE_MILLISECONDS = 60_000;
 
+/** Unanswered offers after which another connection is tried. */
+const SILENCES_TO_RENEW = 2;
+
+/** The number of frames that belong to no exchange. */
+export const NO_EXCHANGE = 0;
+
 interface OpenExchange {
   readonly handlers: ExchangeHandlers;
   /** Bytes taken from the guard and not yet by the caller. */
@@ -22,11 +28,14 @@
   private readonly open = new Map<number, OpenExchange>();
   private readonly batch: FrameBatch;
   private serial = 0;
+  /** Offers that were not answered since anything was last heard. */
+  private silences = 0;
   private hasBroken = false;
   private idleTimer: NodeJS.Timeout | undefined;
 
   constructor(
     private readonly stream: grpc.ClientDuplexStream<Buffer, Buffer>,
+    private readonly onVersion: (news: VersionNews) => void,
   ) {
     this.batch = new FrameBatch((bytes) => {
       if (!this.hasBroken) {
@@ -34,6 +43,7 @@
       }
     });
     stream.on('data', (bytes: Buffer) => {
+      this.silences = 0;
       readBatch(bytes).forEach((frame) => this.take(frame));
     });
     stream.on('end', () => this.broke(true));
@@ -57,6 +67,7 @@
     return {
       sendChunk: () => true,
       sendEnd: () => undefined,
+      go: () => this.batch.add(number, {kind: 'go'}),
       resume: () => this.giveCredit(number, opened),
       cancel: () => {
         if (this.open.has(number)) {
@@ -67,13 +78,34 @@
     };
   }
 
+  /** Tells the guard's node the version that is in force here. */
+  tellVersion(news: VersionNews): void {
+    this.batch.add(NO_EXCHANGE, {kind: 'version', news});
+  }
+
+  /** The guard did not answer an offer; true when it is silent altogether. */
+  wasSilent(): boolean {
+    this.silences += 1;
+    return this.silences >= SILENCES_TO_RENEW;
+  }
+
   private take({number, frame}: NumberedFrame): void {
+    if (frame.kind === 'version') {
+      this.onVersion(frame.news);
+      return;
+    }
     const opened = this.open.get(number);
     if (opened === undefined) {
       return;
     }
     const {handlers} = opened;
     switch (frame.kind) {
+      case 'continue':
+        handlers.onContinue();
+        break;
+      case 'queued':
+        handlers.onQueued();
+        break;
       case 'answer':
         if (!frame.head.hasMore) {
           this.close(number);
--- a/packages/node/src/request/exchangeStreamServer.ts
+++ b/packages/node/src/request/exchangeStreamServer.ts
@@ -5,6 +5,8 @@
 import type {BeginExchange, Exchange, ExchangeHandlers} from './exchange.js';
 import {FrameBatch, readBatch} from './frameBatch.js';
 import type {NumberedFrame} from './frameBatch.js';
+import {NO_EXCHANGE} from './exchangeStream.js';
+import type {VersionNews} from './frames.js';
 
 /** Bytes of one answer that may be on their way before the caller takes them. */
 const ANSWER_CREDIT_BYTES = 256 * 1024;
@@ -14,17 +16,34 @@
   credit: number;
 }
 
+/** Versions of the configuration that the ends of a stream tell each other. */
+export interface VersionExchange {
+  readonly own: () => VersionNews;
+  readonly onOther: (news: VersionNews) => void;
+  /** Calls back when the own version changes; returns what stops that. */
+  readonly subscribe: (changed: (news: VersionNews) => void) => () => void;
+}
+
 /** Serves a stream until it ends; what is open then is cancelled. */
 export function serveExchangeStream(
   stream: grpc.ServerDuplexStream<Buffer, Buffer>,
   begin: BeginExchange,
+  versions?: VersionExchange,
 ): void {
-  const server = new ExchangeStreamServer(stream, begin);
+  const server = new ExchangeStreamServer(stream, begin, versions);
+  const over = (): void => {
+    unsubscribe?.();
+    server.broke();
+  };
+  const unsubscribe = versions?.subscribe((news) => server.tellVersion(news));
+  if (versions !== undefined) {
+    server.tellVersion(versions.own());
+  }
   stream.on('data', (bytes: Buffer) => server.received(bytes));
-  stream.on('cancelled', () => server.broke());
-  stream.on('error', () => server.broke());
+  stream.on('cancelled', over);
+  stream.on('error', over);
   stream.on('end', () => {
-    server.broke();
+    over();
     stream.end();
   });
 }
@@ -36,6 +55,7 @@
   constructor(
     stream: grpc.ServerDuplexStream<Buffer, Buffer>,
     private readonly begin: BeginExchange,
+    private readonly versions: VersionExchange | undefined,
   ) {
     this.batch = new FrameBatch((bytes) => stream.write(bytes));
   }
@@ -44,6 +64,10 @@
     readBatch(bytes).forEach((frame) => this.take(frame));
   }
 
+  tellVersion(news: VersionNews): void {
+    this.batch.add(NO_EXCHANGE, {kind: 'version', news});
+  }
+
   broke(): void {
     const left = [...this.open.values()];
     this.open.clear();
@@ -63,6 +87,12 @@
         opened.exchange = this.begin(frame.head, handlers);
         break;
       }
+      case 'go':
+        known?.exchange?.go();
+        break;
+      case 'version':
+        this.versions?.onOther(frame.news);
+        break;
       case 'cancel':
         this.open.delete(number);
         known?.exchange?.cancel();
@@ -79,7 +109,8 @@
   private handlersFor(number: number, opened: OpenExchange): ExchangeHandlers {
     const close = (): void => void this.open.delete(number);
     return {
-      onContinue: () => undefined,
+      onContinue: () => this.batch.add(number, {kind: 'continue'}),
+      onQueued: () => this.batch.add(number, {kind: 'queued'}),
       onAnswer: (head) => {
         this.batch.add(number, {kind: 'answer', head});
         if (!head.hasMore) {
--- a/packages/node/src/request/frames.ts
+++ b/packages/node/src/request/frames.ts
@@ -1,6 +1,7 @@
 // Copyright (c) 2026 the lockpin contributors. MIT licence, see LICENSE.
 /** Frames of one exchange between an entry and a guard. */
 
+import type {OfferTerms} from '@lockpin/brain';
 import type {LoadHint} from '@lockpin/routing';
 import type {Refusal, Repetition} from '@lockpin/types';
 import {decode, encode} from '../connection/codec.js';
@@ -10,6 +11,8 @@
 
 /** The first frame from an entry. */
 export interface CallHead {
+  /** Names the caller's request in the logs of every box. */
+  readonly requestId: string;
   readonly service: string;
   readonly upstream: string | undefined;
   readonly customer: string;
@@ -29,6 +32,12 @@
   /** The whole body, unless hasMore says that it follows in frames. */
   readonly body: Uint8Array | undefined;
   readonly hasMore: boolean;
+  /** The guard keeps a slot and waits for a go before it sends the call on. */
+  readonly needsGo: boolean;
+  readonly terms: OfferTerms;
+  /** Milliseconds until an answer is worth less; undefined when it never is. */
+  readonly usefulFor: number | undefined;
+  readonly expectedMilliseconds: number | undefined;
 }
 
 /** The first frame of an answer. */
@@ -37,6 +46,8 @@
   readonly headers: FlatHeaders;
   readonly upstream: string;
   readonly hint: LoadHint | undefined;
+  /** How long the upstream took until its answer was at hand. */
+  readonly ranMilliseconds: number | undefined;
   /** The whole body, unless hasMore says that it follows in frames. */
   readonly body: Uint8Array | undefined;
   readonly hasMore: boolean;
@@ -49,6 +60,13 @@
   readonly hint: LoadHint | undefined;
 }
 
+/** The version of the configuration in force at a node. */
+export interface VersionNews {
+  readonly version: number;
+  /** Where the node can be asked for it. */
+  readonly address: string;
+}
+
 /** One frame, read. */
 export type Frame =
   | {readonly kind: 'call'; readonly head: CallHead}
@@ -56,8 +74,14 @@
   | {readonly kind: 'chunk'; readonly bytes: Buffer}
   | {readonly kind: 'end'}
   | {readonly kind: 'refusal'; readonly refusal: RefusalFrame}
-  /** The guard has a slot: the body may follow. */
+  /** The guard has a slot: the go, or the rest of the body, may follow. */
   | {readonly kind: 'continue'}
+  /** The call waits for a slot. */
+  | {readonly kind: 'queued'}
+  /** The entry takes the slot: the call may run. */
+  | {readonly kind: 'go'}
+  /** The version of the configuration in force at the sender. */
+  | {readonly kind: 'version'; readonly news: VersionNews}
   /** The entry has no more use for the exchange. */
   | {readonly kind: 'cancel'}
   /** The upstream broke off its answer. */
@@ -75,6 +99,9 @@
   'cancel',
   'lost',
   'credit',
+  'queued',
+  'go',
+  'version',
 ] as const;
 
 const CREDIT_LENGTH = 4;
@@ -95,6 +122,8 @@
       credit.writeUInt32BE(frame.bytes);
       return Buffer.concat([kind, credit]);
     }
+    case 'version':
+      return Buffer.concat([kind, encode(frame.news)]);
     default:
       return kind;
   }
@@ -115,6 +144,8 @@
       return {kind, bytes: rest};
     case 'credit':
       return {kind, bytes: rest.readUInt32BE()};
+    case 'version':
+      return {kind, news: decode<VersionNews>(rest)};
     default:
       return {kind};
   }
--- a/packages/node/src/request/guardService.ts
+++ b/packages/node/src/request/guardService.ts
@@ -16,10 +16,15 @@
 import type {CallHead} from './frames.js';
 import {headerRecord} from './headers.js';
 import {UpstreamAnswer} from './upstreamAnswer.js';
+import {LOCKPIN_UPSTREAM_PROTOCOL} from './upstreamProtocol.js';
+import type {UpstreamProtocol} from './upstreamProtocol.js';
 
 /** The guard gives up this much earlier than the entry, so as to be heard. */
 const HOP_ALLOWANCE_MILLISECONDS = 5;
 
+/** Statuses below this announce an answer rather than being one. */
+const FIRST_FINAL_STATUS = 200;
+
 /** Milliseconds between ticks while calls are under way. */
 const BUSY_TICK_MILLISECONDS = 20;
 
@@ -32,6 +37,9 @@
   readonly random: RandomSource;
   readonly brain: GuardBrain;
   readonly pools: UpstreamPools;
+  readonly protocol?: UpstreamProtocol;
+  /** Told of every call that ended here. */
+  readonly onEnded?: (record: GuardRecord) => void;
   /** Calls back again and again; returns what stops it. */
   readonly every: (milliseconds: number, run: () => void) => () => void;
   /** Takes the actions that do not concern one exchange. */
@@ -40,12 +48,31 @@
   ) => void;
 }
 
+/** What became of one call at the guard of its upstream. */
+export interface GuardRecord {
+  readonly head: CallHead;
+  readonly upstream: string;
+  readonly outcome: 'answered' | 'not-run' | 'unknown' | 'cancelled';
+  /** The reason of a refusal; empty for an answer. */
+  readonly reason: string;
+  /** The upstream's status; 0 when there is none. */
+  readonly status: number;
+  /** From the offer to the call's way to the upstream, or its end. */
+  readonly waitedMilliseconds: number;
+  /** From there to the answer; 0 when the call was never sent. */
+  readonly ranMilliseconds: number;
+}
+
 interface GuardExchange {
   /** Given here: what entries call their calls need not differ. */
   readonly id: string;
   readonly head: CallHead;
   handlers: ExchangeHandlers;
   readonly timer: NodeJS.Timeout;
+  readonly offeredAt: number;
+  readonly deadline: number;
+  upstream: string;
+  sentAt: number | undefined;
   controller: Dispatcher.DispatchController | undefined;
   requestBody: Readable | undefined;
   isAborted: boolean;
@@ -54,6 +81,7 @@
 
 const NO_HANDLERS: ExchangeHandlers = {
   onContinue: () => undefined,
+  onQueued: () => undefined,
   onAnswer: () => undefined,
   onChunk: () => true,
   onEnd: () => undefined,
@@ -89,6 +117,8 @@
     const patience = Math.max(0, head.remaining - allowance);
     this.serial += 1;
     const callId = String(this.serial);
+    const now = this.dependencies.clock();
+    const deadline = now + patience;
     const exchange: GuardExchange = {
       id: callId,
       head,
@@ -97,6 +127,10 @@
         () => this.handle({kind: 'call-deadline-passed', callId}),
         patience,
       ),
+      offeredAt: now,
+      deadline: now + head.remaining,
+      upstream: head.upstream ?? '',
+      sentAt: undefined,
       controller: undefined,
       requestBody: undefined,
       isAborted: false,
@@ -106,10 +140,9 @@
     this.stopTicking ??= this.dependencies.every(BUSY_TICK_MILLISECONDS, () =>
       this.busyTick(),
     );
-    const deadline = this.dependencies.clock() + patience;
     this.handle({
       kind: 'call-offered',
-      call: guardCall(callId, head, deadline),
+      call: guardCall(callId, head, now, deadline),
     });
     return this.controls(exchange);
   }
@@ -127,6 +160,7 @@
     return {
       sendChunk: (bytes) => exchange.requestBody?.push(bytes) ?? true,
       sendEnd: () => void exchange.requestBody?.push(null),
+      go: () => this.handle({kind: 'call-go', callId: exchange.id}),
       resume: () => exchange.controller?.resume(),
       cancel: () => {
         exchange.handlers = NO_HANDLERS;
@@ -149,6 +183,12 @@
       case 'run':
         this.run(exchange, action.upstream);
         break;
+      case 'reserve':
+        exchange.handlers.onContinue();
+        break;
+      case 'queue':
+        exchange.handlers.onQueued();
+        break;
       case 'refuse':
         this.refuse(exchange, action);
         break;
@@ -168,6 +208,10 @@
     action: GuardAction & {readonly kind: 'refuse'},
   ): void {
     this.forget(exchange);
+    const {reason, outcome} = action.refusal;
+    const wasCancelled = exchange.handlers === NO_HANDLERS;
+    exchange.upstream = action.upstream;
+    this.record(exchange, wasCancelled ? 'cancelled' : outcome, reason, 0);
     if (exchange.answer?.hasBegun) {
       exchange.handlers.onLost(true);
       return;
@@ -178,6 +222,7 @@
 
   private answerStored(exchange: GuardExchange, answer: StoredAnswer): void {
     this.forget(exchange);
+    this.record(exchange, 'answered', 'stored', answer.status);
     exchange.handlers.onAnswer({
       status: answer.status,
       headers: [
@@ -187,14 +232,17 @@
       ],
       upstream: '',
       hint: undefined,
+      ranMilliseconds: undefined,
       body: answer.body,
       hasMore: false,
     });
   }
 
   private run(exchange: GuardExchange, upstream: string): void {
-    const {head} = exchange;
-    const pool = this.dependencies.pools.get(upstream);
+    const {head, deadline} = exchange;
+    const {pools, clock, brain} = this.dependencies;
+    const isSingle = head.repetition === 'at-most-once';
+    const pool = isSingle ? pools.single(upstream) : pools.get(upstream);
     if (pool === undefined) {
       this.handle({
         kind: 'upstream-failed',
@@ -208,19 +256,33 @@
         read: () => exchange.handlers.onContinue(),
       });
     }
+    const now = clock();
+    exchange.upstream = upstream;
+    exchange.sentAt = now;
     pool.dispatch(
       {
         path: head.path,
         method: head.method as Dispatcher.HttpMethod,
-        headers: [...head.headers, 'lockpin-deadline', this.deadlineOf(head)],
+        headers: [
+          ...this.protocol.callHeaders({
+            head,
+            remaining: Math.max(0, deadline - now),
+            deadline,
+            lifetime: brain.lifetimeOf(upstream),
+          }),
+        ],
         body: exchange.requestBody ?? requestBytes(head),
+        reset: isSingle,
       },
       this.dispatchHandler(exchange, upstream),
     );
+    if (isSingle) {
+      void pool.close();
+    }
   }
 
-  private deadlineOf(head: CallHead): string {
-    return String(Math.ceil(this.dependencies.clock() + head.remaining));
+  private get protocol(): UpstreamProtocol {
+    return this.dependencies.protocol ?? LOCKPIN_UPSTREAM_PROTOCOL;
   }
 
   private dispatchHandler(
@@ -239,36 +301,86 @@
         wasSent = true;
       },
       onResponseStart: (_controller, status, headers) => {
-        const isOnce = exchange.head.repetition === 'once-only';
-        exchange.answer = new UpstreamAnswer(status, headers, isOnce);
-        if (!exchange.answer.isHeldBack) {
-          this.sendHead(exchange, exchange.answer, upstream);
+        if (status < FIRST_FINAL_STATUS) {
+          return;
         }
-      },
-      onResponseData: (controller, chunk) => {
-        const isHeldBack = exchange.answer?.take(chunk) ?? true;
-        if (!isHeldBack && !exchange.handlers.onChunk(chunk)) {
-          controller.pause();
+        const verdict = this.protocol.judge(exchange.head, status, headers);
+        exchange.answer = new UpstreamAnswer(
+          status,
+          headers,
+          verdict,
+          exchange.head.repetition === 'once-only',
+          this.protocol.holdsUnframed,
+        );
+        const isPassed = verdict === 'answer' || verdict === 'overloaded';
+        if (!exchange.answer.isHeldBack && isPassed) {
+          this.sendHead(exchange, exchange.answer, upstream);
         }
       },
+      onResponseData: (controller, chunk) =>
+        this.received(exchange, controller, chunk),
       onResponseEnd: () => this.answered(exchange, upstream),
       onResponseError: () =>
         this.handle({kind: 'upstream-failed', callId, wasSent}),
     };
   }
 
+  private received(
+    exchange: GuardExchange,
+    controller: Dispatcher.DispatchController,
+    chunk: Buffer,
+  ): void {
+    const {answer} = exchange;
+    if (answer === undefined || (!answer.hasBegun && !answer.isHeldBack)) {
+      return;
+    }
+    const taken = answer.take(chunk);
+    if (taken === 'held') {
+      return;
+    }
+    const isFirst = taken === 'too-long-to-hold';
+    if (isFirst) {
+      this.sendHead(exchange, answer, exchange.upstream);
+    }
+    const bytes = isFirst ? answer.body() : chunk;
+    if (!exchange.handlers.onChunk(bytes)) {
+      controller.pause();
+    }
+  }
+
   private answered(exchange: GuardExchange, upstream: string): void {
     const {answer} = exchange;
     if (answer === undefined || !this.exchanges.has(exchange.id)) {
       return;
     }
+    const callId = exchange.id;
+    switch (answer.verdict) {
+      case 'not-run':
+        this.handle({
+          kind: 'upstream-refused',
+          callId,
+          reason: 'upstream-refused',
+        });
+        return;
+      case 'other-upstream':
+        this.handle({
+          kind: 'upstream-refused',
+          callId,
+          reason: 'upstream-replaced',
+        });
+        return;
+      case 'invalid':
+        this.handle({kind: 'upstream-failed', callId, wasSent: true});
+        return;
+    }
     this.forget(exchange);
+    this.record(exchange, 'answered', '', answer.status);
     const stored = answer.stored();
     this.handle({
       kind: 'upstream-answered',
-      callId: exchange.id,
+      callId,
       status: answer.status,
-      isShed: answer.isShed,
+      isShed: answer.verdict === 'overloaded',
       answer:
         stored === undefined
           ? undefined
@@ -286,17 +398,38 @@
     answer: UpstreamAnswer,
     upstream: string,
   ): void {
+    const now = this.dependencies.clock();
     answer.hasBegun = true;
     exchange.handlers.onAnswer({
       status: answer.status,
       headers: answer.headers,
       upstream,
-      hint: this.dependencies.brain.hintOf(upstream),
+      hint: this.dependencies.brain.hintOf(now, upstream),
+      ranMilliseconds: now - (exchange.sentAt ?? now),
       body: answer.isHeldBack ? answer.body() : undefined,
       hasMore: !answer.isHeldBack,
     });
   }
 
+  private record(
+    exchange: GuardExchange,
+    outcome: GuardRecord['outcome'],
+    reason: string,
+    status: number,
+  ): void {
+    const {head, upstream, offeredAt, sentAt} = exchange;
+    const now = this.dependencies.clock();
+    this.dependencies.onEnded?.({
+      head,
+      upstream,
+      outcome,
+      reason,
+      status,
+      waitedMilliseconds: (sentAt ?? now) - offeredAt,
+      ranMilliseconds: sentAt === undefined ? 0 : now - sentAt,
+    });
+  }
+
   private forget(exchange: GuardExchange): void {
     clearTimeout(exchange.timer);
     this.exchanges.delete(exchange.id);
@@ -309,7 +442,13 @@
     : Buffer.from(head.body);
 }
 
-function guardCall(id: string, head: CallHead, deadline: number): GuardCall {
+function guardCall(
+  id: string,
+  head: CallHead,
+  now: number,
+  deadline: number,
+): GuardCall {
+  const {usefulFor, terms} = head;
   return {
     id,
     service: head.service,
@@ -324,5 +463,10 @@
     retryShare: head.retryShare,
     onceKey: head.onceKey,
     requestDigest: head.requestDigest,
+    usefulUntil: usefulFor === undefined ? undefined : now + usefulFor,
+    needsGo: head.needsGo,
+    mayWait: terms !== 'immediate',
+    mayRunDoubted: terms === 'last-resort',
+    expectedMilliseconds: head.expectedMilliseconds,
   };
 }
--- a/packages/node/src/request/guardStreams.ts
+++ b/packages/node/src/request/guardStreams.ts
@@ -51,6 +51,7 @@
       stream.resume();
       stream.write(writeFrame({kind: 'continue'}));
     },
+    onQueued: () => undefined,
     onAnswer: (head) => {
       const bytes = writeFrame({kind: 'answer', head});
       if (head.hasMore) {
--- a/packages/node/src/request/remoteExchange.ts
+++ b/packages/node/src/request/remoteExchange.ts
@@ -41,6 +41,7 @@
       stream.write(writeFrame({kind: 'end'}));
       stream.end();
     },
+    go: () => undefined,
     resume: () => void stream.resume(),
     cancel: () => {
       isOver = true;
--- a/packages/node/src/request/remoteExchanges.ts
+++ b/packages/node/src/request/remoteExchanges.ts
@@ -4,7 +4,8 @@
 import type {PeerClient} from '../connection/peerProtocol.js';
 import type {Exchange, ExchangeHandlers} from './exchange.js';
 import {ExchangeStream} from './exchangeStream.js';
-import type {CallHead} from './frames.js';
+import type {VersionExchange} from './exchangeStreamServer.js';
+import type {CallHead, VersionNews} from './frames.js';
 import {beginRemoteExchange} from './remoteExchange.js';
 
 /**
@@ -15,7 +16,12 @@
 export class RemoteExchanges {
   private readonly streams = new Map<string, ExchangeStream>();
 
-  constructor(private readonly client: (address: string) => PeerClient) {}
+  constructor(
+    private readonly client: (address: string) => PeerClient,
+    private readonly versions?: Pick<VersionExchange, 'own' | 'onOther'>,
+    /** Drops the client of an address, so that the next one connects anew. */
+    private readonly renew: (address: string) => void = () => undefined,
+  ) {}
 
   begin(address: string, head: CallHead, handlers: ExchangeHandlers): Exchange {
     return head.hasMore
@@ -23,14 +29,39 @@
       : this.stream(address).begin(head, handlers);
   }
 
+  /** Tells every guard in use the version that is in force here now. */
+  tellVersion(news: VersionNews): void {
+    for (const stream of this.streams.values()) {
+      if (stream.isUsable) {
+        stream.tellVersion(news);
+      }
+    }
+  }
+
+  /**
+   * A guard did not answer an offer. When that goes on, the next call gets a
+   * connection of its own: the present one may be cut without an end.
+   */
+  wasSilent(address: string): void {
+    if (this.streams.get(address)?.wasSilent()) {
+      this.streams.delete(address);
+      this.renew(address);
+    }
+  }
+
   private stream(address: string): ExchangeStream {
     const client = this.client(address);
     const found = this.streams.get(address);
     if (found?.isUsable) {
       return found;
     }
-    const made = new ExchangeStream(client.exchanges());
+    const made = new ExchangeStream(client.exchanges(), (news) =>
+      this.versions?.onOther(news),
+    );
     this.streams.set(address, made);
+    if (this.versions !== undefined) {
+      made.tellVersion(this.versions.own());
+    }
     return made;
   }
 }
--- a/packages/node/src/request/upstreamAnswer.ts
+++ b/packages/node/src/request/upstreamAnswer.ts
@@ -3,18 +3,18 @@
 
 import type {IncomingHttpHeaders} from 'node:http';
 import {answerHeaders} from './headers.js';
+import type {AnswerVerdict} from './upstreamProtocol.js';
 
 /** Answers up to this size are held back until they are whole. */
 const HELD_BACK_BYTES = 64 * 1024;
 
-const TOO_MANY_REQUESTS = 429;
-const UNAVAILABLE = 503;
 const NO_BODY_STATUSES: ReadonlySet<number> = new Set([204, 304]);
 
 /** Gathers what is small, and what has to be kept for repeats. */
 export class UpstreamAnswer {
   readonly headers: readonly string[];
-  readonly isHeldBack: boolean;
+  /** Nothing goes to the entry before the answer is whole. */
+  isHeldBack: boolean;
   /** The entry has got the head already. */
   hasBegun = false;
   private readonly chunks: Buffer[] = [];
@@ -22,29 +22,30 @@
 
   constructor(
     readonly status: number,
-    private readonly raw: IncomingHttpHeaders,
+    raw: IncomingHttpHeaders,
+    readonly verdict: AnswerVerdict,
     private readonly isKept: boolean,
+    holdsUnframed: boolean,
   ) {
     this.headers = answerHeaders(flatten(raw));
     const length = Number(raw['content-length'] ?? Number.NaN);
-    this.isHeldBack = length <= HELD_BACK_BYTES || NO_BODY_STATUSES.has(status);
+    const isUnframed = Number.isNaN(length) && holdsUnframed;
+    this.isHeldBack =
+      length <= HELD_BACK_BYTES || isUnframed || NO_BODY_STATUSES.has(status);
   }
 
-  /** The upstream says that it has too much to do, not that it is ill. */
-  get isShed(): boolean {
-    return (
-      this.status === TOO_MANY_REQUESTS ||
-      (this.status === UNAVAILABLE && this.raw['retry-after'] !== undefined)
-    );
-  }
-
-  /** Takes a part of the body; true when it is held back. */
-  take(chunk: Buffer): boolean {
+  /** Takes a part of the body; says whether it is held back. */
+  take(chunk: Buffer): 'held' | 'too-long-to-hold' | 'passed-on' {
     this.bytes += chunk.length;
-    if (this.isHeldBack || (this.isKept && this.bytes <= HELD_BACK_BYTES)) {
+    const wasHeldBack = this.isHeldBack;
+    if (wasHeldBack || (this.isKept && this.bytes <= HELD_BACK_BYTES)) {
       this.chunks.push(chunk);
     }
-    return this.isHeldBack;
+    if (wasHeldBack && this.bytes > HELD_BACK_BYTES) {
+      this.isHeldBack = false;
+      return 'too-long-to-hold';
+    }
+    return wasHeldBack ? 'held' : 'passed-on';
   }
 
   body(): Buffer {
--- a/packages/routing/src/__tests__/routing.test.ts
+++ b/packages/routing/src/__tests__/routing.test.ts
@@ -85,7 +85,7 @@
     const budget = new RetryBudget();
     let retries = 0;
     for (let i = 0; i < 1000; i += 1) {
-      budget.firstAttempt(0.1);
+      budget.firstAttempt(0, 0.1);
       retries += budget.takeRetry() ? 1 : 0;
     }
     expect(retries).toBeLessThanOrEqual(101);
--- /dev/null
+++ b/packages/routing/src/chooseByScore.ts
@@ -0,0 +1,50 @@
+// Copyright (c) 2026 the lockpin contributors. MIT licence, see LICENSE.
+/** Chooses the upstream that is expected to start a call first. */
+
+import type {RoutingCandidate, RoutingContext} from './chooseUpstream.js';
+
+/**
+ * What makes an upstream less attractive, in units of its occupation (1 is all
+ * slots taken). The figures order the alternatives rather than measure them.
+ */
+const COST = {
+  /** Another data centre: a few milliseconds and bytes that are paid for. */
+  otherDataCentre: 0.3,
+  /** Another box: one round trip and one more process to depend on. */
+  otherBox: 0.1,
+  /** A cold upstream takes about twice as long. */
+  cold: 0.4,
+  /** Its guard refused or was silent a moment ago. */
+  avoided: 10,
+} as const;
+
+/** Spreads the choices of entries that know the same, in the same units. */
+const NOISE = 0.2;
+
+/** Takes the candidate with the lowest cost. */
+export function chooseByScore<T extends RoutingCandidate>(
+  context: RoutingContext,
+  candidates: readonly T[],
+): T | undefined {
+  let best: T | undefined;
+  let lowest = Number.POSITIVE_INFINITY;
+  for (const candidate of candidates) {
+    const cost = costOf(context, candidate) + NOISE * context.random();
+    if (cost < lowest) {
+      lowest = cost;
+      best = candidate;
+    }
+  }
+  return best;
+}
+
+function costOf(context: RoutingContext, candidate: RoutingCandidate): number {
+  const {loads, now} = context;
+  const {name, slots, dataCentre, box, coldUntil} = candidate;
+  let cost = loads.occupation(name, slots, now);
+  cost += dataCentre === context.dataCentre ? 0 : COST.otherDataCentre;
+  cost += box === context.box ? 0 : COST.otherBox;
+  cost += now < coldUntil ? COST.cold : 0;
+  cost += loads.isAvoided(name, now) ? COST.avoided : 0;
+  return cost;
+}
--- a/packages/routing/src/chooseUpstream.ts
+++ b/packages/routing/src/chooseUpstream.ts
@@ -8,6 +8,9 @@
 /** An upstream that may get a call. */
 export interface RoutingCandidate extends SubsetCandidate {
   readonly slots: number;
+  readonly box: string;
+  /** It answers slowly until then, in milliseconds since 1970; 0 when warm. */
+  readonly coldUntil: number;
 }
 
 /** What is known of the world when a call is routed. */
@@ -15,9 +18,17 @@
   readonly now: number;
   readonly random: RandomSource;
   readonly dataCentre: string;
+  /** The entry's own box. */
+  readonly box: string;
   readonly loads: UpstreamLoads;
 }
 
+/** A way to choose an upstream; undefined only when there is no candidate. */
+export type ChooseUpstream = <T extends RoutingCandidate>(
+  context: RoutingContext,
+  candidates: readonly T[],
+) => T | undefined;
+
 /** Share of its limit up to which an upstream nearby is preferred. */
 const ROOM_NEARBY = 1;
 
--- a/packages/routing/src/index.ts
+++ b/packages/routing/src/index.ts
@@ -1,5 +1,8 @@
 // Copyright (c) 2026 the lockpin contributors. MIT licence, see LICENSE.
+export * from './chooseByScore.js';
 export * from './chooseSubset.js';
 export * from './chooseUpstream.js';
 export * from './retryBudget.js';
+export * from './typicalDurations.js';
 export * from './upstreamLoads.js';
+export * from './windowedRetryBudget.js';
--- a/packages/routing/src/retryBudget.ts
+++ b/packages/routing/src/retryBudget.ts
@@ -4,8 +4,16 @@
 /** Retries that may be saved up while all is well. */
 const MOST_SAVED_RETRIES = 10;
 
+/** What pays for the retries of a service's calls. */
+export interface RetryAllowance {
+  /** A call arrived; its route lets this share of calls be retried. */
+  readonly firstAttempt: (now: number, share: number) => void;
+  /** Takes one retry, or says that there is none. */
+  readonly takeRetry: (now: number) => boolean;
+}
+
 /** Lets a fixed share of calls be retried, with a small reserve. */
-export class RetryBudget {
+export class RetryBudget implements RetryAllowance {
   private saved: number;
 
   /** Starts with the retries that a service with little traffic may need. */
@@ -14,7 +22,7 @@
   }
 
   /** A first attempt adds its share. */
-  firstAttempt(share: number): void {
+  firstAttempt(_now: number, share: number): void {
     this.saved = Math.min(MOST_SAVED_RETRIES, this.saved + share);
   }
 
--- a/packages/routing/src/upstreamLoads.ts
+++ b/packages/routing/src/upstreamLoads.ts
@@ -2,7 +2,8 @@
 /** What one entry knows of the load and reachability of each upstream. */
 
 /** The state of an upstream as its guard last told this entry. */
-export type AnnouncedState = 'accepting' | 'probation' | 'ejected' | 'draining';
+export type AnnouncedState =
+  'accepting' | 'doubted' | 'probation' | 'ejected' | 'draining';
 
 /** What a guard tells an entry with every answer. */
 export interface LoadHint {
@@ -13,17 +14,33 @@
   readonly limit: number;
 }
 
+/** Standings in which a guard refuses ordinary work. */
+const TAKES_NO_WORK: ReadonlySet<AnnouncedState> = new Set<AnnouncedState>([
+  'doubted',
+  'ejected',
+  'draining',
+]);
+
 /** Milliseconds after which a hint has lost most of its weight. */
 const HINT_LIFE_MILLISECONDS = 1000;
 
 /** An upstream that refused new work is left alone this long. */
 const REFUSED_PAUSE_MILLISECONDS = 500;
 
-/** Link failures in a row after which an entry routes around a guard. */
-const LINK_FAILURES_TO_AVOID = 2;
+/** When an entry routes around a guard that it cannot reach. */
+export interface LinkPatience {
+  /** Failures in a row after which the guard is avoided. */
+  readonly failuresToAvoid: number;
+  readonly firstAvoidanceMilliseconds: number;
+  readonly longestAvoidanceMilliseconds: number;
+}
 
-const FIRST_AVOIDANCE_MILLISECONDS = 1000;
-const LONGEST_AVOIDANCE_MILLISECONDS = 30_000;
+/** A single loss says little where calls wait long for their answers. */
+export const DEFAULT_LINK_PATIENCE: LinkPatience = {
+  failuresToAvoid: 2,
+  firstAvoidanceMilliseconds: 1000,
+  longestAvoidanceMilliseconds: 30_000,
+};
 
 interface UpstreamLoad {
   outstanding: number;
@@ -37,6 +54,8 @@
 export class UpstreamLoads {
   private readonly loads = new Map<string, UpstreamLoad>();
 
+  constructor(private readonly patience = DEFAULT_LINK_PATIENCE) {}
+
   /** A call was sent to an upstream. */
   sent(upstream: string): void {
     this.load(upstream).outstanding += 1;
@@ -54,10 +73,9 @@
     load.hint = hint;
     load.hintedAt = now;
     load.linkFailures = 0;
-    load.avoidUntil =
-      hint.state === 'ejected' || hint.state === 'draining'
-        ? now + REFUSED_PAUSE_MILLISECONDS
-        : 0;
+    load.avoidUntil = TAKES_NO_WORK.has(hint.state)
+      ? now + REFUSED_PAUSE_MILLISECONDS
+      : 0;
   }
 
   /**
@@ -67,13 +85,14 @@
   linkFailed(upstream: string, now: number, random: number): void {
     const load = this.load(upstream);
     load.linkFailures += 1;
-    const repeats = load.linkFailures - LINK_FAILURES_TO_AVOID;
+    const {patience} = this;
+    const repeats = load.linkFailures - patience.failuresToAvoid;
     if (repeats < 0) {
       return;
     }
     const pause = Math.min(
-      LONGEST_AVOIDANCE_MILLISECONDS,
-      FIRST_AVOIDANCE_MILLISECONDS * 2 ** repeats,
+      patience.longestAvoidanceMilliseconds,
+      patience.firstAvoidanceMilliseconds * 2 ** repeats,
     );
     load.avoidUntil = now + pause * (0.5 + random);
   }
@@ -84,6 +103,15 @@
     return load !== undefined && load.avoidUntil > now;
   }
 
+  /** What the guard last said, with its age in milliseconds, for logs. */
+  lastHint(
+    upstream: string,
+    now: number,
+  ): {readonly hint: LoadHint; readonly age: number} | undefined {
+    const load = this.loads.get(upstream);
+    return load?.hint && {hint: load.hint, age: now - load.hintedAt};
+  }
+
   /** Expected occupation of an upstream, 1 when all its slots are taken. */
   occupation(upstream: string, slots: number, now: number): number {
     const load = this.loads.get(upstream);
--- /dev/null
+++ b/packages/routing/src/windowedRetryBudget.ts
@@ -0,0 +1,51 @@
+// Copyright (c) 2026 the lockpin contributors. MIT licence, see LICENSE.
+/** Retries as a share of the calls of a sliding window, plus a fixed number. */
+
+import type {RetryAllowance} from './retryBudget.js';
+
+/** What a windowed budget allows. */
+export interface WindowedBudgetSettings {
+  /** Retries for each call of the window. */
+  readonly ratio: number;
+  readonly windowMilliseconds: number;
+  /** Retries of each window on top, shared by all entries; may change. */
+  readonly extra: () => number;
+}
+
+/**
+ * Every span of the window's length keeps the limit: a retry is allowed only
+ * when those of the window that ends now stay within it.
+ */
+export class WindowedRetryBudget implements RetryAllowance {
+  private calls: number[] = [];
+  private retries: number[] = [];
+
+  constructor(private readonly settings: WindowedBudgetSettings) {}
+
+  firstAttempt(now: number): void {
+    const {windowMilliseconds} = this.settings;
+    this.calls.push(now);
+    if ((this.calls[0] ?? now) < now - 2 * windowMilliseconds) {
+      this.calls = after(this.calls, now - windowMilliseconds);
+    }
+  }
+
+  takeRetry(now: number): boolean {
+    const {ratio, windowMilliseconds, extra} = this.settings;
+    const since = now - windowMilliseconds;
+    this.calls = after(this.calls, since);
+    this.retries = after(this.retries, since);
+    const limit = this.calls.length * ratio + extra();
+    if (this.retries.length + 1 > limit) {
+      return false;
+    }
+    this.retries.push(now);
+    return true;
+  }
+}
+
+/** The times after a moment; times are in rising order. */
+function after(times: number[], since: number): number[] {
+  const first = times.findIndex((time) => time > since);
+  return first < 0 ? [] : first === 0 ? times : times.slice(first);
+}
--- a/packages/tools/src/capacity/decisionSlopes.ts
+++ b/packages/tools/src/capacity/decisionSlopes.ts
@@ -103,6 +103,7 @@
       status: 200,
       isWhole: true,
       hint: {state: 'accepting', occupied: 1, limit: 4},
+      ranMilliseconds: 10,
     });
     brain.handle(i, random, {kind: 'answer-ended', callId: id});
   });
--- a/packages/tools/src/measure/serviceRun.ts
+++ b/packages/tools/src/measure/serviceRun.ts
@@ -201,7 +201,7 @@
       },
     });
     this.later(TRAFFIC.waitMilliseconds, () =>
-      this.tellEntry(id, {kind: 'deadline-passed', callId: id}),
+      this.tellEntry(id, {kind: 'deadline-passed', callId: id, wasSent: true}),
     );
   }
 
@@ -308,6 +308,8 @@
         this.note(i, action);
         break;
       case 'answer-stored':
+      case 'reserve':
+      case 'queue':
         break;
     }
   }
@@ -342,7 +344,7 @@
         answer: undefined,
       });
       this.observeBaseline(i, status >= 500);
-      const hint = this.guards[i]?.hintOf(attempt.upstream ?? '');
+      const hint = this.guards[i]?.hintOf(this.now, attempt.upstream ?? '');
       const {callId} = attempt;
       this.later(this.hop(callId, i), () => {
         this.answers.heard(callId, status);
@@ -352,6 +354,7 @@
           status,
           isWhole: true,
           hint,
+          ranMilliseconds: undefined,
         });
       });
     });
--- a/packages/types/src/resources.ts
+++ b/packages/types/src/resources.ts
@@ -44,10 +44,21 @@
   /** Connections it accepts at the most. */
   readonly connections: number;
   readonly state: UpstreamState;
+  /**
+   * Identity of the process, new with each of its starts. Calls name it where
+   * it is known, so that another process at the address refuses them.
+   */
+  readonly lifetime?: string;
+  /** It answers slowly until then, in milliseconds since 1970. */
+  readonly coldUntil?: number;
 }
 
-/** Whether a kind of call may run more than once. */
-export type Repetition = 'repeatable' | 'once-only';
+/**
+ * Whether a kind of call may run more than once. A once-only call carries a key
+ * under which its outcome can be asked again; an at-most-once call has none, so
+ * it is never sent a second time unless the first certainly did not run.
+ */
+export type Repetition = 'repeatable' | 'once-only' | 'at-most-once';
 
 /** The rules for one kind of call of a service. */
 export interface RouteSpec {
@@ -63,6 +74,10 @@
   readonly retryShare: number;
   /** Header that carries the once key of a once-only call. */
   readonly onceKeyHeader: string;
+  /** Upstreams that one call may run on at the most; absent means the default. */
+  readonly mostAttempts?: number;
+  /** Answers within this time are worth most, in milliseconds. */
+  readonly goalMilliseconds?: number;
 }
 
 /** An operator's credential; only a salted hash is kept. */
--- a/vitest.config.ts
+++ b/vitest.config.ts
@@ -14,7 +14,10 @@
     ],
   },
   test: {
-    include: ['packages/*/src/**/__tests__/**/*.test.ts'],
+    include: [
+      'packages/*/src/**/__tests__/**/*.test.ts',
+      'platform/src/**/__tests__/**/*.test.ts',
+    ],
     testTimeout: 60_000,
     hookTimeout: 60_000,
   },
