--- a/eslint.config.js
+++ b/eslint.config.js
@@ -14,4 +14,9 @@
       'prefer-const': 'error',
     },
   },
+  {
+    // The bundler replaces a CommonJS package by this file.
+    files: ['**/*.cjs'],
+    rules: {'@typescript-eslint/no-require-imports': 'off'},
+  },
 );
--- a/packages/brain/src/entry/entryBrain.ts
+++ b/packages/brain/src/entry/entryBrain.ts
@@ -43,12 +43,17 @@
 /** Earlier than this, a scheduling delay could be the cause. */
 const SHORTEST_OVERDUE_MILLISECONDS = 60;
 
+/** The wait for a guard's answer grows up to eight times within one call. */
+const MOST_SILENCE_DOUBLINGS = 3;
+
 interface CallState extends RetryState {
   /** Upstreams that an offer on the present terms was made to. */
   tried: Set<string>;
   /** Upstreams that may have run the call. */
   readonly ran: Set<string>;
   terms: OfferTerms;
+  /** Offers of this call that no guard answered. */
+  silences: number;
   upstream: string;
   /** An attempt that may have run is behind us. */
   mayHaveRun: boolean;
@@ -125,12 +130,13 @@
   chooseFor(
     now: number,
     random: RandomSource,
-    call: Pick<EntryCall, 'view'>,
+    call: Pick<EntryCall, 'view'> & Partial<Pick<EntryCall, 'route'>>,
     tried: ReadonlySet<string> = new Set(),
   ): RoutingCandidate | undefined {
     const candidates = this.candidates(call, tried);
     const {loads, dataCentre, box} = this;
-    const context = {now, random, dataCentre, box, loads};
+    const prefersFew = call.route?.spec.repetition === 'at-most-once';
+    const context = {now, random, dataCentre, box, loads, prefersFew};
     return this.settings.choose(context, candidates);
   }
 
@@ -148,7 +154,8 @@
       call,
       tried: new Set(),
       ran: new Set(),
-      terms: this.settings.immediateOffers > 0 ? 'immediate' : 'may-wait',
+      terms: this.settings.firstTerms,
+      silences: 0,
       upstream: '',
       paidAttempts: 1,
       reroutes: 0,
@@ -181,9 +188,13 @@
 
   /** After some offers in vain, ask for less. */
   private relaxTerms(state: CallState): void {
-    const {immediateOffers} = this.settings;
-    if (state.terms === 'immediate' && state.tried.size >= immediateOffers) {
-      this.setTerms(state, 'may-wait');
+    const {offersOnEachTerms} = this.settings;
+    if (state.tried.size < offersOnEachTerms) {
+      return;
+    }
+    const next = easierTerms(state.terms);
+    if (next !== undefined) {
+      this.setTerms(state, next);
     }
   }
 
@@ -199,16 +210,11 @@
     state: CallState,
   ): RoutingCandidate | undefined {
     const found = this.chooseUntried(now, random, state);
-    if (found !== undefined || this.settings.immediateOffers === 0) {
+    const easier = easierTerms(state.terms);
+    if (found !== undefined || easier === undefined) {
       return found;
     }
-    if (state.terms === 'last-resort') {
-      return undefined;
-    }
-    this.setTerms(
-      state,
-      state.terms === 'immediate' ? 'may-wait' : 'last-resort',
-    );
+    this.setTerms(state, easier);
     return this.chooseNext(now, random, state);
   }
 
@@ -268,10 +274,17 @@
         terms,
         expectedMilliseconds: this.durations.of(call.route.name),
         overdueMilliseconds: this.overdueAfter(state),
+        silenceMilliseconds: this.silenceAfter(state),
       },
     };
   }
 
+  /** After some silences, the way from here is slow rather than a guard dead. */
+  private silenceAfter({silences}: CallState): number {
+    const doublings = Math.min(silences, MOST_SILENCE_DOUBLINGS);
+    return this.settings.silenceMilliseconds * 2 ** doublings;
+  }
+
   /** Only calls that can be sent elsewhere are ever overdue. */
   private overdueAfter(state: CallState): number | undefined {
     const {replacesOverdue} = this.settings;
@@ -298,6 +311,7 @@
     state: CallState,
   ): readonly EntryAction[] {
     this.attemptEnded(state);
+    state.silences += 1;
     this.loads.linkFailed(state.upstream, now, random());
     const cancel: EntryAction = {
       kind: 'cancel-attempt',
@@ -348,13 +362,13 @@
   ): readonly EntryAction[] {
     const {callId, status, isWhole} = event;
     const isWorthRetry = status >= FIRST_FAILED_STATUS && isWhole;
+    state.mayHaveRun = true;
+    state.ran.add(state.upstream);
     if (
       isWorthRetry &&
       this.retries.mayRepeat(state) &&
       this.retries.payRetry(now, state)
     ) {
-      state.mayHaveRun = true;
-      state.ran.add(state.upstream);
       const again = this.chooseUntried(now, random, state);
       if (again !== undefined) {
         return [this.send(state, again.name, again.box, again.name)];
@@ -490,6 +504,18 @@
   }
 }
 
+/** What to ask for when offers on these terms were in vain. */
+function easierTerms(terms: OfferTerms): OfferTerms | undefined {
+  switch (terms) {
+    case 'immediate':
+      return 'may-wait';
+    case 'may-wait':
+      return 'last-resort';
+    case 'last-resort':
+      return undefined;
+  }
+}
+
 function refuse(
   callId: string,
   reason: RefusalReason,
--- a/packages/brain/src/entry/entryMessages.ts
+++ b/packages/brain/src/entry/entryMessages.ts
@@ -93,6 +93,8 @@
    * could be done about it.
    */
   readonly overdueMilliseconds: number | undefined;
+  /** Time in which the guard has to say that it has the call. */
+  readonly silenceMilliseconds: number;
 }
 
 /** What an entry wants done. */
--- a/packages/brain/src/entry/entrySettings.ts
+++ b/packages/brain/src/entry/entrySettings.ts
@@ -12,6 +12,7 @@
   RetryAllowance,
 } from '@lockpin/routing';
 import type {RefusalReason} from '@lockpin/types';
+import type {OfferTerms} from './entryMessages.js';
 
 /** The entry's way of offering calls. */
 export interface EntrySettings {
@@ -19,11 +20,15 @@
   readonly linkPatience: LinkPatience;
   /** Makes the budget that pays for the retries of one service. */
   readonly createBudget: () => RetryAllowance;
+  /** What the first offers of a call ask for. */
+  readonly firstTerms: OfferTerms;
+  /** Offers in vain after which a call asks for less. */
+  readonly offersOnEachTerms: number;
   /**
-   * Offers of a call that ask for a free slot at once, before one that may
-   * wait; with 0 every offer may wait.
+   * Time in which a guard that is asked to keep a slot has to answer: a round
+   * trip and a turn of its loop, with room for a slow box.
    */
-  readonly immediateOffers: number;
+  readonly silenceMilliseconds: number;
   /** Times a call may go elsewhere without being paid for. */
   readonly mostReroutes: number;
   /** Refusals after which going elsewhere costs nothing. */
@@ -45,7 +50,9 @@
   choose: chooseUpstream,
   linkPatience: DEFAULT_LINK_PATIENCE,
   createBudget: () => new RetryBudget(),
-  immediateOffers: 0,
+  firstTerms: 'last-resort',
+  offersOnEachTerms: Number.POSITIVE_INFINITY,
+  silenceMilliseconds: 100,
   mostReroutes: 3,
   freeRefusals: new Set(STANDING_REFUSALS),
   replacesOverdue: false,
--- a/packages/brain/src/guard/upstreamGuard.ts
+++ b/packages/brain/src/guard/upstreamGuard.ts
@@ -151,6 +151,9 @@
     if (this.isDoubted(now) && !this.mayRunDoubted(now, call)) {
       return 'upstream-doubted';
     }
+    if (this.isUnproven(call)) {
+      return 'upstream-doubted';
+    }
     if (this.cycle.state === 'ejected') {
       return 'upstream-ejected';
     }
@@ -347,6 +350,16 @@
       : state;
   }
 
+  /** A call that cannot be repeated is not the first to find out. */
+  private isUnproven(call: GuardCall): boolean {
+    return (
+      this.settings.hasQuickDoubt &&
+      !this.doubt.isProven &&
+      call.repetition === 'at-most-once' &&
+      call.mayRunDoubted !== true
+    );
+  }
+
   /** Repeatable calls find out how it is; others only when all are doubted. */
   private mayRunDoubted(now: number, call: GuardCall): boolean {
     const isProbe =
--- a/packages/detection/src/doubt.ts
+++ b/packages/detection/src/doubt.ts
@@ -34,15 +34,22 @@
 const KEPT_AFTER_BAD = 0.7;
 const KEPT_AFTER_GOOD = 0.4;
 
-/** First time in doubt; upstreams' own bursts of failures last about a second. */
-const FIRST_HOLD_MILLISECONDS = 1000;
-const LONGEST_HOLD_MILLISECONDS = 4000;
+/**
+ * Time in doubt where no probe ends it. Played days show upstreams that reset
+ * most calls for 5 to 15 s, so that a first second would be too short.
+ */
+const FIRST_HOLD_MILLISECONDS = 2000;
+const LONGEST_HOLD_MILLISECONDS = 8000;
 
 /** After this long without doubt, the next one is a first one again. */
-const FORGIVEN_AFTER_MILLISECONDS = 5000;
+const FORGIVEN_AFTER_MILLISECONDS = 8000;
 
-/** Time between probes while in doubt. */
-const PROBE_INTERVAL_MILLISECONDS = 200;
+/**
+ * Time between probes while in doubt, doubled with each that fails: a failed
+ * probe costs its caller time and the fleet a retry.
+ */
+const FIRST_PROBE_MILLISECONDS = 400;
+const LONGEST_PROBE_MILLISECONDS = 2000;
 
 /** Probes in a row that must end well. */
 const PROBES_TO_CLEAR = 2;
@@ -54,6 +61,12 @@
   private strikes = 0;
   private nextProbeAt = 0;
   private clearedProbes = 0;
+  private hasEverAnswered = false;
+
+  /** Whether the upstream has answered a call well since it is known here. */
+  get isProven(): boolean {
+    return this.hasEverAnswered;
+  }
 
   /** Whether ordinary work should go elsewhere. */
   isDoubted(now: number): boolean {
@@ -72,13 +85,14 @@
 
   /** A repeatable call was sent to find out. */
   probed(now: number): void {
-    this.nextProbeAt = now + PROBE_INTERVAL_MILLISECONDS;
+    this.nextProbeAt = now + this.probeInterval();
   }
 
   /** Takes in one piece of evidence; true when the standing changed. */
   observe(now: number, kind: CallEvidenceKind): boolean {
     const before = this.isDoubted(now);
     if (kind === 'well') {
+      this.hasEverAnswered = true;
       this.sum *= KEPT_AFTER_GOOD;
       this.probeEndedWell(now);
     } else {
@@ -110,8 +124,16 @@
     const length = FIRST_HOLD_MILLISECONDS * 2 ** this.strikes;
     this.until = now + Math.min(LONGEST_HOLD_MILLISECONDS, length);
     this.strikes += 1;
-    this.nextProbeAt = now + PROBE_INTERVAL_MILLISECONDS;
+    this.nextProbeAt = now + this.probeInterval();
     this.clearedProbes = 0;
     this.sum = 0;
   }
+
+  private probeInterval(): number {
+    const doublings = Math.max(0, this.strikes - 1);
+    return Math.min(
+      LONGEST_PROBE_MILLISECONDS,
+      FIRST_PROBE_MILLISECONDS * 2 ** doublings,
+    );
+  }
 }
--- a/packages/fleet/src/streamFollower.ts
+++ b/packages/fleet/src/streamFollower.ts
@@ -24,7 +24,10 @@
  * Changes tend to come in series. Reading on after a pause gathers them in one
  * answer, since every call to the store is paid for.
  */
-const GATHER_MILLISECONDS = 150;
+const GATHER_MILLISECONDS: Readonly<Record<RecordStream, number>> = {
+  configuration: 150,
+  boxes: 1000,
+};
 
 /**
  * A read of a store that has gone silent hangs until its time is up. Nodes
@@ -33,7 +36,10 @@
  */
 const WAIT_PER_NODE_MILLISECONDS = 500;
 const SHORTEST_WAIT_MILLISECONDS = 2000;
-const LONGEST_WAIT_MILLISECONDS = 10_000;
+const LONGEST_WAIT_MILLISECONDS: Readonly<Record<RecordStream, number>> = {
+  configuration: 10_000,
+  boxes: 20_000,
+};
 
 /** One read at a time; every failure is followed by a pause. */
 export class StreamFollower {
@@ -71,7 +77,7 @@
           kind: 'follow',
           stream,
           from,
-          waitMilliseconds: waitFor(random, nodes),
+          waitMilliseconds: waitFor(stream, random, nodes),
         };
   }
 
@@ -86,7 +92,7 @@
       this.failures = 0;
       this.from = result.value.end;
       const isNews = result.value.records.length > 0;
-      this.nextAt = isNews ? now + GATHER_MILLISECONDS : now;
+      this.nextAt = isNews ? now + GATHER_MILLISECONDS[this.stream] : now;
       return;
     }
     if (result.failure.kind === 'history-gone') {
@@ -104,9 +110,13 @@
 }
 
 /** Random, so that nodes that started together soon read at different times. */
-function waitFor(random: RandomSource, nodes: number): number {
+function waitFor(
+  stream: RecordStream,
+  random: RandomSource,
+  nodes: number,
+): number {
   const longest = Math.min(
-    LONGEST_WAIT_MILLISECONDS,
+    LONGEST_WAIT_MILLISECONDS[stream],
     Math.max(SHORTEST_WAIT_MILLISECONDS, nodes * WAIT_PER_NODE_MILLISECONDS),
   );
   return Math.round(longest * (0.5 + random() / 2));
--- a/packages/node/src/__tests__/guardService.test.ts
+++ b/packages/node/src/__tests__/guardService.test.ts
@@ -102,6 +102,7 @@
   const ending = new Promise<Ending>((resolve) => {
     const handlers: ExchangeHandlers = {
       onContinue: () => undefined,
+      onQueued: () => undefined,
       onAnswer: (answer) => resolve({kind: 'answer', head: answer}),
       onChunk: () => true,
       onEnd: () => undefined,
--- a/packages/node/src/process/composition.ts
+++ b/packages/node/src/process/composition.ts
@@ -19,10 +19,7 @@
 import {createOperatorApp} from '../operators/operatorApp.js';
 import {createCallerApp} from '../request/callerApp.js';
 import {lockpinCallerProtocol} from '../request/callerProtocol.js';
-import {
-  EntryService,
-  GUARD_SILENCE_MILLISECONDS,
-} from '../request/entryService.js';
+import {EntryService} from '../request/entryService.js';
 import {GuardService} from '../request/guardService.js';
 import {serveExchangeStream} from '../request/exchangeStreamServer.js';
 import {serveGuardStream} from '../request/guardStreams.js';
@@ -210,7 +207,6 @@
     protocol: lockpinCallerProtocol(() => host.control.keeper.state),
     needsGo: (box, repetition) =>
       box !== settings.box && repetition === 'at-most-once',
-    silenceMilliseconds: GUARD_SILENCE_MILLISECONDS,
     isReady: () => host.isReady,
     isLeaving: () => host.isLeaving,
     incarnation: (box) => membership.get(box)?.incarnation,
--- a/packages/node/src/process/fleetComposition.ts
+++ b/packages/node/src/process/fleetComposition.ts
@@ -11,10 +11,7 @@
 import {PeerServer} from '../connection/peerServer.js';
 import {UpstreamPools} from '../connection/upstreamPools.js';
 import type {VersionNews} from '../request/frames.js';
-import {
-  EntryService,
-  GUARD_SILENCE_MILLISECONDS,
-} from '../request/entryService.js';
+import {EntryService} from '../request/entryService.js';
 import {serveExchangeStream} from '../request/exchangeStreamServer.js';
 import type {VersionExchange} from '../request/exchangeStreamServer.js';
 import {GuardService} from '../request/guardService.js';
@@ -178,7 +175,6 @@
     isLeaving: () => false,
     incarnation: () => undefined,
     needsGo: (box) => box !== settings.box,
-    silenceMilliseconds: GUARD_SILENCE_MILLISECONDS,
     onSilence: (box) => remote.wasSilent(host.peerAddress(box)),
     onEnded: (record) => log.call(record),
     begin: (box, head, handlers) =>
--- a/packages/node/src/process/fleetHost.ts
+++ b/packages/node/src/process/fleetHost.ts
@@ -34,11 +34,14 @@
  */
 const RETRY_SHARE = 0.7;
 
-/** Offers that ask for a free slot at once, before one that may wait. */
-const IMMEDIATE_OFFERS = 4;
+/** Offers that ask for a free slot at once, then some that may wait. */
+const OFFERS_ON_EACH_TERMS = 4;
+
+/** Round trips between data centres take 3 ms; a slow box answers in 50. */
+const SILENCE_MILLISECONDS = 80;
 
 /** Offers in all; each costs a round trip, and the caller waits meanwhile. */
-const MOST_REROUTES = 10;
+const MOST_REROUTES = 12;
 
 /** An offer is answered in a round trip, so one silence is reason enough. */
 const LINK_PATIENCE = {
@@ -172,7 +175,9 @@
       choose: chooseByScore,
       linkPatience: LINK_PATIENCE,
       createBudget: () => this.createBudget(),
-      immediateOffers: IMMEDIATE_OFFERS,
+      firstTerms: 'immediate',
+      offersOnEachTerms: OFFERS_ON_EACH_TERMS,
+      silenceMilliseconds: SILENCE_MILLISECONDS,
       mostReroutes: MOST_REROUTES,
       freeRefusals: UNSENT_REFUSALS,
       replacesOverdue: true,
--- a/packages/node/src/request/entryService.ts
+++ b/packages/node/src/request/entryService.ts
@@ -32,13 +32,6 @@
 import type {AnswerHead, CallHead} from './frames.js';
 import {readBody} from './readBody.js';
 
-/**
- * A guard that is asked to keep a slot answers within a round trip and a turn
- * of its loop; much later than that, its process or the way to it is in
- * trouble. Ten times a slow round trip between data centres.
- */
-export const GUARD_SILENCE_MILLISECONDS = 100;
-
 /** What the entry's service needs of its process. */
 export interface EntryServiceDependencies {
   readonly clock: Clock;
@@ -54,8 +47,6 @@
   readonly incarnation: (box: string) => string | undefined;
   /** Whether a guard must reserve a slot for a call before it may run it. */
   readonly needsGo: (box: string, repetition: Repetition) => boolean;
-  /** A guard that has not said that it has the call by then is passed over. */
-  readonly silenceMilliseconds: number;
   /** The guard of a box was silent. */
   readonly onSilence?: (box: string) => void;
   /** Told of every call at its end. */
@@ -303,10 +294,10 @@
 
   private setAttemptTimers(
     exchange: CallerExchange,
-    {box, overdueMilliseconds}: Attempt,
+    {box, overdueMilliseconds, silenceMilliseconds}: Attempt,
     needsGo: boolean,
   ): void {
-    const {silenceMilliseconds, onSilence} = this.dependencies;
+    const {onSilence} = this.dependencies;
     const callId = exchange.id;
     exchange.clearAttemptTimers();
     if (needsGo) {
--- a/packages/routing/src/chooseUpstream.ts
+++ b/packages/routing/src/chooseUpstream.ts
@@ -21,6 +21,11 @@
   /** The entry's own box. */
   readonly box: string;
   readonly loads: UpstreamLoads;
+  /**
+   * The call cannot be repeated. Each upstream that begins to fail costs one
+   * such call, so that they had better go to few upstreams.
+   */
+  readonly prefersFew: boolean;
 }
 
 /** A way to choose an upstream; undefined only when there is no candidate. */
