Entries remember how long an upstream is doubted; a busy one is waited for

Change: a refusal tells how long doubt lasts and when a probe is due; doubted upstreams are asked only when no other is left; a call that finds all busy is offered again after a short pause, up to 0.4 of its time.

--- a/packages/brain/src/entry/entryBrain.ts
+++ b/packages/brain/src/entry/entryBrain.ts
@@ -54,6 +54,10 @@
   terms: OfferTerms;
   /** Offers of this call that no guard answered. */
   silences: number;
+  /** Rounds of offers in vain. */
+  pauses: number;
+  /** Until then it may be held without an offer that was taken. */
+  readonly heldUntil: number;
   upstream: string;
   /** An attempt that may have run is behind us. */
   mayHaveRun: boolean;
@@ -111,6 +115,8 @@
         this.attemptEnded(state);
         this.loads.linkFailed(state.upstream, now, random());
         return this.lost(now, random, state, event.wasSent);
+      case 'pause-ended':
+        return this.pauseEnded(now, random, state);
       case 'attempt-silent':
         return this.silent(now, random, state);
       case 'attempt-overdue':
@@ -133,7 +139,15 @@
     call: Pick<EntryCall, 'view'> & Partial<Pick<EntryCall, 'route'>>,
     tried: ReadonlySet<string> = new Set(),
   ): RoutingCandidate | undefined {
-    const candidates = this.candidates(call, tried);
+    return this.chooseAmong(now, random, call, this.candidates(call, tried));
+  }
+
+  private chooseAmong(
+    now: number,
+    random: RandomSource,
+    call: Partial<Pick<EntryCall, 'route'>>,
+    candidates: readonly RoutingCandidate[],
+  ): RoutingCandidate | undefined {
     const {loads, dataCentre, box} = this;
     const prefersFew = call.route?.spec.repetition === 'at-most-once';
     const context = {now, random, dataCentre, box, loads, prefersFew};
@@ -156,6 +170,8 @@
       ran: new Set(),
       terms: this.settings.firstTerms,
       silences: 0,
+      pauses: 0,
+      heldUntil: now + (call.deadline - now) * this.settings.heldShare,
       upstream: '',
       paidAttempts: 1,
       reroutes: 0,
@@ -178,24 +194,37 @@
     reasonIfNone: RefusalReason,
     retryAfter = NO_UPSTREAM_RETRY_MILLISECONDS,
   ): readonly EntryAction[] {
-    this.relaxTerms(state);
     const chosen = this.chooseNext(now, random, state);
     if (chosen === undefined) {
-      return this.finalRefusal(state, reasonIfNone, retryAfter);
+      return this.pauseOrRefuse(now, state, reasonIfNone, retryAfter);
     }
     return [this.send(state, chosen.name, chosen.box, chosen.name)];
   }
 
-  /** After some offers in vain, ask for less. */
-  private relaxTerms(state: CallState): void {
-    const {offersOnEachTerms} = this.settings;
-    if (state.tried.size < offersOnEachTerms) {
-      return;
-    }
-    const next = easierTerms(state.terms);
-    if (next !== undefined) {
-      this.setTerms(state, next);
+  /** Upstreams may free slots soon: hold the call a little, but not for long. */
+  private pauseOrRefuse(
+    now: number,
+    state: CallState,
+    reason: RefusalReason,
+    retryAfter: number,
+  ): readonly EntryAction[] {
+    const {pauseMilliseconds} = this.settings;
+    const milliseconds = pauseMilliseconds * 2 ** state.pauses;
+    if (pauseMilliseconds === 0 || now + milliseconds > state.heldUntil) {
+      return this.finalRefusal(state, reason, retryAfter);
     }
+    state.pauses += 1;
+    return [{kind: 'pause', callId: state.call.id, milliseconds}];
+  }
+
+  private pauseEnded(
+    now: number,
+    random: RandomSource,
+    state: CallState,
+  ): readonly EntryAction[] {
+    state.reroutes = 0;
+    this.setTerms(state, this.settings.firstTerms);
+    return this.attempt(now, random, state, 'no-upstream');
   }
 
   private setTerms(state: CallState, terms: OfferTerms): void {
@@ -209,22 +238,65 @@
     random: RandomSource,
     state: CallState,
   ): RoutingCandidate | undefined {
-    const found = this.chooseUntried(now, random, state);
-    const easier = easierTerms(state.terms);
-    if (found !== undefined || easier === undefined) {
+    const {offersOnEachTerms} = this.settings;
+    const found =
+      state.tried.size < offersOnEachTerms
+        ? this.chooseUntried(now, random, state)
+        : undefined;
+    if (found !== undefined) {
       return found;
     }
+    const easier = this.easierTerms(now, state);
+    if (easier === undefined) {
+      return undefined;
+    }
     this.setTerms(state, easier);
     return this.chooseNext(now, random, state);
   }
 
+  /**
+   * What to ask for when offers on the present terms were in vain. A doubted
+   * upstream is asked only when there is no other: one that is merely busy will
+   * have room again.
+   */
+  private easierTerms(now: number, state: CallState): OfferTerms | undefined {
+    switch (state.terms) {
+      case 'immediate':
+        return 'may-wait';
+      case 'may-wait':
+        return this.openCandidates(now, state).length === 0
+          ? 'last-resort'
+          : undefined;
+      case 'last-resort':
+        return undefined;
+    }
+  }
+
+  /** Upstreams of the service that this entry does not route around. */
+  private openCandidates(
+    now: number,
+    {call, ran}: CallState,
+  ): readonly RoutingCandidate[] {
+    const mayProbe = call.route.spec.repetition === 'repeatable';
+    return this.candidates(call, ran).filter(
+      ({name}) => !this.loads.isAvoided(name, now, mayProbe),
+    );
+  }
+
   private chooseUntried(
     now: number,
     random: RandomSource,
-    {call, tried, ran}: CallState,
+    state: CallState,
   ): RoutingCandidate | undefined {
-    const excluded = ran.size === 0 ? tried : new Set([...tried, ...ran]);
-    return this.chooseFor(now, random, call, excluded);
+    const {call, tried, ran, terms} = state;
+    if (terms === 'last-resort') {
+      const excluded = ran.size === 0 ? tried : new Set([...tried, ...ran]);
+      return this.chooseFor(now, random, call, excluded);
+    }
+    const open = this.openCandidates(now, state).filter(
+      ({name}) => !tried.has(name),
+    );
+    return this.chooseAmong(now, random, call, open);
   }
 
   private attemptAtHome(
@@ -317,13 +389,10 @@
       kind: 'cancel-attempt',
       callId: state.call.id,
     };
+    const reason = 'guard-silent';
     const next = this.retries.takeReroute(state)
-      ? this.attempt(now, random, state, 'guard-silent')
-      : this.finalRefusal(
-          state,
-          'guard-silent',
-          NO_UPSTREAM_RETRY_MILLISECONDS,
-        );
+      ? this.attempt(now, random, state, reason)
+      : this.pauseOrRefuse(now, state, reason, NO_UPSTREAM_RETRY_MILLISECONDS);
     return [cancel, ...next];
   }
 
@@ -394,7 +463,9 @@
     if (this.retries.mayGoElsewhere(now, state, refusal)) {
       return this.attempt(now, random, state, reason, retryAfterMilliseconds);
     }
-    return this.finalRefusal(state, reason, retryAfterMilliseconds);
+    return this.settings.freeRefusals.has(reason)
+      ? this.pauseOrRefuse(now, state, reason, retryAfterMilliseconds)
+      : this.finalRefusal(state, reason, retryAfterMilliseconds);
   }
 
   private lost(
@@ -504,18 +575,6 @@
   }
 }
 
-/** What to ask for when offers on these terms were in vain. */
-function easierTerms(terms: OfferTerms): OfferTerms | undefined {
-  switch (terms) {
-    case 'immediate':
-      return 'may-wait';
-    case 'may-wait':
-      return 'last-resort';
-    case 'last-resort':
-      return undefined;
-  }
-}
-
 function refuse(
   callId: string,
   reason: RefusalReason,
--- a/packages/brain/src/entry/entryMessages.ts
+++ b/packages/brain/src/entry/entryMessages.ts
@@ -62,6 +62,8 @@
       /** False only when the guard cannot have received it. */
       readonly wasSent: boolean;
     }
+  /** The pause after a round of offers in vain is over. */
+  | {readonly kind: 'pause-ended'; readonly callId: string}
   /** The guard neither started the call nor let it wait within its time. */
   | {readonly kind: 'attempt-silent'; readonly callId: string}
   /** The attempt takes far longer than such calls usually do. */
@@ -106,6 +108,12 @@
       readonly refusal: Refusal;
     }
   | {readonly kind: 'pass-answer'; readonly callId: string}
+  /** Tell the brain when this time is over. */
+  | {
+      readonly kind: 'pause';
+      readonly callId: string;
+      readonly milliseconds: number;
+    }
   | {readonly kind: 'cancel-attempt'; readonly callId: string};
 
 /** What the entry needs to know of the boxes. */
--- a/packages/brain/src/entry/entrySettings.ts
+++ b/packages/brain/src/entry/entrySettings.ts
@@ -29,6 +29,10 @@
    * trip and a turn of its loop, with room for a slow box.
    */
   readonly silenceMilliseconds: number;
+  /** Pause after a round of offers in vain; 0 to give up at once. */
+  readonly pauseMilliseconds: number;
+  /** Part of its time that a call is held in vain before it is refused. */
+  readonly heldShare: number;
   /** Times a call may go elsewhere without being paid for. */
   readonly mostReroutes: number;
   /** Refusals after which going elsewhere costs nothing. */
@@ -53,6 +57,8 @@
   firstTerms: 'last-resort',
   offersOnEachTerms: Number.POSITIVE_INFINITY,
   silenceMilliseconds: 100,
+  pauseMilliseconds: 0,
+  heldShare: 0,
   mostReroutes: 3,
   freeRefusals: new Set(STANDING_REFUSALS),
   replacesOverdue: false,
--- a/packages/brain/src/guard/upstreamGuard.ts
+++ b/packages/brain/src/guard/upstreamGuard.ts
@@ -38,6 +38,9 @@
 /** Added to the time that is usual, so that scheduling delays do not count. */
 const LATE_ALLOWANCE_MILLISECONDS = 60;
 
+/** Entries ask again this soon after an upstream that has answered no call. */
+const UNPROVEN_MILLISECONDS = 200;
+
 /** How much longer calls take on an upstream that is cold. */
 const COLD_FACTOR = 2;
 
@@ -133,11 +136,16 @@
     const limit = this.lastVerdict.suspect
       ? Math.max(1, this.admission.currentLimit * SUSPECT_LIMIT_SHARE)
       : this.admission.currentLimit;
-    return {
-      state: this.announcedState(now),
-      occupied: this.admission.occupied,
-      limit,
-    };
+    const state = this.announcedState(now);
+    const {occupied} = this.admission;
+    if (state !== 'doubted') {
+      return {state, occupied, limit};
+    }
+    const doubtedFor = this.isDoubted(now)
+      ? this.doubt.remaining(now)
+      : UNPROVEN_MILLISECONDS;
+    const probeIn = this.doubt.untilProbe(now);
+    return {state, occupied, limit, doubtedFor, probeIn};
   }
 
   /** Why no call of this kind may come now; undefined when one may. */
@@ -151,7 +159,7 @@
     if (this.isDoubted(now) && !this.mayRunDoubted(now, call)) {
       return 'upstream-doubted';
     }
-    if (this.isUnproven(call)) {
+    if (this.isUnproven && isFirstOfKind(call)) {
       return 'upstream-doubted';
     }
     if (this.cycle.state === 'ejected') {
@@ -341,7 +349,7 @@
     if (this.isDraining || this.isReplaced) {
       return 'draining';
     }
-    if (this.isDoubted(now)) {
+    if (this.isDoubted(now) || this.isUnproven) {
       return 'doubted';
     }
     const {state} = this.cycle;
@@ -350,20 +358,14 @@
       : state;
   }
 
-  /** A call that cannot be repeated is not the first to find out. */
-  private isUnproven(call: GuardCall): boolean {
-    return (
-      this.settings.hasQuickDoubt &&
-      !this.doubt.isProven &&
-      call.repetition === 'at-most-once' &&
-      call.mayRunDoubted !== true
-    );
+  private get isUnproven(): boolean {
+    return this.settings.hasQuickDoubt && !this.doubt.isProven;
   }
 
   /** Repeatable calls find out how it is; others only when all are doubted. */
   private mayRunDoubted(now: number, call: GuardCall): boolean {
     const isProbe =
-      call.repetition === 'repeatable' && this.doubt.isProbeDue(now);
+      call.repetition === 'repeatable' && this.doubt.untilProbe(now) === 0;
     return isProbe || call.mayRunDoubted === true;
   }
 
@@ -475,6 +477,11 @@
   }
 }
 
+/** A call that cannot be repeated had better not be the first to find out. */
+function isFirstOfKind(call: GuardCall): boolean {
+  return call.repetition === 'at-most-once' && call.mayRunDoubted !== true;
+}
+
 function waiting(call: GuardCall): WaitingCall {
   const {id, customer, weight, priority, deadline, usefulUntil, mayWait} = call;
   return {id, customer, weight, priority, deadline, usefulUntil, mayWait};
--- a/packages/detection/src/doubt.ts
+++ b/packages/detection/src/doubt.ts
@@ -78,9 +78,9 @@
     return Math.max(0, this.until - now);
   }
 
-  /** Whether a repeatable call may find out how the upstream is. */
-  isProbeDue(now: number): boolean {
-    return now >= this.nextProbeAt;
+  /** Milliseconds until a repeatable call may find out how the upstream is. */
+  untilProbe(now: number): number {
+    return Math.max(0, this.nextProbeAt - now);
   }
 
   /** A repeatable call was sent to find out. */
--- a/packages/node/src/process/fleetHost.ts
+++ b/packages/node/src/process/fleetHost.ts
@@ -37,6 +37,12 @@
 /** Offers that ask for a free slot at once, then some that may wait. */
 const OFFERS_ON_EACH_TERMS = 4;
 
+/** A slot frees within the time that calls take; the pause doubles. */
+const PAUSE_MILLISECONDS = 30;
+
+/** Held longer in vain, a call had better be told when to come back. */
+const HELD_SHARE = 0.4;
+
 /** Round trips between data centres take 3 ms; a slow box answers in 50. */
 const SILENCE_MILLISECONDS = 80;
 
@@ -178,6 +184,8 @@
       firstTerms: 'immediate',
       offersOnEachTerms: OFFERS_ON_EACH_TERMS,
       silenceMilliseconds: SILENCE_MILLISECONDS,
+      pauseMilliseconds: PAUSE_MILLISECONDS,
+      heldShare: HELD_SHARE,
       mostReroutes: MOST_REROUTES,
       freeRefusals: UNSENT_REFUSALS,
       replacesOverdue: true,
--- a/packages/node/src/request/entryService.ts
+++ b/packages/node/src/request/entryService.ts
@@ -254,6 +254,9 @@
       case 'pass-answer':
         this.passAnswer(exchange);
         break;
+      case 'pause':
+        this.pause(exchange, action.milliseconds);
+        break;
       case 'cancel-attempt':
         exchange.attemptSerial += 1;
         exchange.clearAttemptTimers();
@@ -263,6 +266,16 @@
     }
   }
 
+  private pause(exchange: CallerExchange, milliseconds: number): void {
+    exchange.attemptSerial += 1;
+    exchange.exchange = undefined;
+    exchange.clearAttemptTimers();
+    exchange.silenceTimer = setTimeout(
+      () => this.handle({kind: 'pause-ended', callId: exchange.id}),
+      milliseconds,
+    );
+  }
+
   private attempt(exchange: CallerExchange, attempt: Attempt): void {
     exchange.attemptSerial += 1;
     exchange.heldAnswer = undefined;
--- a/packages/routing/src/chooseByScore.ts
+++ b/packages/routing/src/chooseByScore.ts
@@ -53,7 +53,7 @@
   cost += dataCentre === context.dataCentre ? 0 : COST.otherDataCentre;
   cost += box === context.box ? 0 : COST.otherBox;
   cost += now < coldUntil ? COST.cold : 0;
-  cost += loads.isAvoided(name, now) ? COST.avoided : 0;
+  cost += loads.isAvoided(name, now, !context.prefersFew) ? COST.avoided : 0;
   return cost;
 }
 
@@ -67,5 +67,5 @@
   return place * COST.lastInOrder + (isCrowded ? occupation : 0);
 }
 
-/** Hashes are whole numbers of 32 bits. */
-const LARGEST_HASH = 2 ** 32;
+/** Hashes are whole numbers of 48 bits. */
+const LARGEST_HASH = 2 ** 48;
--- a/packages/routing/src/upstreamLoads.ts
+++ b/packages/routing/src/upstreamLoads.ts
@@ -12,6 +12,10 @@
   readonly occupied: number;
   /** Calls the guard lets run at the same time now. */
   readonly limit: number;
+  /** Milliseconds for which ordinary work goes elsewhere; while doubted. */
+  readonly doubtedFor?: number;
+  /** Milliseconds until a repeatable call may find out; while doubted. */
+  readonly probeIn?: number;
 }
 
 /** Standings in which a guard refuses ordinary work. */
@@ -46,7 +50,12 @@
   outstanding: number;
   hint: LoadHint | undefined;
   hintedAt: number;
-  avoidUntil: number;
+  /** Its guard takes no ordinary work until then. */
+  refusesUntil: number;
+  /** Its guard takes not even a repeatable call as a probe until then. */
+  refusesProbesUntil: number;
+  /** Its guard could not be reached; not tried again until then. */
+  unreachableUntil: number;
   linkFailures: number;
 }
 
@@ -73,9 +82,12 @@
     load.hint = hint;
     load.hintedAt = now;
     load.linkFailures = 0;
-    load.avoidUntil = TAKES_NO_WORK.has(hint.state)
-      ? now + REFUSED_PAUSE_MILLISECONDS
-      : 0;
+    load.unreachableUntil = 0;
+    const refuses = TAKES_NO_WORK.has(hint.state);
+    const {doubtedFor, probeIn} = hint;
+    const pause = doubtedFor ?? REFUSED_PAUSE_MILLISECONDS;
+    load.refusesUntil = refuses ? now + pause : 0;
+    load.refusesProbesUntil = refuses ? now + (probeIn ?? pause) : 0;
   }
 
   /**
@@ -94,13 +106,20 @@
       patience.longestAvoidanceMilliseconds,
       patience.firstAvoidanceMilliseconds * 2 ** repeats,
     );
-    load.avoidUntil = now + pause * (0.5 + random);
+    load.unreachableUntil = now + pause * (0.5 + random);
   }
 
-  /** Whether this entry routes around an upstream for now. */
-  isAvoided(upstream: string, now: number): boolean {
+  /**
+   * Whether this entry routes around an upstream for now. A call that can be
+   * repeated may be the one that finds out how a doubted upstream is.
+   */
+  isAvoided(upstream: string, now: number, mayProbe = false): boolean {
     const load = this.loads.get(upstream);
-    return load !== undefined && load.avoidUntil > now;
+    if (load === undefined) {
+      return false;
+    }
+    const refuses = mayProbe ? load.refusesProbesUntil : load.refusesUntil;
+    return Math.max(refuses, load.unreachableUntil) > now;
   }
 
   /** What the guard last said, with its age in milliseconds, for logs. */
@@ -147,7 +166,9 @@
       outstanding: 0,
       hint: undefined,
       hintedAt: 0,
-      avoidUntil: 0,
+      refusesUntil: 0,
+      refusesProbesUntil: 0,
+      unreachableUntil: 0,
       linkFailures: 0,
     };
     this.loads.set(upstream, made);
