Offers go without their request; guards tell entries how upstreams stand

Change: a change of standing is told on all open streams; probes are at most 1 s apart; the request goes with the go; frames are rows; a call that waits at the own guard counts as not run; 0.85 rather than 0.7 of the retry budget is used.

--- a/packages/brain/src/guard/guardBrain.ts
+++ b/packages/brain/src/guard/guardBrain.ts
@@ -412,9 +412,13 @@
     if (isDoubted === wasDoubted) {
       return [];
     }
+    const {name} = upstream;
     const detail = {remaining: upstream.retryAfter(now)};
     const event = isDoubted ? 'upstream-doubted' : 'upstream-trusted';
-    return [{kind: 'timeline', event, subject: upstream.name, detail}];
+    return [
+      {kind: 'timeline', event, subject: name, detail},
+      {kind: 'standing', upstream: name, hint: upstream.hint(now)},
+    ];
   }
 
   private replied(
--- a/packages/brain/src/guard/guardMessages.ts
+++ b/packages/brain/src/guard/guardMessages.ts
@@ -135,6 +135,12 @@
       readonly service: string;
       readonly reports: readonly GuardReport[];
     }
+  /** Entries should know at once how the upstream stands. */
+  | {
+      readonly kind: 'standing';
+      readonly upstream: string;
+      readonly hint: LoadHint;
+    }
   | {
       readonly kind: 'timeline';
       readonly event: string;
--- a/packages/detection/src/doubt.ts
+++ b/packages/detection/src/doubt.ts
@@ -49,7 +49,7 @@
  * probe costs its caller time and the fleet a retry.
  */
 const FIRST_PROBE_MILLISECONDS = 400;
-const LONGEST_PROBE_MILLISECONDS = 2000;
+const LONGEST_PROBE_MILLISECONDS = 1000;
 
 /** Probes in a row that must end well. */
 const PROBES_TO_CLEAR = 2;
--- a/packages/node/src/process/composition.ts
+++ b/packages/node/src/process/composition.ts
@@ -205,6 +205,7 @@
     metrics: parts.resolve(TOKENS.metrics),
     largestBodyBytes: () => settings.largestBodyBytes,
     protocol: lockpinCallerProtocol(() => host.control.keeper.state),
+    isOwnBox: (box) => box === settings.box,
     needsGo: (box, repetition) =>
       box !== settings.box && repetition === 'at-most-once',
     isReady: () => host.isReady,
--- a/packages/node/src/process/fleetComposition.ts
+++ b/packages/node/src/process/fleetComposition.ts
@@ -10,10 +10,10 @@
 import {PeerChannels} from '../connection/peerChannels.js';
 import {PeerServer} from '../connection/peerServer.js';
 import {UpstreamPools} from '../connection/upstreamPools.js';
-import type {VersionNews} from '../request/frames.js';
+import type {PeerNews} from '../request/frames.js';
 import {EntryService} from '../request/entryService.js';
 import {serveExchangeStream} from '../request/exchangeStreamServer.js';
-import type {VersionExchange} from '../request/exchangeStreamServer.js';
+import type {NewsExchange} from '../request/exchangeStreamServer.js';
 import {GuardService} from '../request/guardService.js';
 import {serveGuardStream} from '../request/guardStreams.js';
 import {RemoteExchanges} from '../request/remoteExchanges.js';
@@ -42,7 +42,7 @@
   channels: Symbol('channels') as InjectionToken<
     PeerChannels<PeerQuestion, PeerKnowledge>
   >,
-  versions: Symbol('versions') as InjectionToken<Subscribers<VersionNews>>,
+  news: Symbol('news') as InjectionToken<Subscribers<PeerNews>>,
   remote: Symbol('remote') as InjectionToken<RemoteExchanges>,
   guardService: Symbol('guardService') as InjectionToken<GuardService>,
   entryService: Symbol('entryService') as InjectionToken<EntryService>,
@@ -67,7 +67,7 @@
   once(FLEET_TOKENS.host, createHost);
   once(FLEET_TOKENS.pools, () => new UpstreamPools());
   once(FLEET_TOKENS.channels, () => new PeerChannels(new ControlTraffic()));
-  once(FLEET_TOKENS.versions, () => new Subscribers<VersionNews>());
+  once(FLEET_TOKENS.news, () => new Subscribers<PeerNews>());
   once(FLEET_TOKENS.remote, createRemoteExchanges);
   once(FLEET_TOKENS.guardService, createGuardService);
   once(FLEET_TOKENS.entryService, createEntryService);
@@ -111,24 +111,37 @@
   const channels = parts.resolve(FLEET_TOKENS.channels);
   return new RemoteExchanges(
     (address) => channels.client(address),
-    versionExchange(parts),
+    newsExchange(parts),
     (address) => channels.renew(address),
   );
 }
 
-function versionExchange(parts: DependencyContainer): VersionExchange {
+function newsExchange(parts: DependencyContainer): NewsExchange {
   const host = parts.resolve(FLEET_TOKENS.host);
-  const versions = parts.resolve(FLEET_TOKENS.versions);
+  const subscribers = parts.resolve(FLEET_TOKENS.news);
   return {
-    own: () => versionNews(host),
-    onOther: ({address, version}) => host.peerVersionHeard(address, version),
-    subscribe: (changed) => versions.add(changed),
+    first: () => versionNews(host),
+    onNews: (news) => {
+      switch (news.kind) {
+        case 'version':
+          host.peerVersionHeard(news.address, news.version);
+          break;
+        case 'standing':
+          host.standingHeard(news.upstream, news.hint);
+          break;
+      }
+    },
+    subscribe: (tell) => subscribers.add(tell),
   };
 }
 
 /** What peers are told of the version in force here. */
-export function versionNews(host: FleetHost): VersionNews {
-  return {version: host.fleet.version, address: host.settings.peerAddress};
+export function versionNews(host: FleetHost): PeerNews {
+  return {
+    kind: 'version',
+    version: host.fleet.version,
+    address: host.settings.peerAddress,
+  };
 }
 
 function createGuardService(parts: DependencyContainer): GuardService {
@@ -174,6 +187,7 @@
     isReady: () => host.isReady,
     isLeaving: () => false,
     incarnation: () => undefined,
+    isOwnBox: (box) => box === settings.box,
     needsGo: (box) => box !== settings.box,
     onSilence: (box) => remote.wasSilent(host.peerAddress(box)),
     onEnded: (record) => log.call(record),
@@ -189,7 +203,7 @@
 ): PeerServer<PeerQuestion, PeerKnowledge> {
   const host = parts.resolve(FLEET_TOKENS.host);
   const guard = parts.resolve(FLEET_TOKENS.guardService);
-  const versions = versionExchange(parts);
+  const news = newsExchange(parts);
   return new PeerServer<PeerQuestion, PeerKnowledge>(
     {
       call: (stream) =>
@@ -200,7 +214,7 @@
         serveExchangeStream(
           stream,
           (head, handlers) => guard.begin(head, handlers),
-          versions,
+          news,
         ),
       exchange: (question, reply) => reply(host.fleet.answer(question)),
     },
--- a/packages/node/src/process/fleetHost.ts
+++ b/packages/node/src/process/fleetHost.ts
@@ -20,6 +20,7 @@
   UpstreamAnnouncement,
 } from '@lockpin/fleet';
 import {WindowedRetryBudget, chooseByScore} from '@lockpin/routing';
+import type {LoadHint} from '@lockpin/routing';
 import type {Clock, RandomSource, Resource} from '@lockpin/types';
 import type {DecisionLog} from './decisionLog.js';
 import type {FleetNodeSettings} from './fleetPorts.js';
@@ -32,7 +33,7 @@
  * that start anew without a memory of what they spent, and calls that
  * upstreams make for a call that is itself repeated.
  */
-const RETRY_SHARE = 0.7;
+const RETRY_SHARE = 0.85;
 
 /** Offers that ask for a free slot at once, then some that may wait. */
 const OFFERS_ON_EACH_TERMS = 4;
@@ -74,6 +75,8 @@
   readonly onGuardEvent: (event: GuardEvent) => void;
   readonly onUpstreams: (upstreams: readonly Resource<'Upstream'>[]) => void;
   readonly onVersion: (version: number) => void;
+  /** The guard here changed its mind about its upstream. */
+  readonly onStanding: (upstream: string, hint: LoadHint) => void;
 }
 
 /** Lives as long as the process. */
@@ -168,12 +171,22 @@
 
   /** Logs what the guard came to believe; permits are not used here. */
   guardActed(
-    action: GuardAction & {readonly kind: 'report' | 'timeline'},
+    action: GuardAction & {readonly kind: 'report' | 'timeline' | 'standing'},
   ): void {
     if (action.kind === 'timeline') {
       const {event, subject, detail} = action;
       this.log.event(event, {subject, ...detail});
     }
+    if (action.kind === 'standing') {
+      const {upstream, hint} = action;
+      this.standingHeard(upstream, hint);
+      this.listeners?.onStanding(upstream, hint);
+    }
+  }
+
+  /** The guard of an upstream told how it stands. */
+  standingHeard(upstream: string, hint: LoadHint): void {
+    this.entry.loads.heard(upstream, this.environment.clock(), hint);
   }
 
   private entrySettings(): EntrySettings {
--- a/packages/node/src/process/nodeHost.ts
+++ b/packages/node/src/process/nodeHost.ts
@@ -118,8 +118,11 @@
 
   /** Takes the guard's actions that do not concern one exchange. */
   guardActed(
-    action: GuardAction & {readonly kind: 'report' | 'timeline'},
+    action: GuardAction & {readonly kind: 'report' | 'timeline' | 'standing'},
   ): void {
+    if (action.kind === 'standing') {
+      return;
+    }
     if (action.kind === 'timeline') {
       this.timeline(action.event, action.subject, action.detail);
       return;
--- a/packages/node/src/process/runFleetNode.ts
+++ b/packages/node/src/process/runFleetNode.ts
@@ -43,7 +43,7 @@
   const guard = container.resolve(FLEET_TOKENS.guardService);
   const entry = container.resolve(FLEET_TOKENS.entryService);
   const pools = container.resolve(FLEET_TOKENS.pools);
-  const versions = container.resolve(FLEET_TOKENS.versions);
+  const subscribers = container.resolve(FLEET_TOKENS.news);
   const remote = container.resolve(FLEET_TOKENS.remote);
   const stopping: StopState = {isStopping: false, closesConnections: false};
   await container.resolve(FLEET_TOKENS.peerServer).start(settings.peerAddress);
@@ -65,9 +65,11 @@
     onVersion: () => {
       applyLimits(container, callers);
       const news = versionNews(host);
-      remote.tellVersion(news);
-      versions.tell(news);
+      remote.tell(news);
+      subscribers.tell(news);
     },
+    onStanding: (upstream, hint) =>
+      subscribers.tell({kind: 'standing', upstream, hint}),
   });
   let result: Promise<StopResult> | undefined;
   return {
--- a/packages/node/src/request/callerExchange.ts
+++ b/packages/node/src/request/callerExchange.ts
@@ -32,6 +32,9 @@
   overdueTimer: NodeJS.Timeout | undefined;
   /** The attempt under way may run: it needs no go, or has been given it. */
   isGoGiven = true;
+  /** The attempt under way may have reached its upstream. */
+  mayHaveBegun = false;
+  private lastHead: CallHead | undefined;
   readonly story = new CallStory();
   private isStreaming = false;
   private isEnded = false;
@@ -81,7 +84,7 @@
     const age = now - this.arrivedAt;
     const usefulFor =
       goalMilliseconds === undefined ? undefined : goalMilliseconds - age;
-    return {
+    this.lastHead = {
       requestId: this.requestId,
       service: view.name,
       upstream: attempt.upstream,
@@ -113,6 +116,15 @@
         usefulFor !== undefined && usefulFor > 0 ? usefulFor : undefined,
       expectedMilliseconds: attempt.expectedMilliseconds,
     };
+    return this.lastHead;
+  }
+
+  /** Takes the slot that the guard of the attempt under way keeps. */
+  go(): void {
+    if (this.lastHead !== undefined) {
+      const {method, path, headers, body} = this.lastHead;
+      this.exchange?.go({method, path, headers, body});
+    }
   }
 
   /** The guard has a slot: let the caller's body flow to it. */
--- a/packages/node/src/request/entryService.ts
+++ b/packages/node/src/request/entryService.ts
@@ -45,6 +45,7 @@
   readonly isLeaving: () => boolean;
   /** The process now on a box, for minting once keys. */
   readonly incarnation: (box: string) => string | undefined;
+  readonly isOwnBox: (box: string) => boolean;
   /** Whether a guard must reserve a slot for a call before it may run it. */
   readonly needsGo: (box: string, repetition: Repetition) => boolean;
   /** The guard of a box was silent. */
@@ -221,7 +222,7 @@
   }
 
   private deadlinePassed(exchange: CallerExchange): void {
-    const wasSent = exchange.exchange !== undefined && exchange.isGoGiven;
+    const wasSent = exchange.mayHaveBegun;
     exchange.story.ended(this.age(exchange), 'deadline-passed');
     this.handle({kind: 'deadline-passed', callId: exchange.id, wasSent});
   }
@@ -269,6 +270,7 @@
   private pause(exchange: CallerExchange, milliseconds: number): void {
     exchange.attemptSerial += 1;
     exchange.exchange = undefined;
+    exchange.mayHaveBegun = false;
     exchange.clearAttemptTimers();
     exchange.silenceTimer = setTimeout(
       () => this.handle({kind: 'pause-ended', callId: exchange.id}),
@@ -290,6 +292,9 @@
       known && {state: known.hint.state, age: known.age},
     );
     exchange.isGoGiven = !needsGo;
+    // Only a guard in this process, or one that waits for a go, tells for sure.
+    const tellsStart = needsGo || this.dependencies.isOwnBox(attempt.box);
+    exchange.mayHaveBegun = !tellsStart || !exchange.isReplayable;
     this.setAttemptTimers(exchange, attempt, needsGo);
     const serial = exchange.attemptSerial;
     const handlers = this.handlersFor(exchange, serial);
@@ -331,12 +336,13 @@
   /** The guard has a slot for the call. */
   private slotFound(exchange: CallerExchange): void {
     clearTimeout(exchange.silenceTimer);
+    exchange.mayHaveBegun = true;
     if (exchange.isGoGiven) {
       exchange.streamBody();
       return;
     }
     exchange.isGoGiven = true;
-    exchange.exchange?.go();
+    exchange.go();
   }
 
   private handlersFor(
@@ -375,7 +381,7 @@
           });
         }),
       onLost: (wasSent) =>
-        ifCurrent(() => this.lost(exchange, wasSent && exchange.isGoGiven)),
+        ifCurrent(() => this.lost(exchange, wasSent && exchange.mayHaveBegun)),
     };
   }
 
--- a/packages/node/src/request/exchange.ts
+++ b/packages/node/src/request/exchange.ts
@@ -1,7 +1,12 @@
 // Copyright (c) 2026 the lockpin contributors. MIT licence, see LICENSE.
 /** One exchange with a guard, whether it is in this process or another. */
 
-import type {AnswerHead, CallHead, RefusalFrame} from './frames.js';
+import type {
+  AnswerHead,
+  CallHead,
+  CallRequest,
+  RefusalFrame,
+} from './frames.js';
 
 /** What a guard does to the entry that called it. */
 export interface ExchangeHandlers {
@@ -23,8 +28,8 @@
   /** Returns false when no more should be sent until onContinue. */
   readonly sendChunk: (bytes: Buffer) => boolean;
   readonly sendEnd: () => void;
-  /** Takes the slot that the guard keeps. */
-  readonly go: () => void;
+  /** Takes the slot that the guard keeps, for the request of the call. */
+  readonly go: (request: CallRequest) => void;
   /** The caller can take more of the answer. */
   readonly resume: () => void;
   readonly cancel: () => void;
--- a/packages/node/src/request/exchangeStream.ts
+++ b/packages/node/src/request/exchangeStream.ts
@@ -5,7 +5,7 @@
 import type {Exchange, ExchangeHandlers} from './exchange.js';
 import {FrameBatch, readBatch} from './frameBatch.js';
 import type {NumberedFrame} from './frameBatch.js';
-import type {CallHead, VersionNews} from './frames.js';
+import type {CallHead, PeerNews} from './frames.js';
 import {neverSent} from './remoteExchange.js';
 
 /** A stream that carried nothing this long is ended. */
@@ -35,7 +35,7 @@
 
   constructor(
     private readonly stream: grpc.ClientDuplexStream<Buffer, Buffer>,
-    private readonly onVersion: (news: VersionNews) => void,
+    private readonly onNews: (news: PeerNews) => void,
   ) {
     this.batch = new FrameBatch((bytes) => {
       if (!this.hasBroken) {
@@ -63,11 +63,11 @@
     const number = this.serial;
     const opened: OpenExchange = {handlers, owed: 0};
     this.open.set(number, opened);
-    this.batch.add(number, {kind: 'call', head});
+    this.batch.add(number, {kind: 'call', head: offerOf(head)});
     return {
       sendChunk: () => true,
       sendEnd: () => undefined,
-      go: () => this.batch.add(number, {kind: 'go'}),
+      go: (request) => this.batch.add(number, {kind: 'go', request}),
       resume: () => this.giveCredit(number, opened),
       cancel: () => {
         if (this.open.has(number)) {
@@ -78,9 +78,9 @@
     };
   }
 
-  /** Tells the guard's node the version that is in force here. */
-  tellVersion(news: VersionNews): void {
-    this.batch.add(NO_EXCHANGE, {kind: 'version', news});
+  /** Tells the guard's node something that belongs to no call. */
+  tell(news: PeerNews): void {
+    this.batch.add(NO_EXCHANGE, {kind: 'news', news});
   }
 
   /** The guard did not answer an offer; true when it is silent altogether. */
@@ -90,8 +90,8 @@
   }
 
   private take({number, frame}: NumberedFrame): void {
-    if (frame.kind === 'version') {
-      this.onVersion(frame.news);
+    if (frame.kind === 'news') {
+      this.onNews(frame.news);
       return;
     }
     const opened = this.open.get(number);
@@ -161,3 +161,10 @@
     left.forEach(({handlers}) => handlers.onLost(wasSent));
   }
 }
+
+/** An offer goes without its request, which only the guard that takes it needs. */
+function offerOf(head: CallHead): CallHead {
+  return head.needsGo
+    ? {...head, method: '', path: '', headers: [], body: undefined}
+    : head;
+}
--- a/packages/node/src/request/exchangeStreamServer.ts
+++ b/packages/node/src/request/exchangeStreamServer.ts
@@ -6,7 +6,7 @@
 import {FrameBatch, readBatch} from './frameBatch.js';
 import type {NumberedFrame} from './frameBatch.js';
 import {NO_EXCHANGE} from './exchangeStream.js';
-import type {VersionNews} from './frames.js';
+import type {PeerNews} from './frames.js';
 
 /** Bytes of one answer that may be on their way before the caller takes them. */
 const ANSWER_CREDIT_BYTES = 256 * 1024;
@@ -16,28 +16,29 @@
   credit: number;
 }
 
-/** Versions of the configuration that the ends of a stream tell each other. */
-export interface VersionExchange {
-  readonly own: () => VersionNews;
-  readonly onOther: (news: VersionNews) => void;
-  /** Calls back when the own version changes; returns what stops that. */
-  readonly subscribe: (changed: (news: VersionNews) => void) => () => void;
+/** What the ends of a stream tell each other besides calls. */
+export interface NewsExchange {
+  /** What an end is told when the stream begins. */
+  readonly first: () => PeerNews;
+  readonly onNews: (news: PeerNews) => void;
+  /** Calls back with each piece of news; returns what stops that. */
+  readonly subscribe: (tell: (news: PeerNews) => void) => () => void;
 }
 
 /** Serves a stream until it ends; what is open then is cancelled. */
 export function serveExchangeStream(
   stream: grpc.ServerDuplexStream<Buffer, Buffer>,
   begin: BeginExchange,
-  versions?: VersionExchange,
+  newsExchange?: NewsExchange,
 ): void {
-  const server = new ExchangeStreamServer(stream, begin, versions);
+  const server = new ExchangeStreamServer(stream, begin, newsExchange);
   const over = (): void => {
     unsubscribe?.();
     server.broke();
   };
-  const unsubscribe = versions?.subscribe((news) => server.tellVersion(news));
-  if (versions !== undefined) {
-    server.tellVersion(versions.own());
+  const unsubscribe = newsExchange?.subscribe((news) => server.tell(news));
+  if (newsExchange !== undefined) {
+    server.tell(newsExchange.first());
   }
   stream.on('data', (bytes: Buffer) => server.received(bytes));
   stream.on('cancelled', over);
@@ -55,7 +56,7 @@
   constructor(
     stream: grpc.ServerDuplexStream<Buffer, Buffer>,
     private readonly begin: BeginExchange,
-    private readonly versions: VersionExchange | undefined,
+    private readonly newsExchange: NewsExchange | undefined,
   ) {
     this.batch = new FrameBatch((bytes) => stream.write(bytes));
   }
@@ -64,8 +65,8 @@
     readBatch(bytes).forEach((frame) => this.take(frame));
   }
 
-  tellVersion(news: VersionNews): void {
-    this.batch.add(NO_EXCHANGE, {kind: 'version', news});
+  tell(news: PeerNews): void {
+    this.batch.add(NO_EXCHANGE, {kind: 'news', news});
   }
 
   broke(): void {
@@ -88,10 +89,10 @@
         break;
       }
       case 'go':
-        known?.exchange?.go();
+        known?.exchange?.go(frame.request);
         break;
-      case 'version':
-        this.versions?.onOther(frame.news);
+      case 'news':
+        this.newsExchange?.onNews(frame.news);
         break;
       case 'cancel':
         this.open.delete(number);
--- a/packages/node/src/request/frames.ts
+++ b/packages/node/src/request/frames.ts
@@ -40,6 +40,14 @@
   readonly expectedMilliseconds: number | undefined;
 }
 
+/** The part of a call that only its upstream needs. */
+export interface CallRequest {
+  readonly method: string;
+  readonly path: string;
+  readonly headers: FlatHeaders;
+  readonly body: Uint8Array | undefined;
+}
+
 /** The first frame of an answer. */
 export interface AnswerHead {
   readonly status: number;
@@ -60,12 +68,21 @@
   readonly hint: LoadHint | undefined;
 }
 
-/** The version of the configuration in force at a node. */
-export interface VersionNews {
-  readonly version: number;
-  /** Where the node can be asked for it. */
-  readonly address: string;
-}
+/** What nodes tell each other unasked. */
+export type PeerNews =
+  /** The version of the configuration in force at the sender. */
+  | {
+      readonly kind: 'version';
+      readonly version: number;
+      /** Where the sender can be asked for it. */
+      readonly address: string;
+    }
+  /** The standing of an upstream changed at its guard. */
+  | {
+      readonly kind: 'standing';
+      readonly upstream: string;
+      readonly hint: LoadHint;
+    };
 
 /** One frame, read. */
 export type Frame =
@@ -78,10 +95,10 @@
   | {readonly kind: 'continue'}
   /** The call waits for a slot. */
   | {readonly kind: 'queued'}
-  /** The entry takes the slot: the call may run. */
-  | {readonly kind: 'go'}
-  /** The version of the configuration in force at the sender. */
-  | {readonly kind: 'version'; readonly news: VersionNews}
+  /** The entry takes the slot: the call may run, and this is its request. */
+  | {readonly kind: 'go'; readonly request: CallRequest}
+  /** Belongs to no call. */
+  | {readonly kind: 'news'; readonly news: PeerNews}
   /** The entry has no more use for the exchange. */
   | {readonly kind: 'cancel'}
   /** The upstream broke off its answer. */
@@ -101,18 +118,82 @@
   'credit',
   'queued',
   'go',
-  'version',
+  'news',
 ] as const;
 
 const CREDIT_LENGTH = 4;
 
+/**
+ * Frames that every call needs go as rows of values in these orders: the names
+ * of the fields would be a third of their bytes, and bytes between data centres
+ * are paid for.
+ */
+const CALL_FIELDS = [
+  'requestId',
+  'service',
+  'upstream',
+  'customer',
+  'weight',
+  'route',
+  'repetition',
+  'priority',
+  'remaining',
+  'attempt',
+  'retryShare',
+  'onceKey',
+  'requestDigest',
+  'method',
+  'path',
+  'headers',
+  'body',
+  'hasMore',
+  'needsGo',
+  'terms',
+  'usefulFor',
+  'expectedMilliseconds',
+] as const satisfies readonly (keyof CallHead)[];
+
+const ANSWER_FIELDS = [
+  'status',
+  'headers',
+  'upstream',
+  'hint',
+  'ranMilliseconds',
+  'body',
+  'hasMore',
+] as const satisfies readonly (keyof AnswerHead)[];
+
+const GO_FIELDS = [
+  'method',
+  'path',
+  'headers',
+  'body',
+] as const satisfies readonly (keyof CallRequest)[];
+
+function toRow<T extends object>(
+  fields: readonly (keyof T)[],
+  value: T,
+): readonly unknown[] {
+  return fields.map((field) => value[field]);
+}
+
+function fromRow<T extends object>(
+  fields: readonly (keyof T)[],
+  row: readonly unknown[],
+): T {
+  return Object.fromEntries(fields.map((field, i) => [field, row[i]])) as T;
+}
+
 /** Writes a frame. */
 export function writeFrame(frame: Frame): Buffer {
   const kind = Buffer.from([KINDS.indexOf(frame.kind)]);
   switch (frame.kind) {
     case 'call':
+      return Buffer.concat([kind, encode(toRow(CALL_FIELDS, frame.head))]);
     case 'answer':
-      return Buffer.concat([kind, encode(frame.head)]);
+      return Buffer.concat([kind, encode(toRow(ANSWER_FIELDS, frame.head))]);
+    case 'go':
+      return Buffer.concat([kind, encode(toRow(GO_FIELDS, frame.request))]);
     case 'refusal':
       return Buffer.concat([kind, encode(frame.refusal)]);
     case 'chunk':
@@ -122,7 +203,7 @@
       credit.writeUInt32BE(frame.bytes);
       return Buffer.concat([kind, credit]);
     }
-    case 'version':
+    case 'news':
       return Buffer.concat([kind, encode(frame.news)]);
     default:
       return kind;
@@ -135,17 +216,19 @@
   const rest = bytes.subarray(1);
   switch (kind) {
     case 'call':
-      return {kind, head: decode<CallHead>(rest)};
+      return {kind, head: fromRow<CallHead>(CALL_FIELDS, decode(rest))};
     case 'answer':
-      return {kind, head: decode<AnswerHead>(rest)};
+      return {kind, head: fromRow<AnswerHead>(ANSWER_FIELDS, decode(rest))};
+    case 'go':
+      return {kind, request: fromRow<CallRequest>(GO_FIELDS, decode(rest))};
     case 'refusal':
       return {kind, refusal: decode<RefusalFrame>(rest)};
     case 'chunk':
       return {kind, bytes: rest};
     case 'credit':
       return {kind, bytes: rest.readUInt32BE()};
-    case 'version':
-      return {kind, news: decode<VersionNews>(rest)};
+    case 'news':
+      return {kind, news: decode<PeerNews>(rest)};
     default:
       return {kind};
   }
--- a/packages/node/src/request/guardService.ts
+++ b/packages/node/src/request/guardService.ts
@@ -44,7 +44,7 @@
   readonly every: (milliseconds: number, run: () => void) => () => void;
   /** Takes the actions that do not concern one exchange. */
   readonly onOther: (
-    action: GuardAction & {readonly kind: 'report' | 'timeline'},
+    action: GuardAction & {readonly kind: 'report' | 'timeline' | 'standing'},
   ) => void;
 }
 
@@ -66,7 +66,8 @@
 interface GuardExchange {
   /** Given here: what entries call their calls need not differ. */
   readonly id: string;
-  readonly head: CallHead;
+  /** Its request comes with the go where there is one. */
+  head: CallHead;
   handlers: ExchangeHandlers;
   readonly timer: NodeJS.Timeout;
   readonly offeredAt: number;
@@ -160,7 +161,10 @@
     return {
       sendChunk: (bytes) => exchange.requestBody?.push(bytes) ?? true,
       sendEnd: () => void exchange.requestBody?.push(null),
-      go: () => this.handle({kind: 'call-go', callId: exchange.id}),
+      go: (request) => {
+        exchange.head = {...exchange.head, ...request};
+        this.handle({kind: 'call-go', callId: exchange.id});
+      },
       resume: () => exchange.controller?.resume(),
       cancel: () => {
         exchange.handlers = NO_HANDLERS;
@@ -171,7 +175,7 @@
   }
 
   private perform(action: GuardAction): void {
-    if (action.kind === 'report' || action.kind === 'timeline') {
+    if (!('callId' in action)) {
       this.dependencies.onOther(action);
       return;
     }
@@ -257,6 +261,9 @@
       });
     }
     const now = clock();
+    if (!head.needsGo && !head.hasMore) {
+      exchange.handlers.onContinue();
+    }
     exchange.upstream = upstream;
     exchange.sentAt = now;
     pool.dispatch(
--- a/packages/node/src/request/remoteExchanges.ts
+++ b/packages/node/src/request/remoteExchanges.ts
@@ -4,8 +4,8 @@
 import type {PeerClient} from '../connection/peerProtocol.js';
 import type {Exchange, ExchangeHandlers} from './exchange.js';
 import {ExchangeStream} from './exchangeStream.js';
-import type {VersionExchange} from './exchangeStreamServer.js';
-import type {CallHead, VersionNews} from './frames.js';
+import type {NewsExchange} from './exchangeStreamServer.js';
+import type {CallHead, PeerNews} from './frames.js';
 import {beginRemoteExchange} from './remoteExchange.js';
 
 /**
@@ -18,7 +18,7 @@
 
   constructor(
     private readonly client: (address: string) => PeerClient,
-    private readonly versions?: Pick<VersionExchange, 'own' | 'onOther'>,
+    private readonly newsExchange?: Pick<NewsExchange, 'first' | 'onNews'>,
     /** Drops the client of an address, so that the next one connects anew. */
     private readonly renew: (address: string) => void = () => undefined,
   ) {}
@@ -29,11 +29,11 @@
       : this.stream(address).begin(head, handlers);
   }
 
-  /** Tells every guard in use the version that is in force here now. */
-  tellVersion(news: VersionNews): void {
+  /** Tells the nodes of all guards in use. */
+  tell(news: PeerNews): void {
     for (const stream of this.streams.values()) {
       if (stream.isUsable) {
-        stream.tellVersion(news);
+        stream.tell(news);
       }
     }
   }
@@ -56,11 +56,11 @@
       return found;
     }
     const made = new ExchangeStream(client.exchanges(), (news) =>
-      this.versions?.onOther(news),
+      this.newsExchange?.onNews(news),
     );
     this.streams.set(address, made);
-    if (this.versions !== undefined) {
-      made.tellVersion(this.versions.own());
+    if (this.newsExchange !== undefined) {
+      made.tell(this.newsExchange.first());
     }
     return made;
   }
--- a/packages/tools/src/measure/serviceRun.ts
+++ b/packages/tools/src/measure/serviceRun.ts
@@ -308,6 +308,7 @@
         this.note(i, action);
         break;
       case 'answer-stored':
+      case 'standing':
       case 'reserve':
       case 'queue':
         break;
