--- /dev/null
+++ b/packages/detection/src/__tests__/doubt.test.ts
@@ -0,0 +1,65 @@
+// Copyright (c) 2026 the lockpin contributors. MIT licence, see LICENSE.
+/** When ordinary work is kept from an upstream after a few bad calls. */
+
+import {describe, expect, it} from 'vitest';
+import {Doubt} from '../doubt.js';
+
+describe('Doubt', () => {
+  it('begins with one broken exchange', () => {
+    const doubt = new Doubt();
+    expect(doubt.observe(0, 'broken')).toBe(true);
+    expect(doubt.isDoubted(1)).toBe(true);
+  });
+
+  it('takes two failures in a row, so that the odd one changes nothing', () => {
+    const doubt = new Doubt();
+    for (let now = 0; now < 1000; now += 100) {
+      doubt.observe(now, now % 300 === 0 ? 'error' : 'well');
+      expect(doubt.isDoubted(now)).toBe(false);
+    }
+    doubt.observe(1000, 'error');
+    doubt.observe(1001, 'error');
+    expect(doubt.isDoubted(1002)).toBe(true);
+  });
+
+  it('ends after two probes that end well', () => {
+    const doubt = new Doubt();
+    doubt.observe(0, 'broken');
+    doubt.observe(500, 'well');
+    expect(doubt.isDoubted(501)).toBe(true);
+    expect(doubt.untilProbe(501)).toBe(0);
+    expect(doubt.observe(600, 'well')).toBe(true);
+    expect(doubt.isDoubted(601)).toBe(false);
+  });
+
+  it('ends by itself where nothing probes', () => {
+    const doubt = new Doubt();
+    doubt.observe(0, 'broken');
+    expect(doubt.isDoubted(2000)).toBe(false);
+  });
+
+  it('lasts longer each time, up to a limit, and forgives', () => {
+    const doubt = new Doubt();
+    let now = 0;
+    const lengths: number[] = [];
+    for (let i = 0; i < 6; i += 1) {
+      doubt.observe(now, 'broken');
+      lengths.push(doubt.remaining(now));
+      now += doubt.remaining(now) + 1;
+    }
+    expect(lengths).toEqual([2000, 4000, 8000, 8000, 8000, 8000]);
+    now += 10_000;
+    doubt.observe(now, 'broken');
+    expect(doubt.remaining(now)).toBe(2000);
+  });
+
+  it('spaces probes out while they fail', () => {
+    const doubt = new Doubt();
+    doubt.observe(0, 'broken');
+    expect(doubt.untilProbe(0)).toBe(400);
+    doubt.observe(400, 'broken');
+    expect(doubt.untilProbe(400)).toBe(800);
+    doubt.observe(1200, 'broken');
+    expect(doubt.untilProbe(1200)).toBe(1000);
+  });
+});
--- /dev/null
+++ b/packages/fleet/src/__tests__/fleetBrain.test.ts
@@ -0,0 +1,319 @@
+// Copyright (c) 2026 the lockpin contributors. MIT licence, see LICENSE.
+/** What a node knows of its fleet, through lost answers, lapses and restarts. */
+
+import {describe, expect, it} from 'vitest';
+import {seededRandom} from '@lockpin/utils';
+import {RECORD_RENEWAL_MILLISECONDS, writeBoxRecord} from '../boxRecord.js';
+import type {BoxRecord} from '../boxRecord.js';
+import type {DeclaredConfiguration} from '../declaredConfiguration.js';
+import {FleetBrain} from '../fleetBrain.js';
+import type {FleetAction, FleetEvent} from '../fleetMessages.js';
+import type {UpstreamAnnouncement} from '../ownUpstream.js';
+import type {RecordStream, StoredRecord} from '../recordStore.js';
+
+const IDENTITY = {box: 'b1', dataCentre: 'd1', peerAddress: '10.0.0.1:7000'};
+const random = seededRandom(3);
+
+function configuration(version: number): DeclaredConfiguration {
+  return {
+    version,
+    routes: [],
+    services: [],
+    limits: {
+      headerBytes: 1,
+      bodyBytes: 1,
+      headerMilliseconds: 1,
+      idleMilliseconds: 1,
+    },
+  };
+}
+
+function stored(version: number): StoredRecord {
+  return {key: 'config', value: Buffer.from(String(version))};
+}
+
+function other(change: Partial<BoxRecord> = {}): BoxRecord {
+  return {
+    box: 'b2',
+    dataCentre: 'd1',
+    peerAddress: '10.0.0.2:7000',
+    service: 's',
+    slots: 4,
+    takesWork: true,
+    coldUntil: 0,
+    statedAt: 10,
+    ...change,
+  };
+}
+
+function announcement(
+  change: Partial<UpstreamAnnouncement> = {},
+): UpstreamAnnouncement {
+  return {
+    lifetime: 'i-1',
+    service: 's',
+    address: '10.0.0.1:8000',
+    slots: 4,
+    state: 'ready',
+    coldMilliseconds: 0,
+    sequence: 1,
+    ...change,
+  };
+}
+
+class World {
+  now = 1000;
+  readonly brain = new FleetBrain(IDENTITY, (record) =>
+    record.key === 'config'
+      ? configuration(Number(record.value?.toString()))
+      : undefined,
+  );
+
+  tell(event: FleetEvent): readonly FleetAction[] {
+    return this.brain.handle(this.now, random, event);
+  }
+
+  read(stream: RecordStream, records: readonly StoredRecord[], end = 1) {
+    const result = {ok: true, value: {records, end}} as const;
+    return this.tell({kind: 'read-ended', stream, result});
+  }
+
+  fail(stream: RecordStream, kind: 'unavailable' | 'history-gone') {
+    const result = {ok: false, failure: {kind, detail: ''}} as const;
+    return this.tell({kind: 'read-ended', stream, result});
+  }
+
+  announce(change: Partial<UpstreamAnnouncement> = {}) {
+    const news = announcement(change);
+    return this.tell({kind: 'upstream-announced', announcement: news});
+  }
+
+  tick(milliseconds = 0) {
+    this.now += milliseconds;
+    return this.tell({kind: 'tick'});
+  }
+}
+
+const kinds = (actions: readonly FleetAction[]) =>
+  actions.map(({kind}) => kind);
+
+describe('the configuration in force', () => {
+  it('never goes back to an older version', () => {
+    const world = new World();
+    world.tick();
+    world.read('configuration', [stored(7)]);
+    expect(kinds(world.read('configuration', [stored(5)]))).not.toContain(
+      'configuration-changed',
+    );
+    expect(world.brain.version).toBe(7);
+  });
+
+  it('is taken from a peer when the store does not answer', () => {
+    const world = new World();
+    world.tick();
+    world.read('configuration', [stored(1)]);
+    const [ask] = world.tell({
+      kind: 'peer-version-heard',
+      address: 'peer',
+      version: 2,
+    });
+    expect(ask).toMatchObject({kind: 'ask-peer', address: 'peer'});
+    const learnt = world.tell({
+      kind: 'peer-replied',
+      address: 'peer',
+      knowledge: {configuration: configuration(2), boxes: []},
+    });
+    expect(learnt).toMatchObject([{kind: 'configuration-changed'}]);
+  });
+
+  it('asks a peer that did not answer again when it is heard of again', () => {
+    const world = new World();
+    const heard = {
+      kind: 'peer-version-heard',
+      address: 'peer',
+      version: 2,
+    } as const;
+    expect(kinds(world.tell(heard))).toEqual(['ask-peer']);
+    expect(world.tell(heard)).toEqual([]);
+    world.tell({kind: 'peer-replied', address: 'peer', knowledge: undefined});
+    expect(kinds(world.tell(heard))).toEqual(['ask-peer']);
+  });
+
+  it('asks peers by itself while the store is lost', () => {
+    const world = new World();
+    world.tick();
+    const record = {key: 'b2', value: writeBoxRecord(other())};
+    world.read('boxes', [record]);
+    expect(kinds(world.fail('configuration', 'unavailable'))).toContain(
+      'ask-peer',
+    );
+  });
+});
+
+describe('reading the store', () => {
+  it('follows on from where the newest records ended', () => {
+    const world = new World();
+    expect(kinds(world.tick())).toEqual(['read-newest', 'read-newest']);
+    const follow = world
+      .read('configuration', [], 42)
+      .find(({kind}) => kind === 'follow');
+    expect(follow).toMatchObject({stream: 'configuration', from: 42});
+  });
+
+  it('reads the newest of each key again when the history is gone', () => {
+    const world = new World();
+    world.tick();
+    world.read('configuration', [], 42);
+    expect(kinds(world.fail('configuration', 'history-gone'))).toContain(
+      'read-newest',
+    );
+  });
+
+  it('pauses after each failure, longer each time but within a second and a half', () => {
+    const world = new World();
+    world.tick();
+    for (let i = 0; i < 8; i += 1) {
+      expect(kinds(world.fail('boxes', 'unavailable'))).not.toContain(
+        'read-newest',
+      );
+      expect(kinds(world.tick(1500))).toContain('read-newest');
+    }
+  });
+
+  it('notes the loss of the store once, and its return', () => {
+    const world = new World();
+    world.tick();
+    const notes = [
+      ...world.fail('boxes', 'unavailable'),
+      ...world.tick(2000),
+      ...world.fail('boxes', 'unavailable'),
+      ...world.tick(2000),
+      ...world.fail('boxes', 'unavailable'),
+      ...world.tick(2000),
+      ...world.read('boxes', []),
+    ].flatMap((action) => (action.kind === 'note' ? [action.event] : []));
+    expect(notes).toEqual(['store-lost', 'store-regained']);
+  });
+});
+
+describe('the own record', () => {
+  it('is written once the upstream has announced itself', () => {
+    const world = new World();
+    world.tick();
+    world.read('boxes', []);
+    const actions = world.announce();
+    expect(kinds(actions)).toEqual(['upstream-changed', 'write']);
+    world.tell({kind: 'write-ended', result: {ok: true, value: undefined}});
+    expect(kinds(world.tick(1000))).not.toContain('write');
+  });
+
+  it('is not written again by a restart that changes nothing', () => {
+    const world = new World();
+    world.tick();
+    const before = other({...IDENTITY, statedAt: 900});
+    world.read('boxes', [{key: 'b1', value: writeBoxRecord(before)}]);
+    expect(kinds(world.announce())).toEqual(['upstream-changed']);
+  });
+
+  it('is written again when an answer was lost and the store does not have it', () => {
+    const world = new World();
+    world.tick();
+    world.read('boxes', []);
+    world.announce();
+    const failure = {kind: 'outcome-unknown', detail: ''} as const;
+    world.tell({kind: 'write-ended', result: {ok: false, failure}});
+    expect(kinds(world.tick(1000))).toContain('write');
+  });
+
+  it('replaces a write that was done late, after a newer one', () => {
+    const world = new World();
+    world.tick();
+    world.read('boxes', []);
+    world.announce();
+    world.tell({kind: 'write-ended', result: {ok: true, value: undefined}});
+    world.now += 100;
+    world.announce({state: 'draining', sequence: 2});
+    world.tell({kind: 'write-ended', result: {ok: true, value: undefined}});
+    const late = other({...IDENTITY, takesWork: true, statedAt: 1000});
+    const actions = world.read('boxes', [
+      {key: 'b1', value: writeBoxRecord(late)},
+    ]);
+    expect(kinds(actions)).toContain('write');
+  });
+
+  it('is renewed in time', () => {
+    const world = new World();
+    world.tick();
+    world.read('boxes', []);
+    world.announce();
+    world.tell({kind: 'write-ended', result: {ok: true, value: undefined}});
+    expect(kinds(world.tick(RECORD_RENEWAL_MILLISECONDS + 1))).toContain(
+      'write',
+    );
+  });
+});
+
+describe('other boxes', () => {
+  it('are known by their newest statement, however it came', () => {
+    const world = new World();
+    world.tick();
+    const newer = other({takesWork: false, statedAt: 20});
+    world.read('boxes', [
+      {key: 'b2', value: writeBoxRecord(newer)},
+      {key: 'b2', value: writeBoxRecord(other())},
+    ]);
+    expect(world.brain.directory.get('b2')?.takesWork).toBe(false);
+  });
+
+  it('are forgotten when they do not renew their records', () => {
+    const world = new World();
+    world.tick();
+    world.read('boxes', [{key: 'b2', value: writeBoxRecord(other())}]);
+    world.tick(3 * RECORD_RENEWAL_MILLISECONDS + 2000);
+    expect(world.brain.directory.get('b2')).toBeUndefined();
+  });
+
+  it('pass over a record of another form', () => {
+    const world = new World();
+    world.tick();
+    world.read('boxes', [{key: 'b3', value: Buffer.from('{"box":1}')}]);
+    world.read('boxes', [{key: 'b3', value: Buffer.from('no json')}]);
+    expect(world.brain.directory.size).toBe(0);
+  });
+
+  it('learn of the asker from its question', () => {
+    const world = new World();
+    const knowledge = world.brain.answer({
+      version: 0,
+      wantsBoxes: true,
+      own: other(),
+    });
+    expect(knowledge.boxes.map(({box}) => box)).toEqual(['b2']);
+  });
+});
+
+describe('the own upstream', () => {
+  it('never takes work again after it said that it drains', () => {
+    const world = new World();
+    world.announce();
+    world.announce({state: 'draining', sequence: 2});
+    world.announce({sequence: 3});
+    expect(world.brain.own.upstream?.takesWork).toBe(false);
+  });
+
+  it('is not revived by a late announcement after it left', () => {
+    const world = new World();
+    world.announce();
+    world.announce({state: 'gone', sequence: 0});
+    expect(world.announce({sequence: 9})).toEqual([]);
+    expect(world.brain.own.upstream?.takesWork).toBe(false);
+  });
+
+  it('is replaced by a new lifetime, and a late word of the old one is ignored', () => {
+    const world = new World();
+    world.announce();
+    world.announce({lifetime: 'i-2', sequence: 1});
+    world.announce({lifetime: 'i-1', sequence: 5});
+    expect(world.brain.own.upstream?.lifetime).toBe('i-2');
+  });
+});
