An overdue attempt goes on beside the next; a reset never ends an answer

Ruled out: the stop itself, which cut nothing (the request was cancelled 341 ms after it was sent, which is the overdue time). Change: the overdue attempt goes on, and whichever is answered first counts; resets are noticed at the socket.

--- a/packages/brain/src/entry/entryBrain.ts
+++ b/packages/brain/src/entry/entryBrain.ts
@@ -59,6 +59,10 @@
   /** Until then it may be held without an offer that was taken. */
   readonly heldUntil: number;
   upstream: string;
+  /** The upstream of an attempt that goes on though it is overdue. */
+  overdueAt: string | undefined;
+  /** What the caller is told unless the overdue attempt is answered. */
+  pending: EntryAction | undefined;
   /** An attempt that may have run is behind us. */
   mayHaveRun: boolean;
   /** An attempt is under way. */
@@ -121,14 +125,16 @@
         return this.silent(now, random, state);
       case 'attempt-overdue':
         return this.overdue(now, random, state);
+      case 'overdue-answered':
+        return this.overdueAnswered(now, state, event);
+      case 'overdue-ended':
+        return this.overdueEnded(state);
       case 'deadline-passed':
         return this.deadlinePassed(now, random, state, event.wasSent);
       case 'caller-left':
-        this.end(state);
-        return [{kind: 'cancel-attempt', callId: event.callId}];
+        return [...this.cancelAll(state), ...this.ended(state)];
       case 'answer-ended':
-        this.end(state);
-        return [];
+        return this.ended(state);
     }
   }
 
@@ -173,6 +179,8 @@
       pauses: 0,
       heldUntil: now + (call.deadline - now) * this.settings.heldShare,
       upstream: '',
+      overdueAt: undefined,
+      pending: undefined,
       paidAttempts: 1,
       reroutes: 0,
       mayHaveRun: false,
@@ -396,13 +404,18 @@
     return [cancel, ...next];
   }
 
-  /** Sends a repeatable call elsewhere, if something pays for it. */
+  /**
+   * Offers a repeatable call elsewhere too, if something pays for it. The
+   * overdue attempt goes on: its upstream may be about to answer, and breaking
+   * it off would waste its work.
+   */
   private overdue(
     now: number,
     random: RandomSource,
     state: CallState,
   ): readonly EntryAction[] {
-    if (!state.isAttempting || !this.retries.mayRepeat(state)) {
+    const hasOverdue = state.overdueAt !== undefined;
+    if (!state.isAttempting || hasOverdue || !this.retries.mayRepeat(state)) {
       return [];
     }
     if (!this.retries.mayPay(state, 1)) {
@@ -415,14 +428,64 @@
     }
     state.mayHaveRun = true;
     state.ran.add(state.upstream);
-    this.attemptEnded(state);
+    state.overdueAt = state.upstream;
+    state.isAttempting = false;
     this.setTerms(state, 'may-wait');
     return [
-      {kind: 'cancel-attempt', callId: state.call.id},
+      {kind: 'keep-overdue', callId: state.call.id},
       this.send(state, again.name, again.box, again.name),
     ];
   }
 
+  private overdueAnswered(
+    now: number,
+    state: CallState,
+    event: EntryEvent & {readonly kind: 'overdue-answered'},
+  ): readonly EntryAction[] {
+    const {callId, status} = event;
+    this.heard(now, state.overdueAt ?? '', event.hint);
+    this.timed(state, event);
+    if (status >= FIRST_FAILED_STATUS) {
+      return this.overdueEnded(state);
+    }
+    this.overdueOver(state);
+    this.attemptEnded(state);
+    return [
+      {kind: 'cancel-attempt', callId},
+      {kind: 'pass-overdue-answer', callId},
+    ];
+  }
+
+  private overdueEnded(state: CallState): readonly EntryAction[] {
+    this.overdueOver(state);
+    const {pending} = state;
+    if (pending === undefined) {
+      return [];
+    }
+    state.pending = undefined;
+    if (pending.kind === 'refuse') {
+      this.ended(state);
+    }
+    return [pending];
+  }
+
+  private overdueOver(state: CallState): void {
+    if (state.overdueAt !== undefined) {
+      this.loads.ended(state.overdueAt);
+      state.overdueAt = undefined;
+    }
+  }
+
+  private cancelAll(state: CallState): readonly EntryAction[] {
+    const callId = state.call.id;
+    return state.overdueAt === undefined
+      ? [{kind: 'cancel-attempt', callId}]
+      : [
+          {kind: 'cancel-attempt', callId},
+          {kind: 'cancel-overdue', callId},
+        ];
+  }
+
   private answered(
     now: number,
     random: RandomSource,
@@ -443,7 +506,15 @@
         return [this.send(state, again.name, again.box, again.name)];
       }
     }
-    return [{kind: 'pass-answer', callId}];
+    const pass: EntryAction = {kind: 'pass-answer', callId};
+    if (state.overdueAt === undefined) {
+      return [pass];
+    }
+    if (isWorthRetry) {
+      state.pending = pass;
+      return [];
+    }
+    return [pass, {kind: 'cancel-overdue', callId}];
   }
 
   private refused(
@@ -505,12 +576,14 @@
       this.loads.linkFailed(state.upstream, now, random());
       state.mayHaveRun ||= wasSent;
     }
-    const {id, onceKey} = state.call;
+    const {onceKey} = state.call;
+    const cancels = this.cancelAll(state);
+    this.overdueOver(state);
     const refusal =
       onceKey === undefined
         ? this.finalRefusal(state, 'deadline-passed')
         : this.homeRefusal(state, 'deadline-passed');
-    return [{kind: 'cancel-attempt', callId: id}, ...refusal];
+    return [...cancels, ...refusal];
   }
 
   private finalRefusal(
@@ -528,14 +601,23 @@
     outcome: RefusalOutcome,
     retryAfter: number,
   ): readonly EntryAction[] {
-    this.end(state);
-    return [refuse(state.call.id, reason, outcome, retryAfter)];
+    const refusal = refuse(state.call.id, reason, outcome, retryAfter);
+    if (state.overdueAt !== undefined) {
+      this.attemptEnded(state);
+      state.pending = refusal;
+      return [];
+    }
+    this.ended(state);
+    return [refusal];
   }
 
-  private end(state: CallState): void {
+  /** Forgets a call; nothing more is to be done for it. */
+  private ended(state: CallState): readonly EntryAction[] {
     this.attemptEnded(state);
+    this.overdueOver(state);
     this.calls.delete(state.call.id);
     this.shares.release(state.call.customer, state.call.bytes);
+    return [];
   }
 
   private attemptEnded(state: CallState): void {
@@ -557,7 +639,10 @@
 
   private timed(
     {call}: CallState,
-    event: EntryEvent & {readonly kind: 'attempt-answered'},
+    event: {
+      readonly status: number;
+      readonly ranMilliseconds: number | undefined;
+    },
   ): void {
     const {status, ranMilliseconds} = event;
     if (ranMilliseconds !== undefined && status < FIRST_FAILED_STATUS) {
--- a/packages/brain/src/entry/entryMessages.ts
+++ b/packages/brain/src/entry/entryMessages.ts
@@ -68,6 +68,16 @@
   | {readonly kind: 'attempt-silent'; readonly callId: string}
   /** The attempt takes far longer than such calls usually do. */
   | {readonly kind: 'attempt-overdue'; readonly callId: string}
+  /** The attempt that was overdue was answered after all. */
+  | {
+      readonly kind: 'overdue-answered';
+      readonly callId: string;
+      readonly status: number;
+      readonly hint: LoadHint | undefined;
+      readonly ranMilliseconds: number | undefined;
+    }
+  /** The attempt that was overdue ended without an answer. */
+  | {readonly kind: 'overdue-ended'; readonly callId: string}
   | {
       readonly kind: 'deadline-passed';
       readonly callId: string;
@@ -114,7 +124,11 @@
       readonly callId: string;
       readonly milliseconds: number;
     }
-  | {readonly kind: 'cancel-attempt'; readonly callId: string};
+  | {readonly kind: 'cancel-attempt'; readonly callId: string}
+  /** Let the attempt under way go on beside the next one. */
+  | {readonly kind: 'keep-overdue'; readonly callId: string}
+  | {readonly kind: 'pass-overdue-answer'; readonly callId: string}
+  | {readonly kind: 'cancel-overdue'; readonly callId: string};
 
 /** What the entry needs to know of the boxes. */
 export interface BoxKnowledge {
--- a/packages/node/src/connection/upstreamPools.ts
+++ b/packages/node/src/connection/upstreamPools.ts
@@ -1,16 +1,14 @@
 // Copyright (c) 2026 the lockpin contributors. MIT licence, see LICENSE.
 /** Connections to the upstreams on this box, few and never reused after a cut. */
 
+import {connect} from 'node:net';
+import type {Socket} from 'node:net';
 import {Client, Pool} from 'undici';
+import type {buildConnector} from 'undici';
 import type {Resource} from '@lockpin/types';
 
-/** Deadlines are the guard's; an upstream on the same box connects at once. */
-const CONNECTION_OPTIONS = {
-  pipelining: 1,
-  headersTimeout: 0,
-  bodyTimeout: 0,
-  connectTimeout: 1000,
-} as const;
+/** An upstream on the same box connects at once; all other limits are the guard's. */
+const CONNECT_MILLISECONDS = 1000;
 
 interface PoolEntry {
   readonly pool: Pool;
@@ -21,6 +19,24 @@
 /** One pool for each upstream, with at most a connection for each slot. */
 export class UpstreamPools {
   private readonly pools = new Map<string, PoolEntry>();
+  private isReset = false;
+  private readonly options = {
+    pipelining: 1,
+    headersTimeout: 0,
+    bodyTimeout: 0,
+    connect: ((options, done) => {
+      const address = {host: options.hostname, port: Number(options.port)};
+      this.connect(address, done);
+    }) as buildConnector.connector,
+  };
+
+  /**
+   * Whether a connection is being reset right now. undici takes a reset for the
+   * end of an answer that has no length; such an answer is not whole.
+   */
+  get isConnectionReset(): boolean {
+    return this.isReset;
+  }
 
   /** The pool of an upstream; undefined when it is not configured here. */
   get(upstream: string): Pool | undefined {
@@ -35,7 +51,7 @@
     const address = this.pools.get(upstream)?.address;
     return address === undefined
       ? undefined
-      : new Client(`http://${address}`, CONNECTION_OPTIONS);
+      : new Client(`http://${address}`, this.options);
   }
 
   /** Makes pools for what is new and closes those of what is gone. */
@@ -55,6 +71,36 @@
     this.pools.clear();
   }
 
+  private connect(
+    address: {readonly host: string; readonly port: number},
+    done: (...result: [Error, null] | [null, Socket]) => void,
+  ): void {
+    const socket = connect({...address, noDelay: true});
+    const timer = setTimeout(
+      () => socket.destroy(new Error('connecting takes too long')),
+      CONNECT_MILLISECONDS,
+    );
+    const failed = (error: Error): void => {
+      clearTimeout(timer);
+      done(error, null);
+    };
+    socket.once('error', failed);
+    socket.once('connect', () => {
+      clearTimeout(timer);
+      socket.off('error', failed);
+      socket.on('error', () => this.noteReset());
+      done(null, socket);
+    });
+  }
+
+  /** Stands while the listeners of the same event run, undici's among them. */
+  private noteReset(): void {
+    this.isReset = true;
+    process.nextTick(() => {
+      this.isReset = false;
+    });
+  }
+
   private ensure({name, spec}: Resource<'Upstream'>): void {
     const connections = Math.min(spec.slots, spec.connections);
     const found = this.pools.get(name);
@@ -64,7 +110,7 @@
     void found?.pool.close();
     const pool = new Pool(`http://${spec.address}`, {
       connections,
-      ...CONNECTION_OPTIONS,
+      ...this.options,
     });
     this.pools.set(name, {pool, address: spec.address, connections});
   }
--- a/packages/node/src/request/callerExchange.ts
+++ b/packages/node/src/request/callerExchange.ts
@@ -24,6 +24,14 @@
   /** The attempt under way; callbacks of earlier ones are ignored. */
   attemptSerial = 0;
   exchange: Exchange | undefined;
+  /** An attempt that goes on beside the one under way. */
+  overdue:
+    | {
+        readonly serial: number;
+        readonly exchange: Exchange | undefined;
+        answer: AnswerHead | undefined;
+      }
+    | undefined;
   /** An answer at hand that may still be set aside for a retry. */
   heldAnswer: AnswerHead | undefined;
   timer: NodeJS.Timeout | undefined;
--- a/packages/node/src/request/entryService.ts
+++ b/packages/node/src/request/entryService.ts
@@ -258,6 +258,23 @@
       case 'pause':
         this.pause(exchange, action.milliseconds);
         break;
+      case 'keep-overdue':
+        exchange.story.ended(this.age(exchange), 'overdue');
+        exchange.overdue = {
+          serial: exchange.attemptSerial,
+          exchange: exchange.exchange,
+          answer: undefined,
+        };
+        break;
+      case 'cancel-overdue':
+        exchange.overdue?.exchange?.cancel();
+        exchange.overdue = undefined;
+        break;
+      case 'pass-overdue-answer':
+        exchange.heldAnswer = exchange.overdue?.answer;
+        exchange.overdue = undefined;
+        this.passAnswer(exchange);
+        break;
       case 'cancel-attempt':
         exchange.attemptSerial += 1;
         exchange.clearAttemptTimers();
@@ -350,8 +367,20 @@
     serial: number,
   ): ExchangeHandlers {
     const callId = exchange.id;
+    const isOverdue = (): boolean =>
+      exchange.overdue?.serial === serial && !exchange.isOver;
     const isCurrent = (): boolean =>
       exchange.attemptSerial === serial && !exchange.isOver;
+    const ifOverdue = (act: () => void): void => {
+      if (isOverdue()) {
+        act();
+      }
+    };
+    const overdueEnded = (): void =>
+      ifOverdue(() => {
+        exchange.overdue = undefined;
+        this.handle({kind: 'overdue-ended', callId});
+      });
     const ifCurrent = (act: () => void): void => {
       if (isCurrent()) {
         act();
@@ -360,15 +389,18 @@
     return {
       onContinue: () => ifCurrent(() => this.slotFound(exchange)),
       onQueued: () => ifCurrent(() => clearTimeout(exchange.silenceTimer)),
-      onAnswer: (head) =>
-        ifCurrent(() => this.answered(exchange, callId, head)),
+      onAnswer: (head) => {
+        ifOverdue(() => this.overdueAnswered(exchange, head));
+        ifCurrent(() => this.answered(exchange, callId, head));
+      },
       onChunk: (bytes) => this.chunk(exchange, isCurrent(), bytes),
       onEnd: () =>
         ifCurrent(() => {
           exchange.sendEnd();
           this.ended(exchange);
         }),
-      onRefusal: ({refusal, upstream, hint}) =>
+      onRefusal: ({refusal, upstream, hint}) => {
+        overdueEnded();
         ifCurrent(() => {
           exchange.clearAttemptTimers();
           exchange.story.ended(this.age(exchange), refusal.reason);
@@ -379,9 +411,12 @@
             upstream,
             hint,
           });
-        }),
-      onLost: (wasSent) =>
-        ifCurrent(() => this.lost(exchange, wasSent && exchange.mayHaveBegun)),
+        });
+      },
+      onLost: (wasSent) => {
+        overdueEnded();
+        ifCurrent(() => this.lost(exchange, wasSent && exchange.mayHaveBegun));
+      },
     };
   }
 
@@ -405,6 +440,30 @@
     });
   }
 
+  /** Only an answer that is at hand whole can take the place of another. */
+  private overdueAnswered(exchange: CallerExchange, head: AnswerHead): void {
+    const callId = exchange.id;
+    const {overdue} = exchange;
+    if (overdue === undefined || head.hasMore) {
+      overdue?.exchange?.cancel();
+      exchange.overdue = undefined;
+      this.handle({kind: 'overdue-ended', callId});
+      return;
+    }
+    const {status, hint, ranMilliseconds} = head;
+    overdue.answer = head;
+    if (status >= FIRST_FAILED_STATUS) {
+      exchange.overdue = undefined;
+    }
+    this.handle({
+      kind: 'overdue-answered',
+      callId,
+      status,
+      hint,
+      ranMilliseconds,
+    });
+  }
+
   private passAnswer(exchange: CallerExchange): void {
     const head = exchange.heldAnswer;
     if (head === undefined) {
@@ -545,6 +604,9 @@
 
 const EMPTY = Buffer.alloc(0);
 
+/** Statuses from here on say that the call failed at its upstream. */
+const FIRST_FAILED_STATUS = 500;
+
 /** Whether what is left of a request can be read and dropped at no great cost. */
 function hasShortBody({headers}: IncomingMessage): boolean {
   const length = Number(headers['content-length'] ?? 0);
--- a/packages/node/src/request/guardService.ts
+++ b/packages/node/src/request/guardService.ts
@@ -361,6 +361,10 @@
       return;
     }
     const callId = exchange.id;
+    if (this.dependencies.pools.isConnectionReset) {
+      this.handle({kind: 'upstream-failed', callId, wasSent: true});
+      return;
+    }
     switch (answer.verdict) {
       case 'not-run':
         this.handle({
