Nothing that waits is sent to an upstream that began to drain

Cause: a test of reservations showed that a call that waited, or whose slot was reserved, was still sent after the drain had been acknowledged. Change: both are refused as not run; a setting, since the product's own guard finishes what is queued, as its test says. Tests: reservations, doubt and overdue calls, on the brains alone.

--- /dev/null
+++ b/packages/brain/src/__tests__/overdueCalls.test.ts
@@ -0,0 +1,285 @@
+// Copyright (c) 2026 the lockpin contributors. MIT licence, see LICENSE.
+/** An entry whose guards are silent, busy or late. */
+
+import {describe, expect, it} from 'vitest';
+import type {ServiceView} from '@lockpin/configuration';
+import {WindowedRetryBudget, chooseByScore} from '@lockpin/routing';
+import {seededRandom} from '@lockpin/utils';
+import type {Refusal, Repetition, Resource} from '@lockpin/types';
+import {EntryBrain} from '../entry/entryBrain.js';
+import type {EntryAction, EntryEvent} from '../entry/entryMessages.js';
+import {
+  DEFAULT_ENTRY_SETTINGS,
+  UNSENT_REFUSALS,
+} from '../entry/entrySettings.js';
+
+const random = seededRandom(5);
+const DEADLINE = 2000;
+
+function upstream(box: string): Resource<'Upstream'> {
+  return {
+    kind: 'Upstream',
+    name: `s/${box}`,
+    version: 1,
+    spec: {
+      address: '',
+      dataCentre: 'd',
+      box,
+      slots: 4,
+      connections: 9,
+      state: 'in-service',
+    },
+  };
+}
+
+function route(repetition: Repetition): Resource<'Route'> {
+  return {
+    kind: 'Route',
+    name: 'r',
+    version: 1,
+    spec: {
+      method: '*',
+      pathPrefix: '/',
+      repetition,
+      waitMilliseconds: DEADLINE,
+      priority: 0,
+      retryShare: 0,
+      onceKeyHeader: '',
+      mostAttempts: 2,
+      goalMilliseconds: 400,
+    },
+  };
+}
+
+class World {
+  now = 0;
+  readonly entry: EntryBrain;
+  private readonly view: ServiceView;
+
+  constructor(boxes: readonly string[]) {
+    this.view = {
+      name: 's',
+      customer: 's',
+      service: {
+        kind: 'Service',
+        name: 's',
+        version: 1,
+        spec: {
+          floorSlots: 0,
+          targetSlots: 0,
+          loadReportPath: '',
+          sensitivity: 'fast',
+          host: '',
+          callerCredentialHash: '',
+        },
+      },
+      upstreams: boxes.map(upstream),
+      routes: [],
+    };
+    this.entry = new EntryBrain(
+      'entry',
+      'd',
+      {isUsable: () => true, incarnation: () => undefined},
+      {
+        ...DEFAULT_ENTRY_SETTINGS,
+        choose: chooseByScore,
+        linkPatience: {
+          failuresToAvoid: 1,
+          firstAvoidanceMilliseconds: 500,
+          longestAvoidanceMilliseconds: 8000,
+        },
+        createBudget: () =>
+          new WindowedRetryBudget({
+            ratio: 0.2,
+            windowMilliseconds: 10_000,
+            extra: () => 10,
+          }),
+        firstTerms: 'immediate',
+        offersOnEachTerms: 4,
+        pauseMilliseconds: 30,
+        heldShare: 0.4,
+        mostReroutes: 12,
+        freeRefusals: UNSENT_REFUSALS,
+        replacesOverdue: true,
+      },
+    );
+  }
+
+  tell(event: EntryEvent): readonly EntryAction[] {
+    return this.entry.handle(this.now, random, event);
+  }
+
+  arrive(repetition: Repetition): readonly EntryAction[] {
+    return this.tell({
+      kind: 'call-arrived',
+      call: {
+        id: '1',
+        view: this.view,
+        route: route(repetition),
+        customer: 's',
+        bytes: 0,
+        deadline: DEADLINE,
+        onceKey: undefined,
+        isFirstWithKey: false,
+        isReplayable: true,
+        isCallersRetry: false,
+      },
+    });
+  }
+
+  answer(status: number): readonly EntryAction[] {
+    return this.tell({
+      kind: 'attempt-answered',
+      callId: '1',
+      status,
+      isWhole: true,
+      hint: undefined,
+      ranMilliseconds: 10,
+    });
+  }
+
+  refuse(
+    upstream: string,
+    reason: Refusal['reason'],
+    outcome: Refusal['outcome'] = 'not-run',
+  ): readonly EntryAction[] {
+    return this.tell({
+      kind: 'attempt-refused',
+      callId: '1',
+      refusal: {reason, outcome, retryAfterMilliseconds: 0},
+      upstream,
+      hint: undefined,
+    });
+  }
+}
+
+const kinds = (actions: readonly EntryAction[]) =>
+  actions.map(({kind}) => kind);
+
+function upstreamOf(actions: readonly EntryAction[]): string {
+  const found = actions.find(({kind}) => kind === 'attempt');
+  return found?.kind === 'attempt' ? (found.attempt.upstream ?? '') : '';
+}
+
+function refusalOf(actions: readonly EntryAction[]): string {
+  const found = actions.find(({kind}) => kind === 'refuse');
+  return found?.kind === 'refuse'
+    ? `${found.refusal.reason} ${found.refusal.outcome}`
+    : '';
+}
+
+describe('a guard that is silent', () => {
+  it('is passed over at no cost, whatever the kind of call', () => {
+    const world = new World(['a', 'b']);
+    const first = upstreamOf(world.arrive('at-most-once'));
+    const actions = world.tell({kind: 'attempt-silent', callId: '1'});
+    expect(kinds(actions)).toEqual(['cancel-attempt', 'attempt']);
+    expect(upstreamOf(actions)).not.toBe(first);
+  });
+
+  it('leaves the call not run when the time is over before any go', () => {
+    const world = new World(['a']);
+    world.arrive('at-most-once');
+    const ended = {callId: '1', wasSent: false};
+    const actions = world.tell({kind: 'deadline-passed', ...ended});
+    expect(refusalOf(actions)).toBe('deadline-passed not-run');
+  });
+});
+
+describe('upstreams that are all busy', () => {
+  it('are asked to let the call wait, then asked again after a pause', () => {
+    const world = new World(['a', 'b']);
+    let actions = world.arrive('at-most-once');
+    const terms: string[] = [];
+    while (kinds(actions).includes('attempt')) {
+      const [action] = actions;
+      if (action?.kind === 'attempt') {
+        terms.push(action.attempt.terms);
+        const {upstream: name} = action.attempt;
+        actions = world.refuse(name ?? '', 'upstream-busy');
+      }
+    }
+    expect(terms).toEqual(['immediate', 'immediate', 'may-wait', 'may-wait']);
+    expect(kinds(actions)).toEqual(['pause']);
+    world.now += 30;
+    expect(kinds(world.tell({kind: 'pause-ended', callId: '1'}))).toEqual([
+      'attempt',
+    ]);
+  });
+
+  it('are given up on, as not run, once the call was held long enough', () => {
+    const world = new World(['a']);
+    let actions = world.arrive('at-most-once');
+    for (let i = 0; i < 50 && !kinds(actions).includes('refuse'); i += 1) {
+      const [action] = actions;
+      if (action?.kind === 'pause') {
+        world.now += action.milliseconds;
+        actions = world.tell({kind: 'pause-ended', callId: '1'});
+      } else {
+        actions = world.refuse('s/a', 'upstream-busy');
+      }
+    }
+    expect(refusalOf(actions)).toBe('upstream-busy not-run');
+    expect(world.now).toBeLessThanOrEqual(DEADLINE * 0.4);
+  });
+});
+
+describe('an attempt that is overdue', () => {
+  it('goes on beside the next one, and counts when it is answered first', () => {
+    const world = new World(['a', 'b', 'c']);
+    const first = upstreamOf(world.arrive('repeatable'));
+    const next = world.tell({kind: 'attempt-overdue', callId: '1'});
+    expect(kinds(next)).toEqual(['keep-overdue', 'attempt']);
+    expect(upstreamOf(next)).not.toBe(first);
+    const answered = world.tell({
+      kind: 'overdue-answered',
+      callId: '1',
+      status: 200,
+      hint: undefined,
+      ranMilliseconds: 500,
+    });
+    expect(kinds(answered)).toEqual(['cancel-attempt', 'pass-overdue-answer']);
+  });
+
+  it('is cancelled when the next one is answered first', () => {
+    const world = new World(['a', 'b', 'c']);
+    world.arrive('repeatable');
+    world.tell({kind: 'attempt-overdue', callId: '1'});
+    expect(kinds(world.answer(200))).toEqual(['pass-answer', 'cancel-overdue']);
+  });
+
+  it('is waited for when the next one fails, and then the failure stands', () => {
+    const world = new World(['a', 'b', 'c']);
+    world.arrive('repeatable');
+    const next = upstreamOf(world.tell({kind: 'attempt-overdue', callId: '1'}));
+    const failed = world.refuse(next, 'upstream-failed', 'unknown');
+    expect(failed).toEqual([]);
+    const ended = world.tell({kind: 'overdue-ended', callId: '1'});
+    expect(refusalOf(ended)).toBe('upstream-failed unknown');
+  });
+
+  it('never happens to a call that cannot be repeated', () => {
+    const world = new World(['a', 'b']);
+    world.arrive('at-most-once');
+    expect(world.tell({kind: 'attempt-overdue', callId: '1'})).toEqual([]);
+  });
+
+  it('leaves one run at the most beside it, as the route allows two', () => {
+    const world = new World(['a', 'b', 'c', 'd']);
+    world.arrive('repeatable');
+    world.tell({kind: 'attempt-overdue', callId: '1'});
+    expect(world.tell({kind: 'attempt-overdue', callId: '1'})).toEqual([]);
+    expect(kinds(world.answer(500))).toEqual([]);
+    const ended = world.tell({kind: 'overdue-ended', callId: '1'});
+    expect(kinds(ended)).toEqual(['pass-answer']);
+  });
+});
+
+describe('a call that failed on one upstream', () => {
+  it('is not repeated on a third, though the second failed too', () => {
+    const world = new World(['a', 'b', 'c', 'd']);
+    world.arrive('repeatable');
+    expect(kinds(world.answer(500))).toEqual(['attempt']);
+    expect(kinds(world.answer(500))).toEqual(['pass-answer']);
+  });
+});
--- /dev/null
+++ b/packages/brain/src/__tests__/reservations.test.ts
@@ -0,0 +1,269 @@
+// Copyright (c) 2026 the lockpin contributors. MIT licence, see LICENSE.
+/** Slots that a guard keeps until the entry says go, and quick doubt. */
+
+import {describe, expect, it} from 'vitest';
+import {seededRandom} from '@lockpin/utils';
+import type {Resource} from '@lockpin/types';
+import {GuardBrain} from '../guard/guardBrain.js';
+import {DEFAULT_GUARD_SETTINGS} from '../guard/guardMessages.js';
+import type {GuardAction, GuardCall} from '../guard/guardMessages.js';
+
+const SERVICE = 's';
+const UPSTREAM = 's/box';
+const random = seededRandom(1);
+const {reservationMilliseconds} = DEFAULT_GUARD_SETTINGS;
+
+class World {
+  now = 0;
+  readonly guard = new GuardBrain(
+    {box: 'box', incarnation: 'a'},
+    {
+      ...DEFAULT_GUARD_SETTINGS,
+      hasQuickDoubt: true,
+      limitsRetries: false,
+      drainFinishesQueue: false,
+    },
+  );
+
+  constructor(slots = 1) {
+    this.configure({slots});
+  }
+
+  configure(
+    change: Partial<Resource<'Upstream'>['spec']>,
+  ): readonly GuardAction[] {
+    const upstream: Resource<'Upstream'> = {
+      kind: 'Upstream',
+      name: UPSTREAM,
+      version: 1,
+      spec: {
+        address: '127.0.0.1:1',
+        dataCentre: 'd',
+        box: 'box',
+        slots: 1,
+        connections: 9,
+        state: 'in-service',
+        lifetime: 'i-1',
+        ...change,
+      },
+    };
+    return this.tell({
+      kind: 'services-changed',
+      services: [{name: SERVICE, sensitivity: 'fast', upstreams: [upstream]}],
+    });
+  }
+
+  tell(event: Parameters<GuardBrain['handle']>[2]): readonly GuardAction[] {
+    return this.guard
+      .handle(this.now, random, event)
+      .filter(({kind}) => kind !== 'report');
+  }
+
+  offer(id: string, change: Partial<GuardCall> = {}): readonly GuardAction[] {
+    const call: GuardCall = {
+      id,
+      service: SERVICE,
+      upstream: UPSTREAM,
+      customer: 'c',
+      weight: 1,
+      route: 'r',
+      repetition: 'repeatable',
+      priority: 1,
+      deadline: this.now + 10_000,
+      attempt: 1,
+      retryShare: 0,
+      onceKey: undefined,
+      requestDigest: '',
+      needsGo: true,
+      ...change,
+    };
+    return this.tell({kind: 'call-offered', call});
+  }
+
+  /** Runs one call to its end. */
+  run(id: string, status: number): void {
+    this.offer(id, {needsGo: false});
+    this.tell({
+      kind: 'upstream-answered',
+      callId: id,
+      status,
+      isShed: false,
+      answer: undefined,
+    });
+  }
+}
+
+const reasonOf = (actions: readonly GuardAction[]) =>
+  actions.flatMap((action) =>
+    action.kind === 'refuse'
+      ? [`${action.refusal.reason} ${action.refusal.outcome}`]
+      : [],
+  );
+
+describe('a reservation', () => {
+  it('runs only when the entry says go', () => {
+    const world = new World();
+    expect(world.offer('1')).toEqual([{kind: 'reserve', callId: '1'}]);
+    expect(world.tell({kind: 'call-go', callId: '1'})).toEqual([
+      {kind: 'run', callId: '1', upstream: UPSTREAM},
+    ]);
+  });
+
+  it('is given back unrun when no go comes, and a late go does nothing', () => {
+    const world = new World();
+    world.offer('1');
+    world.now = reservationMilliseconds + 1;
+    expect(reasonOf(world.tell({kind: 'tick'}))).toEqual([
+      'reservation-expired not-run',
+    ]);
+    expect(world.tell({kind: 'call-go', callId: '1'})).toEqual([]);
+    expect(world.offer('2')).toEqual([{kind: 'reserve', callId: '2'}]);
+  });
+
+  it('is given back unrun when the entry cancels it', () => {
+    const world = new World();
+    world.offer('1');
+    const actions = world.tell({kind: 'call-cancelled', callId: '1'});
+    expect(reasonOf(actions)).toEqual(['caller-left not-run']);
+    expect(actions.map(({kind}) => kind)).not.toContain('abort');
+  });
+
+  it('lets the next call have its slot', () => {
+    const world = new World();
+    world.offer('1');
+    expect(world.offer('2')).toEqual([{kind: 'queue', callId: '2'}]);
+    expect(world.tell({kind: 'call-cancelled', callId: '1'})).toContainEqual({
+      kind: 'reserve',
+      callId: '2',
+    });
+  });
+
+  it('is refused at once where the entry would rather go elsewhere', () => {
+    const world = new World();
+    world.offer('1');
+    expect(reasonOf(world.offer('2', {mayWait: false}))).toEqual([
+      'upstream-busy not-run',
+    ]);
+  });
+
+  it('stays truthful when the upstream drains before the go', () => {
+    const world = new World();
+    world.offer('1');
+    world.configure({state: 'draining'});
+    const actions = world.tell({kind: 'call-go', callId: '1'});
+    expect(actions.map(({kind}) => kind)).not.toContain('run');
+    expect(reasonOf(actions)).toEqual(['upstream-draining not-run']);
+  });
+});
+
+describe('a call that waits', () => {
+  it('is refused at once when its upstream begins to drain', () => {
+    const world = new World();
+    world.offer('1', {needsGo: false});
+    world.offer('2');
+    const upstream = {state: 'draining', slots: 1} as const;
+    expect(reasonOf(world.configure(upstream))).toEqual([
+      'upstream-draining not-run',
+    ]);
+  });
+});
+
+describe('what an upstream says of a call', () => {
+  it('is passed on as not run when it refused it', () => {
+    const world = new World();
+    world.offer('1', {needsGo: false});
+    const actions = world.tell({
+      kind: 'upstream-refused',
+      callId: '1',
+      reason: 'upstream-refused',
+    });
+    expect(reasonOf(actions)).toEqual(['upstream-refused not-run']);
+  });
+
+  it('keeps all calls away once another process has its address', () => {
+    const world = new World();
+    world.offer('1', {needsGo: false});
+    world.tell({
+      kind: 'upstream-refused',
+      callId: '1',
+      reason: 'upstream-replaced',
+    });
+    expect(reasonOf(world.offer('2', {mayRunDoubted: true}))).toEqual([
+      'upstream-replaced not-run',
+    ]);
+    world.configure({lifetime: 'i-2'});
+    expect(world.offer('3')).toEqual([{kind: 'reserve', callId: '3'}]);
+  });
+});
+
+describe('an upstream in doubt', () => {
+  function doubted(): World {
+    const world = new World(2);
+    world.run('well', 200);
+    world.offer('bad', {needsGo: false});
+    const failed = {callId: 'bad', wasSent: true} as const;
+    world.tell({kind: 'upstream-failed', ...failed});
+    return world;
+  }
+
+  it('gets no call that cannot be repeated, except as a last resort', () => {
+    const world = doubted();
+    const once = {repetition: 'at-most-once'} as const;
+    expect(reasonOf(world.offer('1', once))).toEqual([
+      'upstream-doubted not-run',
+    ]);
+    expect(world.offer('2', {...once, mayRunDoubted: true})).toEqual([
+      {kind: 'reserve', callId: '2'},
+    ]);
+  });
+
+  it('gets one repeatable call after a pause, as a probe', () => {
+    const world = doubted();
+    expect(reasonOf(world.offer('1'))).toEqual(['upstream-doubted not-run']);
+    world.now += 400;
+    expect(world.offer('2')).toEqual([{kind: 'reserve', callId: '2'}]);
+    expect(reasonOf(world.offer('3'))).toEqual(['upstream-doubted not-run']);
+  });
+
+  it('tells all entries at once, and again when it is trusted', () => {
+    const world = doubted();
+    world.now += 400;
+    world.run('1', 200);
+    world.now += 1;
+    world.offer('2', {needsGo: false});
+    const actions = world.tell({
+      kind: 'upstream-answered',
+      callId: '2',
+      status: 200,
+      isShed: false,
+      answer: undefined,
+    });
+    expect(actions).toContainEqual(
+      expect.objectContaining({
+        kind: 'standing',
+        hint: expect.objectContaining({state: 'accepting'}),
+      }),
+    );
+  });
+
+  it('is one that lets calls hang, before any of them ended', () => {
+    const world = new World(2);
+    world.run('well', 200);
+    const expected = {needsGo: false, expectedMilliseconds: 50};
+    world.offer('1', expected);
+    world.offer('2', expected);
+    world.now = 1000;
+    world.tell({kind: 'tick'});
+    expect(world.guard.hintOf(world.now, UPSTREAM)?.state).toBe('doubted');
+  });
+
+  it('begins as one that has answered nothing yet', () => {
+    const world = new World();
+    const once = {repetition: 'at-most-once'} as const;
+    expect(reasonOf(world.offer('1', once))).toEqual([
+      'upstream-doubted not-run',
+    ]);
+    world.run('2', 200);
+    expect(world.offer('3', once)).toEqual([{kind: 'reserve', callId: '3'}]);
+  });
+});
--- a/packages/brain/src/guard/guardBrain.ts
+++ b/packages/brain/src/guard/guardBrain.ts
@@ -97,7 +97,7 @@
         return this.upstreamRefused(now, event.callId, event.reason);
       case 'services-changed':
         this.services.configure(event.services);
-        return [];
+        return this.refuseWhereDraining(now);
       case 'holder-replied':
         return this.replied(now, event.service, event.reply);
       case 'fence-learnt':
@@ -235,11 +235,25 @@
       return [];
     }
     const {call, upstream} = known;
+    if (upstream.isDraining && !this.settings.drainFinishesQueue) {
+      return this.releaseReservation(now, known, 'upstream-draining');
+    }
     known.reservedAt = undefined;
     upstream.sent(now, call);
     return [{kind: 'run', callId, upstream: upstream.name}];
   }
 
+  /** What waits for an upstream that drains can go elsewhere at once. */
+  private refuseWhereDraining(now: number): readonly GuardAction[] {
+    if (this.settings.drainFinishesQueue) {
+      return [];
+    }
+    return [...this.services.upstreams()]
+      .filter(({isDraining}) => isDraining)
+      .flatMap((upstream) => upstream.withdrawAll())
+      .flatMap(({id}) => this.refuseWaiting(now, id, 'upstream-draining'));
+  }
+
   /** The call was never sent, and never will be. */
   private releaseReservation(
     now: number,
--- a/packages/brain/src/guard/guardMessages.ts
+++ b/packages/brain/src/guard/guardMessages.ts
@@ -44,6 +44,11 @@
   readonly hasQuickDoubt: boolean;
   /** Whether retries are limited here; false where entries alone do so. */
   readonly limitsRetries: boolean;
+  /**
+   * Whether calls that wait still run on an upstream that begins to drain;
+   * false where its owner was promised that nothing more would come.
+   */
+  readonly drainFinishesQueue: boolean;
   /** A slot kept for an entry that does not say go is given back after this. */
   readonly reservationMilliseconds: number;
 }
@@ -52,6 +57,7 @@
 export const DEFAULT_GUARD_SETTINGS: GuardSettings = {
   hasQuickDoubt: false,
   limitsRetries: true,
+  drainFinishesQueue: true,
   reservationMilliseconds: 250,
 };
 
--- a/packages/node/src/process/fleetHost.ts
+++ b/packages/node/src/process/fleetHost.ts
@@ -103,7 +103,12 @@
     );
     this.guard = new GuardBrain(
       {box, incarnation},
-      {...DEFAULT_GUARD_SETTINGS, hasQuickDoubt: true, limitsRetries: false},
+      {
+        ...DEFAULT_GUARD_SETTINGS,
+        hasQuickDoubt: true,
+        limitsRetries: false,
+        drainFinishesQueue: false,
+      },
     );
     this.entry = new EntryBrain(
       box,
