--- a/packages/brain/src/entry/entryBrain.ts
+++ b/packages/brain/src/entry/entryBrain.ts
@@ -2,7 +2,7 @@
 /** The entry of a node: routes calls, retries them, and refuses truthfully. */
 
 import {CustomerShares, DEFAULT_ENTRY_CAPACITY} from '@lockpin/admission';
-import {TypicalDurations, UpstreamLoads} from '@lockpin/routing';
+import {UpstreamLoads} from '@lockpin/routing';
 import type {LoadHint, RoutingCandidate} from '@lockpin/routing';
 import type {
   RandomSource,
@@ -10,18 +10,20 @@
   RefusalOutcome,
   RefusalReason,
 } from '@lockpin/types';
+import {AttemptTiming} from './attemptTiming.js';
+import {arrivedCall, setTerms} from './callState.js';
+import type {CallState} from './callState.js';
 import type {
   BoxKnowledge,
   EntryAction,
   EntryCall,
   EntryEvent,
-  OfferTerms,
 } from './entryMessages.js';
 import {DEFAULT_ENTRY_SETTINGS} from './entrySettings.js';
 import type {EntrySettings} from './entrySettings.js';
 import {RetryPolicy} from './retryPolicy.js';
-import type {RetryState} from './retryPolicy.js';
-import {SubsetCache} from './subsetCache.js';
+import {UpstreamChooser} from './upstreamChooser.js';
+import type {ChosenCall} from './upstreamChooser.js';
 
 const FIRST_FAILED_STATUS = 500;
 
@@ -31,62 +33,32 @@
 /** When a caller that found no upstream may come back, in milliseconds. */
 const NO_UPSTREAM_RETRY_MILLISECONDS = 500;
 
-/**
- * An attempt of a repeatable call is overdue after this many times its usual
- * duration: three in a hundred calls of healthy upstreams take that long.
- */
-const OVERDUE_FACTOR = 2.5;
-
-/** Share of the route's goal after which an attempt is overdue at the latest. */
-const OVERDUE_GOAL_SHARE = 0.55;
-
-/** Earlier than this, a scheduling delay could be the cause. */
-const SHORTEST_OVERDUE_MILLISECONDS = 60;
-
-/** The wait for a guard's answer grows up to eight times within one call. */
-const MOST_SILENCE_DOUBLINGS = 3;
-
-interface CallState extends RetryState {
-  /** Upstreams that an offer on the present terms was made to. */
-  tried: Set<string>;
-  /** Upstreams that may have run the call. */
-  readonly ran: Set<string>;
-  terms: OfferTerms;
-  /** Offers of this call that no guard answered. */
-  silences: number;
-  /** Rounds of offers in vain. */
-  pauses: number;
-  /** Until then it may be held without an offer that was taken. */
-  readonly heldUntil: number;
-  upstream: string;
-  /** The upstream of an attempt that goes on though it is overdue. */
-  overdueAt: string | undefined;
-  /** What the caller is told unless the overdue attempt is answered. */
-  pending: EntryAction | undefined;
-  /** An attempt that may have run is behind us. */
-  mayHaveRun: boolean;
-  /** An attempt is under way. */
-  isAttempting: boolean;
-}
-
 /** Decides by (now, random, event) alone. */
 export class EntryBrain {
   readonly loads: UpstreamLoads;
   private readonly calls = new Map<string, CallState>();
-  private readonly durations = new TypicalDurations();
   private readonly retries: RetryPolicy;
   private readonly shares = new CustomerShares(DEFAULT_ENTRY_CAPACITY);
-  private readonly subsets: SubsetCache;
+  private readonly chooser: UpstreamChooser;
+  private readonly timing: AttemptTiming;
 
   constructor(
-    private readonly box: string,
-    private readonly dataCentre: string,
+    box: string,
+    dataCentre: string,
     private readonly boxes: BoxKnowledge,
     private readonly settings: EntrySettings = DEFAULT_ENTRY_SETTINGS,
   ) {
     this.loads = new UpstreamLoads(settings.linkPatience);
     this.retries = new RetryPolicy(settings);
-    this.subsets = new SubsetCache(box, dataCentre);
+    this.timing = new AttemptTiming(settings, this.retries);
+    const {loads} = this;
+    this.chooser = new UpstreamChooser({
+      box,
+      dataCentre,
+      boxes,
+      loads,
+      settings,
+    });
   }
 
   get callCount(): number {
@@ -142,22 +114,10 @@
   chooseFor(
     now: number,
     random: RandomSource,
-    call: Pick<EntryCall, 'view'> & Partial<Pick<EntryCall, 'route'>>,
+    call: ChosenCall,
     tried: ReadonlySet<string> = new Set(),
   ): RoutingCandidate | undefined {
-    return this.chooseAmong(now, random, call, this.candidates(call, tried));
-  }
-
-  private chooseAmong(
-    now: number,
-    random: RandomSource,
-    call: Partial<Pick<EntryCall, 'route'>>,
-    candidates: readonly RoutingCandidate[],
-  ): RoutingCandidate | undefined {
-    const {loads, dataCentre, box} = this;
-    const prefersFew = call.route?.spec.repetition === 'at-most-once';
-    const context = {now, random, dataCentre, box, loads, prefersFew};
-    return this.settings.choose(context, candidates);
+    return this.chooser.choose(now, random, call, tried);
   }
 
   private arrived(
@@ -170,22 +130,7 @@
       return [refuse(call.id, 'customer-over-share', 'not-run', after)];
     }
     this.retries.firstAttempt(now, call);
-    const state: CallState = {
-      call,
-      tried: new Set(),
-      ran: new Set(),
-      terms: this.settings.firstTerms,
-      silences: 0,
-      pauses: 0,
-      heldUntil: now + (call.deadline - now) * this.settings.heldShare,
-      upstream: '',
-      overdueAt: undefined,
-      pending: undefined,
-      paidAttempts: 1,
-      reroutes: 0,
-      mayHaveRun: false,
-      isAttempting: false,
-    };
+    const state = arrivedCall(now, call, this.settings);
     this.calls.set(call.id, state);
     if (now >= call.deadline) {
       return this.finalRefusal(state, 'deadline-passed');
@@ -202,7 +147,7 @@
     reasonIfNone: RefusalReason,
     retryAfter = NO_UPSTREAM_RETRY_MILLISECONDS,
   ): readonly EntryAction[] {
-    const chosen = this.chooseNext(now, random, state);
+    const chosen = this.chooser.next(now, random, state);
     if (chosen === undefined) {
       return this.pauseOrRefuse(now, state, reasonIfNone, retryAfter);
     }
@@ -231,82 +176,10 @@
     state: CallState,
   ): readonly EntryAction[] {
     state.reroutes = 0;
-    this.setTerms(state, this.settings.firstTerms);
+    setTerms(state, this.settings.firstTerms);
     return this.attempt(now, random, state, 'no-upstream');
   }
 
-  private setTerms(state: CallState, terms: OfferTerms): void {
-    state.terms = terms;
-    state.tried = new Set();
-  }
-
-  /** The next upstream, on easier terms when none is left on the present ones. */
-  private chooseNext(
-    now: number,
-    random: RandomSource,
-    state: CallState,
-  ): RoutingCandidate | undefined {
-    const {offersOnEachTerms} = this.settings;
-    const found =
-      state.tried.size < offersOnEachTerms
-        ? this.chooseUntried(now, random, state)
-        : undefined;
-    if (found !== undefined) {
-      return found;
-    }
-    const easier = this.easierTerms(now, state);
-    if (easier === undefined) {
-      return undefined;
-    }
-    this.setTerms(state, easier);
-    return this.chooseNext(now, random, state);
-  }
-
-  /**
-   * What to ask for when offers on the present terms were in vain. A doubted
-   * upstream is asked only when there is no other: one that is merely busy will
-   * have room again.
-   */
-  private easierTerms(now: number, state: CallState): OfferTerms | undefined {
-    switch (state.terms) {
-      case 'immediate':
-        return 'may-wait';
-      case 'may-wait':
-        return this.openCandidates(now, state).length === 0
-          ? 'last-resort'
-          : undefined;
-      case 'last-resort':
-        return undefined;
-    }
-  }
-
-  /** Upstreams of the service that this entry does not route around. */
-  private openCandidates(
-    now: number,
-    {call, ran}: CallState,
-  ): readonly RoutingCandidate[] {
-    const mayProbe = call.route.spec.repetition === 'repeatable';
-    return this.candidates(call, ran).filter(
-      ({name}) => !this.loads.isAvoided(name, now, mayProbe),
-    );
-  }
-
-  private chooseUntried(
-    now: number,
-    random: RandomSource,
-    state: CallState,
-  ): RoutingCandidate | undefined {
-    const {call, tried, ran, terms} = state;
-    if (terms === 'last-resort') {
-      const excluded = ran.size === 0 ? tried : new Set([...tried, ...ran]);
-      return this.chooseFor(now, random, call, excluded);
-    }
-    const open = this.openCandidates(now, state).filter(
-      ({name}) => !tried.has(name),
-    );
-    return this.chooseAmong(now, random, call, open);
-  }
-
   private attemptAtHome(
     state: CallState,
     key: NonNullable<EntryCall['onceKey']>,
@@ -352,38 +225,13 @@
         box,
         number,
         terms,
-        expectedMilliseconds: this.durations.of(call.route.name),
-        overdueMilliseconds: this.overdueAfter(state),
-        silenceMilliseconds: this.silenceAfter(state),
+        expectedMilliseconds: this.timing.usual(call.route.name),
+        overdueMilliseconds: this.timing.overdueAfter(state),
+        silenceMilliseconds: this.timing.silenceAfter(state),
       },
     };
   }
 
-  /** After some silences, the way from here is slow rather than a guard dead. */
-  private silenceAfter({silences}: CallState): number {
-    const doublings = Math.min(silences, MOST_SILENCE_DOUBLINGS);
-    return this.settings.silenceMilliseconds * 2 ** doublings;
-  }
-
-  /** Only calls that can be sent elsewhere are ever overdue. */
-  private overdueAfter(state: CallState): number | undefined {
-    const {replacesOverdue} = this.settings;
-    const mayReplace =
-      this.retries.mayRepeat(state) && this.retries.mayPay(state, 1);
-    if (!replacesOverdue || !mayReplace) {
-      return undefined;
-    }
-    const {name, spec} = state.call.route;
-    const goal = spec.goalMilliseconds ?? spec.waitMilliseconds;
-    const latest = goal * OVERDUE_GOAL_SHARE;
-    const usual = this.durations.of(name);
-    const usualLimit = usual === undefined ? latest : usual * OVERDUE_FACTOR;
-    return Math.max(
-      SHORTEST_OVERDUE_MILLISECONDS,
-      Math.min(latest, usualLimit),
-    );
-  }
-
   /** The guard said nothing, and was not told to go: the call did not run. */
   private silent(
     now: number,
@@ -430,7 +278,7 @@
     state.ran.add(state.upstream);
     state.overdueAt = state.upstream;
     state.isAttempting = false;
-    this.setTerms(state, 'may-wait');
+    setTerms(state, 'may-wait');
     return [
       {kind: 'keep-overdue', callId: state.call.id},
       this.send(state, again.name, again.box, again.name),
@@ -501,7 +349,7 @@
       this.retries.mayRepeat(state) &&
       this.retries.payRetry(now, state)
     ) {
-      const again = this.chooseUntried(now, random, state);
+      const again = this.chooser.untried(now, random, state);
       if (again !== undefined) {
         return [this.send(state, again.name, again.box, again.name)];
       }
@@ -646,18 +494,9 @@
   ): void {
     const {status, ranMilliseconds} = event;
     if (ranMilliseconds !== undefined && status < FIRST_FAILED_STATUS) {
-      this.durations.add(call.route.name, ranMilliseconds);
+      this.timing.answered(call.route.name, ranMilliseconds);
     }
   }
-
-  private candidates(
-    call: Pick<EntryCall, 'view'>,
-    tried: ReadonlySet<string>,
-  ): readonly RoutingCandidate[] {
-    return this.subsets
-      .subset(call.view)
-      .filter(({name, box}) => !tried.has(name) && this.boxes.isUsable(box));
-  }
 }
 
 function refuse(
