--- /dev/null
+++ b/packages/node/src/__tests__/brokenAnswers.test.ts
@@ -0,0 +1,147 @@
+// Copyright (c) 2026 the lockpin contributors. MIT licence, see LICENSE.
+/** Answers that an upstream breaks off, as bytes on a connection. */
+
+import {createServer} from 'node:net';
+import type {AddressInfo, Server, Socket} from 'node:net';
+import {afterEach, beforeEach, describe, expect, it} from 'vitest';
+import {GuardBrain} from '@lockpin/brain';
+import type {Repetition, Resource} from '@lockpin/types';
+import {seededRandom} from '@lockpin/utils';
+import {UpstreamPools} from '../connection/upstreamPools.js';
+import type {CallHead} from '../request/frames.js';
+import {GuardService} from '../request/guardService.js';
+
+const NAME = 's/box';
+
+let server: Server;
+let pools: UpstreamPools;
+let service: GuardService;
+let answer: (socket: Socket) => void;
+
+beforeEach(async () => {
+  server = createServer((socket) => {
+    socket.on('error', () => undefined);
+    socket.once('data', () => answer(socket));
+  });
+  await new Promise<void>((done) => server.listen(0, '127.0.0.1', done));
+  const {port} = server.address() as AddressInfo;
+  const upstream: Resource<'Upstream'> = {
+    kind: 'Upstream',
+    name: NAME,
+    version: 1,
+    spec: {
+      address: `127.0.0.1:${port}`,
+      dataCentre: 'd',
+      box: 'box',
+      slots: 4,
+      connections: 9,
+      state: 'in-service',
+    },
+  };
+  pools = new UpstreamPools();
+  pools.configure([upstream]);
+  service = new GuardService({
+    clock: Date.now,
+    random: seededRandom(1),
+    brain: new GuardBrain({box: 'box', incarnation: 'a'}),
+    pools,
+    protocol: {
+      callHeaders: ({head}) => head.headers,
+      judge: () => 'answer',
+      holdsUnframed: true,
+    },
+    every: () => () => undefined,
+    onOther: () => undefined,
+  });
+  service.handle({
+    kind: 'services-changed',
+    services: [{name: 's', sensitivity: 'fast', upstreams: [upstream]}],
+  });
+});
+
+afterEach(() => {
+  pools.close();
+  server.close();
+});
+
+function head(repetition: Repetition): CallHead {
+  return {
+    requestId: 'x',
+    service: 's',
+    upstream: NAME,
+    customer: 's',
+    weight: 1,
+    route: 'r',
+    repetition,
+    priority: 0,
+    remaining: 3000,
+    attempt: 1,
+    retryShare: 0,
+    onceKey: undefined,
+    requestDigest: '',
+    method: 'POST',
+    path: '/',
+    headers: ['host', 'x'],
+    body: Buffer.from('body'),
+    hasMore: false,
+    needsGo: false,
+    terms: 'last-resort',
+    usefulFor: undefined,
+    expectedMilliseconds: undefined,
+  };
+}
+
+/** How the entry hears of the end of a call. */
+function call(repetition: Repetition): Promise<string> {
+  return new Promise((resolve) => {
+    service.begin(head(repetition), {
+      onContinue: () => undefined,
+      onQueued: () => undefined,
+      onAnswer: ({body, hasMore}) =>
+        resolve(hasMore ? 'begun' : `answer ${Buffer.from(body ?? '')}`),
+      onChunk: () => true,
+      onEnd: () => resolve('ended'),
+      onRefusal: ({refusal}) => resolve(`${refusal.reason} ${refusal.outcome}`),
+      onLost: () => resolve('lost'),
+    });
+  });
+}
+
+const UNFRAMED = 'HTTP/1.1 200 OK\r\nconnection: close\r\n\r\npart';
+const KEPT_UNFRAMED = 'HTTP/1.1 200 OK\r\n\r\npart';
+const FRAMED = 'HTTP/1.1 200 OK\r\ncontent-length: 9\r\n\r\npart';
+const CHUNKED =
+  'HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n4\r\npart\r\n';
+
+describe.each(['repeatable', 'at-most-once'] as const)('a %s call', (kind) => {
+  it.each([
+    ['without a length', UNFRAMED],
+    ['without a length or a word of closing', KEPT_UNFRAMED],
+    ['with a length', FRAMED],
+    ['in chunks', CHUNKED],
+  ])('takes no answer %s for whole that was reset', async (_name, bytes) => {
+    answer = (socket) => {
+      socket.write(bytes);
+      setTimeout(() => socket.resetAndDestroy(), 30);
+    };
+    expect(await call(kind)).toBe('upstream-failed unknown');
+  });
+
+  it.each([
+    ['with a length', FRAMED],
+    ['in chunks', CHUNKED],
+  ])('takes no answer %s for whole that was cut', async (_name, bytes) => {
+    answer = (socket) => socket.end(bytes);
+    expect(await call(kind)).toBe('upstream-failed unknown');
+  });
+
+  it('takes an answer without a length that ends with its connection', async () => {
+    answer = (socket) => socket.end(UNFRAMED);
+    expect(await call(kind)).toBe('answer part');
+  });
+
+  it('takes bytes that are no answer for a failure', async () => {
+    answer = (socket) => socket.end('rubbish');
+    expect(await call(kind)).toBe('upstream-failed unknown');
+  });
+});
