An answer without a length goes on without one

Ruled out by logs at the socket: a reset (the connection ended with 'end', then 'close'; no ECONNRESET). Change: such an answer is passed on with the end of the connection as its end, so that the caller can judge it by its proof. A reset still fails it.

--- a/packages/node/src/request/callerExchange.ts
+++ b/packages/node/src/request/callerExchange.ts
@@ -156,6 +156,11 @@
   /** Sends the head of an answer, and its body when it is at hand. */
   sendHead(head: AnswerHead): void {
     const headers = this.protocol.answerHeaders(head);
+    if (head.isUnframed) {
+      // The end of the connection is the end of the answer here too.
+      this.response.useChunkedEncodingByDefault = false;
+      this.response.shouldKeepAlive = false;
+    }
     this.response.writeHead(head.status, [...headers]);
     if (!head.hasMore) {
       this.isEnded = true;
--- a/packages/node/src/request/frames.ts
+++ b/packages/node/src/request/frames.ts
@@ -54,6 +54,11 @@
   readonly headers: FlatHeaders;
   readonly upstream: string;
   readonly hint: LoadHint | undefined;
+  /**
+   * Only the end of the connection said that the answer was over. The caller
+   * gets it in the same form, since no one here can tell whether it is whole.
+   */
+  readonly isUnframed: boolean;
   /** How long the upstream took until its answer was at hand. */
   readonly ranMilliseconds: number | undefined;
   /** The whole body, unless hasMore says that it follows in frames. */
@@ -158,6 +163,7 @@
   'headers',
   'upstream',
   'hint',
+  'isUnframed',
   'ranMilliseconds',
   'body',
   'hasMore',
--- a/packages/node/src/request/upstreamAnswer.ts
+++ b/packages/node/src/request/upstreamAnswer.ts
@@ -13,6 +13,8 @@
 /** Gathers what is small, and what has to be kept for repeats. */
 export class UpstreamAnswer {
   readonly headers: readonly string[];
+  /** Only the end of its connection says where the answer ends. */
+  readonly isUnframed: boolean;
   /** Nothing goes to the entry before the answer is whole. */
   isHeldBack: boolean;
   /** The entry has got the head already. */
@@ -29,9 +31,11 @@
   ) {
     this.headers = answerHeaders(flatten(raw));
     const length = Number(raw['content-length'] ?? Number.NaN);
-    const isUnframed = Number.isNaN(length) && holdsUnframed;
+    const hasNoBody = NO_BODY_STATUSES.has(status);
+    const isOpenEnded = Number.isNaN(length) && !hasNoBody;
+    this.isUnframed = isOpenEnded && raw['transfer-encoding'] === undefined;
     this.isHeldBack =
-      length <= HELD_BACK_BYTES || isUnframed || NO_BODY_STATUSES.has(status);
+      length <= HELD_BACK_BYTES || hasNoBody || (isOpenEnded && holdsUnframed);
   }
 
   /** Takes a part of the body; says whether it is held back. */
