--- /dev/null
+++ b/packages/cli/src/__tests__/callExplanation.test.ts
@@ -0,0 +1,76 @@
+// Copyright (c) 2026 the lockpin contributors. MIT licence, see LICENSE.
+/** A request's story out of log lines. */
+
+import {describe, expect, it} from 'vitest';
+import {explainCall, readLogLine} from '../callExplanation.js';
+import type {LogLine} from '../callExplanation.js';
+
+const LINES: readonly LogLine[] = [
+  {
+    time: '2026-01-01T00:00:01.000Z',
+    event: 'upstream-doubted',
+    box: 'guard',
+    subject: 's/guard',
+    remaining: 2000,
+  },
+  {
+    time: '2026-01-01T00:00:01.000Z',
+    event: 'upstream-doubted',
+    box: 'elsewhere',
+    subject: 's/elsewhere',
+  },
+  {
+    time: '2026-01-01T00:00:02.500Z',
+    event: 'guard-call',
+    box: 'guard',
+    requestId: 'x',
+    outcome: 'unknown',
+    reason: 'upstream-failed',
+  },
+  {
+    time: '2026-01-01T00:00:02.502Z',
+    event: 'call',
+    box: 'entry',
+    requestId: 'x',
+    status: 502,
+    milliseconds: 40,
+    attempts: [{box: 'guard', terms: 'immediate', end: 'upstream-failed'}],
+  },
+  {
+    time: '2026-01-01T00:00:02.502Z',
+    event: 'call',
+    box: 'entry',
+    requestId: 'y',
+  },
+];
+
+describe('explainCall', () => {
+  it('tells what became of a request, with what its boxes believed then', () => {
+    expect(explainCall(LINES, 'x')).toEqual([
+      '2026-01-01T00:00:01.000Z  guard  upstream-doubted  subject=s/guard remaining=2000',
+      '2026-01-01T00:00:02.500Z  guard  guard-call  outcome=unknown reason=upstream-failed',
+      '2026-01-01T00:00:02.502Z  entry  call  status=502 milliseconds=40',
+      '    offer 1: terms=immediate end=upstream-failed',
+    ]);
+  });
+
+  it('says nothing of a request that no line names', () => {
+    expect(explainCall(LINES, 'z')).toEqual([]);
+  });
+});
+
+describe('readLogLine', () => {
+  it('takes a line that a collector has put words before', () => {
+    const line = readLogLine(
+      '12.5 box-1 {"time":"t","event":"call","box":"b"}',
+    );
+    expect(line).toMatchObject({event: 'call'});
+  });
+
+  it.each(['', 'plain text', '{"time":"t"}', '{broken'])(
+    'passes over %j',
+    (text) => {
+      expect(readLogLine(text)).toBeUndefined();
+    },
+  );
+});
--- a/packages/cli/src/run.ts
+++ b/packages/cli/src/run.ts
@@ -10,6 +10,7 @@
 import {deleteResource} from './commands/delete.js';
 import {describe} from './commands/describe.js';
 import {drain} from './commands/drain.js';
+import {explain} from './commands/explain.js';
 import {get} from './commands/get.js';
 import {status} from './commands/status.js';
 import {timeline, TIMELINE_FORMATS} from './commands/timeline.js';
@@ -88,6 +89,12 @@
       callOptions,
       within(call),
     )
+    .command(
+      'explain <request>',
+      "Tell a request's story from the logs of all boxes",
+      explainOptions,
+      within(explain),
+    )
     .completion('completion', 'Print a completion script for the shell')
     .demandCommand(1, 'Give a command.')
     .version(false)
@@ -101,6 +108,16 @@
   return exitCode;
 }
 
+const explainOptions = (argv: Argv<CommonOptions>) =>
+  argv
+    .positional('request', {type: 'string', demandOption: true})
+    .option('log', {
+      type: 'string',
+      array: true,
+      default: [] as string[],
+      describe: 'Files of log lines; standard input when none is given',
+    });
+
 function commonOptions(argv: Argv): Argv<CommonOptions> {
   return argv
     .scriptName('lockpin')
--- a/packages/node/src/request/callerExchange.ts
+++ b/packages/node/src/request/callerExchange.ts
@@ -16,6 +16,9 @@
 /** Bodies of once-only calls are held whole, up to this size. */
 export const ONCE_BODY_BYTES = 256 * 1024;
 
+/** Added to the priority of late calls: behind all that are not late. */
+const LATE_PRIORITY = 10;
+
 /** Answers up to this size are written together with their headers. */
 const ONE_WRITE_BYTES = 8 * 1024;
 
@@ -100,7 +103,7 @@
       weight,
       route: shortName(route.name),
       repetition: route.spec.repetition,
-      priority: route.spec.priority,
+      priority: this.urgency(now, attempt),
       remaining: Math.max(0, attempt.call.deadline - now),
       attempt: attempt.number,
       retryShare: route.spec.retryShare,
@@ -127,6 +130,22 @@
     return this.lastHead;
   }
 
+  /**
+   * Under overload, a call whose answer is late anyway makes way for those that
+   * can still be answered in time; one that lost time on a failed upstream goes
+   * ahead of its kind.
+   */
+  private urgency(now: number, attempt: Attempt): number {
+    const {priority, goalMilliseconds} = this.call.route.spec;
+    if (goalMilliseconds === undefined) {
+      return priority;
+    }
+    if (now - this.arrivedAt > goalMilliseconds) {
+      return priority + LATE_PRIORITY;
+    }
+    return attempt.number > 1 ? Math.max(0, priority - 1) : priority;
+  }
+
   /** Takes the slot that the guard of the attempt under way keeps. */
   go(): void {
     if (this.lastHead !== undefined) {
