--- a/packages/cli/src/__tests__/callExplanation.test.ts
+++ b/packages/cli/src/__tests__/callExplanation.test.ts
@@ -50,7 +50,7 @@
       '2026-01-01T00:00:01.000Z  guard  upstream-doubted  subject=s/guard remaining=2000',
       '2026-01-01T00:00:02.500Z  guard  guard-call  outcome=unknown reason=upstream-failed',
       '2026-01-01T00:00:02.502Z  entry  call  status=502 milliseconds=40',
-      '    offer 1: terms=immediate end=upstream-failed',
+      '    offer 1 to guard: terms=immediate end=upstream-failed',
     ]);
   });
 
--- a/packages/cli/src/callExplanation.ts
+++ b/packages/cli/src/callExplanation.ts
@@ -107,7 +107,8 @@
 function describe(line: LogLine): readonly string[] {
   const head = `${line.time}  ${line.box}  ${line.event}  ${fields(line)}`;
   const attempts = attemptsOf(line).map(
-    (attempt, i) => `    offer ${i + 1}: ${fields(attempt)}`,
+    (attempt, i) =>
+      `    offer ${i + 1} to ${String(attempt['box'])}: ${fields(attempt)}`,
   );
   return [head.trimEnd(), ...attempts];
 }
