--- a/packages/node/src/process/fleetComposition.ts
+++ b/packages/node/src/process/fleetComposition.ts
@@ -7,6 +7,7 @@
 import type {PeerKnowledge, PeerQuestion} from '@lockpin/fleet';
 import type {Logger} from '@lockpin/logger';
 import {makeIncarnation} from '@lockpin/once';
+import {steadyClock} from '@lockpin/utils';
 import {PeerChannels} from '../connection/peerChannels.js';
 import {PeerServer} from '../connection/peerServer.js';
 import {UpstreamPools} from '../connection/upstreamPools.js';
@@ -79,7 +80,7 @@
   const {box, dataCentre} = parts.resolve(FLEET_TOKENS.ports).settings;
   const writer = parts.resolve(FLEET_TOKENS.writer);
   return new DecisionLog({
-    clock: Date.now,
+    clock: Date.now, // lines of different boxes are compared by the time of day
     writeLine: (line) => writer.writeLine(line),
     common: {box, dataCentre},
   });
@@ -90,12 +91,12 @@
     FLEET_TOKENS.ports,
   );
   const channels = parts.resolve(FLEET_TOKENS.channels);
-  const incarnation = makeIncarnation(Date.now(), Math.random);
+  const incarnation = makeIncarnation(steadyClock(), Math.random);
   return new FleetHost(
     settings,
     incarnation,
     {
-      clock: Date.now,
+      clock: steadyClock,
       random: Math.random,
       every,
       store,
@@ -150,7 +151,7 @@
   const metrics = parts.resolve(FLEET_TOKENS.metrics);
   const {upstreamProtocol} = parts.resolve(FLEET_TOKENS.ports);
   return new GuardService({
-    clock: Date.now,
+    clock: steadyClock,
     random: Math.random,
     every,
     brain: host.guard,
@@ -173,7 +174,7 @@
   const log = parts.resolve(FLEET_TOKENS.log);
   const {callerProtocol, settings} = parts.resolve(FLEET_TOKENS.ports);
   return new EntryService({
-    clock: Date.now,
+    clock: steadyClock,
     random: Math.random,
     brain: host.entry,
     logger: loggerOf(log),
--- a/packages/node/src/process/runFleetNode.ts
+++ b/packages/node/src/process/runFleetNode.ts
@@ -4,6 +4,7 @@
 import type {Server} from 'node:http';
 import {setTimeout as pause} from 'node:timers/promises';
 import type {DependencyContainer} from 'tsyringe';
+import {steadyClock} from '@lockpin/utils';
 import {startHttpServer} from '../connection/httpServer.js';
 import type {RequestHandler} from '../connection/httpServer.js';
 import {FLEET_TOKENS, versionNews} from './fleetComposition.js';
@@ -118,7 +119,7 @@
   const guard = container.resolve(FLEET_TOKENS.guardService);
   const entry = container.resolve(FLEET_TOKENS.entryService);
   const {stopLimitMilliseconds} = host.settings;
-  const begunAt = Date.now();
+  const begunAt = steadyClock();
   const limit = begunAt + stopLimitMilliseconds - EXIT_RESERVE_MILLISECONDS;
   stopping.isStopping = true;
   await pause(LEAVE_AFTER_MILLISECONDS);
@@ -128,7 +129,7 @@
   callers.close();
   callers.closeIdleConnections();
   const isBusy = (): boolean => guard.callCount + entry.callCount > 0;
-  while (isBusy() && Date.now() < limit) {
+  while (isBusy() && steadyClock() < limit) {
     await pause(STOP_POLL_MILLISECONDS);
   }
   const isFinished = !isBusy();
--- a/packages/utils/src/index.ts
+++ b/packages/utils/src/index.ts
@@ -6,3 +6,4 @@
 export * from './results.js';
 export * from './ringBuffer.js';
 export * from './seededRandom.js';
+export * from './steadyClock.js';
