--- /dev/null
+++ b/packages/tools/src/faults/platformPromises.ts
@@ -0,0 +1,128 @@
+// Copyright (c) 2026 the lockpin contributors. MIT licence, see LICENSE.
+/** Which tests prove which promise on the users' platform, without their bench. */
+
+import type {TestReference} from './matrix.js';
+
+/** A promise, the tests that bring its failure about, and what is still open. */
+export interface PlatformPromise {
+  readonly promise: string;
+  readonly tests: readonly TestReference[];
+  /** Empty when nothing is. */
+  readonly open: string;
+}
+
+const FLEET = 'platform/src/__tests__/platformFleet.test.ts';
+const WORDS = 'platform/src/__tests__/translations.test.ts';
+const BYTES = 'packages/node/src/__tests__/brokenAnswers.test.ts';
+const SLOTS = 'packages/brain/src/__tests__/reservations.test.ts';
+const ENTRY = 'packages/brain/src/__tests__/overdueCalls.test.ts';
+const BRAIN = 'packages/fleet/src/__tests__/fleetBrain.test.ts';
+const ROUTES = 'packages/fleet/src/__tests__/fleetRouting.test.ts';
+const CHOICE = 'packages/routing/src/__tests__/fleetRouting.test.ts';
+
+function promise(
+  text: string,
+  tests: readonly (readonly [file: string, title: string])[],
+  open = '',
+): PlatformPromise {
+  const references = tests.map(([file, title]) => ({file, title}));
+  return {promise: text, tests: references, open};
+}
+
+/** Every promise that the users' bench judges. */
+export const PLATFORM_PROMISES: readonly PlatformPromise[] = [
+  promise('whole answers, each to its own request', [
+    [BYTES, 'takes no answer %s for whole that was reset'],
+    [BYTES, 'takes bytes that are no answer for a failure'],
+    [FLEET, 'answers calls of both kinds from every box, each its own'],
+    [FLEET, 'passes an answer without a length on in the same form'],
+    [WORDS, 'is judged by status %i and headers %j'],
+  ]),
+  promise('requests reach upstreams unchanged, in the right name', [
+    [
+      FLEET,
+      'passes path and body on, and says itself in whose name a call began',
+    ],
+  ]),
+  promise('what may run once never runs twice', [
+    [
+      FLEET,
+      'never runs twice what may run once, and calls it unknown when it broke',
+    ],
+    [SLOTS, 'is given back unrun when no go comes, and a late go does nothing'],
+  ]),
+  promise('a refusal that says not run is true, now and later', [
+    [SLOTS, 'is given back unrun when the entry cancels it'],
+    [ENTRY, 'leaves the call not run when the time is over before any go'],
+    [
+      FLEET,
+      'goes elsewhere when an upstream sheds, and promises truthfully when all do',
+    ],
+    [WORDS, 'for %s, %s, has status %i'],
+  ]),
+  promise('nothing is denied that the configuration allows', [
+    [FLEET, 'refuses truthfully until it knows a configuration'],
+    [ROUTES, 'finds the longest prefix of %s%s'],
+  ]),
+  promise('a call runs on no more upstreams than its route allows', [
+    [ENTRY, 'is not repeated on a third, though the second failed too'],
+    [ENTRY, 'leaves one run at the most beside it, as the route allows two'],
+  ]),
+  promise(
+    'retries keep the budget in every window',
+    [[CHOICE, 'keeps the limit in every window, whatever comes']],
+    'the sum over entries that restart is kept by a margin, not by a proof',
+  ),
+  promise('work ends when its caller leaves', [
+    [FLEET, 'cancels the work of a caller that left'],
+  ]),
+  promise('the time limit of a route is kept', [
+    [
+      FLEET,
+      'answers at the time limit of the route, and says that the outcome is unknown',
+    ],
+  ]),
+  promise('a leaving upstream gets nothing more', [
+    [
+      FLEET,
+      'sends nothing to an upstream that said it drains, from the moment it was told',
+    ],
+    [SLOTS, 'is refused at once when its upstream begins to drain'],
+    [SLOTS, 'stays truthful when the upstream drains before the go'],
+    [BRAIN, 'is not revived by a late announcement after it left'],
+  ]),
+  promise('another process at an address gets no call', [
+    [FLEET, 'never calls another process at the address of its upstream'],
+  ]),
+  promise(
+    'healthy upstreams keep getting calls',
+    [[ENTRY, 'are asked to let the call wait, then asked again after a pause']],
+    'that entries together use a share of them is not tested without the bench',
+  ),
+  promise(
+    'a planned stop cuts nothing',
+    [
+      [
+        FLEET,
+        'finishes what is in flight when it is stopped, and is not ready meanwhile',
+      ],
+    ],
+    'stops in series and overlapping: the soak is not built',
+  ),
+  promise('a configuration is in force soon, and never goes back', [
+    [FLEET, 'puts a new configuration in force everywhere'],
+    [BRAIN, 'never goes back to an older version'],
+    [BRAIN, 'is taken from a peer when the store does not answer'],
+  ]),
+  promise('weights are kept', [
+    [
+      ROUTES,
+      'keeps each share of any run of calls to within one call of each kind',
+    ],
+  ]),
+  promise(
+    'the fleet comes back after all of it was killed',
+    [[BRAIN, 'is not written again by a restart that changes nothing']],
+    'a kill of all nodes is played on the bench only',
+  ),
+];
--- a/packages/tools/src/faults/renderFaults.ts
+++ b/packages/tools/src/faults/renderFaults.ts
@@ -3,6 +3,7 @@
 
 import {FAULT_MATRIX, STEPS} from './matrix.js';
 import type {Cell, TestReference} from './matrix.js';
+import {PLATFORM_PROMISES} from './platformPromises.js';
 
 /** The whole page. */
 export function renderFaults(): string {
@@ -23,6 +24,15 @@
     `| --- |${' --- |'.repeat(STEPS.length)}`,
     ...rows,
     '',
+    "## Promises on the users' platform",
+    '',
+    '| promise | tests | open |',
+    '| --- | --- | --- |',
+    ...PLATFORM_PROMISES.map(
+      (row) =>
+        `| ${row.promise} | ${numbersOf(row.tests, tests)} | ${row.open} |`,
+    ),
+    '',
     '## Tests',
     '',
     ...tests.map(({file, title}, i) => `${i + 1}. "${title}" in \`${file}\``),
@@ -40,20 +50,30 @@
       tests.forEach((test) => found.set(`${test.file} ${test.title}`, test));
     }
   }
+  for (const {tests} of PLATFORM_PROMISES) {
+    tests.forEach((test) => found.set(`${test.file} ${test.title}`, test));
+  }
   return [...found.values()];
 }
 
+function numbersOf(
+  named: readonly TestReference[],
+  tests: readonly TestReference[],
+): string {
+  return named
+    .map((test) => {
+      const at = tests.findIndex(
+        ({file, title}) => file === test.file && title === test.title,
+      );
+      return String(at + 1);
+    })
+    .join(', ');
+}
+
 function cellText(cell: Cell, tests: readonly TestReference[]): string {
   switch (cell.kind) {
     case 'proved':
-      return cell.tests
-        .map((test) => {
-          const at = tests.findIndex(
-            ({file, title}) => file === test.file && title === test.title,
-          );
-          return String(at + 1);
-        })
-        .join(', ');
+      return numbersOf(cell.tests, tests);
     case 'cannot':
       return `– ${cell.why}`;
     case 'open':
