A box without its upstream, and one that leaves, are not asked by every call

Change: an upstream that its guard does not know is left alone, ever longer; a leaving node says so in its hint; a node whose upstream does not announce itself within 6 s of a restart says in its record that it takes no work. Tests: three, each seen failing without the change.

--- a/packages/brain/src/__tests__/overdueCalls.test.ts
+++ b/packages/brain/src/__tests__/overdueCalls.test.ts
@@ -186,6 +186,33 @@
   });
 });
 
+describe('a box that has lost its upstream', () => {
+  it('is not asked by every call, though it has all its slots free', () => {
+    const world = new World(['a', 'b']);
+    const asked = world.arrive('repeatable');
+    const missing = upstreamOf(asked);
+    const again = world.tell({
+      kind: 'attempt-refused',
+      callId: '1',
+      refusal: {
+        reason: 'no-upstream',
+        outcome: 'not-run',
+        retryAfterMilliseconds: 0,
+      },
+      upstream: '',
+      hint: undefined,
+    });
+    expect(upstreamOf(again)).not.toBe(missing);
+    world.answer(200);
+    world.tell({kind: 'answer-ended', callId: '1'});
+    for (let i = 0; i < 5; i += 1) {
+      expect(upstreamOf(world.arrive('repeatable'))).not.toBe(missing);
+      world.answer(200);
+      world.tell({kind: 'answer-ended', callId: '1'});
+    }
+  });
+});
+
 describe('upstreams that are all busy', () => {
   it('are asked to let the call wait, then asked again after a pause', () => {
     const world = new World(['a', 'b']);
--- a/packages/brain/src/__tests__/reservations.test.ts
+++ b/packages/brain/src/__tests__/reservations.test.ts
@@ -168,6 +168,19 @@
   });
 });
 
+describe('a node that leaves', () => {
+  it('refuses at once, and tells entries not to ask again soon', () => {
+    const world = new World();
+    world.tell({kind: 'leaving'});
+    expect(world.offer('1')).toMatchObject([
+      {
+        refusal: {reason: 'node-leaving', outcome: 'not-run'},
+        hint: {state: 'draining'},
+      },
+    ]);
+  });
+});
+
 describe('what an upstream says of a call', () => {
   it('is passed on as not run when it refused it', () => {
     const world = new World();
--- a/packages/brain/src/entry/entryBrain.ts
+++ b/packages/brain/src/entry/entryBrain.ts
@@ -85,7 +85,7 @@
         return this.answered(now, random, state, event);
       case 'attempt-refused':
         this.attemptEnded(state);
-        this.heard(now, event.upstream, event.hint);
+        this.refusalHeard(now, state, event);
         return this.refused(now, random, state, event.refusal);
       case 'attempt-lost':
         this.attemptEnded(state);
@@ -475,6 +475,18 @@
     }
   }
 
+  private refusalHeard(
+    now: number,
+    state: CallState,
+    event: EntryEvent & {readonly kind: 'attempt-refused'},
+  ): void {
+    const {upstream, hint, refusal} = event;
+    this.heard(now, upstream, hint);
+    if (hint === undefined && refusal.reason === 'no-upstream') {
+      this.loads.isMissing(state.upstream, now);
+    }
+  }
+
   private heard(
     now: number,
     upstream: string,
--- a/packages/brain/src/guard/guardBrain.ts
+++ b/packages/brain/src/guard/guardBrain.ts
@@ -51,7 +51,8 @@
 
   /** What entries are told of an upstream with each answer. */
   hintOf(now: number, upstream: string): LoadHint | undefined {
-    return this.services.upstream(upstream)?.hint(now);
+    const hint = this.services.upstream(upstream)?.hint(now);
+    return hint && this.isLeaving ? {...hint, state: 'draining'} : hint;
   }
 
   /** Identity of the process behind an upstream; undefined when not known. */
@@ -164,9 +165,11 @@
     call: GuardCall,
     upstream: UpstreamGuard,
   ): readonly GuardAction[] {
-    const reason = this.isLeaving
-      ? 'node-leaving'
-      : upstream.refusalReason(now, call);
+    if (this.isLeaving) {
+      const refusal = this.refuseForGood(now, call, upstream, 'node-leaving');
+      return [leavingHint(refusal)];
+    }
+    const reason = upstream.refusalReason(now, call);
     if (reason !== undefined) {
       return [this.refuseForGood(now, call, upstream, reason)];
     }
@@ -488,6 +491,13 @@
   }
 }
 
+/** The upstream may be well, but nothing reaches it through this node. */
+function leavingHint(action: GuardAction): GuardAction {
+  return action.kind === 'refuse' && action.hint !== undefined
+    ? {...action, hint: {...action.hint, state: 'draining'}}
+    : action;
+}
+
 function refuse(
   now: number,
   call: GuardCall,
--- a/packages/fleet/src/__tests__/fleetBrain.test.ts
+++ b/packages/fleet/src/__tests__/fleetBrain.test.ts
@@ -241,6 +241,18 @@
     expect(kinds(actions)).toContain('write');
   });
 
+  it('says that the upstream takes no work when none came after a restart', () => {
+    const world = new World();
+    world.tick();
+    const before = other({...IDENTITY, statedAt: 900});
+    world.read('boxes', [{key: 'b1', value: writeBoxRecord(before)}]);
+    expect(kinds(world.tick(5000))).not.toContain('write');
+    expect(kinds(world.tick(2000))).toContain('write');
+    expect(world.brain.directory.get('b1')?.takesWork).toBe(false);
+    world.tell({kind: 'write-ended', result: {ok: true, value: undefined}});
+    expect(kinds(world.announce())).toEqual(['upstream-changed', 'write']);
+  });
+
   it('is renewed in time', () => {
     const world = new World();
     world.tick();
--- a/packages/fleet/src/fleetBrain.ts
+++ b/packages/fleet/src/fleetBrain.ts
@@ -44,6 +44,9 @@
 /** Time before a failed write of the own record is tried again. */
 const WRITE_PAUSE_MILLISECONDS = 400;
 
+/** Upstreams announce themselves every second or two; three may be lost. */
+const UPSTREAM_PATIENCE_MILLISECONDS = 6000;
+
 /** Knows the fleet as far as this node has heard. */
 export class FleetBrain {
   readonly directory = new BoxDirectory();
@@ -61,6 +64,7 @@
   private writing: BoxRecord | undefined;
   private writeAfter = 0;
   private isStoreLost = false;
+  private startedAt: number | undefined;
   private askAfter = 0;
   private readonly asked = new Set<string>();
 
@@ -116,6 +120,8 @@
     const reads = Object.values(this.followers).flatMap(
       (follower) => follower.due(now, random, nodes) ?? [],
     );
+    this.startedAt ??= now;
+    this.noteMissingUpstream(now);
     this.renew(now);
     this.directory.expire(now);
     return [
@@ -213,6 +219,25 @@
     this.directory.put(this.desired);
   }
 
+  /**
+   * The store says of this box that its upstream takes work, from before a
+   * restart, but no upstream has announced itself since.
+   */
+  private noteMissingUpstream(now: number): void {
+    const {stored, desired, startedAt = now} = this;
+    if (
+      desired === undefined &&
+      stored?.takesWork === true &&
+      now - startedAt > UPSTREAM_PATIENCE_MILLISECONDS
+    ) {
+      this.state(Math.max(now, stored.statedAt + 1), {
+        ...stored,
+        ...this.identity,
+        takesWork: false,
+      });
+    }
+  }
+
   private renew(now: number): void {
     const {desired} = this;
     if (
--- a/packages/routing/src/upstreamLoads.ts
+++ b/packages/routing/src/upstreamLoads.ts
@@ -28,6 +28,10 @@
 /** Milliseconds after which a hint has lost most of its weight. */
 const HINT_LIFE_MILLISECONDS = 1000;
 
+/** Pauses after a guard said that it has no such upstream. */
+const FIRST_MISSING_MILLISECONDS = 300;
+const LONGEST_MISSING_MILLISECONDS = 5000;
+
 /** An upstream that refused new work is left alone this long. */
 const REFUSED_PAUSE_MILLISECONDS = 500;
 
@@ -57,6 +61,8 @@
   /** Its guard could not be reached; not tried again until then. */
   unreachableUntil: number;
   linkFailures: number;
+  /** Times in a row that its guard did not know it. */
+  missed: number;
 }
 
 /** Keeps the loads of the upstreams that this entry has called. */
@@ -82,6 +88,7 @@
     load.hint = hint;
     load.hintedAt = now;
     load.linkFailures = 0;
+    load.missed = 0;
     load.unreachableUntil = 0;
     const refuses = TAKES_NO_WORK.has(hint.state);
     const {doubtedFor, probeIn} = hint;
@@ -90,6 +97,21 @@
     load.refusesProbesUntil = refuses ? now + (probeIn ?? pause) : 0;
   }
 
+  /**
+   * The guard has no such upstream. Its box may have lost it, or not have heard
+   * of it yet after a restart, so that it is asked again, but ever more rarely.
+   */
+  isMissing(upstream: string, now: number): void {
+    const load = this.load(upstream);
+    const pause = Math.min(
+      LONGEST_MISSING_MILLISECONDS,
+      FIRST_MISSING_MILLISECONDS * 2 ** load.missed,
+    );
+    load.missed += 1;
+    load.refusesUntil = now + pause;
+    load.refusesProbesUntil = now + pause;
+  }
+
   /**
    * Nothing was heard from the guard. That says something of the link between
    * the two and nothing of the upstream, so only this entry routes around it.
@@ -170,6 +192,7 @@
       refusesProbesUntil: 0,
       unreachableUntil: 0,
       linkFailures: 0,
+      missed: 0,
     };
     this.loads.set(upstream, made);
     return made;
