A call that already failed is not the probe of a doubted upstream

Change: only first attempts probe, at the entry and at the guard; unreachable guards are tried again within 4 s rather than 8.

--- a/packages/brain/src/entry/upstreamChooser.ts
+++ b/packages/brain/src/entry/upstreamChooser.ts
@@ -37,7 +37,8 @@
     call: ChosenCall,
     excluded: ReadonlySet<string>,
   ): RoutingCandidate | undefined {
-    return this.among(now, random, call, this.candidates(call, excluded));
+    const candidates = this.candidates(call, excluded);
+    return this.among(now, random, {call, mayProbe: false}, candidates);
   }
 
   /** The next upstream, on easier terms when none is left on the present ones. */
@@ -74,7 +75,7 @@
       return this.choose(now, random, call, excluded);
     }
     const open = this.open(now, state).filter(({name}) => !tried.has(name));
-    return this.among(now, random, call, open);
+    return this.among(now, random, {call, mayProbe: mayProbe(state)}, open);
   }
 
   /**
@@ -94,26 +95,23 @@
   }
 
   /** Upstreams of the service that this entry does not route around. */
-  private open(
-    now: number,
-    {call, ran}: CallState,
-  ): readonly RoutingCandidate[] {
-    const mayProbe = call.route.spec.repetition === 'repeatable';
-    return this.candidates(call, ran).filter(
-      ({name}) => !this.context.loads.isAvoided(name, now, mayProbe),
+  private open(now: number, state: CallState): readonly RoutingCandidate[] {
+    const {loads} = this.context;
+    return this.candidates(state.call, state.ran).filter(
+      ({name}) => !loads.isAvoided(name, now, mayProbe(state)),
     );
   }
 
   private among(
     now: number,
     random: RandomSource,
-    call: ChosenCall,
+    {call, mayProbe}: {readonly call: ChosenCall; readonly mayProbe: boolean},
     candidates: readonly RoutingCandidate[],
   ): RoutingCandidate | undefined {
     const {box, dataCentre, loads, settings} = this.context;
     const prefersFew = call.route?.spec.repetition === 'at-most-once';
     return settings.choose(
-      {now, random, dataCentre, box, loads, prefersFew},
+      {now, random, dataCentre, box, loads, prefersFew, mayProbe},
       candidates,
     );
   }
@@ -128,3 +126,8 @@
       .filter(({name, box}) => !excluded.has(name) && boxes.isUsable(box));
   }
 }
+
+/** A call that already failed once had better go where calls end well. */
+function mayProbe({call, ran}: CallState): boolean {
+  return call.route.spec.repetition === 'repeatable' && ran.size === 0;
+}
--- a/packages/brain/src/guard/upstreamGuard.ts
+++ b/packages/brain/src/guard/upstreamGuard.ts
@@ -365,7 +365,9 @@
   /** Repeatable calls find out how it is; others only when all are doubted. */
   private mayRunDoubted(now: number, call: GuardCall): boolean {
     const isProbe =
-      call.repetition === 'repeatable' && this.doubt.untilProbe(now) === 0;
+      call.repetition === 'repeatable' &&
+      call.attempt === 1 &&
+      this.doubt.untilProbe(now) === 0;
     return isProbe || call.mayRunDoubted === true;
   }
 
--- a/packages/node/src/process/fleetHost.ts
+++ b/packages/node/src/process/fleetHost.ts
@@ -54,7 +54,7 @@
 const LINK_PATIENCE = {
   failuresToAvoid: 1,
   firstAvoidanceMilliseconds: 500,
-  longestAvoidanceMilliseconds: 8000,
+  longestAvoidanceMilliseconds: 4000,
 } as const;
 
 /** All that the host needs of the world. */
--- a/packages/routing/src/__tests__/fleetRouting.test.ts
+++ b/packages/routing/src/__tests__/fleetRouting.test.ts
@@ -26,6 +26,7 @@
     box: 'own',
     loads: new UpstreamLoads(),
     prefersFew: false,
+    mayProbe: false,
     ...change,
   };
 }
--- a/packages/routing/src/chooseByScore.ts
+++ b/packages/routing/src/chooseByScore.ts
@@ -53,7 +53,7 @@
   cost += dataCentre === context.dataCentre ? 0 : COST.otherDataCentre;
   cost += box === context.box ? 0 : COST.otherBox;
   cost += now < coldUntil ? COST.cold : 0;
-  cost += loads.isAvoided(name, now, !context.prefersFew) ? COST.avoided : 0;
+  cost += loads.isAvoided(name, now, context.mayProbe) ? COST.avoided : 0;
   return cost;
 }
 
--- a/packages/routing/src/chooseUpstream.ts
+++ b/packages/routing/src/chooseUpstream.ts
@@ -26,6 +26,8 @@
    * such call, so that they had better go to few upstreams.
    */
   readonly prefersFew: boolean;
+  /** The call may find out how a doubted upstream is. */
+  readonly mayProbe: boolean;
 }
 
 /** A way to choose an upstream; undefined only when there is no candidate. */
