--- a/packages/brain/src/__tests__/overdueCalls.test.ts
+++ b/packages/brain/src/__tests__/overdueCalls.test.ts
@@ -304,17 +304,19 @@
 
 describe('a call that failed on one upstream', () => {
   it('is not the probe of a doubted one', () => {
-    const world = new World(['a', 'b', 'c']);
-    const first = upstreamOf(world.arrive('repeatable'));
-    const others = ['s/a', 's/b', 's/c'].filter((name) => name !== first);
-    world.entry.loads.heard(others[0] ?? '', world.now, {
-      state: 'doubted',
-      occupied: 0,
-      limit: 4,
-      doubtedFor: 2000,
-      probeIn: 0,
-    });
-    expect(upstreamOf(world.answer(500))).toBe(others[1]);
+    for (let i = 0; i < 20; i += 1) {
+      const world = new World(['a', 'b', 'c']);
+      const first = upstreamOf(world.arrive('repeatable'));
+      const others = ['s/a', 's/b', 's/c'].filter((name) => name !== first);
+      world.entry.loads.heard(others[0] ?? '', world.now, {
+        state: 'doubted',
+        occupied: 0,
+        limit: 4,
+        doubtedFor: 2000,
+        probeIn: 0,
+      });
+      expect(upstreamOf(world.answer(500))).toBe(others[1]);
+    }
   });
 
   it('is not repeated on a third, though the second failed too', () => {
