--- a/packages/node/src/request/callerExchange.ts
+++ b/packages/node/src/request/callerExchange.ts
@@ -41,6 +41,8 @@
   /** Runs while the guard has neither started the call nor let it wait. */
   silenceTimer: NodeJS.Timeout | undefined;
   overdueTimer: NodeJS.Timeout | undefined;
+  /** Of the attempt under way, counted from when it has its slot. */
+  overdueMilliseconds: number | undefined;
   /** The attempt under way may run: it needs no go, or has been given it. */
   isGoGiven = true;
   /** The attempt under way may have reached its upstream. */
--- a/packages/node/src/request/entryService.ts
+++ b/packages/node/src/request/entryService.ts
@@ -342,6 +342,12 @@
         this.handle({kind: 'attempt-silent', callId});
       }, silenceMilliseconds);
     }
+    exchange.overdueMilliseconds = overdueMilliseconds;
+  }
+
+  /** Time in a guard's queue is not held against the upstream. */
+  private watchForOverdue(exchange: CallerExchange): void {
+    const {id: callId, overdueMilliseconds} = exchange;
     if (overdueMilliseconds !== undefined) {
       exchange.overdueTimer = setTimeout(
         () => this.handle({kind: 'attempt-overdue', callId}),
@@ -354,6 +360,7 @@
   private slotFound(exchange: CallerExchange): void {
     clearTimeout(exchange.silenceTimer);
     exchange.mayHaveBegun = true;
+    this.watchForOverdue(exchange);
     if (exchange.isGoGiven) {
       exchange.streamBody();
       return;
