Reads of the store stay within its rate in a large fleet

Cause: at 3,900 nodes, each change of a box would wake every node, 3,900 reads a second at one change a second, of 2,000 that the store answers. Change: records are gathered for 2 ms a node, polls wait up to 6 ms a node.

--- a/packages/fleet/src/streamFollower.ts
+++ b/packages/fleet/src/streamFollower.ts
@@ -29,6 +29,9 @@
   boxes: 1000,
 };
 
+/** In a large fleet boxes change all the time, and each change wakes every node. */
+const GATHER_PER_NODE_MILLISECONDS = 2;
+
 /**
  * A read of a store that has gone silent hangs until its time is up. Nodes
  * read at different times, and the first to hear tells the others, so that
@@ -41,12 +44,16 @@
   boxes: 20_000,
 };
 
+/** Lets the reads of a large fleet stay within what the store can answer. */
+const LONGEST_WAIT_PER_NODE_MILLISECONDS = 6;
+
 /** One read at a time; every failure is followed by a pause. */
 export class StreamFollower {
   private from: number | undefined;
   private isReading = false;
   private nextAt = 0;
   private failures = 0;
+  private nodes = 1;
 
   constructor(private readonly stream: RecordStream) {}
 
@@ -70,6 +77,7 @@
       return undefined;
     }
     this.isReading = true;
+    this.nodes = nodes;
     const {stream, from} = this;
     return from === undefined
       ? {kind: 'read-newest', stream}
@@ -81,6 +89,13 @@
         };
   }
 
+  private gather(): number {
+    const least = GATHER_MILLISECONDS[this.stream];
+    return this.stream === 'boxes'
+      ? Math.max(least, this.nodes * GATHER_PER_NODE_MILLISECONDS)
+      : least;
+  }
+
   /** Takes in the end of a read. */
   ended(
     now: number,
@@ -92,7 +107,7 @@
       this.failures = 0;
       this.from = result.value.end;
       const isNews = result.value.records.length > 0;
-      this.nextAt = isNews ? now + GATHER_MILLISECONDS[this.stream] : now;
+      this.nextAt = isNews ? now + this.gather() : now;
       return;
     }
     if (result.failure.kind === 'history-gone') {
@@ -115,9 +130,17 @@
   random: RandomSource,
   nodes: number,
 ): number {
-  const longest = Math.min(
+  const longest = Math.max(
     LONGEST_WAIT_MILLISECONDS[stream],
+    nodes * LONGEST_WAIT_PER_NODE_MILLISECONDS,
+  );
+  const wait = Math.min(
+    longest,
+    MOST_WAIT_MILLISECONDS,
     Math.max(SHORTEST_WAIT_MILLISECONDS, nodes * WAIT_PER_NODE_MILLISECONDS),
   );
-  return Math.round(longest * (0.5 + random() / 2));
+  return Math.round(wait * (0.5 + random() / 2));
 }
+
+/** The store lets a read wait no longer than 30 s. */
+const MOST_WAIT_MILLISECONDS = 29_000;
--- a/packages/node/src/process/runFleetNode.ts
+++ b/packages/node/src/process/runFleetNode.ts
@@ -30,7 +30,7 @@
 const SERVE_SHARE = 0.42;
 
 /** Kept of the stop limit for the process to end by itself. */
-const EXIT_RESERVE_MILLISECONDS = 400;
+const EXIT_RESERVE_MILLISECONDS = 600;
 
 /** Added to the time after which idle connections of callers are closed. */
 const IDLE_ALLOWANCE_MILLISECONDS = 1000;
