A configuration that cannot be read is logged, and ends no process

Found by reading: the reader threw, which would have ended the process as an unhandled rejection. Now the version in force stays, and a line names the field.

--- a/packages/fleet/src/__tests__/fleetBrain.test.ts
+++ b/packages/fleet/src/__tests__/fleetBrain.test.ts
@@ -2,7 +2,7 @@
 /** What a node knows of its fleet, through lost answers, lapses and restarts. */
 
 import {describe, expect, it} from 'vitest';
-import {seededRandom} from '@lockpin/utils';
+import {failure, seededRandom, success} from '@lockpin/utils';
 import {RECORD_RENEWAL_MILLISECONDS, writeBoxRecord} from '../boxRecord.js';
 import type {BoxRecord} from '../boxRecord.js';
 import type {DeclaredConfiguration} from '../declaredConfiguration.js';
@@ -63,11 +63,15 @@
 
 class World {
   now = 1000;
-  readonly brain = new FleetBrain(IDENTITY, (record) =>
-    record.key === 'config'
-      ? configuration(Number(record.value?.toString()))
-      : undefined,
-  );
+  readonly brain = new FleetBrain(IDENTITY, (record) => {
+    const version = Number(record.value?.toString());
+    if (record.key !== 'config') {
+      return success(undefined);
+    }
+    return Number.isNaN(version)
+      ? failure({field: 'version', problem: 'give a number'})
+      : success(configuration(version));
+  });
 
   tell(event: FleetEvent): readonly FleetAction[] {
     return this.brain.handle(this.now, random, event);
@@ -108,6 +112,17 @@
     expect(world.brain.version).toBe(7);
   });
 
+  it('stays as it is when a document cannot be read, and the log says why', () => {
+    const world = new World();
+    world.tick();
+    world.read('configuration', [stored(7)]);
+    const record = {key: 'config', value: Buffer.from('broken')};
+    expect(world.read('configuration', [record])).toContainEqual(
+      expect.objectContaining({kind: 'note', event: 'configuration-wrong'}),
+    );
+    expect(world.brain.version).toBe(7);
+  });
+
   it('is taken from a peer when the store does not answer', () => {
     const world = new World();
     world.tick();
--- a/packages/fleet/src/fleetBrain.ts
+++ b/packages/fleet/src/fleetBrain.ts
@@ -4,7 +4,7 @@
  * its own record among them. Decides by (now, random, event) alone.
  */
 
-import type {RandomSource} from '@lockpin/types';
+import type {RandomSource, Result} from '@lockpin/types';
 import {BoxDirectory} from './boxDirectory.js';
 import {
   RECORD_RENEWAL_MILLISECONDS,
@@ -30,10 +30,16 @@
 } from './recordStore.js';
 import {StreamFollower} from './streamFollower.js';
 
-/** Reads the operators' record; undefined when it is none. */
+/** What is wrong with a document that operators wrote. */
+export interface ConfigurationProblem {
+  readonly field: string;
+  readonly problem: string;
+}
+
+/** Reads the operators' record; undefined for a record that is none. */
 export type ReadConfiguration = (
   record: StoredRecord,
-) => DeclaredConfiguration | undefined;
+) => Result<DeclaredConfiguration | undefined, ConfigurationProblem>;
 
 /** Failed reads in a row after which the store counts as lost. */
 const FAILURES_TO_LOSE_STORE = 2;
@@ -154,10 +160,7 @@
     record: StoredRecord,
   ): readonly FleetAction[] {
     if (stream === 'configuration') {
-      const configuration = this.readConfiguration(record);
-      return configuration === undefined
-        ? []
-        : this.adopt(configuration, 'store');
+      return this.takeConfiguration(record);
     }
     const box = record.value && readBoxRecord(record.value);
     if (box !== undefined) {
@@ -166,6 +169,16 @@
     return [];
   }
 
+  /** A document that cannot be read leaves the version in force as it is. */
+  private takeConfiguration(record: StoredRecord): readonly FleetAction[] {
+    const read = this.readConfiguration(record);
+    if (!read.ok) {
+      const {field, problem} = read.failure;
+      return [note('configuration-wrong', record.key, {field, problem})];
+    }
+    return read.value === undefined ? [] : this.adopt(read.value, 'store');
+  }
+
   private learnBox(now: number, record: BoxRecord): void {
     if (record.box !== this.identity.box) {
       this.directory.put(record);
