Fewer and smaller offers where nothing is free

Change: a guard that said within 150 ms that it is full is not asked for a free slot; three offers on each terms rather than four; refusals as rows, whole milliseconds.

--- a/packages/brain/src/__tests__/overdueCalls.test.ts
+++ b/packages/brain/src/__tests__/overdueCalls.test.ts
@@ -213,6 +213,18 @@
   });
 });
 
+describe('an upstream that was full a moment ago', () => {
+  it('is not asked for a free slot, and is asked again soon after', () => {
+    const world = new World(['a', 'b']);
+    const full = {state: 'accepting', occupied: 4, limit: 4} as const;
+    world.entry.loads.heard('s/a', world.now, full);
+    expect(upstreamOf(world.arrive('at-most-once'))).toBe('s/b');
+    const next = world.refuse('s/b', 'upstream-busy');
+    expect(next).toMatchObject([{attempt: {terms: 'may-wait'}}]);
+    expect(world.entry.loads.isFull('s/a', world.now + 151)).toBe(false);
+  });
+});
+
 describe('upstreams that are all busy', () => {
   it('are asked to let the call wait, then asked again after a pause', () => {
     const world = new World(['a', 'b']);
--- a/packages/brain/src/entry/upstreamChooser.ts
+++ b/packages/brain/src/entry/upstreamChooser.ts
@@ -74,10 +74,17 @@
       const excluded = ran.size === 0 ? tried : new Set([...tried, ...ran]);
       return this.choose(now, random, call, excluded);
     }
-    const open = this.open(now, state).filter(({name}) => !tried.has(name));
+    const open = this.open(now, state).filter(
+      ({name}) => !tried.has(name) && this.mayTake(now, name, terms),
+    );
     return this.among(now, random, {call, mayProbe: mayProbe(state)}, open);
   }
 
+  /** An offer that asks for a free slot is not made where none was free. */
+  private mayTake(now: number, name: string, terms: OfferTerms): boolean {
+    return terms !== 'immediate' || !this.context.loads.isFull(name, now);
+  }
+
   /**
    * What to ask for when offers on the present terms were in vain. A doubted
    * upstream is asked only when there is no other: one that is merely busy will
--- a/packages/node/src/process/fleetHost.ts
+++ b/packages/node/src/process/fleetHost.ts
@@ -36,7 +36,7 @@
 const RETRY_SHARE = 0.85;
 
 /** Offers that ask for a free slot at once, then some that may wait. */
-const OFFERS_ON_EACH_TERMS = 4;
+const OFFERS_ON_EACH_TERMS = 3;
 
 /** A slot frees within the time that calls take; the pause doubles. */
 const PAUSE_MILLISECONDS = 30;
@@ -48,7 +48,7 @@
 const SILENCE_MILLISECONDS = 80;
 
 /** Offers in all; each costs a round trip, and the caller waits meanwhile. */
-const MOST_REROUTES = 12;
+const MOST_REROUTES = 8;
 
 /** An offer is answered in a round trip, so one silence is reason enough. */
 const LINK_PATIENCE = {
--- a/packages/node/src/request/callerExchange.ts
+++ b/packages/node/src/request/callerExchange.ts
@@ -106,7 +106,7 @@
       route: shortName(route.name),
       repetition: route.spec.repetition,
       priority: this.urgency(now, attempt),
-      remaining: Math.max(0, attempt.call.deadline - now),
+      remaining: Math.max(0, Math.floor(attempt.call.deadline - now)),
       attempt: attempt.number,
       retryShare: route.spec.retryShare,
       onceKey: onceKey?.text,
@@ -126,8 +126,10 @@
       needsGo,
       terms: attempt.terms,
       usefulFor:
-        usefulFor !== undefined && usefulFor > 0 ? usefulFor : undefined,
-      expectedMilliseconds: attempt.expectedMilliseconds,
+        usefulFor !== undefined && usefulFor > 0
+          ? Math.ceil(usefulFor)
+          : undefined,
+      expectedMilliseconds: rounded(attempt.expectedMilliseconds),
     };
     return this.lastHead;
   }
@@ -243,3 +245,8 @@
 function shortName(name: string): string {
   return name.slice(name.lastIndexOf('/') + 1);
 }
+
+/** Whole milliseconds take a quarter of the bytes on the way. */
+function rounded(milliseconds: number | undefined): number | undefined {
+  return milliseconds === undefined ? undefined : Math.round(milliseconds);
+}
--- a/packages/node/src/request/frames.ts
+++ b/packages/node/src/request/frames.ts
@@ -176,6 +176,24 @@
   'body',
 ] as const satisfies readonly (keyof CallRequest)[];
 
+type RefusalRow = readonly [
+  reason: Refusal['reason'],
+  outcome: Refusal['outcome'],
+  retryAfterMilliseconds: number,
+  upstream: string,
+  hint: LoadHint | undefined,
+];
+
+function refusalRow({refusal, upstream, hint}: RefusalFrame): RefusalRow {
+  const {reason, outcome, retryAfterMilliseconds} = refusal;
+  return [reason, outcome, retryAfterMilliseconds, upstream, hint];
+}
+
+function refusalFrom(row: RefusalRow): RefusalFrame {
+  const [reason, outcome, retryAfterMilliseconds, upstream, hint] = row;
+  return {refusal: {reason, outcome, retryAfterMilliseconds}, upstream, hint};
+}
+
 function toRow<T extends object>(
   fields: readonly (keyof T)[],
   value: T,
@@ -201,7 +219,7 @@
     case 'go':
       return Buffer.concat([kind, encode(toRow(GO_FIELDS, frame.request))]);
     case 'refusal':
-      return Buffer.concat([kind, encode(frame.refusal)]);
+      return Buffer.concat([kind, encode(refusalRow(frame.refusal))]);
     case 'chunk':
       return Buffer.concat([kind, frame.bytes]);
     case 'credit': {
@@ -228,7 +246,7 @@
     case 'go':
       return {kind, request: fromRow<CallRequest>(GO_FIELDS, decode(rest))};
     case 'refusal':
-      return {kind, refusal: decode<RefusalFrame>(rest)};
+      return {kind, refusal: refusalFrom(decode(rest))};
     case 'chunk':
       return {kind, bytes: rest};
     case 'credit':
--- a/packages/routing/src/upstreamLoads.ts
+++ b/packages/routing/src/upstreamLoads.ts
@@ -28,6 +28,9 @@
 /** Milliseconds after which a hint has lost most of its weight. */
 const HINT_LIFE_MILLISECONDS = 1000;
 
+/** A slot frees within about this time where calls take a few hundred. */
+const FULL_MILLISECONDS = 150;
+
 /** Pauses after a guard said that it has no such upstream. */
 const FIRST_MISSING_MILLISECONDS = 300;
 const LONGEST_MISSING_MILLISECONDS = 5000;
@@ -144,6 +147,17 @@
     return Math.max(refuses, load.unreachableUntil) > now;
   }
 
+  /** Whether the guard said a moment ago that no slot is free. */
+  isFull(upstream: string, now: number): boolean {
+    const load = this.loads.get(upstream);
+    const hint = load?.hint;
+    if (load === undefined || hint === undefined) {
+      return false;
+    }
+    const isFresh = now - load.hintedAt <= FULL_MILLISECONDS;
+    return isFresh && hint.occupied >= hint.limit;
+  }
+
   /** What the guard last said, with its age in milliseconds, for logs. */
   lastHint(
     upstream: string,
