The entry's service is split by job

The course of attempts (timers, handlers of exchanges), the refusals before a request is a call, and how much of a body is read stood in one file of 620 lines. Each has a file of its own now; behaviour is as before.

--- /dev/null
+++ b/packages/node/src/request/attemptCourse.ts
@@ -0,0 +1,282 @@
+// Copyright (c) 2026 the lockpin contributors. MIT licence, see LICENSE.
+/** The course of a call's attempts: their timers, and what their guards say. */
+
+import type {Attempt, EntryEvent} from '@lockpin/brain';
+import type {CallerExchange} from './callerExchange.js';
+import type {EntryServiceDependencies} from './entryServiceDependencies.js';
+import type {ExchangeHandlers} from './exchange.js';
+import type {AnswerHead, RefusalFrame} from './frames.js';
+
+/** What the course of attempts needs of the entry's service. */
+export interface AttemptCourseDependencies extends Pick<
+  EntryServiceDependencies,
+  'clock' | 'brain' | 'isOwnBox' | 'needsGo' | 'onSilence' | 'begin'
+> {
+  /** Tells the brain of an event, and does what it decides. */
+  readonly tell: (event: EntryEvent) => void;
+  /** The answer of a call went to its caller, or broke off on the way. */
+  readonly onAnswerOver: (exchange: CallerExchange) => void;
+}
+
+/** Statuses from here on say that the call failed at its upstream. */
+const FIRST_FAILED_STATUS = 500;
+
+/** Makes the attempts of calls, and tells the brain how each goes. */
+export class AttemptCourse {
+  constructor(private readonly dependencies: AttemptCourseDependencies) {}
+
+  /** Waits a little before the next round of attempts. */
+  pause(exchange: CallerExchange, milliseconds: number): void {
+    exchange.attemptSerial += 1;
+    exchange.exchange = undefined;
+    exchange.mayHaveBegun = false;
+    exchange.clearAttemptTimers();
+    exchange.silenceTimer = setTimeout(
+      () => this.dependencies.tell({kind: 'pause-ended', callId: exchange.id}),
+      milliseconds,
+    );
+  }
+
+  /** Offers a call to the guard of a box. */
+  attempt(exchange: CallerExchange, attempt: Attempt): void {
+    exchange.attemptSerial += 1;
+    exchange.heldAnswer = undefined;
+    const {clock, brain} = this.dependencies;
+    const now = clock();
+    const needsGo = this.needsGo(exchange, attempt);
+    const head = exchange.head(now, attempt, needsGo);
+    const known = brain.loads.lastHint(attempt.upstream ?? '', now);
+    exchange.story.offered(
+      exchange.age(clock()),
+      attempt,
+      known && {state: known.hint.state, age: known.age},
+    );
+    exchange.isGoGiven = !needsGo;
+    // Only a guard in this process, or one that waits for a go, tells for sure.
+    const tellsStart = needsGo || this.dependencies.isOwnBox(attempt.box);
+    exchange.mayHaveBegun = !tellsStart || !exchange.isReplayable;
+    this.setAttemptTimers(exchange, attempt, needsGo);
+    const serial = exchange.attemptSerial;
+    const handlers = this.handlersFor(exchange, serial);
+    const begun = this.dependencies.begin(attempt.box, head, handlers);
+    // A guard in this process may have refused, and the next attempt begun.
+    if (exchange.attemptSerial === serial) {
+      exchange.exchange = begun;
+    }
+  }
+
+  /** Breaks off the attempt under way; what still comes of it is ignored. */
+  cancel(exchange: CallerExchange): void {
+    exchange.attemptSerial += 1;
+    exchange.clearAttemptTimers();
+    exchange.exchange?.cancel();
+    exchange.exchange = undefined;
+  }
+
+  /** The attempt under way goes on beside the next one. */
+  keepOverdue(exchange: CallerExchange): void {
+    this.noteEnd(exchange, 'overdue');
+    exchange.overdue = {
+      serial: exchange.attemptSerial,
+      exchange: exchange.exchange,
+      answer: undefined,
+    };
+  }
+
+  /** Breaks off the attempt that goes on beside the one under way. */
+  cancelOverdue(exchange: CallerExchange): void {
+    exchange.overdue?.exchange?.cancel();
+    exchange.overdue = undefined;
+  }
+
+  /** The answer of the overdue attempt is the one to pass on. */
+  takeOverdueAnswer(exchange: CallerExchange): void {
+    exchange.heldAnswer = exchange.overdue?.answer;
+    exchange.overdue = undefined;
+  }
+
+  /** For the story of the call: how the attempt under way ended. */
+  noteEnd(exchange: CallerExchange, end: string): void {
+    exchange.story.ended(exchange.age(this.dependencies.clock()), end);
+  }
+
+  private needsGo(exchange: CallerExchange, {box}: Attempt): boolean {
+    const {repetition} = exchange.call.route.spec;
+    return exchange.isReplayable && this.dependencies.needsGo(box, repetition);
+  }
+
+  private setAttemptTimers(
+    exchange: CallerExchange,
+    {box, overdueMilliseconds, silenceMilliseconds}: Attempt,
+    needsGo: boolean,
+  ): void {
+    const {onSilence} = this.dependencies;
+    const callId = exchange.id;
+    exchange.clearAttemptTimers();
+    if (needsGo) {
+      exchange.silenceTimer = setTimeout(() => {
+        this.noteEnd(exchange, 'guard-silent');
+        onSilence?.(box);
+        this.dependencies.tell({kind: 'attempt-silent', callId});
+      }, silenceMilliseconds);
+    }
+    exchange.overdueMilliseconds = overdueMilliseconds;
+  }
+
+  /** Time in a guard's queue is not held against the upstream. */
+  private watchForOverdue(exchange: CallerExchange): void {
+    const {id: callId, overdueMilliseconds} = exchange;
+    if (overdueMilliseconds !== undefined) {
+      exchange.overdueTimer = setTimeout(
+        () => this.dependencies.tell({kind: 'attempt-overdue', callId}),
+        overdueMilliseconds,
+      );
+    }
+  }
+
+  /** The guard has a slot for the call. */
+  private slotFound(exchange: CallerExchange): void {
+    clearTimeout(exchange.silenceTimer);
+    exchange.mayHaveBegun = true;
+    this.watchForOverdue(exchange);
+    if (exchange.isGoGiven) {
+      exchange.streamBody();
+      return;
+    }
+    exchange.isGoGiven = true;
+    exchange.go();
+  }
+
+  private handlersFor(
+    exchange: CallerExchange,
+    serial: number,
+  ): ExchangeHandlers {
+    const isCurrent = (): boolean =>
+      exchange.attemptSerial === serial && !exchange.isOver;
+    const ifCurrent = (act: () => void): void => {
+      if (isCurrent()) {
+        act();
+      }
+    };
+    const ifOverdue = (act: () => void): void => {
+      if (exchange.overdue?.serial === serial && !exchange.isOver) {
+        act();
+      }
+    };
+    const overdueEnded = (): void =>
+      ifOverdue(() => this.overdueEnded(exchange));
+    return {
+      onContinue: () => ifCurrent(() => this.slotFound(exchange)),
+      onQueued: () => ifCurrent(() => clearTimeout(exchange.silenceTimer)),
+      onAnswer: (head) => {
+        ifOverdue(() => this.overdueAnswered(exchange, head));
+        ifCurrent(() => this.answered(exchange, head));
+      },
+      onChunk: (bytes) => this.chunk(exchange, isCurrent(), bytes),
+      onEnd: () => ifCurrent(() => this.answerEnded(exchange)),
+      onRefusal: (refusal) => {
+        overdueEnded();
+        ifCurrent(() => this.refused(exchange, refusal));
+      },
+      onLost: (wasSent) => {
+        overdueEnded();
+        ifCurrent(() => this.lost(exchange, wasSent && exchange.mayHaveBegun));
+      },
+    };
+  }
+
+  private answerEnded(exchange: CallerExchange): void {
+    exchange.sendEnd();
+    this.dependencies.onAnswerOver(exchange);
+  }
+
+  private refused(
+    exchange: CallerExchange,
+    {refusal, upstream, hint}: RefusalFrame,
+  ): void {
+    const callId = exchange.id;
+    exchange.clearAttemptTimers();
+    this.noteEnd(exchange, refusal.reason);
+    this.dependencies.tell({
+      kind: 'attempt-refused',
+      callId,
+      refusal,
+      upstream,
+      hint,
+    });
+  }
+
+  private answered(exchange: CallerExchange, head: AnswerHead): void {
+    const callId = exchange.id;
+    exchange.heldAnswer = head;
+    const {status, hint, ranMilliseconds} = head;
+    const isWhole = !head.hasMore;
+    exchange.clearAttemptTimers();
+    this.noteEnd(exchange, String(status));
+    this.dependencies.tell({
+      kind: 'attempt-answered',
+      callId,
+      status,
+      isWhole,
+      hint,
+      ranMilliseconds,
+    });
+  }
+
+  /** Only an answer that is at hand whole can take the place of another. */
+  private overdueAnswered(exchange: CallerExchange, head: AnswerHead): void {
+    const {id: callId, overdue} = exchange;
+    if (overdue === undefined || head.hasMore) {
+      overdue?.exchange?.cancel();
+      this.overdueEnded(exchange);
+      return;
+    }
+    const {status, hint, ranMilliseconds} = head;
+    overdue.answer = head;
+    if (status >= FIRST_FAILED_STATUS) {
+      exchange.overdue = undefined;
+    }
+    this.dependencies.tell({
+      kind: 'overdue-answered',
+      callId,
+      status,
+      hint,
+      ranMilliseconds,
+    });
+  }
+
+  private overdueEnded(exchange: CallerExchange): void {
+    exchange.overdue = undefined;
+    this.dependencies.tell({kind: 'overdue-ended', callId: exchange.id});
+  }
+
+  private chunk(
+    exchange: CallerExchange,
+    isCurrent: boolean,
+    bytes: Buffer,
+  ): boolean {
+    if (!isCurrent) {
+      return true;
+    }
+    const hasRoom = exchange.sendChunk(bytes);
+    if (!hasRoom) {
+      exchange.onDrain(() => exchange.exchange?.resume());
+    }
+    return hasRoom;
+  }
+
+  private lost(exchange: CallerExchange, wasSent: boolean): void {
+    if (exchange.hasBegun) {
+      exchange.breakOff();
+      this.dependencies.onAnswerOver(exchange);
+      return;
+    }
+    exchange.clearAttemptTimers();
+    this.noteEnd(exchange, 'guard-lost');
+    this.dependencies.tell({
+      kind: 'attempt-lost',
+      callId: exchange.id,
+      wasSent,
+    });
+  }
+}
--- a/packages/node/src/request/callerExchange.ts
+++ b/packages/node/src/request/callerExchange.ts
@@ -70,6 +70,11 @@
     return this.body !== undefined;
   }
 
+  /** Since the call arrived, in milliseconds. */
+  age(now: number): number {
+    return now - this.arrivedAt;
+  }
+
   /** Ends the timers of the attempt under way. */
   clearAttemptTimers(): void {
     clearTimeout(this.silenceTimer);
--- /dev/null
+++ b/packages/node/src/request/earlyRefusals.ts
@@ -0,0 +1,61 @@
+// Copyright (c) 2026 the lockpin contributors. MIT licence, see LICENSE.
+/** Refusals of requests that never became calls. */
+
+import type {IncomingMessage, ServerResponse} from 'node:http';
+import type {Refusal, RefusalReason} from '@lockpin/types';
+import {HELD_BODY_BYTES} from './callerExchange.js';
+import type {EntryServiceDependencies} from './entryServiceDependencies.js';
+
+/** When a caller of a node that is not ready may come back, in milliseconds. */
+const NOT_READY_RETRY_MILLISECONDS = 500;
+
+/** A request that is refused before it is a call. */
+export interface RefusedRequest {
+  readonly response: ServerResponse;
+  readonly requestId: string;
+  /** Given when its body was not read yet. */
+  readonly request?: IncomingMessage;
+}
+
+/** Why this node takes no request at all now; undefined when it does. */
+export function reasonNotToServe({
+  isLeaving,
+  isReady,
+}: Pick<EntryServiceDependencies, 'isLeaving' | 'isReady'>):
+  RefusalReason | undefined {
+  if (isLeaving()) {
+    return 'node-leaving';
+  }
+  return isReady() ? undefined : 'not-ready';
+}
+
+/** Refuses a request; its connection is kept if what is left of it is short. */
+export function refuseEarly(
+  dependencies: Pick<
+    EntryServiceDependencies,
+    'protocol' | 'metrics' | 'logger'
+  >,
+  {response, requestId, request}: RefusedRequest,
+  reason: RefusalReason,
+): void {
+  const {protocol, metrics, logger} = dependencies;
+  const refusal: Refusal = {
+    reason,
+    outcome: 'not-run',
+    retryAfterMilliseconds:
+      reason === 'not-ready' ? NOT_READY_RETRY_MILLISECONDS : 0,
+  };
+  if (request === undefined || !hasShortBody(request)) {
+    response.shouldKeepAlive = false;
+  }
+  protocol.refuse(response, refusal, requestId, {});
+  request?.resume();
+  metrics.increment('calls.refused', {reason});
+  logger.debug('call refused', {requestId, reason});
+}
+
+/** Whether what is left of a request can be read and dropped at no great cost. */
+function hasShortBody({headers}: IncomingMessage): boolean {
+  const length = Number(headers['content-length'] ?? 0);
+  return !('transfer-encoding' in headers) && length <= HELD_BODY_BYTES;
+}
--- a/packages/node/src/request/entryService.ts
+++ b/packages/node/src/request/entryService.ts
@@ -2,70 +2,34 @@
 /** The entry's side of a call: from the caller's request to its answer. */
 
 import type {IncomingMessage, ServerResponse} from 'node:http';
-import type {
-  Attempt,
-  EntryAction,
-  EntryBrain,
-  EntryEvent,
-} from '@lockpin/brain';
+import type {EntryAction, EntryEvent} from '@lockpin/brain';
 import type {ServiceView} from '@lockpin/configuration';
-import type {Logger} from '@lockpin/logger';
 import {mintOnceKey} from '@lockpin/once';
-import type {
-  Clock,
-  RandomSource,
-  Refusal,
-  RefusalReason,
-  Repetition,
-} from '@lockpin/types';
+import type {Refusal} from '@lockpin/types';
 import {sha256Hex} from '@lockpin/utils';
-import type {NodeMetrics} from '../process/metrics.js';
-import {
-  CallerExchange,
-  HELD_BODY_BYTES,
-  ONCE_BODY_BYTES,
-} from './callerExchange.js';
-import type {CallerProtocol} from './callerProtocol.js';
+import {AttemptCourse} from './attemptCourse.js';
+import {readBodyFor} from './callerBody.js';
+import {CallerExchange, HELD_BODY_BYTES} from './callerExchange.js';
 import type {CallerRequest} from './callerRequest.js';
 import type {CallRecord} from './callStory.js';
-import type {Exchange, ExchangeHandlers} from './exchange.js';
-import type {AnswerHead, CallHead} from './frames.js';
-import {readBody} from './readBody.js';
+import {reasonNotToServe, refuseEarly} from './earlyRefusals.js';
+import type {EntryServiceDependencies} from './entryServiceDependencies.js';
 
-/** What the entry's service needs of its process. */
-export interface EntryServiceDependencies {
-  readonly clock: Clock;
-  readonly random: RandomSource;
-  readonly brain: EntryBrain;
-  readonly logger: Logger;
-  readonly metrics: NodeMetrics;
-  readonly largestBodyBytes: () => number;
-  readonly protocol: CallerProtocol;
-  readonly isReady: () => boolean;
-  readonly isLeaving: () => boolean;
-  /** The process now on a box, for minting once keys. */
-  readonly incarnation: (box: string) => string | undefined;
-  readonly isOwnBox: (box: string) => boolean;
-  /** Whether a guard must reserve a slot for a call before it may run it. */
-  readonly needsGo: (box: string, repetition: Repetition) => boolean;
-  /** The guard of a box was silent. */
-  readonly onSilence?: (box: string) => void;
-  /** Told of every call at its end. */
-  readonly onEnded?: (record: CallRecord) => void;
-  /** Begins an exchange with the guard of a box. */
-  readonly begin: (
-    box: string,
-    head: CallHead,
-    handlers: ExchangeHandlers,
-  ) => Exchange;
-}
+export type {EntryServiceDependencies} from './entryServiceDependencies.js';
 
 /** Calls from callers, each until its answer or refusal. */
 export class EntryService {
   private readonly exchanges = new Map<string, CallerExchange>();
+  private readonly course: AttemptCourse;
   private serial = 0;
 
-  constructor(private readonly dependencies: EntryServiceDependencies) {}
+  constructor(private readonly dependencies: EntryServiceDependencies) {
+    this.course = new AttemptCourse({
+      ...dependencies,
+      tell: (event) => this.handle(event),
+      onAnswerOver: (exchange) => this.ended(exchange),
+    });
+  }
 
   /** Calls that have no answer yet. */
   get callCount(): number {
@@ -91,22 +55,24 @@
     request: IncomingMessage,
     response: ServerResponse,
   ): Promise<void> {
-    const arrivedAt = this.dependencies.clock();
-    const {protocol} = this.dependencies;
+    const {clock, protocol, largestBodyBytes} = this.dependencies;
+    const arrivedAt = clock();
     const requestId = protocol.requestId(request);
-    const reason = this.reasonNotToServe();
+    const unread = {request, response, requestId};
+    const reason = reasonNotToServe(this.dependencies);
     if (reason !== undefined) {
-      this.refuseEarly(response, requestId, reason, request);
+      refuseEarly(this.dependencies, unread, reason);
       return;
     }
     const read = protocol.read(request);
     if (!read.ok) {
-      this.refuseEarly(response, requestId, read.failure, request);
+      refuseEarly(this.dependencies, unread, read.failure);
       return;
     }
-    const body = await this.readBodyFor(request, read.value);
+    const body = await readBodyFor(request, read.value, largestBodyBytes());
     if (body === 'too-large') {
-      this.refuseEarly(response, requestId, 'body-too-large');
+      const partlyRead = {response, requestId};
+      refuseEarly(this.dependencies, partlyRead, 'body-too-large');
       return;
     }
     if (body === 'cut' || response.destroyed) {
@@ -126,35 +92,6 @@
       : undefined;
   }
 
-  private reasonNotToServe(): RefusalReason | undefined {
-    if (this.dependencies.isLeaving()) {
-      return 'node-leaving';
-    }
-    return this.dependencies.isReady() ? undefined : 'not-ready';
-  }
-
-  private async readBodyFor(
-    request: IncomingMessage,
-    call: CallerRequest,
-  ): Promise<Buffer | undefined | 'too-large' | 'cut'> {
-    const largestBodyBytes = this.dependencies.largestBodyBytes();
-    const length = Number(request.headers['content-length'] ?? Number.NaN);
-    if (length > largestBodyBytes) {
-      return 'too-large';
-    }
-    if (call.onceKey !== undefined) {
-      return readBody(request, ONCE_BODY_BYTES);
-    }
-    const hasNoBody =
-      Number.isNaN(length) && !('transfer-encoding' in request.headers);
-    if (hasNoBody) {
-      return EMPTY;
-    }
-    return length <= HELD_BODY_BYTES
-      ? readBody(request, HELD_BODY_BYTES)
-      : undefined;
-  }
-
   private arrived(
     request: IncomingMessage,
     response: ServerResponse,
@@ -223,14 +160,10 @@
 
   private deadlinePassed(exchange: CallerExchange): void {
     const wasSent = exchange.mayHaveBegun;
-    exchange.story.ended(this.age(exchange), 'deadline-passed');
+    this.course.noteEnd(exchange, 'deadline-passed');
     this.handle({kind: 'deadline-passed', callId: exchange.id, wasSent});
   }
 
-  private age(exchange: CallerExchange): number {
-    return this.dependencies.clock() - exchange.arrivedAt;
-  }
-
   private handle(event: EntryEvent): void {
     const {brain, clock, random} = this.dependencies;
     for (const action of brain.handle(clock(), random, event)) {
@@ -247,7 +180,7 @@
     }
     switch (action.kind) {
       case 'attempt':
-        this.attempt(exchange, action.attempt);
+        this.course.attempt(exchange, action.attempt);
         break;
       case 'refuse':
         this.refuse(exchange, action.refusal);
@@ -256,221 +189,24 @@
         this.passAnswer(exchange);
         break;
       case 'pause':
-        this.pause(exchange, action.milliseconds);
+        this.course.pause(exchange, action.milliseconds);
         break;
       case 'keep-overdue':
-        exchange.story.ended(this.age(exchange), 'overdue');
-        exchange.overdue = {
-          serial: exchange.attemptSerial,
-          exchange: exchange.exchange,
-          answer: undefined,
-        };
+        this.course.keepOverdue(exchange);
         break;
       case 'cancel-overdue':
-        exchange.overdue?.exchange?.cancel();
-        exchange.overdue = undefined;
+        this.course.cancelOverdue(exchange);
         break;
       case 'pass-overdue-answer':
-        exchange.heldAnswer = exchange.overdue?.answer;
-        exchange.overdue = undefined;
+        this.course.takeOverdueAnswer(exchange);
         this.passAnswer(exchange);
         break;
       case 'cancel-attempt':
-        exchange.attemptSerial += 1;
-        exchange.clearAttemptTimers();
-        exchange.exchange?.cancel();
-        exchange.exchange = undefined;
+        this.course.cancel(exchange);
         break;
     }
   }
 
-  private pause(exchange: CallerExchange, milliseconds: number): void {
-    exchange.attemptSerial += 1;
-    exchange.exchange = undefined;
-    exchange.mayHaveBegun = false;
-    exchange.clearAttemptTimers();
-    exchange.silenceTimer = setTimeout(
-      () => this.handle({kind: 'pause-ended', callId: exchange.id}),
-      milliseconds,
-    );
-  }
-
-  private attempt(exchange: CallerExchange, attempt: Attempt): void {
-    exchange.attemptSerial += 1;
-    exchange.heldAnswer = undefined;
-    const {clock, brain} = this.dependencies;
-    const now = clock();
-    const needsGo = this.needsGo(exchange, attempt);
-    const head = exchange.head(now, attempt, needsGo);
-    const known = brain.loads.lastHint(attempt.upstream ?? '', now);
-    exchange.story.offered(
-      this.age(exchange),
-      attempt,
-      known && {state: known.hint.state, age: known.age},
-    );
-    exchange.isGoGiven = !needsGo;
-    // Only a guard in this process, or one that waits for a go, tells for sure.
-    const tellsStart = needsGo || this.dependencies.isOwnBox(attempt.box);
-    exchange.mayHaveBegun = !tellsStart || !exchange.isReplayable;
-    this.setAttemptTimers(exchange, attempt, needsGo);
-    const serial = exchange.attemptSerial;
-    const handlers = this.handlersFor(exchange, serial);
-    const begun = this.dependencies.begin(attempt.box, head, handlers);
-    // A guard in this process may have refused, and the next attempt begun.
-    if (exchange.attemptSerial === serial) {
-      exchange.exchange = begun;
-    }
-  }
-
-  private needsGo(exchange: CallerExchange, {box}: Attempt): boolean {
-    const {repetition} = exchange.call.route.spec;
-    return exchange.isReplayable && this.dependencies.needsGo(box, repetition);
-  }
-
-  private setAttemptTimers(
-    exchange: CallerExchange,
-    {box, overdueMilliseconds, silenceMilliseconds}: Attempt,
-    needsGo: boolean,
-  ): void {
-    const {onSilence} = this.dependencies;
-    const callId = exchange.id;
-    exchange.clearAttemptTimers();
-    if (needsGo) {
-      exchange.silenceTimer = setTimeout(() => {
-        exchange.story.ended(this.age(exchange), 'guard-silent');
-        onSilence?.(box);
-        this.handle({kind: 'attempt-silent', callId});
-      }, silenceMilliseconds);
-    }
-    exchange.overdueMilliseconds = overdueMilliseconds;
-  }
-
-  /** Time in a guard's queue is not held against the upstream. */
-  private watchForOverdue(exchange: CallerExchange): void {
-    const {id: callId, overdueMilliseconds} = exchange;
-    if (overdueMilliseconds !== undefined) {
-      exchange.overdueTimer = setTimeout(
-        () => this.handle({kind: 'attempt-overdue', callId}),
-        overdueMilliseconds,
-      );
-    }
-  }
-
-  /** The guard has a slot for the call. */
-  private slotFound(exchange: CallerExchange): void {
-    clearTimeout(exchange.silenceTimer);
-    exchange.mayHaveBegun = true;
-    this.watchForOverdue(exchange);
-    if (exchange.isGoGiven) {
-      exchange.streamBody();
-      return;
-    }
-    exchange.isGoGiven = true;
-    exchange.go();
-  }
-
-  private handlersFor(
-    exchange: CallerExchange,
-    serial: number,
-  ): ExchangeHandlers {
-    const callId = exchange.id;
-    const isOverdue = (): boolean =>
-      exchange.overdue?.serial === serial && !exchange.isOver;
-    const isCurrent = (): boolean =>
-      exchange.attemptSerial === serial && !exchange.isOver;
-    const ifOverdue = (act: () => void): void => {
-      if (isOverdue()) {
-        act();
-      }
-    };
-    const overdueEnded = (): void =>
-      ifOverdue(() => {
-        exchange.overdue = undefined;
-        this.handle({kind: 'overdue-ended', callId});
-      });
-    const ifCurrent = (act: () => void): void => {
-      if (isCurrent()) {
-        act();
-      }
-    };
-    return {
-      onContinue: () => ifCurrent(() => this.slotFound(exchange)),
-      onQueued: () => ifCurrent(() => clearTimeout(exchange.silenceTimer)),
-      onAnswer: (head) => {
-        ifOverdue(() => this.overdueAnswered(exchange, head));
-        ifCurrent(() => this.answered(exchange, callId, head));
-      },
-      onChunk: (bytes) => this.chunk(exchange, isCurrent(), bytes),
-      onEnd: () =>
-        ifCurrent(() => {
-          exchange.sendEnd();
-          this.ended(exchange);
-        }),
-      onRefusal: ({refusal, upstream, hint}) => {
-        overdueEnded();
-        ifCurrent(() => {
-          exchange.clearAttemptTimers();
-          exchange.story.ended(this.age(exchange), refusal.reason);
-          this.handle({
-            kind: 'attempt-refused',
-            callId,
-            refusal,
-            upstream,
-            hint,
-          });
-        });
-      },
-      onLost: (wasSent) => {
-        overdueEnded();
-        ifCurrent(() => this.lost(exchange, wasSent && exchange.mayHaveBegun));
-      },
-    };
-  }
-
-  private answered(
-    exchange: CallerExchange,
-    callId: string,
-    head: AnswerHead,
-  ): void {
-    exchange.heldAnswer = head;
-    const {status, hint, ranMilliseconds} = head;
-    const isWhole = !head.hasMore;
-    exchange.clearAttemptTimers();
-    exchange.story.ended(this.age(exchange), String(status));
-    this.handle({
-      kind: 'attempt-answered',
-      callId,
-      status,
-      isWhole,
-      hint,
-      ranMilliseconds,
-    });
-  }
-
-  /** Only an answer that is at hand whole can take the place of another. */
-  private overdueAnswered(exchange: CallerExchange, head: AnswerHead): void {
-    const callId = exchange.id;
-    const {overdue} = exchange;
-    if (overdue === undefined || head.hasMore) {
-      overdue?.exchange?.cancel();
-      exchange.overdue = undefined;
-      this.handle({kind: 'overdue-ended', callId});
-      return;
-    }
-    const {status, hint, ranMilliseconds} = head;
-    overdue.answer = head;
-    if (status >= FIRST_FAILED_STATUS) {
-      exchange.overdue = undefined;
-    }
-    this.handle({
-      kind: 'overdue-answered',
-      callId,
-      status,
-      hint,
-      ranMilliseconds,
-    });
-  }
-
   private passAnswer(exchange: CallerExchange): void {
     const head = exchange.heldAnswer;
     if (head === undefined) {
@@ -478,7 +214,7 @@
     }
     const {metrics, clock} = this.dependencies;
     metrics.increment('calls.answered');
-    metrics.timing('calls.milliseconds', clock() - exchange.arrivedAt);
+    metrics.timing('calls.milliseconds', exchange.age(clock()));
     exchange.heldAnswer = undefined;
     exchange.sendHead(head);
     this.record(exchange, 'answered', '');
@@ -501,37 +237,11 @@
       outcome,
       reason,
       status,
-      milliseconds: Math.round(this.age(exchange)),
+      milliseconds: Math.round(exchange.age(this.dependencies.clock())),
       attempts: story.attempts,
     });
   }
 
-  private chunk(
-    exchange: CallerExchange,
-    isCurrent: boolean,
-    bytes: Buffer,
-  ): boolean {
-    if (!isCurrent) {
-      return true;
-    }
-    const hasRoom = exchange.sendChunk(bytes);
-    if (!hasRoom) {
-      exchange.onDrain(() => exchange.exchange?.resume());
-    }
-    return hasRoom;
-  }
-
-  private lost(exchange: CallerExchange, wasSent: boolean): void {
-    if (exchange.hasBegun) {
-      exchange.breakOff();
-      this.ended(exchange);
-      return;
-    }
-    exchange.clearAttemptTimers();
-    exchange.story.ended(this.age(exchange), 'guard-lost');
-    this.handle({kind: 'attempt-lost', callId: exchange.id, wasSent});
-  }
-
   private refuse(exchange: CallerExchange, refusal: Refusal): void {
     if (exchange.hasBegun) {
       exchange.breakOff();
@@ -555,26 +265,6 @@
     return key === undefined ? {} : {'lockpin-fresh-once-key': key};
   }
 
-  private refuseEarly(
-    response: ServerResponse,
-    requestId: string,
-    reason: RefusalReason,
-    request?: IncomingMessage,
-  ): void {
-    const refusal: Refusal = {
-      reason,
-      outcome: 'not-run',
-      retryAfterMilliseconds: reason === 'not-ready' ? 500 : 0,
-    };
-    if (request === undefined || !hasShortBody(request)) {
-      response.shouldKeepAlive = false;
-    }
-    this.dependencies.protocol.refuse(response, refusal, requestId, {});
-    request?.resume();
-    this.dependencies.metrics.increment('calls.refused', {reason});
-    this.dependencies.logger.debug('call refused', {requestId, reason});
-  }
-
   private note(exchange: CallerExchange, refusal: Refusal): void {
     const {reason, outcome} = refusal;
     const {requestId, call} = exchange;
@@ -608,14 +298,3 @@
     this.exchanges.delete(exchange.id);
   }
 }
-
-const EMPTY = Buffer.alloc(0);
-
-/** Statuses from here on say that the call failed at its upstream. */
-const FIRST_FAILED_STATUS = 500;
-
-/** Whether what is left of a request can be read and dropped at no great cost. */
-function hasShortBody({headers}: IncomingMessage): boolean {
-  const length = Number(headers['content-length'] ?? 0);
-  return !('transfer-encoding' in headers) && length <= HELD_BODY_BYTES;
-}
--- /dev/null
+++ b/packages/node/src/request/entryServiceDependencies.ts
@@ -0,0 +1,39 @@
+// Copyright (c) 2026 the lockpin contributors. MIT licence, see LICENSE.
+/** What the entry's service needs of its process. */
+
+import type {EntryBrain} from '@lockpin/brain';
+import type {Logger} from '@lockpin/logger';
+import type {Clock, RandomSource, Repetition} from '@lockpin/types';
+import type {NodeMetrics} from '../process/metrics.js';
+import type {CallerProtocol} from './callerProtocol.js';
+import type {CallRecord} from './callStory.js';
+import type {Exchange, ExchangeHandlers} from './exchange.js';
+import type {CallHead} from './frames.js';
+
+/** What the entry's service needs of its process. */
+export interface EntryServiceDependencies {
+  readonly clock: Clock;
+  readonly random: RandomSource;
+  readonly brain: EntryBrain;
+  readonly logger: Logger;
+  readonly metrics: NodeMetrics;
+  readonly largestBodyBytes: () => number;
+  readonly protocol: CallerProtocol;
+  readonly isReady: () => boolean;
+  readonly isLeaving: () => boolean;
+  /** The process now on a box, for minting once keys. */
+  readonly incarnation: (box: string) => string | undefined;
+  readonly isOwnBox: (box: string) => boolean;
+  /** Whether a guard must reserve a slot for a call before it may run it. */
+  readonly needsGo: (box: string, repetition: Repetition) => boolean;
+  /** The guard of a box was silent. */
+  readonly onSilence?: (box: string) => void;
+  /** Told of every call at its end. */
+  readonly onEnded?: (record: CallRecord) => void;
+  /** Begins an exchange with the guard of a box. */
+  readonly begin: (
+    box: string,
+    head: CallHead,
+    handlers: ExchangeHandlers,
+  ) => Exchange;
+}
