The guard's service hands the way to the upstream to its own module

The dispatch, with its answers, is upstreamDispatch now, and what is kept of a call is guardExchange; behaviour is as before.

--- a/packages/node/src/request/guardService.ts
+++ b/packages/node/src/request/guardService.ts
@@ -1,30 +1,20 @@
 // Copyright (c) 2026 the lockpin contributors. MIT licence, see LICENSE.
 /** The guard's side of an exchange: from an offered call to its upstream. */
 
-import {Readable} from 'node:stream';
-import type {Dispatcher} from 'undici';
-import type {
-  GuardAction,
-  GuardBrain,
-  GuardCall,
-  GuardEvent,
-} from '@lockpin/brain';
+import type {GuardAction, GuardBrain, GuardEvent} from '@lockpin/brain';
 import type {StoredAnswer} from '@lockpin/once';
 import type {Clock, RandomSource} from '@lockpin/types';
 import type {UpstreamPools} from '../connection/upstreamPools.js';
 import type {Exchange, ExchangeHandlers} from './exchange.js';
 import type {CallHead} from './frames.js';
-import {headerRecord} from './headers.js';
-import {UpstreamAnswer} from './upstreamAnswer.js';
-import {LOCKPIN_UPSTREAM_PROTOCOL} from './upstreamProtocol.js';
+import {guardCall, NO_HANDLERS} from './guardExchange.js';
+import type {GuardExchange} from './guardExchange.js';
+import {UpstreamDispatch} from './upstreamDispatch.js';
 import type {UpstreamProtocol} from './upstreamProtocol.js';
 
 /** The guard gives up this much earlier than the entry, so as to be heard. */
 const HOP_ALLOWANCE_MILLISECONDS = 5;
 
-/** Statuses below this announce an answer rather than being one. */
-const FIRST_FINAL_STATUS = 200;
-
 /** Milliseconds between ticks while calls are under way. */
 const BUSY_TICK_MILLISECONDS = 20;
 
@@ -63,40 +53,21 @@
   readonly ranMilliseconds: number;
 }
 
-interface GuardExchange {
-  /** Given here: what entries call their calls need not differ. */
-  readonly id: string;
-  /** Its request comes with the go where there is one. */
-  head: CallHead;
-  handlers: ExchangeHandlers;
-  readonly timer: NodeJS.Timeout;
-  readonly offeredAt: number;
-  readonly deadline: number;
-  upstream: string;
-  sentAt: number | undefined;
-  controller: Dispatcher.DispatchController | undefined;
-  requestBody: Readable | undefined;
-  isAborted: boolean;
-  answer: UpstreamAnswer | undefined;
-}
-
-const NO_HANDLERS: ExchangeHandlers = {
-  onContinue: () => undefined,
-  onQueued: () => undefined,
-  onAnswer: () => undefined,
-  onChunk: () => true,
-  onEnd: () => undefined,
-  onRefusal: () => undefined,
-  onLost: () => undefined,
-};
-
 /** Offers calls to the guard's brain and does what it decides. */
 export class GuardService {
   private readonly exchanges = new Map<string, GuardExchange>();
+  private readonly dispatch: UpstreamDispatch;
   private serial = 0;
   private stopTicking: (() => void) | undefined;
 
-  constructor(private readonly dependencies: GuardServiceDependencies) {}
+  constructor(private readonly dependencies: GuardServiceDependencies) {
+    this.dispatch = new UpstreamDispatch({
+      ...dependencies,
+      tell: (event) => this.handle(event),
+      isUnderWay: ({id}) => this.exchanges.has(id),
+      onAnswered: (exchange, status) => this.answered(exchange, status),
+    });
+  }
 
   /** Calls accepted and not yet ended. */
   get callCount(): number {
@@ -113,14 +84,29 @@
 
   /** Begins an exchange; every call ends in an answer, a refusal or a loss. */
   begin(head: CallHead, handlers: ExchangeHandlers): Exchange {
-    const allowance =
-      head.remaining > SHORT_CALL_MILLISECONDS ? HOP_ALLOWANCE_MILLISECONDS : 0;
-    const patience = Math.max(0, head.remaining - allowance);
+    const patience = patienceOf(head);
+    const now = this.dependencies.clock();
+    const exchange = this.exchange(head, handlers, now, patience);
+    this.exchanges.set(exchange.id, exchange);
+    this.stopTicking ??= this.dependencies.every(BUSY_TICK_MILLISECONDS, () =>
+      this.busyTick(),
+    );
+    this.handle({
+      kind: 'call-offered',
+      call: guardCall(exchange.id, head, now, now + patience),
+    });
+    return this.controls(exchange);
+  }
+
+  private exchange(
+    head: CallHead,
+    handlers: ExchangeHandlers,
+    now: number,
+    patience: number,
+  ): GuardExchange {
     this.serial += 1;
     const callId = String(this.serial);
-    const now = this.dependencies.clock();
-    const deadline = now + patience;
-    const exchange: GuardExchange = {
+    return {
       id: callId,
       head,
       handlers,
@@ -137,15 +123,6 @@
       isAborted: false,
       answer: undefined,
     };
-    this.exchanges.set(callId, exchange);
-    this.stopTicking ??= this.dependencies.every(BUSY_TICK_MILLISECONDS, () =>
-      this.busyTick(),
-    );
-    this.handle({
-      kind: 'call-offered',
-      call: guardCall(callId, head, now, deadline),
-    });
-    return this.controls(exchange);
   }
 
   /** Deadlines and slowness are looked at often while calls are under way. */
@@ -185,7 +162,7 @@
     }
     switch (action.kind) {
       case 'run':
-        this.run(exchange, action.upstream);
+        this.dispatch.run(exchange, action.upstream);
         break;
       case 'reserve':
         exchange.handlers.onContinue();
@@ -200,9 +177,7 @@
         this.answerStored(exchange, action.answer);
         break;
       case 'abort':
-        exchange.isAborted = true;
-        exchange.requestBody?.destroy();
-        exchange.controller?.abort(new Error('given up'));
+        this.dispatch.abort(exchange);
         break;
     }
   }
@@ -243,185 +218,9 @@
     });
   }
 
-  private run(exchange: GuardExchange, upstream: string): void {
-    const {head, deadline} = exchange;
-    const {pools, clock, brain} = this.dependencies;
-    const isSingle = head.repetition === 'at-most-once';
-    const pool = isSingle ? pools.single(upstream) : pools.get(upstream);
-    if (pool === undefined) {
-      this.handle({
-        kind: 'upstream-failed',
-        callId: exchange.id,
-        wasSent: false,
-      });
-      return;
-    }
-    if (head.hasMore) {
-      exchange.requestBody = new Readable({
-        read: () => exchange.handlers.onContinue(),
-      });
-    }
-    const now = clock();
-    if (!head.needsGo && !head.hasMore) {
-      exchange.handlers.onContinue();
-    }
-    exchange.upstream = upstream;
-    exchange.sentAt = now;
-    pool.dispatch(
-      {
-        path: head.path,
-        method: head.method as Dispatcher.HttpMethod,
-        headers: [
-          ...this.protocol.callHeaders({
-            head,
-            remaining: Math.max(0, deadline - now),
-            deadline,
-            lifetime: brain.lifetimeOf(upstream),
-          }),
-        ],
-        body: exchange.requestBody ?? requestBytes(head),
-        reset: isSingle,
-      },
-      this.dispatchHandler(exchange, upstream),
-    );
-    if (isSingle) {
-      void pool.close();
-    }
-  }
-
-  private get protocol(): UpstreamProtocol {
-    return this.dependencies.protocol ?? LOCKPIN_UPSTREAM_PROTOCOL;
-  }
-
-  private dispatchHandler(
-    exchange: GuardExchange,
-    upstream: string,
-  ): Dispatcher.DispatchHandler {
-    let wasSent = false;
-    const callId = exchange.id;
-    return {
-      onRequestStart: (controller) => {
-        exchange.controller = controller;
-        if (exchange.isAborted) {
-          controller.abort(new Error('given up'));
-          return;
-        }
-        wasSent = true;
-      },
-      onResponseStart: (_controller, status, headers) => {
-        if (status < FIRST_FINAL_STATUS) {
-          return;
-        }
-        const verdict = this.protocol.judge(exchange.head, status, headers);
-        exchange.answer = new UpstreamAnswer(
-          status,
-          headers,
-          verdict,
-          exchange.head.repetition === 'once-only',
-          this.protocol.holdsUnframed,
-        );
-        const isPassed = verdict === 'answer' || verdict === 'overloaded';
-        if (!exchange.answer.isHeldBack && isPassed) {
-          this.sendHead(exchange, exchange.answer, upstream);
-        }
-      },
-      onResponseData: (controller, chunk) =>
-        this.received(exchange, controller, chunk),
-      onResponseEnd: () => this.answered(exchange, upstream),
-      onResponseError: () =>
-        this.handle({kind: 'upstream-failed', callId, wasSent}),
-    };
-  }
-
-  private received(
-    exchange: GuardExchange,
-    controller: Dispatcher.DispatchController,
-    chunk: Buffer,
-  ): void {
-    const {answer} = exchange;
-    if (answer === undefined || (!answer.hasBegun && !answer.isHeldBack)) {
-      return;
-    }
-    const taken = answer.take(chunk);
-    if (taken === 'held') {
-      return;
-    }
-    const isFirst = taken === 'too-long-to-hold';
-    if (isFirst) {
-      this.sendHead(exchange, answer, exchange.upstream);
-    }
-    const bytes = isFirst ? answer.body() : chunk;
-    if (!exchange.handlers.onChunk(bytes)) {
-      controller.pause();
-    }
-  }
-
-  private answered(exchange: GuardExchange, upstream: string): void {
-    const {answer} = exchange;
-    if (answer === undefined || !this.exchanges.has(exchange.id)) {
-      return;
-    }
-    const callId = exchange.id;
-    if (this.dependencies.pools.isConnectionReset) {
-      this.handle({kind: 'upstream-failed', callId, wasSent: true});
-      return;
-    }
-    switch (answer.verdict) {
-      case 'not-run':
-        this.handle({
-          kind: 'upstream-refused',
-          callId,
-          reason: 'upstream-refused',
-        });
-        return;
-      case 'other-upstream':
-        this.handle({
-          kind: 'upstream-refused',
-          callId,
-          reason: 'upstream-replaced',
-        });
-        return;
-      case 'invalid':
-        this.handle({kind: 'upstream-failed', callId, wasSent: true});
-        return;
-    }
+  private answered(exchange: GuardExchange, status: number): void {
     this.forget(exchange);
-    this.record(exchange, 'answered', '', answer.status);
-    const stored = answer.stored();
-    this.handle({
-      kind: 'upstream-answered',
-      callId,
-      status: answer.status,
-      isShed: answer.verdict === 'overloaded',
-      answer:
-        stored === undefined
-          ? undefined
-          : {...stored, headers: headerRecord(answer.headers)},
-    });
-    if (answer.isHeldBack) {
-      this.sendHead(exchange, answer, upstream);
-    } else {
-      exchange.handlers.onEnd();
-    }
-  }
-
-  private sendHead(
-    exchange: GuardExchange,
-    answer: UpstreamAnswer,
-    upstream: string,
-  ): void {
-    const now = this.dependencies.clock();
-    answer.hasBegun = true;
-    exchange.handlers.onAnswer({
-      status: answer.status,
-      headers: answer.headers,
-      upstream,
-      hint: this.dependencies.brain.hintOf(now, upstream),
-      isUnframed: answer.isUnframed,
-      ranMilliseconds: now - (exchange.sentAt ?? now),
-      body: answer.isHeldBack ? answer.body() : undefined,
-      hasMore: !answer.isHeldBack,
-    });
+    this.record(exchange, 'answered', '', status);
   }
 
   private record(
@@ -449,37 +248,9 @@
   }
 }
 
-function requestBytes(head: CallHead): Buffer | null {
-  return head.body === undefined || head.body.length === 0
-    ? null
-    : Buffer.from(head.body);
-}
-
-function guardCall(
-  id: string,
-  head: CallHead,
-  now: number,
-  deadline: number,
-): GuardCall {
-  const {usefulFor, terms} = head;
-  return {
-    id,
-    service: head.service,
-    upstream: head.upstream,
-    customer: head.customer,
-    weight: head.weight,
-    route: head.route,
-    repetition: head.repetition,
-    priority: head.priority,
-    deadline,
-    attempt: head.attempt,
-    retryShare: head.retryShare,
-    onceKey: head.onceKey,
-    requestDigest: head.requestDigest,
-    usefulUntil: usefulFor === undefined ? undefined : now + usefulFor,
-    needsGo: head.needsGo,
-    mayWait: terms !== 'immediate',
-    mayRunDoubted: terms === 'last-resort',
-    expectedMilliseconds: head.expectedMilliseconds,
-  };
+/** How long the guard keeps a call that has not ended, in milliseconds. */
+function patienceOf({remaining}: CallHead): number {
+  const allowance =
+    remaining > SHORT_CALL_MILLISECONDS ? HOP_ALLOWANCE_MILLISECONDS : 0;
+  return Math.max(0, remaining - allowance);
 }
--- /dev/null
+++ b/packages/node/src/request/upstreamDispatch.ts
@@ -0,0 +1,260 @@
+// Copyright (c) 2026 the lockpin contributors. MIT licence, see LICENSE.
+/** A guard's way to its upstream: sends a call, and takes in the answer. */
+
+import type {IncomingHttpHeaders} from 'node:http';
+import {Readable} from 'node:stream';
+import type {GuardBrain, GuardEvent} from '@lockpin/brain';
+import type {Clock} from '@lockpin/types';
+import type {Dispatcher} from 'undici';
+import type {UpstreamPools} from '../connection/upstreamPools.js';
+import type {CallHead} from './frames.js';
+import type {GuardExchange} from './guardExchange.js';
+import {headerRecord} from './headers.js';
+import {UpstreamAnswer} from './upstreamAnswer.js';
+import {LOCKPIN_UPSTREAM_PROTOCOL} from './upstreamProtocol.js';
+import type {UpstreamProtocol} from './upstreamProtocol.js';
+
+/** What the dispatch needs of the guard's service. */
+export interface UpstreamDispatchDependencies {
+  readonly clock: Clock;
+  readonly brain: GuardBrain;
+  readonly pools: UpstreamPools;
+  readonly protocol?: UpstreamProtocol;
+  /** Tells the brain of an event, and does what it decides. */
+  readonly tell: (event: GuardEvent) => void;
+  /** Whether the guard still waits for what becomes of a call. */
+  readonly isUnderWay: (exchange: GuardExchange) => boolean;
+  /** Told of a whole answer, before the brain is. */
+  readonly onAnswered: (exchange: GuardExchange, status: number) => void;
+}
+
+/** Statuses below this announce an answer rather than being one. */
+const FIRST_FINAL_STATUS = 200;
+
+/** Sends calls to their upstreams. */
+export class UpstreamDispatch {
+  constructor(private readonly dependencies: UpstreamDispatchDependencies) {}
+
+  /** Sends a call on its way; how it ends is told to the brain. */
+  run(exchange: GuardExchange, upstream: string): void {
+    const {head, deadline} = exchange;
+    const {pools, clock} = this.dependencies;
+    const isSingle = head.repetition === 'at-most-once';
+    const pool = isSingle ? pools.single(upstream) : pools.get(upstream);
+    if (pool === undefined) {
+      this.dependencies.tell({
+        kind: 'upstream-failed',
+        callId: exchange.id,
+        wasSent: false,
+      });
+      return;
+    }
+    if (head.hasMore) {
+      exchange.requestBody = new Readable({
+        read: () => exchange.handlers.onContinue(),
+      });
+    }
+    const now = clock();
+    if (!head.needsGo && !head.hasMore) {
+      exchange.handlers.onContinue();
+    }
+    exchange.upstream = upstream;
+    exchange.sentAt = now;
+    pool.dispatch(
+      {
+        path: head.path,
+        method: head.method as Dispatcher.HttpMethod,
+        headers: this.headersFor(head, deadline, upstream, now),
+        body: exchange.requestBody ?? requestBytes(head),
+        reset: isSingle,
+      },
+      this.dispatchHandler(exchange, upstream),
+    );
+    if (isSingle) {
+      void pool.close();
+    }
+  }
+
+  /** Breaks off the way to the upstream, or keeps it from beginning. */
+  abort(exchange: GuardExchange): void {
+    exchange.isAborted = true;
+    exchange.requestBody?.destroy();
+    exchange.controller?.abort(givenUp());
+  }
+
+  private headersFor(
+    head: CallHead,
+    deadline: number,
+    upstream: string,
+    now: number,
+  ): string[] {
+    const remaining = Math.max(0, deadline - now);
+    const lifetime = this.dependencies.brain.lifetimeOf(upstream);
+    return [
+      ...this.protocol.callHeaders({head, remaining, deadline, lifetime}),
+    ];
+  }
+
+  private get protocol(): UpstreamProtocol {
+    return this.dependencies.protocol ?? LOCKPIN_UPSTREAM_PROTOCOL;
+  }
+
+  private dispatchHandler(
+    exchange: GuardExchange,
+    upstream: string,
+  ): Dispatcher.DispatchHandler {
+    let wasSent = false;
+    const callId = exchange.id;
+    return {
+      onRequestStart: (controller) => {
+        exchange.controller = controller;
+        if (exchange.isAborted) {
+          controller.abort(givenUp());
+          return;
+        }
+        wasSent = true;
+      },
+      onResponseStart: (_controller, status, headers) => {
+        if (status >= FIRST_FINAL_STATUS) {
+          this.answerBegan(exchange, upstream, status, headers);
+        }
+      },
+      onResponseData: (controller, chunk) =>
+        this.received(exchange, controller, chunk),
+      onResponseEnd: () => this.answered(exchange, upstream),
+      onResponseError: () =>
+        this.dependencies.tell({kind: 'upstream-failed', callId, wasSent}),
+    };
+  }
+
+  private answerBegan(
+    exchange: GuardExchange,
+    upstream: string,
+    status: number,
+    headers: IncomingHttpHeaders,
+  ): void {
+    const {protocol} = this;
+    const verdict = protocol.judge(exchange.head, status, headers);
+    const answer = new UpstreamAnswer(
+      status,
+      headers,
+      verdict,
+      exchange.head.repetition === 'once-only',
+      protocol.holdsUnframed,
+    );
+    exchange.answer = answer;
+    const isPassed = verdict === 'answer' || verdict === 'overloaded';
+    if (!answer.isHeldBack && isPassed) {
+      this.sendHead(exchange, answer, upstream);
+    }
+  }
+
+  private received(
+    exchange: GuardExchange,
+    controller: Dispatcher.DispatchController,
+    chunk: Buffer,
+  ): void {
+    const {answer} = exchange;
+    if (answer === undefined || (!answer.hasBegun && !answer.isHeldBack)) {
+      return;
+    }
+    const taken = answer.take(chunk);
+    if (taken === 'held') {
+      return;
+    }
+    const isFirst = taken === 'too-long-to-hold';
+    if (isFirst) {
+      this.sendHead(exchange, answer, exchange.upstream);
+    }
+    const bytes = isFirst ? answer.body() : chunk;
+    if (!exchange.handlers.onChunk(bytes)) {
+      controller.pause();
+    }
+  }
+
+  private answered(exchange: GuardExchange, upstream: string): void {
+    const {answer} = exchange;
+    const {pools, isUnderWay, onAnswered, tell} = this.dependencies;
+    if (answer === undefined || !isUnderWay(exchange)) {
+      return;
+    }
+    const failure = pools.isConnectionReset
+      ? brokenOff(exchange.id)
+      : failureOf(exchange.id, answer);
+    if (failure !== undefined) {
+      tell(failure);
+      return;
+    }
+    onAnswered(exchange, answer.status);
+    tell(answeredEvent(exchange.id, answer));
+    if (answer.isHeldBack) {
+      this.sendHead(exchange, answer, upstream);
+    } else {
+      exchange.handlers.onEnd();
+    }
+  }
+
+  private sendHead(
+    exchange: GuardExchange,
+    answer: UpstreamAnswer,
+    upstream: string,
+  ): void {
+    const now = this.dependencies.clock();
+    answer.hasBegun = true;
+    exchange.handlers.onAnswer({
+      status: answer.status,
+      headers: answer.headers,
+      upstream,
+      hint: this.dependencies.brain.hintOf(now, upstream),
+      isUnframed: answer.isUnframed,
+      ranMilliseconds: now - (exchange.sentAt ?? now),
+      body: answer.isHeldBack ? answer.body() : undefined,
+      hasMore: !answer.isHeldBack,
+    });
+  }
+}
+
+/** What the brain is told of an answer that is none; undefined for others. */
+function failureOf(
+  callId: string,
+  {verdict}: UpstreamAnswer,
+): GuardEvent | undefined {
+  switch (verdict) {
+    case 'not-run':
+      return {kind: 'upstream-refused', callId, reason: 'upstream-refused'};
+    case 'other-upstream':
+      return {kind: 'upstream-refused', callId, reason: 'upstream-replaced'};
+    case 'invalid':
+      return brokenOff(callId);
+    default:
+      return undefined;
+  }
+}
+
+function brokenOff(callId: string): GuardEvent {
+  return {kind: 'upstream-failed', callId, wasSent: true};
+}
+
+function answeredEvent(callId: string, answer: UpstreamAnswer): GuardEvent {
+  const stored = answer.stored();
+  return {
+    kind: 'upstream-answered',
+    callId,
+    status: answer.status,
+    isShed: answer.verdict === 'overloaded',
+    answer:
+      stored === undefined
+        ? undefined
+        : {...stored, headers: headerRecord(answer.headers)},
+  };
+}
+
+function givenUp(): Error {
+  return new Error('given up');
+}
+
+function requestBytes(head: CallHead): Buffer | null {
+  return head.body === undefined || head.body.length === 0
+    ? null
+    : Buffer.from(head.body);
+}
