Evidence of quick doubt has a module of its own

The guard of an upstream kept its admission, its standing and its quick doubt in one file of about 500 lines. What makes a call late is runningCall now, and what counts for quick doubt is quickDoubt.

--- a/packages/brain/src/guard/upstreamGuard.ts
+++ b/packages/brain/src/guard/upstreamGuard.ts
@@ -6,7 +6,6 @@
 import {
   ALL_CALLS,
   DETECTION_SETTINGS,
-  Doubt,
   EjectionCycle,
   GrayDetector,
 } from '@lockpin/detection';
@@ -21,6 +20,9 @@
   UpstreamSpec,
 } from '@lockpin/types';
 import type {GuardCall, GuardSettings} from './guardMessages.js';
+import {QuickDoubt} from './quickDoubt.js';
+import {isLate} from './runningCall.js';
+import type {RunningCall} from './runningCall.js';
 
 /** A suspect upstream announces this part of its limit, so that calls go elsewhere. */
 const SUSPECT_LIMIT_SHARE = 0.25;
@@ -29,28 +31,6 @@
 const FIRST_FAILED_STATUS = 500;
 const NOT_IMPLEMENTED_STATUS = 501;
 
-/**
- * A call is late when it takes this many times what is usual for its kind. One
- * call in a hundred of a healthy upstream takes about three times as long.
- */
-const LATE_FACTOR = 3.5;
-
-/** Added to the time that is usual, so that scheduling delays do not count. */
-const LATE_ALLOWANCE_MILLISECONDS = 60;
-
-/** Entries ask again this soon after an upstream that has answered no call. */
-const UNPROVEN_MILLISECONDS = 200;
-
-/** How much longer calls take on an upstream that is cold. */
-const COLD_FACTOR = 2;
-
-interface RunningCall {
-  readonly call: GuardCall;
-  readonly startedAt: number;
-  /** The upstream works on it; false while its slot is only reserved. */
-  readonly isSent: boolean;
-}
-
 /** What the end of a call led to. */
 export interface CallEnd {
   readonly freed: Freed;
@@ -70,9 +50,7 @@
   private readonly cycle: EjectionCycle;
   private readonly retries = new RetryBudget();
   private readonly running = new Map<string, RunningCall>();
-  private readonly doubt = new Doubt();
-  /** Calls whose lateness was already taken as evidence. */
-  private readonly countedLate = new Set<string>();
+  private readonly doubt: QuickDoubt;
   /** Another process answers at the address. */
   private isReplaced = false;
   private spec: UpstreamSpec;
@@ -94,6 +72,7 @@
       resource.spec.slots,
       !settings.hasQuickDoubt,
     );
+    this.doubt = new QuickDoubt(settings.hasQuickDoubt);
     this.detector = new GrayDetector(settingsOfDetection);
     this.cycle = new EjectionCycle(settingsOfDetection);
     this.lastVerdict = this.detector.verdict(0);
@@ -129,7 +108,7 @@
   }
 
   isDoubted(now: number): boolean {
-    return this.settings.hasQuickDoubt && this.doubt.isDoubted(now);
+    return this.doubt.isDoubted(now);
   }
 
   hint(now: number): LoadHint {
@@ -141,9 +120,7 @@
     if (state !== 'doubted') {
       return {state, occupied, limit};
     }
-    const doubtedFor = this.isDoubted(now)
-      ? this.doubt.remaining(now)
-      : UNPROVEN_MILLISECONDS;
+    const doubtedFor = this.doubt.announcedFor(now);
     const probeIn = this.doubt.untilProbe(now);
     return {state, occupied, limit, doubtedFor, probeIn};
   }
@@ -159,7 +136,7 @@
     if (this.isDoubted(now) && !this.mayRunDoubted(now, call)) {
       return 'upstream-doubted';
     }
-    if (this.isUnproven && isFirstOfKind(call)) {
+    if (this.doubt.isUnproven && isFirstOfKind(call)) {
       return 'upstream-doubted';
     }
     if (this.cycle.state === 'ejected') {
@@ -190,9 +167,7 @@
   start(now: number, call: GuardCall): void {
     const isSent = call.needsGo !== true;
     this.running.set(call.id, {call, startedAt: now, isSent});
-    if (this.isDoubted(now)) {
-      this.doubt.probed(now);
-    }
+    this.doubt.started(now);
   }
 
   /** The entry said go: the call is sent now. */
@@ -202,7 +177,7 @@
 
   /** Gives back a slot whose call was never sent. */
   release(now: number, callId: string): Freed {
-    this.countedLate.delete(callId);
+    this.doubt.forget(callId);
     this.running.delete(callId);
     return this.admission.finish(now, callId, undefined);
   }
@@ -349,7 +324,7 @@
     if (this.isDraining || this.isReplaced) {
       return 'draining';
     }
-    if (this.isDoubted(now) || this.isUnproven) {
+    if (this.isDoubted(now) || this.doubt.isUnproven) {
       return 'doubted';
     }
     const {state} = this.cycle;
@@ -358,10 +333,6 @@
       : state;
   }
 
-  private get isUnproven(): boolean {
-    return this.settings.hasQuickDoubt && !this.doubt.isProven;
-  }
-
   /** Repeatable calls find out how it is; others only when all are doubted. */
   private mayRunDoubted(now: number, call: GuardCall): boolean {
     const isProbe =
@@ -378,35 +349,17 @@
 
   private isLate(now: number, callId: string): boolean {
     const running = this.running.get(callId);
-    const usual = running?.call.expectedMilliseconds;
-    if (running === undefined || usual === undefined || !running.isSent) {
-      return false;
-    }
-    const isCold = now < (this.spec.coldUntil ?? 0);
-    const expected = usual * (isCold ? COLD_FACTOR : 1);
-    const limit = expected * LATE_FACTOR + LATE_ALLOWANCE_MILLISECONDS;
-    return now - running.startedAt > limit;
+    return running !== undefined && isLate(now, running, this.spec.coldUntil);
   }
 
   private noteLateCalls(now: number): void {
-    if (!this.settings.hasQuickDoubt) {
-      return;
-    }
-    for (const callId of this.running.keys()) {
-      if (!this.countedLate.has(callId) && this.isLate(now, callId)) {
-        this.countedLate.add(callId);
-        this.doubt.observe(now, 'overdue');
-      }
-    }
+    this.doubt.noteLate(now, this.running.keys(), (callId) =>
+      this.isLate(now, callId),
+    );
   }
 
-  /** Evidence for quick doubt; what was counted as late is not counted twice. */
   private observe(now: number, callId: string, kind: CallEvidenceKind): void {
-    const wasCounted = this.countedLate.delete(callId);
-    const isKnown = this.running.has(callId);
-    if (this.settings.hasQuickDoubt && isKnown && !wasCounted) {
-      this.doubt.observe(now, kind);
-    }
+    this.doubt.observe(now, callId, this.running.has(callId), kind);
   }
 
   /** One repeatable call at a time finds out whether it is well again. */
