The standing of an upstream has a module of its own

Evidence, verdict and ejection changed together, and apart from the upstream's slots; they are upstreamStanding now, which upstreamGuard asks.

--- a/packages/brain/src/guard/guardBrain.ts
+++ b/packages/brain/src/guard/guardBrain.ts
@@ -18,7 +18,8 @@
 import type {ServiceState} from './guardedServices.js';
 import {onceRefusal} from './onceRefusals.js';
 import {ReportSchedule} from './reportSchedule.js';
-import type {StandingChange, UpstreamGuard} from './upstreamGuard.js';
+import type {UpstreamGuard} from './upstreamGuard.js';
+import type {StandingChange} from './upstreamStanding.js';
 
 interface KnownCall {
   readonly call: GuardCall;
--- a/packages/brain/src/guard/upstreamGuard.ts
+++ b/packages/brain/src/guard/upstreamGuard.ts
@@ -3,13 +3,7 @@
 
 import {Admission} from '@lockpin/admission';
 import type {Freed, Offer, WaitingCall} from '@lockpin/admission';
-import {
-  ALL_CALLS,
-  DETECTION_SETTINGS,
-  EjectionCycle,
-  GrayDetector,
-} from '@lockpin/detection';
-import type {CallEvidenceKind, CycleChange, Verdict} from '@lockpin/detection';
+import type {CallEvidenceKind} from '@lockpin/detection';
 import type {GuardReport, HolderReply} from '@lockpin/floor';
 import {RetryBudget} from '@lockpin/routing';
 import type {LoadHint} from '@lockpin/routing';
@@ -23,6 +17,8 @@
 import {QuickDoubt} from './quickDoubt.js';
 import {isLate} from './runningCall.js';
 import type {RunningCall} from './runningCall.js';
+import {UpstreamStanding} from './upstreamStanding.js';
+import type {StandingChange} from './upstreamStanding.js';
 
 /** A suspect upstream announces this part of its limit, so that calls go elsewhere. */
 const SUSPECT_LIMIT_SHARE = 0.25;
@@ -37,28 +33,16 @@
   readonly change: StandingChange | undefined;
 }
 
-/** A change of an upstream's standing, for the time line. */
-export interface StandingChange {
-  readonly change: CycleChange;
-  readonly verdict: Verdict;
-}
-
 /** Admission, evidence and ejection of one upstream. */
 export class UpstreamGuard {
   private readonly admission: Admission;
-  private readonly detector: GrayDetector;
-  private readonly cycle: EjectionCycle;
+  private readonly standing: UpstreamStanding;
   private readonly retries = new RetryBudget();
   private readonly running = new Map<string, RunningCall>();
   private readonly doubt: QuickDoubt;
   /** Another process answers at the address. */
   private isReplaced = false;
   private spec: UpstreamSpec;
-  private lastVerdict: Verdict;
-  private severity = 0;
-  private sequence = 0;
-  private lastDenial = '';
-  private wasSuspectInReport = false;
 
   constructor(
     readonly name: string,
@@ -66,16 +50,13 @@
     sensitivity: Sensitivity,
     private readonly settings: GuardSettings,
   ) {
-    const settingsOfDetection = DETECTION_SETTINGS[sensitivity];
     this.spec = resource.spec;
     this.admission = new Admission(
       resource.spec.slots,
       !settings.hasQuickDoubt,
     );
     this.doubt = new QuickDoubt(settings.hasQuickDoubt);
-    this.detector = new GrayDetector(settingsOfDetection);
-    this.cycle = new EjectionCycle(settingsOfDetection);
-    this.lastVerdict = this.detector.verdict(0);
+    this.standing = new UpstreamStanding(name, sensitivity);
   }
 
   get isDraining(): boolean {
@@ -92,14 +73,13 @@
 
   /** Why the floor or a shared cause keeps a condemned upstream, if it does. */
   get denial(): string {
-    return this.cycle.state === 'condemned' ? this.lastDenial : '';
+    return this.standing.denial;
   }
 
   configure(resource: Resource<'Upstream'>, sensitivity: Sensitivity): void {
     this.spec = resource.spec;
     this.admission.setSlots(resource.spec.slots);
-    this.detector.setSettings(DETECTION_SETTINGS[sensitivity]);
-    this.cycle.setSettings(DETECTION_SETTINGS[sensitivity]);
+    this.standing.configure(sensitivity);
   }
 
   /** Identity of the process that calls are meant for; undefined if unknown. */
@@ -112,7 +92,7 @@
   }
 
   hint(now: number): LoadHint {
-    const limit = this.lastVerdict.suspect
+    const limit = this.standing.isSuspect
       ? Math.max(1, this.admission.currentLimit * SUSPECT_LIMIT_SHARE)
       : this.admission.currentLimit;
     const state = this.announcedState(now);
@@ -139,10 +119,10 @@
     if (this.doubt.isUnproven && isFirstOfKind(call)) {
       return 'upstream-doubted';
     }
-    if (this.cycle.state === 'ejected') {
+    if (this.standing.state === 'ejected') {
       return 'upstream-ejected';
     }
-    const probing = this.cycle.state === 'probation';
+    const probing = this.standing.state === 'probation';
     if (probing && !this.mayProbe(call)) {
       return 'upstream-ejected';
     }
@@ -152,7 +132,7 @@
   /** When a refused call may find this upstream back, in milliseconds. */
   retryAfter(now: number): number {
     return Math.ceil(
-      Math.max(this.cycle.remainingHold(now), this.doubt.remaining(now)),
+      Math.max(this.standing.remainingHold(now), this.doubt.remaining(now)),
     );
   }
 
@@ -236,88 +216,39 @@
   /** Whether a running call has taken far longer than its kind does. */
   isOverdue(now: number, callId: string): boolean {
     const running = this.running.get(callId);
-    return (
-      running !== undefined &&
-      now - running.startedAt > this.detector.slowAfter(running.call.route)
-    );
+    return running !== undefined && this.standing.isOverdue(now, running);
   }
 
   review(now: number): {
     readonly freed: Freed;
     readonly changes: readonly StandingChange[];
   } {
-    this.detector.closeSpan(now, () => this.countOverdue(now));
     this.noteLateCalls(now);
-    const changes = [this.judge(now), this.noted(this.cycle.review(now))];
-    return {
-      freed: this.admission.review(now),
-      changes: changes.filter((change) => change !== undefined),
-    };
+    const changes = this.standing.review(now, this.running.values());
+    return {freed: this.admission.review(now), changes};
   }
 
+  /** What the holder of the floor is told. */
   report(
     now: number,
     identity: {readonly box: string; readonly incarnation: string},
     fence: number,
   ): GuardReport {
-    this.sequence += 1;
-    this.wasSuspectInReport = this.lastVerdict.suspect;
-    return {
-      ...identity,
-      upstream: this.name,
-      sequence: this.sequence,
-      fence,
-      state: this.isDraining ? 'draining' : this.cycle.state,
-      suspect: this.lastVerdict.suspect,
-      severity: this.cycle.holdsPermit
-        ? this.severity
-        : this.lastVerdict.severity,
-      request: this.cycle.requestNumber,
-      summary: this.detector.summary(now),
-    };
+    return this.standing.report(now, identity, fence, this.isDraining);
   }
 
   /** Takes in the holder's answer. */
   replied(now: number, reply: HolderReply): StandingChange | undefined {
-    this.detector.setBaseline(reply.baseline);
-    const {decision} = reply;
-    switch (decision.kind) {
-      case 'granted': {
-        const change = this.noted(this.cycle.granted(now, decision.request));
-        if (change !== undefined) {
-          this.severity = this.lastVerdict.severity;
-          this.resetEvidence(now);
-        }
-        return change;
-      }
-      case 'revoked':
-        return this.noted(this.cycle.revoked(now));
-      case 'denied':
-        this.lastDenial = decision.reason;
-        return undefined;
-      default:
-        return undefined;
-    }
+    return this.standing.replied(now, reply);
   }
 
   /** Whether the holder should hear at once, for it compares the peers. */
   get hasNews(): boolean {
-    return this.lastVerdict.suspect !== this.wasSuspectInReport;
+    return this.standing.hasNews;
   }
 
   get condemned(): boolean {
-    return this.cycle.state === 'condemned';
-  }
-
-  private countOverdue(now: number): ReadonlyMap<string, number> {
-    const counts = new Map<string, number>();
-    for (const [id, {call}] of this.running) {
-      if (this.isOverdue(now, id)) {
-        counts.set(call.route, (counts.get(call.route) ?? 0) + 1);
-        counts.set(ALL_CALLS, (counts.get(ALL_CALLS) ?? 0) + 1);
-      }
-    }
-    return counts;
+    return this.standing.condemned;
   }
 
   private announcedState(now: number): LoadHint['state'] {
@@ -327,7 +258,7 @@
     if (this.isDoubted(now) || this.doubt.isUnproven) {
       return 'doubted';
     }
-    const {state} = this.cycle;
+    const {state} = this.standing;
     return state === 'in-service' || state === 'condemned'
       ? 'accepting'
       : state;
@@ -381,55 +312,14 @@
     if (running === undefined) {
       return {freed: {started: [], expired: []}, change: undefined};
     }
+    const change = this.standing.ended(now, running, failed);
+    if (change?.change === 'returned') {
+      this.admission.cool();
+    }
     const milliseconds = now - running.startedAt;
-    this.detector.observe(now, {
-      route: running.call.route,
-      customer: running.call.customer,
-      failed,
-      milliseconds,
-    });
-    const change =
-      this.probed(now, failed, milliseconds, running) ?? this.judge(now);
     const freed = this.admission.finish(now, callId, milliseconds);
     return {freed, change};
   }
-
-  private probed(
-    now: number,
-    failed: boolean,
-    milliseconds: number,
-    running: RunningCall,
-  ): StandingChange | undefined {
-    const slow = milliseconds > this.detector.slowAfter(running.call.route);
-    const change = this.cycle.probed(now, !failed && !slow);
-    if (change === 'returned') {
-      this.resetEvidence(now);
-      this.admission.cool();
-    }
-    return this.noted(change);
-  }
-
-  private judge(now: number): StandingChange | undefined {
-    if (this.cycle.holdsPermit) {
-      return undefined;
-    }
-    this.lastVerdict = this.detector.verdict(now);
-    const isStillSuspect =
-      this.cycle.state === 'condemned' && this.lastVerdict.suspect;
-    const condemned = this.lastVerdict.condemned || isStillSuspect;
-    return this.noted(this.cycle.judged(condemned));
-  }
-
-  private resetEvidence(now: number): void {
-    this.detector.reset();
-    this.lastVerdict = this.detector.verdict(now);
-  }
-
-  private noted(change: CycleChange | undefined): StandingChange | undefined {
-    return change === undefined
-      ? undefined
-      : {change, verdict: this.lastVerdict};
-  }
 }
 
 /** A call that cannot be repeated had better not be the first to find out. */
--- /dev/null
+++ b/packages/brain/src/guard/upstreamStanding.ts
@@ -0,0 +1,197 @@
+// Copyright (c) 2026 the lockpin contributors. MIT licence, see LICENSE.
+/** Standing of one upstream: evidence, verdict, ejection and return. */
+
+import {
+  ALL_CALLS,
+  DETECTION_SETTINGS,
+  EjectionCycle,
+  GrayDetector,
+} from '@lockpin/detection';
+import type {CycleChange, Verdict} from '@lockpin/detection';
+import type {GuardReport, HolderReply} from '@lockpin/floor';
+import type {Sensitivity} from '@lockpin/types';
+import type {RunningCall} from './runningCall.js';
+
+/** A change of an upstream's standing, for the time line. */
+export interface StandingChange {
+  readonly change: CycleChange;
+  readonly verdict: Verdict;
+}
+
+/** Judges an upstream by its calls; ejects it when the holder permits. */
+export class UpstreamStanding {
+  private readonly detector: GrayDetector;
+  private readonly cycle: EjectionCycle;
+  private lastVerdict: Verdict;
+  private severity = 0;
+  private sequence = 0;
+  private lastDenial = '';
+  private wasSuspectInReport = false;
+
+  constructor(
+    private readonly name: string,
+    sensitivity: Sensitivity,
+  ) {
+    const settings = DETECTION_SETTINGS[sensitivity];
+    this.detector = new GrayDetector(settings);
+    this.cycle = new EjectionCycle(settings);
+    this.lastVerdict = this.detector.verdict(0);
+  }
+
+  configure(sensitivity: Sensitivity): void {
+    this.detector.setSettings(DETECTION_SETTINGS[sensitivity]);
+    this.cycle.setSettings(DETECTION_SETTINGS[sensitivity]);
+  }
+
+  get state(): EjectionCycle['state'] {
+    return this.cycle.state;
+  }
+
+  get isSuspect(): boolean {
+    return this.lastVerdict.suspect;
+  }
+
+  /** Why the floor or a shared cause keeps a condemned upstream, if it does. */
+  get denial(): string {
+    return this.condemned ? this.lastDenial : '';
+  }
+
+  /** How much longer it stays ejected, in milliseconds. */
+  remainingHold(now: number): number {
+    return this.cycle.remainingHold(now);
+  }
+
+  /** Whether a running call has taken far longer than its kind does. */
+  isOverdue(now: number, {call, startedAt}: RunningCall): boolean {
+    return now - startedAt > this.detector.slowAfter(call.route);
+  }
+
+  /** A call ended: evidence, and after an ejection the outcome of a probe. */
+  ended(
+    now: number,
+    running: RunningCall,
+    failed: boolean,
+  ): StandingChange | undefined {
+    const {route, customer} = running.call;
+    const milliseconds = now - running.startedAt;
+    this.detector.observe(now, {route, customer, failed, milliseconds});
+    return this.probed(now, failed, milliseconds, running) ?? this.judge(now);
+  }
+
+  /** Looks at what time alone may change. */
+  review(
+    now: number,
+    running: Iterable<RunningCall>,
+  ): readonly StandingChange[] {
+    this.detector.closeSpan(now, () => this.countOverdue(now, running));
+    const changes = [this.judge(now), this.noted(this.cycle.review(now))];
+    return changes.filter((change) => change !== undefined);
+  }
+
+  /** What the holder of the floor is told. */
+  report(
+    now: number,
+    identity: {readonly box: string; readonly incarnation: string},
+    fence: number,
+    isDraining: boolean,
+  ): GuardReport {
+    this.sequence += 1;
+    this.wasSuspectInReport = this.lastVerdict.suspect;
+    return {
+      ...identity,
+      upstream: this.name,
+      sequence: this.sequence,
+      fence,
+      state: isDraining ? 'draining' : this.cycle.state,
+      suspect: this.lastVerdict.suspect,
+      severity: this.cycle.holdsPermit
+        ? this.severity
+        : this.lastVerdict.severity,
+      request: this.cycle.requestNumber,
+      summary: this.detector.summary(now),
+    };
+  }
+
+  /** Takes in the holder's answer. */
+  replied(now: number, reply: HolderReply): StandingChange | undefined {
+    this.detector.setBaseline(reply.baseline);
+    const {decision} = reply;
+    switch (decision.kind) {
+      case 'granted': {
+        const change = this.noted(this.cycle.granted(now, decision.request));
+        if (change !== undefined) {
+          this.severity = this.lastVerdict.severity;
+          this.resetEvidence(now);
+        }
+        return change;
+      }
+      case 'revoked':
+        return this.noted(this.cycle.revoked(now));
+      case 'denied':
+        this.lastDenial = decision.reason;
+        return undefined;
+      default:
+        return undefined;
+    }
+  }
+
+  /** Whether the holder should hear at once, for it compares the peers. */
+  get hasNews(): boolean {
+    return this.lastVerdict.suspect !== this.wasSuspectInReport;
+  }
+
+  get condemned(): boolean {
+    return this.cycle.state === 'condemned';
+  }
+
+  private countOverdue(
+    now: number,
+    running: Iterable<RunningCall>,
+  ): ReadonlyMap<string, number> {
+    const counts = new Map<string, number>();
+    for (const runningCall of running) {
+      if (this.isOverdue(now, runningCall)) {
+        const {route} = runningCall.call;
+        counts.set(route, (counts.get(route) ?? 0) + 1);
+        counts.set(ALL_CALLS, (counts.get(ALL_CALLS) ?? 0) + 1);
+      }
+    }
+    return counts;
+  }
+
+  private probed(
+    now: number,
+    failed: boolean,
+    milliseconds: number,
+    running: RunningCall,
+  ): StandingChange | undefined {
+    const slow = milliseconds > this.detector.slowAfter(running.call.route);
+    const change = this.cycle.probed(now, !failed && !slow);
+    if (change === 'returned') {
+      this.resetEvidence(now);
+    }
+    return this.noted(change);
+  }
+
+  private judge(now: number): StandingChange | undefined {
+    if (this.cycle.holdsPermit) {
+      return undefined;
+    }
+    this.lastVerdict = this.detector.verdict(now);
+    const isStillSuspect =
+      this.cycle.state === 'condemned' && this.lastVerdict.suspect;
+    const condemned = this.lastVerdict.condemned || isStillSuspect;
+    return this.noted(this.cycle.judged(condemned));
+  }
+
+  private resetEvidence(now: number): void {
+    this.detector.reset();
+    this.lastVerdict = this.detector.verdict(now);
+  }
+
+  private noted(change: CycleChange | undefined): StandingChange | undefined {
+    return change === undefined
+      ? undefined
+      : {change, verdict: this.lastVerdict};
+  }
+}
