The course of a guard's calls has a module of its own

guardBrain decided on events and also kept reservations, refusals and what follows from freed slots. The latter are callCourse now; guardBrain reads as the list of events it is.

--- a/packages/brain/src/guard/guardBrain.ts
+++ b/packages/brain/src/guard/guardBrain.ts
@@ -1,12 +1,12 @@
 // Copyright (c) 2026 the lockpin contributors. MIT licence, see LICENSE.
 /** The guard of a box: decides what becomes of each call to its upstreams. */
 
-import type {Freed} from '@lockpin/admission';
 import type {HolderReply} from '@lockpin/floor';
 import {parseOnceKey} from '@lockpin/once';
 import type {OnceDecision, OnceHome} from '@lockpin/once';
 import type {LoadHint} from '@lockpin/routing';
-import type {RandomSource, RefusalOutcome, RefusalReason} from '@lockpin/types';
+import type {RandomSource, RefusalReason} from '@lockpin/types';
+import {CallCourse} from './callCourse.js';
 import {DEFAULT_GUARD_SETTINGS} from './guardMessages.js';
 import type {
   GuardAction,
@@ -16,23 +16,17 @@
 } from './guardMessages.js';
 import {GuardedServices} from './guardedServices.js';
 import type {ServiceState} from './guardedServices.js';
+import {leavingHint, refuse} from './guardRefusals.js';
 import {onceRefusal} from './onceRefusals.js';
 import {ReportSchedule} from './reportSchedule.js';
+import {doubtNoted} from './standingActions.js';
 import type {UpstreamGuard} from './upstreamGuard.js';
-import type {StandingChange} from './upstreamStanding.js';
-
-interface KnownCall {
-  readonly call: GuardCall;
-  readonly upstream: UpstreamGuard;
-  /** When its slot was reserved; undefined before, and once it was sent. */
-  reservedAt: number | undefined;
-}
 
 /** Decides by (now, random, event) alone. */
 export class GuardBrain {
   private readonly services: GuardedServices;
   private readonly reports: ReportSchedule;
-  private readonly calls = new Map<string, KnownCall>();
+  private readonly course: CallCourse;
   private isLeaving = false;
   /** No permit is taken before the holders stream was read to its end. */
   private mayTakePermits = false;
@@ -43,11 +37,12 @@
   ) {
     this.services = new GuardedServices(home, settings);
     this.reports = new ReportSchedule(home, this.services);
+    this.course = new CallCourse(this.services, this.reports, settings);
   }
 
   /** Calls accepted and not yet ended. */
   get callCount(): number {
-    return this.calls.size;
+    return this.course.count;
   }
 
   /** What entries are told of an upstream with each answer. */
@@ -99,7 +94,7 @@
         return this.upstreamRefused(now, event.callId, event.reason);
       case 'services-changed':
         this.services.configure(event.services);
-        return this.refuseWhereDraining(now);
+        return this.course.refuseWhereDraining(now);
       case 'holder-replied':
         return this.replied(now, event.service, event.reply);
       case 'fence-learnt':
@@ -167,117 +162,59 @@
     upstream: UpstreamGuard,
   ): readonly GuardAction[] {
     if (this.isLeaving) {
-      const refusal = this.refuseForGood(now, call, upstream, 'node-leaving');
+      const refusal = this.course.refuseForGood(
+        now,
+        call,
+        upstream,
+        'node-leaving',
+      );
       return [leavingHint(refusal)];
     }
     const reason = upstream.refusalReason(now, call);
     if (reason !== undefined) {
-      return [this.refuseForGood(now, call, upstream, reason)];
+      return [this.course.refuseForGood(now, call, upstream, reason)];
     }
     const offer = upstream.offer(now, call);
     if (offer.kind === 'refused') {
       const after = offer.retryAfterMilliseconds;
-      return [this.refuseForGood(now, call, upstream, offer.reason, after)];
+      return [
+        this.course.refuseForGood(now, call, upstream, offer.reason, after),
+      ];
     }
-    const known: KnownCall = {call, upstream, reservedAt: undefined};
-    this.calls.set(call.id, known);
+    const known = this.course.add(call, upstream);
     if (offer.kind === 'start') {
-      return [this.run(now, known)];
+      return [this.course.run(now, known)];
     }
     const queued: GuardAction = {kind: 'queue', callId: call.id};
     return offer.displaced === undefined
       ? [queued]
-      : [queued, ...this.refuseWaiting(now, offer.displaced.id, 'queue-full')];
-  }
-
-  /** The call has not run and, once refused, never will under its key. */
-  private refuseForGood(
-    now: number,
-    call: GuardCall,
-    upstream: UpstreamGuard,
-    reason: RefusalReason,
-    retryAfter = upstream.retryAfter(now),
-  ): GuardAction {
-    this.services.ledgerOf(call)?.refused(call.onceKey ?? '');
-    return refuse(now, call, reason, 'not-run', upstream, retryAfter);
-  }
-
-  private refuseWaiting(
-    now: number,
-    callId: string,
-    reason: RefusalReason,
-  ): readonly GuardAction[] {
-    const known = this.take(callId);
-    if (known === undefined) {
-      return [];
-    }
-    return [this.refuseForGood(now, known.call, known.upstream, reason)];
-  }
-
-  /** Takes out a call that has ended; undefined when it already had. */
-  private take(callId: string): KnownCall | undefined {
-    const known = this.calls.get(callId);
-    this.calls.delete(callId);
-    return known;
-  }
-
-  /** A call has its slot: it runs, or the slot is kept until the entry says go. */
-  private run(now: number, known: KnownCall): GuardAction {
-    const {call, upstream} = known;
-    if (call.needsGo === true) {
-      known.reservedAt = now;
-      return {kind: 'reserve', callId: call.id};
-    }
-    this.services.ledgerOf(call)?.started(call.onceKey ?? '');
-    return {kind: 'run', callId: call.id, upstream: upstream.name};
+      : [
+          queued,
+          ...this.course.refuseWaiting(now, offer.displaced.id, 'queue-full'),
+        ];
   }
 
   /** Only a reservation that still stands is acted upon. */
   private go(now: number, callId: string): readonly GuardAction[] {
-    const known = this.calls.get(callId);
+    const known = this.course.get(callId);
     if (known?.reservedAt === undefined) {
       return [];
     }
     const {call, upstream} = known;
     if (upstream.isDraining && !this.settings.drainFinishesQueue) {
-      return this.releaseReservation(now, known, 'upstream-draining');
+      return this.course.releaseReservation(now, known, 'upstream-draining');
     }
     known.reservedAt = undefined;
     upstream.sent(now, call);
     return [{kind: 'run', callId, upstream: upstream.name}];
   }
 
-  /** What waits for an upstream that drains can go elsewhere at once. */
-  private refuseWhereDraining(now: number): readonly GuardAction[] {
-    if (this.settings.drainFinishesQueue) {
-      return [];
-    }
-    return [...this.services.upstreams()]
-      .filter(({isDraining}) => isDraining)
-      .flatMap((upstream) => upstream.withdrawAll())
-      .flatMap(({id}) => this.refuseWaiting(now, id, 'upstream-draining'));
-  }
-
-  /** The call was never sent, and never will be. */
-  private releaseReservation(
-    now: number,
-    {call, upstream}: KnownCall,
-    reason: RefusalReason,
-  ): readonly GuardAction[] {
-    this.calls.delete(call.id);
-    const freed = upstream.release(now, call.id);
-    return [
-      this.refuseForGood(now, call, upstream, reason),
-      ...this.freed(now, freed),
-    ];
-  }
-
   private upstreamRefused(
     now: number,
     callId: string,
     reason: 'upstream-refused' | 'upstream-replaced',
   ): readonly GuardAction[] {
-    const known = this.take(callId);
+    const known = this.course.take(callId);
     if (known === undefined) {
       return [];
     }
@@ -285,9 +222,9 @@
     const wasDoubted = upstream.isDoubted(now);
     const freed = upstream.refused(now, callId, reason);
     return [
-      this.refuseForGood(now, call, upstream, reason),
-      ...this.doubtNoted(now, upstream, wasDoubted),
-      ...this.freed(now, freed),
+      this.course.refuseForGood(now, call, upstream, reason),
+      ...doubtNoted(now, upstream, wasDoubted),
+      ...this.course.freed(now, freed),
     ];
   }
 
@@ -296,22 +233,22 @@
     callId: string,
     reason: RefusalReason,
   ): readonly GuardAction[] {
-    const known = this.calls.get(callId);
+    const known = this.course.get(callId);
     if (known === undefined) {
       return [];
     }
     const {call, upstream} = known;
     if (upstream.withdraw(callId)) {
-      return this.refuseWaiting(now, callId, reason);
+      return this.course.refuseWaiting(now, callId, reason);
     }
     if (known.reservedAt !== undefined) {
-      return this.releaseReservation(now, known, reason);
+      return this.course.releaseReservation(now, known, reason);
     }
     if (call.repetition === 'once-only' && reason === 'caller-left') {
       // It goes on, so that a repeat of the key is told how it ended.
       return [];
     }
-    this.calls.delete(callId);
+    this.course.take(callId);
     this.services.ledgerOf(call)?.broke(call.onceKey ?? '');
     const isFault =
       reason === 'deadline-passed' && upstream.isOverdue(now, callId);
@@ -320,9 +257,9 @@
     return [
       {kind: 'abort', callId},
       refuse(now, call, reason, 'unknown', upstream),
-      ...this.freed(now, freed),
-      ...this.noted(now, upstream, change),
-      ...this.doubtNoted(now, upstream, wasDoubted),
+      ...this.course.freed(now, freed),
+      ...this.course.noted(now, upstream, change),
+      ...doubtNoted(now, upstream, wasDoubted),
     ];
   }
 
@@ -331,7 +268,7 @@
     event: GuardEvent & {readonly kind: 'upstream-answered'},
   ): readonly GuardAction[] {
     const {callId, status, isShed, answer} = event;
-    const known = this.take(callId);
+    const known = this.course.take(callId);
     if (known === undefined) {
       return [];
     }
@@ -345,9 +282,9 @@
     const wasDoubted = upstream.isDoubted(now);
     const {freed, change} = upstream.answered(now, callId, status, isShed);
     return [
-      ...this.freed(now, freed),
-      ...this.noted(now, upstream, change),
-      ...this.doubtNoted(now, upstream, wasDoubted),
+      ...this.course.freed(now, freed),
+      ...this.course.noted(now, upstream, change),
+      ...doubtNoted(now, upstream, wasDoubted),
     ];
   }
 
@@ -356,7 +293,7 @@
     callId: string,
     wasSent: boolean,
   ): readonly GuardAction[] {
-    const known = this.take(callId);
+    const known = this.course.take(callId);
     if (known === undefined) {
       return [];
     }
@@ -364,13 +301,13 @@
     const wasDoubted = upstream.isDoubted(now);
     const {freed, change} = upstream.failed(now, callId, true);
     const after = [
-      ...this.freed(now, freed),
-      ...this.noted(now, upstream, change),
-      ...this.doubtNoted(now, upstream, wasDoubted),
+      ...this.course.freed(now, freed),
+      ...this.course.noted(now, upstream, change),
+      ...doubtNoted(now, upstream, wasDoubted),
     ];
     if (!wasSent) {
       const reason = 'upstream-unreachable';
-      return [this.refuseForGood(now, call, upstream, reason), ...after];
+      return [this.course.refuseForGood(now, call, upstream, reason), ...after];
     }
     this.services.ledgerOf(call)?.broke(call.onceKey ?? '');
     return [
@@ -379,66 +316,6 @@
     ];
   }
 
-  private freed(now: number, freed: Freed): readonly GuardAction[] {
-    const expired = freed.expired.flatMap(({id}) =>
-      this.refuseWaiting(now, id, 'deadline-too-short'),
-    );
-    const started = freed.started.flatMap(({id}) => {
-      const known = this.calls.get(id);
-      if (known === undefined) {
-        return [];
-      }
-      known.upstream.start(now, known.call);
-      return [this.run(now, known)];
-    });
-    return [...started, ...expired];
-  }
-
-  private noted(
-    now: number,
-    upstream: UpstreamGuard,
-    standing: StandingChange | undefined,
-  ): readonly GuardAction[] {
-    if (standing === undefined) {
-      return [];
-    }
-    const {change, verdict} = standing;
-    const {severity, cause, route} = verdict;
-    const event: GuardAction = {
-      kind: 'timeline',
-      event: `upstream-${change}`,
-      subject: upstream.name,
-      detail: {severity: Math.round(severity * 100) / 100, cause, route},
-    };
-    const refusals =
-      change === 'ejected'
-        ? upstream
-            .withdrawAll()
-            .flatMap(({id}) => this.refuseWaiting(now, id, 'upstream-ejected'))
-        : [];
-    const isUrgent = change === 'condemned' || change === 'returned';
-    const reports = isUrgent ? this.reports.urgent(now, upstream) : [];
-    return [event, ...refusals, ...reports];
-  }
-
-  private doubtNoted(
-    now: number,
-    upstream: UpstreamGuard,
-    wasDoubted: boolean,
-  ): readonly GuardAction[] {
-    const isDoubted = upstream.isDoubted(now);
-    if (isDoubted === wasDoubted) {
-      return [];
-    }
-    const {name} = upstream;
-    const detail = {remaining: upstream.retryAfter(now)};
-    const event = isDoubted ? 'upstream-doubted' : 'upstream-trusted';
-    return [
-      {kind: 'timeline', event, subject: name, detail},
-      {kind: 'standing', upstream: name, hint: upstream.hint(now)},
-    ];
-  }
-
   private replied(
     now: number,
     service: string,
@@ -451,7 +328,7 @@
       return [];
     }
     state.fence = reply.fence;
-    return this.noted(now, upstream, upstream.replied(now, reply));
+    return this.course.noted(now, upstream, upstream.replied(now, reply));
   }
 
   private learnFence(service: string, fence: number): readonly GuardAction[] {
@@ -464,54 +341,17 @@
 
   private tick(now: number): readonly GuardAction[] {
     const actions: GuardAction[] = [];
-    actions.push(...this.expireReservations(now));
+    actions.push(...this.course.expireReservations(now));
     for (const upstream of this.services.upstreams()) {
       const wasDoubted = upstream.isDoubted(now);
       const {freed, changes} = upstream.review(now);
-      actions.push(...this.doubtNoted(now, upstream, wasDoubted));
-      actions.push(...this.freed(now, freed));
+      actions.push(...doubtNoted(now, upstream, wasDoubted));
+      actions.push(...this.course.freed(now, freed));
       for (const change of changes) {
-        actions.push(...this.noted(now, upstream, change));
+        actions.push(...this.course.noted(now, upstream, change));
       }
     }
     actions.push(...this.reports.due(now));
     return actions;
   }
-
-  private expireReservations(now: number): readonly GuardAction[] {
-    const {reservationMilliseconds} = this.settings;
-    return [...this.calls.values()]
-      .filter(
-        ({reservedAt}) =>
-          reservedAt !== undefined &&
-          now - reservedAt > reservationMilliseconds,
-      )
-      .flatMap((known) =>
-        this.releaseReservation(now, known, 'reservation-expired'),
-      );
-  }
-}
-
-/** The upstream may be well, but nothing reaches it through this node. */
-function leavingHint(action: GuardAction): GuardAction {
-  return action.kind === 'refuse' && action.hint !== undefined
-    ? {...action, hint: {...action.hint, state: 'draining'}}
-    : action;
-}
-
-function refuse(
-  now: number,
-  call: GuardCall,
-  reason: RefusalReason,
-  outcome: RefusalOutcome,
-  upstream: UpstreamGuard | undefined,
-  retryAfterMilliseconds = 0,
-): GuardAction {
-  return {
-    kind: 'refuse',
-    callId: call.id,
-    refusal: {reason, outcome, retryAfterMilliseconds},
-    upstream: upstream?.name ?? '',
-    hint: upstream?.hint(now),
-  };
 }
--- /dev/null
+++ b/packages/brain/src/guard/standingActions.ts
@@ -0,0 +1,39 @@
+// Copyright (c) 2026 the lockpin contributors. MIT licence, see LICENSE.
+/** What others are told when the standing of an upstream changes. */
+
+import type {GuardAction} from './guardMessages.js';
+import type {UpstreamGuard} from './upstreamGuard.js';
+import type {StandingChange} from './upstreamStanding.js';
+
+/** A change of standing, for the time line. */
+export function standingEvent(
+  {name}: UpstreamGuard,
+  {change, verdict}: StandingChange,
+): GuardAction {
+  const {severity, cause, route} = verdict;
+  return {
+    kind: 'timeline',
+    event: `upstream-${change}`,
+    subject: name,
+    detail: {severity: Math.round(severity * 100) / 100, cause, route},
+  };
+}
+
+/** Tells of doubt that began or ended since it was last looked at. */
+export function doubtNoted(
+  now: number,
+  upstream: UpstreamGuard,
+  wasDoubted: boolean,
+): readonly GuardAction[] {
+  const isDoubted = upstream.isDoubted(now);
+  if (isDoubted === wasDoubted) {
+    return [];
+  }
+  const {name} = upstream;
+  const detail = {remaining: upstream.retryAfter(now)};
+  const event = isDoubted ? 'upstream-doubted' : 'upstream-trusted';
+  return [
+    {kind: 'timeline', event, subject: name, detail},
+    {kind: 'standing', upstream: name, hint: upstream.hint(now)},
+  ];
+}
