Overdue attempts and what attempts tell have modules of their own

entryBrain decided, kept the books of overdue attempts, and passed on hints and durations. The latter two are overdueAttempts and attemptNews now.

--- /dev/null
+++ b/packages/brain/src/entry/attemptNews.ts
@@ -0,0 +1,52 @@
+// Copyright (c) 2026 the lockpin contributors. MIT licence, see LICENSE.
+/** What an entry learns of upstreams and routes from its attempts. */
+
+import type {LoadHint, UpstreamLoads} from '@lockpin/routing';
+import type {AttemptTiming} from './attemptTiming.js';
+import type {CallState} from './callState.js';
+import type {EntryEvent} from './entryMessages.js';
+
+/** Statuses from here on say that the call failed at its upstream. */
+export const FIRST_FAILED_STATUS = 500;
+
+/** Passes on what attempts tell to those that choose by it. */
+export class AttemptNews {
+  constructor(
+    private readonly loads: UpstreamLoads,
+    private readonly timing: AttemptTiming,
+  ) {}
+
+  /** A guard refused a call. */
+  refusalHeard(
+    now: number,
+    state: CallState,
+    event: EntryEvent & {readonly kind: 'attempt-refused'},
+  ): void {
+    const {upstream, hint, refusal} = event;
+    this.heard(now, upstream, hint);
+    if (hint === undefined && refusal.reason === 'no-upstream') {
+      this.loads.isMissing(state.upstream, now);
+    }
+  }
+
+  /** A guard said how its upstream is. */
+  heard(now: number, upstream: string, hint: LoadHint | undefined): void {
+    if (hint !== undefined) {
+      this.loads.heard(upstream, now, hint);
+    }
+  }
+
+  /** An answer says how long calls of its kind take. */
+  timed(
+    {call}: CallState,
+    event: {
+      readonly status: number;
+      readonly ranMilliseconds: number | undefined;
+    },
+  ): void {
+    const {status, ranMilliseconds} = event;
+    if (ranMilliseconds !== undefined && status < FIRST_FAILED_STATUS) {
+      this.timing.answered(call.route.name, ranMilliseconds);
+    }
+  }
+}
--- a/packages/brain/src/entry/entryBrain.ts
+++ b/packages/brain/src/entry/entryBrain.ts
@@ -3,13 +3,14 @@
 
 import {CustomerShares, DEFAULT_ENTRY_CAPACITY} from '@lockpin/admission';
 import {UpstreamLoads} from '@lockpin/routing';
-import type {LoadHint, RoutingCandidate} from '@lockpin/routing';
+import type {RoutingCandidate} from '@lockpin/routing';
 import type {
   RandomSource,
   Refusal,
   RefusalOutcome,
   RefusalReason,
 } from '@lockpin/types';
+import {AttemptNews, FIRST_FAILED_STATUS} from './attemptNews.js';
 import {AttemptTiming} from './attemptTiming.js';
 import {arrivedCall, setTerms} from './callState.js';
 import type {CallState} from './callState.js';
@@ -21,12 +22,11 @@
 } from './entryMessages.js';
 import {DEFAULT_ENTRY_SETTINGS} from './entrySettings.js';
 import type {EntrySettings} from './entrySettings.js';
+import {OverdueAttempts} from './overdueAttempts.js';
 import {RetryPolicy} from './retryPolicy.js';
 import {UpstreamChooser} from './upstreamChooser.js';
 import type {ChosenCall} from './upstreamChooser.js';
 
-const FIRST_FAILED_STATUS = 500;
-
 /** When a caller over its share may come back, in milliseconds. */
 const OVER_SHARE_RETRY_MILLISECONDS = 100;
 
@@ -41,6 +41,8 @@
   private readonly shares = new CustomerShares(DEFAULT_ENTRY_CAPACITY);
   private readonly chooser: UpstreamChooser;
   private readonly timing: AttemptTiming;
+  private readonly news: AttemptNews;
+  private readonly overdueAttempts: OverdueAttempts;
 
   constructor(
     box: string,
@@ -59,6 +61,12 @@
       loads,
       settings,
     });
+    this.news = new AttemptNews(loads, this.timing);
+    this.overdueAttempts = new OverdueAttempts(
+      loads,
+      this.retries,
+      this.chooser,
+    );
   }
 
   get callCount(): number {
@@ -80,12 +88,12 @@
     switch (event.kind) {
       case 'attempt-answered':
         this.attemptEnded(state);
-        this.heard(now, state.upstream, event.hint);
-        this.timed(state, event);
+        this.news.heard(now, state.upstream, event.hint);
+        this.news.timed(state, event);
         return this.answered(now, random, state, event);
       case 'attempt-refused':
         this.attemptEnded(state);
-        this.refusalHeard(now, state, event);
+        this.news.refusalHeard(now, state, event);
         return this.refused(now, random, state, event.refusal);
       case 'attempt-lost':
         this.attemptEnded(state);
@@ -104,7 +112,7 @@
       case 'deadline-passed':
         return this.deadlinePassed(now, random, state, event.wasSent);
       case 'caller-left':
-        return [...this.cancelAll(state), ...this.ended(state)];
+        return [...this.overdueAttempts.cancelAll(state), ...this.ended(state)];
       case 'answer-ended':
         return this.ended(state);
     }
@@ -252,33 +260,15 @@
     return [cancel, ...next];
   }
 
-  /**
-   * Offers a repeatable call elsewhere too, if something pays for it. The
-   * overdue attempt goes on: its upstream may be about to answer, and breaking
-   * it off would waste its work.
-   */
   private overdue(
     now: number,
     random: RandomSource,
     state: CallState,
   ): readonly EntryAction[] {
-    const hasOverdue = state.overdueAt !== undefined;
-    if (!state.isAttempting || hasOverdue || !this.retries.mayRepeat(state)) {
-      return [];
-    }
-    if (!this.retries.mayPay(state, 1)) {
+    const again = this.overdueAttempts.offerElsewhere(now, random, state);
+    if (again === undefined) {
       return [];
     }
-    const excluded = new Set([...state.ran, state.upstream]);
-    const again = this.chooseFor(now, random, state.call, excluded);
-    if (again === undefined || !this.retries.payRetry(now, state)) {
-      return [];
-    }
-    state.mayHaveRun = true;
-    state.ran.add(state.upstream);
-    state.overdueAt = state.upstream;
-    state.isAttempting = false;
-    setTerms(state, 'may-wait');
     return [
       {kind: 'keep-overdue', callId: state.call.id},
       this.send(state, again.name, again.box, again.name),
@@ -291,12 +281,12 @@
     event: EntryEvent & {readonly kind: 'overdue-answered'},
   ): readonly EntryAction[] {
     const {callId, status} = event;
-    this.heard(now, state.overdueAt ?? '', event.hint);
-    this.timed(state, event);
+    this.news.heard(now, state.overdueAt ?? '', event.hint);
+    this.news.timed(state, event);
     if (status >= FIRST_FAILED_STATUS) {
       return this.overdueEnded(state);
     }
-    this.overdueOver(state);
+    this.overdueAttempts.over(state);
     this.attemptEnded(state);
     return [
       {kind: 'cancel-attempt', callId},
@@ -305,7 +295,7 @@
   }
 
   private overdueEnded(state: CallState): readonly EntryAction[] {
-    this.overdueOver(state);
+    this.overdueAttempts.over(state);
     const {pending} = state;
     if (pending === undefined) {
       return [];
@@ -317,23 +307,6 @@
     return [pending];
   }
 
-  private overdueOver(state: CallState): void {
-    if (state.overdueAt !== undefined) {
-      this.loads.ended(state.overdueAt);
-      state.overdueAt = undefined;
-    }
-  }
-
-  private cancelAll(state: CallState): readonly EntryAction[] {
-    const callId = state.call.id;
-    return state.overdueAt === undefined
-      ? [{kind: 'cancel-attempt', callId}]
-      : [
-          {kind: 'cancel-attempt', callId},
-          {kind: 'cancel-overdue', callId},
-        ];
-  }
-
   private answered(
     now: number,
     random: RandomSource,
@@ -425,8 +398,8 @@
       state.mayHaveRun ||= wasSent;
     }
     const {onceKey} = state.call;
-    const cancels = this.cancelAll(state);
-    this.overdueOver(state);
+    const cancels = this.overdueAttempts.cancelAll(state);
+    this.overdueAttempts.over(state);
     const refusal =
       onceKey === undefined
         ? this.finalRefusal(state, 'deadline-passed')
@@ -462,7 +435,7 @@
   /** Forgets a call; nothing more is to be done for it. */
   private ended(state: CallState): readonly EntryAction[] {
     this.attemptEnded(state);
-    this.overdueOver(state);
+    this.overdueAttempts.over(state);
     this.calls.delete(state.call.id);
     this.shares.release(state.call.customer, state.call.bytes);
     return [];
@@ -474,41 +447,6 @@
       this.loads.ended(state.upstream);
     }
   }
-
-  private refusalHeard(
-    now: number,
-    state: CallState,
-    event: EntryEvent & {readonly kind: 'attempt-refused'},
-  ): void {
-    const {upstream, hint, refusal} = event;
-    this.heard(now, upstream, hint);
-    if (hint === undefined && refusal.reason === 'no-upstream') {
-      this.loads.isMissing(state.upstream, now);
-    }
-  }
-
-  private heard(
-    now: number,
-    upstream: string,
-    hint: LoadHint | undefined,
-  ): void {
-    if (hint !== undefined) {
-      this.loads.heard(upstream, now, hint);
-    }
-  }
-
-  private timed(
-    {call}: CallState,
-    event: {
-      readonly status: number;
-      readonly ranMilliseconds: number | undefined;
-    },
-  ): void {
-    const {status, ranMilliseconds} = event;
-    if (ranMilliseconds !== undefined && status < FIRST_FAILED_STATUS) {
-      this.timing.answered(call.route.name, ranMilliseconds);
-    }
-  }
 }
 
 function refuse(
