--- a/packages/node/src/process/composition.ts
+++ b/packages/node/src/process/composition.ts
@@ -2,7 +2,7 @@
 /** The composition root: every part of a node's process, by tsyringe. */
 
 import 'reflect-metadata';
-import {container as root, instanceCachingFactory} from 'tsyringe';
+import {container as root} from 'tsyringe';
 import type {DependencyContainer, InjectionToken} from 'tsyringe';
 import {createLogger} from '@lockpin/logger';
 import type {Logger} from '@lockpin/logger';
@@ -20,6 +20,7 @@
 import {createCallerApp} from '../request/callerApp.js';
 import {lockpinCallerProtocol} from '../request/callerProtocol.js';
 import {EntryService} from '../request/entryService.js';
+import type {BeginExchange} from '../request/exchange.js';
 import {GuardService} from '../request/guardService.js';
 import {serveExchangeStream} from '../request/exchangeStreamServer.js';
 import {serveGuardStream} from '../request/guardStreams.js';
@@ -31,7 +32,9 @@
 import type {NodeMetrics} from './metrics.js';
 import {NodeHost} from './nodeHost.js';
 import type {NodeEnvironment} from './nodeEnvironment.js';
+import {registerOnceIn} from './registerOnce.js';
 import {TimelineStore} from './timelineStore.js';
+import {every} from './timers.js';
 
 /** Names of boxes shown to a watch that have not a version in force. */
 const MISSING_SHOWN = 10;
@@ -61,12 +64,7 @@
 /** Registers every part; each is made once, when it is first asked for. */
 export function composeNode(settings: NodeSettings): DependencyContainer {
   const container = root.createChildContainer();
-  const once = <T>(
-    token: InjectionToken<T>,
-    make: (parts: DependencyContainer) => T,
-  ): void => {
-    container.register(token, {useFactory: instanceCachingFactory(make)});
-  };
+  const once = registerOnceIn(container);
   container.register(TOKENS.settings, {useValue: settings});
   once(TOKENS.logger, () =>
     createLogger(settings.logLevel, {box: settings.box}),
@@ -132,10 +130,7 @@
   return {
     clock: Date.now,
     random: Math.random,
-    every: (milliseconds, run) => {
-      const timer = setInterval(run, milliseconds);
-      return () => clearInterval(timer);
-    },
+    every,
     sendDatagram: (address, datagram) =>
       parts.resolve(TOKENS.datagrams).send(address, datagram),
     exchange: (address, request, done) =>
@@ -244,13 +239,10 @@
 function createPeerServer(parts: DependencyContainer): PeerServer {
   const host = parts.resolve(TOKENS.host);
   const guard = parts.resolve(TOKENS.guardService);
+  const begin: BeginExchange = (head, handlers) => guard.begin(head, handlers);
   const handlers: PeerServerHandlers = {
-    call: (stream) =>
-      serveGuardStream(stream, (head, handlers) => guard.begin(head, handlers)),
-    exchanges: (stream) =>
-      serveExchangeStream(stream, (head, handlers) =>
-        guard.begin(head, handlers),
-      ),
+    call: (stream) => serveGuardStream(stream, begin),
+    exchanges: (stream) => serveExchangeStream(stream, begin),
     exchange: (request, reply) => host.exchangeReceived(request, reply),
   };
   return new PeerServer(handlers, parts.resolve(TOKENS.traffic));
--- a/packages/node/src/process/fleetComposition.ts
+++ b/packages/node/src/process/fleetComposition.ts
@@ -2,7 +2,7 @@
 /** The composition root of a node in a declared fleet, by tsyringe. */
 
 import 'reflect-metadata';
-import {container as root, instanceCachingFactory} from 'tsyringe';
+import {container as root} from 'tsyringe';
 import type {DependencyContainer, InjectionToken} from 'tsyringe';
 import type {PeerKnowledge, PeerQuestion} from '@lockpin/fleet';
 import type {Logger} from '@lockpin/logger';
@@ -13,6 +13,7 @@
 import {UpstreamPools} from '../connection/upstreamPools.js';
 import type {PeerNews} from '../request/frames.js';
 import {EntryService} from '../request/entryService.js';
+import type {BeginExchange} from '../request/exchange.js';
 import {serveExchangeStream} from '../request/exchangeStreamServer.js';
 import type {NewsExchange} from '../request/exchangeStreamServer.js';
 import {GuardService} from '../request/guardService.js';
@@ -25,7 +26,9 @@
 import type {FleetPorts} from './fleetPorts.js';
 import {createPrometheusMetrics} from './prometheusMetrics.js';
 import type {TextMetrics} from './prometheusMetrics.js';
+import {registerOnceIn} from './registerOnce.js';
 import {Subscribers} from './subscribers.js';
+import {every} from './timers.js';
 
 const STANDARD_OUTPUT = 1;
 
@@ -55,12 +58,7 @@
 /** Registers every part; each is made once, when it is first asked for. */
 export function composeFleetNode(ports: FleetPorts): DependencyContainer {
   const container = root.createChildContainer();
-  const once = <T>(
-    token: InjectionToken<T>,
-    make: (parts: DependencyContainer) => T,
-  ): void => {
-    container.register(token, {useFactory: instanceCachingFactory(make)});
-  };
+  const once = registerOnceIn(container);
   container.register(FLEET_TOKENS.ports, {useValue: ports});
   once(FLEET_TOKENS.writer, () => new BoundedWriter(STANDARD_OUTPUT));
   once(FLEET_TOKENS.log, createLog);
@@ -205,18 +203,11 @@
   const host = parts.resolve(FLEET_TOKENS.host);
   const guard = parts.resolve(FLEET_TOKENS.guardService);
   const news = newsExchange(parts);
+  const begin: BeginExchange = (head, handlers) => guard.begin(head, handlers);
   return new PeerServer<PeerQuestion, PeerKnowledge>(
     {
-      call: (stream) =>
-        serveGuardStream(stream, (head, handlers) =>
-          guard.begin(head, handlers),
-        ),
-      exchanges: (stream) =>
-        serveExchangeStream(
-          stream,
-          (head, handlers) => guard.begin(head, handlers),
-          news,
-        ),
+      call: (stream) => serveGuardStream(stream, begin),
+      exchanges: (stream) => serveExchangeStream(stream, begin, news),
       exchange: (question, reply) => reply(host.fleet.answer(question)),
     },
     new ControlTraffic(),
@@ -231,8 +222,3 @@
     error: (message, fields) => log.event('error', {message, ...fields}),
   };
 }
-
-function every(milliseconds: number, run: () => void): () => void {
-  const timer = setInterval(run, milliseconds);
-  return () => clearInterval(timer);
-}
--- a/packages/node/src/process/runFleetNode.ts
+++ b/packages/node/src/process/runFleetNode.ts
@@ -7,8 +7,9 @@
 import {steadyClock} from '@lockpin/utils';
 import {startHttpServer} from '../connection/httpServer.js';
 import type {RequestHandler} from '../connection/httpServer.js';
+import {finishCalls} from './finishCalls.js';
+import type {StopResult} from './finishCalls.js';
 import {FLEET_TOKENS, versionNews} from './fleetComposition.js';
-import type {StopResult} from './runNode.js';
 
 /** A node that runs. */
 export interface RunningFleetNode {
@@ -18,8 +19,6 @@
   readonly stop: () => Promise<StopResult>;
 }
 
-const STOP_POLL_MILLISECONDS = 20;
-
 /** Guards elsewhere take over at once; this box refuses their calls from then. */
 const LEAVE_AFTER_MILLISECONDS = 100;
 
@@ -42,7 +41,6 @@
   const {settings} = container.resolve(FLEET_TOKENS.ports);
   const host = container.resolve(FLEET_TOKENS.host);
   const guard = container.resolve(FLEET_TOKENS.guardService);
-  const entry = container.resolve(FLEET_TOKENS.entryService);
   const pools = container.resolve(FLEET_TOKENS.pools);
   const subscribers = container.resolve(FLEET_TOKENS.news);
   const remote = container.resolve(FLEET_TOKENS.remote);
@@ -50,12 +48,7 @@
   await container.resolve(FLEET_TOKENS.peerServer).start(settings.peerAddress);
   const callers = await startHttpServer(
     settings.callerAddress,
-    (request, response) => {
-      if (stopping.closesConnections) {
-        response.shouldKeepAlive = false;
-      }
-      void entry.serve(request, response);
-    },
+    callerHandler(container, stopping),
   );
   if (settings.metricsAddress !== '') {
     await startHttpServer(settings.metricsAddress, metricsHandler(container));
@@ -79,11 +72,27 @@
   };
 }
 
+/** How far a node has stopped. */
 interface StopState {
+  /** Callers are told to go elsewhere. */
   isStopping: boolean;
+  /** Each answer ends its connection. */
   closesConnections: boolean;
 }
 
+function callerHandler(
+  container: DependencyContainer,
+  stopping: Readonly<StopState>,
+): RequestHandler {
+  const entry = container.resolve(FLEET_TOKENS.entryService);
+  return (request, response) => {
+    if (stopping.closesConnections) {
+      response.shouldKeepAlive = false;
+    }
+    void entry.serve(request, response);
+  };
+}
+
 /** The limits of the version in force hold for connections, old and new. */
 function applyLimits(container: DependencyContainer, callers: Server): void {
   const host = container.resolve(FLEET_TOKENS.host);
@@ -128,15 +137,11 @@
   stopping.closesConnections = true;
   callers.close();
   callers.closeIdleConnections();
-  const isBusy = (): boolean => guard.callCount + entry.callCount > 0;
-  while (isBusy() && steadyClock() < limit) {
-    await pause(STOP_POLL_MILLISECONDS);
-  }
-  const isFinished = !isBusy();
+  const result = await finishCalls([guard, entry], steadyClock, limit);
   host.stop();
   callers.closeAllConnections();
   container.resolve(FLEET_TOKENS.peerServer).stop();
   container.resolve(FLEET_TOKENS.channels).close();
   container.resolve(FLEET_TOKENS.pools).close();
-  return isFinished ? 'finished' : 'limit-reached';
+  return result;
 }
--- a/packages/node/src/process/runNode.ts
+++ b/packages/node/src/process/runNode.ts
@@ -7,9 +7,8 @@
 import {isUsable} from '@lockpin/membership';
 import {startHttpServer} from '../connection/httpServer.js';
 import {TOKENS} from './composition.js';
-
-/** Whether everything in flight finished before the limit. */
-export type StopResult = 'finished' | 'limit-reached';
+import {finishCalls} from './finishCalls.js';
+import type {StopResult} from './finishCalls.js';
 
 /** A node that runs. */
 export interface RunningNode {
@@ -17,8 +16,7 @@
   readonly stop: () => Promise<StopResult>;
 }
 
-const STOP_POLL_MILLISECONDS = 20;
-
+/** Milliseconds between the gauges that are sent. */
 const GAUGE_MILLISECONDS = 10_000;
 
 /** Others need this long to hear that the node leaves. */
@@ -88,10 +86,7 @@
   const limit = Date.now() + settings.stopLimitMilliseconds;
   host.leave();
   await pause(ANNOUNCE_MILLISECONDS);
-  while (guard.callCount + entry.callCount > 0 && Date.now() < limit) {
-    await pause(STOP_POLL_MILLISECONDS);
-  }
-  const isFinished = guard.callCount + entry.callCount === 0;
+  const result = await finishCalls([guard, entry], Date.now, limit);
   host.stop();
   container.resolve(TOKENS.watches).stop();
   callers.close();
@@ -106,5 +101,5 @@
   await container.resolve(TOKENS.log).close();
   await container.resolve(TOKENS.boxList).close();
   callers.closeAllConnections();
-  return isFinished ? 'finished' : 'limit-reached';
+  return result;
 }
