--- a/packages/brain/src/guard/upstreamGuard.ts
+++ b/packages/brain/src/guard/upstreamGuard.ts
@@ -25,6 +25,8 @@
 
 /** Statuses that say the upstream itself failed. */
 const FIRST_FAILED_STATUS = 500;
+
+/** The upstream lacks what the call asks for, which is no failure. */
 const NOT_IMPLEMENTED_STATUS = 501;
 
 /** What the end of a call led to. */
@@ -173,10 +175,6 @@
     return this.release(now, callId);
   }
 
-  isRunning(callId: string): boolean {
-    return this.running.has(callId);
-  }
-
   withdraw(callId: string): boolean {
     return this.admission.withdraw(callId);
   }
--- a/packages/brain/src/index.ts
+++ b/packages/brain/src/index.ts
@@ -7,6 +7,7 @@
 export {REPORT_INTERVAL_MILLISECONDS} from './guard/reportSchedule.js';
 export * from './guard/onceRefusals.js';
 export * from './guard/upstreamGuard.js';
+export type {StandingChange} from './guard/upstreamStanding.js';
 export * from './control/controlBrain.js';
 export * from './control/controlMessages.js';
 export * from './control/recordBuffer.js';
