Constants and modules say what they are for

Those added with the platform lacked a unit, a reason or a header in places; the follower's comment spoke of every failure, which lost history is not.

--- a/packages/detection/src/doubt.ts
+++ b/packages/detection/src/doubt.ts
@@ -19,7 +19,7 @@
   /** It has not answered although most calls of this kind would have ended. */
   | 'overdue';
 
-/** Weight of each kind; doubt begins when the decaying sum reaches 1.5. */
+/** Weight of each kind; doubt begins when the decaying sum reaches DOUBT_AT. */
 const WEIGHT: Readonly<Record<Exclude<CallEvidenceKind, 'well'>, number>> = {
   broken: 1.5,
   error: 1,
@@ -28,9 +28,10 @@
   overdue: 1,
 };
 
+/** One broken call is enough; it takes two of other kinds, or three slow ones. */
 const DOUBT_AT = 1.5;
 
-/** What a further call leaves of the sum. */
+/** What a further call leaves of the sum, by how it ended. */
 const KEPT_AFTER_BAD = 0.7;
 const KEPT_AFTER_GOOD = 0.4;
 
@@ -39,6 +40,8 @@
  * most calls for 5 to 15 s, so that a first second would be too short.
  */
 const FIRST_HOLD_MILLISECONDS = 2000;
+
+/** The hold doubles with each strike, up to this. */
 const LONGEST_HOLD_MILLISECONDS = 8000;
 
 /** After this long without doubt, the next one is a first one again. */
@@ -49,6 +52,8 @@
  * probe costs its caller time and the fleet a retry.
  */
 const FIRST_PROBE_MILLISECONDS = 400;
+
+/** The longest time between probes. */
 const LONGEST_PROBE_MILLISECONDS = 1000;
 
 /** Probes in a row that must end well. */
--- a/packages/fleet/src/index.ts
+++ b/packages/fleet/src/index.ts
@@ -1,4 +1,6 @@
 // Copyright (c) 2026 the lockpin contributors. MIT licence, see LICENSE.
+/** What a node of a declared fleet knows, and how it spreads calls by it. */
+
 export * from './boxDirectory.js';
 export * from './boxRecord.js';
 export * from './declaredConfiguration.js';
--- a/packages/fleet/src/streamFollower.ts
+++ b/packages/fleet/src/streamFollower.ts
@@ -38,16 +38,23 @@
  * the wait may grow with the number of nodes.
  */
 const WAIT_PER_NODE_MILLISECONDS = 500;
+
+/** The least of that wait, in a small fleet. */
 const SHORTEST_WAIT_MILLISECONDS = 2000;
+
+/** The most of it, until the fleet is so large that the rate of reads counts. */
 const LONGEST_WAIT_MILLISECONDS: Readonly<Record<RecordStream, number>> = {
   configuration: 10_000,
   boxes: 20_000,
 };
 
+/** The store lets a read wait no longer than 30 s. */
+const MOST_WAIT_MILLISECONDS = 29_000;
+
 /** Lets the reads of a large fleet stay within what the store can answer. */
 const LONGEST_WAIT_PER_NODE_MILLISECONDS = 6;
 
-/** One read at a time; every failure is followed by a pause. */
+/** One read at a time; a pause follows news, and failures but lost history. */
 export class StreamFollower {
   private from: number | undefined;
   private isReading = false;
@@ -89,13 +96,6 @@
         };
   }
 
-  private gather(): number {
-    const least = GATHER_MILLISECONDS[this.stream];
-    return this.stream === 'boxes'
-      ? Math.max(least, this.nodes * GATHER_PER_NODE_MILLISECONDS)
-      : least;
-  }
-
   /** Takes in the end of a read. */
   ended(
     now: number,
@@ -122,6 +122,14 @@
     this.failures += 1;
     this.nextAt = now + pause * (0.5 + random());
   }
+
+  /** How long the pause after news is. */
+  private gather(): number {
+    const least = GATHER_MILLISECONDS[this.stream];
+    return this.stream === 'boxes'
+      ? Math.max(least, this.nodes * GATHER_PER_NODE_MILLISECONDS)
+      : least;
+  }
 }
 
 /** Random, so that nodes that started together soon read at different times. */
@@ -141,6 +149,3 @@
   );
   return Math.round(wait * (0.5 + random() / 2));
 }
-
-/** The store lets a read wait no longer than 30 s. */
-const MOST_WAIT_MILLISECONDS = 29_000;
--- a/packages/node/src/process/decisionLog.ts
+++ b/packages/node/src/process/decisionLog.ts
@@ -12,8 +12,10 @@
 /** Fields of a line; never a secret or a caller's body. */
 export type LogDetail = Readonly<Record<string, unknown>>;
 
-/** Lines a second for calls that went well, and for all that did not. */
+/** Lines a second for calls that went well. */
 const ROUTINE_LINES_PER_SECOND = 60;
+
+/** Lines a second for all that did not, and for events. */
 const NOTABLE_LINES_PER_SECOND = 120;
 
 /** What may come at once after a quiet time, in seconds' worth of lines. */
--- a/packages/node/src/process/fleetComposition.ts
+++ b/packages/node/src/process/fleetComposition.ts
@@ -30,6 +30,7 @@
 import {Subscribers} from './subscribers.js';
 import {every} from './timers.js';
 
+/** File descriptor of the decision log. */
 const STANDARD_OUTPUT = 1;
 
 /** A body that is accepted before any configuration says how large it may be. */
--- a/packages/node/src/request/callerBody.ts
+++ b/packages/node/src/request/callerBody.ts
@@ -6,6 +6,7 @@
 import type {CallerRequest} from './callerRequest.js';
 import {readBody} from './readBody.js';
 
+/** The body of a request that has none. */
 const EMPTY = Buffer.alloc(0);
 
 /** The whole body, or undefined when it is to be streamed. */
--- a/packages/node/src/request/frames.ts
+++ b/packages/node/src/request/frames.ts
@@ -111,6 +111,7 @@
   /** The caller has taken so many bytes of the answer. */
   | {readonly kind: 'credit'; readonly bytes: number};
 
+/** The first byte of a frame is the place of its kind in this list. */
 const KINDS = [
   'call',
   'answer',
@@ -126,6 +127,7 @@
   'news',
 ] as const;
 
+/** Bytes of an unsigned number of 32 bits. */
 const CREDIT_LENGTH = 4;
 
 /**
@@ -158,6 +160,7 @@
   'expectedMilliseconds',
 ] as const satisfies readonly (keyof CallHead)[];
 
+/** The order of an answer's fields. */
 const ANSWER_FIELDS = [
   'status',
   'headers',
@@ -169,6 +172,7 @@
   'hasMore',
 ] as const satisfies readonly (keyof AnswerHead)[];
 
+/** The order of a request's fields. */
 const GO_FIELDS = [
   'method',
   'path',
--- a/packages/node/src/request/upstreamProtocol.ts
+++ b/packages/node/src/request/upstreamProtocol.ts
@@ -39,7 +39,10 @@
   readonly holdsUnframed: boolean;
 }
 
+/** The upstream turned the call away for its load. */
 const TOO_MANY_REQUESTS = 429;
+
+/** The same, when it says how soon to come back. */
 const UNAVAILABLE = 503;
 
 /** The product's own way. */
--- a/packages/routing/src/upstreamLoads.ts
+++ b/packages/routing/src/upstreamLoads.ts
@@ -28,8 +28,10 @@
 /** Milliseconds after which a hint has lost most of its weight. */
 const HINT_LIFE_MILLISECONDS = 1000;
 
-/** Pauses after a guard said that it has no such upstream. */
+/** First pause after a guard said that it has no such upstream. */
 const FIRST_MISSING_MILLISECONDS = 300;
+
+/** The longest such pause. */
 const LONGEST_MISSING_MILLISECONDS = 5000;
 
 /** An upstream that refused new work is left alone this long. */
