The arrival of a call and the reads of the store are said shortly

EntryService.arrived and FleetHost.perform were the longest functions of the change; what a call is to the brain is entryCall now, and both reads of the store end in one place.

--- a/packages/node/src/process/fleetHost.ts
+++ b/packages/node/src/process/fleetHost.ts
@@ -16,7 +16,10 @@
   PeerKnowledge,
   PeerQuestion,
   ReadConfiguration,
+  RecordPage,
   RecordStore,
+  RecordStream,
+  StoreResult,
   UpstreamAnnouncement,
 } from '@lockpin/fleet';
 import {WindowedRetryBudget, chooseByScore} from '@lockpin/routing';
@@ -233,18 +236,13 @@
     const {store, askPeer} = this.environment;
     switch (action.kind) {
       case 'read-newest':
-        void store
-          .readNewest(action.stream)
-          .then((result) =>
-            this.handle({kind: 'read-ended', stream: action.stream, result}),
-          );
+        this.whenRead(action.stream, store.readNewest(action.stream));
         break;
       case 'follow':
-        void store
-          .follow(action.stream, action.from, action.waitMilliseconds)
-          .then((result) =>
-            this.handle({kind: 'read-ended', stream: action.stream, result}),
-          );
+        this.whenRead(
+          action.stream,
+          store.follow(action.stream, action.from, action.waitMilliseconds),
+        );
         break;
       case 'write':
         void store
@@ -275,6 +273,15 @@
     }
   }
 
+  private whenRead(
+    stream: RecordStream,
+    read: Promise<StoreResult<RecordPage>>,
+  ): void {
+    void read.then((result) =>
+      this.handle({kind: 'read-ended', stream, result}),
+    );
+  }
+
   private configurationChanged({
     configuration,
     source,
--- a/packages/node/src/request/entryService.ts
+++ b/packages/node/src/request/entryService.ts
@@ -6,13 +6,13 @@
 import type {ServiceView} from '@lockpin/configuration';
 import {mintOnceKey} from '@lockpin/once';
 import type {Refusal} from '@lockpin/types';
-import {sha256Hex} from '@lockpin/utils';
 import {AttemptCourse} from './attemptCourse.js';
 import {readBodyFor} from './callerBody.js';
 import {CallerExchange, HELD_BODY_BYTES} from './callerExchange.js';
 import type {CallerRequest} from './callerRequest.js';
 import type {CallRecord} from './callStory.js';
 import {reasonNotToServe, refuseEarly} from './earlyRefusals.js';
+import {digestOf, entryCall} from './entryCall.js';
 import type {EntryServiceDependencies} from './entryServiceDependencies.js';
 
 export type {EntryServiceDependencies} from './entryServiceDependencies.js';
@@ -102,10 +102,6 @@
   ): void {
     this.serial += 1;
     const id = String(this.serial);
-    const digest =
-      call.onceKey === undefined
-        ? ''
-        : sha256Hex(`${request.method} ${call.path}\n${sha256Hex(body ?? '')}`);
     const exchange = new CallerExchange(
       id,
       requestId,
@@ -113,7 +109,7 @@
       request,
       response,
       body,
-      digest,
+      digestOf(request, call, body),
       arrivedAt,
       this.dependencies.protocol,
     );
@@ -125,20 +121,10 @@
       () => this.deadlinePassed(exchange),
       deadline - this.dependencies.clock(),
     );
+    const bytes = body?.length ?? HELD_BODY_BYTES;
     this.handle({
       kind: 'call-arrived',
-      call: {
-        id,
-        view: call.view,
-        route: call.route,
-        customer: call.customer,
-        bytes: body?.length ?? HELD_BODY_BYTES,
-        deadline,
-        onceKey: call.onceKey,
-        isFirstWithKey: call.isFirstWithKey,
-        isReplayable: exchange.isReplayable,
-        isCallersRetry: call.isCallersRetry,
-      },
+      call: entryCall(exchange, bytes, deadline),
     });
   }
 
