--- a/packages/brain/src/entry/entryBrain.ts
+++ b/packages/brain/src/entry/entryBrain.ts
@@ -1,17 +1,12 @@
 // Copyright (c) 2026 the lockpin contributors. MIT licence, see LICENSE.
 /** The entry of a node: routes calls, retries them, and refuses truthfully. */
 
-import {CustomerShares, DEFAULT_ENTRY_CAPACITY} from '@lockpin/admission';
 import {UpstreamLoads} from '@lockpin/routing';
 import type {RoutingCandidate} from '@lockpin/routing';
-import type {
-  RandomSource,
-  Refusal,
-  RefusalOutcome,
-  RefusalReason,
-} from '@lockpin/types';
+import type {RandomSource, Refusal, RefusalReason} from '@lockpin/types';
 import {AttemptNews, FIRST_FAILED_STATUS} from './attemptNews.js';
 import {AttemptTiming} from './attemptTiming.js';
+import {CallBooks, refuse} from './callBooks.js';
 import {arrivedCall, setTerms} from './callState.js';
 import type {CallState} from './callState.js';
 import type {
@@ -36,9 +31,8 @@
 /** Decides by (now, random, event) alone. */
 export class EntryBrain {
   readonly loads: UpstreamLoads;
-  private readonly calls = new Map<string, CallState>();
   private readonly retries: RetryPolicy;
-  private readonly shares = new CustomerShares(DEFAULT_ENTRY_CAPACITY);
+  private readonly books: CallBooks;
   private readonly chooser: UpstreamChooser;
   private readonly timing: AttemptTiming;
   private readonly news: AttemptNews;
@@ -67,10 +61,11 @@
       this.retries,
       this.chooser,
     );
+    this.books = new CallBooks(loads, this.overdueAttempts);
   }
 
   get callCount(): number {
-    return this.calls.size;
+    return this.books.count;
   }
 
   handle(
@@ -81,22 +76,22 @@
     if (event.kind === 'call-arrived') {
       return this.arrived(now, random, event.call);
     }
-    const state = this.calls.get(event.callId);
+    const state = this.books.get(event.callId);
     if (state === undefined) {
       return [];
     }
     switch (event.kind) {
       case 'attempt-answered':
-        this.attemptEnded(state);
+        this.books.attemptEnded(state);
         this.news.heard(now, state.upstream, event.hint);
         this.news.timed(state, event);
         return this.answered(now, random, state, event);
       case 'attempt-refused':
-        this.attemptEnded(state);
+        this.books.attemptEnded(state);
         this.news.refusalHeard(now, state, event);
         return this.refused(now, random, state, event.refusal);
       case 'attempt-lost':
-        this.attemptEnded(state);
+        this.books.attemptEnded(state);
         this.loads.linkFailed(state.upstream, now, random());
         return this.lost(now, random, state, event.wasSent);
       case 'pause-ended':
@@ -108,13 +103,16 @@
       case 'overdue-answered':
         return this.overdueAnswered(now, state, event);
       case 'overdue-ended':
-        return this.overdueEnded(state);
+        return this.books.overdueEnded(state);
       case 'deadline-passed':
         return this.deadlinePassed(now, random, state, event.wasSent);
       case 'caller-left':
-        return [...this.overdueAttempts.cancelAll(state), ...this.ended(state)];
+        return [
+          ...this.overdueAttempts.cancelAll(state),
+          ...this.books.ended(state),
+        ];
       case 'answer-ended':
-        return this.ended(state);
+        return this.books.ended(state);
     }
   }
 
@@ -133,15 +131,15 @@
     random: RandomSource,
     call: EntryCall,
   ): readonly EntryAction[] {
-    if (!this.shares.take(call.customer, call.bytes)) {
+    if (!this.books.takeShare(call)) {
       const after = OVER_SHARE_RETRY_MILLISECONDS;
       return [refuse(call.id, 'customer-over-share', 'not-run', after)];
     }
     this.retries.firstAttempt(now, call);
     const state = arrivedCall(now, call, this.settings);
-    this.calls.set(call.id, state);
+    this.books.add(state);
     if (now >= call.deadline) {
-      return this.finalRefusal(state, 'deadline-passed');
+      return this.books.finalRefusal(state, 'deadline-passed');
     }
     return call.onceKey === undefined
       ? this.attempt(now, random, state, 'no-upstream')
@@ -172,7 +170,7 @@
     const {pauseMilliseconds} = this.settings;
     const milliseconds = pauseMilliseconds * 2 ** state.pauses;
     if (pauseMilliseconds === 0 || now + milliseconds > state.heldUntil) {
-      return this.finalRefusal(state, reason, retryAfter);
+      return this.books.finalRefusal(state, reason, retryAfter);
     }
     state.pauses += 1;
     return [{kind: 'pause', callId: state.call.id, milliseconds}];
@@ -195,23 +193,14 @@
     const {box, incarnation} = key.home;
     const current = this.boxes.incarnation(box);
     if (current !== undefined && current > incarnation) {
-      return this.homeRefusal(state, 'once-home-replaced');
+      return this.books.homeRefusal(state, 'once-home-replaced');
     }
     if (!this.boxes.isUsable(box)) {
-      return this.homeRefusal(state, 'once-home-unreachable');
+      return this.books.homeRefusal(state, 'once-home-unreachable');
     }
     return [this.send(state, `home ${box}`, box, undefined)];
   }
 
-  /** Only a key that was never sent before has certainly not run. */
-  private homeRefusal(
-    state: CallState,
-    reason: RefusalReason,
-  ): readonly EntryAction[] {
-    const isCertain = state.call.isFirstWithKey && !state.mayHaveRun;
-    return this.final(state, reason, isCertain ? 'not-run' : 'unknown', 0);
-  }
-
   private send(
     state: CallState,
     loadKey: string,
@@ -246,7 +235,7 @@
     random: RandomSource,
     state: CallState,
   ): readonly EntryAction[] {
-    this.attemptEnded(state);
+    this.books.attemptEnded(state);
     state.silences += 1;
     this.loads.linkFailed(state.upstream, now, random());
     const cancel: EntryAction = {
@@ -284,29 +273,16 @@
     this.news.heard(now, state.overdueAt ?? '', event.hint);
     this.news.timed(state, event);
     if (status >= FIRST_FAILED_STATUS) {
-      return this.overdueEnded(state);
+      return this.books.overdueEnded(state);
     }
     this.overdueAttempts.over(state);
-    this.attemptEnded(state);
+    this.books.attemptEnded(state);
     return [
       {kind: 'cancel-attempt', callId},
       {kind: 'pass-overdue-answer', callId},
     ];
   }
 
-  private overdueEnded(state: CallState): readonly EntryAction[] {
-    this.overdueAttempts.over(state);
-    const {pending} = state;
-    if (pending === undefined) {
-      return [];
-    }
-    state.pending = undefined;
-    if (pending.kind === 'refuse') {
-      this.ended(state);
-    }
-    return [pending];
-  }
-
   private answered(
     now: number,
     random: RandomSource,
@@ -350,14 +326,14 @@
       state.ran.add(state.upstream);
     }
     if (state.call.onceKey !== undefined) {
-      return this.final(state, reason, outcome, retryAfterMilliseconds);
+      return this.books.final(state, reason, outcome, retryAfterMilliseconds);
     }
     if (this.retries.mayGoElsewhere(now, state, refusal)) {
       return this.attempt(now, random, state, reason, retryAfterMilliseconds);
     }
     return this.settings.freeRefusals.has(reason)
       ? this.pauseOrRefuse(now, state, reason, retryAfterMilliseconds)
-      : this.finalRefusal(state, reason, retryAfterMilliseconds);
+      : this.books.finalRefusal(state, reason, retryAfterMilliseconds);
   }
 
   private lost(
@@ -371,7 +347,7 @@
       state.ran.add(state.upstream);
     }
     if (state.call.onceKey !== undefined) {
-      return this.homeRefusal(
+      return this.books.homeRefusal(
         state,
         wasSent ? 'guard-lost' : 'once-home-unreachable',
       );
@@ -384,7 +360,7 @@
     ) {
       return this.attempt(now, random, state, reason);
     }
-    return this.finalRefusal(state, reason);
+    return this.books.finalRefusal(state, reason);
   }
 
   private deadlinePassed(
@@ -402,62 +378,8 @@
     this.overdueAttempts.over(state);
     const refusal =
       onceKey === undefined
-        ? this.finalRefusal(state, 'deadline-passed')
-        : this.homeRefusal(state, 'deadline-passed');
+        ? this.books.finalRefusal(state, 'deadline-passed')
+        : this.books.homeRefusal(state, 'deadline-passed');
     return [...cancels, ...refusal];
   }
-
-  private finalRefusal(
-    state: CallState,
-    reason: RefusalReason,
-    retryAfter = 0,
-  ): readonly EntryAction[] {
-    const outcome = state.mayHaveRun ? 'unknown' : 'not-run';
-    return this.final(state, reason, outcome, retryAfter);
-  }
-
-  private final(
-    state: CallState,
-    reason: RefusalReason,
-    outcome: RefusalOutcome,
-    retryAfter: number,
-  ): readonly EntryAction[] {
-    const refusal = refuse(state.call.id, reason, outcome, retryAfter);
-    if (state.overdueAt !== undefined) {
-      this.attemptEnded(state);
-      state.pending = refusal;
-      return [];
-    }
-    this.ended(state);
-    return [refusal];
-  }
-
-  /** Forgets a call; nothing more is to be done for it. */
-  private ended(state: CallState): readonly EntryAction[] {
-    this.attemptEnded(state);
-    this.overdueAttempts.over(state);
-    this.calls.delete(state.call.id);
-    this.shares.release(state.call.customer, state.call.bytes);
-    return [];
-  }
-
-  private attemptEnded(state: CallState): void {
-    if (state.isAttempting) {
-      state.isAttempting = false;
-      this.loads.ended(state.upstream);
-    }
-  }
-}
-
-function refuse(
-  callId: string,
-  reason: RefusalReason,
-  outcome: RefusalOutcome,
-  retryAfterMilliseconds: number,
-): EntryAction {
-  return {
-    kind: 'refuse',
-    callId,
-    refusal: {reason, outcome, retryAfterMilliseconds},
-  };
 }
