--- a/packages/routing/src/upstreamLoads.ts
+++ b/packages/routing/src/upstreamLoads.ts
@@ -31,8 +31,10 @@
 /** A slot frees within about this time where calls take a few hundred. */
 const FULL_MILLISECONDS = 150;
 
-/** Pauses after a guard said that it has no such upstream. */
+/** First pause after a guard said that it has no such upstream. */
 const FIRST_MISSING_MILLISECONDS = 300;
+
+/** The longest such pause. */
 const LONGEST_MISSING_MILLISECONDS = 5000;
 
 /** An upstream that refused new work is left alone this long. */
