--- a/packages/node/src/process/registerOnce.ts
+++ b/packages/node/src/process/registerOnce.ts
@@ -1,6 +1,8 @@
 // Copyright (c) 2026 the lockpin contributors. MIT licence, see LICENSE.
 /** Registers parts of a process that are made once, when first asked for. */
 
+// tsyringe refuses to load before it, in whatever order a bundle loads modules.
+import 'reflect-metadata';
 import {instanceCachingFactory} from 'tsyringe';
 import type {DependencyContainer, InjectionToken} from 'tsyringe';
 
