--- a/packages/fleet/src/__tests__/streamFollower.test.ts
+++ b/packages/fleet/src/__tests__/streamFollower.test.ts
@@ -27,6 +27,27 @@
   return (reads / 600) * nodes;
 }
 
+describe('a store that has lost its history', () => {
+  it('is read anew at once, and then only after pauses while it goes on', () => {
+    const follower = new StreamFollower('boxes');
+    const gone = {
+      ok: false,
+      failure: {kind: 'history-gone', detail: ''},
+    } as const;
+    let reads = 0;
+    for (let now = 0; now < 3000; now += 1) {
+      const read = follower.due(now, () => 0.5, 3);
+      if (read !== undefined) {
+        reads += 1;
+        const isNewest = read.kind === 'read-newest';
+        const page = {ok: true, value: {records: [], end: 5}} as const;
+        follower.ended(now, () => 0.5, isNewest ? page : gone);
+      }
+    }
+    expect(reads).toBeLessThan(60);
+  });
+});
+
 describe('the reads of a whole fleet', () => {
   it.each([
     [21, 10],
--- a/packages/fleet/src/streamFollower.ts
+++ b/packages/fleet/src/streamFollower.ts
@@ -60,6 +60,8 @@
   private isReading = false;
   private nextAt = 0;
   private failures = 0;
+  /** The last read of records that follow found them gone. */
+  private isHistoryLost = false;
   private nodes = 1;
 
   constructor(private readonly stream: RecordStream) {}
@@ -105,14 +107,18 @@
     this.isReading = false;
     if (result.ok) {
       this.failures = 0;
+      // Only records that follow on show that the history is there again.
+      this.isHistoryLost &&= this.from === undefined;
       this.from = result.value.end;
       const isNews = result.value.records.length > 0;
       this.nextAt = isNews ? now + this.gather() : now;
       return;
     }
     if (result.failure.kind === 'history-gone') {
+      // At once for the first time; a store that keeps saying so is not pressed.
+      this.nextAt = this.isHistoryLost ? now + FIRST_BACKOFF_MILLISECONDS : now;
+      this.isHistoryLost = true;
       this.from = undefined;
-      this.nextAt = now;
       return;
     }
     const pause = Math.min(
