--- a/packages/cli/src/__tests__/manifests.test.ts
+++ b/packages/cli/src/__tests__/manifests.test.ts
@@ -2,7 +2,7 @@
 /** Manifests and their problems. */
 
 import {describe, expect, it} from 'vitest';
-import {parseManifests} from '../manifests.js';
+import {parseManifests, readManifests} from '../manifests.js';
 import {run} from '../run.js';
 
 function problemsOf(text: string): readonly string[] {
@@ -12,6 +12,15 @@
     : parsed.failure.map(({field, problem}) => `${field}: ${problem}`);
 }
 
+describe('readManifests', () => {
+  it('says why a file cannot be read', async () => {
+    expect(await readManifests(['no-such-file'])).toEqual({
+      ok: false,
+      failure: [{field: 'no-such-file', problem: 'cannot be read: ENOENT'}],
+    });
+  });
+});
+
 describe('parseManifests', () => {
   it('reads YAML documents and JSON alike', () => {
     const yaml = 'kind: Customer\nname: a\n---\nkind: Customer\nname: b\n';
--- a/packages/cli/src/manifests.ts
+++ b/packages/cli/src/manifests.ts
@@ -30,12 +30,12 @@
   const manifests: Manifest[] = [];
   const problems: FieldProblem[] = [];
   for (const file of files) {
-    const text = await readFile(file, 'utf8').catch(() => undefined);
-    if (text === undefined) {
-      problems.push({field: file, problem: 'cannot be read'});
+    const read = await readText(file);
+    if (!read.ok) {
+      problems.push({field: file, problem: `cannot be read: ${read.failure}`});
       continue;
     }
-    const parsed = parseManifests(text);
+    const parsed = parseManifests(read.value);
     if (parsed.ok) {
       manifests.push(...parsed.value);
     } else {
@@ -50,6 +50,16 @@
   return problems.length > 0 ? failure(problems) : success(manifests);
 }
 
+/** The text of a file, or the code of the error that says why there is none. */
+async function readText(file: string): Promise<Result<string, string>> {
+  try {
+    return success(await readFile(file, 'utf8'));
+  } catch (error) {
+    const {code, message} = error as NodeJS.ErrnoException;
+    return failure(code ?? message);
+  }
+}
+
 /** Parses the documents of one file. */
 export function parseManifests(
   text: string,
