--- a/packages/brain/src/entry/attemptNews.ts
+++ b/packages/brain/src/entry/attemptNews.ts
@@ -2,13 +2,11 @@
 /** What an entry learns of upstreams and routes from its attempts. */
 
 import type {LoadHint, UpstreamLoads} from '@lockpin/routing';
+import {FIRST_FAILED_STATUS} from '@lockpin/utils';
 import type {AttemptTiming} from './attemptTiming.js';
 import type {CallState} from './callState.js';
 import type {EntryEvent} from './entryMessages.js';
 
-/** Statuses from here on say that the call failed at its upstream. */
-export const FIRST_FAILED_STATUS = 500;
-
 /** Passes on what attempts tell to those that choose by it. */
 export class AttemptNews {
   constructor(
--- a/packages/brain/src/entry/entryBrain.ts
+++ b/packages/brain/src/entry/entryBrain.ts
@@ -4,7 +4,8 @@
 import {UpstreamLoads} from '@lockpin/routing';
 import type {RoutingCandidate} from '@lockpin/routing';
 import type {RandomSource, Refusal, RefusalReason} from '@lockpin/types';
-import {AttemptNews, FIRST_FAILED_STATUS} from './attemptNews.js';
+import {FIRST_FAILED_STATUS} from '@lockpin/utils';
+import {AttemptNews} from './attemptNews.js';
 import {AttemptTiming} from './attemptTiming.js';
 import {CallBooks, refuse} from './callBooks.js';
 import {arrivedCall, setTerms} from './callState.js';
--- a/packages/brain/src/guard/upstreamGuard.ts
+++ b/packages/brain/src/guard/upstreamGuard.ts
@@ -13,6 +13,7 @@
   Sensitivity,
   UpstreamSpec,
 } from '@lockpin/types';
+import {FIRST_FAILED_STATUS} from '@lockpin/utils';
 import type {GuardCall, GuardSettings} from './guardMessages.js';
 import {QuickDoubt} from './quickDoubt.js';
 import {isLate} from './runningCall.js';
@@ -23,9 +24,6 @@
 /** A suspect upstream announces this part of its limit, so that calls go elsewhere. */
 const SUSPECT_LIMIT_SHARE = 0.25;
 
-/** Statuses that say the upstream itself failed. */
-const FIRST_FAILED_STATUS = 500;
-
 /** The upstream lacks what the call asks for, which is no failure. */
 const NOT_IMPLEMENTED_STATUS = 501;
 
--- a/packages/node/src/request/attemptCourse.ts
+++ b/packages/node/src/request/attemptCourse.ts
@@ -2,6 +2,7 @@
 /** The course of a call's attempts: their timers, and what their guards say. */
 
 import type {Attempt, EntryEvent} from '@lockpin/brain';
+import {FIRST_FAILED_STATUS} from '@lockpin/utils';
 import type {CallerExchange} from './callerExchange.js';
 import type {EntryServiceDependencies} from './entryServiceDependencies.js';
 import type {ExchangeHandlers} from './exchange.js';
@@ -18,9 +19,6 @@
   readonly onAnswerOver: (exchange: CallerExchange) => void;
 }
 
-/** Statuses from here on say that the call failed at its upstream. */
-const FIRST_FAILED_STATUS = 500;
-
 /** Makes the attempts of calls, and tells the brain how each goes. */
 export class AttemptCourse {
   constructor(private readonly dependencies: AttemptCourseDependencies) {}
--- a/packages/tools/src/measure/answerTally.ts
+++ b/packages/tools/src/measure/answerTally.ts
@@ -1,7 +1,7 @@
 // Copyright (c) 2026 the lockpin contributors. MIT licence, see LICENSE.
 /** Counts the answers that callers got, by customer. */
 
-const FIRST_FAILED_STATUS = 500;
+import {FIRST_FAILED_STATUS} from '@lockpin/utils';
 
 interface OpenCall {
   readonly customer: string;
--- a/packages/utils/src/index.ts
+++ b/packages/utils/src/index.ts
@@ -7,3 +7,4 @@
 export * from './ringBuffer.js';
 export * from './seededRandom.js';
 export * from './steadyClock.js';
+export * from './statuses.js';
