Stand-ins of the platform are a package; peers may come through a forwarder

Cause: the soak needs what the platform's tests had as fixtures, and a place between the nodes where it can cut and delay. LOCKPIN_ADVERTISED_PEER_ADDRESS, a setting of lockpin's own, tells other boxes another address than the one listened on. The bundle that tests start is made once before all of them, since two files that made it at once could read each other's half.

--- a/packages/node/src/process/fleetPorts.ts
+++ b/packages/node/src/process/fleetPorts.ts
@@ -25,7 +25,10 @@
   /** The service whose upstream runs on this box; calls begin in its name. */
   readonly service: string;
   readonly callerAddress: string;
+  /** Where other nodes reach this one. */
   readonly peerAddress: string;
+  /** Where this node listens for them; differs behind a forwarder. */
+  readonly peerListenAddress: string;
   /** Where the metrics are read; empty for nowhere. */
   readonly metricsAddress: string;
   /** From the signal to stop until the process is killed, in milliseconds. */
--- a/vitest.config.ts
+++ b/vitest.config.ts
@@ -2,11 +2,15 @@
 import {fileURLToPath} from 'node:url';
 import {defineConfig} from 'vitest/config';
 
+const standInsIndex = fileURLToPath(
+  new URL('./platform/stand-ins/src/index.ts', import.meta.url),
+);
 const packagesFolder = fileURLToPath(new URL('./packages', import.meta.url));
 
 export default defineConfig({
   resolve: {
     alias: [
+      {find: '@lockpin/platform-stand-ins', replacement: standInsIndex},
       {
         find: /^@lockpin\/([a-z-]+)$/,
         replacement: `${packagesFolder}/$1/src/index.ts`,
@@ -14,6 +18,7 @@
     ],
   },
   test: {
+    globalSetup: './deploy/buildForTests.mjs',
     include: [
       'packages/*/src/**/__tests__/**/*.test.ts',
       'platform/src/**/__tests__/**/*.test.ts',
