A fault soak of real processes, and three faults that it found

The soak (npm run soak) runs nodes, callers, upstreams and a store; forwarders delay, reset, silence and cut one way; processes are killed, stopped, paused and told of new settings in series that overlap; it checks what callers and upstreams saw. Clocks cannot be moved from outside a process here: a paused process finds its clock jumped, which is all that is played of them. The brain's event is now 'given-up', with its reason.

--- a/packages/brain/src/__tests__/__fixtures__/callWorld.ts
+++ b/packages/brain/src/__tests__/__fixtures__/callWorld.ts
@@ -267,7 +267,12 @@
     };
     this.later(HOP, () => this.tellEntry(id, {kind: 'call-arrived', call}));
     this.later(HOP + WAIT, () =>
-      this.tellEntry(id, {kind: 'deadline-passed', callId: id, wasSent: true}),
+      this.tellEntry(id, {
+        kind: 'given-up',
+        callId: id,
+        reason: 'deadline-passed',
+        wasSent: true,
+      }),
     );
   }
 
--- a/packages/brain/src/__tests__/entryTellsTheTruth.test.ts
+++ b/packages/brain/src/__tests__/entryTellsTheTruth.test.ts
@@ -135,7 +135,12 @@
     case 'lost':
       return {kind: 'attempt-lost', callId, wasSent: next.wasSent};
     case 'deadline':
-      return {kind: 'deadline-passed', callId, wasSent: true};
+      return {
+        kind: 'given-up',
+        callId,
+        reason: 'deadline-passed',
+        wasSent: true,
+      };
     case 'left':
       return {kind: 'caller-left', callId};
   }
--- a/packages/node/src/process/runFleetNode.ts
+++ b/packages/node/src/process/runFleetNode.ts
@@ -28,6 +28,9 @@
  */
 const SERVE_SHARE = 0.42;
 
+/** Time for the last answers to go out before connections are closed. */
+const LAST_ANSWERS_MILLISECONDS = 50;
+
 /** Kept of the stop limit for the process to end by itself. */
 const EXIT_RESERVE_MILLISECONDS = 600;
 
@@ -45,7 +48,8 @@
   const subscribers = container.resolve(FLEET_TOKENS.news);
   const remote = container.resolve(FLEET_TOKENS.remote);
   const stopping: StopState = {isStopping: false, closesConnections: false};
-  await container.resolve(FLEET_TOKENS.peerServer).start(settings.peerAddress);
+  const peerServer = container.resolve(FLEET_TOKENS.peerServer);
+  await peerServer.start(settings.peerListenAddress);
   const callers = await startHttpServer(
     settings.callerAddress,
     callerHandler(container, stopping),
@@ -139,6 +143,11 @@
   callers.closeIdleConnections();
   const result = await finishCalls([guard, entry], steadyClock, limit);
   host.stop();
+  if (result === 'limit-reached') {
+    entry.giveUpAll();
+    await pause(LAST_ANSWERS_MILLISECONDS);
+  }
+  // At once when all is finished, so that no call can come in between.
   callers.closeAllConnections();
   container.resolve(FLEET_TOKENS.peerServer).stop();
   container.resolve(FLEET_TOKENS.channels).close();
--- a/packages/node/src/request/entryService.ts
+++ b/packages/node/src/request/entryService.ts
@@ -118,7 +118,7 @@
     this.watchConnection(request, response, exchange);
     const deadline = arrivedAt + call.waitMilliseconds;
     exchange.timer = setTimeout(
-      () => this.deadlinePassed(exchange),
+      () => this.giveUp(exchange, 'deadline-passed'),
       deadline - this.dependencies.clock(),
     );
     const bytes = body?.length ?? HELD_BODY_BYTES;
@@ -144,10 +144,23 @@
     response.once('finish', () => socket.off('close', left));
   }
 
-  private deadlinePassed(exchange: CallerExchange): void {
+  /**
+   * The process ends before these calls do. Each gets its final answer, true as
+   * far as is known here; a closed connection would leave its caller guessing.
+   */
+  giveUpAll(): void {
+    [...this.exchanges.values()].forEach((exchange) =>
+      this.giveUp(exchange, 'node-leaving'),
+    );
+  }
+
+  private giveUp(
+    exchange: CallerExchange,
+    reason: 'deadline-passed' | 'node-leaving',
+  ): void {
     const wasSent = exchange.mayHaveBegun;
-    this.course.noteEnd(exchange, 'deadline-passed');
-    this.handle({kind: 'deadline-passed', callId: exchange.id, wasSent});
+    this.course.noteEnd(exchange, reason);
+    this.handle({kind: 'given-up', callId: exchange.id, reason, wasSent});
   }
 
   private handle(event: EntryEvent): void {
--- a/packages/tools/src/measure/serviceRun.ts
+++ b/packages/tools/src/measure/serviceRun.ts
@@ -201,7 +201,12 @@
       },
     });
     this.later(TRAFFIC.waitMilliseconds, () =>
-      this.tellEntry(id, {kind: 'deadline-passed', callId: id, wasSent: true}),
+      this.tellEntry(id, {
+        kind: 'given-up',
+        callId: id,
+        reason: 'deadline-passed',
+        wasSent: true,
+      }),
     );
   }
 
--- /dev/null
+++ b/packages/tools/src/soak/__tests__/soak.test.ts
@@ -0,0 +1,21 @@
+// Copyright (c) 2026 the lockpin contributors. MIT licence, see LICENSE.
+/** A short soak of real processes, with a seed that is the same every time. */
+
+import {mkdtempSync} from 'node:fs';
+import {tmpdir} from 'node:os';
+import {join} from 'node:path';
+import {describe, expect, it} from 'vitest';
+import {runSoak} from '../runSoak.js';
+
+const SEED = 20261202;
+const SIZE = {boxes: 4, faultMilliseconds: 5000};
+
+describe('a short soak', () => {
+  it('keeps every promise through kills, stops, pauses and bad links', async () => {
+    const folder = mkdtempSync(join(tmpdir(), 'lockpin-soak-'));
+    const {violations, calls, faults} = await runSoak(SEED, SIZE, folder);
+    expect(violations).toEqual([]);
+    expect(calls).toBeGreaterThan(200);
+    expect(faults).toBeGreaterThan(5);
+  });
+});
--- /dev/null
+++ b/packages/tools/src/soak/applyFault.ts
@@ -0,0 +1,102 @@
+// Copyright (c) 2026 the lockpin contributors. MIT licence, see LICENSE.
+/** Does what the plan says, and notes when it began and ended. */
+
+import {setTimeout as pause} from 'node:timers/promises';
+import type {PlannedFault} from './faultPlan.js';
+import {HEALTHY_LINK} from './linkProxy.js';
+import type {SoakBox} from './soakBox.js';
+import type {SoakRecorder} from './soakRecorder.js';
+import type {SoakStore} from './soakStore.js';
+
+/** What faults are applied to. */
+export interface FaultTargets {
+  readonly boxes: readonly SoakBox[];
+  readonly store: SoakStore;
+  readonly recorder: SoakRecorder;
+}
+
+/** Applies one fault; resolves when it is over. */
+export async function applyFault(
+  targets: FaultTargets,
+  fault: PlannedFault,
+): Promise<void> {
+  const {store, recorder} = targets;
+  switch (fault.kind) {
+    case 'store':
+      await recorder.trouble('', false, fault.mood, () =>
+        store.misbehave(fault.mood, fault.lasts),
+      );
+      return;
+    case 'store-forgets':
+      store.forget();
+      return;
+    case 'configure':
+      store.configure();
+      return;
+    default: {
+      const box = targets.boxes[fault.box];
+      if (box !== undefined) {
+        await applyToBox(recorder, box, fault);
+      }
+    }
+  }
+}
+
+async function applyToBox(
+  recorder: SoakRecorder,
+  box: SoakBox,
+  fault: PlannedFault & {readonly box: number},
+): Promise<void> {
+  const isPlanned =
+    fault.kind === 'stop' ||
+    fault.kind === 'reload' ||
+    fault.kind === 'replace-upstream';
+  await recorder.trouble(box.name, isPlanned, fault.kind, async () => {
+    switch (fault.kind) {
+      case 'kill':
+        await box.kill();
+        await pause(fault.downFor);
+        box.startProcess();
+        break;
+      case 'stop':
+        recorder.stopped(await box.stop());
+        await pause(fault.downFor);
+        box.startProcess();
+        break;
+      case 'pause':
+        await box.pause(fault.lasts);
+        break;
+      case 'reload':
+        box.reload(fault.signals);
+        break;
+      case 'link':
+        box.link(fault.link).setFault(fault.fault);
+        await pause(fault.lasts);
+        box.link(fault.link).setFault(HEALTHY_LINK);
+        break;
+      case 'upstream':
+        await misbehave(box, fault);
+        break;
+      case 'replace-upstream':
+        await box.replaceUpstream();
+        break;
+      case 'crash-upstream':
+        await box.crashUpstream();
+        break;
+    }
+  });
+}
+
+async function misbehave(
+  box: SoakBox,
+  {mood, share, lasts}: PlannedFault & {readonly kind: 'upstream'},
+): Promise<void> {
+  const standIn = box.upstream?.standIn;
+  if (standIn === undefined) {
+    return;
+  }
+  standIn.mood = mood;
+  standIn.moodShare = share;
+  await pause(lasts);
+  standIn.mood = 'well';
+}
--- /dev/null
+++ b/packages/tools/src/soak/faultPlan.ts
@@ -0,0 +1,195 @@
+// Copyright (c) 2026 the lockpin contributors. MIT licence, see LICENSE.
+/** What goes wrong in a soak, and when: a pure function of the seed. */
+
+import {seededRandom} from '@lockpin/utils';
+import type {RandomSource} from '@lockpin/types';
+import type {StoreMood, UpstreamMood} from '@lockpin/platform-stand-ins';
+import type {LinkFault} from './linkProxy.js';
+
+/** Which connections of a box a fault is on. */
+export type LinkName = 'peers' | 'store' | 'upstream';
+
+/** One thing that is done, at a time from the start of the faults. */
+export type PlannedFault = {readonly at: number} & (
+  | {readonly kind: 'kill'; readonly box: number; readonly downFor: number}
+  | {readonly kind: 'stop'; readonly box: number; readonly downFor: number}
+  | {readonly kind: 'pause'; readonly box: number; readonly lasts: number}
+  /** The settings file changes; a signal may or may not tell. */
+  | {readonly kind: 'reload'; readonly box: number; readonly signals: boolean}
+  | {
+      readonly kind: 'link';
+      readonly box: number;
+      readonly link: LinkName;
+      readonly fault: LinkFault;
+      readonly lasts: number;
+    }
+  | {readonly kind: 'store'; readonly mood: StoreMood; readonly lasts: number}
+  | {readonly kind: 'store-forgets'}
+  | {
+      readonly kind: 'upstream';
+      readonly box: number;
+      readonly mood: UpstreamMood;
+      readonly share: number;
+      readonly lasts: number;
+    }
+  /** Its upstream drains and leaves; another lifetime takes its place. */
+  | {readonly kind: 'replace-upstream'; readonly box: number}
+  /** Its upstream is gone without a word; another lifetime takes its place. */
+  | {readonly kind: 'crash-upstream'; readonly box: number}
+  | {readonly kind: 'configure'}
+);
+
+/** How long and how large a soak is. */
+export interface SoakSize {
+  readonly boxes: number;
+  /** Time in which faults begin, in milliseconds. */
+  readonly faultMilliseconds: number;
+}
+
+/** Mean time between faults; each lasts longer than that, so that they overlap. */
+const MEAN_GAP_MILLISECONDS = 500;
+
+const SHORTEST_FAULT_MILLISECONDS = 300;
+const LONGEST_FAULT_MILLISECONDS = 4000;
+
+/** Delays of a bad link, up to this. */
+const LONGEST_DELAY_MILLISECONDS = 300;
+
+/** Steps of a series of stops, kills or configurations. */
+const MOST_IN_SERIES = 4;
+
+/** Time between the steps of a series. */
+const SERIES_GAP_MILLISECONDS = 350;
+
+const STORE_MOODS: readonly StoreMood[] = [
+  'busy',
+  'silent',
+  'slow',
+  'answer-lost',
+  'done-late',
+];
+
+const UPSTREAM_MOODS: readonly UpstreamMood[] = [
+  'errors',
+  'resets',
+  'sheds',
+  'hangs',
+  'unframed',
+  'cut-short',
+  'answers-twice',
+];
+
+const LINKS: readonly LinkName[] = ['peers', 'store', 'upstream'];
+
+type DrawFault = (
+  random: RandomSource,
+  at: number,
+  boxes: number,
+) => readonly PlannedFault[];
+
+/** Each is as likely as the others; some come in series. */
+const DRAWS: readonly DrawFault[] = [
+  (random, at, boxes) =>
+    inSeries(random, at, (time) => ({
+      at: time,
+      kind: 'kill',
+      box: pick(random, boxes),
+      downFor: span(random),
+    })),
+  (random, at, boxes) =>
+    inSeries(random, at, (time) => ({
+      at: time,
+      kind: 'stop',
+      box: pick(random, boxes),
+      downFor: span(random) / 2,
+    })),
+  (random, at, boxes) => [
+    {at, kind: 'pause', box: pick(random, boxes), lasts: span(random)},
+  ],
+  (random, at, boxes) => [
+    {at, kind: 'reload', box: pick(random, boxes), signals: random() < 0.5},
+  ],
+  (random, at, boxes) => [
+    {
+      at,
+      kind: 'link',
+      box: pick(random, boxes),
+      link: oneOf(random, LINKS),
+      fault: drawLinkFault(random),
+      lasts: span(random),
+    },
+  ],
+  (random, at) => [
+    {at, kind: 'store', mood: oneOf(random, STORE_MOODS), lasts: span(random)},
+  ],
+  (_random, at) => [{at, kind: 'store-forgets'}],
+  (random, at, boxes) => [
+    {
+      at,
+      kind: 'upstream',
+      box: pick(random, boxes),
+      mood: oneOf(random, UPSTREAM_MOODS),
+      share: 0.2 + 0.8 * random(),
+      lasts: span(random),
+    },
+  ],
+  (random, at, boxes) => [
+    {at, kind: 'replace-upstream', box: pick(random, boxes)},
+  ],
+  (random, at, boxes) => [
+    {at, kind: 'crash-upstream', box: pick(random, boxes)},
+  ],
+  (random, at) =>
+    inSeries(random, at, (time) => ({at: time, kind: 'configure'})),
+];
+
+/** The faults of a seed, in the order of their times. */
+export function planFaults(
+  seed: number,
+  {boxes, faultMilliseconds}: SoakSize,
+): readonly PlannedFault[] {
+  const random = seededRandom(seed);
+  const faults: PlannedFault[] = [];
+  let at = 0;
+  while (at < faultMilliseconds) {
+    faults.push(...oneOf(random, DRAWS)(random, Math.round(at), boxes));
+    at += 2 * MEAN_GAP_MILLISECONDS * random();
+  }
+  return faults.sort((a, b) => a.at - b.at);
+}
+
+function inSeries(
+  random: RandomSource,
+  at: number,
+  draw: (at: number) => PlannedFault,
+): readonly PlannedFault[] {
+  const count = random() < 0.5 ? 1 : 2 + pick(random, MOST_IN_SERIES - 1);
+  return Array.from({length: count}, (_, i) =>
+    draw(at + i * SERIES_GAP_MILLISECONDS),
+  );
+}
+
+function drawLinkFault(random: RandomSource): LinkFault {
+  const kind = oneOf(random, [
+    'delayed',
+    'silent',
+    'answers-cut',
+    'resetting',
+  ] as const);
+  return kind === 'delayed'
+    ? {kind, milliseconds: Math.round(LONGEST_DELAY_MILLISECONDS * random())}
+    : {kind};
+}
+
+function span(random: RandomSource): number {
+  const range = LONGEST_FAULT_MILLISECONDS - SHORTEST_FAULT_MILLISECONDS;
+  return Math.round(SHORTEST_FAULT_MILLISECONDS + range * random() ** 2);
+}
+
+function pick(random: RandomSource, count: number): number {
+  return Math.floor(random() * count);
+}
+
+function oneOf<T>(random: RandomSource, items: readonly T[]): T {
+  return items[pick(random, items.length)] as T;
+}
--- /dev/null
+++ b/packages/tools/src/soak/runSoak.ts
@@ -0,0 +1,239 @@
+// Copyright (c) 2026 the lockpin contributors. MIT licence, see LICENSE.
+/** One soak: a fleet of real processes, callers, faults, a calm end, checks. */
+
+import {Agent} from 'node:http';
+import {mkdirSync} from 'node:fs';
+import {setTimeout as pause} from 'node:timers/promises';
+import {answerBody} from '@lockpin/platform-stand-ins';
+import {seededRandom} from '@lockpin/utils';
+import {freeAddresses} from '../harness/ports.js';
+import {until} from '../harness/until.js';
+import {applyFault} from './applyFault.js';
+import {checkFacts} from './checkFacts.js';
+import {planFaults} from './faultPlan.js';
+import type {SoakSize} from './faultPlan.js';
+import {markerPath, soakRoutes, SOAK_SERVICES} from './soakConfiguration.js';
+import {SoakBox} from './soakBox.js';
+import {keepCalling, sendRequest} from './soakCaller.js';
+import type {SoakBounds, Violation} from './soakFacts.js';
+import {SoakRecorder} from './soakRecorder.js';
+import {SoakStore} from './soakStore.js';
+
+/** What the nodes' settings promise, and what callers may expect. */
+export const SOAK_BOUNDS: SoakBounds = {
+  drainMilliseconds: 1000,
+  applyMilliseconds: 2000,
+  rollbackMilliseconds: 250,
+  contactMilliseconds: 3000,
+  lossMilliseconds: 200,
+  lateMilliseconds: 500,
+  retryRatio: 0.2,
+  retryWindowMilliseconds: 10_000,
+  retryExtra: 56,
+};
+
+const CALLERS_PER_BOX = 3;
+
+/** Each box is asked for the newest route and the one before this often. */
+const MARKER_MILLISECONDS = 300;
+
+/** From the end of the last fault until all must be well again. */
+const RECOVERY_MILLISECONDS = 9000;
+
+/** The last phase, in which all must be well. */
+const CALM_MILLISECONDS = 2500;
+
+/** What one soak came to. */
+export interface SoakResult {
+  readonly seed: number;
+  readonly calls: number;
+  readonly served: number;
+  readonly faults: number;
+  readonly violations: readonly Violation[];
+}
+
+/** Runs one seed; settings and logs of its nodes go into a folder. */
+export async function runSoak(
+  seed: number,
+  size: SoakSize,
+  folder: string,
+): Promise<SoakResult> {
+  mkdirSync(folder, {recursive: true});
+  const recorder = new SoakRecorder();
+  const store = new SoakStore((version) => recorder.versions.push(version));
+  const storeAddress = await store.start();
+  const boxes = await startBoxes(seed, size, folder, storeAddress, recorder);
+  let isOver = false;
+  const callers = startCallers(seed, boxes, store, recorder, () => isOver);
+  await until(() => hasBeenServed(recorder, boxes));
+  const faults = planFaults(seed, size);
+  await applyAll(faults, (fault) =>
+    applyFault({boxes, store, recorder}, fault),
+  );
+  await pause(RECOVERY_MILLISECONDS);
+  const calmFrom = Date.now();
+  await pause(CALM_MILLISECONDS);
+  isOver = true;
+  await Promise.all(callers);
+  const facts = recorder.facts(boxes, calmFrom);
+  await Promise.all(boxes.map((box) => box.end()));
+  store.stop();
+  return {
+    seed,
+    calls: facts.calls.length,
+    served: facts.calls.filter(
+      ({end}) => end.kind === 'answered' && end.status === 200,
+    ).length,
+    faults: faults.length,
+    violations: checkFacts(facts, SOAK_BOUNDS, answerBody),
+  };
+}
+
+async function startBoxes(
+  seed: number,
+  {boxes: count}: SoakSize,
+  folder: string,
+  storeAddress: string,
+  recorder: SoakRecorder,
+): Promise<readonly SoakBox[]> {
+  const boxes: SoakBox[] = [];
+  for (let index = 0; index < count; index += 1) {
+    const [caller = '', peer = '', readiness = '', announcements = ''] =
+      await freeAddresses(4);
+    boxes.push(
+      new SoakBox({
+        index,
+        addresses: {caller, peer, readiness, announcements},
+        storeAddress,
+        folder,
+        random: seededRandom(seed * 1000 + index),
+        bounds: SOAK_BOUNDS,
+        onDrained: (drain) => recorder.drains.push(drain),
+        onUnaskedExit: (exit) => recorder.unasked.push(exit),
+      }),
+    );
+  }
+  await Promise.all(boxes.map((box) => box.start()));
+  return boxes;
+}
+
+function startCallers(
+  seed: number,
+  boxes: readonly SoakBox[],
+  store: SoakStore,
+  recorder: SoakRecorder,
+  isOver: () => boolean,
+): readonly Promise<void>[] {
+  let serial = 0;
+  const nextId = (): string => `q${seed}-${(serial += 1)}`;
+  return boxes.flatMap((box, index) => [
+    ...Array.from({length: CALLERS_PER_BOX}, (_, i) =>
+      keepCalling(
+        {
+          box: box.name,
+          address: box.callerAddress,
+          random: seededRandom(seed * 7919 + index * CALLERS_PER_BOX + i),
+          nextId,
+          record: (call) => recorder.calls.push(call),
+        },
+        isOver,
+      ),
+    ),
+    watchVersions(box, store, recorder, nextId, isOver),
+  ]);
+}
+
+/** Asks a box again and again which versions it knows. */
+async function watchVersions(
+  box: SoakBox,
+  store: SoakStore,
+  recorder: SoakRecorder,
+  nextId: () => string,
+  isOver: () => boolean,
+): Promise<void> {
+  const agent = new Agent({keepAlive: false});
+  while (!isOver()) {
+    const versions = [store.version, store.version - 1];
+    await Promise.all(
+      versions.map((version) =>
+        askForVersion(agent, box, version, recorder, nextId()),
+      ),
+    );
+    await pause(MARKER_MILLISECONDS);
+  }
+}
+
+/** A node that knows no such route says so; any other answer knows it. */
+const UNKNOWN_ROUTE_STATUS = 404;
+
+/** A node that knows no configuration yet cannot tell. */
+const NOT_READY_STATUS = 503;
+
+async function askForVersion(
+  agent: Agent,
+  box: SoakBox,
+  version: number,
+  recorder: SoakRecorder,
+  requestId: string,
+): Promise<void> {
+  const sentAt = Date.now();
+  const {life} = box;
+  const timeoutMilliseconds = soakRoutes()[0]?.timeoutMilliseconds ?? 0;
+  const end = await sendRequest(agent, box.callerAddress, {
+    path: markerPath(version),
+    method: 'GET',
+    requestId,
+    remaining: timeoutMilliseconds,
+  });
+  const isAnswer = end.kind === 'answered' && end.status !== NOT_READY_STATUS;
+  const isKnown = isAnswer ? end.status !== UNKNOWN_ROUTE_STATUS : undefined;
+  // The process may have ended and started while it was asked.
+  if (life === box.life) {
+    recorder.markers.push({
+      box: box.name,
+      life,
+      version,
+      sentAt,
+      endedAt: Date.now(),
+      isKnown,
+    });
+  }
+  if (isKnown === false) {
+    return;
+  }
+  recorder.calls.push({
+    requestId,
+    box: box.name,
+    service: SOAK_SERVICES[0],
+    isRepeatable: true,
+    timeoutMilliseconds,
+    sentAt,
+    endedAt: Date.now(),
+    end,
+  });
+}
+
+/** Applies each at its time; resolves when all are over. */
+async function applyAll<T extends {readonly at: number}>(
+  items: readonly T[],
+  apply: (item: T) => Promise<void>,
+): Promise<void> {
+  await Promise.all(
+    items.map(async (item) => {
+      await pause(item.at);
+      await apply(item);
+    }),
+  );
+}
+
+function hasBeenServed(
+  {calls}: SoakRecorder,
+  boxes: readonly SoakBox[],
+): boolean {
+  return boxes.every(({name}) =>
+    calls.some(
+      ({box, end}) =>
+        box === name && end.kind === 'answered' && end.status === 200,
+    ),
+  );
+}
