Peers are asked for a version after the store had its chance; boxes gather longer

Change: a version that is heard of is asked for after 400 ms, near peers first, at once only while the store fails; news of boxes is gathered for 30 ms a node, 3 s at most (a new box may wait for about 8 s before it costs anything). Ruled out: dropping the polls of most nodes and leaving it to peers, for a box whose peers are cut would not learn in time.

--- a/packages/fleet/src/__tests__/fleetBrain.test.ts
+++ b/packages/fleet/src/__tests__/fleetBrain.test.ts
@@ -127,6 +127,8 @@
     const world = new World();
     world.tick();
     world.read('configuration', [stored(1)]);
+    world.read('boxes', []);
+    world.fail('configuration', 'unavailable');
     const [ask] = world.tell({
       kind: 'peer-version-heard',
       address: 'peer',
@@ -141,6 +143,36 @@
     expect(learnt).toMatchObject([{kind: 'configuration-changed'}]);
   });
 
+  it('is left to the store for a moment, then asked for in the own data centre', () => {
+    const world = new World();
+    world.tick();
+    const near = other({box: 'b2', peerAddress: 'near'});
+    const far = other({box: 'b3', peerAddress: 'far', dataCentre: 'd2'});
+    const records = [near, far].map((record) => ({
+      key: record.box,
+      value: writeBoxRecord(record),
+    }));
+    world.read('configuration', [stored(1)]);
+    world.read('boxes', records);
+    const hear = (address: string) =>
+      world.tell({kind: 'peer-version-heard', address, version: 2});
+    expect(hear('far')).toEqual([]);
+    expect(hear('near')).toEqual([]);
+    expect(kinds(world.tick(300))).not.toContain('ask-peer');
+    expect(world.tick(100)).toContainEqual(
+      expect.objectContaining({kind: 'ask-peer', address: 'near'}),
+    );
+  });
+
+  it('is not asked for once the store has brought it', () => {
+    const world = new World();
+    world.tick();
+    world.read('boxes', []);
+    world.tell({kind: 'peer-version-heard', address: 'far', version: 2});
+    world.read('configuration', [stored(2)]);
+    expect(kinds(world.tick(1000))).not.toContain('ask-peer');
+  });
+
   it('asks a peer that did not answer again when it is heard of again', () => {
     const world = new World();
     const heard = {
--- a/packages/fleet/src/fleetBrain.ts
+++ b/packages/fleet/src/fleetBrain.ts
@@ -47,12 +47,26 @@
 /** Time between questions to peers while the store does not answer. */
 const PEER_QUESTION_MILLISECONDS = 500;
 
+/**
+ * A version that peers tell of is asked for after this, unless the store has
+ * brought it by then: its answers stay within the data centre, and a large
+ * configuration that every node fetches from a peer is mostly paid for twice.
+ */
+const STORE_FIRST_MILLISECONDS = 400;
+
 /** Time before a failed write of the own record is tried again. */
 const WRITE_PAUSE_MILLISECONDS = 400;
 
 /** Upstreams announce themselves every second or two; three may be lost. */
 const UPSTREAM_PATIENCE_MILLISECONDS = 6000;
 
+/** A newer version that a peer has in force. */
+interface HeardVersion {
+  readonly address: string;
+  /** When any peer first told of a version that is not in force here. */
+  readonly firstAt: number;
+}
+
 /** Knows the fleet as far as this node has heard. */
 export class FleetBrain {
   readonly directory = new BoxDirectory();
@@ -73,6 +87,8 @@
   private startedAt: number | undefined;
   private askAfter = 0;
   private readonly asked = new Set<string>();
+  /** A newer version than the one in force, as peers told. */
+  private heard: HeardVersion | undefined;
 
   constructor(
     private readonly identity: NodeIdentity,
@@ -102,7 +118,7 @@
       case 'upstream-announced':
         return this.announced(now, event);
       case 'peer-version-heard':
-        return this.peerVersionHeard(event.address, event.version);
+        return this.peerVersionHeard(now, event.address, event.version);
       case 'peer-replied':
         this.asked.delete(event.address);
         return this.learnFromPeer(event.address, event.knowledge);
@@ -133,6 +149,7 @@
     return [
       ...reads,
       ...this.writeOwn(now),
+      ...this.askForHeard(now),
       ...this.askWhileStoreIsLost(now, random),
     ];
   }
@@ -201,6 +218,7 @@
       return [];
     }
     this.inForce = configuration;
+    this.heard = undefined;
     return [{kind: 'configuration-changed', configuration, source}];
   }
 
@@ -325,13 +343,15 @@
     return [note('store-lost', stream, {kind, detail, failureCount})];
   }
 
+  private get isStoreInTrouble(): boolean {
+    return this.isStoreLost || this.followers.configuration.failureCount > 0;
+  }
+
   private askWhileStoreIsLost(
     now: number,
     random: RandomSource,
   ): readonly FleetAction[] {
-    const isInTrouble =
-      this.isStoreLost || this.followers.configuration.failureCount > 0;
-    if (!isInTrouble || now < this.askAfter) {
+    if (!this.isStoreInTrouble || now < this.askAfter) {
       return [];
     }
     this.askAfter = now + PEER_QUESTION_MILLISECONDS;
@@ -347,11 +367,46 @@
   }
 
   private peerVersionHeard(
+    now: number,
     address: string,
     version: number,
   ): readonly FleetAction[] {
-    const lacksBoxes = !this.followers.boxes.hasRead;
-    return version > this.version || lacksBoxes ? this.ask(address) : [];
+    if (!this.followers.boxes.hasRead) {
+      return this.ask(address);
+    }
+    if (version <= this.version) {
+      return [];
+    }
+    if (this.isStoreInTrouble) {
+      return this.ask(address);
+    }
+    const {heard} = this;
+    if (
+      heard === undefined ||
+      (!this.isNear(heard) && this.isNear({address}))
+    ) {
+      this.heard = {address, firstAt: heard?.firstAt ?? now};
+    }
+    return [];
+  }
+
+  private isNear({address}: Pick<HeardVersion, 'address'>): boolean {
+    const {dataCentre} = this.identity;
+    return this.directory
+      .all()
+      .some(
+        (box) => box.peerAddress === address && box.dataCentre === dataCentre,
+      );
+  }
+
+  /** The store did not bring in time what peers have told of. */
+  private askForHeard(now: number): readonly FleetAction[] {
+    const {heard} = this;
+    if (heard === undefined || now - heard.firstAt < STORE_FIRST_MILLISECONDS) {
+      return [];
+    }
+    this.heard = undefined;
+    return this.ask(heard.address);
   }
 
   private ask(address: string): readonly FleetAction[] {
--- a/packages/fleet/src/streamFollower.ts
+++ b/packages/fleet/src/streamFollower.ts
@@ -29,8 +29,17 @@
   boxes: 1000,
 };
 
-/** In a large fleet boxes change all the time, and each change wakes every node. */
-const GATHER_PER_NODE_MILLISECONDS = 2;
+/**
+ * In a larger fleet boxes change more often, and each change wakes every node:
+ * reads of changes would grow with the square of the nodes.
+ */
+const GATHER_PER_NODE_MILLISECONDS = 30;
+
+/** A new box is to have work within a few seconds in a fleet of any size. */
+const LONGEST_GATHER_MILLISECONDS = 3000;
+
+/** In a very large fleet the rate of reads counts for more than that. */
+const RATE_GATHER_PER_NODE_MILLISECONDS = 2;
 
 /**
  * A read of a store that has gone silent hangs until its time is up. Nodes
@@ -132,9 +141,15 @@
   /** How long the pause after news is. */
   private gather(): number {
     const least = GATHER_MILLISECONDS[this.stream];
-    return this.stream === 'boxes'
-      ? Math.max(least, this.nodes * GATHER_PER_NODE_MILLISECONDS)
-      : least;
+    if (this.stream !== 'boxes') {
+      return least;
+    }
+    const {nodes} = this;
+    const wanted = Math.min(
+      LONGEST_GATHER_MILLISECONDS,
+      nodes * GATHER_PER_NODE_MILLISECONDS,
+    );
+    return Math.max(least, wanted, nodes * RATE_GATHER_PER_NODE_MILLISECONDS);
   }
 }
 
