Box records are gathered for 50 ms a node, and polls of the configuration wait longer

Change: 50 ms a node, 5 s at most; polls of 20 s at most, as in small fleets 500 ms a node, so that some node asks every 0.4 s.

--- a/packages/fleet/src/streamFollower.ts
+++ b/packages/fleet/src/streamFollower.ts
@@ -33,10 +33,10 @@
  * In a larger fleet boxes change more often, and each change wakes every node:
  * reads of changes would grow with the square of the nodes.
  */
-const GATHER_PER_NODE_MILLISECONDS = 30;
+const GATHER_PER_NODE_MILLISECONDS = 50;
 
 /** A new box is to have work within a few seconds in a fleet of any size. */
-const LONGEST_GATHER_MILLISECONDS = 3000;
+const LONGEST_GATHER_MILLISECONDS = 5000;
 
 /** In a very large fleet the rate of reads counts for more than that. */
 const RATE_GATHER_PER_NODE_MILLISECONDS = 2;
@@ -53,7 +53,7 @@
 
 /** The most of it, until the fleet is so large that the rate of reads counts. */
 const LONGEST_WAIT_MILLISECONDS: Readonly<Record<RecordStream, number>> = {
-  configuration: 10_000,
+  configuration: 20_000,
   boxes: 20_000,
 };
 
