Untried calls come back in time, calls are spread under load, late ones wait behind

Refused for lateness. A call that no guard could answer within its goal was offered again and again, then refused, while slots came free. Ruled out: more slots than announced; an imbalance between upstreams (the idle ones drain or are doubted).

--- a/packages/admission/src/__tests__/admission.test.ts
+++ b/packages/admission/src/__tests__/admission.test.ts
@@ -123,6 +123,36 @@
   });
 });
 
+describe('a call that has to start by some time', () => {
+  const FULL = waiting('full');
+
+  it('is refused at once when no slot is expected to be free by then', () => {
+    const admission = new Admission(1, false);
+    admission.offer(0, FULL);
+    const late = waiting('late', {startBy: 5});
+    expect(admission.offer(0, late)).toMatchObject({
+      kind: 'refused',
+      reason: 'deadline-too-short',
+    });
+  });
+
+  it('is given back when that time has come, long before its deadline', () => {
+    const admission = new Admission(1, false);
+    admission.offer(0, FULL);
+    const call = waiting('call', {startBy: 300});
+    expect(admission.offer(0, call).kind).toBe('queued');
+    expect(admission.review(300).expired).toEqual([]);
+    expect(admission.review(301).expired).toEqual([call]);
+  });
+
+  it('runs when a slot is free, even if it comes late', () => {
+    const admission = new Admission(1, false);
+    expect(admission.offer(10, waiting('call', {startBy: 5})).kind).toBe(
+      'start',
+    );
+  });
+});
+
 describe('FairQueue', () => {
   it('serves customers in turn, by weight, however many calls each has', () => {
     const queue = new FairQueue();
--- a/packages/admission/src/admission.ts
+++ b/packages/admission/src/admission.ts
@@ -3,7 +3,7 @@
 
 import type {RefusalReason} from '@lockpin/types';
 import {AdaptiveLimit} from './adaptiveLimit.js';
-import {FairQueue, waitsUntil} from './fairQueue.js';
+import {FairQueue, isTooLateFor} from './fairQueue.js';
 import type {WaitingCall} from './fairQueue.js';
 
 /** What became of a call that was offered. */
@@ -76,7 +76,7 @@
     if (call.mayWait === false) {
       return refused('upstream-busy', wait);
     }
-    if (now + wait + this.duration > waitsUntil(call)) {
+    if (isTooLateFor(call, now + wait, this.duration)) {
       return refused('deadline-too-short', wait);
     }
     if (this.isOverShare(call)) {
@@ -149,7 +149,7 @@
       if (call === undefined) {
         break;
       }
-      if (now + this.duration > waitsUntil(call)) {
+      if (isTooLateFor(call, now, this.duration)) {
         expired.push(call);
         continue;
       }
--- a/packages/admission/src/fairQueue.ts
+++ b/packages/admission/src/fairQueue.ts
@@ -16,6 +16,8 @@
    * the deadline when absent.
    */
   readonly usefulUntil?: number;
+  /** It is refused rather than started later than this; no limit when absent. */
+  readonly startBy?: number;
   /** False when the call goes elsewhere rather than wait; true when absent. */
   readonly mayWait?: boolean;
 }
@@ -25,6 +27,16 @@
   return Math.min(deadline, usefulUntil ?? deadline);
 }
 
+/** Whether a waiting call had better be refused than started at a time. */
+export function isTooLateFor(
+  call: WaitingCall,
+  startAt: number,
+  duration: number,
+): boolean {
+  const {startBy = Number.POSITIVE_INFINITY} = call;
+  return startAt > startBy || startAt + duration > waitsUntil(call);
+}
+
 interface CustomerQueue {
   readonly calls: WaitingCall[];
   /** Work this customer has had at this priority, over its weight. */
@@ -167,8 +179,8 @@
 
   /** Calls whose answer would come too late even if they ran now. */
   overdue(now: number, neededMilliseconds: number): readonly WaitingCall[] {
-    return [...this.byId.values()].filter(
-      (call) => now + neededMilliseconds > waitsUntil(call),
+    return [...this.byId.values()].filter((call) =>
+      isTooLateFor(call, now, neededMilliseconds),
     );
   }
 
--- a/packages/brain/src/__tests__/overdueCalls.test.ts
+++ b/packages/brain/src/__tests__/overdueCalls.test.ts
@@ -181,7 +181,11 @@
     const world = new World(['a']);
     world.arrive('at-most-once');
     const ended = {callId: '1', wasSent: false};
-    const actions = world.tell({kind: 'deadline-passed', ...ended});
+    const actions = world.tell({
+      kind: 'given-up',
+      reason: 'deadline-passed',
+      ...ended,
+    });
     expect(refusalOf(actions)).toBe('deadline-passed not-run');
   });
 });
@@ -225,6 +229,43 @@
   });
 });
 
+describe('a service whose upstreams are crowded', () => {
+  const BOXES = ['a', 'b', 'c', 'd', 'e', 'f'];
+
+  function firstChoices(world: World): ReadonlySet<string> {
+    const chosen = new Set<string>();
+    for (let i = 0; i < 30; i += 1) {
+      chosen.add(upstreamOf(world.arrive('at-most-once')));
+      world.answer(200);
+      world.tell({kind: 'answer-ended', callId: '1'});
+    }
+    return chosen;
+  }
+
+  it('gets calls that cannot be repeated on few upstreams while there is room', () => {
+    expect(firstChoices(new World(BOXES)).size).toBeLessThan(4);
+  });
+
+  it('gets them on all once offers found no free slot', () => {
+    const world = new World(BOXES);
+    for (let i = 0; i < 6; i += 1) {
+      const asked = upstreamOf(world.arrive('at-most-once'));
+      world.refuse(asked, 'upstream-busy');
+      world.answer(200);
+      world.tell({kind: 'answer-ended', callId: '1'});
+    }
+    const spread = new Set<string>();
+    for (let i = 0; i < 20; i += 1) {
+      const asked = upstreamOf(world.arrive('at-most-once'));
+      spread.add(asked);
+      world.refuse(asked, 'upstream-busy');
+      world.answer(200);
+      world.tell({kind: 'answer-ended', callId: '1'});
+    }
+    expect(spread.size).toBe(BOXES.length);
+  });
+});
+
 describe('upstreams that are all busy', () => {
   it('are asked to let the call wait, then asked again after a pause', () => {
     const world = new World(['a', 'b']);
@@ -246,6 +287,20 @@
     ]);
   });
 
+  it('are asked to take the call though it will be late, when none can in time', () => {
+    const world = new World(['a']);
+    const terms: string[] = [];
+    let actions = world.arrive('at-most-once');
+    while (kinds(actions).includes('attempt')) {
+      const [action] = actions;
+      terms.push(action?.kind === 'attempt' ? action.attempt.terms : '');
+      const isFirst = terms.length === 1;
+      const reason = isFirst ? 'upstream-busy' : 'deadline-too-short';
+      actions = world.refuse('s/a', reason);
+    }
+    expect(terms).toEqual(['immediate', 'may-wait', 'may-be-late']);
+  });
+
   it('are given up on, as not run, once the call was held long enough', () => {
     const world = new World(['a']);
     let actions = world.arrive('at-most-once');
@@ -263,6 +318,24 @@
   });
 });
 
+describe('a call that has run nowhere yet', () => {
+  const startBy = (actions: readonly EntryAction[]) =>
+    actions.flatMap((action) =>
+      action.kind === 'attempt' ? [action.attempt.startBy] : [],
+    );
+
+  it('is to come back from its guard before half of its time is over', () => {
+    const world = new World(['a', 'b']);
+    expect(startBy(world.arrive('at-most-once'))).toEqual([DEADLINE * 0.4]);
+  });
+
+  it('may wait as long as it likes once an upstream has worked on it', () => {
+    const world = new World(['a', 'b']);
+    world.arrive('repeatable');
+    expect(startBy(world.answer(500))).toEqual([undefined]);
+  });
+});
+
 describe('an attempt that is overdue', () => {
   it('goes on beside the next one, and counts when it is answered first', () => {
     const world = new World(['a', 'b', 'c']);
--- a/packages/brain/src/__tests__/reservations.test.ts
+++ b/packages/brain/src/__tests__/reservations.test.ts
@@ -270,6 +270,17 @@
     expect(world.guard.hintOf(world.now, UPSTREAM)?.state).toBe('doubted');
   });
 
+  it('says nothing of probes once its node leaves, which would refuse them', () => {
+    const world = new World();
+    world.run('1', 500);
+    world.run('2', 500);
+    expect(world.guard.hintOf(world.now, UPSTREAM)?.probeIn).toBeDefined();
+    const told = world.tell({kind: 'leaving'});
+    const hint = {state: 'draining', occupied: 0, limit: 1};
+    expect(told).toEqual([{kind: 'standing', upstream: UPSTREAM, hint}]);
+    expect(world.offer('3', {})).toMatchObject([{kind: 'refuse', hint}]);
+  });
+
   it('begins as one that has answered nothing yet', () => {
     const world = new World();
     const once = {repetition: 'at-most-once'} as const;
--- a/packages/brain/src/entry/callState.ts
+++ b/packages/brain/src/entry/callState.ts
@@ -12,6 +12,8 @@
   /** Upstreams that may have run the call. */
   readonly ran: Set<string>;
   terms: OfferTerms;
+  /** A guard had no slot for it in the time in which an answer is worth most. */
+  isShortOfTime: boolean;
   /** Offers of this call that no guard answered. */
   silences: number;
   /** Rounds of offers in vain. */
@@ -40,6 +42,7 @@
     tried: new Set(),
     ran: new Set(),
     terms: firstTerms,
+    isShortOfTime: false,
     silences: 0,
     pauses: 0,
     heldUntil: now + (call.deadline - now) * heldShare,
--- a/packages/brain/src/entry/entryBrain.ts
+++ b/packages/brain/src/entry/entryBrain.ts
@@ -1,7 +1,7 @@
 // Copyright (c) 2026 the lockpin contributors. MIT licence, see LICENSE.
 /** The entry of a node: routes calls, retries them, and refuses truthfully. */
 
-import {UpstreamLoads} from '@lockpin/routing';
+import {ServiceCrowding, UpstreamLoads} from '@lockpin/routing';
 import type {RoutingCandidate} from '@lockpin/routing';
 import type {RandomSource, Refusal, RefusalReason} from '@lockpin/types';
 import {FIRST_FAILED_STATUS} from '@lockpin/utils';
@@ -49,14 +49,16 @@
     this.retries = new RetryPolicy(settings);
     this.timing = new AttemptTiming(settings, this.retries);
     const {loads} = this;
+    const crowding = new ServiceCrowding();
     this.chooser = new UpstreamChooser({
       box,
       dataCentre,
       boxes,
       loads,
+      crowding,
       settings,
     });
-    this.news = new AttemptNews(loads, this.timing);
+    this.news = new AttemptNews(loads, this.timing, crowding);
     this.overdueAttempts = new OverdueAttempts(
       loads,
       this.retries,
@@ -105,8 +107,8 @@
         return this.overdueAnswered(now, state, event);
       case 'overdue-ended':
         return this.books.overdueEnded(state);
-      case 'deadline-passed':
-        return this.deadlinePassed(now, random, state, event.wasSent);
+      case 'given-up':
+        return this.givenUp(now, random, state, event);
       case 'caller-left':
         return [
           ...this.overdueAttempts.cancelAll(state),
@@ -225,11 +227,18 @@
         terms,
         expectedMilliseconds: this.timing.usual(call.route.name),
         overdueMilliseconds: this.timing.overdueAfter(state),
+        startBy: this.startBy(state),
         silenceMilliseconds: this.timing.silenceAfter(state),
       },
     };
   }
 
+  /** A caller is told soon that nothing was free, while it can still act on it. */
+  private startBy({mayHaveRun, heldUntil}: CallState): number | undefined {
+    const isHeld = this.settings.heldShare > 0 && !mayHaveRun;
+    return isHeld ? heldUntil : undefined;
+  }
+
   /** The guard said nothing, and was not told to go: the call did not run. */
   private silent(
     now: number,
@@ -322,6 +331,7 @@
     refusal: Refusal,
   ): readonly EntryAction[] {
     const {reason, outcome, retryAfterMilliseconds} = refusal;
+    state.isShortOfTime ||= reason === 'deadline-too-short';
     if (outcome === 'unknown') {
       state.mayHaveRun = true;
       state.ran.add(state.upstream);
@@ -364,11 +374,11 @@
     return this.books.finalRefusal(state, reason);
   }
 
-  private deadlinePassed(
+  private givenUp(
     now: number,
     random: RandomSource,
     state: CallState,
-    wasSent: boolean,
+    {reason, wasSent}: EntryEvent & {readonly kind: 'given-up'},
   ): readonly EntryAction[] {
     if (state.isAttempting) {
       this.loads.linkFailed(state.upstream, now, random());
@@ -379,8 +389,8 @@
     this.overdueAttempts.over(state);
     const refusal =
       onceKey === undefined
-        ? this.books.finalRefusal(state, 'deadline-passed')
-        : this.books.homeRefusal(state, 'deadline-passed');
+        ? this.books.finalRefusal(state, reason)
+        : this.books.homeRefusal(state, reason);
     return [...cancels, ...refusal];
   }
 }
--- a/packages/brain/src/entry/entryMessages.ts
+++ b/packages/brain/src/entry/entryMessages.ts
@@ -33,6 +33,8 @@
   | 'immediate'
   /** Also after waiting. */
   | 'may-wait'
+  /** Also when its answer will be late: behind all that can be in time. */
+  | 'may-be-late'
   /** Whatever the upstream's standing: nothing better is left. */
   | 'last-resort';
 
@@ -79,8 +81,10 @@
   /** The attempt that was overdue ended without an answer. */
   | {readonly kind: 'overdue-ended'; readonly callId: string}
   | {
-      readonly kind: 'deadline-passed';
+      readonly kind: 'given-up';
       readonly callId: string;
+      /** Its time is over, or its node ends before that. */
+      readonly reason: 'deadline-passed' | 'node-leaving';
       /** False when the attempt under way certainly did not begin to run. */
       readonly wasSent: boolean;
     }
@@ -105,6 +109,11 @@
    * could be done about it.
    */
   readonly overdueMilliseconds: number | undefined;
+  /**
+   * A call that has run nowhere yet is to have a slot by then or to come back,
+   * in milliseconds since 1970; undefined when it may wait as long as it likes.
+   */
+  readonly startBy: number | undefined;
   /** Time in which the guard has to say that it has the call. */
   readonly silenceMilliseconds: number;
 }
--- a/packages/brain/src/entry/entrySettings.ts
+++ b/packages/brain/src/entry/entrySettings.ts
@@ -3,6 +3,7 @@
 
 import {
   DEFAULT_LINK_PATIENCE,
+  DEFAULT_SUBSET_SIZES,
   RetryBudget,
   chooseUpstream,
 } from '@lockpin/routing';
@@ -10,6 +11,7 @@
   ChooseUpstream,
   LinkPatience,
   RetryAllowance,
+  SubsetSizes,
 } from '@lockpin/routing';
 import type {RefusalReason} from '@lockpin/types';
 import type {OfferTerms} from './entryMessages.js';
@@ -17,6 +19,8 @@
 /** The entry's way of offering calls. */
 export interface EntrySettings {
   readonly choose: ChooseUpstream;
+  /** How many upstreams of each service an entry calls. */
+  readonly subsetSizes: SubsetSizes;
   readonly linkPatience: LinkPatience;
   /** Makes the budget that pays for the retries of one service. */
   readonly createBudget: () => RetryAllowance;
@@ -52,6 +56,7 @@
 /** The way of a fleet whose guards limit retries themselves. */
 export const DEFAULT_ENTRY_SETTINGS: EntrySettings = {
   choose: chooseUpstream,
+  subsetSizes: DEFAULT_SUBSET_SIZES,
   linkPatience: DEFAULT_LINK_PATIENCE,
   createBudget: () => new RetryBudget(),
   firstTerms: 'last-resort',
@@ -64,6 +69,13 @@
   replacesOverdue: false,
 };
 
+/** Refusals that tell that an upstream has no slot to spare. */
+export const FULL_REFUSALS: ReadonlySet<RefusalReason> = new Set([
+  'upstream-busy',
+  'queue-full',
+  'deadline-too-short',
+]);
+
 /** Refusals by guards that did not reach an upstream with the call. */
 export const UNSENT_REFUSALS: ReadonlySet<RefusalReason> =
   new Set<RefusalReason>([
--- a/packages/brain/src/entry/subsetCache.ts
+++ b/packages/brain/src/entry/subsetCache.ts
@@ -3,7 +3,7 @@
 
 import type {ServiceView} from '@lockpin/configuration';
 import {chooseSubset} from '@lockpin/routing';
-import type {RoutingCandidate} from '@lockpin/routing';
+import type {RoutingCandidate, SubsetSizes} from '@lockpin/routing';
 
 /** Remembers the subset of each service as long as its view stands. */
 export class SubsetCache {
@@ -15,6 +15,7 @@
   constructor(
     private readonly box: string,
     private readonly dataCentre: string,
+    private readonly sizes: SubsetSizes,
   ) {}
 
   /** The upstreams in service that this entry calls. */
@@ -29,7 +30,8 @@
         const {dataCentre, slots, box, coldUntil = 0} = spec;
         return {name, dataCentre, slots, box, coldUntil};
       });
-    const subset = chooseSubset(this.box, this.dataCentre, members);
+    const {box, dataCentre, sizes} = this;
+    const subset = chooseSubset(box, dataCentre, members, sizes);
     this.subsets.set(view, subset);
     return subset;
   }
--- a/packages/brain/src/entry/upstreamChooser.ts
+++ b/packages/brain/src/entry/upstreamChooser.ts
@@ -1,7 +1,11 @@
 // Copyright (c) 2026 the lockpin contributors. MIT licence, see LICENSE.
 /** Which upstream a call is offered to next, and on which terms. */
 
-import type {RoutingCandidate, UpstreamLoads} from '@lockpin/routing';
+import type {
+  RoutingCandidate,
+  ServiceCrowding,
+  UpstreamLoads,
+} from '@lockpin/routing';
 import type {RandomSource} from '@lockpin/types';
 import {setTerms} from './callState.js';
 import type {CallState} from './callState.js';
@@ -15,6 +19,7 @@
   readonly dataCentre: string;
   readonly boxes: BoxKnowledge;
   readonly loads: UpstreamLoads;
+  readonly crowding: ServiceCrowding;
   readonly settings: EntrySettings;
 }
 
@@ -27,7 +32,8 @@
   private readonly subsets: SubsetCache;
 
   constructor(private readonly context: ChooserContext) {
-    this.subsets = new SubsetCache(context.box, context.dataCentre);
+    const {box, dataCentre, settings} = context;
+    this.subsets = new SubsetCache(box, dataCentre, settings.subsetSizes);
   }
 
   /** The best upstream of all but those excluded. */
@@ -86,7 +92,8 @@
   }
 
   /**
-   * What to ask for when offers on the present terms were in vain. A doubted
+   * What to ask for when offers on the present terms were in vain. A late answer
+   * is better than none, and takes no slot from calls that can be in time. A doubted
    * upstream is asked only when there is no other: one that is merely busy will
    * have room again.
    */
@@ -95,7 +102,11 @@
       case 'immediate':
         return 'may-wait';
       case 'may-wait':
-        return this.open(now, state).length === 0 ? 'last-resort' : undefined;
+        if (this.open(now, state).length === 0) {
+          return 'last-resort';
+        }
+        return state.isShortOfTime ? 'may-be-late' : undefined;
+      case 'may-be-late':
       case 'last-resort':
         return undefined;
     }
@@ -115,8 +126,10 @@
     {call, mayProbe}: {readonly call: ChosenCall; readonly mayProbe: boolean},
     candidates: readonly RoutingCandidate[],
   ): RoutingCandidate | undefined {
-    const {box, dataCentre, loads, settings} = this.context;
-    const prefersFew = call.route?.spec.repetition === 'at-most-once';
+    const {box, dataCentre, loads, crowding, settings} = this.context;
+    const prefersFew =
+      call.route?.spec.repetition === 'at-most-once' &&
+      !crowding.isCrowded(call.view.name);
     return settings.choose(
       {now, random, dataCentre, box, loads, prefersFew, mayProbe},
       candidates,
--- a/packages/brain/src/guard/callCourse.ts
+++ b/packages/brain/src/guard/callCourse.ts
@@ -6,6 +6,7 @@
 import type {GuardAction, GuardCall, GuardSettings} from './guardMessages.js';
 import type {GuardedServices} from './guardedServices.js';
 import {refuse} from './guardRefusals.js';
+import type {RefuseAction} from './guardRefusals.js';
 import type {ReportSchedule} from './reportSchedule.js';
 import {standingEvent} from './standingActions.js';
 import type {UpstreamGuard} from './upstreamGuard.js';
@@ -53,7 +54,7 @@
     upstream: UpstreamGuard,
     reason: RefusalReason,
     retryAfter = upstream.retryAfter(now),
-  ): GuardAction {
+  ): RefuseAction {
     this.services.ledgerOf(call)?.refused(call.onceKey ?? '');
     return refuse(now, call, reason, 'not-run', upstream, retryAfter);
   }
--- a/packages/brain/src/guard/guardBrain.ts
+++ b/packages/brain/src/guard/guardBrain.ts
@@ -48,7 +48,7 @@
   /** What entries are told of an upstream with each answer. */
   hintOf(now: number, upstream: string): LoadHint | undefined {
     const hint = this.services.upstream(upstream)?.hint(now);
-    return hint && this.isLeaving ? {...hint, state: 'draining'} : hint;
+    return hint && this.isLeaving ? leavingHint(hint) : hint;
   }
 
   /** Identity of the process behind an upstream; undefined when not known. */
@@ -104,7 +104,7 @@
         return [];
       case 'leaving':
         this.isLeaving = true;
-        return [];
+        return this.tellLeaving(now);
       case 'tick':
         return this.tick(now);
     }
@@ -168,7 +168,8 @@
         upstream,
         'node-leaving',
       );
-      return [leavingHint(refusal)];
+      const {hint} = refusal;
+      return [{...refusal, hint: hint && leavingHint(hint)}];
     }
     const reason = upstream.refusalReason(now, call);
     if (reason !== undefined) {
@@ -339,6 +340,15 @@
     return [];
   }
 
+  /** Entries go elsewhere before their next offers come in vain. */
+  private tellLeaving(now: number): readonly GuardAction[] {
+    return [...this.services.upstreams()].map((upstream) => ({
+      kind: 'standing',
+      upstream: upstream.name,
+      hint: leavingHint(upstream.hint(now)),
+    }));
+  }
+
   private tick(now: number): readonly GuardAction[] {
     const actions: GuardAction[] = [];
     actions.push(...this.course.expireReservations(now));
--- a/packages/brain/src/guard/guardMessages.ts
+++ b/packages/brain/src/guard/guardMessages.ts
@@ -28,6 +28,8 @@
   readonly requestDigest: string;
   /** By the clock here: an answer later than this is worth less. */
   readonly usefulUntil?: number;
+  /** By the clock here: its entry wants it back unless it has a slot by then. */
+  readonly startBy?: number;
   /** The entry must say go before the call may run; see Attempt. */
   readonly needsGo?: boolean;
   /** False when the entry would rather go elsewhere than wait here. */
--- a/packages/brain/src/guard/guardRefusals.ts
+++ b/packages/brain/src/guard/guardRefusals.ts
@@ -1,10 +1,14 @@
 // Copyright (c) 2026 the lockpin contributors. MIT licence, see LICENSE.
 /** The refusals of a guard. */
 
+import type {LoadHint} from '@lockpin/routing';
 import type {RefusalOutcome, RefusalReason} from '@lockpin/types';
 import type {GuardAction, GuardCall} from './guardMessages.js';
 import type {UpstreamGuard} from './upstreamGuard.js';
 
+/** Tells an entry that its call does not run here. */
+export type RefuseAction = GuardAction & {readonly kind: 'refuse'};
+
 /** Refuses a call, with what its entry should know of the upstream. */
 export function refuse(
   now: number,
@@ -13,7 +17,7 @@
   outcome: RefusalOutcome,
   upstream: UpstreamGuard | undefined,
   retryAfterMilliseconds = 0,
-): GuardAction {
+): RefuseAction {
   return {
     kind: 'refuse',
     callId: call.id,
@@ -23,9 +27,10 @@
   };
 }
 
-/** The upstream may be well, but nothing reaches it through this node. */
-export function leavingHint(action: GuardAction): GuardAction {
-  return action.kind === 'refuse' && action.hint !== undefined
-    ? {...action, hint: {...action.hint, state: 'draining'}}
-    : action;
+/**
+ * The upstream may be well, but nothing reaches it through this node. What the
+ * guard thinks of it no longer counts: a probe of it would be refused as well.
+ */
+export function leavingHint({occupied, limit}: LoadHint): LoadHint {
+  return {state: 'draining', occupied, limit};
 }
--- a/packages/brain/src/guard/upstreamGuard.ts
+++ b/packages/brain/src/guard/upstreamGuard.ts
@@ -324,6 +324,16 @@
 }
 
 function waiting(call: GuardCall): WaitingCall {
-  const {id, customer, weight, priority, deadline, usefulUntil, mayWait} = call;
-  return {id, customer, weight, priority, deadline, usefulUntil, mayWait};
+  const {id, customer, weight, priority, mayWait} = call;
+  const {deadline, usefulUntil, startBy} = call;
+  return {
+    id,
+    customer,
+    weight,
+    priority,
+    deadline,
+    usefulUntil,
+    startBy,
+    mayWait,
+  };
 }
--- a/packages/node/src/__tests__/brokenAnswers.test.ts
+++ b/packages/node/src/__tests__/brokenAnswers.test.ts
@@ -87,6 +87,7 @@
     needsGo: false,
     terms: 'last-resort',
     usefulFor: undefined,
+    startWithin: undefined,
     expectedMilliseconds: undefined,
   };
 }
--- a/packages/node/src/process/fleetHost.ts
+++ b/packages/node/src/process/fleetHost.ts
@@ -38,14 +38,23 @@
  */
 const RETRY_SHARE = 0.85;
 
+/**
+ * Nearby, enough that the entries of one data centre share its load evenly: with
+ * half as many, a quarter of the upstreams was full while another was idle.
+ */
+const SUBSET_SIZES = {local: 16, remote: 8} as const;
+
 /** Offers that ask for a free slot at once, then some that may wait. */
 const OFFERS_ON_EACH_TERMS = 3;
 
 /** A slot frees within the time that calls take; the pause doubles. */
 const PAUSE_MILLISECONDS = 30;
 
-/** Held longer in vain, a call had better be told when to come back. */
-const HELD_SHARE = 0.4;
+/**
+ * Held longer in vain, a call had better be told when to come back: before half
+ * of its time is over, its caller can still try again.
+ */
+const HELD_SHARE = 0.45;
 
 /** Round trips between data centres take 3 ms; a slow box answers in 50. */
 const SILENCE_MILLISECONDS = 80;
@@ -200,6 +209,7 @@
   private entrySettings(): EntrySettings {
     return {
       choose: chooseByScore,
+      subsetSizes: SUBSET_SIZES,
       linkPatience: LINK_PATIENCE,
       createBudget: () => this.createBudget(),
       firstTerms: 'immediate',
--- a/packages/node/src/request/callerExchange.ts
+++ b/packages/node/src/request/callerExchange.ts
@@ -100,8 +100,11 @@
     const {route, customer, weight, path, onceKey, view} = this.call;
     const {goalMilliseconds} = route.spec;
     const age = now - this.arrivedAt;
+    const mayBeLate = attempt.terms === 'may-be-late';
     const usefulFor =
-      goalMilliseconds === undefined ? undefined : goalMilliseconds - age;
+      goalMilliseconds === undefined || mayBeLate
+        ? undefined
+        : goalMilliseconds - age;
     this.lastHead = {
       requestId: this.requestId,
       service: view.name,
@@ -134,6 +137,10 @@
         usefulFor !== undefined && usefulFor > 0
           ? Math.ceil(usefulFor)
           : undefined,
+      startWithin:
+        attempt.startBy === undefined
+          ? undefined
+          : Math.max(0, Math.floor(attempt.startBy - now)),
       expectedMilliseconds: rounded(attempt.expectedMilliseconds),
     };
     return this.lastHead;
@@ -149,7 +156,8 @@
     if (goalMilliseconds === undefined) {
       return priority;
     }
-    if (now - this.arrivedAt > goalMilliseconds) {
+    const isLate = now - this.arrivedAt > goalMilliseconds;
+    if (isLate || attempt.terms === 'may-be-late') {
       return priority + LATE_PRIORITY;
     }
     return attempt.number > 1 ? Math.max(0, priority - 1) : priority;
--- a/packages/node/src/request/frames.ts
+++ b/packages/node/src/request/frames.ts
@@ -37,6 +37,8 @@
   readonly terms: OfferTerms;
   /** Milliseconds until an answer is worth less; undefined when it never is. */
   readonly usefulFor: number | undefined;
+  /** Milliseconds in which it must get a slot or come back; undefined for any. */
+  readonly startWithin: number | undefined;
   readonly expectedMilliseconds: number | undefined;
 }
 
@@ -157,6 +159,7 @@
   'needsGo',
   'terms',
   'usefulFor',
+  'startWithin',
   'expectedMilliseconds',
 ] as const satisfies readonly (keyof CallHead)[];
 
--- a/packages/node/src/request/guardExchange.ts
+++ b/packages/node/src/request/guardExchange.ts
@@ -44,7 +44,7 @@
   now: number,
   deadline: number,
 ): GuardCall {
-  const {usefulFor, terms} = head;
+  const {usefulFor, startWithin, terms} = head;
   return {
     id,
     service: head.service,
@@ -60,6 +60,7 @@
     onceKey: head.onceKey,
     requestDigest: head.requestDigest,
     usefulUntil: usefulFor === undefined ? undefined : now + usefulFor,
+    startBy: startWithin === undefined ? undefined : now + startWithin,
     needsGo: head.needsGo,
     mayWait: terms !== 'immediate',
     mayRunDoubted: terms === 'last-resort',
--- a/packages/routing/src/__tests__/fleetRouting.test.ts
+++ b/packages/routing/src/__tests__/fleetRouting.test.ts
@@ -5,6 +5,7 @@
 import {describe, expect, it} from 'vitest';
 import {chooseByScore} from '../chooseByScore.js';
 import type {RoutingCandidate, RoutingContext} from '../chooseUpstream.js';
+import {ServiceCrowding} from '../serviceCrowding.js';
 import {TypicalDurations} from '../typicalDurations.js';
 import {UpstreamLoads} from '../upstreamLoads.js';
 import {WindowedRetryBudget} from '../windowedRetryBudget.js';
@@ -31,6 +32,21 @@
   };
 }
 
+describe('the crowding of a service', () => {
+  it('shows once offers in a row found no slot, and ends when they find some', () => {
+    const crowding = new ServiceCrowding();
+    crowding.offered('s', false);
+    expect(crowding.isCrowded('s')).toBe(false);
+    crowding.offered('s', false);
+    expect(crowding.isCrowded('s')).toBe(true);
+    expect(crowding.isCrowded('another')).toBe(false);
+    for (let i = 0; i < 10; i += 1) {
+      crowding.offered('s', true);
+    }
+    expect(crowding.isCrowded('s')).toBe(false);
+  });
+});
+
 describe('chooseByScore', () => {
   it('prefers the own box, then the own data centre', () => {
     const far = candidate('far', {dataCentre: 'd2'});
