The own record, the asking of peers, and the entry's settings have modules of their own

Behaviour is as before: the tests of the fleet are unchanged. One comment on subset sizes claimed more than was measured and says now what holds.

--- a/packages/fleet/src/fleetBrain.ts
+++ b/packages/fleet/src/fleetBrain.ts
@@ -6,12 +6,7 @@
 
 import type {RandomSource, Result} from '@lockpin/types';
 import {BoxDirectory} from './boxDirectory.js';
-import {
-  RECORD_RENEWAL_MILLISECONDS,
-  isSameStatement,
-  readBoxRecord,
-  writeBoxRecord,
-} from './boxRecord.js';
+import {readBoxRecord} from './boxRecord.js';
 import type {BoxRecord} from './boxRecord.js';
 import type {DeclaredConfiguration} from './declaredConfiguration.js';
 import type {
@@ -21,7 +16,9 @@
   PeerKnowledge,
   PeerQuestion,
 } from './fleetMessages.js';
+import {OwnRecord} from './ownRecord.js';
 import {OwnUpstreamTracker} from './ownUpstream.js';
+import {PeerAsking} from './peerAsking.js';
 import type {
   RecordPage,
   RecordStream,
@@ -44,29 +41,6 @@
 /** Failed reads in a row after which the store counts as lost. */
 const FAILURES_TO_LOSE_STORE = 2;
 
-/** Time between questions to peers while the store does not answer. */
-const PEER_QUESTION_MILLISECONDS = 500;
-
-/**
- * A version that peers tell of is asked for after this, unless the store has
- * brought it by then: its answers stay within the data centre, and a large
- * configuration that every node fetches from a peer is mostly paid for twice.
- */
-const STORE_FIRST_MILLISECONDS = 400;
-
-/** Time before a failed write of the own record is tried again. */
-const WRITE_PAUSE_MILLISECONDS = 400;
-
-/** Upstreams announce themselves every second or two; three may be lost. */
-const UPSTREAM_PATIENCE_MILLISECONDS = 6000;
-
-/** A newer version that a peer has in force. */
-interface HeardVersion {
-  readonly address: string;
-  /** When any peer first told of a version that is not in force here. */
-  readonly firstAt: number;
-}
-
 /** Knows the fleet as far as this node has heard. */
 export class FleetBrain {
   readonly directory = new BoxDirectory();
@@ -76,24 +50,19 @@
     configuration: new StreamFollower('configuration'),
     boxes: new StreamFollower('boxes'),
   };
-  /** The own record as it should be; undefined before the upstream spoke. */
-  private desired: BoxRecord | undefined;
-  /** The own record as the store is known to have it. */
-  private stored: BoxRecord | undefined;
-  /** What is being written now. */
-  private writing: BoxRecord | undefined;
-  private writeAfter = 0;
+  private readonly ownRecord: OwnRecord;
+  private readonly peers: PeerAsking;
   private isStoreLost = false;
-  private startedAt: number | undefined;
-  private askAfter = 0;
-  private readonly asked = new Set<string>();
-  /** A newer version than the one in force, as peers told. */
-  private heard: HeardVersion | undefined;
 
   constructor(
     private readonly identity: NodeIdentity,
     private readonly readConfiguration: ReadConfiguration,
-  ) {}
+  ) {
+    this.ownRecord = new OwnRecord(identity, (record) =>
+      this.directory.put(record),
+    );
+    this.peers = new PeerAsking(identity, this.directory);
+  }
 
   get configuration(): DeclaredConfiguration | undefined {
     return this.inForce;
@@ -120,7 +89,7 @@
       case 'peer-version-heard':
         return this.peerVersionHeard(now, event.address, event.version);
       case 'peer-replied':
-        this.asked.delete(event.address);
+        this.peers.ended(event.address);
         return this.learnFromPeer(event.address, event.knowledge);
     }
   }
@@ -142,16 +111,9 @@
     const reads = Object.values(this.followers).flatMap(
       (follower) => follower.due(now, random, nodes) ?? [],
     );
-    this.startedAt ??= now;
-    this.noteMissingUpstream(now);
-    this.renew(now);
+    this.ownRecord.tick(now);
     this.directory.expire(now);
-    return [
-      ...reads,
-      ...this.writeOwn(now),
-      ...this.askForHeard(now),
-      ...this.askWhileStoreIsLost(now, random),
-    ];
+    return [...reads, ...this.writeOwn(now), ...this.askPeers(now, random)];
   }
 
   private readEnded(
@@ -201,12 +163,7 @@
       this.directory.put(record);
       return;
     }
-    this.stored = record;
-    const {desired} = this;
-    // A write of an earlier process of this box, or one done late.
-    if (desired !== undefined && record.statedAt > desired.statedAt) {
-      this.state(Math.max(now, record.statedAt + 1), desired);
-    }
+    this.ownRecord.found(now, record);
   }
 
   /** Never goes back: an older version than the one in force is passed over. */
@@ -218,7 +175,7 @@
       return [];
     }
     this.inForce = configuration;
-    this.heard = undefined;
+    this.peers.versionCame();
     return [{kind: 'configuration-changed', configuration, source}];
   }
 
@@ -231,96 +188,26 @@
     if (!isChanged || upstream === undefined) {
       return [];
     }
-    const {service, slots, takesWork, coldUntil} = upstream;
-    this.state(Math.max(now, (this.stored?.statedAt ?? 0) + 1), {
-      ...this.identity,
-      service,
-      slots,
-      takesWork,
-      coldUntil,
-      statedAt: 0,
-    });
+    this.ownRecord.upstreamChanged(now, upstream);
     return [{kind: 'upstream-changed', upstream}, ...this.writeOwn(now)];
   }
 
-  /** Makes a statement, later than any before. */
-  private state(at: number, record: BoxRecord): void {
-    const statedAt = Math.max(at, (this.desired?.statedAt ?? 0) + 1);
-    this.desired = {...record, statedAt};
-    this.directory.put(this.desired);
-  }
-
-  /**
-   * The store says of this box that its upstream takes work, from before a
-   * restart, but no upstream has announced itself since.
-   */
-  private noteMissingUpstream(now: number): void {
-    const {stored, desired, startedAt = now} = this;
-    if (
-      desired === undefined &&
-      stored?.takesWork === true &&
-      now - startedAt > UPSTREAM_PATIENCE_MILLISECONDS
-    ) {
-      this.state(Math.max(now, stored.statedAt + 1), {
-        ...stored,
-        ...this.identity,
-        takesWork: false,
-      });
-    }
-  }
-
-  private renew(now: number): void {
-    const {desired} = this;
-    if (
-      desired !== undefined &&
-      now - desired.statedAt > RECORD_RENEWAL_MILLISECONDS
-    ) {
-      this.state(now, desired);
-    }
-  }
-
+  /** What the store has of this box is to be known before it is written. */
   private writeOwn(now: number): readonly FleetAction[] {
-    const {desired, stored} = this;
-    const isKnown = this.followers.boxes.hasRead;
-    if (
-      desired === undefined ||
-      !isKnown ||
-      this.writing !== undefined ||
-      now < this.writeAfter ||
-      this.isStored(desired, stored)
-    ) {
-      return [];
-    }
-    this.writing = desired;
-    return [
-      {
-        kind: 'write',
-        record: {key: desired.box, value: writeBoxRecord(desired)},
-      },
-    ];
-  }
-
-  /** A restart that changes nothing needs no write, and no reads by others. */
-  private isStored(desired: BoxRecord, stored: BoxRecord | undefined): boolean {
-    return (
-      stored !== undefined &&
-      isSameStatement(desired, stored) &&
-      desired.statedAt - stored.statedAt < RECORD_RENEWAL_MILLISECONDS
-    );
+    const record = this.followers.boxes.hasRead
+      ? this.ownRecord.nextWrite(now)
+      : undefined;
+    return record === undefined ? [] : [{kind: 'write', record}];
   }
 
   private writeEnded(
     now: number,
     result: StoreResult<undefined>,
   ): readonly FleetAction[] {
-    const {writing} = this;
-    this.writing = undefined;
+    this.ownRecord.writeEnded(now, result);
     if (result.ok) {
-      this.stored = writing;
       return [];
     }
-    // What the store has shows when its records are read on.
-    this.writeAfter = now + WRITE_PAUSE_MILLISECONDS;
     const {kind, detail} = result.failure;
     return [note('own-record-not-written', this.identity.box, {kind, detail})];
   }
@@ -347,23 +234,14 @@
     return this.isStoreLost || this.followers.configuration.failureCount > 0;
   }
 
-  private askWhileStoreIsLost(
-    now: number,
-    random: RandomSource,
-  ): readonly FleetAction[] {
-    if (!this.isStoreInTrouble || now < this.askAfter) {
-      return [];
-    }
-    this.askAfter = now + PEER_QUESTION_MILLISECONDS;
-    const others = this.directory
-      .all()
-      .filter(({box}) => box !== this.identity.box);
-    const near = others.filter(
-      ({dataCentre}) => dataCentre === this.identity.dataCentre,
+  private askPeers(now: number, random: RandomSource): readonly FleetAction[] {
+    const overdue = this.peers.overdue(now);
+    const instead = this.isStoreInTrouble
+      ? this.peers.withoutStore(now, random)
+      : undefined;
+    return [overdue, instead].flatMap((address) =>
+      address === undefined ? [] : this.ask(address),
     );
-    const pool = near.length > 0 && random() < 0.5 ? near : others;
-    const chosen = pool[Math.floor(random() * pool.length)];
-    return chosen === undefined ? [] : this.ask(chosen.peerAddress);
   }
 
   private peerVersionHeard(
@@ -380,44 +258,18 @@
     if (this.isStoreInTrouble) {
       return this.ask(address);
     }
-    const {heard} = this;
-    if (
-      heard === undefined ||
-      (!this.isNear(heard) && this.isNear({address}))
-    ) {
-      this.heard = {address, firstAt: heard?.firstAt ?? now};
-    }
+    this.peers.heardOfNewer(now, address);
     return [];
   }
 
-  private isNear({address}: Pick<HeardVersion, 'address'>): boolean {
-    const {dataCentre} = this.identity;
-    return this.directory
-      .all()
-      .some(
-        (box) => box.peerAddress === address && box.dataCentre === dataCentre,
-      );
-  }
-
-  /** The store did not bring in time what peers have told of. */
-  private askForHeard(now: number): readonly FleetAction[] {
-    const {heard} = this;
-    if (heard === undefined || now - heard.firstAt < STORE_FIRST_MILLISECONDS) {
-      return [];
-    }
-    this.heard = undefined;
-    return this.ask(heard.address);
-  }
-
   private ask(address: string): readonly FleetAction[] {
-    if (this.asked.has(address)) {
+    if (!this.peers.begin(address)) {
       return [];
     }
-    this.asked.add(address);
     const question: PeerQuestion = {
       version: this.version,
       wantsBoxes: !this.followers.boxes.hasRead || this.isStoreLost,
-      own: this.desired,
+      own: this.ownRecord.statement,
     };
     return [{kind: 'ask-peer', address, question}];
   }
--- /dev/null
+++ b/packages/fleet/src/ownRecord.ts
@@ -0,0 +1,138 @@
+// Copyright (c) 2026 the lockpin contributors. MIT licence, see LICENSE.
+/** The record that this box keeps of itself in the store. */
+
+import {
+  RECORD_RENEWAL_MILLISECONDS,
+  isSameStatement,
+  writeBoxRecord,
+} from './boxRecord.js';
+import type {BoxRecord} from './boxRecord.js';
+import type {NodeIdentity} from './fleetMessages.js';
+import type {OwnUpstream} from './ownUpstream.js';
+import type {StoreResult, StoredRecord} from './recordStore.js';
+
+/** Time before a failed write of the own record is tried again. */
+const WRITE_PAUSE_MILLISECONDS = 400;
+
+/** Upstreams announce themselves every second or two; three may be lost. */
+const UPSTREAM_PATIENCE_MILLISECONDS = 6000;
+
+/** Decides what this box states of itself, and when that is written. */
+export class OwnRecord {
+  /** As it should be; undefined before the upstream spoke. */
+  private desired: BoxRecord | undefined;
+  /** As the store is known to have it. */
+  private stored: BoxRecord | undefined;
+  /** What is being written now. */
+  private writing: BoxRecord | undefined;
+  private writeAfter = 0;
+  private startedAt: number | undefined;
+
+  constructor(
+    private readonly identity: NodeIdentity,
+    /** Told of each statement, before it is written. */
+    private readonly onStated: (record: BoxRecord) => void,
+  ) {}
+
+  /** What this box states of itself; undefined before the upstream spoke. */
+  get statement(): BoxRecord | undefined {
+    return this.desired;
+  }
+
+  /** The upstream beside this node said something new. */
+  upstreamChanged(now: number, upstream: OwnUpstream): void {
+    const {service, slots, takesWork, coldUntil} = upstream;
+    this.state(Math.max(now, (this.stored?.statedAt ?? 0) + 1), {
+      ...this.identity,
+      service,
+      slots,
+      takesWork,
+      coldUntil,
+      statedAt: 0,
+    });
+  }
+
+  /** The store has this record of the own box. */
+  found(now: number, record: BoxRecord): void {
+    this.stored = record;
+    const {desired} = this;
+    // A write of an earlier process of this box, or one done late.
+    if (desired !== undefined && record.statedAt > desired.statedAt) {
+      this.state(Math.max(now, record.statedAt + 1), desired);
+    }
+  }
+
+  /** States anew what time alone makes necessary. */
+  tick(now: number): void {
+    this.startedAt ??= now;
+    this.noteMissingUpstream(now, this.startedAt);
+    this.renew(now);
+  }
+
+  /** What is to be written now, if anything; the caller writes it. */
+  nextWrite(now: number): StoredRecord | undefined {
+    const {desired, stored} = this;
+    const isDue = this.writing === undefined && now >= this.writeAfter;
+    if (desired === undefined || !isDue || isStored(desired, stored)) {
+      return undefined;
+    }
+    this.writing = desired;
+    return {key: desired.box, value: writeBoxRecord(desired)};
+  }
+
+  /** A write has ended; what the store has shows when records are read on. */
+  writeEnded(now: number, result: StoreResult<undefined>): void {
+    const {writing} = this;
+    this.writing = undefined;
+    if (result.ok) {
+      this.stored = writing;
+    } else {
+      this.writeAfter = now + WRITE_PAUSE_MILLISECONDS;
+    }
+  }
+
+  /** Makes a statement, later than any before. */
+  private state(at: number, record: BoxRecord): void {
+    const statedAt = Math.max(at, (this.desired?.statedAt ?? 0) + 1);
+    this.desired = {...record, statedAt};
+    this.onStated(this.desired);
+  }
+
+  /**
+   * The store says of this box that its upstream takes work, from before a
+   * restart, but no upstream has announced itself since.
+   */
+  private noteMissingUpstream(now: number, startedAt: number): void {
+    const {stored, desired} = this;
+    if (
+      desired === undefined &&
+      stored?.takesWork === true &&
+      now - startedAt > UPSTREAM_PATIENCE_MILLISECONDS
+    ) {
+      this.state(Math.max(now, stored.statedAt + 1), {
+        ...stored,
+        ...this.identity,
+        takesWork: false,
+      });
+    }
+  }
+
+  private renew(now: number): void {
+    const {desired} = this;
+    if (
+      desired !== undefined &&
+      now - desired.statedAt > RECORD_RENEWAL_MILLISECONDS
+    ) {
+      this.state(now, desired);
+    }
+  }
+}
+
+/** A restart that changes nothing needs no write, and no reads by others. */
+function isStored(desired: BoxRecord, stored: BoxRecord | undefined): boolean {
+  return (
+    stored !== undefined &&
+    isSameStatement(desired, stored) &&
+    desired.statedAt - stored.statedAt < RECORD_RENEWAL_MILLISECONDS
+  );
+}
--- /dev/null
+++ b/packages/node/src/process/fleetEntrySettings.ts
@@ -0,0 +1,79 @@
+// Copyright (c) 2026 the lockpin contributors. MIT licence, see LICENSE.
+/** How the entries of a declared fleet offer calls, and what pays for retries. */
+
+import {UNSENT_REFUSALS} from '@lockpin/brain';
+import type {EntrySettings} from '@lockpin/brain';
+import {WindowedRetryBudget, chooseByScore} from '@lockpin/routing';
+import type {FleetRetryLimit} from './fleetPorts.js';
+
+/**
+ * Part of the fleet's retries that its entries use. The rest covers entries
+ * that start anew without a memory of what they spent, and calls that
+ * upstreams make for a call that is itself repeated.
+ */
+const RETRY_SHARE = 0.85;
+
+/**
+ * Nearby, every upstream that a service has in a data centre of today, so that
+ * their entries share its load; far, enough to go to when those are full.
+ */
+const SUBSET_SIZES = {local: 16, remote: 8} as const;
+
+/** Offers that ask for a free slot at once, then some that may wait. */
+const OFFERS_ON_EACH_TERMS = 3;
+
+/** A slot frees within the time that calls take; the pause doubles. */
+const PAUSE_MILLISECONDS = 30;
+
+/**
+ * Held longer in vain, a call had better be told when to come back: before half
+ * of its time is over, its caller can still try again.
+ */
+const HELD_SHARE = 0.45;
+
+/** Round trips between data centres take 3 ms; a slow box answers in 50. */
+const SILENCE_MILLISECONDS = 80;
+
+/** Offers in all; each costs a round trip, and the caller waits meanwhile. */
+const MOST_REROUTES = 8;
+
+/** An offer is answered in a round trip, so one silence is reason enough. */
+const LINK_PATIENCE = {
+  failuresToAvoid: 1,
+  firstAvoidanceMilliseconds: 500,
+  longestAvoidanceMilliseconds: 4000,
+} as const;
+
+/** What an entry has to know of its fleet; both may change while it runs. */
+export interface EntryFleet {
+  readonly retries: () => FleetRetryLimit;
+  /** Boxes that are known, which share the retries of the fleet. */
+  readonly boxes: () => number;
+}
+
+/** The settings of an entry whose guards reserve slots. */
+export function fleetEntrySettings(fleet: EntryFleet): EntrySettings {
+  return {
+    choose: chooseByScore,
+    subsetSizes: SUBSET_SIZES,
+    linkPatience: LINK_PATIENCE,
+    createBudget: () => createBudget(fleet),
+    firstTerms: 'immediate',
+    offersOnEachTerms: OFFERS_ON_EACH_TERMS,
+    silenceMilliseconds: SILENCE_MILLISECONDS,
+    pauseMilliseconds: PAUSE_MILLISECONDS,
+    heldShare: HELD_SHARE,
+    mostReroutes: MOST_REROUTES,
+    freeRefusals: UNSENT_REFUSALS,
+    replacesOverdue: true,
+  };
+}
+
+function createBudget({retries, boxes}: EntryFleet): WindowedRetryBudget {
+  const {ratio, windowMilliseconds} = retries();
+  return new WindowedRetryBudget({
+    ratio: ratio * RETRY_SHARE,
+    windowMilliseconds,
+    extra: () => (retries().extra * RETRY_SHARE) / Math.max(1, boxes()),
+  });
+}
--- a/packages/node/src/process/fleetHost.ts
+++ b/packages/node/src/process/fleetHost.ts
@@ -1,13 +1,8 @@
 // Copyright (c) 2026 the lockpin contributors. MIT licence, see LICENSE.
 /** Drives the brains of a node in a declared fleet. */
 
-import {
-  DEFAULT_GUARD_SETTINGS,
-  EntryBrain,
-  GuardBrain,
-  UNSENT_REFUSALS,
-} from '@lockpin/brain';
-import type {EntrySettings, GuardAction, GuardEvent} from '@lockpin/brain';
+import {DEFAULT_GUARD_SETTINGS, EntryBrain, GuardBrain} from '@lockpin/brain';
+import type {GuardAction, GuardEvent} from '@lockpin/brain';
 import {FleetBrain, FleetRouting, upstreamName} from '@lockpin/fleet';
 import type {
   FleetAction,
@@ -22,53 +17,15 @@
   StoreResult,
   UpstreamAnnouncement,
 } from '@lockpin/fleet';
-import {WindowedRetryBudget, chooseByScore} from '@lockpin/routing';
 import type {LoadHint} from '@lockpin/routing';
 import type {Clock, RandomSource, Resource} from '@lockpin/types';
 import type {DecisionLog} from './decisionLog.js';
+import {fleetEntrySettings} from './fleetEntrySettings.js';
 import type {FleetNodeSettings} from './fleetPorts.js';
 
 /** While calls are under way the guard ticks more often by itself. */
 const TICK_MILLISECONDS = 100;
 
-/**
- * Part of the fleet's retries that its entries use. The rest covers entries
- * that start anew without a memory of what they spent, and calls that
- * upstreams make for a call that is itself repeated.
- */
-const RETRY_SHARE = 0.85;
-
-/**
- * Nearby, enough that the entries of one data centre share its load evenly: with
- * half as many, a quarter of the upstreams was full while another was idle.
- */
-const SUBSET_SIZES = {local: 16, remote: 8} as const;
-
-/** Offers that ask for a free slot at once, then some that may wait. */
-const OFFERS_ON_EACH_TERMS = 3;
-
-/** A slot frees within the time that calls take; the pause doubles. */
-const PAUSE_MILLISECONDS = 30;
-
-/**
- * Held longer in vain, a call had better be told when to come back: before half
- * of its time is over, its caller can still try again.
- */
-const HELD_SHARE = 0.45;
-
-/** Round trips between data centres take 3 ms; a slow box answers in 50. */
-const SILENCE_MILLISECONDS = 80;
-
-/** Offers in all; each costs a round trip, and the caller waits meanwhile. */
-const MOST_REROUTES = 8;
-
-/** An offer is answered in a round trip, so one silence is reason enough. */
-const LINK_PATIENCE = {
-  failuresToAvoid: 1,
-  firstAvoidanceMilliseconds: 500,
-  longestAvoidanceMilliseconds: 4000,
-} as const;
-
 /** All that the host needs of the world. */
 export interface FleetEnvironment {
   readonly clock: Clock;
@@ -126,7 +83,10 @@
       box,
       dataCentre,
       {isUsable: () => true, incarnation: () => undefined},
-      this.entrySettings(),
+      fleetEntrySettings({
+        retries: () => this.currentSettings.retries,
+        boxes: () => this.fleet.directory.size,
+      }),
     );
   }
 
@@ -206,35 +166,6 @@
     this.entry.loads.heard(upstream, this.environment.clock(), hint);
   }
 
-  private entrySettings(): EntrySettings {
-    return {
-      choose: chooseByScore,
-      subsetSizes: SUBSET_SIZES,
-      linkPatience: LINK_PATIENCE,
-      createBudget: () => this.createBudget(),
-      firstTerms: 'immediate',
-      offersOnEachTerms: OFFERS_ON_EACH_TERMS,
-      silenceMilliseconds: SILENCE_MILLISECONDS,
-      pauseMilliseconds: PAUSE_MILLISECONDS,
-      heldShare: HELD_SHARE,
-      mostReroutes: MOST_REROUTES,
-      freeRefusals: UNSENT_REFUSALS,
-      replacesOverdue: true,
-    };
-  }
-
-  private createBudget(): WindowedRetryBudget {
-    const {ratio, windowMilliseconds} = this.currentSettings.retries;
-    return new WindowedRetryBudget({
-      ratio: ratio * RETRY_SHARE,
-      windowMilliseconds,
-      extra: () => {
-        const {extra} = this.currentSettings.retries;
-        return (extra * RETRY_SHARE) / Math.max(1, this.fleet.directory.size);
-      },
-    });
-  }
-
   private handle(event: FleetEvent): void {
     const {clock, random} = this.environment;
     for (const action of this.fleet.handle(clock(), random, event)) {
