--- a/packages/tools/src/faults/platformPromises.ts
+++ b/packages/tools/src/faults/platformPromises.ts
@@ -18,6 +18,9 @@
 const ENTRY = 'packages/brain/src/__tests__/overdueCalls.test.ts';
 const BRAIN = 'packages/fleet/src/__tests__/fleetBrain.test.ts';
 const ROUTES = 'packages/fleet/src/__tests__/fleetRouting.test.ts';
+const BUNDLE = 'platform/src/__tests__/bundle.test.ts';
+const SOAK = 'packages/tools/src/soak/__tests__/soak.test.ts';
+const SOAKED = 'keeps every promise through kills, stops, pauses and bad links';
 const CHOICE = 'packages/routing/src/__tests__/fleetRouting.test.ts';
 
 function promise(
@@ -50,9 +53,11 @@
       'never runs twice what may run once, and calls it unknown when it broke',
     ],
     [SLOTS, 'is given back unrun when no go comes, and a late go does nothing'],
+    [SOAK, SOAKED],
   ]),
   promise('a refusal that says not run is true, now and later', [
     [SLOTS, 'is given back unrun when the entry cancels it'],
+    [SOAK, SOAKED],
     [ENTRY, 'leaves the call not run when the time is over before any go'],
     [
       FLEET,
@@ -70,8 +75,11 @@
   ]),
   promise(
     'retries keep the budget in every window',
-    [[CHOICE, 'keeps the limit in every window, whatever comes']],
-    'the sum over entries that restart is kept by a margin, not by a proof',
+    [
+      [CHOICE, 'keeps the limit in every window, whatever comes'],
+      [SOAK, SOAKED],
+    ],
+    'the sum over entries that restart is kept by a margin, and watched by the soak, not proved',
   ),
   promise('work ends when its caller leaves', [
     [FLEET, 'cancels the work of a caller that left'],
@@ -90,6 +98,7 @@
     [SLOTS, 'is refused at once when its upstream begins to drain'],
     [SLOTS, 'stays truthful when the upstream drains before the go'],
     [BRAIN, 'is not revived by a late announcement after it left'],
+    [SOAK, SOAKED],
   ]),
   promise('another process at an address gets no call', [
     [FLEET, 'never calls another process at the address of its upstream'],
@@ -99,30 +108,41 @@
     [[ENTRY, 'are asked to let the call wait, then asked again after a pause']],
     'that entries together use a share of them is not tested without the bench',
   ),
-  promise(
-    'a planned stop cuts nothing',
+  promise('a planned stop cuts nothing', [
     [
-      [
-        FLEET,
-        'finishes what is in flight when it is stopped, and is not ready meanwhile',
-      ],
+      FLEET,
+      'finishes what is in flight when it is stopped, and is not ready meanwhile',
     ],
-    'stops in series and overlapping: the soak is not built',
-  ),
+    [FLEET, 'tells callers whose calls have not ended what became of them'],
+    [BUNDLE, 'outlives a hangup that comes while it still starts'],
+    [SOAK, SOAKED],
+  ]),
   promise('a configuration is in force soon, and never goes back', [
     [FLEET, 'puts a new configuration in force everywhere'],
     [BRAIN, 'never goes back to an older version'],
     [BRAIN, 'is taken from a peer when the store does not answer'],
+    [
+      BRAIN,
+      'is left to the store for a moment, then asked for in the own data centre',
+    ],
+    [SOAK, SOAKED],
   ]),
   promise('weights are kept', [
     [
       ROUTES,
       'keeps each share of any run of calls to within one call of each kind',
     ],
+    [
+      FLEET,
+      'refuses what a part of a split has no room for, and moves none of it',
+    ],
   ]),
   promise(
     'the fleet comes back after all of it was killed',
-    [[BRAIN, 'is not written again by a restart that changes nothing']],
-    'a kill of all nodes is played on the bench only',
+    [
+      [BRAIN, 'is not written again by a restart that changes nothing'],
+      [SOAK, SOAKED],
+    ],
+    'a kill of all nodes at one moment is played on the bench only',
   ),
 ];
