The record of a box that is gone leaves the store

Change: of the nodes that forget a box (15 minutes without renewal), the one that ranks first by hash writes its key without a value. A drop that fails is logged; the next node that starts finds the record again.

--- a/packages/fleet/src/__tests__/fleetBrain.test.ts
+++ b/packages/fleet/src/__tests__/fleetBrain.test.ts
@@ -332,6 +332,24 @@
     expect(world.brain.directory.get('b2')).toBeUndefined();
   });
 
+  it('leave the store by the hand of one node when they are forgotten', () => {
+    const drops = ['b1', 'b3', 'b4'].map((box) => {
+      const brain = new FleetBrain({...IDENTITY, box}, () =>
+        success(undefined),
+      );
+      const fresh = 3 * RECORD_RENEWAL_MILLISECONDS;
+      brain.directory.put(other());
+      for (const peer of ['b1', 'b3', 'b4']) {
+        brain.directory.put(other({box: peer, statedAt: fresh}));
+      }
+      const event = {kind: 'tick'} as const;
+      return brain
+        .handle(fresh + 2000, random, event)
+        .filter(({kind}) => kind === 'drop-record');
+    });
+    expect(drops.flat()).toEqual([{kind: 'drop-record', key: 'b2'}]);
+  });
+
   it('pass over a record of another form', () => {
     const world = new World();
     world.tick();
--- a/packages/fleet/src/fleetBrain.ts
+++ b/packages/fleet/src/fleetBrain.ts
@@ -5,6 +5,7 @@
  */
 
 import type {RandomSource, Result} from '@lockpin/types';
+import {stableHash} from '@lockpin/utils';
 import {BoxDirectory} from './boxDirectory.js';
 import {readBoxRecord} from './boxRecord.js';
 import type {BoxRecord} from './boxRecord.js';
@@ -112,8 +113,13 @@
       (follower) => follower.due(now, random, nodes) ?? [],
     );
     this.ownRecord.tick(now);
-    this.directory.expire(now);
-    return [...reads, ...this.writeOwn(now), ...this.askPeers(now, random)];
+    const gone = this.directory.expire(now);
+    return [
+      ...reads,
+      ...this.writeOwn(now),
+      ...gone.flatMap((box) => this.dropRecord(box)),
+      ...this.askPeers(now, random),
+    ];
   }
 
   private readEnded(
@@ -192,6 +198,17 @@
     return [{kind: 'upstream-changed', upstream}, ...this.writeOwn(now)];
   }
 
+  /**
+   * The store keeps the newest record of each key for good, and boxes are replaced
+   * every day. Of the nodes that forget a box, one takes its record away.
+   */
+  private dropRecord(key: string): readonly FleetAction[] {
+    const rank = (box: string): number => stableHash(`${box} ${key}`);
+    const own = rank(this.identity.box);
+    const isFirst = this.directory.all().every(({box}) => rank(box) <= own);
+    return isFirst ? [{kind: 'drop-record', key}] : [];
+  }
+
   /** What the store has of this box is to be known before it is written. */
   private writeOwn(now: number): readonly FleetAction[] {
     const record = this.followers.boxes.hasRead
--- a/packages/fleet/src/fleetMessages.ts
+++ b/packages/fleet/src/fleetMessages.ts
@@ -66,6 +66,8 @@
 export type FleetAction =
   | StreamRead
   | {readonly kind: 'write'; readonly record: StoredRecord}
+  /** The record of a box that is gone leaves the store. */
+  | {readonly kind: 'drop-record'; readonly key: string}
   | {
       readonly kind: 'ask-peer';
       readonly address: string;
--- a/packages/node/src/process/fleetHost.ts
+++ b/packages/node/src/process/fleetHost.ts
@@ -190,6 +190,9 @@
           .write('boxes', action.record)
           .then((result) => this.handle({kind: 'write-ended', result}));
         break;
+      case 'drop-record':
+        void this.dropRecord(action.key);
+        break;
       case 'ask-peer':
         askPeer(action.address, action.question, (knowledge) =>
           this.handle({
@@ -214,6 +217,16 @@
     }
   }
 
+  private async dropRecord(key: string): Promise<void> {
+    const record = {key, value: undefined};
+    const result = await this.environment.store.write('boxes', record);
+    this.log.event('box-forgotten', {
+      subject: key,
+      // A record that stays is found again by the next node that starts.
+      problem: result.ok ? '' : result.failure.detail,
+    });
+  }
+
   private whenRead(
     stream: RecordStream,
     read: Promise<StoreResult<RecordPage>>,
