A retry budget follows settings that change while the node runs

Cause, by reading: the ratio and the window were taken once, when the first call of a service came; a settings file that lowers them left the old ones in force until the node's next start. Only the extra was followed.

--- a/packages/brain/src/__tests__/overdueCalls.test.ts
+++ b/packages/brain/src/__tests__/overdueCalls.test.ts
@@ -89,11 +89,11 @@
           longestAvoidanceMilliseconds: 8000,
         },
         createBudget: () =>
-          new WindowedRetryBudget({
+          new WindowedRetryBudget(() => ({
             ratio: 0.2,
             windowMilliseconds: 10_000,
-            extra: () => 10,
-          }),
+            extra: 10,
+          })),
         firstTerms: 'immediate',
         offersOnEachTerms: 4,
         pauseMilliseconds: 30,
--- a/packages/node/src/process/fleetEntrySettings.ts
+++ b/packages/node/src/process/fleetEntrySettings.ts
@@ -70,10 +70,13 @@
 }
 
 function createBudget({retries, boxes}: EntryFleet): WindowedRetryBudget {
-  const {ratio, windowMilliseconds} = retries();
-  return new WindowedRetryBudget({
-    ratio: ratio * RETRY_SHARE,
-    windowMilliseconds,
-    extra: () => (retries().extra * RETRY_SHARE) / Math.max(1, boxes()),
+  return new WindowedRetryBudget(() => {
+    const {ratio, windowMilliseconds, extra} = retries();
+    const ownExtra = extra / Math.max(1, boxes());
+    return {
+      ratio: ratio * RETRY_SHARE,
+      windowMilliseconds,
+      extra: ownExtra * RETRY_SHARE,
+    };
   });
 }
--- a/packages/routing/src/__tests__/fleetRouting.test.ts
+++ b/packages/routing/src/__tests__/fleetRouting.test.ts
@@ -102,6 +102,17 @@
 });
 
 describe('WindowedRetryBudget', () => {
+  it('keeps a limit that operators lower while it runs', () => {
+    let settings = {ratio: 1, windowMilliseconds: 1000, extra: 0};
+    const budget = new WindowedRetryBudget(() => settings);
+    for (let i = 0; i < 10; i += 1) {
+      budget.firstAttempt(i);
+    }
+    expect(budget.takeRetry(10)).toBe(true);
+    settings = {...settings, ratio: 0.1};
+    expect(budget.takeRetry(11)).toBe(false);
+  });
+
   it('keeps the limit in every window, whatever comes', () => {
     fc.assert(
       fc.property(
@@ -113,8 +124,8 @@
           {maxLength: 200},
         ),
         (steps) => {
-          const settings = {ratio: 0.2, windowMilliseconds: 1000};
-          const budget = new WindowedRetryBudget({...settings, extra: () => 2});
+          const settings = {ratio: 0.2, windowMilliseconds: 1000, extra: 2};
+          const budget = new WindowedRetryBudget(() => settings);
           let now = 0;
           const calls: number[] = [];
           const retries: number[] = [];
--- a/packages/routing/src/windowedRetryBudget.ts
+++ b/packages/routing/src/windowedRetryBudget.ts
@@ -8,8 +8,8 @@
   /** Retries for each call of the window. */
   readonly ratio: number;
   readonly windowMilliseconds: number;
-  /** Retries of each window on top, shared by all entries; may change. */
-  readonly extra: () => number;
+  /** Retries of each window on top. */
+  readonly extra: number;
 }
 
 /**
@@ -20,10 +20,11 @@
   private calls: number[] = [];
   private retries: number[] = [];
 
-  constructor(private readonly settings: WindowedBudgetSettings) {}
+  /** The settings are asked for each time: operators change them as we run. */
+  constructor(private readonly settings: () => WindowedBudgetSettings) {}
 
   firstAttempt(now: number): void {
-    const {windowMilliseconds} = this.settings;
+    const {windowMilliseconds} = this.settings();
     this.calls.push(now);
     if ((this.calls[0] ?? now) < now - 2 * windowMilliseconds) {
       this.calls = after(this.calls, now - windowMilliseconds);
@@ -31,11 +32,11 @@
   }
 
   takeRetry(now: number): boolean {
-    const {ratio, windowMilliseconds, extra} = this.settings;
+    const {ratio, windowMilliseconds, extra} = this.settings();
     const since = now - windowMilliseconds;
     this.calls = after(this.calls, since);
     this.retries = after(this.retries, since);
-    const limit = this.calls.length * ratio + extra();
+    const limit = this.calls.length * ratio + extra;
     if (this.retries.length + 1 > limit) {
       return false;
     }
