--- a/packages/tools/src/harness/nodeProcess.ts
+++ b/packages/tools/src/harness/nodeProcess.ts
@@ -8,6 +8,7 @@
 import {saltedHash} from '@lockpin/utils';
 import {request} from 'undici';
 import {freeAddresses} from './ports.js';
+import {endTogetherWith} from './startedProcesses.js';
 
 const NODE_BINARY = fileURLToPath(
   new URL('../../../node/lib/main.js', import.meta.url),
@@ -49,13 +50,6 @@
   return {caller, operator, peer};
 }
 
-/** Processes that still run; none outlives the tool that started it. */
-const started = new Set<ChildProcess>();
-
-process.once('exit', () => started.forEach((child) => child.kill('SIGKILL')));
-process.once('SIGTERM', () => process.exit(1));
-process.once('SIGINT', () => process.exit(1));
-
 /** One lockpin-node process. */
 export class NodeProcess {
   private process: ChildProcess | undefined;
@@ -95,8 +89,7 @@
       {stdio: ['ignore', 'ignore', 'pipe']},
     );
     this.process = child;
-    started.add(child);
-    child.once('exit', () => started.delete(child));
+    endTogetherWith(child);
     child.stderr?.on('data', (chunk: Buffer) => this.keep(String(chunk)));
     this.exit = new Promise((resolve) => child.once('exit', resolve));
   }
--- a/packages/tools/src/soak/soakBox.ts
+++ b/packages/tools/src/soak/soakBox.ts
@@ -14,6 +14,7 @@
   settingsText,
 } from '@lockpin/platform-stand-ins';
 import type {RandomSource} from '@lockpin/types';
+import {endTogetherWith} from '../harness/startedProcesses.js';
 import type {LinkName} from './faultPlan.js';
 import {LinkProxy} from './linkProxy.js';
 import {SOAK_SERVICES} from './soakConfiguration.js';
@@ -162,6 +163,7 @@
     this.life += 1;
     this.spawnedAt = Date.now();
     this.process = child;
+    endTogetherWith(child);
     this.isEnding = false;
     this.exit = new Promise((resolve) =>
       child.once('exit', (code) => {
