--- /dev/null
+++ b/packages/brain/src/entry/callOffers.ts
@@ -0,0 +1,131 @@
+// Copyright (c) 2026 the lockpin contributors. MIT licence, see LICENSE.
+/** Where an entry offers its calls, round after round, until it gives one up. */
+
+import type {UpstreamLoads} from '@lockpin/routing';
+import type {RandomSource, RefusalReason} from '@lockpin/types';
+import type {AttemptTiming} from './attemptTiming.js';
+import type {CallBooks} from './callBooks.js';
+import {setTerms} from './callState.js';
+import type {CallState} from './callState.js';
+import type {
+  Attempt,
+  BoxKnowledge,
+  EntryAction,
+  EntryCall,
+} from './entryMessages.js';
+import type {EntrySettings} from './entrySettings.js';
+import type {UpstreamChooser} from './upstreamChooser.js';
+
+/** When a caller that found no upstream may come back, in milliseconds. */
+export const NO_UPSTREAM_RETRY_MILLISECONDS = 500;
+
+/** What the offers of an entry go by. */
+export interface CallOffersContext {
+  readonly boxes: BoxKnowledge;
+  readonly settings: EntrySettings;
+  readonly loads: UpstreamLoads;
+  readonly chooser: UpstreamChooser;
+  readonly books: CallBooks;
+  readonly timing: AttemptTiming;
+}
+
+/** Makes the offers of calls, and ends their rounds. */
+export class CallOffers {
+  constructor(private readonly context: CallOffersContext) {}
+
+  /** Offers a call to the next upstream, or gives it up for now. */
+  next(
+    now: number,
+    random: RandomSource,
+    state: CallState,
+    reasonIfNone: RefusalReason,
+    retryAfter = NO_UPSTREAM_RETRY_MILLISECONDS,
+  ): readonly EntryAction[] {
+    const chosen = this.context.chooser.next(now, random, state);
+    if (chosen === undefined) {
+      return this.pauseOrRefuse(now, state, reasonIfNone, retryAfter);
+    }
+    return [this.send(state, chosen.name, chosen.box, chosen.name)];
+  }
+
+  /** Upstreams may free slots soon: hold the call a little, but not for long. */
+  pauseOrRefuse(
+    now: number,
+    state: CallState,
+    reason: RefusalReason,
+    retryAfter: number,
+  ): readonly EntryAction[] {
+    const {pauseMilliseconds} = this.context.settings;
+    const milliseconds = pauseMilliseconds * 2 ** state.pauses;
+    if (pauseMilliseconds === 0 || now + milliseconds > state.heldUntil) {
+      return this.context.books.finalRefusal(state, reason, retryAfter);
+    }
+    state.pauses += 1;
+    return [{kind: 'pause', callId: state.call.id, milliseconds}];
+  }
+
+  /** A new round of offers begins. */
+  pauseEnded(
+    now: number,
+    random: RandomSource,
+    state: CallState,
+  ): readonly EntryAction[] {
+    state.reroutes = 0;
+    setTerms(state, this.context.settings.firstTerms);
+    return this.next(now, random, state, 'no-upstream');
+  }
+
+  /** Only the process that a once key is bound to may run its call. */
+  attemptAtHome(
+    state: CallState,
+    key: NonNullable<EntryCall['onceKey']>,
+  ): readonly EntryAction[] {
+    const {box, incarnation} = key.home;
+    const current = this.context.boxes.incarnation(box);
+    if (current !== undefined && current > incarnation) {
+      return this.context.books.homeRefusal(state, 'once-home-replaced');
+    }
+    if (!this.context.boxes.isUsable(box)) {
+      return this.context.books.homeRefusal(state, 'once-home-unreachable');
+    }
+    return [this.send(state, `home ${box}`, box, undefined)];
+  }
+
+  /** Offers a call to one upstream. */
+  send(
+    state: CallState,
+    loadKey: string,
+    box: string,
+    upstream: string | undefined,
+  ): EntryAction {
+    state.upstream = loadKey;
+    state.tried.add(loadKey);
+    state.isAttempting = true;
+    this.context.loads.sent(loadKey);
+    return {
+      kind: 'attempt',
+      attempt: {...this.attemptOf(state), box, upstream},
+    };
+  }
+
+  private attemptOf(state: CallState): Omit<Attempt, 'box' | 'upstream'> {
+    const {timing} = this.context;
+    const {call, paidAttempts, terms} = state;
+    return {
+      callId: call.id,
+      call,
+      number: paidAttempts + (call.isCallersRetry ? 1 : 0),
+      terms,
+      expectedMilliseconds: timing.usual(call.route.name),
+      overdueMilliseconds: timing.overdueAfter(state),
+      startBy: this.startBy(state),
+      silenceMilliseconds: timing.silenceAfter(state),
+    };
+  }
+
+  /** A caller is told soon that nothing was free, while it can still act on it. */
+  private startBy({mayHaveRun, heldUntil}: CallState): number | undefined {
+    const isHeld = this.context.settings.heldShare > 0 && !mayHaveRun;
+    return isHeld ? heldUntil : undefined;
+  }
+}
--- a/packages/brain/src/entry/entryBrain.ts
+++ b/packages/brain/src/entry/entryBrain.ts
@@ -3,12 +3,13 @@
 
 import {ServiceCrowding, UpstreamLoads} from '@lockpin/routing';
 import type {RoutingCandidate} from '@lockpin/routing';
-import type {RandomSource, Refusal, RefusalReason} from '@lockpin/types';
+import type {RandomSource, Refusal} from '@lockpin/types';
 import {FIRST_FAILED_STATUS} from '@lockpin/utils';
 import {AttemptNews} from './attemptNews.js';
 import {AttemptTiming} from './attemptTiming.js';
 import {CallBooks, refuse} from './callBooks.js';
-import {arrivedCall, setTerms} from './callState.js';
+import {CallOffers, NO_UPSTREAM_RETRY_MILLISECONDS} from './callOffers.js';
+import {arrivedCall} from './callState.js';
 import type {CallState} from './callState.js';
 import type {
   BoxKnowledge,
@@ -26,28 +27,25 @@
 /** When a caller over its share may come back, in milliseconds. */
 const OVER_SHARE_RETRY_MILLISECONDS = 100;
 
-/** When a caller that found no upstream may come back, in milliseconds. */
-const NO_UPSTREAM_RETRY_MILLISECONDS = 500;
-
 /** Decides by (now, random, event) alone. */
 export class EntryBrain {
   readonly loads: UpstreamLoads;
   private readonly retries: RetryPolicy;
   private readonly books: CallBooks;
   private readonly chooser: UpstreamChooser;
-  private readonly timing: AttemptTiming;
+  private readonly offers: CallOffers;
   private readonly news: AttemptNews;
   private readonly overdueAttempts: OverdueAttempts;
 
   constructor(
     box: string,
     dataCentre: string,
-    private readonly boxes: BoxKnowledge,
+    boxes: BoxKnowledge,
     private readonly settings: EntrySettings = DEFAULT_ENTRY_SETTINGS,
   ) {
     this.loads = new UpstreamLoads(settings.linkPatience);
     this.retries = new RetryPolicy(settings);
-    this.timing = new AttemptTiming(settings, this.retries);
+    const timing = new AttemptTiming(settings, this.retries);
     const {loads} = this;
     const crowding = new ServiceCrowding();
     this.chooser = new UpstreamChooser({
@@ -58,13 +56,21 @@
       crowding,
       settings,
     });
-    this.news = new AttemptNews(loads, this.timing, crowding);
+    this.news = new AttemptNews(loads, timing, crowding);
     this.overdueAttempts = new OverdueAttempts(
       loads,
       this.retries,
       this.chooser,
     );
     this.books = new CallBooks(loads, this.overdueAttempts);
+    this.offers = new CallOffers({
+      boxes,
+      settings,
+      loads,
+      chooser: this.chooser,
+      books: this.books,
+      timing,
+    });
   }
 
   get callCount(): number {
@@ -98,7 +104,7 @@
         this.loads.linkFailed(state.upstream, now, random());
         return this.lost(now, random, state, event.wasSent);
       case 'pause-ended':
-        return this.pauseEnded(now, random, state);
+        return this.offers.pauseEnded(now, random, state);
       case 'attempt-silent':
         return this.silent(now, random, state);
       case 'attempt-overdue':
@@ -145,98 +151,8 @@
       return this.books.finalRefusal(state, 'deadline-passed');
     }
     return call.onceKey === undefined
-      ? this.attempt(now, random, state, 'no-upstream')
-      : this.attemptAtHome(state, call.onceKey);
-  }
-
-  private attempt(
-    now: number,
-    random: RandomSource,
-    state: CallState,
-    reasonIfNone: RefusalReason,
-    retryAfter = NO_UPSTREAM_RETRY_MILLISECONDS,
-  ): readonly EntryAction[] {
-    const chosen = this.chooser.next(now, random, state);
-    if (chosen === undefined) {
-      return this.pauseOrRefuse(now, state, reasonIfNone, retryAfter);
-    }
-    return [this.send(state, chosen.name, chosen.box, chosen.name)];
-  }
-
-  /** Upstreams may free slots soon: hold the call a little, but not for long. */
-  private pauseOrRefuse(
-    now: number,
-    state: CallState,
-    reason: RefusalReason,
-    retryAfter: number,
-  ): readonly EntryAction[] {
-    const {pauseMilliseconds} = this.settings;
-    const milliseconds = pauseMilliseconds * 2 ** state.pauses;
-    if (pauseMilliseconds === 0 || now + milliseconds > state.heldUntil) {
-      return this.books.finalRefusal(state, reason, retryAfter);
-    }
-    state.pauses += 1;
-    return [{kind: 'pause', callId: state.call.id, milliseconds}];
-  }
-
-  private pauseEnded(
-    now: number,
-    random: RandomSource,
-    state: CallState,
-  ): readonly EntryAction[] {
-    state.reroutes = 0;
-    setTerms(state, this.settings.firstTerms);
-    return this.attempt(now, random, state, 'no-upstream');
-  }
-
-  private attemptAtHome(
-    state: CallState,
-    key: NonNullable<EntryCall['onceKey']>,
-  ): readonly EntryAction[] {
-    const {box, incarnation} = key.home;
-    const current = this.boxes.incarnation(box);
-    if (current !== undefined && current > incarnation) {
-      return this.books.homeRefusal(state, 'once-home-replaced');
-    }
-    if (!this.boxes.isUsable(box)) {
-      return this.books.homeRefusal(state, 'once-home-unreachable');
-    }
-    return [this.send(state, `home ${box}`, box, undefined)];
-  }
-
-  private send(
-    state: CallState,
-    loadKey: string,
-    box: string,
-    upstream: string | undefined,
-  ): EntryAction {
-    state.upstream = loadKey;
-    state.tried.add(loadKey);
-    state.isAttempting = true;
-    this.loads.sent(loadKey);
-    const {call, paidAttempts, terms} = state;
-    const number = paidAttempts + (call.isCallersRetry ? 1 : 0);
-    return {
-      kind: 'attempt',
-      attempt: {
-        callId: call.id,
-        call,
-        upstream,
-        box,
-        number,
-        terms,
-        expectedMilliseconds: this.timing.usual(call.route.name),
-        overdueMilliseconds: this.timing.overdueAfter(state),
-        startBy: this.startBy(state),
-        silenceMilliseconds: this.timing.silenceAfter(state),
-      },
-    };
-  }
-
-  /** A caller is told soon that nothing was free, while it can still act on it. */
-  private startBy({mayHaveRun, heldUntil}: CallState): number | undefined {
-    const isHeld = this.settings.heldShare > 0 && !mayHaveRun;
-    return isHeld ? heldUntil : undefined;
+      ? this.offers.next(now, random, state, 'no-upstream')
+      : this.offers.attemptAtHome(state, call.onceKey);
   }
 
   /** The guard said nothing, and was not told to go: the call did not run. */
@@ -254,8 +170,13 @@
     };
     const reason = 'guard-silent';
     const next = this.retries.takeReroute(state)
-      ? this.attempt(now, random, state, reason)
-      : this.pauseOrRefuse(now, state, reason, NO_UPSTREAM_RETRY_MILLISECONDS);
+      ? this.offers.next(now, random, state, reason)
+      : this.offers.pauseOrRefuse(
+          now,
+          state,
+          reason,
+          NO_UPSTREAM_RETRY_MILLISECONDS,
+        );
     return [cancel, ...next];
   }
 
@@ -270,7 +191,7 @@
     }
     return [
       {kind: 'keep-overdue', callId: state.call.id},
-      this.send(state, again.name, again.box, again.name),
+      this.offers.send(state, again.name, again.box, again.name),
     ];
   }
 
@@ -310,7 +231,7 @@
     ) {
       const again = this.chooser.untried(now, random, state);
       if (again !== undefined) {
-        return [this.send(state, again.name, again.box, again.name)];
+        return [this.offers.send(state, again.name, again.box, again.name)];
       }
     }
     const pass: EntryAction = {kind: 'pass-answer', callId};
@@ -340,10 +261,16 @@
       return this.books.final(state, reason, outcome, retryAfterMilliseconds);
     }
     if (this.retries.mayGoElsewhere(now, state, refusal)) {
-      return this.attempt(now, random, state, reason, retryAfterMilliseconds);
+      return this.offers.next(
+        now,
+        random,
+        state,
+        reason,
+        retryAfterMilliseconds,
+      );
     }
     return this.settings.freeRefusals.has(reason)
-      ? this.pauseOrRefuse(now, state, reason, retryAfterMilliseconds)
+      ? this.offers.pauseOrRefuse(now, state, reason, retryAfterMilliseconds)
       : this.books.finalRefusal(state, reason, retryAfterMilliseconds);
   }
 
@@ -369,7 +296,7 @@
       isFree ||
       (this.retries.mayRepeat(state) && this.retries.payRetry(now, state))
     ) {
-      return this.attempt(now, random, state, reason);
+      return this.offers.next(now, random, state, reason);
     }
     return this.books.finalRefusal(state, reason);
   }
