--- a/packages/node/src/__tests__/brokenAnswers.test.ts
+++ b/packages/node/src/__tests__/brokenAnswers.test.ts
@@ -146,3 +146,20 @@
     expect(await call(kind)).toBe('upstream-failed unknown');
   });
 });
+
+describe('an upstream that forgets its idle connections', () => {
+  const WHOLE = 'HTTP/1.1 200 OK\r\ncontent-length: 4\r\n\r\nwell';
+
+  it('never costs a call that cannot be repeated', async () => {
+    answer = (socket) => {
+      socket.write(WHOLE);
+      // Whatever is next sent on this connection is reset.
+      socket.once('data', () => socket.resetAndDestroy());
+    };
+    expect(await call('repeatable')).toBe('answer well');
+    expect(await call('at-most-once')).toBe('answer well');
+    expect(await call('at-most-once')).toBe('answer well');
+    // The connection of the first call is still kept, and is the forgotten one.
+    expect(await call('repeatable')).toBe('upstream-failed unknown');
+  });
+});
