An entry that starts anew spends no extra retries for a window

Change: a process that is not the fleet's first start has only its share of calls for the length of a window. The settings file says whether it is the first.

--- a/packages/node/src/process/fleetEntrySettings.ts
+++ b/packages/node/src/process/fleetEntrySettings.ts
@@ -7,9 +7,9 @@
 import type {FleetRetryLimit} from './fleetPorts.js';
 
 /**
- * Part of the fleet's retries that its entries use. The rest covers entries
- * that start anew without a memory of what they spent, and calls that
- * upstreams make for a call that is itself repeated.
+ * Part of the fleet's retries that its entries use. The rest covers calls that
+ * upstreams make for a call that is itself repeated. An entry that starts anew
+ * does not know what its box has spent, and does without the extra for a window.
  */
 const RETRY_SHARE = 0.85;
 
@@ -44,10 +44,15 @@
   longestAvoidanceMilliseconds: 4000,
 } as const;
 
-/** What an entry has to know of its fleet; both may change while it runs. */
+/** What an entry has to know of its fleet. */
 export interface EntryFleet {
+  /** When this process started, by its clock. */
+  readonly startedAt: number;
+  /** No earlier process of this box can have spent retries. */
+  readonly isFirstStart: boolean;
+  /** May change while the process runs. */
   readonly retries: () => FleetRetryLimit;
-  /** Boxes that are known, which share the retries of the fleet. */
+  /** Boxes that are known now, which share the retries of the fleet. */
   readonly boxes: () => number;
 }
 
@@ -69,14 +74,16 @@
   };
 }
 
-function createBudget({retries, boxes}: EntryFleet): WindowedRetryBudget {
-  return new WindowedRetryBudget(() => {
-    const {ratio, windowMilliseconds, extra} = retries();
-    const ownExtra = extra / Math.max(1, boxes());
+function createBudget(fleet: EntryFleet): WindowedRetryBudget {
+  return new WindowedRetryBudget((now) => {
+    const {ratio, windowMilliseconds, extra} = fleet.retries();
+    const mayHaveSpent =
+      !fleet.isFirstStart && now - fleet.startedAt < windowMilliseconds;
+    const ownExtra = extra / Math.max(1, fleet.boxes());
     return {
       ratio: ratio * RETRY_SHARE,
       windowMilliseconds,
-      extra: ownExtra * RETRY_SHARE,
+      extra: mayHaveSpent ? 0 : ownExtra * RETRY_SHARE,
     };
   });
 }
--- a/packages/node/src/process/fleetHost.ts
+++ b/packages/node/src/process/fleetHost.ts
@@ -84,6 +84,8 @@
       dataCentre,
       {isUsable: () => true, incarnation: () => undefined},
       fleetEntrySettings({
+        startedAt: environment.clock(),
+        isFirstStart: currentSettings.isFirstStart,
         retries: () => this.currentSettings.retries,
         boxes: () => this.fleet.directory.size,
       }),
--- a/packages/node/src/process/fleetPorts.ts
+++ b/packages/node/src/process/fleetPorts.ts
@@ -34,6 +34,8 @@
   /** From the signal to stop until the process is killed, in milliseconds. */
   readonly stopLimitMilliseconds: number;
   readonly retries: FleetRetryLimit;
+  /** The fleet starts for the first time; false for every later process. */
+  readonly isFirstStart: boolean;
 }
 
 /** What the caller's side may ask of the fleet. */
--- a/packages/routing/src/windowedRetryBudget.ts
+++ b/packages/routing/src/windowedRetryBudget.ts
@@ -21,10 +21,12 @@
   private retries: number[] = [];
 
   /** The settings are asked for each time: operators change them as we run. */
-  constructor(private readonly settings: () => WindowedBudgetSettings) {}
+  constructor(
+    private readonly settings: (now: number) => WindowedBudgetSettings,
+  ) {}
 
   firstAttempt(now: number): void {
-    const {windowMilliseconds} = this.settings();
+    const {windowMilliseconds} = this.settings(now);
     this.calls.push(now);
     if ((this.calls[0] ?? now) < now - 2 * windowMilliseconds) {
       this.calls = after(this.calls, now - windowMilliseconds);
@@ -32,7 +34,7 @@
   }
 
   takeRetry(now: number): boolean {
-    const {ratio, windowMilliseconds, extra} = this.settings();
+    const {ratio, windowMilliseconds, extra} = this.settings(now);
     const since = now - windowMilliseconds;
     this.calls = after(this.calls, since);
     this.retries = after(this.retries, since);
