Calls that upstreams make for a repeat count as repeats of their service

Change: such a call begins on the box of the upstream that makes it. While the guard there runs a repeat, calls that begin on the box are taken out of the budget of their service. That counts some of other callers too, for the time of the run.

--- a/packages/brain/src/__tests__/overdueCalls.test.ts
+++ b/packages/brain/src/__tests__/overdueCalls.test.ts
@@ -109,7 +109,7 @@
     return this.entry.handle(this.now, random, event);
   }
 
-  arrive(repetition: Repetition): readonly EntryAction[] {
+  arrive(repetition: Repetition, mayBeRepeat = false): readonly EntryAction[] {
     return this.tell({
       kind: 'call-arrived',
       call: {
@@ -123,6 +123,7 @@
         isFirstWithKey: false,
         isReplayable: true,
         isCallersRetry: false,
+        mayBeRepeat,
       },
     });
   }
@@ -387,6 +388,26 @@
   });
 });
 
+describe('calls that may be repeats of an upstream on this box', () => {
+  function retriesAfter(calls: number, areRepeats: boolean): number {
+    const world = new World(['a', 'b', 'c']);
+    let retries = 0;
+    for (let i = 0; i < calls; i += 1) {
+      world.arrive('repeatable', areRepeats);
+      retries += kinds(world.answer(500)).includes('attempt') ? 1 : 0;
+      world.answer(200);
+      world.tell({kind: 'answer-ended', callId: '1'});
+    }
+    return retries;
+  }
+
+  it('are taken out of what the entry itself may repeat', () => {
+    // Ten retries a window on top of a fifth of the calls.
+    expect(retriesAfter(20, false)).toBe(14);
+    expect(retriesAfter(20, true)).toBeLessThan(7);
+  });
+});
+
 describe('a call that failed on one upstream', () => {
   it('is not the probe of a doubted one', () => {
     for (let i = 0; i < 20; i += 1) {
--- a/packages/brain/src/__tests__/reservations.test.ts
+++ b/packages/brain/src/__tests__/reservations.test.ts
@@ -270,6 +270,23 @@
     expect(world.guard.hintOf(world.now, UPSTREAM)?.state).toBe('doubted');
   });
 
+  it('runs a repeat from when a second attempt is sent until it ends', () => {
+    const world = new World(2);
+    world.run('1', 200);
+    world.offer('2', {needsGo: false, attempt: 1});
+    expect(world.guard.runsRepeats).toBe(false);
+    world.offer('3', {needsGo: false, attempt: 2});
+    expect(world.guard.runsRepeats).toBe(true);
+    world.tell({
+      kind: 'upstream-answered',
+      callId: '3',
+      status: 200,
+      isShed: false,
+      answer: undefined,
+    });
+    expect(world.guard.runsRepeats).toBe(false);
+  });
+
   it('says nothing of probes once its node leaves, which would refuse them', () => {
     const world = new World();
     world.run('1', 500);
--- a/packages/brain/src/entry/entryMessages.ts
+++ b/packages/brain/src/entry/entryMessages.ts
@@ -25,6 +25,11 @@
   readonly isReplayable: boolean;
   /** The caller, itself behind lockpin, is already repeating a call. */
   readonly isCallersRetry: boolean;
+  /**
+   * The upstream on this box is working on a repeat, and may be the caller: then
+   * this call is made a second time too, and its service counts it as a repeat.
+   */
+  readonly mayBeRepeat?: boolean;
 }
 
 /** Whether a guard may let a call wait, or run it on a doubted upstream. */
--- a/packages/brain/src/entry/retryPolicy.ts
+++ b/packages/brain/src/entry/retryPolicy.ts
@@ -26,7 +26,11 @@
 
   /** A call adds its route's share to the budget. */
   firstAttempt(now: number, call: EntryCall): void {
-    this.budget(call).firstAttempt(now, call.route.spec.retryShare);
+    const budget = this.budget(call);
+    budget.firstAttempt(now, call.route.spec.retryShare);
+    if (call.mayBeRepeat === true) {
+      budget.repeatArrived(now);
+    }
   }
 
   /** Whether a refused call may be sent elsewhere; pays for it when so. */
--- a/packages/brain/src/guard/guardBrain.ts
+++ b/packages/brain/src/guard/guardBrain.ts
@@ -45,6 +45,14 @@
     return this.course.count;
   }
 
+  /**
+   * Whether an upstream here works on a repeated call: what it calls meanwhile
+   * is repeated as well.
+   */
+  get runsRepeats(): boolean {
+    return [...this.services.upstreams()].some(({runsRepeats}) => runsRepeats);
+  }
+
   /** What entries are told of an upstream with each answer. */
   hintOf(now: number, upstream: string): LoadHint | undefined {
     const hint = this.services.upstream(upstream)?.hint(now);
--- a/packages/brain/src/guard/upstreamGuard.ts
+++ b/packages/brain/src/guard/upstreamGuard.ts
@@ -76,6 +76,13 @@
     return this.standing.denial;
   }
 
+  /** Whether a call runs here that ran, or was sent, somewhere before. */
+  get runsRepeats(): boolean {
+    return [...this.running.values()].some(
+      ({call, isSent}) => isSent && call.attempt > 1,
+    );
+  }
+
   configure(resource: Resource<'Upstream'>, sensitivity: Sensitivity): void {
     this.spec = resource.spec;
     this.admission.setSlots(resource.spec.slots);
--- a/packages/node/src/process/composition.ts
+++ b/packages/node/src/process/composition.ts
@@ -205,6 +205,8 @@
       box !== settings.box && repetition === 'at-most-once',
     isReady: () => host.isReady,
     isLeaving: () => host.isLeaving,
+    // Callers behind lockpin say themselves that they repeat a call.
+    mayBeRepeat: () => false,
     incarnation: (box) => membership.get(box)?.incarnation,
     begin: (box, head, handlers) => {
       if (box === settings.box) {
--- a/packages/node/src/process/fleetComposition.ts
+++ b/packages/node/src/process/fleetComposition.ts
@@ -186,6 +186,7 @@
     }),
     isReady: () => host.isReady,
     isLeaving: () => false,
+    mayBeRepeat: () => host.guard.runsRepeats,
     incarnation: () => undefined,
     isOwnBox: (box) => box === settings.box,
     needsGo: (box) => box !== settings.box,
--- a/packages/node/src/request/entryCall.ts
+++ b/packages/node/src/request/entryCall.ts
@@ -23,6 +23,7 @@
   {id, call, isReplayable}: CallerExchange,
   bytes: number,
   deadline: number,
+  mayBeRepeat: boolean,
 ): EntryCall {
   const {view, route, customer, onceKey, isFirstWithKey, isCallersRetry} = call;
   return {
@@ -36,5 +37,6 @@
     isFirstWithKey,
     isReplayable,
     isCallersRetry,
+    mayBeRepeat,
   };
 }
--- a/packages/node/src/request/entryService.ts
+++ b/packages/node/src/request/entryService.ts
@@ -124,7 +124,12 @@
     const bytes = body?.length ?? HELD_BODY_BYTES;
     this.handle({
       kind: 'call-arrived',
-      call: entryCall(exchange, bytes, deadline),
+      call: entryCall(
+        exchange,
+        bytes,
+        deadline,
+        this.dependencies.mayBeRepeat(),
+      ),
     });
   }
 
--- a/packages/node/src/request/entryServiceDependencies.ts
+++ b/packages/node/src/request/entryServiceDependencies.ts
@@ -21,6 +21,8 @@
   readonly protocol: CallerProtocol;
   readonly isReady: () => boolean;
   readonly isLeaving: () => boolean;
+  /** Whether a call that begins here may be an upstream's, made a second time. */
+  readonly mayBeRepeat: () => boolean;
   /** The process now on a box, for minting once keys. */
   readonly incarnation: (box: string) => string | undefined;
   readonly isOwnBox: (box: string) => boolean;
--- a/packages/routing/src/retryBudget.ts
+++ b/packages/routing/src/retryBudget.ts
@@ -8,6 +8,8 @@
 export interface RetryAllowance {
   /** A call arrived; its route lets this share of calls be retried. */
   readonly firstAttempt: (now: number, share: number) => void;
+  /** A call arrived that is a repeat already, though not one of this entry. */
+  readonly repeatArrived: (now: number) => void;
   /** Takes one retry, or says that there is none. */
   readonly takeRetry: (now: number) => boolean;
 }
@@ -26,6 +28,11 @@
     this.saved = Math.min(MOST_SAVED_RETRIES, this.saved + share);
   }
 
+  /** Somebody else's repeat takes one out as well. */
+  repeatArrived(): void {
+    this.saved = Math.max(0, this.saved - 1);
+  }
+
   /** Takes one retry out, or says that there is none. */
   takeRetry(): boolean {
     if (this.saved < 1) {
--- a/packages/routing/src/windowedRetryBudget.ts
+++ b/packages/routing/src/windowedRetryBudget.ts
@@ -33,6 +33,11 @@
     }
   }
 
+  /** Counts against the window even where nothing is left in it. */
+  repeatArrived(now: number): void {
+    this.retries.push(now);
+  }
+
   takeRetry(now: number): boolean {
     const {ratio, windowMilliseconds, extra} = this.settings(now);
     const since = now - windowMilliseconds;
