--- a/packages/tools/src/faults/platformPromises.ts
+++ b/packages/tools/src/faults/platformPromises.ts
@@ -18,6 +18,7 @@
 const ENTRY = 'packages/brain/src/__tests__/overdueCalls.test.ts';
 const BRAIN = 'packages/fleet/src/__tests__/fleetBrain.test.ts';
 const ROUTES = 'packages/fleet/src/__tests__/fleetRouting.test.ts';
+const SETTINGS = 'packages/node/src/__tests__/fleetEntrySettings.test.ts';
 const BUNDLE = 'platform/src/__tests__/bundle.test.ts';
 const SOAK = 'packages/tools/src/soak/__tests__/soak.test.ts';
 const SOAKED = 'keeps every promise through kills, stops, pauses and bad links';
@@ -77,9 +78,16 @@
     'retries keep the budget in every window',
     [
       [CHOICE, 'keeps the limit in every window, whatever comes'],
+      [CHOICE, 'keeps a limit that operators lower while it runs'],
+      [
+        SETTINGS,
+        'are none but its share of calls while an earlier process may have spent them',
+      ],
+      [SLOTS, 'runs a repeat from when a second attempt is sent until it ends'],
+      [ENTRY, 'are taken out of what the entry itself may repeat'],
       [SOAK, SOAKED],
     ],
-    'the sum over entries that restart is kept by a margin, and watched by the soak, not proved',
+    'a ratio that restarting entries spend twice is covered by a margin of 0.15, not proved',
   ),
   promise('work ends when its caller leaves', [
     [FLEET, 'cancels the work of a caller that left'],
