Soak: a box's process and its upstreams are parts of their own

They are now BoxProcess and BoxUpstreams, and the box joins them with its links and its settings file. What a fault does to a box stands in one function, apart from whether it was planned.

--- a/packages/tools/src/soak/applyFault.ts
+++ b/packages/tools/src/soak/applyFault.ts
@@ -42,56 +42,71 @@
   }
 }
 
+/** Faults that befall one box. */
+type BoxFault = PlannedFault & {readonly box: number};
+
+/** What operators do on purpose, and are promised to lose nothing by. */
+const PLANNED_KINDS: ReadonlySet<BoxFault['kind']> = new Set([
+  'stop',
+  'reload',
+  'replace-upstream',
+]);
+
 async function applyToBox(
   recorder: SoakRecorder,
   box: SoakBox,
-  fault: PlannedFault & {readonly box: number},
+  fault: BoxFault,
 ): Promise<void> {
-  const isPlanned =
-    fault.kind === 'stop' ||
-    fault.kind === 'reload' ||
-    fault.kind === 'replace-upstream';
-  await recorder.trouble(box.name, isPlanned, fault.kind, async () => {
-    switch (fault.kind) {
-      case 'kill':
-        await box.kill();
-        await pause(fault.downFor);
-        box.startProcess();
-        break;
-      case 'stop':
-        recorder.stopped(await box.stop());
-        await pause(fault.downFor);
-        box.startProcess();
-        break;
-      case 'pause':
-        await box.pause(fault.lasts);
-        break;
-      case 'reload':
-        box.reload(fault.signals);
-        break;
-      case 'link':
-        box.link(fault.link).setFault(fault.fault);
-        await pause(fault.lasts);
-        box.link(fault.link).setFault(HEALTHY_LINK);
-        break;
-      case 'upstream':
-        await misbehave(box, fault);
-        break;
-      case 'replace-upstream':
-        await box.replaceUpstream();
-        break;
-      case 'crash-upstream':
-        await box.crashUpstream();
-        break;
-    }
-  });
+  const isPlanned = PLANNED_KINDS.has(fault.kind);
+  await recorder.trouble(box.name, isPlanned, fault.kind, () =>
+    trouble(recorder, box, fault),
+  );
+}
+
+async function trouble(
+  recorder: SoakRecorder,
+  box: SoakBox,
+  fault: BoxFault,
+): Promise<void> {
+  switch (fault.kind) {
+    case 'kill':
+      await box.process.kill();
+      await pause(fault.downFor);
+      box.process.start();
+      break;
+    case 'stop':
+      recorder.stopped(await box.process.stop());
+      await pause(fault.downFor);
+      box.process.start();
+      break;
+    case 'pause':
+      await box.process.pause(fault.lasts);
+      break;
+    case 'reload':
+      box.reload(fault.signals);
+      break;
+    case 'link':
+      box.link(fault.link).setFault(fault.fault);
+      await pause(fault.lasts);
+      box.link(fault.link).setFault(HEALTHY_LINK);
+      break;
+    case 'upstream':
+      await misbehave(box, fault);
+      break;
+    case 'replace-upstream':
+      await box.upstreams.replace();
+      break;
+    case 'crash-upstream':
+      await box.upstreams.crash();
+      break;
+  }
 }
 
 async function misbehave(
   box: SoakBox,
   {mood, share, lasts}: PlannedFault & {readonly kind: 'upstream'},
 ): Promise<void> {
-  const standIn = box.upstream?.standIn;
+  const standIn = box.upstreams.present?.standIn;
   if (standIn === undefined) {
     return;
   }
--- a/packages/tools/src/soak/runSoak.ts
+++ b/packages/tools/src/soak/runSoak.ts
@@ -177,7 +177,7 @@
   requestId: string,
 ): Promise<void> {
   const sentAt = Date.now();
-  const {life} = box;
+  const {life} = box.process;
   const timeoutMilliseconds = soakRoutes()[0]?.timeoutMilliseconds ?? 0;
   const end = await sendRequest(agent, box.callerAddress, {
     path: markerPath(version),
@@ -188,7 +188,7 @@
   const isAnswer = end.kind === 'answered' && end.status !== NOT_READY_STATUS;
   const isKnown = isAnswer ? end.status !== UNKNOWN_ROUTE_STATUS : undefined;
   // The process may have ended and started while it was asked.
-  if (life === box.life) {
+  if (life === box.process.life) {
     recorder.markers.push({
       box: box.name,
       life,
--- a/packages/tools/src/soak/soakRecorder.ts
+++ b/packages/tools/src/soak/soakRecorder.ts
@@ -52,7 +52,7 @@
 
   /** All that there is to check. */
   facts(boxes: readonly SoakBox[], calmFrom: number): SoakFacts {
-    const lives = boxes.flatMap(({upstreams}) => upstreams);
+    const lives = boxes.flatMap(({upstreams}) => upstreams.all);
     const ofLives = <
       T extends {readonly requestId: string; readonly at: number},
     >(
