Soak: the questions for versions, and what served means, each in one place

runSoak.ts held the fleet, its callers, and the client that asks which versions a box knows, with its own constants between the functions. The client is versionWatch.ts now. The check of stops was two checks in one function, and two constants of checkFacts.ts stood in its middle.

--- a/packages/tools/src/soak/checkFacts.ts
+++ b/packages/tools/src/soak/checkFacts.ts
@@ -4,7 +4,7 @@
 import {isCalm} from './calmSpans.js';
 import {checkConfiguration} from './checkConfiguration.js';
 import {checkRetries} from './checkRetries.js';
-import {broken} from './soakFacts.js';
+import {broken, isServed} from './soakFacts.js';
 import type {
   CallFact,
   RunFact,
@@ -17,6 +17,10 @@
 /** Share of the calls of the last phase that must be served. */
 const SERVED_AT_LAST = 0.95;
 
+/** Successes are the statuses from the first up to, but without, the second. */
+const FIRST_SUCCESS = 200;
+const FIRST_FAILED = 300;
+
 /** Every broken promise; empty when all were kept. */
 export function checkFacts(
   facts: SoakFacts,
@@ -30,7 +34,8 @@
       ...checkAnswer(call, runs, answerBody),
       ...checkTimeLimit(call, facts.troubles, bounds),
     ]),
-    ...checkStops(facts, runs, bounds),
+    ...checkStops(facts),
+    ...checkLosses(facts, runs, bounds),
     ...facts.unasked.map(({box, exitCode}) =>
       broken('keeps running', box, `ended with ${String(exitCode)}`),
     ),
@@ -85,9 +90,6 @@
   return found;
 }
 
-const FIRST_SUCCESS = 200;
-const FIRST_FAILED = 300;
-
 /** An untroubled box gives a final answer when the route's time is over. */
 function checkTimeLimit(
   call: CallFact,
@@ -103,25 +105,34 @@
     : [];
 }
 
+function isUnplanned({isPlanned}: TroubleFact): boolean {
+  return !isPlanned;
+}
+
+/** A planned stop ends in time, and with exit code 0. */
+function checkStops({stops, troubles}: SoakFacts): readonly Violation[] {
+  return (
+    stops
+      // Before its first line runs, a process ends by the signal itself.
+      .filter(({exitCode, wasKilled}) =>
+        exitCode === null ? wasKilled : exitCode !== 0,
+      )
+      .filter(({box, signalledAt, exitedAt}) =>
+        isCalm(troubles, box, signalledAt, exitedAt, isUnplanned),
+      )
+      .map(({box, exitCode}) =>
+        broken('planned stops', box, `exit code ${String(exitCode)}`),
+      )
+  );
+}
+
 /** A planned stop breaks no connection off under a call. */
-function checkStops(
-  {calls, stops, troubles}: SoakFacts,
+function checkLosses(
+  {calls, troubles}: SoakFacts,
   runs: ReadonlyMap<string, number>,
   {contactMilliseconds, lossMilliseconds}: SoakBounds,
 ): readonly Violation[] {
-  const isUnplanned = ({isPlanned}: TroubleFact): boolean => !isPlanned;
-  const unclean = stops
-    // Before its first line runs, a process ends by the signal itself.
-    .filter(({exitCode, wasKilled}) =>
-      exitCode === null ? wasKilled : exitCode !== 0,
-    )
-    .filter(({box, signalledAt, exitedAt}) =>
-      isCalm(troubles, box, signalledAt, exitedAt, isUnplanned),
-    )
-    .map(({box, exitCode}) =>
-      broken('planned stops', box, `exit code ${String(exitCode)}`),
-    );
-  const lost = calls
+  return calls
     .filter(({end}) => end.kind === 'broken')
     .filter(({requestId, sentAt, endedAt}) => {
       const hasRun = (runs.get(requestId) ?? 0) > 0;
@@ -133,9 +144,9 @@
     .map(({requestId, box, sentAt, endedAt}) =>
       broken('nothing lost', requestId, `${box}, ${endedAt - sentAt} ms`),
     );
-  return [...unclean, ...lost];
 }
 
+/** After its drain was acknowledged, an upstream soon gets nothing more. */
 function checkDrains(
   {drains, arrivals}: SoakFacts,
   {drainMilliseconds}: SoakBounds,
@@ -161,9 +172,7 @@
   readyLifetimes,
 }: SoakFacts): readonly Violation[] {
   const last = calls.filter(({sentAt}) => sentAt >= calmFrom);
-  const served = last.filter(
-    ({end}) => end.kind === 'answered' && end.status === FIRST_SUCCESS,
-  );
+  const served = last.filter(({end}) => isServed(end));
   const idle = readyLifetimes.filter(
     (lifetime) =>
       !arrivals.some(
--- a/packages/tools/src/soak/runSoak.ts
+++ b/packages/tools/src/soak/runSoak.ts
@@ -1,7 +1,6 @@
 // Copyright (c) 2026 the lockpin contributors. MIT licence, see LICENSE.
 /** One soak: a fleet of real processes, callers, faults, a calm end, checks. */
 
-import {Agent} from 'node:http';
 import {mkdirSync} from 'node:fs';
 import {setTimeout as pause} from 'node:timers/promises';
 import {answerBody} from '@lockpin/platform-stand-ins';
@@ -12,12 +11,13 @@
 import {checkFacts} from './checkFacts.js';
 import {planFaults} from './faultPlan.js';
 import type {SoakSize} from './faultPlan.js';
-import {markerPath, soakRoutes, SOAK_SERVICES} from './soakConfiguration.js';
 import {SoakBox} from './soakBox.js';
-import {keepCalling, sendRequest} from './soakCaller.js';
+import {keepCalling} from './soakCaller.js';
+import {isServed} from './soakFacts.js';
 import type {SoakBounds, Violation} from './soakFacts.js';
 import {SoakRecorder} from './soakRecorder.js';
 import {SoakStore} from './soakStore.js';
+import {watchVersions} from './versionWatch.js';
 
 /** What the nodes' settings promise, and what callers may expect. */
 export const SOAK_BOUNDS: SoakBounds = {
@@ -34,9 +34,6 @@
 
 const CALLERS_PER_BOX = 3;
 
-/** Each box is asked for the newest route and the one before this often. */
-const MARKER_MILLISECONDS = 300;
-
 /** From the end of the last fault until all must be well again. */
 const RECOVERY_MILLISECONDS = 9000;
 
@@ -81,9 +78,7 @@
   return {
     seed,
     calls: facts.calls.length,
-    served: facts.calls.filter(
-      ({end}) => end.kind === 'answered' && end.status === 200,
-    ).length,
+    served: facts.calls.filter(({end}) => isServed(end)).length,
     faults: faults.length,
     violations: checkFacts(facts, SOAK_BOUNDS, answerBody),
   };
@@ -139,80 +134,10 @@
         isOver,
       ),
     ),
-    watchVersions(box, store, recorder, nextId, isOver),
+    watchVersions({box, newest: () => store.version, recorder, nextId}, isOver),
   ]);
 }
 
-/** Asks a box again and again which versions it knows. */
-async function watchVersions(
-  box: SoakBox,
-  store: SoakStore,
-  recorder: SoakRecorder,
-  nextId: () => string,
-  isOver: () => boolean,
-): Promise<void> {
-  const agent = new Agent({keepAlive: false});
-  while (!isOver()) {
-    const versions = [store.version, store.version - 1];
-    await Promise.all(
-      versions.map((version) =>
-        askForVersion(agent, box, version, recorder, nextId()),
-      ),
-    );
-    await pause(MARKER_MILLISECONDS);
-  }
-}
-
-/** A node that knows no such route says so; any other answer knows it. */
-const UNKNOWN_ROUTE_STATUS = 404;
-
-/** A node that knows no configuration yet cannot tell. */
-const NOT_READY_STATUS = 503;
-
-async function askForVersion(
-  agent: Agent,
-  box: SoakBox,
-  version: number,
-  recorder: SoakRecorder,
-  requestId: string,
-): Promise<void> {
-  const sentAt = Date.now();
-  const {life} = box.process;
-  const timeoutMilliseconds = soakRoutes()[0]?.timeoutMilliseconds ?? 0;
-  const end = await sendRequest(agent, box.callerAddress, {
-    path: markerPath(version),
-    method: 'GET',
-    requestId,
-    remaining: timeoutMilliseconds,
-  });
-  const isAnswer = end.kind === 'answered' && end.status !== NOT_READY_STATUS;
-  const isKnown = isAnswer ? end.status !== UNKNOWN_ROUTE_STATUS : undefined;
-  // The process may have ended and started while it was asked.
-  if (life === box.process.life) {
-    recorder.markers.push({
-      box: box.name,
-      life,
-      version,
-      sentAt,
-      endedAt: Date.now(),
-      isKnown,
-    });
-  }
-  if (isKnown === false) {
-    return;
-  }
-  recorder.calls.push({
-    requestId,
-    box: box.name,
-    service: SOAK_SERVICES[0],
-    isRepeatable: true,
-    timeoutMilliseconds,
-    sentAt,
-    endedAt: Date.now(),
-    end,
-  });
-}
-
 /** Applies each at its time; resolves when all are over. */
 async function applyAll<T extends {readonly at: number}>(
   items: readonly T[],
@@ -231,9 +156,6 @@
   boxes: readonly SoakBox[],
 ): boolean {
   return boxes.every(({name}) =>
-    calls.some(
-      ({box, end}) =>
-        box === name && end.kind === 'answered' && end.status === 200,
-    ),
+    calls.some(({box, end}) => box === name && isServed(end)),
   );
 }
--- a/packages/tools/src/soak/soakFacts.ts
+++ b/packages/tools/src/soak/soakFacts.ts
@@ -17,6 +17,14 @@
   /** The node took no connection. */
   | {readonly kind: 'not-connected'};
 
+/** The status of an answer to a request that was served. */
+const SERVED_STATUS = 200;
+
+/** Whether a request was answered as its caller wanted. */
+export function isServed(end: CallEnd): boolean {
+  return end.kind === 'answered' && end.status === SERVED_STATUS;
+}
+
 /** One request. */
 export interface CallFact {
   readonly requestId: string;
