Guard: why an upstream takes no call of a kind now, in a module of its own

Which calls are refused for what they are (doubt, probation, retries) needs neither slots nor running calls; it is UpstreamRefusals now, and what admission is told of a call is waitingCall. The order of the reasons and the moment at which a retry is paid for are as they were; the tests of the brain passed.

--- a/packages/brain/src/guard/upstreamGuard.ts
+++ b/packages/brain/src/guard/upstreamGuard.ts
@@ -5,7 +5,6 @@
 import type {Freed, Offer, WaitingCall} from '@lockpin/admission';
 import type {CallEvidenceKind} from '@lockpin/detection';
 import type {GuardReport, HolderReply} from '@lockpin/floor';
-import {RetryBudget} from '@lockpin/routing';
 import type {LoadHint} from '@lockpin/routing';
 import type {
   RefusalReason,
@@ -18,8 +17,10 @@
 import {QuickDoubt} from './quickDoubt.js';
 import {isLate} from './runningCall.js';
 import type {RunningCall} from './runningCall.js';
+import {UpstreamRefusals} from './upstreamRefusals.js';
 import {UpstreamStanding} from './upstreamStanding.js';
 import type {StandingChange} from './upstreamStanding.js';
+import {waitingCall} from './waitingCall.js';
 
 /** A suspect upstream announces this part of its limit, so that calls go elsewhere. */
 const SUSPECT_LIMIT_SHARE = 0.25;
@@ -37,9 +38,9 @@
 export class UpstreamGuard {
   private readonly admission: Admission;
   private readonly standing: UpstreamStanding;
-  private readonly retries = new RetryBudget();
   private readonly running = new Map<string, RunningCall>();
   private readonly doubt: QuickDoubt;
+  private readonly refusals: UpstreamRefusals;
   /** Another process answers at the address. */
   private isReplaced = false;
   private spec: UpstreamSpec;
@@ -48,7 +49,7 @@
     readonly name: string,
     resource: Resource<'Upstream'>,
     sensitivity: Sensitivity,
-    private readonly settings: GuardSettings,
+    settings: GuardSettings,
   ) {
     this.spec = resource.spec;
     this.admission = new Admission(
@@ -57,6 +58,11 @@
     );
     this.doubt = new QuickDoubt(settings.hasQuickDoubt);
     this.standing = new UpstreamStanding(name, sensitivity);
+    this.refusals = new UpstreamRefusals(
+      this.doubt,
+      this.standing,
+      settings.limitsRetries,
+    );
   }
 
   get isDraining(): boolean {
@@ -114,26 +120,9 @@
 
   /** Why no call of this kind may come now; undefined when one may. */
   refusalReason(now: number, call: GuardCall): RefusalReason | undefined {
-    if (this.isDraining) {
-      return 'upstream-draining';
-    }
-    if (this.isReplaced) {
-      return 'upstream-replaced';
-    }
-    if (this.isDoubted(now) && !this.mayRunDoubted(now, call)) {
-      return 'upstream-doubted';
-    }
-    if (this.doubt.isUnproven && isFirstOfKind(call)) {
-      return 'upstream-doubted';
-    }
-    if (this.standing.state === 'ejected') {
-      return 'upstream-ejected';
-    }
-    const probing = this.standing.state === 'probation';
-    if (probing && !this.mayProbe(call)) {
-      return 'upstream-ejected';
-    }
-    return this.settings.limitsRetries ? this.retryRefusal(call) : undefined;
+    const {isDraining, isReplaced, isIdle} = this;
+    const presence = {isDraining, isReplaced, isIdle};
+    return this.refusals.reason(now, call, presence);
   }
 
   /** When a refused call may find this upstream back, in milliseconds. */
@@ -144,7 +133,7 @@
   }
 
   offer(now: number, call: GuardCall): Offer {
-    const offer = this.admission.offer(now, waiting(call));
+    const offer = this.admission.offer(now, waitingCall(call));
     if (offer.kind === 'start') {
       this.start(now, call);
     }
@@ -267,15 +256,6 @@
       : state;
   }
 
-  /** Repeatable calls find out how it is; others only when all are doubted. */
-  private mayRunDoubted(now: number, call: GuardCall): boolean {
-    const isProbe =
-      call.repetition === 'repeatable' &&
-      call.attempt === 1 &&
-      this.doubt.untilProbe(now) === 0;
-    return isProbe || call.mayRunDoubted === true;
-  }
-
   /** Whether a call that ended well took far longer than its kind does. */
   private pace(now: number, callId: string): CallEvidenceKind {
     return this.isLate(now, callId) ? 'slow' : 'well';
@@ -296,19 +276,6 @@
     this.doubt.observe(now, callId, this.running.has(callId), kind);
   }
 
-  /** One repeatable call at a time finds out whether it is well again. */
-  private mayProbe(call: GuardCall): boolean {
-    return call.repetition === 'repeatable' && this.admission.occupied === 0;
-  }
-
-  private retryRefusal(call: GuardCall): RefusalReason | undefined {
-    if (call.attempt === 1) {
-      this.retries.firstAttempt(0, call.retryShare);
-      return undefined;
-    }
-    return this.retries.takeRetry() ? undefined : 'retries-exhausted';
-  }
-
   private ended(now: number, callId: string, failed: boolean): CallEnd {
     const running = this.running.get(callId);
     this.running.delete(callId);
@@ -324,23 +291,3 @@
     return {freed, change};
   }
 }
-
-/** A call that cannot be repeated had better not be the first to find out. */
-function isFirstOfKind(call: GuardCall): boolean {
-  return call.repetition === 'at-most-once' && call.mayRunDoubted !== true;
-}
-
-function waiting(call: GuardCall): WaitingCall {
-  const {id, customer, weight, priority, mayWait} = call;
-  const {deadline, usefulUntil, startBy} = call;
-  return {
-    id,
-    customer,
-    weight,
-    priority,
-    deadline,
-    usefulUntil,
-    startBy,
-    mayWait,
-  };
-}
--- /dev/null
+++ b/packages/brain/src/guard/upstreamRefusals.ts
@@ -0,0 +1,85 @@
+// Copyright (c) 2026 the lockpin contributors. MIT licence, see LICENSE.
+/** Why one upstream takes no call of a kind now. */
+
+import {RetryBudget} from '@lockpin/routing';
+import type {RefusalReason} from '@lockpin/types';
+import type {GuardCall} from './guardMessages.js';
+import type {QuickDoubt} from './quickDoubt.js';
+import type {UpstreamStanding} from './upstreamStanding.js';
+
+/** How the upstream is, besides what doubt and standing say of it. */
+export interface UpstreamPresence {
+  readonly isDraining: boolean;
+  /** Another process answers at the address. */
+  readonly isReplaced: boolean;
+  /** No call has a slot. */
+  readonly isIdle: boolean;
+}
+
+/** Refuses calls for what they are, before there is any question of a slot. */
+export class UpstreamRefusals {
+  private readonly retries = new RetryBudget();
+
+  constructor(
+    private readonly doubt: QuickDoubt,
+    private readonly standing: UpstreamStanding,
+    private readonly limitsRetries: boolean,
+  ) {}
+
+  /** Why no call of this kind may come now; undefined when one may. */
+  reason(
+    now: number,
+    call: GuardCall,
+    {isDraining, isReplaced, isIdle}: UpstreamPresence,
+  ): RefusalReason | undefined {
+    if (isDraining) {
+      return 'upstream-draining';
+    }
+    if (isReplaced) {
+      return 'upstream-replaced';
+    }
+    if (this.isDoubtedFor(now, call)) {
+      return 'upstream-doubted';
+    }
+    if (this.isEjectedFor(call, isIdle)) {
+      return 'upstream-ejected';
+    }
+    return this.limitsRetries ? this.retryRefusal(call) : undefined;
+  }
+
+  private isDoubtedFor(now: number, call: GuardCall): boolean {
+    return (
+      (this.doubt.isDoubted(now) && !this.mayRunDoubted(now, call)) ||
+      (this.doubt.isUnproven && isFirstOfKind(call))
+    );
+  }
+
+  /** Repeatable calls find out how it is; others only when all are doubted. */
+  private mayRunDoubted(now: number, call: GuardCall): boolean {
+    const isProbe =
+      call.repetition === 'repeatable' &&
+      call.attempt === 1 &&
+      this.doubt.untilProbe(now) === 0;
+    return isProbe || call.mayRunDoubted === true;
+  }
+
+  /** One repeatable call at a time finds out whether it is well again. */
+  private isEjectedFor(call: GuardCall, isIdle: boolean): boolean {
+    const {state} = this.standing;
+    const mayProbe = call.repetition === 'repeatable' && isIdle;
+    return state === 'ejected' || (state === 'probation' && !mayProbe);
+  }
+
+  private retryRefusal(call: GuardCall): RefusalReason | undefined {
+    if (call.attempt === 1) {
+      this.retries.firstAttempt(0, call.retryShare);
+      return undefined;
+    }
+    return this.retries.takeRetry() ? undefined : 'retries-exhausted';
+  }
+}
+
+/** A call that cannot be repeated had better not be the first to find out. */
+function isFirstOfKind(call: GuardCall): boolean {
+  return call.repetition === 'at-most-once' && call.mayRunDoubted !== true;
+}
