Guard: what becomes of an offer, and of the end of a call, each in one place

How an offer is taken in (once keys, admission, a node that leaves) is OfferedCalls now, and what follows from the end of a call, which was written three times, is ended() of the course of calls. Actions come in the order in which they came; the tests of the brain passed.

--- a/packages/brain/src/guard/callCourse.ts
+++ b/packages/brain/src/guard/callCourse.ts
@@ -8,8 +8,8 @@
 import {refuse} from './guardRefusals.js';
 import type {RefuseAction} from './guardRefusals.js';
 import type {ReportSchedule} from './reportSchedule.js';
-import {standingEvent} from './standingActions.js';
-import type {UpstreamGuard} from './upstreamGuard.js';
+import {doubtNoted, standingEvent} from './standingActions.js';
+import type {CallEnd, UpstreamGuard} from './upstreamGuard.js';
 import type {StandingChange} from './upstreamStanding.js';
 
 /** A call that was accepted and has not ended. */
@@ -131,6 +131,20 @@
     return [...started, ...expired];
   }
 
+  /** What follows from the end of a call that had its slot. */
+  ended(
+    now: number,
+    upstream: UpstreamGuard,
+    {freed, change}: CallEnd,
+    wasDoubted: boolean,
+  ): readonly GuardAction[] {
+    return [
+      ...this.freed(now, freed),
+      ...this.noted(now, upstream, change),
+      ...doubtNoted(now, upstream, wasDoubted),
+    ];
+  }
+
   /** What follows from a change of an upstream's standing. */
   noted(
     now: number,
--- a/packages/brain/src/guard/guardBrain.ts
+++ b/packages/brain/src/guard/guardBrain.ts
@@ -2,31 +2,24 @@
 /** The guard of a box: decides what becomes of each call to its upstreams. */
 
 import type {HolderReply} from '@lockpin/floor';
-import {parseOnceKey} from '@lockpin/once';
-import type {OnceDecision, OnceHome} from '@lockpin/once';
+import type {OnceHome} from '@lockpin/once';
 import type {LoadHint} from '@lockpin/routing';
 import type {RandomSource, RefusalReason} from '@lockpin/types';
 import {CallCourse} from './callCourse.js';
 import {DEFAULT_GUARD_SETTINGS} from './guardMessages.js';
-import type {
-  GuardAction,
-  GuardCall,
-  GuardEvent,
-  GuardSettings,
-} from './guardMessages.js';
+import type {GuardAction, GuardEvent, GuardSettings} from './guardMessages.js';
 import {GuardedServices} from './guardedServices.js';
-import type {ServiceState} from './guardedServices.js';
 import {leavingHint, refuse} from './guardRefusals.js';
-import {onceRefusal} from './onceRefusals.js';
+import {OfferedCalls} from './offeredCalls.js';
 import {ReportSchedule} from './reportSchedule.js';
 import {doubtNoted} from './standingActions.js';
-import type {UpstreamGuard} from './upstreamGuard.js';
 
 /** Decides by (now, random, event) alone. */
 export class GuardBrain {
   private readonly services: GuardedServices;
   private readonly reports: ReportSchedule;
   private readonly course: CallCourse;
+  private readonly offers: OfferedCalls;
   private isLeaving = false;
   /** No permit is taken before the holders stream was read to its end. */
   private mayTakePermits = false;
@@ -38,6 +31,11 @@
     this.services = new GuardedServices(home, settings);
     this.reports = new ReportSchedule(home, this.services);
     this.course = new CallCourse(this.services, this.reports, settings);
+    this.offers = new OfferedCalls(
+      this.services,
+      this.course,
+      () => this.isLeaving,
+    );
   }
 
   /** Calls accepted and not yet ended. */
@@ -87,7 +85,7 @@
   ): readonly GuardAction[] {
     switch (event.kind) {
       case 'call-offered':
-        return this.offered(now, random, event.call);
+        return this.offers.offered(now, random, event.call);
       case 'call-go':
         return this.go(now, event.callId);
       case 'call-cancelled':
@@ -118,91 +116,6 @@
     }
   }
 
-  private offered(
-    now: number,
-    random: RandomSource,
-    call: GuardCall,
-  ): readonly GuardAction[] {
-    const service = this.services.get(call.service);
-    const upstream = this.services.choose(now, call, random);
-    if (service === undefined || upstream === undefined) {
-      return [refuse(now, call, 'no-upstream', 'not-run', undefined)];
-    }
-    if (call.repetition === 'once-only') {
-      return this.offeredOnce(now, call, service, upstream);
-    }
-    return this.admit(now, call, upstream);
-  }
-
-  private offeredOnce(
-    now: number,
-    call: GuardCall,
-    service: ServiceState,
-    upstream: UpstreamGuard,
-  ): readonly GuardAction[] {
-    const key = parseOnceKey(call.onceKey ?? '');
-    if (key === undefined) {
-      return [refuse(now, call, 'once-key-malformed', 'not-run', upstream)];
-    }
-    const decision = service.ledger.begin(now, key, call.requestDigest);
-    if (decision.kind === 'run') {
-      return this.admit(now, call, upstream);
-    }
-    return [this.answerRepeat(now, call, upstream, decision)];
-  }
-
-  private answerRepeat(
-    now: number,
-    call: GuardCall,
-    upstream: UpstreamGuard,
-    decision: Exclude<OnceDecision, {readonly kind: 'run'}>,
-  ): GuardAction {
-    if (decision.kind === 'answer') {
-      return {kind: 'answer-stored', callId: call.id, answer: decision.answer};
-    }
-    const {reason, outcome} = onceRefusal(decision.kind);
-    return refuse(now, call, reason, outcome, upstream);
-  }
-
-  private admit(
-    now: number,
-    call: GuardCall,
-    upstream: UpstreamGuard,
-  ): readonly GuardAction[] {
-    if (this.isLeaving) {
-      const refusal = this.course.refuseForGood(
-        now,
-        call,
-        upstream,
-        'node-leaving',
-      );
-      const {hint} = refusal;
-      return [{...refusal, hint: hint && leavingHint(hint)}];
-    }
-    const reason = upstream.refusalReason(now, call);
-    if (reason !== undefined) {
-      return [this.course.refuseForGood(now, call, upstream, reason)];
-    }
-    const offer = upstream.offer(now, call);
-    if (offer.kind === 'refused') {
-      const after = offer.retryAfterMilliseconds;
-      return [
-        this.course.refuseForGood(now, call, upstream, offer.reason, after),
-      ];
-    }
-    const known = this.course.add(call, upstream);
-    if (offer.kind === 'start') {
-      return [this.course.run(now, known)];
-    }
-    const queued: GuardAction = {kind: 'queue', callId: call.id};
-    return offer.displaced === undefined
-      ? [queued]
-      : [
-          queued,
-          ...this.course.refuseWaiting(now, offer.displaced.id, 'queue-full'),
-        ];
-  }
-
   /** Only a reservation that still stands is acted upon. */
   private go(now: number, callId: string): readonly GuardAction[] {
     const known = this.course.get(callId);
@@ -262,13 +175,11 @@
     const isFault =
       reason === 'deadline-passed' && upstream.isOverdue(now, callId);
     const wasDoubted = upstream.isDoubted(now);
-    const {freed, change} = upstream.failed(now, callId, isFault);
+    const end = upstream.failed(now, callId, isFault);
     return [
       {kind: 'abort', callId},
       refuse(now, call, reason, 'unknown', upstream),
-      ...this.course.freed(now, freed),
-      ...this.course.noted(now, upstream, change),
-      ...doubtNoted(now, upstream, wasDoubted),
+      ...this.course.ended(now, upstream, end, wasDoubted),
     ];
   }
 
@@ -289,12 +200,8 @@
       this.services.ledgerOf(call)?.answered(key, answer);
     }
     const wasDoubted = upstream.isDoubted(now);
-    const {freed, change} = upstream.answered(now, callId, status, isShed);
-    return [
-      ...this.course.freed(now, freed),
-      ...this.course.noted(now, upstream, change),
-      ...doubtNoted(now, upstream, wasDoubted),
-    ];
+    const end = upstream.answered(now, callId, status, isShed);
+    return this.course.ended(now, upstream, end, wasDoubted);
   }
 
   private upstreamFailed(
@@ -308,12 +215,8 @@
     }
     const {call, upstream} = known;
     const wasDoubted = upstream.isDoubted(now);
-    const {freed, change} = upstream.failed(now, callId, true);
-    const after = [
-      ...this.course.freed(now, freed),
-      ...this.course.noted(now, upstream, change),
-      ...doubtNoted(now, upstream, wasDoubted),
-    ];
+    const end = upstream.failed(now, callId, true);
+    const after = this.course.ended(now, upstream, end, wasDoubted);
     if (!wasSent) {
       const reason = 'upstream-unreachable';
       return [this.course.refuseForGood(now, call, upstream, reason), ...after];
--- /dev/null
+++ b/packages/brain/src/guard/offeredCalls.ts
@@ -0,0 +1,111 @@
+// Copyright (c) 2026 the lockpin contributors. MIT licence, see LICENSE.
+/** What becomes of a call that an entry offers to a guard. */
+
+import {parseOnceKey} from '@lockpin/once';
+import type {OnceDecision} from '@lockpin/once';
+import type {RandomSource} from '@lockpin/types';
+import type {CallCourse} from './callCourse.js';
+import type {GuardAction, GuardCall} from './guardMessages.js';
+import type {GuardedServices, ServiceState} from './guardedServices.js';
+import {leavingHint, refuse} from './guardRefusals.js';
+import {onceRefusal} from './onceRefusals.js';
+import type {UpstreamGuard} from './upstreamGuard.js';
+
+/** Takes in offers; what is accepted goes on in the course of calls. */
+export class OfferedCalls {
+  constructor(
+    private readonly services: GuardedServices,
+    private readonly course: CallCourse,
+    private readonly isLeaving: () => boolean,
+  ) {}
+
+  /** Runs the call, lets it wait, answers it from the ledger, or refuses it. */
+  offered(
+    now: number,
+    random: RandomSource,
+    call: GuardCall,
+  ): readonly GuardAction[] {
+    const service = this.services.get(call.service);
+    const upstream = this.services.choose(now, call, random);
+    if (service === undefined || upstream === undefined) {
+      return [refuse(now, call, 'no-upstream', 'not-run', undefined)];
+    }
+    if (call.repetition === 'once-only') {
+      return this.offeredOnce(now, call, service, upstream);
+    }
+    return this.admit(now, call, upstream);
+  }
+
+  private offeredOnce(
+    now: number,
+    call: GuardCall,
+    service: ServiceState,
+    upstream: UpstreamGuard,
+  ): readonly GuardAction[] {
+    const key = parseOnceKey(call.onceKey ?? '');
+    if (key === undefined) {
+      return [refuse(now, call, 'once-key-malformed', 'not-run', upstream)];
+    }
+    const decision = service.ledger.begin(now, key, call.requestDigest);
+    if (decision.kind === 'run') {
+      return this.admit(now, call, upstream);
+    }
+    return [this.answerRepeat(now, call, upstream, decision)];
+  }
+
+  private answerRepeat(
+    now: number,
+    call: GuardCall,
+    upstream: UpstreamGuard,
+    decision: Exclude<OnceDecision, {readonly kind: 'run'}>,
+  ): GuardAction {
+    if (decision.kind === 'answer') {
+      return {kind: 'answer-stored', callId: call.id, answer: decision.answer};
+    }
+    const {reason, outcome} = onceRefusal(decision.kind);
+    return refuse(now, call, reason, outcome, upstream);
+  }
+
+  private admit(
+    now: number,
+    call: GuardCall,
+    upstream: UpstreamGuard,
+  ): readonly GuardAction[] {
+    if (this.isLeaving()) {
+      return [this.refuseLeaving(now, call, upstream)];
+    }
+    const reason = upstream.refusalReason(now, call);
+    if (reason !== undefined) {
+      return [this.course.refuseForGood(now, call, upstream, reason)];
+    }
+    const offer = upstream.offer(now, call);
+    if (offer.kind === 'refused') {
+      const after = offer.retryAfterMilliseconds;
+      return [
+        this.course.refuseForGood(now, call, upstream, offer.reason, after),
+      ];
+    }
+    const known = this.course.add(call, upstream);
+    if (offer.kind === 'start') {
+      return [this.course.run(now, known)];
+    }
+    const queued: GuardAction = {kind: 'queue', callId: call.id};
+    return offer.displaced === undefined
+      ? [queued]
+      : [
+          queued,
+          ...this.course.refuseWaiting(now, offer.displaced.id, 'queue-full'),
+        ];
+  }
+
+  private refuseLeaving(
+    now: number,
+    call: GuardCall,
+    upstream: UpstreamGuard,
+  ): GuardAction {
+    const reason = 'node-leaving';
+    const refusal = this.course.refuseForGood(now, call, upstream, reason);
+    const {hint} = refusal;
+    return {...refusal, hint: hint && leavingHint(hint)};
+  }
+}
