Fleet: what a node reads of the store, and whether that is lost, in one class

The followers of the two streams and the mark that the store is lost were asked together in six places; they are StoreReading now, which says isLost, isInTrouble and hasReadBoxes. Notes have a function of their own, since both write them.

--- a/packages/fleet/src/fleetBrain.ts
+++ b/packages/fleet/src/fleetBrain.ts
@@ -17,6 +17,7 @@
   PeerKnowledge,
   PeerQuestion,
 } from './fleetMessages.js';
+import {note} from './fleetNote.js';
 import {OwnRecord} from './ownRecord.js';
 import {OwnUpstreamTracker} from './ownUpstream.js';
 import {PeerAsking} from './peerAsking.js';
@@ -26,7 +27,7 @@
   StoreResult,
   StoredRecord,
 } from './recordStore.js';
-import {StreamFollower} from './streamFollower.js';
+import {StoreReading} from './storeReading.js';
 
 /** What is wrong with a document that operators wrote. */
 export interface ConfigurationProblem {
@@ -39,21 +40,14 @@
   record: StoredRecord,
 ) => Result<DeclaredConfiguration | undefined, ConfigurationProblem>;
 
-/** Failed reads in a row after which the store counts as lost. */
-const FAILURES_TO_LOSE_STORE = 2;
-
 /** Knows the fleet as far as this node has heard. */
 export class FleetBrain {
   readonly directory = new BoxDirectory();
   readonly own = new OwnUpstreamTracker();
   private inForce: DeclaredConfiguration | undefined;
-  private readonly followers: Readonly<Record<RecordStream, StreamFollower>> = {
-    configuration: new StreamFollower('configuration'),
-    boxes: new StreamFollower('boxes'),
-  };
+  private readonly reading = new StoreReading();
   private readonly ownRecord: OwnRecord;
   private readonly peers: PeerAsking;
-  private isStoreLost = false;
 
   constructor(
     private readonly identity: NodeIdentity,
@@ -108,10 +102,7 @@
   }
 
   private tick(now: number, random: RandomSource): readonly FleetAction[] {
-    const nodes = this.directory.size;
-    const reads = Object.values(this.followers).flatMap(
-      (follower) => follower.due(now, random, nodes) ?? [],
-    );
+    const reads = this.reading.due(now, random, this.directory.size);
     this.ownRecord.tick(now);
     const gone = this.directory.expire(now);
     return [
@@ -128,9 +119,7 @@
     stream: RecordStream,
     result: StoreResult<RecordPage>,
   ): readonly FleetAction[] {
-    const follower = this.followers[stream];
-    follower.ended(now, random, result);
-    const actions: FleetAction[] = [...this.noteStore(stream, result)];
+    const actions = [...this.reading.ended(now, random, stream, result)];
     if (result.ok) {
       for (const record of result.value.records) {
         actions.push(...this.take(now, stream, record));
@@ -211,7 +200,7 @@
 
   /** What the store has of this box is to be known before it is written. */
   private writeOwn(now: number): readonly FleetAction[] {
-    const record = this.followers.boxes.hasRead
+    const record = this.reading.hasReadBoxes
       ? this.ownRecord.nextWrite(now)
       : undefined;
     return record === undefined ? [] : [{kind: 'write', record}];
@@ -229,31 +218,9 @@
     return [note('own-record-not-written', this.identity.box, {kind, detail})];
   }
 
-  private noteStore(
-    stream: RecordStream,
-    result: StoreResult<RecordPage>,
-  ): readonly FleetAction[] {
-    if (result.ok) {
-      const wasLost = this.isStoreLost;
-      this.isStoreLost = false;
-      return wasLost ? [note('store-regained', stream, {})] : [];
-    }
-    const {failureCount} = this.followers[stream];
-    if (this.isStoreLost || failureCount < FAILURES_TO_LOSE_STORE) {
-      return [];
-    }
-    this.isStoreLost = true;
-    const {kind, detail} = result.failure;
-    return [note('store-lost', stream, {kind, detail, failureCount})];
-  }
-
-  private get isStoreInTrouble(): boolean {
-    return this.isStoreLost || this.followers.configuration.failureCount > 0;
-  }
-
   private askPeers(now: number, random: RandomSource): readonly FleetAction[] {
     const overdue = this.peers.overdue(now);
-    const instead = this.isStoreInTrouble
+    const instead = this.reading.isInTrouble
       ? this.peers.withoutStore(now, random)
       : undefined;
     return [overdue, instead].flatMap((address) =>
@@ -266,13 +233,13 @@
     address: string,
     version: number,
   ): readonly FleetAction[] {
-    if (!this.followers.boxes.hasRead) {
+    if (!this.reading.hasReadBoxes) {
       return this.ask(address);
     }
     if (version <= this.version) {
       return [];
     }
-    if (this.isStoreInTrouble) {
+    if (this.reading.isInTrouble) {
       return this.ask(address);
     }
     this.peers.heardOfNewer(now, address);
@@ -285,7 +252,7 @@
     }
     const question: PeerQuestion = {
       version: this.version,
-      wantsBoxes: !this.followers.boxes.hasRead || this.isStoreLost,
+      wantsBoxes: !this.reading.hasReadBoxes || this.reading.isLost,
       own: this.ownRecord.statement,
     };
     return [{kind: 'ask-peer', address, question}];
@@ -307,11 +274,3 @@
       : this.adopt(configuration, `peer ${address}`);
   }
 }
-
-function note(
-  event: string,
-  subject: string,
-  detail: Readonly<Record<string, string | number | boolean>>,
-): FleetAction {
-  return {kind: 'note', event, subject, detail};
-}
