Entry service: once keys in a module of their own, a call's first frame in parts

Minting keys needs none of the service's calls; the times of a frame have names now. The same fields with the same values go out.

--- a/packages/node/src/request/callerExchange.ts
+++ b/packages/node/src/request/callerExchange.ts
@@ -6,7 +6,7 @@
 import type {Refusal} from '@lockpin/types';
 import type {CallerRequest} from './callerRequest.js';
 import type {Exchange} from './exchange.js';
-import type {AnswerHead, CallHead} from './frames.js';
+import type {AnswerHead, CallHead, FlatHeaders} from './frames.js';
 import type {CallerProtocol} from './callerProtocol.js';
 import {CallStory} from './callStory.js';
 
@@ -98,13 +98,6 @@
   /** The first frame of an attempt. */
   head(now: number, attempt: Attempt, needsGo: boolean): CallHead {
     const {route, customer, weight, path, onceKey, view} = this.call;
-    const {goalMilliseconds} = route.spec;
-    const age = now - this.arrivedAt;
-    const mayBeLate = attempt.terms === 'may-be-late';
-    const usefulFor =
-      goalMilliseconds === undefined || mayBeLate
-        ? undefined
-        : goalMilliseconds - age;
     this.lastHead = {
       requestId: this.requestId,
       service: view.name,
@@ -121,26 +114,13 @@
       requestDigest: this.requestDigest,
       method: this.request.method ?? 'GET',
       path,
-      headers: [
-        ...this.protocol.callHeaders(
-          this.request,
-          this.requestId,
-          attempt.number,
-        ),
-        ...this.lengthHeader(),
-      ],
+      headers: this.callHeaders(attempt),
       body: this.body,
       hasMore: this.body === undefined,
       needsGo,
       terms: attempt.terms,
-      usefulFor:
-        usefulFor !== undefined && usefulFor > 0
-          ? Math.ceil(usefulFor)
-          : undefined,
-      startWithin:
-        attempt.startBy === undefined
-          ? undefined
-          : Math.max(0, Math.floor(attempt.startBy - now)),
+      usefulFor: this.usefulFor(now, attempt),
+      startWithin: startWithin(now, attempt),
       expectedMilliseconds: rounded(attempt.expectedMilliseconds),
     };
     return this.lastHead;
@@ -156,7 +136,7 @@
     if (goalMilliseconds === undefined) {
       return priority;
     }
-    const isLate = now - this.arrivedAt > goalMilliseconds;
+    const isLate = this.age(now) > goalMilliseconds;
     if (isLate || attempt.terms === 'may-be-late') {
       return priority + LATE_PRIORITY;
     }
@@ -245,6 +225,24 @@
     this.protocol.refuse(this.response, refusal, this.requestId, extraHeaders);
   }
 
+  private callHeaders(attempt: Attempt): FlatHeaders {
+    const {request, requestId, protocol} = this;
+    return [
+      ...protocol.callHeaders(request, requestId, attempt.number),
+      ...this.lengthHeader(),
+    ];
+  }
+
+  /** Undefined where the answer is late already, or is worth the same later. */
+  private usefulFor(now: number, {terms}: Attempt): number | undefined {
+    const {goalMilliseconds} = this.call.route.spec;
+    if (goalMilliseconds === undefined || terms === 'may-be-late') {
+      return undefined;
+    }
+    const milliseconds = goalMilliseconds - this.age(now);
+    return milliseconds > 0 ? Math.ceil(milliseconds) : undefined;
+  }
+
   /** undici checks a streamed body against the length that was announced. */
   private lengthHeader(): readonly string[] {
     const length = this.request.headers['content-length'];
@@ -259,6 +257,13 @@
   return name.slice(name.lastIndexOf('/') + 1);
 }
 
+/** The time in which the guard must give it a slot; undefined for any. */
+function startWithin(now: number, {startBy}: Attempt): number | undefined {
+  return startBy === undefined
+    ? undefined
+    : Math.max(0, Math.floor(startBy - now));
+}
+
 /** Whole milliseconds take a quarter of the bytes on the way. */
 function rounded(milliseconds: number | undefined): number | undefined {
   return milliseconds === undefined ? undefined : Math.round(milliseconds);
--- a/packages/node/src/request/entryService.ts
+++ b/packages/node/src/request/entryService.ts
@@ -4,7 +4,6 @@
 import type {IncomingMessage, ServerResponse} from 'node:http';
 import type {EntryAction, EntryEvent} from '@lockpin/brain';
 import type {ServiceView} from '@lockpin/configuration';
-import {mintOnceKey} from '@lockpin/once';
 import type {Refusal} from '@lockpin/types';
 import {AttemptCourse} from './attemptCourse.js';
 import {readBodyFor} from './callerBody.js';
@@ -14,6 +13,7 @@
 import {reasonNotToServe, refuseEarly} from './earlyRefusals.js';
 import {digestOf, entryCall} from './entryCall.js';
 import type {EntryServiceDependencies} from './entryServiceDependencies.js';
+import {freshKeyHeader, mintKeyFor} from './freshOnceKeys.js';
 
 export type {EntryServiceDependencies} from './entryServiceDependencies.js';
 
@@ -83,13 +83,7 @@
 
   /** A key bound to the home of an upstream that takes calls now. */
   mintKey(view: ServiceView): string | undefined {
-    const {brain, clock, random, incarnation} = this.dependencies;
-    const now = clock();
-    const chosen = brain.chooseFor(now, random, {view});
-    const process = chosen && incarnation(chosen.box);
-    return chosen && process
-      ? mintOnceKey(now, random, {box: chosen.box, incarnation: process})
-      : undefined;
+    return mintKeyFor(this.dependencies, view);
   }
 
   private arrived(
@@ -252,23 +246,12 @@
       this.ended(exchange);
       return;
     }
-    exchange.refuse(refusal, this.freshKey(exchange.call, refusal));
+    const fresh = freshKeyHeader(this.dependencies, exchange.call, refusal);
+    exchange.refuse(refusal, fresh);
     this.note(exchange, refusal);
     this.ended(exchange);
   }
 
-  /** A once-only call that has not run may be sent again under a new key. */
-  private freshKey(
-    call: CallerRequest,
-    refusal: Refusal,
-  ): Readonly<Record<string, string>> {
-    if (call.onceKey === undefined || refusal.outcome !== 'not-run') {
-      return {};
-    }
-    const key = this.mintKey(call.view);
-    return key === undefined ? {} : {'lockpin-fresh-once-key': key};
-  }
-
   private note(exchange: CallerExchange, refusal: Refusal): void {
     const {reason, outcome} = refusal;
     const {requestId, call} = exchange;
