--- a/packages/node/src/process/fleetHost.ts
+++ b/packages/node/src/process/fleetHost.ts
@@ -15,6 +15,7 @@
   RecordStore,
   RecordStream,
   StoreResult,
+  StoredRecord,
   UpstreamAnnouncement,
 } from '@lockpin/fleet';
 import type {LoadHint} from '@lockpin/routing';
@@ -176,7 +177,7 @@
   }
 
   private perform(action: FleetAction): void {
-    const {store, askPeer} = this.environment;
+    const {store} = this.environment;
     switch (action.kind) {
       case 'read-newest':
         this.whenRead(action.stream, store.readNewest(action.stream));
@@ -188,21 +189,13 @@
         );
         break;
       case 'write':
-        void store
-          .write('boxes', action.record)
-          .then((result) => this.handle({kind: 'write-ended', result}));
+        void this.writeRecord(action.record);
         break;
       case 'drop-record':
         void this.dropRecord(action.key);
         break;
       case 'ask-peer':
-        askPeer(action.address, action.question, (knowledge) =>
-          this.handle({
-            kind: 'peer-replied',
-            address: action.address,
-            knowledge,
-          }),
-        );
+        this.askPeer(action.address, action.question);
         break;
       case 'configuration-changed':
         this.configurationChanged(action);
@@ -219,6 +212,11 @@
     }
   }
 
+  private async writeRecord(record: StoredRecord): Promise<void> {
+    const result = await this.environment.store.write('boxes', record);
+    this.handle({kind: 'write-ended', result});
+  }
+
   private async dropRecord(key: string): Promise<void> {
     const record = {key, value: undefined};
     const result = await this.environment.store.write('boxes', record);
@@ -229,6 +227,12 @@
     });
   }
 
+  private askPeer(address: string, question: PeerQuestion): void {
+    this.environment.askPeer(address, question, (knowledge) =>
+      this.handle({kind: 'peer-replied', address, knowledge}),
+    );
+  }
+
   private whenRead(
     stream: RecordStream,
     read: Promise<StoreResult<RecordPage>>,
