Stand-ins: the settings file's words stay under platform/, sizes have names

A soak's box wrote a line in the platform's form into its settings file itself; the stand-ins write the changed file now, byte for byte the same.

--- a/packages/tools/src/soak/soakBox.ts
+++ b/packages/tools/src/soak/soakBox.ts
@@ -3,7 +3,11 @@
 
 import {writeFileSync} from 'node:fs';
 import {join} from 'node:path';
-import {settingsEnvironment, settingsText} from '@lockpin/platform-stand-ins';
+import {
+  changedSettingsText,
+  settingsEnvironment,
+} from '@lockpin/platform-stand-ins';
+import type {BoxSettings} from '@lockpin/platform-stand-ins';
 import type {RandomSource} from '@lockpin/types';
 import {BoxProcess, STOP_LIMIT_MILLISECONDS} from './boxProcess.js';
 import {BoxUpstreams} from './boxUpstreams.js';
@@ -12,6 +16,9 @@
 import {SOAK_SERVICES} from './soakConfiguration.js';
 import type {DrainFact, ExitFact, SoakBounds} from './soakFacts.js';
 
+/** Boxes are in these in turn. */
+const DATA_CENTRES = 2;
+
 /** Where a box listens. */
 export interface BoxAddresses {
   readonly caller: string;
@@ -117,11 +124,16 @@
   }
 
   private writeSettings(): string {
-    const {addresses, bounds, folder} = this.options;
-    const file = join(folder, `${this.name}.conf`);
-    const text = settingsText({
+    const file = join(this.options.folder, `${this.name}.conf`);
+    writeFileSync(file, changedSettingsText(this.settings(), this.reloads));
+    return file;
+  }
+
+  private settings(): BoxSettings {
+    const {index, addresses, bounds} = this.options;
+    return {
       box: this.name,
-      dataCentre: `d${(this.options.index % 2) + 1}`,
+      dataCentre: `d${(index % DATA_CENTRES) + 1}`,
       service: this.service,
       peerAddress: addresses.peer,
       callerAddress: addresses.caller,
@@ -132,8 +144,6 @@
       retryRatio: bounds.retryRatio,
       retryWindowMilliseconds: bounds.retryWindowMilliseconds,
       retryExtra: bounds.retryExtra,
-    });
-    writeFileSync(file, `${text}\nSelf.Reloads=${this.reloads}\n`);
-    return file;
+    };
   }
 }
