--- a/packages/node/src/process/composition.ts
+++ b/packages/node/src/process/composition.ts
@@ -89,40 +89,51 @@
     (parts) =>
       new BoxListClient(settings.boxListAddress, parts.resolve(TOKENS.traffic)),
   );
-  once(TOKENS.datagrams, (parts) => {
-    const host = parts.resolve(TOKENS.host);
-    return new DatagramSocket(
-      settings.peerAddress,
-      parts.resolve(TOKENS.traffic),
-      (datagram) => host.datagramReceived(datagram),
-    );
-  });
+  once(TOKENS.datagrams, (parts) => createDatagrams(parts, settings));
   once(TOKENS.environment, (parts) => realEnvironment(parts));
   once(TOKENS.host, (parts) => createHost(parts, settings));
   once(TOKENS.guardService, (parts) => createGuardService(parts));
   once(TOKENS.entryService, (parts) => createEntryService(parts, settings));
   once(TOKENS.watches, (parts) => createWatchHub(parts));
   once(TOKENS.peerServer, (parts) => createPeerServer(parts));
-  once(TOKENS.callerApp, (parts) => {
-    const host = parts.resolve(TOKENS.host);
-    return createCallerApp({
-      entry: parts.resolve(TOKENS.entryService),
-      state: () => host.control.keeper.state,
-      isReady: () => host.isReady,
-    });
-  });
-  once(TOKENS.operatorApp, (parts) =>
-    createOperatorApp({
-      host: parts.resolve(TOKENS.host),
-      watches: parts.resolve(TOKENS.watches),
-      timeline: parts.resolve(TOKENS.timeline),
-      traffic: parts.resolve(TOKENS.traffic),
-      bootstrapTokenHash: settings.bootstrapTokenHash,
-    }),
-  );
+  once(TOKENS.callerApp, (parts) => createCallers(parts));
+  once(TOKENS.operatorApp, (parts) => createOperators(parts, settings));
   return container;
 }
 
+function createDatagrams(
+  parts: DependencyContainer,
+  {peerAddress}: NodeSettings,
+): DatagramSocket {
+  const host = parts.resolve(TOKENS.host);
+  const traffic = parts.resolve(TOKENS.traffic);
+  return new DatagramSocket(peerAddress, traffic, (datagram) =>
+    host.datagramReceived(datagram),
+  );
+}
+
+function createCallers(parts: DependencyContainer): RequestHandler {
+  const host = parts.resolve(TOKENS.host);
+  return createCallerApp({
+    entry: parts.resolve(TOKENS.entryService),
+    state: () => host.control.keeper.state,
+    isReady: () => host.isReady,
+  });
+}
+
+function createOperators(
+  parts: DependencyContainer,
+  {bootstrapTokenHash}: NodeSettings,
+): RequestHandler {
+  return createOperatorApp({
+    host: parts.resolve(TOKENS.host),
+    watches: parts.resolve(TOKENS.watches),
+    timeline: parts.resolve(TOKENS.timeline),
+    traffic: parts.resolve(TOKENS.traffic),
+    bootstrapTokenHash,
+  });
+}
+
 function realEnvironment(parts: DependencyContainer): NodeEnvironment {
   const log = parts.resolve(TOKENS.log);
   const channels = parts.resolve(TOKENS.channels);
