--- a/packages/tools/src/soak/faultPlan.ts
+++ b/packages/tools/src/soak/faultPlan.ts
@@ -49,6 +49,7 @@
 /** Mean time between faults; each lasts longer than that, so that they overlap. */
 const MEAN_GAP_MILLISECONDS = 500;
 
+/** Times of single faults; most are nearer to the shortest. */
 const SHORTEST_FAULT_MILLISECONDS = 300;
 const LONGEST_FAULT_MILLISECONDS = 4000;
 
@@ -61,6 +62,9 @@
 /** Time between the steps of a series. */
 const SERIES_GAP_MILLISECONDS = 350;
 
+/** A bad upstream is so for this share of its requests at the least. */
+const LEAST_MOOD_SHARE = 0.2;
+
 const STORE_MOODS: readonly StoreMood[] = [
   'busy',
   'silent',
@@ -81,6 +85,7 @@
 
 const LINKS: readonly LinkName[] = ['peers', 'store', 'upstream'];
 
+/** Draws the faults that begin at a time: one, or a series. */
 type DrawFault = (
   random: RandomSource,
   at: number,
@@ -129,7 +134,7 @@
       kind: 'upstream',
       box: pick(random, boxes),
       mood: oneOf(random, UPSTREAM_MOODS),
-      share: 0.2 + 0.8 * random(),
+      share: LEAST_MOOD_SHARE + (1 - LEAST_MOOD_SHARE) * random(),
       lasts: span(random),
     },
   ],
@@ -158,6 +163,7 @@
   return faults.sort((a, b) => a.at - b.at);
 }
 
+/** A single step half of the time, else two or more. */
 function inSeries(
   random: RandomSource,
   at: number,
