Caller exchange: a request that became a call is one thing

The constructor took nine arguments in a row, and arrived() six of the same. The tests of the node and the platform, wholePath and operators passed.

--- a/packages/node/src/request/callerExchange.ts
+++ b/packages/node/src/request/callerExchange.ts
@@ -22,8 +22,23 @@
 /** Answers up to this size are written together with their headers. */
 const ONE_WRITE_BYTES = 8 * 1024;
 
+/** A request that became a call. */
+export interface ArrivedRequest {
+  readonly request: IncomingMessage;
+  readonly response: ServerResponse;
+  readonly requestId: string;
+  readonly call: CallerRequest;
+  /** The whole body; undefined when it is streamed. */
+  readonly body: Buffer | undefined;
+  /** When the call began, by the clock of the entry. */
+  readonly arrivedAt: number;
+}
+
 /** Lives from a request's head to the end of its answer. */
 export class CallerExchange {
+  readonly requestId: string;
+  readonly call: CallerRequest;
+  readonly arrivedAt: number;
   /** The attempt under way; callbacks of earlier ones are ignored. */
   attemptSerial = 0;
   exchange: Exchange | undefined;
@@ -47,6 +62,9 @@
   isGoGiven = true;
   /** The attempt under way may have reached its upstream. */
   mayHaveBegun = false;
+  private readonly request: IncomingMessage;
+  private readonly response: ServerResponse;
+  private readonly body: Buffer | undefined;
   private lastHead: CallHead | undefined;
   readonly story = new CallStory();
   private isStreaming = false;
@@ -54,17 +72,17 @@
 
   constructor(
     readonly id: string,
-    readonly requestId: string,
-    readonly call: CallerRequest,
-    private readonly request: IncomingMessage,
-    private readonly response: ServerResponse,
-    /** The whole body; undefined when it is streamed. */
-    private readonly body: Buffer | undefined,
+    arrived: ArrivedRequest,
     private readonly requestDigest: string,
-    /** When the call began, in milliseconds since 1970. */
-    readonly arrivedAt: number,
     private readonly protocol: CallerProtocol,
-  ) {}
+  ) {
+    this.requestId = arrived.requestId;
+    this.call = arrived.call;
+    this.request = arrived.request;
+    this.response = arrived.response;
+    this.body = arrived.body;
+    this.arrivedAt = arrived.arrivedAt;
+  }
 
   get isReplayable(): boolean {
     return this.body !== undefined;
--- a/packages/node/src/request/entryService.ts
+++ b/packages/node/src/request/entryService.ts
@@ -8,7 +8,7 @@
 import {AttemptCourse} from './attemptCourse.js';
 import {readBodyFor} from './callerBody.js';
 import {CallerExchange, HELD_BODY_BYTES} from './callerExchange.js';
-import type {CallerRequest} from './callerRequest.js';
+import type {ArrivedRequest} from './callerExchange.js';
 import type {CallRecord} from './callStory.js';
 import {reasonNotToServe, refuseEarly} from './earlyRefusals.js';
 import {digestOf, entryCall} from './entryCall.js';
@@ -78,7 +78,7 @@
     if (body === 'cut' || response.destroyed) {
       return;
     }
-    this.arrived(request, response, requestId, read.value, body, arrivedAt);
+    this.arrived({...unread, call: read.value, body, arrivedAt});
   }
 
   /** A key bound to the home of an upstream that takes calls now. */
@@ -86,44 +86,25 @@
     return mintKeyFor(this.dependencies, view);
   }
 
-  private arrived(
-    request: IncomingMessage,
-    response: ServerResponse,
-    requestId: string,
-    call: CallerRequest,
-    body: Buffer | undefined,
-    arrivedAt: number,
-  ): void {
+  private arrived(arrived: ArrivedRequest): void {
+    const {clock, protocol, mayBeRepeat} = this.dependencies;
+    const {request, response, call, body, arrivedAt} = arrived;
+    const digest = digestOf(request, call, body);
     this.serial += 1;
     const id = String(this.serial);
-    const exchange = new CallerExchange(
-      id,
-      requestId,
-      call,
-      request,
-      response,
-      body,
-      digestOf(request, call, body),
-      arrivedAt,
-      this.dependencies.protocol,
-    );
+    const exchange = new CallerExchange(id, arrived, digest, protocol);
     this.exchanges.set(id, exchange);
     response.on('close', () => this.closed(exchange));
     this.watchConnection(request, response, exchange);
     const deadline = arrivedAt + call.waitMilliseconds;
     exchange.timer = setTimeout(
       () => this.giveUp(exchange, 'deadline-passed'),
-      deadline - this.dependencies.clock(),
+      deadline - clock(),
     );
     const bytes = body?.length ?? HELD_BODY_BYTES;
     this.handle({
       kind: 'call-arrived',
-      call: entryCall(
-        exchange,
-        bytes,
-        deadline,
-        this.dependencies.mayBeRepeat(),
-      ),
+      call: entryCall(exchange, bytes, deadline, mayBeRepeat()),
     });
   }
 
