Entry: what an answer tells is heard in one step

Both places where an answer comes in told its hint, the slot that it shows and its time in two calls, and timed() did more than its name. The tests of the brain passed.

--- a/packages/brain/src/entry/answeredAttempts.ts
+++ b/packages/brain/src/entry/answeredAttempts.ts
@@ -51,8 +51,7 @@
   ): readonly EntryAction[] {
     const {news, books, overdueAttempts} = this.context;
     const {callId, status} = event;
-    news.heard(now, state.overdueAt ?? '', event.hint);
-    news.timed(state, event);
+    news.answerHeard(now, state.overdueAt ?? '', state, event);
     if (status >= FIRST_FAILED_STATUS) {
       return books.overdueEnded(state);
     }
@@ -74,8 +73,7 @@
     const {news, books, retries, chooser, offers} = this.context;
     const {callId, status, isWhole} = event;
     books.attemptEnded(state);
-    news.heard(now, state.upstream, event.hint);
-    news.timed(state, event);
+    news.answerHeard(now, state.upstream, state, event);
     const isWorthRetry = status >= FIRST_FAILED_STATUS && isWhole;
     state.mayHaveRun = true;
     state.ran.add(state.upstream);
--- a/packages/brain/src/entry/attemptNews.ts
+++ b/packages/brain/src/entry/attemptNews.ts
@@ -8,6 +8,12 @@
 import type {EntryEvent} from './entryMessages.js';
 import {FULL_REFUSALS} from './entrySettings.js';
 
+/** What an answer tells besides its content. */
+type AnswerNews = Pick<
+  EntryEvent & {readonly kind: 'attempt-answered'},
+  'hint' | 'status' | 'ranMilliseconds'
+>;
+
 /** Passes on what attempts tell to those that choose by it. */
 export class AttemptNews {
   constructor(
@@ -32,25 +38,28 @@
     }
   }
 
-  /** A guard said how its upstream is. */
-  heard(now: number, upstream: string, hint: LoadHint | undefined): void {
-    if (hint !== undefined) {
-      this.loads.heard(upstream, now, hint);
-    }
-  }
-
-  /** An answer says how long calls of its kind take. */
-  timed(
+  /** An upstream answered: there was a slot, and the call took its time. */
+  answerHeard(
+    now: number,
+    upstream: string,
     {call}: CallState,
-    event: {
-      readonly status: number;
-      readonly ranMilliseconds: number | undefined;
-    },
+    {hint, status, ranMilliseconds}: AnswerNews,
   ): void {
-    const {status, ranMilliseconds} = event;
+    this.heard(now, upstream, hint);
     this.crowding.offered(call.view.name, true);
     if (ranMilliseconds !== undefined && status < FIRST_FAILED_STATUS) {
       this.timing.answered(call.route.name, ranMilliseconds);
     }
   }
+
+  /** A guard said how its upstream is. */
+  private heard(
+    now: number,
+    upstream: string,
+    hint: LoadHint | undefined,
+  ): void {
+    if (hint !== undefined) {
+      this.loads.heard(upstream, now, hint);
+    }
+  }
 }
