--- a/packages/node/src/request/entryService.ts
+++ b/packages/node/src/request/entryService.ts
@@ -4,16 +4,16 @@
 import type {IncomingMessage, ServerResponse} from 'node:http';
 import type {EntryAction, EntryEvent} from '@lockpin/brain';
 import type {ServiceView} from '@lockpin/configuration';
-import {mintOnceKey} from '@lockpin/once';
 import type {Refusal} from '@lockpin/types';
 import {AttemptCourse} from './attemptCourse.js';
 import {readBodyFor} from './callerBody.js';
 import {CallerExchange, HELD_BODY_BYTES} from './callerExchange.js';
-import type {CallerRequest} from './callerRequest.js';
+import type {ArrivedRequest} from './callerExchange.js';
 import type {CallRecord} from './callStory.js';
 import {reasonNotToServe, refuseEarly} from './earlyRefusals.js';
 import {digestOf, entryCall} from './entryCall.js';
 import type {EntryServiceDependencies} from './entryServiceDependencies.js';
+import {freshKeyHeader, mintKeyFor} from './freshOnceKeys.js';
 
 export type {EntryServiceDependencies} from './entryServiceDependencies.js';
 
@@ -78,58 +78,33 @@
     if (body === 'cut' || response.destroyed) {
       return;
     }
-    this.arrived(request, response, requestId, read.value, body, arrivedAt);
+    this.arrived({...unread, call: read.value, body, arrivedAt});
   }
 
   /** A key bound to the home of an upstream that takes calls now. */
   mintKey(view: ServiceView): string | undefined {
-    const {brain, clock, random, incarnation} = this.dependencies;
-    const now = clock();
-    const chosen = brain.chooseFor(now, random, {view});
-    const process = chosen && incarnation(chosen.box);
-    return chosen && process
-      ? mintOnceKey(now, random, {box: chosen.box, incarnation: process})
-      : undefined;
+    return mintKeyFor(this.dependencies, view);
   }
 
-  private arrived(
-    request: IncomingMessage,
-    response: ServerResponse,
-    requestId: string,
-    call: CallerRequest,
-    body: Buffer | undefined,
-    arrivedAt: number,
-  ): void {
+  private arrived(arrived: ArrivedRequest): void {
+    const {clock, protocol, mayBeRepeat} = this.dependencies;
+    const {request, response, call, body, arrivedAt} = arrived;
+    const digest = digestOf(request, call, body);
     this.serial += 1;
     const id = String(this.serial);
-    const exchange = new CallerExchange(
-      id,
-      requestId,
-      call,
-      request,
-      response,
-      body,
-      digestOf(request, call, body),
-      arrivedAt,
-      this.dependencies.protocol,
-    );
+    const exchange = new CallerExchange(id, arrived, digest, protocol);
     this.exchanges.set(id, exchange);
     response.on('close', () => this.closed(exchange));
     this.watchConnection(request, response, exchange);
     const deadline = arrivedAt + call.waitMilliseconds;
     exchange.timer = setTimeout(
       () => this.giveUp(exchange, 'deadline-passed'),
-      deadline - this.dependencies.clock(),
+      deadline - clock(),
     );
     const bytes = body?.length ?? HELD_BODY_BYTES;
     this.handle({
       kind: 'call-arrived',
-      call: entryCall(
-        exchange,
-        bytes,
-        deadline,
-        this.dependencies.mayBeRepeat(),
-      ),
+      call: entryCall(exchange, bytes, deadline, mayBeRepeat()),
     });
   }
 
@@ -252,23 +227,12 @@
       this.ended(exchange);
       return;
     }
-    exchange.refuse(refusal, this.freshKey(exchange.call, refusal));
+    const fresh = freshKeyHeader(this.dependencies, exchange.call, refusal);
+    exchange.refuse(refusal, fresh);
     this.note(exchange, refusal);
     this.ended(exchange);
   }
 
-  /** A once-only call that has not run may be sent again under a new key. */
-  private freshKey(
-    call: CallerRequest,
-    refusal: Refusal,
-  ): Readonly<Record<string, string>> {
-    if (call.onceKey === undefined || refusal.outcome !== 'not-run') {
-      return {};
-    }
-    const key = this.mintKey(call.view);
-    return key === undefined ? {} : {'lockpin-fresh-once-key': key};
-  }
-
   private note(exchange: CallerExchange, refusal: Refusal): void {
     const {reason, outcome} = refusal;
     const {requestId, call} = exchange;
