The comment on the share of retries says what the rest now covers

Found by the last read: it still named calls that upstreams make for a repeat, which are counted since rather than covered by the margin. No code changed.

--- a/packages/node/src/process/fleetEntrySettings.ts
+++ b/packages/node/src/process/fleetEntrySettings.ts
@@ -7,9 +7,10 @@
 import type {FleetRetryLimit} from './fleetPorts.js';
 
 /**
- * Part of the fleet's retries that its entries use. The rest covers calls that
- * upstreams make for a call that is itself repeated. An entry that starts anew
- * does not know what its box has spent, and does without the extra for a window.
+ * Part of the fleet's retries that its entries use. The rest covers the share of
+ * calls that an entry which starts anew may spend a second time: it does not know
+ * what its box has spent, and does without the extra alone for a window. Calls that
+ * upstreams make for a repeat are counted, see mayBeRepeat, and need no margin.
  */
 const RETRY_SHARE = 0.85;
 
