Calls stay in their data centre while it has room; offers take fewer bytes

Calls that cannot be repeated followed the shared order to another data centre (weight 0.6 against 0.3), and each refusal spelled out its words. Change: another data centre weighs 0.9 (a little less than all slots taken); states, reasons, terms go as numbers, hints as rows, unknown values as null.

--- /dev/null
+++ b/packages/node/src/__tests__/frames.test.ts
@@ -0,0 +1,112 @@
+// Copyright (c) 2026 the lockpin contributors. MIT licence, see LICENSE.
+/** Frames between nodes keep what they say, in few bytes. */
+
+import {describe, expect, it} from 'vitest';
+import type {CallHead, Frame} from '../request/frames.js';
+import {readFrame, writeFrame} from '../request/frames.js';
+import {PeerTraffic} from '../process/peerTraffic.js';
+
+const HEAD: CallHead = {
+  requestId: '9c41d07be2a35f68',
+  service: 'claims',
+  upstream: 'claims/box-in-centre-a-11',
+  customer: 'claims',
+  weight: 1,
+  route: 'r-s989anu',
+  repetition: 'at-most-once',
+  priority: 1,
+  remaining: 4998,
+  attempt: 1,
+  retryShare: 0.1,
+  onceKey: undefined,
+  requestDigest: '',
+  method: '',
+  path: '',
+  headers: [],
+  body: undefined,
+  hasMore: false,
+  needsGo: true,
+  terms: 'may-be-late',
+  usefulFor: undefined,
+  startWithin: 2250,
+  expectedMilliseconds: undefined,
+};
+
+const FRAMES: readonly Frame[] = [
+  {kind: 'call', head: HEAD},
+  {
+    kind: 'refusal',
+    refusal: {
+      refusal: {
+        reason: 'deadline-too-short',
+        outcome: 'not-run',
+        retryAfterMilliseconds: 120,
+      },
+      upstream: 'claims/box-in-centre-a-11',
+      hint: {
+        state: 'doubted',
+        occupied: 3,
+        limit: 5,
+        doubtedFor: 2000,
+        probeIn: 400,
+      },
+    },
+  },
+  {
+    kind: 'refusal',
+    refusal: {
+      refusal: {
+        reason: 'no-upstream',
+        outcome: 'not-run',
+        retryAfterMilliseconds: 0,
+      },
+      upstream: '',
+      hint: undefined,
+    },
+  },
+  {kind: 'news', news: {kind: 'version', version: 7, address: '10.0.0.1:80'}},
+  {
+    kind: 'news',
+    news: {
+      kind: 'standing',
+      upstream: 'claims/b',
+      hint: {state: 'accepting', occupied: 0, limit: 5},
+    },
+  },
+];
+
+/** Twice the names that an offer and its answer have to carry. */
+const OFFER_BYTES = 130;
+const REFUSAL_BYTES = 45;
+
+describe('a frame', () => {
+  it.each(FRAMES)('says the same once it was read: $kind', (frame) => {
+    expect(readFrame(writeFrame(frame))).toEqual(frame);
+  });
+
+  it('of an offer and of its refusal takes few bytes', () => {
+    const [offer, refusal] = FRAMES.map((frame) => writeFrame(frame).length);
+    expect(offer).toBeLessThan(OFFER_BYTES);
+    expect(refusal).toBeLessThan(REFUSAL_BYTES);
+  });
+});
+
+describe('bytes between data centres', () => {
+  it('are counted by what they are for, and others are not', () => {
+    const counted: unknown[] = [];
+    const traffic = new PeerTraffic({
+      count: (name, amount, tags) => counted.push([name, amount, tags]),
+    });
+    traffic.counter('other-data-centre')('call', 100);
+    traffic.counter('other-data-centre')('queued', 9);
+    traffic.counter('same-data-centre')('answer', 5000);
+    expect(traffic.betweenDataCentres).toEqual({
+      offers: 100,
+      'offer-replies': 9,
+      requests: 0,
+      answers: 0,
+      news: 0,
+    });
+    expect(counted).toHaveLength(3);
+  });
+});
--- a/packages/node/src/process/fleetComposition.ts
+++ b/packages/node/src/process/fleetComposition.ts
@@ -24,6 +24,7 @@
 import {DecisionLog} from './decisionLog.js';
 import {FleetHost} from './fleetHost.js';
 import type {FleetPorts} from './fleetPorts.js';
+import {PeerTraffic} from './peerTraffic.js';
 import {createPrometheusMetrics} from './prometheusMetrics.js';
 import type {TextMetrics} from './prometheusMetrics.js';
 import {registerOnceIn} from './registerOnce.js';
@@ -47,6 +48,7 @@
   channels: Symbol('channels') as InjectionToken<
     PeerChannels<PeerQuestion, PeerKnowledge>
   >,
+  peerTraffic: Symbol('peerTraffic') as InjectionToken<PeerTraffic>,
   news: Symbol('news') as InjectionToken<Subscribers<PeerNews>>,
   remote: Symbol('remote') as InjectionToken<RemoteExchanges>,
   guardService: Symbol('guardService') as InjectionToken<GuardService>,
@@ -67,6 +69,10 @@
   once(FLEET_TOKENS.host, createHost);
   once(FLEET_TOKENS.pools, () => new UpstreamPools());
   once(FLEET_TOKENS.channels, () => new PeerChannels(new ControlTraffic()));
+  once(
+    FLEET_TOKENS.peerTraffic,
+    (parts) => new PeerTraffic(parts.resolve(FLEET_TOKENS.metrics)),
+  );
   once(FLEET_TOKENS.news, () => new Subscribers<PeerNews>());
   once(FLEET_TOKENS.remote, createRemoteExchanges);
   once(FLEET_TOKENS.guardService, createGuardService);
@@ -109,10 +115,13 @@
 
 function createRemoteExchanges(parts: DependencyContainer): RemoteExchanges {
   const channels = parts.resolve(FLEET_TOKENS.channels);
+  const traffic = parts.resolve(FLEET_TOKENS.peerTraffic);
+  const host = parts.resolve(FLEET_TOKENS.host);
   return new RemoteExchanges(
     (address) => channels.client(address),
     newsExchange(parts),
     (address) => channels.renew(address),
+    (address) => traffic.counter(host.placeOf(address)),
   );
 }
 
--- a/packages/node/src/process/fleetHost.ts
+++ b/packages/node/src/process/fleetHost.ts
@@ -23,6 +23,7 @@
 import type {DecisionLog} from './decisionLog.js';
 import {fleetEntrySettings} from './fleetEntrySettings.js';
 import type {FleetNodeSettings} from './fleetPorts.js';
+import type {PeerPlace} from './peerTraffic.js';
 
 /** While calls are under way the guard ticks more often by itself. */
 const TICK_MILLISECONDS = 100;
@@ -115,6 +116,18 @@
     return this.fleet.directory.get(box)?.peerAddress ?? '';
   }
 
+  /** Whether the node at an address is in this data centre. */
+  placeOf(address: string): PeerPlace {
+    const isNear = this.fleet.directory
+      .all()
+      .some(
+        ({peerAddress, dataCentre}) =>
+          peerAddress === address &&
+          dataCentre === this.currentSettings.dataCentre,
+      );
+    return isNear ? 'same-data-centre' : 'other-data-centre';
+  }
+
   start(listeners: FleetHostListeners): void {
     this.listeners = listeners;
     this.stopTicking = this.environment.every(TICK_MILLISECONDS, () => {
--- a/packages/node/src/process/metrics.ts
+++ b/packages/node/src/process/metrics.ts
@@ -16,6 +16,7 @@
   'upstream.ejected',
   'configuration.version',
   'members.usable',
+  'peer.bytes',
 ] as const;
 
 /** One of the metrics. */
@@ -27,6 +28,7 @@
 /** Counts, times and levels. */
 export interface NodeMetrics {
   readonly increment: (name: MetricName, tags?: MetricTags) => void;
+  readonly count: (name: MetricName, amount: number, tags?: MetricTags) => void;
   readonly timing: (
     name: MetricName,
     milliseconds: number,
@@ -38,6 +40,7 @@
 
 const NO_METRICS: NodeMetrics = {
   increment: () => undefined,
+  count: () => undefined,
   timing: () => undefined,
   gauge: () => undefined,
   close: () => undefined,
@@ -58,6 +61,7 @@
   });
   return {
     increment: (name, tags = {}) => client.increment(name, 1, tags),
+    count: (name, amount, tags = {}) => client.increment(name, amount, tags),
     timing: (name, milliseconds, tags = {}) =>
       client.timing(name, milliseconds, tags),
     gauge: (name, value, tags = {}) => client.gauge(name, value, tags),
--- a/packages/node/src/process/prometheusMetrics.ts
+++ b/packages/node/src/process/prometheusMetrics.ts
@@ -26,12 +26,14 @@
     labelNames: Object.keys(tags),
     registers: [registry],
   });
+  const count = (name: MetricName, amount: number, tags: MetricTags) => {
+    const counter = counters.get(name) ?? new Counter(options(name, tags));
+    counters.set(name, counter);
+    counter.inc(tags, amount);
+  };
   return {
-    increment: (name, tags = {}) => {
-      const counter = counters.get(name) ?? new Counter(options(name, tags));
-      counters.set(name, counter);
-      counter.inc(tags);
-    },
+    increment: (name, tags = {}) => count(name, 1, tags),
+    count: (name, amount, tags = {}) => count(name, amount, tags),
     timing: (name, milliseconds, tags = {}) => {
       const histogram =
         histograms.get(name) ??
--- a/packages/node/src/process/runFleetNode.ts
+++ b/packages/node/src/process/runFleetNode.ts
@@ -10,6 +10,7 @@
 import {finishCalls} from './finishCalls.js';
 import type {StopResult} from './finishCalls.js';
 import {FLEET_TOKENS, versionNews} from './fleetComposition.js';
+import {every} from './timers.js';
 
 /** A node that runs. */
 export interface RunningFleetNode {
@@ -37,6 +38,9 @@
 /** Added to the time after which idle connections of callers are closed. */
 const IDLE_ALLOWANCE_MILLISECONDS = 1000;
 
+/** Time between lines that say how many bytes went between data centres. */
+const TRAFFIC_LINE_MILLISECONDS = 5000;
+
 /** Starts every part of a composed node. */
 export async function runFleetNode(
   container: DependencyContainer,
@@ -69,6 +73,7 @@
     onStanding: (upstream, hint) =>
       subscribers.tell({kind: 'standing', upstream, hint}),
   });
+  every(TRAFFIC_LINE_MILLISECONDS, () => noteTraffic(container));
   let result: Promise<StopResult> | undefined;
   return {
     isReady: () => host.isReady && !stopping.isStopping,
@@ -76,6 +81,14 @@
   };
 }
 
+/** What was spent on bytes between data centres, for who reads the logs only. */
+function noteTraffic(container: DependencyContainer): void {
+  const {betweenDataCentres} = container.resolve(FLEET_TOKENS.peerTraffic);
+  container
+    .resolve(FLEET_TOKENS.log)
+    .event('bytes-between-data-centres', {...betweenDataCentres});
+}
+
 /** How far a node has stopped. */
 interface StopState {
   /** Callers are told to go elsewhere. */
--- a/packages/node/src/request/exchangeStream.ts
+++ b/packages/node/src/request/exchangeStream.ts
@@ -4,7 +4,7 @@
 import type grpc from '@grpc/grpc-js';
 import type {Exchange, ExchangeHandlers} from './exchange.js';
 import {FrameBatch, readBatch} from './frameBatch.js';
-import type {NumberedFrame} from './frameBatch.js';
+import type {NumberedFrame, OnFrameBytes} from './frameBatch.js';
 import type {CallHead, PeerNews} from './frames.js';
 import {neverSent} from './remoteExchange.js';
 
@@ -36,15 +36,16 @@
   constructor(
     private readonly stream: grpc.ClientDuplexStream<Buffer, Buffer>,
     private readonly onNews: (news: PeerNews) => void,
+    onFrameBytes?: OnFrameBytes,
   ) {
     this.batch = new FrameBatch((bytes) => {
       if (!this.hasBroken) {
         stream.write(bytes);
       }
-    });
+    }, onFrameBytes);
     stream.on('data', (bytes: Buffer) => {
       this.silences = 0;
-      readBatch(bytes).forEach((frame) => this.take(frame));
+      readBatch(bytes, onFrameBytes).forEach((frame) => this.take(frame));
     });
     stream.on('end', () => this.broke(true));
     stream.on('error', (error: grpc.ServiceError) =>
--- a/packages/node/src/request/frameBatch.ts
+++ b/packages/node/src/request/frameBatch.ts
@@ -4,6 +4,9 @@
 import {readFrame, writeFrame} from './frames.js';
 import type {Frame} from './frames.js';
 
+/** Told of each frame's bytes on the way, in either direction. */
+export type OnFrameBytes = (kind: Frame['kind'], bytes: number) => void;
+
 /** A frame with the number of its exchange on the stream. */
 export interface NumberedFrame {
   readonly number: number;
@@ -16,7 +19,10 @@
 export class FrameBatch {
   private parts: Buffer[] = [];
 
-  constructor(private readonly write: (bytes: Buffer) => void) {}
+  constructor(
+    private readonly write: (bytes: Buffer) => void,
+    private readonly onFrameBytes: OnFrameBytes = () => undefined,
+  ) {}
 
   add(number: number, frame: Frame): void {
     const bytes = writeFrame(frame);
@@ -27,6 +33,7 @@
       setImmediate(() => this.flush());
     }
     this.parts.push(prefix, bytes);
+    this.onFrameBytes(frame.kind, PREFIX_BYTES + bytes.length);
   }
 
   private flush(): void {
@@ -37,7 +44,10 @@
 }
 
 /** Takes a message apart again. */
-export function readBatch(bytes: Buffer): readonly NumberedFrame[] {
+export function readBatch(
+  bytes: Buffer,
+  onFrameBytes: OnFrameBytes = () => undefined,
+): readonly NumberedFrame[] {
   const frames: NumberedFrame[] = [];
   let at = 0;
   while (at + PREFIX_BYTES <= bytes.length) {
@@ -45,7 +55,9 @@
     const number = bytes.readUInt32BE(at + 4);
     const start = at + PREFIX_BYTES;
     at = start + length;
-    frames.push({number, frame: readFrame(bytes.subarray(start, at))});
+    const frame = readFrame(bytes.subarray(start, at));
+    onFrameBytes(frame.kind, PREFIX_BYTES + length);
+    frames.push({number, frame});
   }
   return frames;
 }
--- a/packages/node/src/request/frames.ts
+++ b/packages/node/src/request/frames.ts
@@ -5,6 +5,18 @@
 import type {LoadHint} from '@lockpin/routing';
 import type {Refusal, Repetition} from '@lockpin/types';
 import {decode, encode} from '../connection/codec.js';
+import {
+  answerFrom,
+  answerRow,
+  headFrom,
+  headRow,
+  newsFrom,
+  newsRow,
+  refusalFrom,
+  refusalRow,
+  requestFrom,
+  requestRow,
+} from './frameRows.js';
 
 /** Names and values in turn, as they came. */
 export type FlatHeaders = readonly string[];
@@ -132,99 +144,16 @@
 /** Bytes of an unsigned number of 32 bits. */
 const CREDIT_LENGTH = 4;
 
-/**
- * Frames that every call needs go as rows of values in these orders: the names
- * of the fields would be a third of their bytes, and bytes between data centres
- * are paid for.
- */
-const CALL_FIELDS = [
-  'requestId',
-  'service',
-  'upstream',
-  'customer',
-  'weight',
-  'route',
-  'repetition',
-  'priority',
-  'remaining',
-  'attempt',
-  'retryShare',
-  'onceKey',
-  'requestDigest',
-  'method',
-  'path',
-  'headers',
-  'body',
-  'hasMore',
-  'needsGo',
-  'terms',
-  'usefulFor',
-  'startWithin',
-  'expectedMilliseconds',
-] as const satisfies readonly (keyof CallHead)[];
-
-/** The order of an answer's fields. */
-const ANSWER_FIELDS = [
-  'status',
-  'headers',
-  'upstream',
-  'hint',
-  'isUnframed',
-  'ranMilliseconds',
-  'body',
-  'hasMore',
-] as const satisfies readonly (keyof AnswerHead)[];
-
-/** The order of a request's fields. */
-const GO_FIELDS = [
-  'method',
-  'path',
-  'headers',
-  'body',
-] as const satisfies readonly (keyof CallRequest)[];
-
-type RefusalRow = readonly [
-  reason: Refusal['reason'],
-  outcome: Refusal['outcome'],
-  retryAfterMilliseconds: number,
-  upstream: string,
-  hint: LoadHint | undefined,
-];
-
-function refusalRow({refusal, upstream, hint}: RefusalFrame): RefusalRow {
-  const {reason, outcome, retryAfterMilliseconds} = refusal;
-  return [reason, outcome, retryAfterMilliseconds, upstream, hint];
-}
-
-function refusalFrom(row: RefusalRow): RefusalFrame {
-  const [reason, outcome, retryAfterMilliseconds, upstream, hint] = row;
-  return {refusal: {reason, outcome, retryAfterMilliseconds}, upstream, hint};
-}
-
-function toRow<T extends object>(
-  fields: readonly (keyof T)[],
-  value: T,
-): readonly unknown[] {
-  return fields.map((field) => value[field]);
-}
-
-function fromRow<T extends object>(
-  fields: readonly (keyof T)[],
-  row: readonly unknown[],
-): T {
-  return Object.fromEntries(fields.map((field, i) => [field, row[i]])) as T;
-}
-
 /** Writes a frame. */
 export function writeFrame(frame: Frame): Buffer {
   const kind = Buffer.from([KINDS.indexOf(frame.kind)]);
   switch (frame.kind) {
     case 'call':
-      return Buffer.concat([kind, encode(toRow(CALL_FIELDS, frame.head))]);
+      return Buffer.concat([kind, encode(headRow(frame.head))]);
     case 'answer':
-      return Buffer.concat([kind, encode(toRow(ANSWER_FIELDS, frame.head))]);
+      return Buffer.concat([kind, encode(answerRow(frame.head))]);
     case 'go':
-      return Buffer.concat([kind, encode(toRow(GO_FIELDS, frame.request))]);
+      return Buffer.concat([kind, encode(requestRow(frame.request))]);
     case 'refusal':
       return Buffer.concat([kind, encode(refusalRow(frame.refusal))]);
     case 'chunk':
@@ -235,7 +164,7 @@
       return Buffer.concat([kind, credit]);
     }
     case 'news':
-      return Buffer.concat([kind, encode(frame.news)]);
+      return Buffer.concat([kind, encode(newsRow(frame.news))]);
     default:
       return kind;
   }
@@ -247,11 +176,11 @@
   const rest = bytes.subarray(1);
   switch (kind) {
     case 'call':
-      return {kind, head: fromRow<CallHead>(CALL_FIELDS, decode(rest))};
+      return {kind, head: headFrom(decode(rest))};
     case 'answer':
-      return {kind, head: fromRow<AnswerHead>(ANSWER_FIELDS, decode(rest))};
+      return {kind, head: answerFrom(decode(rest))};
     case 'go':
-      return {kind, request: fromRow<CallRequest>(GO_FIELDS, decode(rest))};
+      return {kind, request: requestFrom(decode(rest))};
     case 'refusal':
       return {kind, refusal: refusalFrom(decode(rest))};
     case 'chunk':
@@ -259,7 +188,7 @@
     case 'credit':
       return {kind, bytes: rest.readUInt32BE()};
     case 'news':
-      return {kind, news: decode<PeerNews>(rest)};
+      return {kind, news: newsFrom(decode(rest))};
     default:
       return {kind};
   }
--- a/packages/node/src/request/remoteExchanges.ts
+++ b/packages/node/src/request/remoteExchanges.ts
@@ -5,6 +5,7 @@
 import type {Exchange, ExchangeHandlers} from './exchange.js';
 import {ExchangeStream} from './exchangeStream.js';
 import type {NewsExchange} from './exchangeStreamServer.js';
+import type {OnFrameBytes} from './frameBatch.js';
 import type {CallHead, PeerNews} from './frames.js';
 import {beginRemoteExchange} from './remoteExchange.js';
 
@@ -21,6 +22,10 @@
     private readonly newsExchange?: Pick<NewsExchange, 'first' | 'onNews'>,
     /** Drops the client of an address, so that the next one connects anew. */
     private readonly renew: (address: string) => void = () => undefined,
+    /** Makes what counts the bytes of the frames to and from an address. */
+    private readonly counterFor: (
+      address: string,
+    ) => OnFrameBytes | undefined = () => undefined,
   ) {}
 
   begin(address: string, head: CallHead, handlers: ExchangeHandlers): Exchange {
@@ -55,8 +60,10 @@
     if (found?.isUsable) {
       return found;
     }
-    const made = new ExchangeStream(client.exchanges(), (news) =>
-      this.newsExchange?.onNews(news),
+    const made = new ExchangeStream(
+      client.exchanges(),
+      (news) => this.newsExchange?.onNews(news),
+      this.counterFor(address),
     );
     this.streams.set(address, made);
     if (this.newsExchange !== undefined) {
--- /dev/null
+++ b/packages/node/src/request/wireCodes.ts
@@ -0,0 +1,120 @@
+// Copyright (c) 2026 the lockpin contributors. MIT licence, see LICENSE.
+/**
+ * Numbers that stand for words between nodes. An offer is answered in a few bytes
+ * then; offers are made several times for each call, and bytes between data centres
+ * are paid for. A number keeps its meaning for good: new words get new numbers.
+ */
+
+import type {OfferTerms} from '@lockpin/brain';
+import type {AnnouncedState, LoadHint} from '@lockpin/routing';
+import type {RefusalOutcome, RefusalReason, Repetition} from '@lockpin/types';
+
+/** Translates between the words of one kind and their numbers. */
+export interface WireCodes<Word extends string> {
+  readonly codeOf: (word: Word) => number;
+  readonly wordOf: (code: number) => Word;
+}
+
+function wireCodes<Word extends string>(
+  codes: Readonly<Record<Word, number>>,
+  wordOfUnknownCode: Word,
+): WireCodes<Word> {
+  const words = new Map<number, Word>();
+  for (const word of Object.keys(codes) as Word[]) {
+    words.set(codes[word], word);
+  }
+  return {
+    codeOf: (word) => codes[word],
+    wordOf: (code) => words.get(code) ?? wordOfUnknownCode,
+  };
+}
+
+/** Why a call was refused. A reason that a newer node gives is a lost guard here. */
+export const REASON_CODES = wireCodes<RefusalReason>(
+  {
+    'service-unknown': 1,
+    'route-unknown': 2,
+    'credential-wrong': 3,
+    'request-malformed': 4,
+    'body-too-large': 5,
+    'no-upstream': 6,
+    'upstream-ejected': 7,
+    'upstream-draining': 8,
+    'upstream-unreachable': 9,
+    'upstream-failed': 10,
+    'upstream-busy': 11,
+    'upstream-doubted': 12,
+    'upstream-refused': 13,
+    'upstream-replaced': 14,
+    'reservation-expired': 15,
+    'guard-unreachable': 16,
+    'guard-lost': 17,
+    'guard-silent': 18,
+    'node-leaving': 19,
+    'not-ready': 20,
+    'queue-full': 21,
+    'customer-over-share': 22,
+    'retries-exhausted': 23,
+    'deadline-too-short': 24,
+    'deadline-passed': 25,
+    'caller-left': 26,
+    'once-key-missing': 27,
+    'once-key-malformed': 28,
+    'once-key-reused': 29,
+    'once-key-refused': 30,
+    'once-key-running': 31,
+    'once-already-ran': 32,
+    'once-home-unreachable': 33,
+    'once-home-replaced': 34,
+    'once-key-expired': 35,
+  },
+  'guard-lost',
+);
+
+/** Whether a refused call ran; what is not understood may have. */
+export const OUTCOME_CODES = wireCodes<RefusalOutcome>(
+  {'not-run': 1, unknown: 2},
+  'unknown',
+);
+
+/** Whether a call may run twice; what is not understood may not. */
+export const REPETITION_CODES = wireCodes<Repetition>(
+  {repeatable: 1, 'at-most-once': 2, 'once-only': 3},
+  'at-most-once',
+);
+
+/** What an offer asks for. */
+export const TERMS_CODES = wireCodes<OfferTerms>(
+  {immediate: 1, 'may-wait': 2, 'may-be-late': 3, 'last-resort': 4},
+  'immediate',
+);
+
+const STATE_CODES = wireCodes<AnnouncedState>(
+  {accepting: 1, doubted: 2, probation: 3, ejected: 4, draining: 5},
+  'accepting',
+);
+
+/** A load hint in the order of its fields; times in whole milliseconds. */
+export type HintRow = readonly [
+  state: number,
+  occupied: number,
+  limit: number,
+  doubtedFor?: number,
+  probeIn?: number,
+];
+
+/** Calls are whole, so that a limit rounded up lets the same number run. */
+export function hintRow(hint: LoadHint): HintRow {
+  const {state, occupied, limit, doubtedFor, probeIn} = hint;
+  const load = [STATE_CODES.codeOf(state), occupied, Math.ceil(limit)] as const;
+  return doubtedFor === undefined
+    ? load
+    : [...load, Math.ceil(doubtedFor), Math.ceil(probeIn ?? doubtedFor)];
+}
+
+/** The load hint of a row. */
+export function hintOf(row: HintRow): LoadHint {
+  const [code, occupied, limit, doubtedFor, probeIn] = row;
+  const load = {state: STATE_CODES.wordOf(code), occupied, limit};
+  return doubtedFor === undefined ? load : {...load, doubtedFor, probeIn};
+}
--- a/packages/routing/src/__tests__/fleetRouting.test.ts
+++ b/packages/routing/src/__tests__/fleetRouting.test.ts
@@ -63,6 +63,18 @@
     expect(chooseByScore(context({loads}), [candidate('near'), far])).toBe(far);
   });
 
+  it('keeps calls that cannot be repeated near by while one there has room', () => {
+    const far = Array.from({length: 20}, (_, i) =>
+      candidate(`f${i}`, {dataCentre: 'd2'}),
+    );
+    const near = ['n1', 'n2'].map((name) => candidate(name));
+    const chosen = chooseByScore(context({prefersFew: true}), [
+      ...far,
+      ...near,
+    ]);
+    expect(near).toContain(chosen);
+  });
+
   it('sends calls that cannot be repeated to the same upstreams from everywhere', () => {
     const all = Array.from({length: 20}, (_, i) => candidate(`u${i}`));
     const chosen = new Set(
--- a/packages/routing/src/chooseByScore.ts
+++ b/packages/routing/src/chooseByScore.ts
@@ -9,8 +9,11 @@
  * slots taken). The figures order the alternatives rather than measure them.
  */
 const COST = {
-  /** Another data centre: a few milliseconds and bytes that are paid for. */
-  otherDataCentre: 0.3,
+  /**
+   * Another data centre: bytes that are paid for. A little less than all slots, so that a
+   * call goes there only when none near by has room for it.
+   */
+  otherDataCentre: 0.9,
   /** Another box: one round trip and one more process to depend on. */
   otherBox: 0.1,
   /** A cold upstream takes about twice as long. */
