--- a/packages/fleet/src/__tests__/fleetBrain.test.ts
+++ b/packages/fleet/src/__tests__/fleetBrain.test.ts
@@ -164,6 +164,19 @@
     );
   });
 
+  it('is asked for in another data centre only after neighbours could have it', () => {
+    const world = new World();
+    world.tick();
+    const far = other({box: 'b3', peerAddress: 'far', dataCentre: 'd2'});
+    world.read('configuration', [stored(1)]);
+    world.read('boxes', [{key: far.box, value: writeBoxRecord(far)}]);
+    world.tell({kind: 'peer-version-heard', address: 'far', version: 2});
+    expect(kinds(world.tick(400))).not.toContain('ask-peer');
+    expect(world.tick(500)).toContainEqual(
+      expect.objectContaining({kind: 'ask-peer', address: 'far'}),
+    );
+  });
+
   it('is not asked for once the store has brought it', () => {
     const world = new World();
     world.tick();
@@ -362,11 +375,37 @@
     const world = new World();
     const knowledge = world.brain.answer({
       version: 0,
-      wantsBoxes: true,
+      boxesDigest: 0,
       own: other(),
     });
     expect(knowledge.boxes.map(({box}) => box)).toEqual(['b2']);
   });
+
+  it('are told only to a peer that does not know the same', () => {
+    const [one, same] = [new World(), new World()];
+    const [b2, b3] = [other(), other({box: 'b3', statedAt: 20})];
+    [b2, b3].forEach((record) => one.brain.directory.put(record));
+    [b3, other({statedAt: 5}), b2].forEach((record) =>
+      same.brain.directory.put(record),
+    );
+    const boxesDigest = same.brain.directory.digest;
+    const question = {version: 0, boxesDigest, own: undefined};
+    expect(one.brain.answer(question).boxes).toEqual([]);
+    one.brain.directory.put(other({statedAt: 30}));
+    expect(one.brain.answer(question).boxes).toHaveLength(2);
+    const nothingWanted = {...question, boxesDigest: undefined};
+    expect(one.brain.answer(nothingWanted).boxes).toEqual([]);
+  });
+
+  it('leave no trace in the digest once they are forgotten', () => {
+    const world = new World();
+    const before = world.brain.directory.digest;
+    world.brain.directory.put(other());
+    expect(world.brain.directory.digest).not.toBe(before);
+    world.brain.directory.expire(10 ** 9);
+    expect(world.brain.directory.digest).toBe(before);
+    expect(world.brain.directory.dataCentreAt('10.0.0.2:7000')).toBe(undefined);
+  });
 });
 
 describe('the own upstream', () => {
--- a/packages/fleet/src/boxDirectory.ts
+++ b/packages/fleet/src/boxDirectory.ts
@@ -2,12 +2,19 @@
 /** All boxes that a node knows, with the upstreams they guard. */
 
 import type {Resource} from '@lockpin/types';
+import {stableHash} from '@lockpin/utils';
 import {RECORD_LIFE_MILLISECONDS} from './boxRecord.js';
 import type {BoxRecord} from './boxRecord.js';
 
+/** Digests stay below this, so that sums of two are exact. */
+const DIGEST_RANGE = 2 ** 48;
+
 /** Keeps the newest statement of each box. */
 export class BoxDirectory {
   private readonly records = new Map<string, BoxRecord>();
+  private readonly byAddress = new Map<string, BoxRecord>();
+  private readonly counts = new Map<string, number>();
+  private currentDigest = 0;
   private readonly upstreams = new Map<
     string,
     readonly Resource<'Upstream'>[]
@@ -21,31 +28,70 @@
     return [...this.records.values()];
   }
 
+  /** The same on two nodes that know the same statements. */
+  get digest(): number {
+    return this.currentDigest;
+  }
+
   get(box: string): BoxRecord | undefined {
     return this.records.get(box);
   }
 
+  /** The data centre of the node at an address; undefined when it is not known. */
+  dataCentreAt(peerAddress: string): string | undefined {
+    return this.byAddress.get(peerAddress)?.dataCentre;
+  }
+
   /** Takes in a statement; false when a newer one is known already. */
   put(record: BoxRecord): boolean {
     const known = this.records.get(record.box);
     if (known !== undefined && known.statedAt >= record.statedAt) {
       return false;
     }
+    this.remove(known);
     this.records.set(record.box, record);
+    this.byAddress.set(record.peerAddress, record);
+    this.addToDigest(stableHash(statementOf(record)));
+    this.addToCount(record.service, 1);
     this.upstreams.clear();
     return true;
   }
 
   /** Forgets boxes that have not renewed their records; says which. */
   expire(now: number): readonly string[] {
-    const expired = this.all()
-      .filter(({statedAt}) => now - statedAt > RECORD_LIFE_MILLISECONDS)
-      .map(({box}) => box);
-    for (const box of expired) {
-      this.records.delete(box);
+    const expired = this.all().filter(
+      ({statedAt}) => now - statedAt > RECORD_LIFE_MILLISECONDS,
+    );
+    for (const record of expired) {
+      this.remove(record);
       this.upstreams.clear();
     }
-    return expired;
+    return expired.map(({box}) => box);
+  }
+
+  private remove(record: BoxRecord | undefined): void {
+    if (record === undefined) {
+      return;
+    }
+    this.records.delete(record.box);
+    if (this.byAddress.get(record.peerAddress) === record) {
+      this.byAddress.delete(record.peerAddress);
+    }
+    this.addToDigest(DIGEST_RANGE - stableHash(statementOf(record)));
+    this.addToCount(record.service, -1);
+  }
+
+  private addToCount(service: string, change: number): void {
+    this.counts.set(service, this.countOf(service) + change);
+  }
+
+  private addToDigest(hash: number): void {
+    this.currentDigest = (this.currentDigest + hash) % DIGEST_RANGE;
+  }
+
+  /** How many boxes are known to guard an upstream of a service. */
+  countOf(service: string): number {
+    return this.counts.get(service) ?? 0;
   }
 
   /** The upstreams of a service; the same list until something changes. */
@@ -66,6 +112,11 @@
   }
 }
 
+/** Tells a statement of a box apart from its earlier ones and from other boxes'. */
+function statementOf({box, statedAt}: BoxRecord): string {
+  return `${box} ${statedAt}`;
+}
+
 function upstreamOf(
   record: BoxRecord,
   connections: number,
--- a/packages/fleet/src/fleetBrain.ts
+++ b/packages/fleet/src/fleetBrain.ts
@@ -95,9 +95,12 @@
       this.directory.put(question.own);
     }
     const isNewer = this.version > question.version;
+    const {boxesDigest} = question;
+    const tellsBoxes =
+      boxesDigest !== undefined && boxesDigest !== this.directory.digest;
     return {
       configuration: isNewer ? this.inForce : undefined,
-      boxes: question.wantsBoxes ? this.directory.all() : [],
+      boxes: tellsBoxes ? this.directory.all() : [],
     };
   }
 
@@ -250,9 +253,10 @@
     if (!this.peers.begin(address)) {
       return [];
     }
+    const wantsBoxes = !this.reading.hasReadBoxes || this.reading.isLost;
     const question: PeerQuestion = {
       version: this.version,
-      wantsBoxes: !this.reading.hasReadBoxes || this.reading.isLost,
+      boxesDigest: wantsBoxes ? this.directory.digest : undefined,
       own: this.ownRecord.statement,
     };
     return [{kind: 'ask-peer', address, question}];
--- a/packages/fleet/src/fleetMessages.ts
+++ b/packages/fleet/src/fleetMessages.ts
@@ -23,8 +23,11 @@
 export interface PeerQuestion {
   /** The asker's version; 0 when it has none. */
   readonly version: number;
-  /** Whether the asker lacks the records of the boxes. */
-  readonly wantsBoxes: boolean;
+  /**
+   * Digest of the records of boxes that the asker has, when it wants those of the
+   * peer that tell more; undefined when it wants none.
+   */
+  readonly boxesDigest: number | undefined;
   /** The asker's own record, if it has one to tell. */
   readonly own: BoxRecord | undefined;
 }
--- a/packages/fleet/src/peerAsking.ts
+++ b/packages/fleet/src/peerAsking.ts
@@ -2,14 +2,18 @@
 /** Which peer is asked for a newer configuration, and when. */
 
 import type {RandomSource} from '@lockpin/types';
+import {stableHash} from '@lockpin/utils';
 import type {BoxDirectory} from './boxDirectory.js';
 import type {NodeIdentity} from './fleetMessages.js';
 
 /** Time between questions to peers while the store does not answer. */
 const QUESTION_MILLISECONDS = 500;
 
-/** While the store does not answer, every other question stays nearby. */
-const NEAR_SHARE = 0.5;
+/**
+ * Share of the questions that stay nearby while the store does not answer. What is
+ * known in one data centre has to reach the others, but not with every question.
+ */
+const NEAR_SHARE = 0.8;
 
 /**
  * A version that peers tell of is asked for after this, unless the store has
@@ -18,6 +22,15 @@
  */
 const STORE_FIRST_MILLISECONDS = 400;
 
+/**
+ * Nodes that only know of a peer in another data centre wait up to this much longer,
+ * each for its own time: the first to ask passes the version on to its neighbours.
+ */
+const FAR_SPREAD_MILLISECONDS = 500;
+
+/** Hashes are whole numbers of 48 bits. */
+const HASH_RANGE = 2 ** 48;
+
 /** A newer version that a peer has in force. */
 interface HeardVersion {
   readonly address: string;
@@ -55,7 +68,7 @@
   /** The peer to ask since the store did not bring what was heard of. */
   overdue(now: number): string | undefined {
     const {heard} = this;
-    if (heard === undefined || now - heard.firstAt < STORE_FIRST_MILLISECONDS) {
+    if (heard === undefined || now - heard.firstAt < this.patience(heard)) {
       return undefined;
     }
     this.heard = undefined;
@@ -89,12 +102,15 @@
     this.asked.delete(address);
   }
 
+  /** How long the store, and after it the neighbours, are given. */
+  private patience({address}: HeardVersion): number {
+    const {box} = this.identity;
+    const ownPart = this.isNear(address) ? 0 : stableHash(box) / HASH_RANGE;
+    return STORE_FIRST_MILLISECONDS + ownPart * FAR_SPREAD_MILLISECONDS;
+  }
+
   private isNear(address: string): boolean {
     const {dataCentre} = this.identity;
-    return this.directory
-      .all()
-      .some(
-        (box) => box.peerAddress === address && box.dataCentre === dataCentre,
-      );
+    return this.directory.dataCentreAt(address) === dataCentre;
   }
 }
--- a/packages/node/src/connection/peerChannels.ts
+++ b/packages/node/src/connection/peerChannels.ts
@@ -3,7 +3,7 @@
 
 import type {PeerReply, PeerRequest} from '@lockpin/brain';
 import type {ControlTraffic} from '../process/controlTraffic.js';
-import {decode, encode} from './codec.js';
+import {decodeDocument, encodeDocument} from './codec.js';
 import {createPeerClient} from './peerProtocol.js';
 import type {PeerClient} from './peerProtocol.js';
 
@@ -42,11 +42,11 @@
     done: (reply: Reply | undefined) => void,
   ): void {
     const deadline = Date.now() + EXCHANGE_DEADLINE_MILLISECONDS;
-    const sent = encode(request);
+    const sent = encodeDocument(request);
     this.traffic.sent('exchanges', sent.length);
     this.client(address).exchange(sent, {deadline}, (error, bytes) => {
       this.traffic.received('exchanges', bytes?.length ?? 0);
-      done(error || !bytes ? undefined : decode<Reply>(bytes));
+      done(error || !bytes ? undefined : decodeDocument<Reply>(bytes));
     });
   }
 
--- a/packages/node/src/connection/peerServer.ts
+++ b/packages/node/src/connection/peerServer.ts
@@ -4,7 +4,7 @@
 import grpc from '@grpc/grpc-js';
 import type {PeerReply, PeerRequest} from '@lockpin/brain';
 import type {ControlTraffic} from '../process/controlTraffic.js';
-import {decode, encode} from './codec.js';
+import {decodeDocument, encodeDocument} from './codec.js';
 import {CHANNEL_OPTIONS, peerService} from './peerProtocol.js';
 
 /** What the server hands on. */
@@ -31,8 +31,8 @@
         done: grpc.sendUnaryData<Buffer>,
       ) => {
         traffic.received('exchanges', call.request.length);
-        handlers.exchange(decode<Request>(call.request), (reply) => {
-          const bytes = encode(reply);
+        handlers.exchange(decodeDocument<Request>(call.request), (reply) => {
+          const bytes = encodeDocument(reply);
           traffic.sent('exchanges', bytes.length);
           done(null, bytes);
         });
