Hanging shows from all calls that are late; waiting calls leave a doubted upstream

Change: the evidence is the largest sum of log likelihood ratios over the last calls in the order in which they began (HangEvidence); at little of it calls that cannot be repeated go elsewhere (caution). When doubt begins, calls that wait are let go.

--- a/packages/admission/src/admission.ts
+++ b/packages/admission/src/admission.ts
@@ -99,6 +99,11 @@
     return this.fill(now);
   }
 
+  /** Calls that wait for a slot. */
+  waiting(): readonly WaitingCall[] {
+    return this.queue.all();
+  }
+
   /** Takes a waiting call out: from here on it can never run. */
   withdraw(id: string): boolean {
     return this.queue.remove(id);
--- a/packages/admission/src/fairQueue.ts
+++ b/packages/admission/src/fairQueue.ts
@@ -61,6 +61,11 @@
     return this.byId.size;
   }
 
+  /** All that wait, in no order. */
+  all(): readonly WaitingCall[] {
+    return [...this.byId.values()];
+  }
+
   /** Calls of one customer that wait. */
   waitingOf(customer: string): number {
     let count = 0;
--- a/packages/brain/src/__tests__/reservations.test.ts
+++ b/packages/brain/src/__tests__/reservations.test.ts
@@ -270,6 +270,44 @@
     expect(world.guard.hintOf(world.now, UPSTREAM)?.state).toBe('doubted');
   });
 
+  it('gets no call that cannot be repeated while one is late, until it answers', () => {
+    const world = new World(4);
+    world.run('well', 200);
+    world.offer('late', {needsGo: false, expectedMilliseconds: 50});
+    world.now = 180;
+    const once = {repetition: 'at-most-once'} as const;
+    expect(reasonOf(world.offer('1', once))).toEqual([
+      'upstream-doubted not-run',
+    ]);
+    expect(world.offer('2')).toEqual([{kind: 'reserve', callId: '2'}]);
+    world.tell({
+      kind: 'upstream-answered',
+      callId: 'late',
+      status: 200,
+      isShed: false,
+      answer: undefined,
+    });
+    expect(world.offer('3', once)).toEqual([{kind: 'reserve', callId: '3'}]);
+  });
+
+  it('lets go of the calls that wait, but for those that have nowhere else to go', () => {
+    const world = new World(2);
+    world.run('well', 200);
+    const expected = {needsGo: false, expectedMilliseconds: 50};
+    world.offer('1', expected);
+    world.offer('2', expected);
+    expect(world.offer('3')).toEqual([{kind: 'queue', callId: '3'}]);
+    expect(world.offer('4', {mayRunDoubted: true})).toEqual([
+      {kind: 'queue', callId: '4'},
+    ]);
+    world.now = 300;
+    const actions = world.tell({kind: 'tick'});
+    expect(reasonOf(actions)).toEqual(['upstream-doubted not-run']);
+    expect(actions).toContainEqual(
+      expect.objectContaining({kind: 'refuse', callId: '3'}),
+    );
+  });
+
   it('runs a repeat from when a second attempt is sent until it ends', () => {
     const world = new World(2);
     world.run('1', 200);
--- a/packages/brain/src/guard/callCourse.ts
+++ b/packages/brain/src/guard/callCourse.ts
@@ -141,10 +141,34 @@
     return [
       ...this.freed(now, freed),
       ...this.noted(now, upstream, change),
-      ...doubtNoted(now, upstream, wasDoubted),
+      ...this.doubtChanged(now, upstream, wasDoubted),
     ];
   }
 
+  /**
+   * What follows where doubt began or ended. Calls that wait go elsewhere at once:
+   * the slots that they wait for are held by calls that may never end.
+   */
+  doubtChanged(
+    now: number,
+    upstream: UpstreamGuard,
+    wasDoubted: boolean,
+  ): readonly GuardAction[] {
+    const hasBegun = !wasDoubted && upstream.isDoubted(now);
+    const leaving = hasBegun
+      ? upstream.waiting().filter(({id}) => !this.mayRunDoubted(id))
+      : [];
+    const refusals = leaving.flatMap(({id}) => {
+      upstream.withdraw(id);
+      return this.refuseWaiting(now, id, 'upstream-doubted');
+    });
+    return [...doubtNoted(now, upstream, wasDoubted), ...refusals];
+  }
+
+  private mayRunDoubted(callId: string): boolean {
+    return this.calls.get(callId)?.call.mayRunDoubted === true;
+  }
+
   /** What follows from a change of an upstream's standing. */
   noted(
     now: number,
--- a/packages/brain/src/guard/guardBrain.ts
+++ b/packages/brain/src/guard/guardBrain.ts
@@ -12,7 +12,6 @@
 import {leavingHint, refuse} from './guardRefusals.js';
 import {OfferedCalls} from './offeredCalls.js';
 import {ReportSchedule} from './reportSchedule.js';
-import {doubtNoted} from './standingActions.js';
 
 /** Decides by (now, random, event) alone. */
 export class GuardBrain {
@@ -145,7 +144,7 @@
     const freed = upstream.refused(now, callId, reason);
     return [
       this.course.refuseForGood(now, call, upstream, reason),
-      ...doubtNoted(now, upstream, wasDoubted),
+      ...this.course.doubtChanged(now, upstream, wasDoubted),
       ...this.course.freed(now, freed),
     ];
   }
@@ -266,7 +265,7 @@
     for (const upstream of this.services.upstreams()) {
       const wasDoubted = upstream.isDoubted(now);
       const {freed, changes} = upstream.review(now);
-      actions.push(...doubtNoted(now, upstream, wasDoubted));
+      actions.push(...this.course.doubtChanged(now, upstream, wasDoubted));
       actions.push(...this.course.freed(now, freed));
       for (const change of changes) {
         actions.push(...this.course.noted(now, upstream, change));
--- a/packages/brain/src/guard/quickDoubt.ts
+++ b/packages/brain/src/guard/quickDoubt.ts
@@ -1,17 +1,28 @@
 // Copyright (c) 2026 the lockpin contributors. MIT licence, see LICENSE.
 /** Quick doubt of one upstream, where the guard has it, and its evidence. */
 
-import {Doubt} from '@lockpin/detection';
+import {Doubt, HangEvidence} from '@lockpin/detection';
 import type {CallEvidenceKind} from '@lockpin/detection';
 
-/** Entries ask again this soon after an upstream that has answered no call. */
-const UNPROVEN_MILLISECONDS = 200;
+/** Entries ask again this soon after an upstream that has to answer a call first. */
+const UNCERTAIN_MILLISECONDS = 200;
+
+/**
+ * Strength of the evidence of hanging from which calls that cannot be repeated go
+ * elsewhere: what is seen is three times as likely from an upstream that hangs. That
+ * costs little where it is wrong, and ends with the next answer.
+ */
+const CAUTIOUS_AT = 1.2;
+
+/** Strength from which the upstream is doubted: thirty times as likely. */
+const DOUBTED_AT = 3.5;
 
 /** Counts each call's evidence once; doubts nothing where it is off. */
 export class QuickDoubt {
   private readonly doubt = new Doubt();
-  /** Calls whose lateness was already taken as evidence. */
-  private readonly countedLate = new Set<string>();
+  private readonly evidence = new HangEvidence();
+  /** Calls that were taken as evidence of hanging before they ended. */
+  private readonly counted = new Set<string>();
 
   constructor(private readonly isOn: boolean) {}
 
@@ -20,9 +31,12 @@
     return this.isOn && this.doubt.isDoubted(now);
   }
 
-  /** The upstream has answered no call yet. */
-  get isUnproven(): boolean {
-    return this.isOn && !this.doubt.isProven;
+  /** The upstream has to answer a call before one that cannot be repeated may come. */
+  isUncertain(now: number): boolean {
+    return (
+      this.isOn &&
+      (!this.doubt.isProven || this.evidence.strength(now) >= CAUTIOUS_AT)
+    );
   }
 
   /** How much longer it is doubted, in milliseconds. */
@@ -34,7 +48,7 @@
   announcedFor(now: number): number {
     return this.isDoubted(now)
       ? this.doubt.remaining(now)
-      : UNPROVEN_MILLISECONDS;
+      : UNCERTAIN_MILLISECONDS;
   }
 
   /** When the next call may find out how it is, in milliseconds from now. */
@@ -42,45 +56,54 @@
     return this.doubt.untilProbe(now);
   }
 
-  /** A call begins; under doubt it is the one that finds out. */
+  /** A call has its slot; under doubt it is the one that finds out. */
   started(now: number): void {
     if (this.isDoubted(now)) {
       this.doubt.probed(now);
     }
   }
 
-  /** How a call ended; what was counted as late is not counted twice. */
+  /** A call goes to the upstream; it usually takes so many milliseconds. */
+  sent(now: number, callId: string, usual: number | undefined): void {
+    if (this.isOn) {
+      this.evidence.started(now, callId, usual);
+    }
+  }
+
+  /** How a call ended; what was counted as hanging is not counted twice. */
   observe(
     now: number,
     callId: string,
     isRunning: boolean,
     kind: CallEvidenceKind,
   ): void {
-    const wasCounted = this.countedLate.delete(callId);
+    const wasCounted = this.counted.delete(callId);
+    if (kind === 'broken') {
+      this.evidence.forget(callId);
+    } else {
+      this.evidence.answered(callId);
+    }
     if (this.isOn && isRunning && !wasCounted) {
       this.doubt.observe(now, kind);
     }
   }
 
-  /** Calls that are late count before they end. */
-  noteLate(
-    now: number,
-    callIds: Iterable<string>,
-    isLate: (callId: string) => boolean,
-  ): void {
-    if (!this.isOn) {
+  /** Looks at calls that have not ended; they count before they do. */
+  review(now: number, runningIds: Iterable<string>): void {
+    const isSure = this.evidence.strength(now) >= DOUBTED_AT;
+    if (!this.isOn || !isSure || this.isDoubted(now)) {
       return;
     }
-    for (const callId of callIds) {
-      if (!this.countedLate.has(callId) && isLate(callId)) {
-        this.countedLate.add(callId);
-        this.doubt.observe(now, 'overdue');
-      }
+    for (const callId of runningIds) {
+      this.counted.add(callId);
     }
+    this.evidence.reset();
+    this.doubt.observe(now, 'hanging');
   }
 
   /** A call is over, with nothing learnt from it. */
   forget(callId: string): void {
-    this.countedLate.delete(callId);
+    this.counted.delete(callId);
+    this.evidence.forget(callId);
   }
 }
--- a/packages/brain/src/guard/runningCall.ts
+++ b/packages/brain/src/guard/runningCall.ts
@@ -13,7 +13,7 @@
 const LATE_ALLOWANCE_MILLISECONDS = 60;
 
 /** How much longer calls take on an upstream that is cold. */
-const COLD_FACTOR = 2;
+export const COLD_FACTOR = 2;
 
 /** Keeps its slot until it ends. */
 export interface RunningCall {
--- a/packages/brain/src/guard/upstreamGuard.ts
+++ b/packages/brain/src/guard/upstreamGuard.ts
@@ -5,6 +5,7 @@
 import type {Freed, Offer, WaitingCall} from '@lockpin/admission';
 import type {CallEvidenceKind} from '@lockpin/detection';
 import type {GuardReport, HolderReply} from '@lockpin/floor';
+import {TypicalDurations} from '@lockpin/routing';
 import type {LoadHint} from '@lockpin/routing';
 import type {
   RefusalReason,
@@ -15,7 +16,7 @@
 import {FIRST_FAILED_STATUS} from '@lockpin/utils';
 import type {GuardCall, GuardSettings} from './guardMessages.js';
 import {QuickDoubt} from './quickDoubt.js';
-import {isLate} from './runningCall.js';
+import {COLD_FACTOR, isLate} from './runningCall.js';
 import type {RunningCall} from './runningCall.js';
 import {UpstreamRefusals} from './upstreamRefusals.js';
 import {UpstreamStanding} from './upstreamStanding.js';
@@ -41,6 +42,7 @@
   private readonly running = new Map<string, RunningCall>();
   private readonly doubt: QuickDoubt;
   private readonly refusals: UpstreamRefusals;
+  private readonly durations = new TypicalDurations();
   /** Another process answers at the address. */
   private isReplaced = false;
   private spec: UpstreamSpec;
@@ -144,11 +146,15 @@
     const isSent = call.needsGo !== true;
     this.running.set(call.id, {call, startedAt: now, isSent});
     this.doubt.started(now);
+    if (isSent) {
+      this.doubt.sent(now, call.id, this.usual(now, call));
+    }
   }
 
   /** The entry said go: the call is sent now. */
   sent(now: number, call: GuardCall): void {
     this.running.set(call.id, {call, startedAt: now, isSent: true});
+    this.doubt.sent(now, call.id, this.usual(now, call));
   }
 
   /** Gives back a slot whose call was never sent. */
@@ -173,6 +179,11 @@
     return this.admission.withdraw(callId);
   }
 
+  /** Calls that wait for a slot here. */
+  waiting(): readonly WaitingCall[] {
+    return this.admission.waiting();
+  }
+
   withdrawAll(): readonly WaitingCall[] {
     return this.admission.drainQueue();
   }
@@ -192,6 +203,7 @@
       this.admission.succeeded();
     }
     const isError = isFailure && !isShed;
+    this.noteDuration(now, callId, isFailure);
     this.observe(now, callId, isError ? 'error' : this.pace(now, callId));
     return this.ended(now, callId, isError);
   }
@@ -215,7 +227,7 @@
     readonly freed: Freed;
     readonly changes: readonly StandingChange[];
   } {
-    this.noteLateCalls(now);
+    this.doubt.review(now, this.running.keys());
     const changes = this.standing.review(now, this.running.values());
     return {freed: this.admission.review(now), changes};
   }
@@ -247,7 +259,7 @@
     if (this.isDraining || this.isReplaced) {
       return 'draining';
     }
-    if (this.isDoubted(now) || this.doubt.isUnproven) {
+    if (this.isDoubted(now) || this.doubt.isUncertain(now)) {
       return 'doubted';
     }
     const {state} = this.standing;
@@ -266,12 +278,22 @@
     return running !== undefined && isLate(now, running, this.spec.coldUntil);
   }
 
-  private noteLateCalls(now: number): void {
-    this.doubt.noteLate(now, this.running.keys(), (callId) =>
-      this.isLate(now, callId),
+  /** How long the call usually takes here, or else at all upstreams. */
+  private usual(now: number, call: GuardCall): number | undefined {
+    const usual = this.durations.of(call.route) ?? call.expectedMilliseconds;
+    return (
+      usual && usual * (now < (this.spec.coldUntil ?? 0) ? COLD_FACTOR : 1)
     );
   }
 
+  private noteDuration(now: number, callId: string, isFailure: boolean): void {
+    const running = this.running.get(callId);
+    if (running !== undefined && !isFailure) {
+      const {call, startedAt} = running;
+      this.durations.add(call.route, now - startedAt);
+    }
+  }
+
   private observe(now: number, callId: string, kind: CallEvidenceKind): void {
     this.doubt.observe(now, callId, this.running.has(callId), kind);
   }
--- a/packages/brain/src/guard/upstreamRefusals.ts
+++ b/packages/brain/src/guard/upstreamRefusals.ts
@@ -50,7 +50,7 @@
   private isDoubtedFor(now: number, call: GuardCall): boolean {
     return (
       (this.doubt.isDoubted(now) && !this.mayRunDoubted(now, call)) ||
-      (this.doubt.isUnproven && isFirstOfKind(call))
+      (this.doubt.isUncertain(now) && cannotFindOut(call))
     );
   }
 
@@ -79,7 +79,7 @@
   }
 }
 
-/** A call that cannot be repeated had better not be the first to find out. */
-function isFirstOfKind(call: GuardCall): boolean {
+/** A call that cannot be repeated had better not be the one to find out. */
+function cannotFindOut(call: GuardCall): boolean {
   return call.repetition === 'at-most-once' && call.mayRunDoubted !== true;
 }
--- a/packages/detection/src/doubt.ts
+++ b/packages/detection/src/doubt.ts
@@ -16,8 +16,8 @@
   | 'refused'
   /** It answered, far later than calls of this kind usually take. */
   | 'slow'
-  /** It has not answered although most calls of this kind would have ended. */
-  | 'overdue';
+  /** It leaves calls unanswered that healthy upstreams would have answered. */
+  | 'hanging';
 
 /** Weight of each kind; doubt begins when the decaying sum reaches DOUBT_AT. */
 const WEIGHT: Readonly<Record<Exclude<CallEvidenceKind, 'well'>, number>> = {
@@ -25,10 +25,13 @@
   error: 1,
   refused: 1,
   slow: 0.8,
-  overdue: 1,
+  hanging: 1.5,
 };
 
-/** One broken call is enough; it takes two of other kinds, or three slow ones. */
+/**
+ * One broken call is enough, or sure signs that it hangs; it takes two of other kinds,
+ * or three slow ones.
+ */
 const DOUBT_AT = 1.5;
 
 /** What a further call leaves of the sum, by how it ended. */
--- a/packages/detection/src/index.ts
+++ b/packages/detection/src/index.ts
@@ -5,6 +5,7 @@
 export * from './doubt.js';
 export * from './ejectionCycle.js';
 export * from './grayDetector.js';
+export * from './hangEvidence.js';
 export * from './peerBaseline.js';
 export * from './sensitivity.js';
 export * from './slownessTest.js';
--- a/packages/node/src/__tests__/frames.test.ts
+++ b/packages/node/src/__tests__/frames.test.ts
@@ -2,6 +2,7 @@
 /** Frames between nodes keep what they say, in few bytes. */
 
 import {describe, expect, it} from 'vitest';
+import {decodeDocument, encodeDocument} from '../connection/codec.js';
 import type {CallHead, Frame} from '../request/frames.js';
 import {readFrame, writeFrame} from '../request/frames.js';
 import {PeerTraffic} from '../process/peerTraffic.js';
@@ -91,6 +92,21 @@
   });
 });
 
+describe('a document between nodes', () => {
+  it('is compressed when it is large, and reads the same', () => {
+    const routes = Array.from({length: 300}, (_, i) => ({
+      name: `r-${i}`,
+      host: 'listings.example',
+      repetition: 'repeatable',
+    }));
+    const small = {version: 1};
+    expect(decodeDocument(encodeDocument(small))).toEqual(small);
+    const bytes = encodeDocument({routes});
+    expect(decodeDocument(bytes)).toEqual({routes});
+    expect(bytes.length).toBeLessThan(JSON.stringify(routes).length / 5);
+  });
+});
+
 describe('bytes between data centres', () => {
   it('are counted by what they are for, and others are not', () => {
     const counted: unknown[] = [];
--- a/packages/node/src/process/fleetHost.ts
+++ b/packages/node/src/process/fleetHost.ts
@@ -118,13 +118,8 @@
 
   /** Whether the node at an address is in this data centre. */
   placeOf(address: string): PeerPlace {
-    const isNear = this.fleet.directory
-      .all()
-      .some(
-        ({peerAddress, dataCentre}) =>
-          peerAddress === address &&
-          dataCentre === this.currentSettings.dataCentre,
-      );
+    const {dataCentre} = this.currentSettings;
+    const isNear = this.fleet.directory.dataCentreAt(address) === dataCentre;
     return isNear ? 'same-data-centre' : 'other-data-centre';
   }
 
