Guards pay for retries out of one pool a service

Each of 30 entries kept its own small part. Change: the guard of an upstream pays, from first attempts that were sent there plus its part of the extra; a call that it cannot pay for goes on to another guard. Nothing is paid before the call is sent, and a retry is never sent unpaid. The margin of 0.15 and the window without extra after a restart stay. Ruled out: too few attempts (MaxAttempts 2 was not reached in these calls).

--- a/packages/brain/src/__tests__/reservations.test.ts
+++ b/packages/brain/src/__tests__/reservations.test.ts
@@ -2,6 +2,8 @@
 /** Slots that a guard keeps until the entry says go, and quick doubt. */
 
 import {describe, expect, it} from 'vitest';
+import {PAID_ELSEWHERE, RetryBudget} from '@lockpin/routing';
+import type {RetryAllowance} from '@lockpin/routing';
 import {seededRandom} from '@lockpin/utils';
 import type {Resource} from '@lockpin/types';
 import {GuardBrain} from '../guard/guardBrain.js';
@@ -20,12 +22,16 @@
     {
       ...DEFAULT_GUARD_SETTINGS,
       hasQuickDoubt: true,
-      limitsRetries: false,
+      createRetryBudget: () => this.createRetryBudget(),
       drainFinishesQueue: false,
     },
   );
 
-  constructor(slots = 1) {
+  constructor(
+    slots = 1,
+    private readonly createRetryBudget: () => RetryAllowance = () =>
+      PAID_ELSEWHERE,
+  ) {
     this.configure({slots});
   }
 
@@ -156,6 +162,52 @@
   });
 });
 
+describe('a retry', () => {
+  const noRetries = (): RetryAllowance => new RetryBudget(0);
+
+  it('is refused at once where no first attempts have paid for it', () => {
+    const world = new World(2, noRetries);
+    expect(reasonOf(world.offer('1', {attempt: 2}))).toEqual([
+      'retries-exhausted not-run',
+    ]);
+  });
+
+  it('is paid for by first attempts that were sent, not by offers', () => {
+    const world = new World(2, noRetries);
+    const paying = {retryShare: 0.5};
+    world.offer('1', paying);
+    world.offer('2', paying);
+    expect(reasonOf(world.offer('3', {attempt: 2, mayWait: false}))).toEqual([
+      'retries-exhausted not-run',
+    ]);
+    world.tell({kind: 'call-go', callId: '1'});
+    world.tell({kind: 'call-go', callId: '2'});
+    expect(world.offer('4', {attempt: 2})).toEqual([
+      {kind: 'queue', callId: '4'},
+    ]);
+  });
+
+  it('costs nothing unless it is sent, and is never sent unpaid', () => {
+    const world = new World(3, () => new RetryBudget(1));
+    world.offer('1', {attempt: 2});
+    world.offer('2', {attempt: 2});
+    world.offer('3', {attempt: 2});
+    world.tell({kind: 'call-cancelled', callId: '1'});
+    const sent = world.tell({kind: 'call-go', callId: '2'});
+    expect(sent).toEqual([{kind: 'run', callId: '2', upstream: UPSTREAM}]);
+    const unpaid = world.tell({kind: 'call-go', callId: '3'});
+    expect(reasonOf(unpaid)).toEqual(['retries-exhausted not-run']);
+  });
+
+  it('takes one more where a first attempt may be a repeat of its caller', () => {
+    const world = new World(3, () => new RetryBudget(1));
+    world.offer('1', {needsGo: false, mayBeRepeat: true});
+    expect(reasonOf(world.offer('2', {attempt: 2}))).toEqual([
+      'retries-exhausted not-run',
+    ]);
+  });
+});
+
 describe('a call that waits', () => {
   it('is refused at once when its upstream begins to drain', () => {
     const world = new World();
--- a/packages/brain/src/entry/entrySettings.ts
+++ b/packages/brain/src/entry/entrySettings.ts
@@ -81,6 +81,7 @@
   new Set<RefusalReason>([
     ...STANDING_REFUSALS,
     'upstream-busy',
+    'retries-exhausted',
     'upstream-doubted',
     'upstream-replaced',
     'upstream-unreachable',
--- a/packages/brain/src/guard/callCourse.ts
+++ b/packages/brain/src/guard/callCourse.ts
@@ -80,14 +80,23 @@
   }
 
   /** A call has its slot: it runs, or the slot is kept until the entry says go. */
-  run(now: number, known: KnownCall): GuardAction {
-    const {call, upstream} = known;
-    if (call.needsGo === true) {
+  run(now: number, known: KnownCall): readonly GuardAction[] {
+    if (known.call.needsGo === true) {
       known.reservedAt = now;
-      return {kind: 'reserve', callId: call.id};
+      return [{kind: 'reserve', callId: known.call.id}];
+    }
+    return this.send(now, known);
+  }
+
+  /** The call goes to its upstream, or gives its slot back where nothing pays. */
+  send(now: number, known: KnownCall): readonly GuardAction[] {
+    const {call, upstream} = known;
+    if (!upstream.send(now, call)) {
+      return this.releaseReservation(now, known, 'retries-exhausted');
     }
+    known.reservedAt = undefined;
     this.services.ledgerOf(call)?.started(call.onceKey ?? '');
-    return {kind: 'run', callId: call.id, upstream: upstream.name};
+    return [{kind: 'run', callId: call.id, upstream: upstream.name}];
   }
 
   /** What waits for an upstream that drains can go elsewhere at once. */
@@ -126,7 +135,7 @@
         return [];
       }
       known.upstream.start(now, known.call);
-      return [this.run(now, known)];
+      return this.run(now, known);
     });
     return [...started, ...expired];
   }
--- a/packages/brain/src/guard/guardBrain.ts
+++ b/packages/brain/src/guard/guardBrain.ts
@@ -121,13 +121,10 @@
     if (known?.reservedAt === undefined) {
       return [];
     }
-    const {call, upstream} = known;
-    if (upstream.isDraining && !this.settings.drainFinishesQueue) {
+    if (known.upstream.isDraining && !this.settings.drainFinishesQueue) {
       return this.course.releaseReservation(now, known, 'upstream-draining');
     }
-    known.reservedAt = undefined;
-    upstream.sent(now, call);
-    return [{kind: 'run', callId, upstream: upstream.name}];
+    return this.course.send(now, known);
   }
 
   private upstreamRefused(
--- a/packages/brain/src/guard/guardMessages.ts
+++ b/packages/brain/src/guard/guardMessages.ts
@@ -1,7 +1,8 @@
 // Copyright (c) 2026 the lockpin contributors. MIT licence, see LICENSE.
 /** What a guard is told, and what it decides. */
 
-import type {LoadHint} from '@lockpin/routing';
+import {RetryBudget} from '@lockpin/routing';
+import type {LoadHint, RetryAllowance} from '@lockpin/routing';
 import type {StoredAnswer} from '@lockpin/once';
 import type {GuardReport, HolderReply} from '@lockpin/floor';
 import type {Refusal, Repetition, Resource, Sensitivity} from '@lockpin/types';
@@ -23,6 +24,8 @@
   /** 1 for the first attempt. */
   readonly attempt: number;
   readonly retryShare: number;
+  /** A first attempt of a call that its caller may be making a second time. */
+  readonly mayBeRepeat?: boolean;
   readonly onceKey: string | undefined;
   /** Hash of method, path and body, by which a reused key is found out. */
   readonly requestDigest: string;
@@ -44,8 +47,8 @@
 export interface GuardSettings {
   /** Whether a few bad calls in a row keep ordinary work away for a moment. */
   readonly hasQuickDoubt: boolean;
-  /** Whether retries are limited here; false where entries alone do so. */
-  readonly limitsRetries: boolean;
+  /** Makes the budget that pays for the retries of a service's calls here. */
+  readonly createRetryBudget: (service: string) => RetryAllowance;
   /**
    * Whether calls that wait still run on an upstream that begins to drain;
    * false where its owner was promised that nothing more would come.
@@ -58,7 +61,7 @@
 /** Reservations end well after the slowest round trip between data centres. */
 export const DEFAULT_GUARD_SETTINGS: GuardSettings = {
   hasQuickDoubt: false,
-  limitsRetries: true,
+  createRetryBudget: () => new RetryBudget(),
   drainFinishesQueue: true,
   reservationMilliseconds: 250,
 };
--- a/packages/brain/src/guard/guardedServices.ts
+++ b/packages/brain/src/guard/guardedServices.ts
@@ -3,6 +3,7 @@
 
 import {OnceLedger} from '@lockpin/once';
 import type {OnceHome} from '@lockpin/once';
+import type {RetryAllowance} from '@lockpin/routing';
 import type {RandomSource} from '@lockpin/types';
 import type {
   GuardCall,
@@ -16,6 +17,8 @@
   guarded: GuardedService;
   /** Once keys live as long as the process, whatever the configuration does. */
   readonly ledger: OnceLedger;
+  /** Lives as long as the process too: it knows what was spent in its window. */
+  readonly retries: RetryAllowance;
   /** The highest fence known; no permit below it is taken. */
   fence: number;
 }
@@ -62,7 +65,8 @@
   configure(services: readonly GuardedService[]): void {
     const names = new Set<string>();
     for (const service of services) {
-      this.state(service).guarded = service;
+      const state = this.state(service);
+      state.guarded = service;
       for (const resource of service.upstreams) {
         const {name} = resource;
         const {sensitivity} = service;
@@ -74,7 +78,13 @@
           // What was learnt of another process says nothing of this one.
           this.guards.set(
             name,
-            new UpstreamGuard(name, resource, sensitivity, this.settings),
+            new UpstreamGuard(
+              name,
+              resource,
+              sensitivity,
+              this.settings,
+              state.retries,
+            ),
           );
         }
       }
@@ -112,7 +122,12 @@
     if (found !== undefined) {
       return found;
     }
-    const made = {guarded, ledger: new OnceLedger(this.home), fence: 0};
+    const made = {
+      guarded,
+      ledger: new OnceLedger(this.home),
+      retries: this.settings.createRetryBudget(guarded.name),
+      fence: 0,
+    };
     this.states.set(guarded.name, made);
     return made;
   }
--- a/packages/brain/src/guard/offeredCalls.ts
+++ b/packages/brain/src/guard/offeredCalls.ts
@@ -87,7 +87,7 @@
     }
     const known = this.course.add(call, upstream);
     if (offer.kind === 'start') {
-      return [this.course.run(now, known)];
+      return this.course.run(now, known);
     }
     const queued: GuardAction = {kind: 'queue', callId: call.id};
     return offer.displaced === undefined
--- a/packages/brain/src/guard/upstreamGuard.ts
+++ b/packages/brain/src/guard/upstreamGuard.ts
@@ -6,7 +6,7 @@
 import type {CallEvidenceKind} from '@lockpin/detection';
 import type {GuardReport, HolderReply} from '@lockpin/floor';
 import {TypicalDurations} from '@lockpin/routing';
-import type {LoadHint} from '@lockpin/routing';
+import type {LoadHint, RetryAllowance} from '@lockpin/routing';
 import type {
   RefusalReason,
   Resource,
@@ -52,6 +52,7 @@
     resource: Resource<'Upstream'>,
     sensitivity: Sensitivity,
     settings: GuardSettings,
+    private readonly retries: RetryAllowance,
   ) {
     this.spec = resource.spec;
     this.admission = new Admission(
@@ -60,11 +61,7 @@
     );
     this.doubt = new QuickDoubt(settings.hasQuickDoubt);
     this.standing = new UpstreamStanding(name, sensitivity);
-    this.refusals = new UpstreamRefusals(
-      this.doubt,
-      this.standing,
-      settings.limitsRetries,
-    );
+    this.refusals = new UpstreamRefusals(this.doubt, this.standing, retries);
   }
 
   get isDraining(): boolean {
@@ -142,19 +139,32 @@
     return offer;
   }
 
+  /** A call has its slot; it is not sent yet. */
   start(now: number, call: GuardCall): void {
-    const isSent = call.needsGo !== true;
-    this.running.set(call.id, {call, startedAt: now, isSent});
+    this.running.set(call.id, {call, startedAt: now, isSent: false});
     this.doubt.started(now);
-    if (isSent) {
-      this.doubt.sent(now, call.id, this.usual(now, call));
-    }
   }
 
-  /** The entry said go: the call is sent now. */
-  sent(now: number, call: GuardCall): void {
+  /** Sends a call that has its slot, unless it is a retry that nothing pays for. */
+  send(now: number, call: GuardCall): boolean {
+    if (!this.pay(now, call)) {
+      return false;
+    }
     this.running.set(call.id, {call, startedAt: now, isSent: true});
     this.doubt.sent(now, call.id, this.usual(now, call));
+    return true;
+  }
+
+  /** First attempts that reach the upstream pay for the retries that do. */
+  private pay(now: number, call: GuardCall): boolean {
+    if (call.attempt > 1) {
+      return this.retries.takeRetry(now);
+    }
+    this.retries.firstAttempt(now, call.retryShare);
+    if (call.mayBeRepeat === true) {
+      this.retries.repeatArrived(now);
+    }
+    return true;
   }
 
   /** Gives back a slot whose call was never sent. */
--- a/packages/brain/src/guard/upstreamRefusals.ts
+++ b/packages/brain/src/guard/upstreamRefusals.ts
@@ -1,7 +1,7 @@
 // Copyright (c) 2026 the lockpin contributors. MIT licence, see LICENSE.
 /** Why one upstream takes no call of a kind now. */
 
-import {RetryBudget} from '@lockpin/routing';
+import type {RetryAllowance} from '@lockpin/routing';
 import type {RefusalReason} from '@lockpin/types';
 import type {GuardCall} from './guardMessages.js';
 import type {QuickDoubt} from './quickDoubt.js';
@@ -18,12 +18,10 @@
 
 /** Refuses calls for what they are, before there is any question of a slot. */
 export class UpstreamRefusals {
-  private readonly retries = new RetryBudget();
-
   constructor(
     private readonly doubt: QuickDoubt,
     private readonly standing: UpstreamStanding,
-    private readonly limitsRetries: boolean,
+    private readonly retries: RetryAllowance,
   ) {}
 
   /** Why no call of this kind may come now; undefined when one may. */
@@ -44,7 +42,9 @@
     if (this.isEjectedFor(call, isIdle)) {
       return 'upstream-ejected';
     }
-    return this.limitsRetries ? this.retryRefusal(call) : undefined;
+    return call.attempt > 1 && !this.retries.hasRetry(now)
+      ? 'retries-exhausted'
+      : undefined;
   }
 
   private isDoubtedFor(now: number, call: GuardCall): boolean {
@@ -69,14 +69,6 @@
     const mayProbe = call.repetition === 'repeatable' && isIdle;
     return state === 'ejected' || (state === 'probation' && !mayProbe);
   }
-
-  private retryRefusal(call: GuardCall): RefusalReason | undefined {
-    if (call.attempt === 1) {
-      this.retries.firstAttempt(0, call.retryShare);
-      return undefined;
-    }
-    return this.retries.takeRetry() ? undefined : 'retries-exhausted';
-  }
 }
 
 /** A call that cannot be repeated had better not be the one to find out. */
--- a/packages/fleet/src/boxDirectory.ts
+++ b/packages/fleet/src/boxDirectory.ts
@@ -13,6 +13,7 @@
 export class BoxDirectory {
   private readonly records = new Map<string, BoxRecord>();
   private readonly byAddress = new Map<string, BoxRecord>();
+  private readonly counts = new Map<string, number>();
   private currentDigest = 0;
   private readonly upstreams = new Map<
     string,
@@ -51,6 +52,7 @@
     this.records.set(record.box, record);
     this.byAddress.set(record.peerAddress, record);
     this.addToDigest(stableHash(statementOf(record)));
+    this.addToCount(record.service, 1);
     this.upstreams.clear();
     return true;
   }
@@ -76,12 +78,22 @@
       this.byAddress.delete(record.peerAddress);
     }
     this.addToDigest(DIGEST_RANGE - stableHash(statementOf(record)));
+    this.addToCount(record.service, -1);
+  }
+
+  private addToCount(service: string, change: number): void {
+    this.counts.set(service, this.countOf(service) + change);
   }
 
   private addToDigest(hash: number): void {
     this.currentDigest = (this.currentDigest + hash) % DIGEST_RANGE;
   }
 
+  /** How many boxes are known to guard an upstream of a service. */
+  countOf(service: string): number {
+    return this.counts.get(service) ?? 0;
+  }
+
   /** The upstreams of a service; the same list until something changes. */
   upstreamsOf(
     service: string,
--- a/packages/node/src/__tests__/fleetEntrySettings.test.ts
+++ b/packages/node/src/__tests__/fleetRetryBudget.test.ts
@@ -1,20 +1,20 @@
 // Copyright (c) 2026 the lockpin contributors. MIT licence, see LICENSE.
-/** The retries of a fleet, over entries that start anew. */
+/** The retries of a fleet, over guards that start anew. */
 
 import {describe, expect, it} from 'vitest';
-import {fleetEntrySettings} from '../process/fleetEntrySettings.js';
+import {fleetRetryBudget} from '../process/fleetRetryBudget.js';
 
 const RETRIES = {ratio: 0.2, windowMilliseconds: 10_000, extra: 100};
 const STARTED = 50_000;
 
-/** Retries that an entry of a fleet of ten may make at a time, without calls. */
+/** Retries that one of ten guards of a service may pay for at a time, without calls. */
 function retriesAt(now: number, isFirstStart: boolean): number {
-  const budget = fleetEntrySettings({
+  const budget = fleetRetryBudget({
     startedAt: STARTED,
     isFirstStart,
     retries: () => RETRIES,
-    boxes: () => 10,
-  }).createBudget();
+    upstreams: () => 10,
+  });
   let count = 0;
   while (budget.takeRetry(now)) {
     count += 1;
@@ -22,7 +22,7 @@
   return count;
 }
 
-describe('the retries of an entry', () => {
+describe('the retries that a guard pays for', () => {
   it('are its part of the extra when the fleet starts for the first time', () => {
     expect(retriesAt(STARTED, true)).toBe(8);
   });
--- a/packages/node/src/__tests__/frames.test.ts
+++ b/packages/node/src/__tests__/frames.test.ts
@@ -19,6 +19,7 @@
   remaining: 4998,
   attempt: 1,
   retryShare: 0.1,
+  mayBeRepeat: false,
   onceKey: undefined,
   requestDigest: '',
   method: '',
--- a/packages/node/src/process/fleetEntrySettings.ts
+++ b/packages/node/src/process/fleetEntrySettings.ts
@@ -1,18 +1,9 @@
 // Copyright (c) 2026 the lockpin contributors. MIT licence, see LICENSE.
-/** How the entries of a declared fleet offer calls, and what pays for retries. */
+/** How the entries of a declared fleet offer calls. */
 
 import {UNSENT_REFUSALS} from '@lockpin/brain';
 import type {EntrySettings} from '@lockpin/brain';
-import {WindowedRetryBudget, chooseByScore} from '@lockpin/routing';
-import type {FleetRetryLimit} from './fleetPorts.js';
-
-/**
- * Part of the fleet's retries that its entries use. The rest covers the share of
- * calls that an entry which starts anew may spend a second time: it does not know
- * what its box has spent, and does without the extra alone for a window. Calls that
- * upstreams make for a repeat are counted, see mayBeRepeat, and need no margin.
- */
-const RETRY_SHARE = 0.85;
+import {PAID_ELSEWHERE, chooseByScore} from '@lockpin/routing';
 
 /**
  * Nearby, every upstream that a service has in a data centre of today, so that
@@ -45,46 +36,18 @@
   longestAvoidanceMilliseconds: 4000,
 } as const;
 
-/** What an entry has to know of its fleet. */
-export interface EntryFleet {
-  /** When this process started, by its clock. */
-  readonly startedAt: number;
-  /** No earlier process of this box can have spent retries. */
-  readonly isFirstStart: boolean;
-  /** May change while the process runs. */
-  readonly retries: () => FleetRetryLimit;
-  /** Boxes that are known now, which share the retries of the fleet. */
-  readonly boxes: () => number;
-}
-
 /** The settings of an entry whose guards reserve slots. */
-export function fleetEntrySettings(fleet: EntryFleet): EntrySettings {
-  return {
-    choose: chooseByScore,
-    subsetSizes: SUBSET_SIZES,
-    linkPatience: LINK_PATIENCE,
-    createBudget: () => createBudget(fleet),
-    firstTerms: 'immediate',
-    offersOnEachTerms: OFFERS_ON_EACH_TERMS,
-    silenceMilliseconds: SILENCE_MILLISECONDS,
-    pauseMilliseconds: PAUSE_MILLISECONDS,
-    heldShare: HELD_SHARE,
-    mostReroutes: MOST_REROUTES,
-    freeRefusals: UNSENT_REFUSALS,
-    replacesOverdue: true,
-  };
-}
-
-function createBudget(fleet: EntryFleet): WindowedRetryBudget {
-  return new WindowedRetryBudget((now) => {
-    const {ratio, windowMilliseconds, extra} = fleet.retries();
-    const mayHaveSpent =
-      !fleet.isFirstStart && now - fleet.startedAt < windowMilliseconds;
-    const ownExtra = extra / Math.max(1, fleet.boxes());
-    return {
-      ratio: ratio * RETRY_SHARE,
-      windowMilliseconds,
-      extra: mayHaveSpent ? 0 : ownExtra * RETRY_SHARE,
-    };
-  });
-}
+export const FLEET_ENTRY_SETTINGS: EntrySettings = {
+  choose: chooseByScore,
+  subsetSizes: SUBSET_SIZES,
+  linkPatience: LINK_PATIENCE,
+  createBudget: () => PAID_ELSEWHERE,
+  firstTerms: 'immediate',
+  offersOnEachTerms: OFFERS_ON_EACH_TERMS,
+  silenceMilliseconds: SILENCE_MILLISECONDS,
+  pauseMilliseconds: PAUSE_MILLISECONDS,
+  heldShare: HELD_SHARE,
+  mostReroutes: MOST_REROUTES,
+  freeRefusals: UNSENT_REFUSALS,
+  replacesOverdue: true,
+};
--- a/packages/node/src/process/fleetHost.ts
+++ b/packages/node/src/process/fleetHost.ts
@@ -21,8 +21,9 @@
 import type {LoadHint} from '@lockpin/routing';
 import type {Clock, RandomSource, Resource} from '@lockpin/types';
 import type {DecisionLog} from './decisionLog.js';
-import {fleetEntrySettings} from './fleetEntrySettings.js';
+import {FLEET_ENTRY_SETTINGS} from './fleetEntrySettings.js';
 import type {FleetNodeSettings} from './fleetPorts.js';
+import {fleetRetryBudget} from './fleetRetryBudget.js';
 import type {PeerPlace} from './peerTraffic.js';
 
 /** While calls are under way the guard ticks more often by itself. */
@@ -72,12 +73,19 @@
       {box, dataCentre, peerAddress},
       readConfiguration,
     );
+    const startedAt = environment.clock();
     this.guard = new GuardBrain(
       {box, incarnation},
       {
         ...DEFAULT_GUARD_SETTINGS,
         hasQuickDoubt: true,
-        limitsRetries: false,
+        createRetryBudget: (service) =>
+          fleetRetryBudget({
+            startedAt,
+            isFirstStart: currentSettings.isFirstStart,
+            retries: () => this.currentSettings.retries,
+            upstreams: () => this.fleet.directory.countOf(service),
+          }),
         drainFinishesQueue: false,
       },
     );
@@ -85,12 +93,7 @@
       box,
       dataCentre,
       {isUsable: () => true, incarnation: () => undefined},
-      fleetEntrySettings({
-        startedAt: environment.clock(),
-        isFirstStart: currentSettings.isFirstStart,
-        retries: () => this.currentSettings.retries,
-        boxes: () => this.fleet.directory.size,
-      }),
+      FLEET_ENTRY_SETTINGS,
     );
   }
 
--- a/packages/node/src/request/callerExchange.ts
+++ b/packages/node/src/request/callerExchange.ts
@@ -128,6 +128,7 @@
       remaining: Math.max(0, Math.floor(attempt.call.deadline - now)),
       attempt: attempt.number,
       retryShare: route.spec.retryShare,
+      mayBeRepeat: attempt.call.mayBeRepeat === true,
       onceKey: onceKey?.text,
       requestDigest: this.requestDigest,
       method: this.request.method ?? 'GET',
--- a/packages/node/src/request/frameRows.ts
+++ b/packages/node/src/request/frameRows.ts
@@ -35,6 +35,7 @@
   'remaining',
   'attempt',
   'retryShare',
+  'mayBeRepeat',
   'onceKey',
   'requestDigest',
   'method',
--- a/packages/node/src/request/frames.ts
+++ b/packages/node/src/request/frames.ts
@@ -36,6 +36,8 @@
   readonly remaining: number;
   readonly attempt: number;
   readonly retryShare: number;
+  /** A first attempt of a call that its caller may be making a second time. */
+  readonly mayBeRepeat: boolean;
   readonly onceKey: string | undefined;
   readonly requestDigest: string;
   readonly method: string;
--- a/packages/node/src/request/guardExchange.ts
+++ b/packages/node/src/request/guardExchange.ts
@@ -57,6 +57,7 @@
     deadline,
     attempt: head.attempt,
     retryShare: head.retryShare,
+    mayBeRepeat: head.mayBeRepeat,
     onceKey: head.onceKey,
     requestDigest: head.requestDigest,
     usefulUntil: usefulFor === undefined ? undefined : now + usefulFor,
--- a/packages/routing/src/retryBudget.ts
+++ b/packages/routing/src/retryBudget.ts
@@ -10,6 +10,8 @@
   readonly firstAttempt: (now: number, share: number) => void;
   /** A call arrived that is a repeat already, though not one of this entry. */
   readonly repeatArrived: (now: number) => void;
+  /** Whether a retry could be taken now. */
+  readonly hasRetry: (now: number) => boolean;
   /** Takes one retry, or says that there is none. */
   readonly takeRetry: (now: number) => boolean;
 }
@@ -33,12 +35,24 @@
     this.saved = Math.max(0, this.saved - 1);
   }
 
+  hasRetry(): boolean {
+    return this.saved >= 1;
+  }
+
   /** Takes one retry out, or says that there is none. */
   takeRetry(): boolean {
-    if (this.saved < 1) {
+    if (!this.hasRetry()) {
       return false;
     }
     this.saved -= 1;
     return true;
   }
 }
+
+/** For an entry whose guards pay for retries: it takes whatever they let it. */
+export const PAID_ELSEWHERE: RetryAllowance = {
+  firstAttempt: () => undefined,
+  repeatArrived: () => undefined,
+  hasRetry: () => true,
+  takeRetry: () => true,
+};
--- a/packages/routing/src/windowedRetryBudget.ts
+++ b/packages/routing/src/windowedRetryBudget.ts
@@ -38,13 +38,17 @@
     this.retries.push(now);
   }
 
-  takeRetry(now: number): boolean {
+  hasRetry(now: number): boolean {
     const {ratio, windowMilliseconds, extra} = this.settings(now);
     const since = now - windowMilliseconds;
     this.calls = after(this.calls, since);
     this.retries = after(this.retries, since);
     const limit = this.calls.length * ratio + extra;
-    if (this.retries.length + 1 > limit) {
+    return this.retries.length + 1 <= limit;
+  }
+
+  takeRetry(now: number): boolean {
+    if (!this.hasRetry(now)) {
       return false;
     }
     this.retries.push(now);
