Waits are judged by the kind of call; mechanisms can be switched off one by one

Cause: the wait at a guard went by one average over all kinds of calls, which calls that hung for seconds drove up, so that look-ups of 110 ms were refused beside free room; slots held by calls that may never end counted as coming free. Change: each call brings how long its kind takes there; stuck slots do not count; only calls that ended well make the average. LOCKPIN_SWITCHED_OFF names mechanisms to do without, for ablation.

--- a/packages/admission/src/__tests__/admission.test.ts
+++ b/packages/admission/src/__tests__/admission.test.ts
@@ -19,6 +19,35 @@
   };
 }
 
+describe('the wait for a slot', () => {
+  it('is judged by how long calls of the same kind take', () => {
+    const admission = new Admission(1, false);
+    admission.offer(0, waiting('long'));
+    admission.finish(500, 'long', 2000);
+    admission.offer(500, waiting('running', {expectedMilliseconds: 400}));
+    const useful = {deadline: 5000, usefulUntil: 900};
+    const short = waiting('short', {...useful, expectedMilliseconds: 100});
+    expect(admission.offer(500, short).kind).toBe('queued');
+    const long = waiting('long too', {...useful, expectedMilliseconds: 390});
+    expect(admission.offer(500, long)).toMatchObject({
+      reason: 'deadline-too-short',
+    });
+  });
+
+  it('is not for a slot whose call may never end', () => {
+    const admission = new Admission(2, false);
+    const kind = {expectedMilliseconds: 100};
+    admission.offer(0, waiting('1', kind));
+    admission.offer(0, waiting('2', kind));
+    expect(admission.offer(300, waiting('3', kind)).kind).toBe('queued');
+    expect(admission.offer(401, waiting('4', kind))).toMatchObject({
+      kind: 'refused',
+      reason: 'deadline-too-short',
+      retryAfterMilliseconds: 500,
+    });
+  });
+});
+
 describe('Admission', () => {
   it('never runs more than the slots and starts every call at most once', () => {
     const step = fc.record({
--- a/packages/admission/src/admission.ts
+++ b/packages/admission/src/admission.ts
@@ -30,10 +30,24 @@
 
 const FIRST_DURATION_MILLISECONDS = 10;
 
+/**
+ * A call that has taken this many times what was expected may never end, and nobody
+ * should wait for its slot: one in twenty-five of a healthy upstream takes so long.
+ */
+const STUCK_FACTOR = 4;
+
+/** When to ask again after an upstream of which no slot is expected to be freed. */
+const STUCK_RETRY_MILLISECONDS = 500;
+
+interface RunningEntry {
+  readonly call: WaitingCall;
+  readonly startedAt: number;
+}
+
 /** The guard's gate before one upstream. */
 export class Admission {
   private readonly queue = new FairQueue();
-  private readonly running = new Map<string, WaitingCall>();
+  private readonly running = new Map<string, RunningEntry>();
   private readonly limit: AdaptiveLimit;
   private duration = FIRST_DURATION_MILLISECONDS;
 
@@ -72,11 +86,11 @@
     if (this.running.size < this.limit.current && this.queue.size === 0) {
       return this.startOrRefuse(now, call);
     }
-    const wait = this.expectedWait(call);
+    const wait = this.expectedWait(now, call);
     if (call.mayWait === false) {
       return refused('upstream-busy', wait);
     }
-    if (isTooLateFor(call, now + wait, this.duration)) {
+    if (isTooLateFor(call, now + wait, this.expectedOf(call))) {
       return refused('deadline-too-short', wait);
     }
     if (this.isOverShare(call)) {
@@ -90,7 +104,7 @@
     return {kind: 'queued', displaced};
   }
 
-  /** A running call ended; says which calls run next. */
+  /** A running call ended, after how long if that says something; says what runs next. */
   finish(now: number, id: string, milliseconds: number | undefined): Freed {
     this.running.delete(id);
     if (milliseconds !== undefined) {
@@ -111,7 +125,7 @@
 
   /** Takes out what waits in vain, and starts what can start. */
   review(now: number): Freed {
-    const late = this.queue.overdue(now, this.duration);
+    const late = this.queue.overdue(now, (call) => this.expectedOf(call));
     late.forEach(({id}) => this.queue.remove(id));
     const freed = this.fill(now);
     return {started: freed.started, expired: [...late, ...freed.expired]};
@@ -142,7 +156,7 @@
     if (now >= call.deadline) {
       return refused('deadline-too-short', 0);
     }
-    this.running.set(call.id, call);
+    this.running.set(call.id, {call, startedAt: now});
     return {kind: 'start'};
   }
 
@@ -154,21 +168,36 @@
       if (call === undefined) {
         break;
       }
-      if (isTooLateFor(call, now, this.duration)) {
+      if (isTooLateFor(call, now, this.expectedOf(call))) {
         expired.push(call);
         continue;
       }
-      this.running.set(call.id, call);
+      this.running.set(call.id, {call, startedAt: now});
       started.push(call);
     }
     return {started, expired};
   }
 
-  private expectedWait(call: WaitingCall): number {
-    const rounds = (this.queue.aheadOf(call) + 1) / this.limit.current;
+  private expectedOf({expectedMilliseconds}: WaitingCall): number {
+    return expectedMilliseconds ?? this.duration;
+  }
+
+  /** Infinite where calls hold all slots that may never end. */
+  private expectedWait(now: number, call: WaitingCall): number {
+    const rounds = (this.queue.aheadOf(call) + 1) / this.movingSlots(now);
     return rounds * this.duration;
   }
 
+  /** Slots that are free or expected to come free. */
+  private movingSlots(now: number): number {
+    const entries = [...this.running.values()];
+    const stuck = entries.filter(
+      ({call, startedAt}) =>
+        now - startedAt > STUCK_FACTOR * this.expectedOf(call),
+    );
+    return Math.max(0, this.limit.current - stuck.length);
+  }
+
   /** Under contention, no customer may fill more than its part of the queue. */
   private isOverShare(call: WaitingCall): boolean {
     const customers = this.queue.waitingCustomers();
@@ -200,5 +229,6 @@
 }
 
 function refused(reason: RefusalReason, wait: number): Offer {
-  return {kind: 'refused', reason, retryAfterMilliseconds: Math.ceil(wait)};
+  const after = Number.isFinite(wait) ? wait : STUCK_RETRY_MILLISECONDS;
+  return {kind: 'refused', reason, retryAfterMilliseconds: Math.ceil(after)};
 }
--- a/packages/admission/src/fairQueue.ts
+++ b/packages/admission/src/fairQueue.ts
@@ -18,6 +18,8 @@
   readonly usefulUntil?: number;
   /** It is refused rather than started later than this; no limit when absent. */
   readonly startBy?: number;
+  /** How long it is expected to take; what calls here take when absent. */
+  readonly expectedMilliseconds?: number;
   /** False when the call goes elsewhere rather than wait; true when absent. */
   readonly mayWait?: boolean;
 }
@@ -183,10 +185,11 @@
   }
 
   /** Calls whose answer would come too late even if they ran now. */
-  overdue(now: number, neededMilliseconds: number): readonly WaitingCall[] {
-    return [...this.byId.values()].filter((call) =>
-      isTooLateFor(call, now, neededMilliseconds),
-    );
+  overdue(
+    now: number,
+    needed: (call: WaitingCall) => number,
+  ): readonly WaitingCall[] {
+    return this.all().filter((call) => isTooLateFor(call, now, needed(call)));
   }
 
   private level(priority: number): PriorityLevel {
--- a/packages/brain/src/entry/upstreamChooser.ts
+++ b/packages/brain/src/entry/upstreamChooser.ts
@@ -105,7 +105,9 @@
         if (this.open(now, state).length === 0) {
           return 'last-resort';
         }
-        return state.isShortOfTime ? 'may-be-late' : undefined;
+        return this.context.settings.offersLate && state.isShortOfTime
+          ? 'may-be-late'
+          : undefined;
       case 'may-be-late':
       case 'last-resort':
         return undefined;
@@ -127,9 +129,12 @@
     candidates: readonly RoutingCandidate[],
   ): RoutingCandidate | undefined {
     const {box, dataCentre, loads, crowding, settings} = this.context;
+    const isSpread =
+      settings.spreadsWhenCrowded && crowding.isCrowded(call.view.name);
     const prefersFew =
+      settings.sharesOrder &&
       call.route?.spec.repetition === 'at-most-once' &&
-      !crowding.isCrowded(call.view.name);
+      !isSpread;
     return settings.choose(
       {now, random, dataCentre, box, loads, prefersFew, mayProbe},
       candidates,
--- a/packages/brain/src/guard/callCourse.ts
+++ b/packages/brain/src/guard/callCourse.ts
@@ -164,9 +164,10 @@
     wasDoubted: boolean,
   ): readonly GuardAction[] {
     const hasBegun = !wasDoubted && upstream.isDoubted(now);
-    const leaving = hasBegun
-      ? upstream.waiting().filter(({id}) => !this.mayRunDoubted(id))
-      : [];
+    const leaving =
+      hasBegun && this.settings.doubtReleasesQueue
+        ? upstream.waiting().filter(({id}) => !this.mayRunDoubted(id))
+        : [];
     const refusals = leaving.flatMap(({id}) => {
       upstream.withdraw(id);
       return this.refuseWaiting(now, id, 'upstream-doubted');
--- a/packages/brain/src/guard/guardMessages.ts
+++ b/packages/brain/src/guard/guardMessages.ts
@@ -47,6 +47,14 @@
 export interface GuardSettings {
   /** Whether a few bad calls in a row keep ordinary work away for a moment. */
   readonly hasQuickDoubt: boolean;
+  /** Whether calls that have not ended are evidence for it. */
+  readonly hasHangEvidence: boolean;
+  /** Whether little of that evidence keeps calls away that cannot be repeated. */
+  readonly isCautious: boolean;
+  /** Whether calls that wait for an upstream go elsewhere when doubt begins. */
+  readonly doubtReleasesQueue: boolean;
+  /** Whether a suspect upstream announces a part of its slots only. */
+  readonly limitsSuspects: boolean;
   /** Makes the budget that pays for the retries of a service's calls here. */
   readonly createRetryBudget: (service: string) => RetryAllowance;
   /**
@@ -61,6 +69,10 @@
 /** Reservations end well after the slowest round trip between data centres. */
 export const DEFAULT_GUARD_SETTINGS: GuardSettings = {
   hasQuickDoubt: false,
+  hasHangEvidence: true,
+  isCautious: true,
+  doubtReleasesQueue: true,
+  limitsSuspects: true,
   createRetryBudget: () => new RetryBudget(),
   drainFinishesQueue: true,
   reservationMilliseconds: 250,
--- a/packages/brain/src/guard/quickDoubt.ts
+++ b/packages/brain/src/guard/quickDoubt.ts
@@ -3,6 +3,7 @@
 
 import {Doubt, HangEvidence} from '@lockpin/detection';
 import type {CallEvidenceKind} from '@lockpin/detection';
+import type {GuardSettings} from './guardMessages.js';
 
 /** Entries ask again this soon after an upstream that has to answer a call first. */
 const UNCERTAIN_MILLISECONDS = 200;
@@ -17,6 +18,12 @@
 /** Strength from which the upstream is doubted: thirty times as likely. */
 const DOUBTED_AT = 3.5;
 
+/** What of it is on. */
+export type QuickDoubtSettings = Pick<
+  GuardSettings,
+  'hasQuickDoubt' | 'hasHangEvidence' | 'isCautious'
+>;
+
 /** Counts each call's evidence once; doubts nothing where it is off. */
 export class QuickDoubt {
   private readonly doubt = new Doubt();
@@ -24,7 +31,11 @@
   /** Calls that were taken as evidence of hanging before they ended. */
   private readonly counted = new Set<string>();
 
-  constructor(private readonly isOn: boolean) {}
+  constructor(private readonly settings: QuickDoubtSettings) {}
+
+  private get isOn(): boolean {
+    return this.settings.hasQuickDoubt;
+  }
 
   /** The upstream failed too often to be offered calls at large. */
   isDoubted(now: number): boolean {
@@ -35,7 +46,9 @@
   isUncertain(now: number): boolean {
     return (
       this.isOn &&
-      (!this.doubt.isProven || this.evidence.strength(now) >= CAUTIOUS_AT)
+      (!this.doubt.isProven ||
+        (this.settings.isCautious &&
+          this.evidence.strength(now) >= CAUTIOUS_AT))
     );
   }
 
@@ -65,7 +78,7 @@
 
   /** A call goes to the upstream; it usually takes so many milliseconds. */
   sent(now: number, callId: string, usual: number | undefined): void {
-    if (this.isOn) {
+    if (this.isOn && this.settings.hasHangEvidence) {
       this.evidence.started(now, callId, usual);
     }
   }
--- a/packages/brain/src/guard/upstreamGuard.ts
+++ b/packages/brain/src/guard/upstreamGuard.ts
@@ -51,7 +51,7 @@
     readonly name: string,
     resource: Resource<'Upstream'>,
     sensitivity: Sensitivity,
-    settings: GuardSettings,
+    private readonly settings: GuardSettings,
     private readonly retries: RetryAllowance,
   ) {
     this.spec = resource.spec;
@@ -59,7 +59,7 @@
       resource.spec.slots,
       !settings.hasQuickDoubt,
     );
-    this.doubt = new QuickDoubt(settings.hasQuickDoubt);
+    this.doubt = new QuickDoubt(settings);
     this.standing = new UpstreamStanding(name, sensitivity);
     this.refusals = new UpstreamRefusals(this.doubt, this.standing, retries);
   }
@@ -104,7 +104,8 @@
   }
 
   hint(now: number): LoadHint {
-    const limit = this.standing.isSuspect
+    const isLimited = this.settings.limitsSuspects && this.standing.isSuspect;
+    const limit = isLimited
       ? Math.max(1, this.admission.currentLimit * SUSPECT_LIMIT_SHARE)
       : this.admission.currentLimit;
     const state = this.announcedState(now);
@@ -132,7 +133,10 @@
   }
 
   offer(now: number, call: GuardCall): Offer {
-    const offer = this.admission.offer(now, waitingCall(call));
+    const offer = this.admission.offer(
+      now,
+      waitingCall(call, this.usual(now, call)),
+    );
     if (offer.kind === 'start') {
       this.start(now, call);
     }
@@ -318,7 +322,8 @@
     if (change?.change === 'returned') {
       this.admission.cool();
     }
-    const milliseconds = now - running.startedAt;
+    // How long a failure took says nothing of how long slots are held.
+    const milliseconds = failed ? undefined : now - running.startedAt;
     const freed = this.admission.finish(now, callId, milliseconds);
     return {freed, change};
   }
--- a/packages/brain/src/guard/waitingCall.ts
+++ b/packages/brain/src/guard/waitingCall.ts
@@ -5,7 +5,10 @@
 import type {GuardCall} from './guardMessages.js';
 
 /** Leaves out what has no bearing on when a call has its slot. */
-export function waitingCall(call: GuardCall): WaitingCall {
+export function waitingCall(
+  call: GuardCall,
+  expectedMilliseconds: number | undefined,
+): WaitingCall {
   const {id, customer, weight, priority, mayWait} = call;
   const {deadline, usefulUntil, startBy} = call;
   return {
@@ -17,5 +20,6 @@
     usefulUntil,
     startBy,
     mayWait,
+    expectedMilliseconds,
   };
 }
--- a/packages/node/src/index.ts
+++ b/packages/node/src/index.ts
@@ -6,6 +6,7 @@
 export * from './process/fleetComposition.js';
 export * from './process/fleetHost.js';
 export * from './process/fleetPorts.js';
+export * from './process/mechanisms.js';
 export * from './process/nodeEnvironment.js';
 export * from './process/nodeHost.js';
 export * from './process/runFleetNode.js';
--- a/packages/node/src/process/fleetEntrySettings.ts
+++ b/packages/node/src/process/fleetEntrySettings.ts
@@ -3,7 +3,12 @@
 
 import {UNSENT_REFUSALS} from '@lockpin/brain';
 import type {EntrySettings} from '@lockpin/brain';
-import {PAID_ELSEWHERE, chooseByScore} from '@lockpin/routing';
+import {
+  PAID_ELSEWHERE,
+  chooseByScore,
+  chooseByScoreWith,
+} from '@lockpin/routing';
+import type {MechanismSwitch} from './mechanisms.js';
 
 /**
  * Nearby, every upstream that a service has in a data centre of today, so that
@@ -36,18 +41,25 @@
   longestAvoidanceMilliseconds: 4000,
 } as const;
 
-/** The settings of an entry whose guards reserve slots. */
-export const FLEET_ENTRY_SETTINGS: EntrySettings = {
-  choose: chooseByScore,
-  subsetSizes: SUBSET_SIZES,
-  linkPatience: LINK_PATIENCE,
-  createBudget: () => PAID_ELSEWHERE,
-  firstTerms: 'immediate',
-  offersOnEachTerms: OFFERS_ON_EACH_TERMS,
-  silenceMilliseconds: SILENCE_MILLISECONDS,
-  pauseMilliseconds: PAUSE_MILLISECONDS,
-  heldShare: HELD_SHARE,
-  mostReroutes: MOST_REROUTES,
-  freeRefusals: UNSENT_REFUSALS,
-  replacesOverdue: true,
-};
+/** The settings of an entry whose guards reserve slots and pay for retries. */
+export function fleetEntrySettings(isOn: MechanismSwitch): EntrySettings {
+  return {
+    choose: isOn('near-first')
+      ? chooseByScore
+      : chooseByScoreWith({otherDataCentre: 0}),
+    subsetSizes: SUBSET_SIZES,
+    linkPatience: LINK_PATIENCE,
+    createBudget: () => PAID_ELSEWHERE,
+    firstTerms: 'immediate',
+    offersOnEachTerms: OFFERS_ON_EACH_TERMS,
+    silenceMilliseconds: SILENCE_MILLISECONDS,
+    pauseMilliseconds: isOn('holding') ? PAUSE_MILLISECONDS : 0,
+    heldShare: HELD_SHARE,
+    mostReroutes: MOST_REROUTES,
+    freeRefusals: UNSENT_REFUSALS,
+    replacesOverdue: isOn('overdue-replacement'),
+    sharesOrder: isOn('shared-order'),
+    spreadsWhenCrowded: isOn('crowding-spread'),
+    offersLate: isOn('late-offers'),
+  };
+}
--- a/packages/node/src/process/fleetHost.ts
+++ b/packages/node/src/process/fleetHost.ts
@@ -1,7 +1,7 @@
 // Copyright (c) 2026 the lockpin contributors. MIT licence, see LICENSE.
 /** Drives the brains of a node in a declared fleet. */
 
-import {DEFAULT_GUARD_SETTINGS, EntryBrain, GuardBrain} from '@lockpin/brain';
+import {EntryBrain, GuardBrain} from '@lockpin/brain';
 import type {GuardAction, GuardEvent} from '@lockpin/brain';
 import {FleetBrain, FleetRouting, upstreamName} from '@lockpin/fleet';
 import type {
@@ -21,9 +21,11 @@
 import type {LoadHint} from '@lockpin/routing';
 import type {Clock, RandomSource, Resource} from '@lockpin/types';
 import type {DecisionLog} from './decisionLog.js';
-import {FLEET_ENTRY_SETTINGS} from './fleetEntrySettings.js';
+import {fleetEntrySettings} from './fleetEntrySettings.js';
+import {fleetGuardSettings} from './fleetGuardSettings.js';
 import type {FleetNodeSettings} from './fleetPorts.js';
 import {fleetRetryBudget} from './fleetRetryBudget.js';
+import {mechanismSwitch} from './mechanisms.js';
 import type {PeerPlace} from './peerTraffic.js';
 
 /** While calls are under way the guard ticks more often by itself. */
@@ -73,27 +75,24 @@
       {box, dataCentre, peerAddress},
       readConfiguration,
     );
+    const isOn = mechanismSwitch(currentSettings.switchedOff);
     const startedAt = environment.clock();
     this.guard = new GuardBrain(
       {box, incarnation},
-      {
-        ...DEFAULT_GUARD_SETTINGS,
-        hasQuickDoubt: true,
-        createRetryBudget: (service) =>
-          fleetRetryBudget({
-            startedAt,
-            isFirstStart: currentSettings.isFirstStart,
-            retries: () => this.currentSettings.retries,
-            upstreams: () => this.fleet.directory.countOf(service),
-          }),
-        drainFinishesQueue: false,
-      },
+      fleetGuardSettings(isOn, (service) =>
+        fleetRetryBudget({
+          startedAt,
+          isFirstStart: currentSettings.isFirstStart,
+          retries: () => this.currentSettings.retries,
+          upstreams: () => this.fleet.directory.countOf(service),
+        }),
+      ),
     );
     this.entry = new EntryBrain(
       box,
       dataCentre,
       {isUsable: () => true, incarnation: () => undefined},
-      FLEET_ENTRY_SETTINGS,
+      fleetEntrySettings(isOn),
     );
   }
 
--- a/packages/node/src/process/fleetPorts.ts
+++ b/packages/node/src/process/fleetPorts.ts
@@ -8,6 +8,7 @@
 } from '@lockpin/fleet';
 import type {CallerProtocol} from '../request/callerProtocol.js';
 import type {UpstreamProtocol} from '../request/upstreamProtocol.js';
+import type {Mechanism} from './mechanisms.js';
 
 /** How many retries the whole fleet may make for a service. */
 export interface FleetRetryLimit {
@@ -36,6 +37,8 @@
   readonly retries: FleetRetryLimit;
   /** The fleet starts for the first time; false for every later process. */
   readonly isFirstStart: boolean;
+  /** Mechanisms that are off, to measure what they are worth; none as a rule. */
+  readonly switchedOff: readonly Mechanism[];
 }
 
 /** What the caller's side may ask of the fleet. */
--- a/packages/routing/src/chooseByScore.ts
+++ b/packages/routing/src/chooseByScore.ts
@@ -2,13 +2,26 @@
 /** Chooses the upstream that is expected to start a call first. */
 
 import {stableHash} from '@lockpin/utils';
-import type {RoutingCandidate, RoutingContext} from './chooseUpstream.js';
+import type {
+  ChooseUpstream,
+  RoutingCandidate,
+  RoutingContext,
+} from './chooseUpstream.js';
+
+/** Costs by what an upstream is like. */
+export interface CandidateCosts {
+  readonly otherDataCentre: number;
+  readonly otherBox: number;
+  readonly cold: number;
+  readonly avoided: number;
+  readonly lastInOrder: number;
+}
 
 /**
  * What makes an upstream less attractive, in units of its occupation (1 is all
  * slots taken). The figures order the alternatives rather than measure them.
  */
-const COST = {
+const COST: CandidateCosts = {
   /**
    * Another data centre: bytes that are paid for. A little less than all slots, so that a
    * call goes there only when none near by has room for it.
@@ -22,7 +35,7 @@
   avoided: 10,
   /** The last in the order in which all entries fill upstreams. */
   lastInOrder: 0.6,
-} as const;
+};
 
 /** Above this occupation an upstream is near its limit, and gets slower. */
 const COMFORTABLE_OCCUPATION = 0.7;
@@ -31,14 +44,26 @@
 const NOISE = 0.2;
 
 /** Takes the candidate with the lowest cost. */
-export function chooseByScore<T extends RoutingCandidate>(
+export const chooseByScore: ChooseUpstream = (context, candidates) =>
+  cheapest(COST, context, candidates);
+
+/** The same with some costs of its own. */
+export function chooseByScoreWith(
+  costs: Partial<CandidateCosts>,
+): ChooseUpstream {
+  const all = {...COST, ...costs};
+  return (context, candidates) => cheapest(all, context, candidates);
+}
+
+function cheapest<T extends RoutingCandidate>(
+  costs: CandidateCosts,
   context: RoutingContext,
   candidates: readonly T[],
 ): T | undefined {
   let best: T | undefined;
   let lowest = Number.POSITIVE_INFINITY;
   for (const candidate of candidates) {
-    const cost = costOf(context, candidate) + NOISE * context.random();
+    const cost = costOf(costs, context, candidate) + NOISE * context.random();
     if (cost < lowest) {
       lowest = cost;
       best = candidate;
@@ -47,16 +72,20 @@
   return best;
 }
 
-function costOf(context: RoutingContext, candidate: RoutingCandidate): number {
+function costOf(
+  costs: CandidateCosts,
+  context: RoutingContext,
+  candidate: RoutingCandidate,
+): number {
   const {loads, now} = context;
   const {name, slots, dataCentre, box, coldUntil} = candidate;
   let cost = context.prefersFew
-    ? costInOrder(loads.occupation(name, slots, now), name)
+    ? costInOrder(costs, loads.occupation(name, slots, now), name)
     : loads.occupation(name, slots, now);
-  cost += dataCentre === context.dataCentre ? 0 : COST.otherDataCentre;
-  cost += box === context.box ? 0 : COST.otherBox;
-  cost += now < coldUntil ? COST.cold : 0;
-  cost += loads.isAvoided(name, now, context.mayProbe) ? COST.avoided : 0;
+  cost += dataCentre === context.dataCentre ? 0 : costs.otherDataCentre;
+  cost += box === context.box ? 0 : costs.otherBox;
+  cost += now < coldUntil ? costs.cold : 0;
+  cost += loads.isAvoided(name, now, context.mayProbe) ? costs.avoided : 0;
   return cost;
 }
 
@@ -64,10 +93,14 @@
  * Fills upstreams one after the other, in an order that all entries share, and
  * each only as far as it is comfortable.
  */
-function costInOrder(occupation: number, name: string): number {
+function costInOrder(
+  costs: CandidateCosts,
+  occupation: number,
+  name: string,
+): number {
   const place = stableHash(name) / LARGEST_HASH;
   const isCrowded = occupation > COMFORTABLE_OCCUPATION;
-  return place * COST.lastInOrder + (isCrowded ? occupation : 0);
+  return place * costs.lastInOrder + (isCrowded ? occupation : 0);
 }
 
 /** Hashes are whole numbers of 48 bits. */
--- a/packages/routing/src/retryBudget.ts
+++ b/packages/routing/src/retryBudget.ts
@@ -56,3 +56,11 @@
   hasRetry: () => true,
   takeRetry: () => true,
 };
+
+/** Pays for nothing. */
+export const NO_RETRIES: RetryAllowance = {
+  firstAttempt: () => undefined,
+  repeatArrived: () => undefined,
+  hasRetry: () => false,
+  takeRetry: () => false,
+};
