Calls ask again by the waits they were told; lateness counts only without crowding

Cause: a call that found no slot asked again after 30, 60, 120 ms and so on, up to seven rounds of nine offers, though guards told waits of many hundred ms. Change: the pause is at least half of the shortest wait that was told; a call that no slot is expected for while it is held is refused at once. Hang evidence is set aside while the entry of the box is crowded. Parts of UpstreamGuard have files of their own.

--- a/packages/brain/src/__tests__/overdueCalls.test.ts
+++ b/packages/brain/src/__tests__/overdueCalls.test.ts
@@ -143,11 +143,12 @@
     upstream: string,
     reason: Refusal['reason'],
     outcome: Refusal['outcome'] = 'not-run',
+    retryAfterMilliseconds = 0,
   ): readonly EntryAction[] {
     return this.tell({
       kind: 'attempt-refused',
       callId: '1',
-      refusal: {reason, outcome, retryAfterMilliseconds: 0},
+      refusal: {reason, outcome, retryAfterMilliseconds},
       upstream,
       hint: undefined,
     });
@@ -288,6 +289,28 @@
     ]);
   });
 
+  /** What follows once both have told how long a slot takes. */
+  function afterWaits(first: number, second: number): readonly EntryAction[] {
+    const world = new World(['a', 'b']);
+    let actions = world.arrive('at-most-once');
+    while (kinds(actions).includes('attempt')) {
+      const name = upstreamOf(actions);
+      const wait = name === 's/a' ? first : second;
+      actions = world.refuse(name, 'upstream-busy', 'not-run', wait);
+    }
+    return actions;
+  }
+
+  it('are asked again after half of the shorter wait that they told of', () => {
+    const [action] = afterWaits(900, 400);
+    expect(action).toMatchObject({kind: 'pause', milliseconds: 200});
+  });
+
+  it('are given up on at once where no slot is expected while the call is held', () => {
+    const actions = afterWaits(3000, 2000);
+    expect(refusalOf(actions)).toBe('upstream-busy not-run');
+  });
+
   it('are asked to take the call though it will be late, when none can in time', () => {
     const world = new World(['a']);
     const terms: string[] = [];
--- a/packages/brain/src/__tests__/reservations.test.ts
+++ b/packages/brain/src/__tests__/reservations.test.ts
@@ -23,6 +23,7 @@
       ...DEFAULT_GUARD_SETTINGS,
       hasQuickDoubt: true,
       createRetryBudget: () => this.createRetryBudget(),
+      isCrowded: () => this.isCrowded(),
       drainFinishesQueue: false,
     },
   );
@@ -31,6 +32,7 @@
     slots = 1,
     private readonly createRetryBudget: () => RetryAllowance = () =>
       PAID_ELSEWHERE,
+    private readonly isCrowded: () => boolean = () => false,
   ) {
     this.configure({slots});
   }
@@ -376,6 +378,17 @@
     );
   });
 
+  it('is none that is late while calls of its box find no slots', () => {
+    const world = new World(2, undefined, () => true);
+    world.run('well', 200);
+    const expected = {needsGo: false, expectedMilliseconds: 50};
+    world.offer('1', expected);
+    world.offer('2', expected);
+    world.now = 1000;
+    world.tell({kind: 'tick'});
+    expect(world.guard.hintOf(world.now, UPSTREAM)?.state).toBe('accepting');
+  });
+
   it('runs a repeat from when a second attempt is sent until it ends', () => {
     const world = new World(2);
     world.run('1', 200);
--- a/packages/brain/src/entry/callOffers.ts
+++ b/packages/brain/src/entry/callOffers.ts
@@ -19,6 +19,9 @@
 /** When a caller that found no upstream may come back, in milliseconds. */
 export const NO_UPSTREAM_RETRY_MILLISECONDS = 500;
 
+/** Part of the shortest wait that guards told of, after which a call asks again. */
+const WAIT_SHARE = 0.5;
+
 /** What the offers of an entry go by. */
 export interface CallOffersContext {
   readonly boxes: BoxKnowledge;
@@ -56,7 +59,7 @@
     retryAfter: number,
   ): readonly EntryAction[] {
     const {pauseMilliseconds} = this.context.settings;
-    const milliseconds = pauseMilliseconds * 2 ** state.pauses;
+    const milliseconds = this.pauseBefore(state);
     if (pauseMilliseconds === 0 || now + milliseconds > state.heldUntil) {
       return this.context.books.finalRefusal(state, reason, retryAfter);
     }
@@ -64,6 +67,13 @@
     return [{kind: 'pause', callId: state.call.id, milliseconds}];
   }
 
+  /** Asking again long before a slot is expected anywhere would be in vain. */
+  private pauseBefore({pauses, shortestWait}: CallState): number {
+    const {pauseMilliseconds} = this.context.settings;
+    const told = Number.isFinite(shortestWait) ? shortestWait : 0;
+    return Math.max(pauseMilliseconds * 2 ** pauses, told * WAIT_SHARE);
+  }
+
   /** A new round of offers begins. */
   pauseEnded(
     now: number,
@@ -71,6 +81,7 @@
     state: CallState,
   ): readonly EntryAction[] {
     state.reroutes = 0;
+    state.shortestWait = Number.POSITIVE_INFINITY;
     setTerms(state, this.context.settings.firstTerms);
     return this.next(now, random, state, 'no-upstream');
   }
--- a/packages/brain/src/entry/callState.ts
+++ b/packages/brain/src/entry/callState.ts
@@ -18,6 +18,8 @@
   silences: number;
   /** Rounds of offers in vain. */
   pauses: number;
+  /** The shortest wait for a slot that a guard told in this round, in milliseconds. */
+  shortestWait: number;
   /** Until then it may be held without an offer that was taken. */
   readonly heldUntil: number;
   upstream: string;
@@ -45,6 +47,7 @@
     isShortOfTime: false,
     silences: 0,
     pauses: 0,
+    shortestWait: Number.POSITIVE_INFINITY,
     heldUntil: now + (call.deadline - now) * heldShare,
     upstream: '',
     overdueAt: undefined,
--- a/packages/brain/src/entry/entryBrain.ts
+++ b/packages/brain/src/entry/entryBrain.ts
@@ -17,7 +17,7 @@
   EntryCall,
   EntryEvent,
 } from './entryMessages.js';
-import {DEFAULT_ENTRY_SETTINGS} from './entrySettings.js';
+import {DEFAULT_ENTRY_SETTINGS, FULL_REFUSALS} from './entrySettings.js';
 import type {EntrySettings} from './entrySettings.js';
 import {OverdueAttempts} from './overdueAttempts.js';
 import {RetryPolicy} from './retryPolicy.js';
@@ -30,6 +30,7 @@
 /** Decides by (now, random, event) alone. */
 export class EntryBrain {
   readonly loads: UpstreamLoads;
+  private readonly crowding = new ServiceCrowding();
   private readonly retries: RetryPolicy;
   private readonly books: CallBooks;
   private readonly chooser: UpstreamChooser;
@@ -47,7 +48,7 @@
     const loads = new UpstreamLoads(settings.linkPatience);
     const retries = new RetryPolicy(settings);
     const timing = new AttemptTiming(settings, retries);
-    const crowding = new ServiceCrowding();
+    const {crowding} = this;
     const place = {box, dataCentre, boxes, loads};
     const chooser = new UpstreamChooser({...place, crowding, settings});
     const news = new AttemptNews(loads, timing, crowding);
@@ -65,6 +66,11 @@
     this.overdueAttempts = overdueAttempts;
   }
 
+  /** Whether calls that begin here find few free slots. */
+  get isCrowded(): boolean {
+    return this.crowding.isAnyCrowded;
+  }
+
   get callCount(): number {
     return this.books.count;
   }
@@ -185,6 +191,9 @@
   ): readonly EntryAction[] {
     const {reason, outcome, retryAfterMilliseconds} = refusal;
     state.isShortOfTime ||= reason === 'deadline-too-short';
+    if (FULL_REFUSALS.has(reason)) {
+      state.shortestWait = Math.min(state.shortestWait, retryAfterMilliseconds);
+    }
     if (outcome === 'unknown') {
       state.mayHaveRun = true;
       state.ran.add(state.upstream);
--- a/packages/brain/src/guard/guardMessages.ts
+++ b/packages/brain/src/guard/guardMessages.ts
@@ -49,6 +49,11 @@
   readonly hasQuickDoubt: boolean;
   /** Whether calls that have not ended are evidence for it. */
   readonly hasHangEvidence: boolean;
+  /**
+   * Whether calls that begin on this box find few free slots. An upstream that makes
+   * calls of its own is late then without any fault, and late calls say nothing.
+   */
+  readonly isCrowded: () => boolean;
   /** Whether little of that evidence keeps calls away that cannot be repeated. */
   readonly isCautious: boolean;
   /** Whether failures that a failed call of the same box explains are no evidence. */
@@ -72,6 +77,7 @@
 export const DEFAULT_GUARD_SETTINGS: GuardSettings = {
   hasQuickDoubt: false,
   hasHangEvidence: true,
+  isCrowded: () => false,
   isCautious: true,
   excusesFailures: true,
   doubtReleasesQueue: true,
--- a/packages/brain/src/guard/quickDoubt.ts
+++ b/packages/brain/src/guard/quickDoubt.ts
@@ -21,7 +21,7 @@
 /** What of it is on. */
 export type QuickDoubtSettings = Pick<
   GuardSettings,
-  'hasQuickDoubt' | 'hasHangEvidence' | 'isCautious'
+  'hasQuickDoubt' | 'hasHangEvidence' | 'isCautious' | 'isCrowded'
 >;
 
 /** Counts each call's evidence once; doubts nothing where it is off. */
@@ -47,8 +47,7 @@
     return (
       this.isOn &&
       (!this.doubt.isProven ||
-        (this.settings.isCautious &&
-          this.evidence.strength(now) >= CAUTIOUS_AT))
+        (this.settings.isCautious && this.hangStrength(now) >= CAUTIOUS_AT))
     );
   }
 
@@ -103,7 +102,7 @@
 
   /** Looks at calls that have not ended; they count before they do. */
   review(now: number, runningIds: Iterable<string>): void {
-    const isSure = this.evidence.strength(now) >= DOUBTED_AT;
+    const isSure = this.hangStrength(now) >= DOUBTED_AT;
     if (!this.isOn || !isSure || this.isDoubted(now)) {
       return;
     }
@@ -114,6 +113,10 @@
     this.doubt.observe(now, 'hanging');
   }
 
+  private hangStrength(now: number): number {
+    return this.settings.isCrowded() ? 0 : this.evidence.strength(now);
+  }
+
   /** A call is over, with nothing learnt from it. */
   forget(callId: string): void {
     this.counted.delete(callId);
--- a/packages/brain/src/guard/upstreamGuard.ts
+++ b/packages/brain/src/guard/upstreamGuard.ts
@@ -5,7 +5,6 @@
 import type {Freed, Offer, WaitingCall} from '@lockpin/admission';
 import type {CallEvidenceKind} from '@lockpin/detection';
 import type {GuardReport, HolderReply} from '@lockpin/floor';
-import {TypicalDurations} from '@lockpin/routing';
 import type {LoadHint, RetryAllowance} from '@lockpin/routing';
 import type {
   RefusalReason,
@@ -15,12 +14,15 @@
 } from '@lockpin/types';
 import {FIRST_FAILED_STATUS} from '@lockpin/utils';
 import type {GuardCall, GuardSettings} from './guardMessages.js';
+import {OwnCallFailures} from './ownCallFailures.js';
+import {payForSending} from './payForSending.js';
 import {QuickDoubt} from './quickDoubt.js';
-import {COLD_FACTOR, isLate} from './runningCall.js';
+import {isLate} from './runningCall.js';
 import type {RunningCall} from './runningCall.js';
 import {UpstreamRefusals} from './upstreamRefusals.js';
 import {UpstreamStanding} from './upstreamStanding.js';
 import type {StandingChange} from './upstreamStanding.js';
+import {UsualDurations} from './usualDurations.js';
 import {waitingCall} from './waitingCall.js';
 
 /** A suspect upstream announces this part of its limit, so that calls go elsewhere. */
@@ -29,12 +31,6 @@
 /** The upstream lacks what the call asks for, which is no failure. */
 const NOT_IMPLEMENTED_STATUS = 501;
 
-/**
- * Time from the failure of a call that an upstream made to its own failure: two turns
- * of event loops on one box. On played days 9 of 10 came within 5 ms.
- */
-const SAME_CAUSE_MILLISECONDS = 20;
-
 /** What the end of a call led to. */
 export interface CallEnd {
   readonly freed: Freed;
@@ -48,8 +44,8 @@
   private readonly running = new Map<string, RunningCall>();
   private readonly doubt: QuickDoubt;
   private readonly refusals: UpstreamRefusals;
-  private readonly durations = new TypicalDurations();
-  private ownCallFailedAt = Number.NEGATIVE_INFINITY;
+  private readonly durations: UsualDurations;
+  private readonly ownCalls: OwnCallFailures;
   /** Another process answers at the address. */
   private isReplaced = false;
   private spec: UpstreamSpec;
@@ -67,6 +63,8 @@
       !settings.hasQuickDoubt,
     );
     this.doubt = new QuickDoubt(settings);
+    this.durations = new UsualDurations();
+    this.ownCalls = new OwnCallFailures(settings.excusesFailures);
     this.standing = new UpstreamStanding(name, sensitivity);
     this.refusals = new UpstreamRefusals(this.doubt, this.standing, retries);
   }
@@ -158,7 +156,7 @@
 
   /** Sends a call that has its slot, unless it is a retry that nothing pays for. */
   send(now: number, call: GuardCall): boolean {
-    if (!this.pay(now, call)) {
+    if (!payForSending(now, call, this.retries)) {
       return false;
     }
     this.running.set(call.id, {call, startedAt: now, isSent: true});
@@ -166,18 +164,6 @@
     return true;
   }
 
-  /** First attempts that reach the upstream pay for the retries that do. */
-  private pay(now: number, call: GuardCall): boolean {
-    if (call.attempt > 1) {
-      return this.retries.takeRetry(now);
-    }
-    this.retries.firstAttempt(now, call.retryShare);
-    if (call.mayBeRepeat === true) {
-      this.retries.repeatArrived(now);
-    }
-    return true;
-  }
-
   /** Gives back a slot whose call was never sent. */
   release(now: number, callId: string): Freed {
     this.doubt.forget(callId);
@@ -223,19 +209,21 @@
     } else if (!isFailure) {
       this.admission.succeeded();
     }
-    this.noteDuration(now, callId, isFailure);
-    if (isFailure && this.isExcused(now)) {
+    if (isFailure && this.ownCalls.explainsFailure(now)) {
       this.doubt.forget(callId);
       return this.ended(now, callId, false);
     }
     const isError = isFailure && !isShed;
+    if (!isFailure) {
+      this.durations.add(now, this.running.get(callId));
+    }
     this.observe(now, callId, isError ? 'error' : this.pace(now, callId));
     return this.ended(now, callId, isError);
   }
 
   /** A call that began on this box, maybe by the upstream, failed. */
   ownCallFailed(now: number): void {
-    this.ownCallFailedAt = now;
+    this.ownCalls.failed(now);
   }
 
   /** The exchange broke, or took longer than its caller could wait. */
@@ -308,29 +296,9 @@
     return running !== undefined && isLate(now, running, this.spec.coldUntil);
   }
 
-  /**
-   * An upstream that needs a call of its own fails at once when that call does. Such
-   * a failure tells of the service that was called, and none of this upstream.
-   */
-  private isExcused(now: number): boolean {
-    const since = now - this.ownCallFailedAt;
-    return this.settings.excusesFailures && since <= SAME_CAUSE_MILLISECONDS;
-  }
-
-  /** How long the call usually takes here, or else at all upstreams. */
   private usual(now: number, call: GuardCall): number | undefined {
-    const usual = this.durations.of(call.route) ?? call.expectedMilliseconds;
-    return (
-      usual && usual * (now < (this.spec.coldUntil ?? 0) ? COLD_FACTOR : 1)
-    );
-  }
-
-  private noteDuration(now: number, callId: string, isFailure: boolean): void {
-    const running = this.running.get(callId);
-    if (running !== undefined && !isFailure) {
-      const {call, startedAt} = running;
-      this.durations.add(call.route, now - startedAt);
-    }
+    const isCold = now < (this.spec.coldUntil ?? 0);
+    return this.durations.of(call, isCold);
   }
 
   private observe(now: number, callId: string, kind: CallEvidenceKind): void {
--- a/packages/node/src/process/fleetGuardSettings.ts
+++ b/packages/node/src/process/fleetGuardSettings.ts
@@ -9,18 +9,19 @@
 /** The settings of a guard that keeps slots for entries and pays for retries. */
 export function fleetGuardSettings(
   isOn: MechanismSwitch,
-  createRetryBudget: GuardSettings['createRetryBudget'],
+  fleet: Pick<GuardSettings, 'createRetryBudget' | 'isCrowded'>,
 ): GuardSettings {
   return {
     ...DEFAULT_GUARD_SETTINGS,
     hasQuickDoubt: isOn('quick-doubt'),
     hasHangEvidence: isOn('hang-evidence'),
+    isCrowded: fleet.isCrowded,
     isCautious: isOn('caution'),
     excusesFailures: isOn('excused-failures'),
     doubtReleasesQueue: isOn('queue-release'),
     limitsSuspects: isOn('suspect-limit'),
     createRetryBudget: isOn('paid-retries')
-      ? createRetryBudget
+      ? fleet.createRetryBudget
       : () => NO_RETRIES,
     // A drain promises that nothing more reaches the upstream.
     drainFinishesQueue: false,
--- a/packages/node/src/process/fleetHost.ts
+++ b/packages/node/src/process/fleetHost.ts
@@ -79,14 +79,16 @@
     const startedAt = environment.clock();
     this.guard = new GuardBrain(
       {box, incarnation},
-      fleetGuardSettings(isOn, (service) =>
-        fleetRetryBudget({
-          startedAt,
-          isFirstStart: currentSettings.isFirstStart,
-          retries: () => this.currentSettings.retries,
-          upstreams: () => this.fleet.directory.countOf(service),
-        }),
-      ),
+      fleetGuardSettings(isOn, {
+        createRetryBudget: (service) =>
+          fleetRetryBudget({
+            startedAt,
+            isFirstStart: currentSettings.isFirstStart,
+            retries: () => this.currentSettings.retries,
+            upstreams: () => this.fleet.directory.countOf(service),
+          }),
+        isCrowded: () => this.entry.isCrowded,
+      }),
     );
     this.entry = new EntryBrain(
       box,
