Lateness is set aside only while calls of the box are held up

Change: the sign is now that a call that began on the box found no slot in a whole round of offers within the last second.

--- a/packages/brain/src/__tests__/reservations.test.ts
+++ b/packages/brain/src/__tests__/reservations.test.ts
@@ -23,7 +23,7 @@
       ...DEFAULT_GUARD_SETTINGS,
       hasQuickDoubt: true,
       createRetryBudget: () => this.createRetryBudget(),
-      isCrowded: () => this.isCrowded(),
+      holdsUpCalls: () => this.holdsUpCalls(),
       drainFinishesQueue: false,
     },
   );
@@ -32,7 +32,7 @@
     slots = 1,
     private readonly createRetryBudget: () => RetryAllowance = () =>
       PAID_ELSEWHERE,
-    private readonly isCrowded: () => boolean = () => false,
+    private readonly holdsUpCalls: () => boolean = () => false,
   ) {
     this.configure({slots});
   }
@@ -378,7 +378,7 @@
     );
   });
 
-  it('is none that is late while calls of its box find no slots', () => {
+  it('is none that is late while calls of its box are held up', () => {
     const world = new World(2, undefined, () => true);
     world.run('well', 200);
     const expected = {needsGo: false, expectedMilliseconds: 50};
--- a/packages/brain/src/entry/entryBrain.ts
+++ b/packages/brain/src/entry/entryBrain.ts
@@ -30,7 +30,6 @@
 /** Decides by (now, random, event) alone. */
 export class EntryBrain {
   readonly loads: UpstreamLoads;
-  private readonly crowding = new ServiceCrowding();
   private readonly retries: RetryPolicy;
   private readonly books: CallBooks;
   private readonly chooser: UpstreamChooser;
@@ -48,7 +47,7 @@
     const loads = new UpstreamLoads(settings.linkPatience);
     const retries = new RetryPolicy(settings);
     const timing = new AttemptTiming(settings, retries);
-    const {crowding} = this;
+    const crowding = new ServiceCrowding();
     const place = {box, dataCentre, boxes, loads};
     const chooser = new UpstreamChooser({...place, crowding, settings});
     const news = new AttemptNews(loads, timing, crowding);
@@ -66,9 +65,9 @@
     this.overdueAttempts = overdueAttempts;
   }
 
-  /** Whether calls that begin here find few free slots. */
-  get isCrowded(): boolean {
-    return this.crowding.isAnyCrowded;
+  /** Whether a call that began here found no slot anywhere a moment ago. */
+  heldUpCalls(now: number): boolean {
+    return this.offers.heldUpCalls(now);
   }
 
   get callCount(): number {
--- a/packages/brain/src/guard/quickDoubt.ts
+++ b/packages/brain/src/guard/quickDoubt.ts
@@ -21,7 +21,7 @@
 /** What of it is on. */
 export type QuickDoubtSettings = Pick<
   GuardSettings,
-  'hasQuickDoubt' | 'hasHangEvidence' | 'isCautious' | 'isCrowded'
+  'hasQuickDoubt' | 'hasHangEvidence' | 'isCautious' | 'holdsUpCalls'
 >;
 
 /** Counts each call's evidence once; doubts nothing where it is off. */
@@ -114,7 +114,7 @@
   }
 
   private hangStrength(now: number): number {
-    return this.settings.isCrowded() ? 0 : this.evidence.strength(now);
+    return this.settings.holdsUpCalls(now) ? 0 : this.evidence.strength(now);
   }
 
   /** A call is over, with nothing learnt from it. */
--- a/packages/node/src/process/fleetHost.ts
+++ b/packages/node/src/process/fleetHost.ts
@@ -87,7 +87,7 @@
             retries: () => this.currentSettings.retries,
             upstreams: () => this.fleet.directory.countOf(service),
           }),
-        isCrowded: () => this.entry.isCrowded,
+        holdsUpCalls: (now) => this.entry.heldUpCalls(now),
       }),
     );
     this.entry = new EntryBrain(
--- a/packages/routing/src/serviceCrowding.ts
+++ b/packages/routing/src/serviceCrowding.ts
@@ -22,11 +22,6 @@
     this.shares.set(service, before + OFFER_WEIGHT * (found - before));
   }
 
-  /** Whether calls to any of the services find few free slots. */
-  get isAnyCrowded(): boolean {
-    return [...this.shares.values()].some((share) => share > CROWDED_SHARE);
-  }
-
   /** Whether calls had better be spread over all upstreams. */
   isCrowded(service: string): boolean {
     return (this.shares.get(service) ?? 0) > CROWDED_SHARE;
