--- a/packages/brain/src/guard/guardBrain.ts
+++ b/packages/brain/src/guard/guardBrain.ts
@@ -71,8 +71,9 @@
   }[] {
     return [...this.services.upstreams()].map((upstream) => {
       const {state, occupied, limit} = upstream.hint(now);
-      const shown = upstream.condemned ? 'condemned' : state;
-      const {name, denial} = upstream;
+      const shown = upstream.standing.condemned ? 'condemned' : state;
+      const {name, standing} = upstream;
+      const {denial} = standing;
       return {upstream: name, state: shown, occupied, limit, denial};
     });
   }
@@ -241,7 +242,11 @@
       return [];
     }
     state.fence = reply.fence;
-    return this.course.noted(now, upstream, upstream.replied(now, reply));
+    return this.course.noted(
+      now,
+      upstream,
+      upstream.standing.replied(now, reply),
+    );
   }
 
   private learnFence(service: string, fence: number): readonly GuardAction[] {
--- a/packages/brain/src/guard/reportSchedule.ts
+++ b/packages/brain/src/guard/reportSchedule.ts
@@ -39,7 +39,9 @@
   }
 
   private isDue(now: number, upstream: UpstreamGuard): boolean {
-    return now >= (this.nextAt.get(upstream.name) ?? 0) || upstream.hasNews;
+    return (
+      now >= (this.nextAt.get(upstream.name) ?? 0) || upstream.standing.hasNews
+    );
   }
 
   private message(
@@ -58,7 +60,7 @@
     upstream: UpstreamGuard,
     fence: number,
   ): GuardReport {
-    const interval = upstream.condemned
+    const interval = upstream.standing.condemned
       ? URGENT_REPORT_MILLISECONDS
       : REPORT_INTERVAL_MILLISECONDS;
     this.nextAt.set(upstream.name, now + interval);
--- a/packages/brain/src/guard/upstreamGuard.ts
+++ b/packages/brain/src/guard/upstreamGuard.ts
@@ -4,7 +4,7 @@
 import {Admission} from '@lockpin/admission';
 import type {Freed, Offer, WaitingCall} from '@lockpin/admission';
 import type {CallEvidenceKind} from '@lockpin/detection';
-import type {GuardReport, HolderReply} from '@lockpin/floor';
+import type {GuardReport} from '@lockpin/floor';
 import type {LoadHint, RetryAllowance} from '@lockpin/routing';
 import type {
   RefusalReason,
@@ -40,7 +40,8 @@
 /** Admission, evidence and ejection of one upstream. */
 export class UpstreamGuard {
   private readonly admission: Admission;
-  private readonly standing: UpstreamStanding;
+  /** What the sequential tests say of it, and what follows. */
+  readonly standing: UpstreamStanding;
   private readonly running = new Map<string, RunningCall>();
   private readonly doubt: QuickDoubt;
   private readonly refusals: UpstreamRefusals;
@@ -81,11 +82,6 @@
     return this.admission.occupied;
   }
 
-  /** Why the floor or a shared cause keeps a condemned upstream, if it does. */
-  get denial(): string {
-    return this.standing.denial;
-  }
-
   /** Whether a call runs here that ran, or was sent, somewhere before. */
   get runsRepeats(): boolean {
     return [...this.running.values()].some(
@@ -259,20 +255,6 @@
     return this.standing.report(now, identity, fence, this.isDraining);
   }
 
-  /** Takes in the holder's answer. */
-  replied(now: number, reply: HolderReply): StandingChange | undefined {
-    return this.standing.replied(now, reply);
-  }
-
-  /** Whether the holder should hear at once, for it compares the peers. */
-  get hasNews(): boolean {
-    return this.standing.hasNews;
-  }
-
-  get condemned(): boolean {
-    return this.standing.condemned;
-  }
-
   private announcedState(now: number): LoadHint['state'] {
     if (this.isDraining || this.isReplaced) {
       return 'draining';
--- a/packages/node/src/process/fleetHost.ts
+++ b/packages/node/src/process/fleetHost.ts
@@ -3,7 +3,7 @@
 
 import {EntryBrain, GuardBrain} from '@lockpin/brain';
 import type {GuardAction, GuardEvent} from '@lockpin/brain';
-import {FleetBrain, FleetRouting, upstreamName} from '@lockpin/fleet';
+import {FleetBrain, FleetRouting} from '@lockpin/fleet';
 import type {
   FleetAction,
   FleetEvent,
@@ -26,6 +26,7 @@
 import type {FleetNodeSettings} from './fleetPorts.js';
 import {fleetRetryBudget} from './fleetRetryBudget.js';
 import {mechanismSwitch} from './mechanisms.js';
+import {ownUpstreamResource} from './ownUpstreamResource.js';
 import type {PeerPlace} from './peerTraffic.js';
 
 /** While calls are under way the guard ticks more often by itself. */
@@ -275,23 +276,8 @@
   }
 
   private upstreamChanged(upstream: OwnUpstream): void {
-    const {box, dataCentre} = this.currentSettings;
-    const {service, address, slots, takesWork, lifetime, coldUntil} = upstream;
-    const resource: Resource<'Upstream'> = {
-      kind: 'Upstream',
-      name: upstreamName(service, box),
-      version: upstream.sequence,
-      spec: {
-        address,
-        dataCentre,
-        box,
-        slots,
-        connections: slots,
-        state: takesWork ? 'in-service' : 'draining',
-        lifetime,
-        coldUntil,
-      },
-    };
+    const {service, lifetime} = upstream;
+    const resource = ownUpstreamResource(this.currentSettings, upstream);
     this.log.event('upstream-announced', {
       subject: resource.name,
       lifetime,
--- /dev/null
+++ b/packages/node/src/process/ownUpstreamResource.ts
@@ -0,0 +1,30 @@
+// Copyright (c) 2026 the lockpin contributors. MIT licence, see LICENSE.
+/** The upstream beside a node, as its guard is configured with it. */
+
+import {upstreamName} from '@lockpin/fleet';
+import type {OwnUpstream} from '@lockpin/fleet';
+import type {Resource} from '@lockpin/types';
+import type {FleetNodeSettings} from './fleetPorts.js';
+
+/** Only this node connects to it, over as many connections as it has slots. */
+export function ownUpstreamResource(
+  {box, dataCentre}: Pick<FleetNodeSettings, 'box' | 'dataCentre'>,
+  upstream: OwnUpstream,
+): Resource<'Upstream'> {
+  const {service, address, slots, takesWork, lifetime, coldUntil} = upstream;
+  return {
+    kind: 'Upstream',
+    name: upstreamName(service, box),
+    version: upstream.sequence,
+    spec: {
+      address,
+      dataCentre,
+      box,
+      slots,
+      connections: slots,
+      state: takesWork ? 'in-service' : 'draining',
+      lifetime,
+      coldUntil,
+    },
+  };
+}
--- a/packages/tools/src/faults/platformPromises.ts
+++ b/packages/tools/src/faults/platformPromises.ts
@@ -83,14 +83,39 @@
         SETTINGS,
         'are none but its share of calls while an earlier process may have spent them',
       ],
+      [SLOTS, 'is paid for by first attempts that were sent, not by offers'],
+      [SLOTS, 'costs nothing unless it is sent, and is never sent unpaid'],
+      [
+        SLOTS,
+        'takes one more where a first attempt may be a repeat of its caller',
+      ],
       [SLOTS, 'runs a repeat from when a second attempt is sent until it ends'],
       [ENTRY, 'are taken out of what the entry itself may repeat'],
       [SOAK, SOAKED],
     ],
-    'a ratio that restarting entries spend twice is covered by a margin of 0.15, not proved',
+    'a ratio that restarting guards spend twice is covered by a margin of 0.15, not proved',
+  ),
+  promise(
+    'work ends when its caller leaves, and nothing more reaches upstreams',
+    [
+      [FLEET, 'cancels the work of a caller that left'],
+      [SLOTS, 'is given back unrun when the entry cancels it'],
+    ],
   ),
-  promise('work ends when its caller leaves', [
-    [FLEET, 'cancels the work of a caller that left'],
+  promise(
+    'a connection that goes silent without a reset holds nothing up for long',
+    [
+      [ENTRY, 'is passed over at no cost, whatever the kind of call'],
+      [FLEET, 'serves on while the store is silent'],
+      [SLOTS, 'is one that lets calls hang, before any of them ended'],
+    ],
+    'the renewal of a silent connection between nodes is played on the bench only',
+  ),
+  promise('a late word of a dead process says nothing of its successor', [
+    [
+      BRAIN,
+      'is replaced by a new lifetime, and a late word of the old one is ignored',
+    ],
   ]),
   promise('the time limit of a route is kept', [
     [
@@ -113,7 +138,11 @@
   ]),
   promise(
     'healthy upstreams keep getting calls',
-    [[ENTRY, 'are asked to let the call wait, then asked again after a pause']],
+    [
+      [SLOTS, 'is none whose failures follow from a failed call of its own'],
+      [SLOTS, 'is none that is late while calls of its box are held up'],
+      [ENTRY, 'are asked to let the call wait, then asked again after a pause'],
+    ],
     'that entries together use a share of them is not tested without the bench',
   ),
   promise('a planned stop cuts nothing', [
