--- a/packages/brain/src/__tests__/reservations.test.ts
+++ b/packages/brain/src/__tests__/reservations.test.ts
@@ -336,7 +336,12 @@
     world.offer('1', expected);
     world.offer('2', expected);
     world.now = 1000;
-    world.tell({kind: 'tick'});
+    expect(world.tell({kind: 'tick'})).toContainEqual(
+      expect.objectContaining({
+        event: 'upstream-doubted',
+        detail: {remaining: 2000, cause: 'hanging'},
+      }),
+    );
     expect(world.guard.hintOf(world.now, UPSTREAM)?.state).toBe('doubted');
   });
 
--- a/packages/brain/src/entry/callOffers.ts
+++ b/packages/brain/src/entry/callOffers.ts
@@ -22,8 +22,11 @@
 /** Part of the shortest wait that guards told of, after which a call asks again. */
 const WAIT_SHARE = 0.5;
 
-/** For so long after a call was held up, calls of other kinds may wait for one. */
-const HELD_UP_MILLISECONDS = 1000;
+/**
+ * For so long after a call was held up, others that are under way may have waited for
+ * one. An entry sees a few calls a second, so that a shorter time has gaps under load.
+ */
+const HELD_UP_MILLISECONDS = 3000;
 
 /** What the offers of an entry go by. */
 export interface CallOffersContext {
--- a/packages/brain/src/guard/quickDoubt.ts
+++ b/packages/brain/src/guard/quickDoubt.ts
@@ -42,6 +42,11 @@
     return this.isOn && this.doubt.isDoubted(now);
   }
 
+  /** The evidence that last began or renewed doubt. */
+  get cause(): Doubt['cause'] {
+    return this.doubt.cause;
+  }
+
   /** The upstream has to answer a call before one that cannot be repeated may come. */
   isUncertain(now: number): boolean {
     return (
--- a/packages/brain/src/guard/standingActions.ts
+++ b/packages/brain/src/guard/standingActions.ts
@@ -30,7 +30,10 @@
     return [];
   }
   const {name} = upstream;
-  const detail = {remaining: upstream.retryAfter(now)};
+  const detail = {
+    remaining: upstream.retryAfter(now),
+    cause: upstream.doubtCause,
+  };
   const event = isDoubted ? 'upstream-doubted' : 'upstream-trusted';
   return [
     {kind: 'timeline', event, subject: name, detail},
--- a/packages/brain/src/guard/upstreamGuard.ts
+++ b/packages/brain/src/guard/upstreamGuard.ts
@@ -104,6 +104,11 @@
     return this.doubt.isDoubted(now);
   }
 
+  /** The evidence that last began or renewed doubt, for logs. */
+  get doubtCause(): string {
+    return this.doubt.cause;
+  }
+
   hint(now: number): LoadHint {
     const isLimited = this.settings.limitsSuspects && this.standing.isSuspect;
     const limit = isLimited
--- a/packages/detection/src/doubt.ts
+++ b/packages/detection/src/doubt.ts
@@ -70,12 +70,18 @@
   private nextProbeAt = 0;
   private clearedProbes = 0;
   private hasEverAnswered = false;
+  private lastCause: CallEvidenceKind | 'none' = 'none';
 
   /** Whether the upstream has answered a call well since it is known here. */
   get isProven(): boolean {
     return this.hasEverAnswered;
   }
 
+  /** The evidence that last began or renewed doubt. */
+  get cause(): CallEvidenceKind | 'none' {
+    return this.lastCause;
+  }
+
   /** Whether ordinary work should go elsewhere. */
   isDoubted(now: number): boolean {
     return now < this.until;
@@ -107,6 +113,7 @@
       this.sum = this.sum * KEPT_AFTER_BAD + WEIGHT[kind];
       this.clearedProbes = 0;
       if (before || this.sum >= DOUBT_AT) {
+        this.lastCause = kind;
         this.hold(now);
       }
     }
