--- a/packages/admission/src/__tests__/admission.test.ts
+++ b/packages/admission/src/__tests__/admission.test.ts
@@ -34,6 +34,12 @@
     });
   });
 
+  it('may be for a slot whose call is of a kind that is not known yet', () => {
+    const admission = new Admission(1, false);
+    admission.offer(0, waiting('1'));
+    expect(admission.offer(5000, waiting('2')).kind).toBe('queued');
+  });
+
   it('is not for a slot whose call may never end', () => {
     const admission = new Admission(2, false);
     const kind = {expectedMilliseconds: 100};
--- a/packages/admission/src/admission.ts
+++ b/packages/admission/src/admission.ts
@@ -188,12 +188,15 @@
     return rounds * this.duration;
   }
 
-  /** Slots that are free or expected to come free. */
+  /**
+   * Slots that are free or expected to come free. A call of a kind that is not known
+   * yet may simply take long.
+   */
   private movingSlots(now: number): number {
     const entries = [...this.running.values()];
     const stuck = entries.filter(
-      ({call, startedAt}) =>
-        now - startedAt > STUCK_FACTOR * this.expectedOf(call),
+      ({call: {expectedMilliseconds: expected}, startedAt}) =>
+        expected !== undefined && now - startedAt > STUCK_FACTOR * expected,
     );
     return Math.max(0, this.limit.current - stuck.length);
   }
