One range of stable hashes; no evidence is summed where doubt already stands

Found in the last read of the change: 2 ** 48 stood three times (routing, peers, the digest of boxes) and is now STABLE_HASH_RANGE beside stableHash; QuickDoubt.review summed its evidence on every tick even where doubt is off or already begun.

--- a/packages/brain/src/guard/quickDoubt.ts
+++ b/packages/brain/src/guard/quickDoubt.ts
@@ -107,8 +107,10 @@
 
   /** Looks at calls that have not ended; they count before they do. */
   review(now: number, runningIds: Iterable<string>): void {
-    const isSure = this.hangStrength(now) >= DOUBTED_AT;
-    if (!this.isOn || !isSure || this.isDoubted(now)) {
+    if (!this.isOn || this.isDoubted(now)) {
+      return;
+    }
+    if (this.hangStrength(now) < DOUBTED_AT) {
       return;
     }
     for (const callId of runningIds) {
--- a/packages/fleet/src/boxDirectory.ts
+++ b/packages/fleet/src/boxDirectory.ts
@@ -2,13 +2,10 @@
 /** All boxes that a node knows, with the upstreams they guard. */
 
 import type {Resource} from '@lockpin/types';
-import {stableHash} from '@lockpin/utils';
+import {STABLE_HASH_RANGE, stableHash} from '@lockpin/utils';
 import {RECORD_LIFE_MILLISECONDS} from './boxRecord.js';
 import type {BoxRecord} from './boxRecord.js';
 
-/** Digests stay below this, so that sums of two are exact. */
-const DIGEST_RANGE = 2 ** 48;
-
 /** Keeps the newest statement of each box. */
 export class BoxDirectory {
   private readonly records = new Map<string, BoxRecord>();
@@ -77,7 +74,7 @@
     if (this.byAddress.get(record.peerAddress) === record) {
       this.byAddress.delete(record.peerAddress);
     }
-    this.addToDigest(DIGEST_RANGE - stableHash(statementOf(record)));
+    this.addToDigest(STABLE_HASH_RANGE - stableHash(statementOf(record)));
     this.addToCount(record.service, -1);
   }
 
@@ -86,7 +83,7 @@
   }
 
   private addToDigest(hash: number): void {
-    this.currentDigest = (this.currentDigest + hash) % DIGEST_RANGE;
+    this.currentDigest = (this.currentDigest + hash) % STABLE_HASH_RANGE;
   }
 
   /** How many boxes are known to guard an upstream of a service. */
--- a/packages/fleet/src/peerAsking.ts
+++ b/packages/fleet/src/peerAsking.ts
@@ -2,7 +2,7 @@
 /** Which peer is asked for a newer configuration, and when. */
 
 import type {RandomSource} from '@lockpin/types';
-import {stableHash} from '@lockpin/utils';
+import {STABLE_HASH_RANGE, stableHash} from '@lockpin/utils';
 import type {BoxDirectory} from './boxDirectory.js';
 import type {NodeIdentity} from './fleetMessages.js';
 
@@ -28,9 +28,6 @@
  */
 const FAR_SPREAD_MILLISECONDS = 500;
 
-/** Hashes are whole numbers of 48 bits. */
-const HASH_RANGE = 2 ** 48;
-
 /** A newer version that a peer has in force. */
 interface HeardVersion {
   readonly address: string;
@@ -105,7 +102,9 @@
   /** How long the store, and after it the neighbours, are given. */
   private patience({address}: HeardVersion): number {
     const {box} = this.identity;
-    const ownPart = this.isNear(address) ? 0 : stableHash(box) / HASH_RANGE;
+    const ownPart = this.isNear(address)
+      ? 0
+      : stableHash(box) / STABLE_HASH_RANGE;
     return STORE_FIRST_MILLISECONDS + ownPart * FAR_SPREAD_MILLISECONDS;
   }
 
--- a/packages/routing/src/chooseByScore.ts
+++ b/packages/routing/src/chooseByScore.ts
@@ -1,7 +1,7 @@
 // Copyright (c) 2026 the lockpin contributors. MIT licence, see LICENSE.
 /** Chooses the upstream that is expected to start a call first. */
 
-import {stableHash} from '@lockpin/utils';
+import {STABLE_HASH_RANGE, stableHash} from '@lockpin/utils';
 import type {
   ChooseUpstream,
   RoutingCandidate,
@@ -98,10 +98,7 @@
   occupation: number,
   name: string,
 ): number {
-  const place = stableHash(name) / LARGEST_HASH;
+  const place = stableHash(name) / STABLE_HASH_RANGE;
   const isCrowded = occupation > COMFORTABLE_OCCUPATION;
   return place * costs.lastInOrder + (isCrowded ? occupation : 0);
 }
-
-/** Hashes are whole numbers of 48 bits. */
-const LARGEST_HASH = 2 ** 48;
--- a/packages/utils/src/hashing.ts
+++ b/packages/utils/src/hashing.ts
@@ -3,6 +3,9 @@
 
 import {createHash, timingSafeEqual} from 'node:crypto';
 
+/** Stable hashes are whole numbers below this. */
+export const STABLE_HASH_RANGE = 2 ** 48;
+
 /** A 48-bit number that depends on the text alone. */
 export function stableHash(text: string): number {
   return createHash('sha1').update(text).digest().readUIntBE(0, 6);
