--- a/packages/fleet/src/__tests__/fleetBrain.test.ts
+++ b/packages/fleet/src/__tests__/fleetBrain.test.ts
@@ -92,6 +92,14 @@
     return this.tell({kind: 'upstream-announced', announcement: news});
   }
 
+  /** Of its data centre's nodes this one is among those that read the store. */
+  announceAsReader() {
+    this.announce();
+    this.tell({kind: 'write-ended', result: {ok: true, value: undefined}});
+    this.tick();
+    expect(this.brain.duty.isFollowing(this.now)).toBe(true);
+  }
+
   tick(milliseconds = 0) {
     this.now += milliseconds;
     return this.tell({kind: 'tick'});
@@ -154,6 +162,7 @@
     }));
     world.read('configuration', [stored(1)]);
     world.read('boxes', records);
+    world.announceAsReader();
     const hear = (address: string) =>
       world.tell({kind: 'peer-version-heard', address, version: 2});
     expect(hear('far')).toEqual([]);
@@ -170,6 +179,7 @@
     const far = other({box: 'b3', peerAddress: 'far', dataCentre: 'd2'});
     world.read('configuration', [stored(1)]);
     world.read('boxes', [{key: far.box, value: writeBoxRecord(far)}]);
+    world.announceAsReader();
     world.tell({kind: 'peer-version-heard', address: 'far', version: 2});
     expect(kinds(world.tick(400))).not.toContain('ask-peer');
     expect(world.tick(500)).toContainEqual(
@@ -214,6 +224,8 @@
   it('follows on from where the newest records ended', () => {
     const world = new World();
     expect(kinds(world.tick())).toEqual(['read-newest', 'read-newest']);
+    world.read('boxes', []);
+    world.announceAsReader();
     const follow = world
       .read('configuration', [], 42)
       .find(({kind}) => kind === 'follow');
@@ -223,6 +235,8 @@
   it('reads the newest of each key again when the history is gone', () => {
     const world = new World();
     world.tick();
+    world.read('boxes', []);
+    world.announceAsReader();
     world.read('configuration', [], 42);
     expect(kinds(world.fail('configuration', 'history-gone'))).toContain(
       'read-newest',
--- a/packages/fleet/src/__tests__/streamFollower.test.ts
+++ b/packages/fleet/src/__tests__/streamFollower.test.ts
@@ -62,7 +62,11 @@
     follower.due(0, () => 1, 3);
     follower.ended(0, () => 1, {ok: true, value: {records: [], end: 0}});
     expect(follower.due(0, () => 1, 3)).toMatchObject({
-      waitMilliseconds: 2000,
+      waitMilliseconds: 4500,
     });
+    const alone = new StreamFollower('configuration');
+    alone.due(0, () => 1, 1);
+    alone.ended(0, () => 1, {ok: true, value: {records: [], end: 0}});
+    expect(alone.due(0, () => 1, 1)).toMatchObject({waitMilliseconds: 2000});
   });
 });
--- a/packages/fleet/src/boxDirectory.ts
+++ b/packages/fleet/src/boxDirectory.ts
@@ -2,7 +2,7 @@
 /** All boxes that a node knows, with the upstreams they guard. */
 
 import type {Resource} from '@lockpin/types';
-import {STABLE_HASH_RANGE, stableHash} from '@lockpin/utils';
+import {STABLE_HASH_RANGE, readerRank, stableHash} from '@lockpin/utils';
 import {RECORD_LIFE_MILLISECONDS} from './boxRecord.js';
 import type {BoxRecord} from './boxRecord.js';
 
@@ -12,6 +12,8 @@
   private readonly byAddress = new Map<string, BoxRecord>();
   private readonly counts = new Map<string, number>();
   private currentDigest = 0;
+  private readonly ranked = new Map<string, readonly BoxRecord[]>();
+  private knownDataCentres: readonly string[] | undefined;
   private readonly upstreams = new Map<
     string,
     readonly Resource<'Upstream'>[]
@@ -50,7 +52,7 @@
     this.byAddress.set(record.peerAddress, record);
     this.addToDigest(stableHash(statementOf(record)));
     this.addToCount(record.service, 1);
-    this.upstreams.clear();
+    this.changed();
     return true;
   }
 
@@ -61,11 +63,43 @@
     );
     for (const record of expired) {
       this.remove(record);
-      this.upstreams.clear();
+      this.changed();
     }
     return expired.map(({box}) => box);
   }
 
+  /** The data centres of all boxes. */
+  get dataCentres(): readonly string[] {
+    this.knownDataCentres ??= [
+      ...new Set(this.all().map(({dataCentre}) => dataCentre)),
+    ].sort();
+    return this.knownDataCentres;
+  }
+
+  /**
+   * The boxes of a data centre whose upstreams take work, in the order in which
+   * their nodes read the store for the others: those that are about to leave do not.
+   */
+  rankedIn(dataCentre: string): readonly BoxRecord[] {
+    const found = this.ranked.get(dataCentre);
+    if (found !== undefined) {
+      return found;
+    }
+    const made = this.all()
+      .filter((record) => record.dataCentre === dataCentre && record.takesWork)
+      .map((record) => ({record, rank: readerRank(record.box)}))
+      .sort((a, b) => a.rank - b.rank)
+      .map(({record}) => record);
+    this.ranked.set(dataCentre, made);
+    return made;
+  }
+
+  private changed(): void {
+    this.upstreams.clear();
+    this.ranked.clear();
+    this.knownDataCentres = undefined;
+  }
+
   private remove(record: BoxRecord | undefined): void {
     if (record === undefined) {
       return;
--- /dev/null
+++ b/packages/fleet/src/configurationInForce.ts
@@ -0,0 +1,56 @@
+// Copyright (c) 2026 the lockpin contributors. MIT licence, see LICENSE.
+/** The configuration that is in force at a node. It never goes back. */
+
+import type {Result} from '@lockpin/types';
+import type {DeclaredConfiguration} from './declaredConfiguration.js';
+import type {FleetAction} from './fleetMessages.js';
+import {note} from './fleetNote.js';
+import type {StoredRecord} from './recordStore.js';
+
+/** What is wrong with a document that operators wrote. */
+export interface ConfigurationProblem {
+  readonly field: string;
+  readonly problem: string;
+}
+
+/** Reads the operators' record; undefined for a record that is none. */
+export type ReadConfiguration = (
+  record: StoredRecord,
+) => Result<DeclaredConfiguration | undefined, ConfigurationProblem>;
+
+/** Takes in newer versions, from the store and from peers. */
+export class ConfigurationInForce {
+  private inForce: DeclaredConfiguration | undefined;
+
+  constructor(private readonly read: ReadConfiguration) {}
+
+  get current(): DeclaredConfiguration | undefined {
+    return this.inForce;
+  }
+
+  get version(): number {
+    return this.inForce?.version ?? 0;
+  }
+
+  /** A document that cannot be read leaves the version in force as it is. */
+  take(record: StoredRecord): readonly FleetAction[] {
+    const read = this.read(record);
+    if (!read.ok) {
+      const {field, problem} = read.failure;
+      return [note('configuration-wrong', record.key, {field, problem})];
+    }
+    return read.value === undefined ? [] : this.adopt(read.value, 'store');
+  }
+
+  /** Never goes back: an older version than the one in force is passed over. */
+  adopt(
+    configuration: DeclaredConfiguration,
+    source: string,
+  ): readonly FleetAction[] {
+    if (configuration.version <= this.version) {
+      return [];
+    }
+    this.inForce = configuration;
+    return [{kind: 'configuration-changed', configuration, source}];
+  }
+}
--- a/packages/fleet/src/fleetBrain.ts
+++ b/packages/fleet/src/fleetBrain.ts
@@ -4,22 +4,27 @@
  * its own record among them. Decides by (now, random, event) alone.
  */
 
-import type {RandomSource, Result} from '@lockpin/types';
+import type {RandomSource} from '@lockpin/types';
 import {stableHash} from '@lockpin/utils';
 import {BoxDirectory} from './boxDirectory.js';
-import {readBoxRecord} from './boxRecord.js';
+import {RECORD_LIFE_MILLISECONDS, readBoxRecord} from './boxRecord.js';
 import type {BoxRecord} from './boxRecord.js';
+import {ConfigurationInForce} from './configurationInForce.js';
+import type {ReadConfiguration} from './configurationInForce.js';
 import type {DeclaredConfiguration} from './declaredConfiguration.js';
 import type {
   FleetAction,
   FleetEvent,
+  FleetNews,
   NodeIdentity,
   PeerKnowledge,
   PeerQuestion,
 } from './fleetMessages.js';
 import {note} from './fleetNote.js';
+import {FollowerNews} from './followerNews.js';
 import {OwnRecord} from './ownRecord.js';
 import {OwnUpstreamTracker} from './ownUpstream.js';
+import {PeerAnswers} from './peerAnswers.js';
 import {PeerAsking} from './peerAsking.js';
 import type {
   RecordPage,
@@ -27,44 +32,45 @@
   StoreResult,
   StoredRecord,
 } from './recordStore.js';
-import {StoreReading} from './storeReading.js';
+import {StoreDuty} from './storeDuty.js';
 
-/** What is wrong with a document that operators wrote. */
-export interface ConfigurationProblem {
-  readonly field: string;
-  readonly problem: string;
+/** How a fleet is run that is not the same at every start. */
+export interface FleetStart {
+  /** The fleet starts for the first time: the store has no record of any box. */
+  readonly isFirst: boolean;
 }
 
-/** Reads the operators' record; undefined for a record that is none. */
-export type ReadConfiguration = (
-  record: StoredRecord,
-) => Result<DeclaredConfiguration | undefined, ConfigurationProblem>;
-
 /** Knows the fleet as far as this node has heard. */
 export class FleetBrain {
   readonly directory = new BoxDirectory();
   readonly own = new OwnUpstreamTracker();
-  private inForce: DeclaredConfiguration | undefined;
-  private readonly reading = new StoreReading();
+  readonly duty: StoreDuty;
+  private readonly inForce: ConfigurationInForce;
   private readonly ownRecord: OwnRecord;
   private readonly peers: PeerAsking;
+  private readonly answers: PeerAnswers;
+  private readonly followerNews: FollowerNews;
 
   constructor(
     private readonly identity: NodeIdentity,
-    private readonly readConfiguration: ReadConfiguration,
+    readConfiguration: ReadConfiguration,
+    private readonly start: FleetStart = {isFirst: false},
   ) {
-    this.ownRecord = new OwnRecord(identity, (record) =>
-      this.directory.put(record),
-    );
-    this.peers = new PeerAsking(identity, this.directory);
+    const {directory} = this;
+    this.inForce = new ConfigurationInForce(readConfiguration);
+    this.ownRecord = new OwnRecord(identity, (record) => this.put(record));
+    this.duty = new StoreDuty(identity, directory, start.isFirst);
+    this.peers = new PeerAsking(identity, directory);
+    this.answers = new PeerAnswers(directory);
+    this.followerNews = new FollowerNews(identity.peerAddress);
   }
 
   get configuration(): DeclaredConfiguration | undefined {
-    return this.inForce;
+    return this.inForce.current;
   }
 
   get version(): number {
-    return this.inForce?.version ?? 0;
+    return this.inForce.version;
   }
 
   handle(
@@ -74,7 +80,15 @@
   ): readonly FleetAction[] {
     switch (event.kind) {
       case 'tick':
-        return this.tick(now, random);
+        return this.tick(now, random, event.followers ?? 0);
+      case 'follower-came':
+        this.followerNews.followerCame();
+        return [];
+      case 'leaving':
+        this.duty.leave();
+        return [];
+      case 'news-told':
+        return this.newsTold(now, random, event.news);
       case 'read-ended':
         return this.readEnded(now, random, event.stream, event.result);
       case 'write-ended':
@@ -82,53 +96,91 @@
       case 'upstream-announced':
         return this.announced(now, event);
       case 'peer-version-heard':
-        return this.peerVersionHeard(now, event.address, event.version);
+        return this.peerVersionHeard(now, random, event.address, event.version);
       case 'peer-replied':
         this.peers.ended(event.address);
-        return this.learnFromPeer(event.address, event.knowledge);
+        return this.learnFromPeer(now, event.address, event.knowledge);
     }
   }
 
   /** Answers another node's question, and learns what it told. */
   answer(question: PeerQuestion): PeerKnowledge {
     if (question.own !== undefined) {
-      this.directory.put(question.own);
+      this.put(question.own);
     }
-    const isNewer = this.version > question.version;
-    const {boxesDigest} = question;
-    const tellsBoxes =
-      boxesDigest !== undefined && boxesDigest !== this.directory.digest;
-    return {
-      configuration: isNewer ? this.inForce : undefined,
-      boxes: tellsBoxes ? this.directory.all() : [],
-    };
+    return this.answers.to(question, this.configuration);
   }
 
-  private tick(now: number, random: RandomSource): readonly FleetAction[] {
-    const reads = this.reading.due(now, random, this.directory.size);
+  private tick(
+    now: number,
+    random: RandomSource,
+    followers: number,
+  ): readonly FleetAction[] {
+    return [...this.goOn(now, random), ...this.tellFollowers(now, followers)];
+  }
+
+  /** What is due now, whatever has happened. */
+  private goOn(now: number, random: RandomSource): readonly FleetAction[] {
     this.ownRecord.tick(now);
     const gone = this.directory.expire(now);
     return [
-      ...reads,
+      ...this.duty.goOn(now, random),
       ...this.writeOwn(now),
       ...gone.flatMap((box) => this.dropRecord(box)),
       ...this.askPeers(now, random),
     ];
   }
 
+  private tellFollowers(
+    now: number,
+    followers: number,
+  ): readonly FleetAction[] {
+    const state = {
+      version: this.version,
+      boxesDigest: this.directory.digest,
+      isReading: this.duty.isServing(now),
+      storeAge: this.duty.storeAge(now),
+    };
+    return this.followerNews
+      .due(now, followers, state)
+      .map((news) => ({kind: 'tell-followers', news}));
+  }
+
+  /** A node that this one follows told what it has read. */
+  private newsTold(
+    now: number,
+    random: RandomSource,
+    news: FleetNews,
+  ): readonly FleetAction[] {
+    if (news.kind === 'boxes') {
+      news.boxes.forEach((record) => this.learnBox(now, record));
+      return [];
+    }
+    const {address, report} = news;
+    this.duty.readers.heard(now, address, report);
+    const {digest} = this.directory;
+    const asks = this.duty.readers.wantsBoxesOf(now, address, digest)
+      ? this.ask(address, 'with-boxes')
+      : [];
+    return [
+      ...asks,
+      ...this.peerVersionHeard(now, random, address, report.version),
+    ];
+  }
+
   private readEnded(
     now: number,
     random: RandomSource,
     stream: RecordStream,
     result: StoreResult<RecordPage>,
   ): readonly FleetAction[] {
-    const actions = [...this.reading.ended(now, random, stream, result)];
+    const actions = [...this.duty.readEnded(now, random, stream, result)];
     if (result.ok) {
       for (const record of result.value.records) {
         actions.push(...this.take(now, stream, record));
       }
     }
-    return [...actions, ...this.tick(now, random)];
+    return [...actions, ...this.goOn(now, random)];
   }
 
   private take(
@@ -137,44 +189,44 @@
     record: StoredRecord,
   ): readonly FleetAction[] {
     if (stream === 'configuration') {
-      return this.takeConfiguration(record);
+      return this.noteVersion(this.inForce.take(record));
     }
     const box = record.value && readBoxRecord(record.value);
     if (box !== undefined) {
       this.learnBox(now, box);
+      this.tellOfOldStatement(box);
     }
     return [];
   }
 
-  /** A document that cannot be read leaves the version in force as it is. */
-  private takeConfiguration(record: StoredRecord): readonly FleetAction[] {
-    const read = this.readConfiguration(record);
-    if (!read.ok) {
-      const {field, problem} = read.failure;
-      return [note('configuration-wrong', record.key, {field, problem})];
+  /** A box whose earlier write was done late hears of it, and writes again. */
+  private tellOfOldStatement(record: BoxRecord): void {
+    const known = this.directory.get(record.box);
+    if (known !== undefined && known.statedAt > record.statedAt) {
+      this.followerNews.boxChanged(record);
     }
-    return read.value === undefined ? [] : this.adopt(read.value, 'store');
   }
 
   private learnBox(now: number, record: BoxRecord): void {
-    if (record.box !== this.identity.box) {
-      this.directory.put(record);
-      return;
+    if (record.box === this.identity.box) {
+      this.ownRecord.found(now, record);
+    } else if (now - record.statedAt <= RECORD_LIFE_MILLISECONDS) {
+      this.put(record);
     }
-    this.ownRecord.found(now, record);
   }
 
-  /** Never goes back: an older version than the one in force is passed over. */
-  private adopt(
-    configuration: DeclaredConfiguration,
-    source: string,
-  ): readonly FleetAction[] {
-    if (configuration.version <= this.version) {
-      return [];
+  private put(record: BoxRecord): void {
+    if (this.directory.put(record)) {
+      this.followerNews.boxChanged(record);
+    }
+  }
+
+  /** What was asked of peers for the sake of a newer version is over with it. */
+  private noteVersion(actions: readonly FleetAction[]): readonly FleetAction[] {
+    if (actions.some(({kind}) => kind === 'configuration-changed')) {
+      this.peers.versionCame();
     }
-    this.inForce = configuration;
-    this.peers.versionCame();
-    return [{kind: 'configuration-changed', configuration, source}];
+    return actions;
   }
 
   private announced(
@@ -203,9 +255,8 @@
 
   /** What the store has of this box is to be known before it is written. */
   private writeOwn(now: number): readonly FleetAction[] {
-    const record = this.reading.hasReadBoxes
-      ? this.ownRecord.nextWrite(now)
-      : undefined;
+    const mayWrite = this.start.isFirst || this.duty.hasReadBoxes;
+    const record = mayWrite ? this.ownRecord.nextWrite(now) : undefined;
     return record === undefined ? [] : [{kind: 'write', record}];
   }
 
@@ -223,46 +274,65 @@
 
   private askPeers(now: number, random: RandomSource): readonly FleetAction[] {
     const overdue = this.peers.overdue(now);
-    const instead = this.reading.isInTrouble
-      ? this.peers.withoutStore(now, random)
-      : undefined;
-    return [overdue, instead].flatMap((address) =>
-      address === undefined ? [] : this.ask(address),
+    return [overdue, this.peerInsteadOfStore(now, random)].flatMap((address) =>
+      address === undefined ? [] : this.ask(address, this.wanted(now)),
     );
   }
 
+  /** Peers stand in for a store that does not answer here, or takes no record. */
+  private peerInsteadOfStore(
+    now: number,
+    random: RandomSource,
+  ): string | undefined {
+    if (this.duty.lacksNews(now)) {
+      return this.peers.withoutStore(now, random);
+    }
+    return this.ownRecord.isHeldUp
+      ? this.peers.instead(now, random)
+      : undefined;
+  }
+
   private peerVersionHeard(
     now: number,
+    random: RandomSource,
     address: string,
     version: number,
   ): readonly FleetAction[] {
-    if (!this.reading.hasReadBoxes) {
-      return this.ask(address);
+    if (!this.duty.hasReadBoxes) {
+      return this.ask(address, 'with-boxes');
     }
     if (version <= this.version) {
       return [];
     }
-    if (this.reading.isInTrouble) {
-      return this.ask(address);
+    if (this.duty.lacksNews(now)) {
+      return this.ask(address, this.wanted(now));
     }
-    this.peers.heardOfNewer(now, address);
-    return [];
+    this.peers.heardOfNewer(now, address, this.duty.isServing(now));
+    return this.askPeers(now, random);
   }
 
-  private ask(address: string): readonly FleetAction[] {
+  private wanted(now: number): 'configuration' | 'with-boxes' {
+    const lacksBoxes = !this.duty.hasReadBoxes || this.duty.lacksNews(now);
+    return lacksBoxes ? 'with-boxes' : 'configuration';
+  }
+
+  private ask(
+    address: string,
+    wanted: 'configuration' | 'with-boxes',
+  ): readonly FleetAction[] {
     if (!this.peers.begin(address)) {
       return [];
     }
-    const wantsBoxes = !this.reading.hasReadBoxes || this.reading.isLost;
     const question: PeerQuestion = {
       version: this.version,
-      boxesDigest: wantsBoxes ? this.directory.digest : undefined,
+      boxesDigest: wanted === 'with-boxes' ? this.directory.digest : undefined,
       own: this.ownRecord.statement,
     };
     return [{kind: 'ask-peer', address, question}];
   }
 
   private learnFromPeer(
+    now: number,
     address: string,
     knowledge: PeerKnowledge | undefined,
   ): readonly FleetAction[] {
@@ -271,10 +341,10 @@
     }
     knowledge.boxes
       .filter(({box}) => box !== this.identity.box)
-      .forEach((record) => this.directory.put(record));
+      .forEach((record) => this.learnBox(now, record));
     const {configuration} = knowledge;
     return configuration === undefined
       ? []
-      : this.adopt(configuration, `peer ${address}`);
+      : this.noteVersion(this.inForce.adopt(configuration, `peer ${address}`));
   }
 }
--- a/packages/fleet/src/fleetMessages.ts
+++ b/packages/fleet/src/fleetMessages.ts
@@ -4,6 +4,8 @@
 import type {BoxRecord} from './boxRecord.js';
 import type {DeclaredConfiguration} from './declaredConfiguration.js';
 import type {OwnUpstream, UpstreamAnnouncement} from './ownUpstream.js';
+import type {ReaderReport} from './readerStanding.js';
+import type {FollowedPeers} from './recordReaders.js';
 import type {
   RecordPage,
   RecordStream,
@@ -39,9 +41,26 @@
   readonly boxes: readonly BoxRecord[];
 }
 
+/** What a node tells those that follow it, unasked. */
+export type FleetNews =
+  | {
+      readonly kind: 'report';
+      /** Where the teller can be asked for what it tells of. */
+      readonly address: string;
+      readonly report: ReaderReport;
+    }
+  /** Statements of boxes that the teller did not know before. */
+  | {readonly kind: 'boxes'; readonly boxes: readonly BoxRecord[]};
+
 /** What happens to the fleet's control. */
 export type FleetEvent =
-  | {readonly kind: 'tick'}
+  /** Time goes on; with how many nodes follow this one, none where it is not said. */
+  | {readonly kind: 'tick'; readonly followers?: number}
+  | {readonly kind: 'follower-came'}
+  /** This node will end: others had better read the store. */
+  | {readonly kind: 'leaving'}
+  /** A node that this one follows told something. */
+  | {readonly kind: 'news-told'; readonly news: FleetNews}
   | {
       readonly kind: 'read-ended';
       readonly stream: RecordStream;
@@ -76,6 +95,9 @@
       readonly address: string;
       readonly question: PeerQuestion;
     }
+  /** These nodes are to be followed from now on, and no others. */
+  | {readonly kind: 'follow-peers'; readonly peers: FollowedPeers}
+  | {readonly kind: 'tell-followers'; readonly news: FleetNews}
   /** A newer version is in force from here on. */
   | {
       readonly kind: 'configuration-changed';
--- a/packages/fleet/src/index.ts
+++ b/packages/fleet/src/index.ts
@@ -3,6 +3,7 @@
 
 export * from './boxDirectory.js';
 export * from './boxRecord.js';
+export * from './configurationInForce.js';
 export * from './declaredConfiguration.js';
 export * from './fleetBrain.js';
 export * from './fleetMessages.js';
@@ -10,6 +11,8 @@
 export * from './ownRecord.js';
 export * from './ownUpstream.js';
 export * from './peerAsking.js';
+export * from './readerStanding.js';
+export * from './recordReaders.js';
 export * from './recordStore.js';
 export * from './routeTable.js';
 export * from './streamFollower.js';
--- a/packages/fleet/src/ownRecord.ts
+++ b/packages/fleet/src/ownRecord.ts
@@ -26,6 +26,7 @@
   /** What is being written now. */
   private writing: BoxRecord | undefined;
   private writeAfter = 0;
+  private hasFailed = false;
   private startedAt: number | undefined;
 
   constructor(
@@ -39,6 +40,11 @@
     return this.desired;
   }
 
+  /** The store did not take what this box states: peers are to hear it meanwhile. */
+  get isHeldUp(): boolean {
+    return this.hasFailed;
+  }
+
   /** The upstream beside this node said something new. */
   upstreamChanged(now: number, upstream: OwnUpstream): void {
     const {service, slots, takesWork, coldUntil} = upstream;
@@ -84,6 +90,7 @@
   writeEnded(now: number, result: StoreResult<undefined>): void {
     const {writing} = this;
     this.writing = undefined;
+    this.hasFailed = !result.ok;
     if (result.ok) {
       this.stored = writing;
     } else {
--- a/packages/fleet/src/peerAsking.ts
+++ b/packages/fleet/src/peerAsking.ts
@@ -4,7 +4,9 @@
 import type {RandomSource} from '@lockpin/types';
 import {STABLE_HASH_RANGE, stableHash} from '@lockpin/utils';
 import type {BoxDirectory} from './boxDirectory.js';
+import type {BoxRecord} from './boxRecord.js';
 import type {NodeIdentity} from './fleetMessages.js';
+import {READERS_PER_DATA_CENTRE} from './recordReaders.js';
 
 /** Time between questions to peers while the store does not answer. */
 const QUESTION_MILLISECONDS = 500;
@@ -28,17 +30,24 @@
  */
 const FAR_SPREAD_MILLISECONDS = 500;
 
-/** A newer version that a peer has in force. */
+/** A peer that has not brought the newer version by then is not waited for alone. */
+const ANSWER_MILLISECONDS = 400;
+
+/** Newer versions that peers have in force. */
 interface HeardVersion {
-  readonly address: string;
+  /** Peers that have one and were not asked for it yet. */
+  readonly addresses: Set<string>;
   /** When any peer first told of a version that is not in force here. */
   readonly firstAt: number;
+  /** No further peer is asked before. */
+  nextAt: number;
 }
 
 /** Chooses addresses to ask; each is asked once until it has replied. */
 export class PeerAsking {
   private readonly asked = new Set<string>();
   private heard: HeardVersion | undefined;
+  private storePatience = 0;
   private askAfter = 0;
 
   constructor(
@@ -46,14 +55,12 @@
     private readonly directory: BoxDirectory,
   ) {}
 
-  /** A peer has a newer version; the store is given the time to bring it. */
-  heardOfNewer(now: number, address: string): void {
-    const {heard} = this;
-    if (
-      heard === undefined ||
-      (!this.isNear(heard.address) && this.isNear(address))
-    ) {
-      this.heard = {address, firstAt: heard?.firstAt ?? now};
+  /** A peer has a newer version; a node that reads the store lets it come from there. */
+  heardOfNewer(now: number, address: string, readsStore: boolean): void {
+    this.storePatience = readsStore ? STORE_FIRST_MILLISECONDS : 0;
+    this.heard ??= {addresses: new Set(), firstAt: now, nextAt: now};
+    if (!this.asked.has(address)) {
+      this.heard.addresses.add(address);
     }
   }
 
@@ -65,24 +72,56 @@
   /** The peer to ask since the store did not bring what was heard of. */
   overdue(now: number): string | undefined {
     const {heard} = this;
-    if (heard === undefined || now - heard.firstAt < this.patience(heard)) {
+    if (heard === undefined || now < heard.nextAt) {
       return undefined;
     }
-    this.heard = undefined;
-    return heard.address;
+    const address = [...heard.addresses]
+      .filter((peer) => now - heard.firstAt >= this.patience(peer))
+      .sort((a, b) => Number(this.isNear(b)) - Number(this.isNear(a)))[0];
+    if (address !== undefined) {
+      heard.addresses.delete(address);
+      heard.nextAt = now + ANSWER_MILLISECONDS;
+    }
+    return address;
   }
 
   /** The peer to ask while the store does not answer, if one is due now. */
   withoutStore(now: number, random: RandomSource): string | undefined {
+    const {dataCentre} = this.identity;
+    return this.dueNow(now, () => {
+      const others = this.others(this.directory.all());
+      const near = others.filter((record) => record.dataCentre === dataCentre);
+      const pool = near.length > 0 && random() < NEAR_SHARE ? near : others;
+      return oneOf(pool, random);
+    });
+  }
+
+  /**
+   * The peer that is to hear what this box states while the store does not take it,
+   * if one is due now: a reader of any data centre, since readers tell all others.
+   */
+  instead(now: number, random: RandomSource): string | undefined {
+    return this.dueNow(now, () => {
+      const readers = this.directory.dataCentres.flatMap((dataCentre) =>
+        this.directory.rankedIn(dataCentre).slice(0, READERS_PER_DATA_CENTRE),
+      );
+      return oneOf(this.others(readers), random);
+    });
+  }
+
+  private dueNow(
+    now: number,
+    choose: () => BoxRecord | undefined,
+  ): string | undefined {
     if (now < this.askAfter) {
       return undefined;
     }
     this.askAfter = now + QUESTION_MILLISECONDS;
-    const {box: ownBox, dataCentre} = this.identity;
-    const others = this.directory.all().filter(({box}) => box !== ownBox);
-    const near = others.filter((record) => record.dataCentre === dataCentre);
-    const pool = near.length > 0 && random() < NEAR_SHARE ? near : others;
-    return pool[Math.floor(random() * pool.length)]?.peerAddress;
+    return choose()?.peerAddress;
+  }
+
+  private others(records: readonly BoxRecord[]): readonly BoxRecord[] {
+    return records.filter(({box}) => box !== this.identity.box);
   }
 
   /** Whether a question may be sent there now; notes that it is. */
@@ -100,12 +139,12 @@
   }
 
   /** How long the store, and after it the neighbours, are given. */
-  private patience({address}: HeardVersion): number {
+  private patience(address: string): number {
     const {box} = this.identity;
     const ownPart = this.isNear(address)
       ? 0
       : stableHash(box) / STABLE_HASH_RANGE;
-    return STORE_FIRST_MILLISECONDS + ownPart * FAR_SPREAD_MILLISECONDS;
+    return this.storePatience + ownPart * FAR_SPREAD_MILLISECONDS;
   }
 
   private isNear(address: string): boolean {
@@ -113,3 +152,10 @@
     return this.directory.dataCentreAt(address) === dataCentre;
   }
 }
+
+function oneOf(
+  records: readonly BoxRecord[],
+  random: RandomSource,
+): BoxRecord | undefined {
+  return records[Math.floor(random() * records.length)];
+}
--- /dev/null
+++ b/packages/fleet/src/storeDuty.ts
@@ -0,0 +1,115 @@
+// Copyright (c) 2026 the lockpin contributors. MIT licence, see LICENSE.
+/** A node's part in reading the store: for its data centre, for itself, or not at all. */
+
+import type {RandomSource} from '@lockpin/types';
+import type {BoxDirectory} from './boxDirectory.js';
+import type {FleetAction, NodeIdentity} from './fleetMessages.js';
+import {note} from './fleetNote.js';
+import type {RecordPage, RecordStream, StoreResult} from './recordStore.js';
+import {READERS_PER_DATA_CENTRE, RecordReaders} from './recordReaders.js';
+import type {FollowedPeers} from './recordReaders.js';
+import {StoreReading} from './storeReading.js';
+
+/** Reads what nobody else reads for this node. */
+export class StoreDuty {
+  readonly readers: RecordReaders;
+  private readonly reading: StoreReading;
+  private followed = '';
+  private wasFollowing = false;
+  private isLeaving = false;
+
+  constructor(
+    identity: NodeIdentity,
+    private readonly directory: BoxDirectory,
+    isFirstStart: boolean,
+  ) {
+    this.readers = new RecordReaders(identity, directory);
+    this.reading = new StoreReading(isFirstStart);
+  }
+
+  /** Whether this node has read who is in the fleet. */
+  get hasReadBoxes(): boolean {
+    return this.reading.hasReadBoxes;
+  }
+
+  /** Whether this node reads the store on, for others or for itself. */
+  isFollowing(now: number): boolean {
+    return this.hasReadBoxes && !this.isLeaving && this.readers.hasToRead(now);
+  }
+
+  /** Whether it reads, and the store answers: others may rely on it. */
+  isServing(now: number): boolean {
+    return this.isFollowing(now) && !this.reading.isInTrouble;
+  }
+
+  /** Neither the store nor a reader tells this node what is new. */
+  lacksNews(now: number): boolean {
+    const isTold = this.readers.hearsReader(now) || this.isServing(now);
+    return !isTold && (this.reading.isInTrouble || this.readers.isAlone(now));
+  }
+
+  /** Milliseconds since the store answered this node, or a reader that it hears. */
+  newsAge(now: number): number | undefined {
+    const own = this.isFollowing(now) ? this.reading.answerAge(now) : undefined;
+    const told = this.readers.newsAge(now);
+    return own === undefined || told === undefined
+      ? (own ?? told)
+      : Math.min(own, told);
+  }
+
+  /** Milliseconds since the store answered this node; those it runs while it did not. */
+  storeAge(now: number): number {
+    return this.reading.answerAge(now) ?? 0;
+  }
+
+  /** Others are to read from now on. */
+  leave(): void {
+    this.isLeaving = true;
+  }
+
+  /** Whom to follow, and which reads are due. */
+  goOn(now: number, random: RandomSource): readonly FleetAction[] {
+    if (this.hasReadBoxes) {
+      this.readers.tick(now);
+    }
+    const isFollowing = this.isFollowing(now);
+    const {directory} = this;
+    const most = READERS_PER_DATA_CENTRE * directory.dataCentres.length;
+    const readers = Math.max(1, Math.min(directory.size, most));
+    return [
+      ...this.reading.due(now, random, {isFollowing, readers}),
+      ...this.followPeers(now),
+      ...this.noteTurn(isFollowing),
+    ];
+  }
+
+  /** Takes in the end of a read; says what is to be noted of it. */
+  readEnded(
+    now: number,
+    random: RandomSource,
+    stream: RecordStream,
+    result: StoreResult<RecordPage>,
+  ): readonly FleetAction[] {
+    return this.reading.ended(now, random, stream, result);
+  }
+
+  private followPeers(now: number): readonly FleetAction[] {
+    const peers: FollowedPeers = this.readers.followed(now);
+    const followed = JSON.stringify(peers);
+    if (followed === this.followed || !this.hasReadBoxes) {
+      return [];
+    }
+    this.followed = followed;
+    return [{kind: 'follow-peers', peers}];
+  }
+
+  private noteTurn(isFollowing: boolean): readonly FleetAction[] {
+    if (isFollowing === this.wasFollowing) {
+      return [];
+    }
+    this.wasFollowing = isFollowing;
+    const {isReader} = this.readers;
+    const event = isFollowing ? 'store-reading-begun' : 'store-reading-left';
+    return [note(event, '', {isReader, boxes: this.directory.size})];
+  }
+}
--- a/packages/fleet/src/storeReading.ts
+++ b/packages/fleet/src/storeReading.ts
@@ -6,17 +6,40 @@
 import {note} from './fleetNote.js';
 import type {RecordPage, RecordStream, StoreResult} from './recordStore.js';
 import {StreamFollower} from './streamFollower.js';
+import type {FirstRead} from './streamFollower.js';
 
 /** Failed reads in a row after which the store counts as lost. */
 const FAILURES_TO_LOSE_STORE = 2;
 
+/**
+ * When a fleet starts for the first time no box has written yet. Upstreams announce
+ * themselves within 1.5 s of their start; one read after that finds them all.
+ */
+const FIRST_START_MILLISECONDS = 2000;
+
+/** The part that a node has in reading the store for the fleet. */
+export interface ReadingPart {
+  /** It reads on, for others or for itself. */
+  readonly isFollowing: boolean;
+  /** Nodes that read the store, this one included. */
+  readonly readers: number;
+}
+
 /** Follows both streams; notes when the store is lost, and regained. */
 export class StoreReading {
-  private readonly followers: Readonly<Record<RecordStream, StreamFollower>> = {
-    configuration: new StreamFollower('configuration'),
-    boxes: new StreamFollower('boxes'),
-  };
+  private readonly followers: Readonly<Record<RecordStream, StreamFollower>>;
   private hasLostStore = false;
+  private lastAnswerAt: number | undefined;
+
+  constructor(isFirstStart: boolean) {
+    const firstBoxes: FirstRead = isFirstStart
+      ? {kind: 'whole-history', afterMilliseconds: FIRST_START_MILLISECONDS}
+      : {kind: 'newest'};
+    this.followers = {
+      configuration: new StreamFollower('configuration'),
+      boxes: new StreamFollower('boxes', firstBoxes),
+    };
+  }
 
   /** Several reads in a row have failed, and none has ended well since. */
   get isLost(): boolean {
@@ -33,15 +56,22 @@
     return this.followers.boxes.hasRead;
   }
 
-  /** The reads that are due now. */
+  /** Milliseconds since the store last answered a read; undefined before it did. */
+  answerAge(now: number): number | undefined {
+    return this.lastAnswerAt === undefined
+      ? undefined
+      : now - this.lastAnswerAt;
+  }
+
+  /** The reads that are due now; once a stream was read, only if it is followed. */
   due(
     now: number,
     random: RandomSource,
-    nodes: number,
+    {isFollowing, readers}: ReadingPart,
   ): readonly FleetAction[] {
-    return Object.values(this.followers).flatMap(
-      (follower) => follower.due(now, random, nodes) ?? [],
-    );
+    return Object.values(this.followers)
+      .filter((follower) => isFollowing || !follower.hasRead)
+      .flatMap((follower) => follower.due(now, random, readers) ?? []);
   }
 
   /** Takes in the end of a read; says what is to be noted of it. */
@@ -54,6 +84,7 @@
     const follower = this.followers[stream];
     follower.ended(now, random, result);
     if (result.ok) {
+      this.lastAnswerAt = now;
       const wasLost = this.hasLostStore;
       this.hasLostStore = false;
       return wasLost ? [note('store-regained', stream, {})] : [];
--- a/packages/fleet/src/streamFollower.ts
+++ b/packages/fleet/src/streamFollower.ts
@@ -44,9 +44,10 @@
 /**
  * A read of a store that has gone silent hangs until its time is up. Nodes
  * read at different times, and the first to hear tells the others, so that
- * the wait may grow with the number of nodes.
+ * the wait may grow with the number of nodes that read: one of their reads ends
+ * every 1.1 s on average, and news is back within two seconds of the store.
  */
-const WAIT_PER_NODE_MILLISECONDS = 500;
+const WAIT_PER_NODE_MILLISECONDS = 1500;
 
 /** The least of that wait, in a small fleet. */
 const SHORTEST_WAIT_MILLISECONDS = 2000;
@@ -63,17 +64,30 @@
 /** Lets the reads of a large fleet stay within what the store can answer. */
 const LONGEST_WAIT_PER_NODE_MILLISECONDS = 6;
 
+/** What the first read of a stream asks for. */
+export type FirstRead =
+  | {readonly kind: 'newest'}
+  /** All that was ever written, some time after the process began. */
+  | {readonly kind: 'whole-history'; readonly afterMilliseconds: number};
+
 /** One read at a time; a pause follows news, and failures but lost history. */
 export class StreamFollower {
   private from: number | undefined;
   private isReading = false;
-  private nextAt = 0;
+  private hasEndedWell = false;
+  /** Undefined until the follower is first asked. */
+  private nextAt: number | undefined;
   private failures = 0;
   /** The last read of records that follow found them gone. */
   private isHistoryLost = false;
   private nodes = 1;
 
-  constructor(private readonly stream: RecordStream) {}
+  constructor(
+    private readonly stream: RecordStream,
+    private readonly firstRead: FirstRead = {kind: 'newest'},
+  ) {
+    this.from = firstRead.kind === 'whole-history' ? 0 : undefined;
+  }
 
   /** Reads failed, one after the other, until now. */
   get failureCount(): number {
@@ -82,7 +96,7 @@
 
   /** Whether the stream was read at all. */
   get hasRead(): boolean {
-    return this.from !== undefined;
+    return this.hasEndedWell;
   }
 
   /** The read that is due now, if any. */
@@ -91,6 +105,7 @@
     random: RandomSource,
     nodes: number,
   ): StreamRead | undefined {
+    this.nextAt ??= now + this.firstDelay;
     if (this.isReading || now < this.nextAt) {
       return undefined;
     }
@@ -116,6 +131,7 @@
     this.isReading = false;
     if (result.ok) {
       this.failures = 0;
+      this.hasEndedWell = true;
       // Only records that follow on show that the history is there again.
       this.isHistoryLost &&= this.from === undefined;
       this.from = result.value.end;
@@ -138,6 +154,11 @@
     this.nextAt = now + pause * (0.5 + random());
   }
 
+  private get firstDelay(): number {
+    const {firstRead} = this;
+    return firstRead.kind === 'newest' ? 0 : firstRead.afterMilliseconds;
+  }
+
   /** How long the pause after news is. */
   private gather(): number {
     const least = GATHER_MILLISECONDS[this.stream];
--- a/packages/membership/src/logReaders.ts
+++ b/packages/membership/src/logReaders.ts
@@ -1,7 +1,7 @@
 // Copyright (c) 2026 the lockpin contributors. MIT licence, see LICENSE.
 /** Which nodes read the log; the others hear of records from their peers. */
 
-import {stableHash} from '@lockpin/utils';
+import {readerRank} from '@lockpin/utils';
 import {isUsable} from './member.js';
 import type {Member} from './member.js';
 
@@ -13,14 +13,13 @@
  * about the members only make for more readers, or fewer for a while.
  */
 export function isLogReader(own: Member, members: readonly Member[]): boolean {
-  const rank = (box: string): number => stableHash(`log-reader ${box}`);
-  const ownRank = rank(own.box);
+  const ownRank = readerRank(own.box);
   const before = members.filter(
     (member) =>
       member.dataCentre === own.dataCentre &&
       member.box !== own.box &&
       isUsable(member) &&
-      rank(member.box) < ownRank,
+      readerRank(member.box) < ownRank,
   );
   return before.length < READERS_PER_DATA_CENTRE;
 }
--- a/packages/node/src/connection/codec.ts
+++ b/packages/node/src/connection/codec.ts
@@ -27,11 +27,25 @@
 const PLAIN = 0;
 const DEFLATED = 1;
 
+/** What documents that are sent to many came to. */
+const encodedDocuments = new WeakMap<object, Buffer>();
+
 /**
  * Encodes a message that may be a large document, such as a configuration, whose
- * routes differ little from each other. Bytes between data centres are paid for.
+ * routes differ little from each other. Bytes between data centres are paid for. The
+ * same document is encoded once, however many nodes ask for it at a time.
  */
-export function encodeDocument(message: unknown): Buffer {
+export function encodeDocument(message: object): Buffer {
+  const known = encodedDocuments.get(message);
+  if (known !== undefined) {
+    return known;
+  }
+  const bytes = documentBytes(message);
+  encodedDocuments.set(message, bytes);
+  return bytes;
+}
+
+function documentBytes(message: object): Buffer {
   const plain = encode(message);
   return plain.length < LEAST_COMPRESSED_BYTES
     ? Buffer.concat([Buffer.from([PLAIN]), plain])
--- a/packages/node/src/connection/peerChannels.ts
+++ b/packages/node/src/connection/peerChannels.ts
@@ -16,7 +16,10 @@
 const RENEWED_CLOSE_MILLISECONDS = 30_000;
 
 /** One channel for each address, least recently used dropped first. */
-export class PeerChannels<Request = PeerRequest, Reply = PeerReply> {
+export class PeerChannels<
+  Request extends object = PeerRequest,
+  Reply extends object = PeerReply,
+> {
   private readonly clients = new Map<string, PeerClient>();
 
   constructor(private readonly traffic: ControlTraffic) {}
--- a/packages/node/src/connection/peerServer.ts
+++ b/packages/node/src/connection/peerServer.ts
@@ -8,7 +8,10 @@
 import {CHANNEL_OPTIONS, peerService} from './peerProtocol.js';
 
 /** What the server hands on. */
-export interface PeerServerHandlers<Request = PeerRequest, Reply = PeerReply> {
+export interface PeerServerHandlers<
+  Request extends object = PeerRequest,
+  Reply extends object = PeerReply,
+> {
   readonly call: (stream: grpc.ServerDuplexStream<Buffer, Buffer>) => void;
   /** A stream that carries many exchanges. */
   readonly exchanges: (stream: grpc.ServerDuplexStream<Buffer, Buffer>) => void;
@@ -16,7 +19,10 @@
 }
 
 /** The gRPC server of a node. */
-export class PeerServer<Request = PeerRequest, Reply = PeerReply> {
+export class PeerServer<
+  Request extends object = PeerRequest,
+  Reply extends object = PeerReply,
+> {
   private readonly server = new grpc.Server(CHANNEL_OPTIONS);
 
   constructor(
--- a/packages/node/src/process/fleetComposition.ts
+++ b/packages/node/src/process/fleetComposition.ts
@@ -51,6 +51,7 @@
   >,
   peerTraffic: Symbol('peerTraffic') as InjectionToken<PeerTraffic>,
   news: Symbol('news') as InjectionToken<Subscribers<PeerNews>>,
+  followers: Symbol('followers') as InjectionToken<Subscribers<PeerNews>>,
   remote: Symbol('remote') as InjectionToken<RemoteExchanges>,
   guardService: Symbol('guardService') as InjectionToken<GuardService>,
   entryService: Symbol('entryService') as InjectionToken<EntryService>,
@@ -75,6 +76,7 @@
     (parts) => new PeerTraffic(parts.resolve(FLEET_TOKENS.metrics)),
   );
   once(FLEET_TOKENS.news, () => new Subscribers<PeerNews>());
+  once(FLEET_TOKENS.followers, createFollowers);
   once(FLEET_TOKENS.remote, createRemoteExchanges);
   once(FLEET_TOKENS.guardService, createGuardService);
   once(FLEET_TOKENS.entryService, createEntryService);
@@ -114,6 +116,11 @@
   );
 }
 
+function createFollowers(parts: DependencyContainer): Subscribers<PeerNews> {
+  const host = parts.resolve(FLEET_TOKENS.host);
+  return new Subscribers<PeerNews>((count) => host.followersChanged(count));
+}
+
 function createRemoteExchanges(parts: DependencyContainer): RemoteExchanges {
   const channels = parts.resolve(FLEET_TOKENS.channels);
   const traffic = parts.resolve(FLEET_TOKENS.peerTraffic);
@@ -129,6 +136,7 @@
 function newsExchange(parts: DependencyContainer): NewsExchange {
   const host = parts.resolve(FLEET_TOKENS.host);
   const subscribers = parts.resolve(FLEET_TOKENS.news);
+  const followers = parts.resolve(FLEET_TOKENS.followers);
   return {
     first: () => versionNews(host),
     onNews: (news) => {
@@ -139,9 +147,17 @@
         case 'standing':
           host.standingHeard(news.upstream, news.hint);
           break;
+        case 'report':
+        case 'boxes':
+          host.newsTold(news);
+          break;
+        case 'follow':
+          // Only the end that serves the stream is asked for this, and takes it.
+          break;
       }
     },
     subscribe: (tell) => subscribers.add(tell),
+    follow: (tell) => followers.add(tell),
   };
 }
 
--- a/packages/node/src/process/fleetHost.ts
+++ b/packages/node/src/process/fleetHost.ts
@@ -7,6 +7,8 @@
 import type {
   FleetAction,
   FleetEvent,
+  FleetNews,
+  FollowedPeers,
   OwnUpstream,
   PeerKnowledge,
   PeerQuestion,
@@ -50,6 +52,10 @@
   readonly onGuardEvent: (event: GuardEvent) => void;
   readonly onUpstreams: (upstreams: readonly Resource<'Upstream'>[]) => void;
   readonly onVersion: (version: number) => void;
+  /** These nodes are to be followed from now on, and no others. */
+  readonly onFollow: (peers: FollowedPeers) => void;
+  /** For the nodes that follow this one. */
+  readonly onFollowerNews: (news: FleetNews) => void;
   /** The guard here changed its mind about its upstream. */
   readonly onStanding: (upstream: string, hint: LoadHint) => void;
 }
@@ -63,6 +69,8 @@
   private listeners: FleetHostListeners | undefined;
   private stopTicking: (() => void) | undefined;
   private hasLeft = false;
+  /** Nodes that follow this one. */
+  private followers = 0;
 
   constructor(
     private currentSettings: FleetNodeSettings,
@@ -75,6 +83,7 @@
     this.fleet = new FleetBrain(
       {box, dataCentre, peerAddress},
       readConfiguration,
+      {isFirst: currentSettings.isFirstStart},
     );
     const isOn = mechanismSwitch(currentSettings.switchedOff);
     const startedAt = environment.clock();
@@ -131,10 +140,14 @@
   start(listeners: FleetHostListeners): void {
     this.listeners = listeners;
     this.stopTicking = this.environment.every(TICK_MILLISECONDS, () => {
-      this.handle({kind: 'tick'});
+      this.tick();
       listeners.onGuardEvent({kind: 'tick'});
     });
-    this.handle({kind: 'tick'});
+    this.tick();
+  }
+
+  private tick(): void {
+    this.handle({kind: 'tick', followers: this.followers});
   }
 
   stop(): void {
@@ -144,6 +157,7 @@
   /** The guard refuses new calls from here on; entries go elsewhere at once. */
   leave(): void {
     this.hasLeft = true;
+    this.handle({kind: 'leaving'});
     this.listeners?.onGuardEvent({kind: 'leaving'});
   }
 
@@ -157,6 +171,20 @@
     this.handle({kind: 'upstream-announced', announcement});
   }
 
+  /** Counts the nodes that follow this one. */
+  followersChanged(followers: number): void {
+    const hasGrown = followers > this.followers;
+    this.followers = followers;
+    if (hasGrown) {
+      this.handle({kind: 'follower-came'});
+    }
+  }
+
+  /** A followed node told something. */
+  newsTold(news: FleetNews): void {
+    this.handle({kind: 'news-told', news});
+  }
+
   /** A peer told the version that is in force there. */
   peerVersionHeard(address: string, version: number): void {
     this.handle({kind: 'peer-version-heard', address, version});
@@ -210,6 +238,12 @@
       case 'ask-peer':
         this.askPeer(action.address, action.question);
         break;
+      case 'follow-peers':
+        this.listeners?.onFollow(action.peers);
+        break;
+      case 'tell-followers':
+        this.listeners?.onFollowerNews(action.news);
+        break;
       case 'configuration-changed':
         this.configurationChanged(action);
         break;
--- a/packages/node/src/process/metrics.ts
+++ b/packages/node/src/process/metrics.ts
@@ -17,6 +17,10 @@
   'configuration.version',
   'members.usable',
   'peer.bytes',
+  'readers.followed',
+  'readers.heard',
+  'store.newsAgeMilliseconds',
+  'store.reads',
 ] as const;
 
 /** One of the metrics. */
--- a/packages/node/src/process/runFleetNode.ts
+++ b/packages/node/src/process/runFleetNode.ts
@@ -38,6 +38,9 @@
 /** Added to the time after which idle connections of callers are closed. */
 const IDLE_ALLOWANCE_MILLISECONDS = 1000;
 
+/** A node that was killed is there again within a second; a look costs little. */
+const FOLLOW_AGAIN_MILLISECONDS = 300;
+
 /** Time between lines that say how many bytes went between data centres. */
 const TRAFFIC_LINE_MILLISECONDS = 5000;
 
@@ -51,6 +54,7 @@
   const pools = container.resolve(FLEET_TOKENS.pools);
   const subscribers = container.resolve(FLEET_TOKENS.news);
   const remote = container.resolve(FLEET_TOKENS.remote);
+  const followers = container.resolve(FLEET_TOKENS.followers);
   const stopping: StopState = {isStopping: false, closesConnections: false};
   const peerServer = container.resolve(FLEET_TOKENS.peerServer);
   await peerServer.start(settings.peerListenAddress);
@@ -70,14 +74,23 @@
       remote.tell(news);
       subscribers.tell(news);
     },
+    onFollow: (peers) => remote.follow(peers),
+    onFollowerNews: (news) => followers.tell(news),
     onStanding: (upstream, hint) =>
       subscribers.tell({kind: 'standing', upstream, hint}),
   });
+  const stopFollowing = every(FOLLOW_AGAIN_MILLISECONDS, () =>
+    remote.keepFollowing(),
+  );
   every(TRAFFIC_LINE_MILLISECONDS, () => noteTraffic(container));
   let result: Promise<StopResult> | undefined;
   return {
     isReady: () => host.isReady && !stopping.isStopping,
-    stop: () => (result ??= stopFleetNode(container, callers, stopping)),
+    stop: () => {
+      stopFollowing();
+      result ??= stopFleetNode(container, callers, stopping);
+      return result;
+    },
   };
 }
 
@@ -131,6 +144,12 @@
     metrics.gauge('guard.occupied', guard.callCount);
     metrics.gauge('configuration.version', host.fleet.version);
     metrics.gauge('members.usable', host.fleet.directory.size);
+    const {duty} = host.fleet;
+    const now = steadyClock();
+    metrics.gauge('store.reads', duty.isFollowing(now) ? 1 : 0);
+    metrics.gauge('store.newsAgeMilliseconds', duty.newsAge(now) ?? -1);
+    metrics.gauge('readers.followed', duty.readers.followed(now).near.length);
+    metrics.gauge('readers.heard', duty.readers.hearsReader(now) ? 1 : 0);
     metrics.gauge('log.dropped', writer.counts.dropped);
     void metrics.text().then((text) => response.end(text));
   };
--- a/packages/node/src/process/subscribers.ts
+++ b/packages/node/src/process/subscribers.ts
@@ -5,10 +5,19 @@
 export class Subscribers<T> {
   private readonly listeners = new Set<(news: T) => void>();
 
+  /** Told of the number of listeners each time that it changes. */
+  constructor(
+    private readonly onCount: (count: number) => void = () => undefined,
+  ) {}
+
   /** Adds a listener; returns what takes it out again. */
   add(listener: (news: T) => void): () => void {
     this.listeners.add(listener);
-    return () => this.listeners.delete(listener);
+    this.onCount(this.listeners.size);
+    return () => {
+      this.listeners.delete(listener);
+      this.onCount(this.listeners.size);
+    };
   }
 
   tell(news: T): void {
--- a/packages/node/src/request/exchangeStream.ts
+++ b/packages/node/src/request/exchangeStream.ts
@@ -31,6 +31,7 @@
   /** Offers that were not answered since anything was last heard. */
   private silences = 0;
   private hasBroken = false;
+  private isKept = false;
   private idleTimer: NodeJS.Timeout | undefined;
 
   constructor(
@@ -79,6 +80,12 @@
     };
   }
 
+  /** Whether the stream stays open while it carries nothing. */
+  keep(isKept: boolean): void {
+    this.isKept = isKept;
+    this.endWhenIdle();
+  }
+
   /** Tells the guard's node something that belongs to no call. */
   tell(news: PeerNews): void {
     this.batch.add(NO_EXCHANGE, {kind: 'news', news});
@@ -143,7 +150,12 @@
 
   private close(number: number): void {
     this.open.delete(number);
-    if (this.open.size === 0) {
+    this.endWhenIdle();
+  }
+
+  private endWhenIdle(): void {
+    clearTimeout(this.idleTimer);
+    if (this.open.size === 0 && !this.isKept) {
       this.idleTimer = setTimeout(() => this.end(), IDLE_MILLISECONDS);
       this.idleTimer.unref();
     }
--- a/packages/node/src/request/exchangeStreamServer.ts
+++ b/packages/node/src/request/exchangeStreamServer.ts
@@ -23,6 +23,8 @@
   readonly onNews: (news: PeerNews) => void;
   /** Calls back with each piece of news; returns what stops that. */
   readonly subscribe: (tell: (news: PeerNews) => void) => () => void;
+  /** Calls back with what this node tells its followers; returns what stops that. */
+  readonly follow: (tell: (news: PeerNews) => void) => () => void;
 }
 
 /** Serves a stream until it ends; what is open then is cancelled. */
@@ -52,6 +54,7 @@
 class ExchangeStreamServer {
   private readonly open = new Map<number, OpenExchange>();
   private readonly batch: FrameBatch;
+  private unfollow: (() => void) | undefined;
 
   constructor(
     stream: grpc.ServerDuplexStream<Buffer, Buffer>,
@@ -70,6 +73,7 @@
   }
 
   broke(): void {
+    this.follows(false);
     const left = [...this.open.values()];
     this.open.clear();
     left.forEach(({exchange}) => exchange?.cancel());
@@ -92,7 +96,7 @@
         known?.exchange?.go(frame.request);
         break;
       case 'news':
-        this.newsExchange?.onNews(frame.news);
+        this.newsHeard(frame.news);
         break;
       case 'cancel':
         this.open.delete(number);
@@ -107,6 +111,22 @@
     }
   }
 
+  private newsHeard(news: PeerNews): void {
+    if (news.kind === 'follow') {
+      this.follows(news.isWanted);
+    } else {
+      this.newsExchange?.onNews(news);
+    }
+  }
+
+  /** The other end wants to hear what this node reads, or no longer does. */
+  private follows(isWanted: boolean): void {
+    this.unfollow?.();
+    this.unfollow = isWanted
+      ? this.newsExchange?.follow((news) => this.tell(news))
+      : undefined;
+  }
+
   private handlersFor(number: number, opened: OpenExchange): ExchangeHandlers {
     const close = (): void => void this.open.delete(number);
     return {
--- a/packages/node/src/request/frameRows.ts
+++ b/packages/node/src/request/frameRows.ts
@@ -1,6 +1,7 @@
 // Copyright (c) 2026 the lockpin contributors. MIT licence, see LICENSE.
 /** Frames as rows of values, in the order in which they go between nodes. */
 
+import type {BoxRecord, ReaderReport} from '@lockpin/fleet';
 import type {
   AnswerHead,
   CallHead,
@@ -70,6 +71,27 @@
   'body',
 ] as const satisfies readonly (keyof CallRequest)[];
 
+/** The order of a box's statement. */
+const BOX_FIELDS = [
+  'box',
+  'dataCentre',
+  'peerAddress',
+  'service',
+  'slots',
+  'takesWork',
+  'coldUntil',
+  'statedAt',
+] as const satisfies readonly (keyof BoxRecord)[];
+
+/** The order of a reader's report. */
+const REPORT_FIELDS = [
+  'version',
+  'boxesDigest',
+  'isReading',
+  'storeAge',
+  'nextWithin',
+] as const satisfies readonly (keyof ReaderReport)[];
+
 /** A call's head with numbers in place of words. */
 type CodedHead = Omit<CallHead, 'repetition' | 'terms'> & {
   readonly repetition: number;
@@ -93,6 +115,29 @@
 
 type VersionRow = readonly [version: number, address: string];
 
+/**
+ * The first value of news that is neither a standing nor a version. No version is
+ * below 0, so that a node of an earlier release passes over it.
+ */
+const FOLLOW = -1;
+const REPORT = -2;
+const BOXES = -3;
+
+type FollowRow = readonly [kind: typeof FOLLOW, isWanted: boolean];
+
+type ReportRow = readonly [
+  kind: typeof REPORT,
+  address: string,
+  report: readonly unknown[],
+];
+
+type BoxesRow = readonly [
+  kind: typeof BOXES,
+  boxes: readonly (readonly unknown[])[],
+];
+
+type NewsRow = StandingRow | VersionRow | FollowRow | ReportRow | BoxesRow;
+
 /** The row of a refusal. */
 export function refusalRow({
   refusal,
@@ -156,18 +201,47 @@
 }
 
 /** The row of a piece of news. */
-export function newsRow(news: PeerNews): StandingRow | VersionRow {
-  return news.kind === 'standing'
-    ? [news.upstream, hintRow(news.hint)]
-    : [news.version, news.address];
+export function newsRow(news: PeerNews): NewsRow {
+  switch (news.kind) {
+    case 'standing':
+      return [news.upstream, hintRow(news.hint)];
+    case 'version':
+      return [news.version, news.address];
+    case 'follow':
+      return [FOLLOW, news.isWanted];
+    case 'report':
+      return [REPORT, news.address, toRow(REPORT_FIELDS, news.report)];
+    case 'boxes':
+      return [BOXES, news.boxes.map((box) => toRow(BOX_FIELDS, box))];
+  }
 }
 
-/** What is told of an upstream begins with its name, what is told of versions does not. */
-export function newsFrom(row: StandingRow | VersionRow): PeerNews {
+/** What is told of an upstream begins with its name, all else with a number. */
+export function newsFrom(row: NewsRow): PeerNews {
   const [first, second] = row;
-  return typeof first === 'string'
-    ? {kind: 'standing', upstream: first, hint: hintOf(second as HintRow)}
-    : {kind: 'version', version: first, address: second as string};
+  if (typeof first === 'string') {
+    return {kind: 'standing', upstream: first, hint: hintOf(second as HintRow)};
+  }
+  switch (first) {
+    case FOLLOW:
+      return {kind: 'follow', isWanted: second as boolean};
+    case REPORT:
+      return reportFrom(row as ReportRow);
+    case BOXES:
+      return boxesFrom(row as BoxesRow);
+    default:
+      return {kind: 'version', version: first, address: second as string};
+  }
+}
+
+function reportFrom([, address, row]: ReportRow): PeerNews {
+  const report = fromRow<ReaderReport>(REPORT_FIELDS, row);
+  return {kind: 'report', address, report};
+}
+
+function boxesFrom([, rows]: BoxesRow): PeerNews {
+  const boxes = rows.map((row) => fromRow<BoxRecord>(BOX_FIELDS, row));
+  return {kind: 'boxes', boxes};
 }
 
 /** The row of a request. */
--- a/packages/node/src/request/frames.ts
+++ b/packages/node/src/request/frames.ts
@@ -2,6 +2,7 @@
 /** Frames of one exchange between an entry and a guard. */
 
 import type {OfferTerms} from '@lockpin/brain';
+import type {FleetNews} from '@lockpin/fleet';
 import type {LoadHint} from '@lockpin/routing';
 import type {Refusal, Repetition} from '@lockpin/types';
 import {decode, encode} from '../connection/codec.js';
@@ -103,7 +104,11 @@
       readonly kind: 'standing';
       readonly upstream: string;
       readonly hint: LoadHint;
-    };
+    }
+  /** The sender wants to hear what the other end reads, or no longer does. */
+  | {readonly kind: 'follow'; readonly isWanted: boolean}
+  /** For those that follow the sender. */
+  | FleetNews;
 
 /** One frame, read. */
 export type Frame =
--- a/packages/node/src/request/remoteExchanges.ts
+++ b/packages/node/src/request/remoteExchanges.ts
@@ -1,10 +1,12 @@
 // Copyright (c) 2026 the lockpin contributors. MIT licence, see LICENSE.
 /** Exchanges with the guards of other boxes. */
 
+import type {FollowedPeers} from '@lockpin/fleet';
 import type {PeerClient} from '../connection/peerProtocol.js';
 import type {Exchange, ExchangeHandlers} from './exchange.js';
 import {ExchangeStream} from './exchangeStream.js';
 import type {NewsExchange} from './exchangeStreamServer.js';
+import {FollowedStreams} from './followedStreams.js';
 import type {OnFrameBytes} from './frameBatch.js';
 import type {CallHead, PeerNews} from './frames.js';
 import {beginRemoteExchange} from './remoteExchange.js';
@@ -16,6 +18,7 @@
  */
 export class RemoteExchanges {
   private readonly streams = new Map<string, ExchangeStream>();
+  private readonly followed: FollowedStreams;
 
   constructor(
     private readonly client: (address: string) => PeerClient,
@@ -26,7 +29,12 @@
     private readonly counterFor: (
       address: string,
     ) => OnFrameBytes | undefined = () => undefined,
-  ) {}
+  ) {
+    this.followed = new FollowedStreams(
+      (address) => this.stream(address),
+      (address) => this.leaveConnection(address),
+    );
+  }
 
   begin(address: string, head: CallHead, handlers: ExchangeHandlers): Exchange {
     return head.hasMore
@@ -43,17 +51,32 @@
     }
   }
 
+  /** Follows these nodes from now on, and no others. */
+  follow(peers: FollowedPeers): void {
+    this.followed.follow(peers);
+  }
+
+  /** Opens streams to followed nodes again that have broken. */
+  keepFollowing(): void {
+    this.followed.reopen();
+  }
+
   /**
    * A guard did not answer an offer. When that goes on, the next call gets a
    * connection of its own: the present one may be cut without an end.
    */
   wasSilent(address: string): void {
     if (this.streams.get(address)?.wasSilent()) {
-      this.streams.delete(address);
-      this.renew(address);
+      this.leaveConnection(address);
     }
   }
 
+  /** What is under way there may still end; what is to come gets a new one. */
+  private leaveConnection(address: string): void {
+    this.streams.delete(address);
+    this.renew(address);
+  }
+
   private stream(address: string): ExchangeStream {
     const client = this.client(address);
     const found = this.streams.get(address);
