Hanging shows at a fleet's start and under load; calls go to all upstreams, not to a few

Calls that cannot be repeated filled upstreams in an order that all entries shared, half of them were left out, and a third of those in use hung unseen: the first doubt about an upstream of roster came 4.2 s after traffic began. Two causes in the guard: an upstream that never answered had no usual duration to be late by; and all evidence was set aside for 3 s after any call of the box had found no slot, which under load is always. Ruled out: early signs in nested calls (they begin at the end of a parent's work). The test of the shared order became one of its opposite; the row of held up calls in the fault matrix names the stricter test.

--- a/packages/brain/src/entry/attemptNews.ts
+++ b/packages/brain/src/entry/attemptNews.ts
@@ -1,12 +1,11 @@
 // Copyright (c) 2026 the lockpin contributors. MIT licence, see LICENSE.
 /** What an entry learns of upstreams and routes from its attempts. */
 
-import type {LoadHint, ServiceCrowding, UpstreamLoads} from '@lockpin/routing';
+import type {LoadHint, UpstreamLoads} from '@lockpin/routing';
 import {FIRST_FAILED_STATUS} from '@lockpin/utils';
 import type {AttemptTiming} from './attemptTiming.js';
 import type {CallState} from './callState.js';
 import type {EntryEvent} from './entryMessages.js';
-import {FULL_REFUSALS} from './entrySettings.js';
 
 /** What an answer tells besides its content. */
 type AnswerNews = Pick<
@@ -19,7 +18,6 @@
   constructor(
     private readonly loads: UpstreamLoads,
     private readonly timing: AttemptTiming,
-    private readonly crowding: ServiceCrowding,
   ) {}
 
   /** A guard refused a call. */
@@ -30,9 +28,6 @@
   ): void {
     const {upstream, hint, refusal} = event;
     this.heard(now, upstream, hint);
-    if (FULL_REFUSALS.has(refusal.reason)) {
-      this.crowding.offered(state.call.view.name, false);
-    }
     if (hint === undefined && refusal.reason === 'no-upstream') {
       this.loads.isMissing(state.upstream, now);
     }
@@ -46,7 +41,6 @@
     {hint, status, ranMilliseconds}: AnswerNews,
   ): void {
     this.heard(now, upstream, hint);
-    this.crowding.offered(call.view.name, true);
     if (ranMilliseconds !== undefined && status < FIRST_FAILED_STATUS) {
       this.timing.answered(call.route.name, ranMilliseconds);
     }
--- a/packages/brain/src/entry/callBooks.ts
+++ b/packages/brain/src/entry/callBooks.ts
@@ -23,6 +23,15 @@
     return this.calls.size;
   }
 
+  /** Calls that have not ended and of which something holds. */
+  countOf(holds: (state: CallState) => boolean): number {
+    let count = 0;
+    for (const state of this.calls.values()) {
+      count += holds(state) ? 1 : 0;
+    }
+    return count;
+  }
+
   /** The state of a call that has not ended. */
   get(callId: string): CallState | undefined {
     return this.calls.get(callId);
--- a/packages/brain/src/entry/callOffers.ts
+++ b/packages/brain/src/entry/callOffers.ts
@@ -22,12 +22,6 @@
 /** Part of the shortest wait that guards told of, after which a call asks again. */
 const WAIT_SHARE = 0.5;
 
-/**
- * For so long after a call was held up, others that are under way may have waited for
- * one. An entry sees a few calls a second, so that a shorter time has gaps under load.
- */
-const HELD_UP_MILLISECONDS = 3000;
-
 /** What the offers of an entry go by. */
 export interface CallOffersContext {
   readonly boxes: BoxKnowledge;
@@ -40,8 +34,6 @@
 
 /** Makes the offers of calls, and ends their rounds. */
 export class CallOffers {
-  private lastHeldUpAt = Number.NEGATIVE_INFINITY;
-
   constructor(private readonly context: CallOffersContext) {}
 
   /** Offers a call to the next upstream, or gives it up for now. */
@@ -68,7 +60,6 @@
   ): readonly EntryAction[] {
     const {pauseMilliseconds} = this.context.settings;
     const milliseconds = this.pauseBefore(state);
-    this.lastHeldUpAt = now;
     if (pauseMilliseconds === 0 || now + milliseconds > state.heldUntil) {
       return this.context.books.finalRefusal(state, reason, retryAfter);
     }
@@ -76,11 +67,6 @@
     return [{kind: 'pause', callId: state.call.id, milliseconds}];
   }
 
-  /** Whether a call found no slot in a round of offers a moment ago. */
-  heldUpCalls(now: number): boolean {
-    return now - this.lastHeldUpAt <= HELD_UP_MILLISECONDS;
-  }
-
   /** Asking again long before a slot is expected anywhere would be in vain. */
   private pauseBefore({pauses, shortestWait}: CallState): number {
     const {pauseMilliseconds} = this.context.settings;
--- a/packages/brain/src/entry/callState.ts
+++ b/packages/brain/src/entry/callState.ts
@@ -64,3 +64,9 @@
   state.terms = terms;
   state.tried = new Set();
 }
+
+/** A call that found no slot at first, or takes too long where it runs. */
+export function isHeldUp(state: CallState, firstTerms: OfferTerms): boolean {
+  const {terms, pauses, overdueAt} = state;
+  return terms !== firstTerms || pauses > 0 || overdueAt !== undefined;
+}
--- a/packages/brain/src/entry/entryBrain.ts
+++ b/packages/brain/src/entry/entryBrain.ts
@@ -1,7 +1,7 @@
 // Copyright (c) 2026 the lockpin contributors. MIT licence, see LICENSE.
 /** The entry of a node: routes calls, retries them, and refuses truthfully. */
 
-import {ServiceCrowding, UpstreamLoads} from '@lockpin/routing';
+import {UpstreamLoads} from '@lockpin/routing';
 import type {RoutingCandidate} from '@lockpin/routing';
 import type {RandomSource, Refusal} from '@lockpin/types';
 import {AnsweredAttempts} from './answeredAttempts.js';
@@ -10,6 +10,7 @@
 import {CallBooks, refuse} from './callBooks.js';
 import {CallOffers, NO_UPSTREAM_RETRY_MILLISECONDS} from './callOffers.js';
 import {arrivedCall} from './callState.js';
+import {isHeldUp} from './callState.js';
 import type {CallState} from './callState.js';
 import type {
   BoxKnowledge,
@@ -47,10 +48,9 @@
     const loads = new UpstreamLoads(settings.linkPatience);
     const retries = new RetryPolicy(settings);
     const timing = new AttemptTiming(settings, retries);
-    const crowding = new ServiceCrowding();
     const place = {box, dataCentre, boxes, loads};
-    const chooser = new UpstreamChooser({...place, crowding, settings});
-    const news = new AttemptNews(loads, timing, crowding);
+    const chooser = new UpstreamChooser({...place, settings});
+    const news = new AttemptNews(loads, timing);
     const overdueAttempts = new OverdueAttempts(loads, retries, chooser);
     const books = new CallBooks(loads, overdueAttempts);
     const means = {loads, retries, chooser, books, overdueAttempts};
@@ -65,9 +65,10 @@
     this.overdueAttempts = overdueAttempts;
   }
 
-  /** Whether a call that began here found no slot anywhere a moment ago. */
-  heldUpCalls(now: number): boolean {
-    return this.offers.heldUpCalls(now);
+  /** Calls that began here and were not taken by the first upstream they went to. */
+  get heldUpCalls(): number {
+    const {firstTerms} = this.settings;
+    return this.books.countOf((state) => isHeldUp(state, firstTerms));
   }
 
   get callCount(): number {
--- a/packages/brain/src/entry/entrySettings.ts
+++ b/packages/brain/src/entry/entrySettings.ts
@@ -43,10 +43,6 @@
   readonly freeRefusals: ReadonlySet<RefusalReason>;
   /** Whether repeatable calls that take too long are sent elsewhere. */
   readonly replacesOverdue: boolean;
-  /** Whether calls that cannot be repeated fill upstreams in a shared order. */
-  readonly sharesOrder: boolean;
-  /** Whether they are spread instead while offers find no slot. */
-  readonly spreadsWhenCrowded: boolean;
   /** Whether a call is offered for a late answer when none in time can be had. */
   readonly offersLate: boolean;
 }
@@ -73,8 +69,6 @@
   mostReroutes: 3,
   freeRefusals: new Set(STANDING_REFUSALS),
   replacesOverdue: false,
-  sharesOrder: true,
-  spreadsWhenCrowded: true,
   offersLate: true,
 };
 
--- a/packages/brain/src/entry/upstreamChooser.ts
+++ b/packages/brain/src/entry/upstreamChooser.ts
@@ -1,11 +1,7 @@
 // Copyright (c) 2026 the lockpin contributors. MIT licence, see LICENSE.
 /** Which upstream a call is offered to next, and on which terms. */
 
-import type {
-  RoutingCandidate,
-  ServiceCrowding,
-  UpstreamLoads,
-} from '@lockpin/routing';
+import type {RoutingCandidate, UpstreamLoads} from '@lockpin/routing';
 import type {RandomSource} from '@lockpin/types';
 import {setTerms} from './callState.js';
 import type {CallState} from './callState.js';
@@ -19,7 +15,6 @@
   readonly dataCentre: string;
   readonly boxes: BoxKnowledge;
   readonly loads: UpstreamLoads;
-  readonly crowding: ServiceCrowding;
   readonly settings: EntrySettings;
 }
 
@@ -44,7 +39,7 @@
     excluded: ReadonlySet<string>,
   ): RoutingCandidate | undefined {
     const candidates = this.candidates(call, excluded);
-    return this.among(now, random, {call, mayProbe: false}, candidates);
+    return this.among(now, random, false, candidates);
   }
 
   /** The next upstream, on easier terms when none is left on the present ones. */
@@ -83,7 +78,7 @@
     const open = this.open(now, state).filter(
       ({name}) => !tried.has(name) && this.mayTake(now, name, terms),
     );
-    return this.among(now, random, {call, mayProbe: mayProbe(state)}, open);
+    return this.among(now, random, mayProbe(state), open);
   }
 
   /** An offer that asks for a free slot is not made where none was free. */
@@ -125,18 +120,12 @@
   private among(
     now: number,
     random: RandomSource,
-    {call, mayProbe}: {readonly call: ChosenCall; readonly mayProbe: boolean},
+    mayProbe: boolean,
     candidates: readonly RoutingCandidate[],
   ): RoutingCandidate | undefined {
-    const {box, dataCentre, loads, crowding, settings} = this.context;
-    const isSpread =
-      settings.spreadsWhenCrowded && crowding.isCrowded(call.view.name);
-    const prefersFew =
-      settings.sharesOrder &&
-      call.route?.spec.repetition === 'at-most-once' &&
-      !isSpread;
+    const {box, dataCentre, loads, settings} = this.context;
     return settings.choose(
-      {now, random, dataCentre, box, loads, prefersFew, mayProbe},
+      {now, random, dataCentre, box, loads, mayProbe},
       candidates,
     );
   }
--- a/packages/brain/src/guard/guardMessages.ts
+++ b/packages/brain/src/guard/guardMessages.ts
@@ -50,10 +50,10 @@
   /** Whether calls that have not ended are evidence for it. */
   readonly hasHangEvidence: boolean;
   /**
-   * Whether calls that begin on this box are held up. An upstream that makes calls of
-   * its own is late then without any fault, and late calls say nothing.
+   * How many calls that began on this box are held up now. An upstream that made one
+   * is late without any fault: each explains one late call, whoever made it.
    */
-  readonly holdsUpCalls: (now: number) => boolean;
+  readonly heldUpCalls: () => number;
   /** Whether little of that evidence keeps calls away that cannot be repeated. */
   readonly isCautious: boolean;
   /** Whether failures that a failed call of the same box explains are no evidence. */
@@ -77,7 +77,7 @@
 export const DEFAULT_GUARD_SETTINGS: GuardSettings = {
   hasQuickDoubt: false,
   hasHangEvidence: true,
-  holdsUpCalls: () => false,
+  heldUpCalls: () => 0,
   isCautious: true,
   excusesFailures: true,
   doubtReleasesQueue: true,
--- a/packages/brain/src/guard/quickDoubt.ts
+++ b/packages/brain/src/guard/quickDoubt.ts
@@ -5,8 +5,11 @@
 import type {CallEvidenceKind} from '@lockpin/detection';
 import type {GuardSettings} from './guardMessages.js';
 
-/** Entries ask again this soon after an upstream that has to answer a call first. */
-const UNCERTAIN_MILLISECONDS = 200;
+/**
+ * Entries ask again this soon after an upstream that has to answer a call first. Calls
+ * take a few hundred milliseconds, and offers before the next answer are in vain.
+ */
+const UNCERTAIN_MILLISECONDS = 500;
 
 /**
  * Strength of the evidence of hanging from which calls that cannot be repeated go
@@ -21,7 +24,7 @@
 /** What of it is on. */
 export type QuickDoubtSettings = Pick<
   GuardSettings,
-  'hasQuickDoubt' | 'hasHangEvidence' | 'isCautious' | 'holdsUpCalls'
+  'hasQuickDoubt' | 'hasHangEvidence' | 'isCautious' | 'heldUpCalls'
 >;
 
 /** Counts each call's evidence once; doubts nothing where it is off. */
@@ -121,7 +124,7 @@
   }
 
   private hangStrength(now: number): number {
-    return this.settings.holdsUpCalls(now) ? 0 : this.evidence.strength(now);
+    return this.evidence.strength(now, this.settings.heldUpCalls());
   }
 
   /** A call is over, with nothing learnt from it. */
--- a/packages/brain/src/guard/upstreamGuard.ts
+++ b/packages/brain/src/guard/upstreamGuard.ts
@@ -16,6 +16,7 @@
 import type {GuardCall, GuardSettings} from './guardMessages.js';
 import {OwnCallFailures} from './ownCallFailures.js';
 import {payForSending} from './payForSending.js';
+import {presumedDuration} from './presumedDuration.js';
 import {QuickDoubt} from './quickDoubt.js';
 import {isLate} from './runningCall.js';
 import type {RunningCall} from './runningCall.js';
@@ -161,7 +162,8 @@
       return false;
     }
     this.running.set(call.id, {call, startedAt: now, isSent: true});
-    this.doubt.sent(now, call.id, this.usual(now, call));
+    const usual = this.usual(now, call) ?? presumedDuration(now, call);
+    this.doubt.sent(now, call.id, usual);
     return true;
   }
 
--- a/packages/detection/src/hangEvidence.ts
+++ b/packages/detection/src/hangEvidence.ts
@@ -67,18 +67,38 @@
     this.calls = [];
   }
 
-  /** Log of how much likelier what was seen is from an upstream that hangs. */
-  strength(now: number): number {
+  /**
+   * Log of how much likelier what was seen is from an upstream that hangs. So many of
+   * the calls may be late for a reason that is known: those that say most count for
+   * nothing then.
+   */
+  strength(now: number, explained = 0): number {
+    if (this.calls.every(({isAnswered}) => isAnswered)) {
+      return 0;
+    }
+    const ratios = this.calls.map((call) => ratioOf(now, call));
     let sum = 0;
     let most = 0;
-    for (let i = this.calls.length - 1; i >= 0; i -= 1) {
-      sum += ratioOf(now, this.calls[i] as TrackedCall);
+    for (const ratio of withoutLatest(ratios, explained).reverse()) {
+      sum += ratio;
       most = Math.max(most, sum);
     }
     return most;
   }
 }
 
+/** Takes out what so many of the late calls say, from those that say most. */
+function withoutLatest(ratios: readonly number[], count: number): number[] {
+  const late = ratios
+    .map((ratio, i) => ({ratio, i}))
+    .filter(({ratio}) => ratio > 0)
+    .sort((a, b) => b.ratio - a.ratio)
+    .slice(0, count);
+  const left = [...ratios];
+  late.forEach(({i}) => (left[i] = 0));
+  return left;
+}
+
 function ratioOf(
   now: number,
   {isAnswered, startedAt, usual}: TrackedCall,
--- a/packages/fleet/src/boxDirectory.ts
+++ b/packages/fleet/src/boxDirectory.ts
@@ -6,12 +6,16 @@
 import {RECORD_LIFE_MILLISECONDS} from './boxRecord.js';
 import type {BoxRecord} from './boxRecord.js';
 
+/** Records live for minutes; looking through all of them more often is in vain. */
+const EXPIRY_CHECK_MILLISECONDS = 1000;
+
 /** Keeps the newest statement of each box. */
 export class BoxDirectory {
   private readonly records = new Map<string, BoxRecord>();
   private readonly byAddress = new Map<string, BoxRecord>();
   private readonly counts = new Map<string, number>();
   private currentDigest = 0;
+  private expireAt = 0;
   private readonly ranked = new Map<string, readonly BoxRecord[]>();
   private knownDataCentres: readonly string[] | undefined;
   private readonly upstreams = new Map<
@@ -58,6 +62,10 @@
 
   /** Forgets boxes that have not renewed their records; says which. */
   expire(now: number): readonly string[] {
+    if (now < this.expireAt) {
+      return [];
+    }
+    this.expireAt = now + EXPIRY_CHECK_MILLISECONDS;
     const expired = this.all().filter(
       ({statedAt}) => now - statedAt > RECORD_LIFE_MILLISECONDS,
     );
--- a/packages/node/src/process/fleetEntrySettings.ts
+++ b/packages/node/src/process/fleetEntrySettings.ts
@@ -58,8 +58,6 @@
     mostReroutes: MOST_REROUTES,
     freeRefusals: UNSENT_REFUSALS,
     replacesOverdue: isOn('overdue-replacement'),
-    sharesOrder: isOn('shared-order'),
-    spreadsWhenCrowded: isOn('crowding-spread'),
     offersLate: isOn('late-offers'),
   };
 }
--- a/packages/node/src/process/fleetGuardSettings.ts
+++ b/packages/node/src/process/fleetGuardSettings.ts
@@ -9,13 +9,13 @@
 /** The settings of a guard that keeps slots for entries and pays for retries. */
 export function fleetGuardSettings(
   isOn: MechanismSwitch,
-  fleet: Pick<GuardSettings, 'createRetryBudget' | 'holdsUpCalls'>,
+  fleet: Pick<GuardSettings, 'createRetryBudget' | 'heldUpCalls'>,
 ): GuardSettings {
   return {
     ...DEFAULT_GUARD_SETTINGS,
     hasQuickDoubt: isOn('quick-doubt'),
     hasHangEvidence: isOn('hang-evidence'),
-    holdsUpCalls: fleet.holdsUpCalls,
+    heldUpCalls: fleet.heldUpCalls,
     isCautious: isOn('caution'),
     excusesFailures: isOn('excused-failures'),
     doubtReleasesQueue: isOn('queue-release'),
--- a/packages/node/src/process/fleetHost.ts
+++ b/packages/node/src/process/fleetHost.ts
@@ -97,7 +97,7 @@
             retries: () => this.currentSettings.retries,
             upstreams: () => this.fleet.directory.countOf(service),
           }),
-        holdsUpCalls: (now) => this.entry.heldUpCalls(now),
+        heldUpCalls: () => this.entry.heldUpCalls,
       }),
     );
     this.entry = new EntryBrain(
--- a/packages/node/src/process/mechanisms.ts
+++ b/packages/node/src/process/mechanisms.ts
@@ -16,8 +16,6 @@
     'failures count though a call that the upstream made has failed',
   'queue-release': 'calls wait on for upstreams that are doubted',
   'suspect-limit': 'upstreams under suspicion announce all of their slots',
-  'shared-order': 'single-run calls are spread over all upstreams',
-  'crowding-spread': 'single-run calls keep to the shared order under load',
   'near-first': 'another data centre is as good as the own',
   'overdue-replacement': 'calls that take too long are not sent elsewhere',
   'late-offers': 'calls are not offered once their answer would be late',
--- a/packages/node/src/request/guardService.ts
+++ b/packages/node/src/request/guardService.ts
@@ -15,8 +15,12 @@
 /** The guard gives up this much earlier than the entry, so as to be heard. */
 const HOP_ALLOWANCE_MILLISECONDS = 5;
 
-/** Milliseconds between ticks while calls are under way. */
-const BUSY_TICK_MILLISECONDS = 20;
+/**
+ * Milliseconds between ticks while calls are under way. What a tick finds can wait for
+ * that long: reservations end after 250 ms, hanging shows after several hundred. Each
+ * tick wakes the process, and at a few calls a second there is always one under way.
+ */
+const BUSY_TICK_MILLISECONDS = 50;
 
 /** Calls with less time than this get no allowance. */
 const SHORT_CALL_MILLISECONDS = 50;
--- a/packages/routing/src/chooseByScore.ts
+++ b/packages/routing/src/chooseByScore.ts
@@ -1,7 +1,6 @@
 // Copyright (c) 2026 the lockpin contributors. MIT licence, see LICENSE.
 /** Chooses the upstream that is expected to start a call first. */
 
-import {STABLE_HASH_RANGE, stableHash} from '@lockpin/utils';
 import type {
   ChooseUpstream,
   RoutingCandidate,
@@ -14,7 +13,6 @@
   readonly otherBox: number;
   readonly cold: number;
   readonly avoided: number;
-  readonly lastInOrder: number;
 }
 
 /**
@@ -33,13 +31,8 @@
   cold: 0.4,
   /** Its guard refused or was silent a moment ago. */
   avoided: 10,
-  /** The last in the order in which all entries fill upstreams. */
-  lastInOrder: 0.6,
 };
 
-/** Above this occupation an upstream is near its limit, and gets slower. */
-const COMFORTABLE_OCCUPATION = 0.7;
-
 /** Spreads the choices of entries that know the same, in the same units. */
 const NOISE = 0.2;
 
@@ -60,10 +53,13 @@
   context: RoutingContext,
   candidates: readonly T[],
 ): T | undefined {
+  const usual = usualByDataCentre(context, candidates);
   let best: T | undefined;
   let lowest = Number.POSITIVE_INFINITY;
   for (const candidate of candidates) {
-    const cost = costOf(costs, context, candidate) + NOISE * context.random();
+    const expected = usual.get(candidate.dataCentre) ?? 0;
+    const cost =
+      costOf(costs, context, candidate, expected) + NOISE * context.random();
     if (cost < lowest) {
       lowest = cost;
       best = candidate;
@@ -76,12 +72,11 @@
   costs: CandidateCosts,
   context: RoutingContext,
   candidate: RoutingCandidate,
+  usual: number,
 ): number {
   const {loads, now} = context;
   const {name, slots, dataCentre, box, coldUntil} = candidate;
-  let cost = context.prefersFew
-    ? costInOrder(costs, loads.occupation(name, slots, now), name)
-    : loads.occupation(name, slots, now);
+  let cost = loads.occupation(name, slots, now, usual);
   cost += dataCentre === context.dataCentre ? 0 : costs.otherDataCentre;
   cost += box === context.box ? 0 : costs.otherBox;
   cost += now < coldUntil ? costs.cold : 0;
@@ -89,16 +84,21 @@
   return cost;
 }
 
-/**
- * Fills upstreams one after the other, in an order that all entries share, and
- * each only as far as it is comfortable.
- */
-function costInOrder(
-  costs: CandidateCosts,
-  occupation: number,
-  name: string,
-): number {
-  const place = stableHash(name) / STABLE_HASH_RANGE;
-  const isCrowded = occupation > COMFORTABLE_OCCUPATION;
-  return place * costs.lastInOrder + (isCrowded ? occupation : 0);
+/** How occupied the candidates of each data centre are, as far as that is known. */
+function usualByDataCentre(
+  {loads, now}: RoutingContext,
+  candidates: readonly RoutingCandidate[],
+): ReadonlyMap<string, number> {
+  const names = new Map<string, string[]>();
+  for (const {name, dataCentre} of candidates) {
+    const known = names.get(dataCentre) ?? [];
+    known.push(name);
+    names.set(dataCentre, known);
+  }
+  return new Map(
+    [...names].map(([dataCentre, upstreams]) => [
+      dataCentre,
+      loads.usualOccupation(upstreams, now),
+    ]),
+  );
 }
--- a/packages/routing/src/chooseUpstream.ts
+++ b/packages/routing/src/chooseUpstream.ts
@@ -21,11 +21,6 @@
   /** The entry's own box. */
   readonly box: string;
   readonly loads: UpstreamLoads;
-  /**
-   * The call cannot be repeated. Each upstream that begins to fail costs one
-   * such call, so that they had better go to few upstreams.
-   */
-  readonly prefersFew: boolean;
   /** The call may find out how a doubted upstream is. */
   readonly mayProbe: boolean;
 }
--- a/packages/routing/src/index.ts
+++ b/packages/routing/src/index.ts
@@ -3,7 +3,6 @@
 export * from './chooseSubset.js';
 export * from './chooseUpstream.js';
 export * from './retryBudget.js';
-export * from './serviceCrowding.js';
 export * from './typicalDurations.js';
 export * from './upstreamLoads.js';
 export * from './windowedRetryBudget.js';
--- a/packages/routing/src/upstreamLoads.ts
+++ b/packages/routing/src/upstreamLoads.ts
@@ -28,6 +28,9 @@
 /** Milliseconds after which a hint has lost most of its weight. */
 const HINT_LIFE_MILLISECONDS = 1000;
 
+/** With less than one hint of a moment ago, nothing is known of a service. */
+const LEAST_KNOWN = 0.9;
+
 /** A slot frees within about this time where calls take a few hundred. */
 const FULL_MILLISECONDS = 150;
 
@@ -169,21 +172,37 @@
     return load?.hint && {hint: load.hint, age: now - load.hintedAt};
   }
 
-  /** Expected occupation of an upstream, 1 when all its slots are taken. */
-  occupation(upstream: string, slots: number, now: number): number {
+  /**
+   * Expected occupation of an upstream, 1 when all its slots are taken. What is not
+   * known of it, or no longer, is taken to be usual: an upstream that nothing was
+   * heard of for long is no emptier than others.
+   */
+  occupation(upstream: string, slots: number, now: number, usual = 0): number {
     const load = this.loads.get(upstream);
-    if (load === undefined) {
-      return 0;
+    const hint = load?.hint;
+    if (load === undefined || hint === undefined) {
+      return Math.max(usual, (load?.outstanding ?? 0) / slots);
     }
-    const {hint, outstanding} = load;
-    if (hint === undefined) {
-      return outstanding / slots;
+    const trust = trustIn(load, now);
+    const limit = Math.max(1, hint.limit * trust + slots * (1 - trust));
+    const told = (hint.occupied * trust) / limit;
+    const expected = told + usual * (1 - trust);
+    return Math.max(load.outstanding / limit, expected);
+  }
+
+  /** Mean of what is known of the occupation of some upstreams; newer counts more. */
+  usualOccupation(upstreams: readonly string[], now: number): number {
+    let sum = 0;
+    let weights = 0;
+    for (const upstream of upstreams) {
+      const load = this.loads.get(upstream);
+      if (load?.hint?.state === 'accepting') {
+        const trust = trustIn(load, now);
+        sum += toldBy(load.hint) * trust;
+        weights += trust;
+      }
     }
-    const age = now - load.hintedAt;
-    const trust = Math.exp(-age / HINT_LIFE_MILLISECONDS);
-    const occupied = Math.max(outstanding, hint.occupied * trust);
-    const limit = hint.limit * trust + slots * (1 - trust);
-    return occupied / Math.max(1, limit);
+    return weights > LEAST_KNOWN ? sum / weights : 0;
   }
 
   /** Forgets upstreams that are no longer configured. */
@@ -214,3 +233,12 @@
     return made;
   }
 }
+
+/** How much a hint still counts, from 1 when it came down to 0. */
+function trustIn({hintedAt}: UpstreamLoad, now: number): number {
+  return Math.exp((hintedAt - now) / HINT_LIFE_MILLISECONDS);
+}
+
+function toldBy({occupied, limit}: LoadHint): number {
+  return occupied / Math.max(1, limit);
+}
--- a/packages/tools/src/faults/platformPromises.ts
+++ b/packages/tools/src/faults/platformPromises.ts
@@ -17,6 +17,7 @@
 const SLOTS = 'packages/brain/src/__tests__/reservations.test.ts';
 const ENTRY = 'packages/brain/src/__tests__/overdueCalls.test.ts';
 const BRAIN = 'packages/fleet/src/__tests__/fleetBrain.test.ts';
+const READERS = 'packages/fleet/src/__tests__/readingFleet.test.ts';
 const ROUTES = 'packages/fleet/src/__tests__/fleetRouting.test.ts';
 const SETTINGS = 'packages/node/src/__tests__/fleetRetryBudget.test.ts';
 const BUNDLE = 'platform/src/__tests__/bundle.test.ts';
@@ -140,7 +141,12 @@
     'healthy upstreams keep getting calls',
     [
       [SLOTS, 'is none whose failures follow from a failed call of its own'],
-      [SLOTS, 'is none that is late while calls of its box are held up'],
+      [SLOTS, 'is none that is late with as many calls as its box holds up'],
+      [SLOTS, 'is one that is late with more calls than its box holds up'],
+      [
+        CHOICE,
+        'lets no part of the upstreams idle, from the first calls of a fleet on',
+      ],
       [ENTRY, 'are asked to let the call wait, then asked again after a pause'],
     ],
     'that entries together use a share of them is not tested without the bench',
@@ -162,6 +168,12 @@
       BRAIN,
       'is left to the store for a moment, then asked for in the own data centre',
     ],
+    [READERS, 'is heard by those whose readers died at that very moment'],
+    [
+      READERS,
+      'is heard by those whose readers are silent, and by one that is cut one way',
+    ],
+    [READERS, 'are others while the store turns them away'],
     [SOAK, SOAKED],
   ]),
   promise('weights are kept', [
@@ -178,6 +190,7 @@
     'the fleet comes back after all of it was killed',
     [
       [BRAIN, 'is not written again by a restart that changes nothing'],
+      [READERS, 'are found again after all boxes lost their power at once'],
       [SOAK, SOAKED],
     ],
     'a kill of all nodes at one moment is played on the bench only',
