A request that comes late on a connection opened before is refused; unproven upstreams get one call

Connections that were opened before and have carried no request are not idle to Node.js and outlive closeIdleConnections. From when callers are no longer served, new requests are refused as not run. The test sends such a request; without the change it is sent on. Its calls cannot be repeated, and an upstream that had answered nothing got none of them but as a last resort. It gets one at a time now; the test that said none says one.

--- a/packages/brain/src/guard/quickDoubt.ts
+++ b/packages/brain/src/guard/quickDoubt.ts
@@ -50,13 +50,18 @@
     return this.doubt.cause;
   }
 
-  /** The upstream has to answer a call before one that cannot be repeated may come. */
-  isUncertain(now: number): boolean {
-    return (
-      this.isOn &&
-      (!this.doubt.isProven ||
-        (this.settings.isCautious && this.hangStrength(now) >= CAUTIOUS_AT))
-    );
+  /**
+   * The upstream has to answer a call before one that cannot be repeated may come. One
+   * that has answered nothing yet gets one at a time: services whose calls cannot be
+   * repeated would never use it otherwise.
+   */
+  isUncertain(now: number, isIdle: boolean): boolean {
+    const isUnproven = !this.doubt.isProven && !isIdle;
+    return this.isOn && (isUnproven || this.looksLikeHanging(now));
+  }
+
+  private looksLikeHanging(now: number): boolean {
+    return this.settings.isCautious && this.hangStrength(now) >= CAUTIOUS_AT;
   }
 
   /** How much longer it is doubted, in milliseconds. */
--- a/packages/brain/src/guard/upstreamGuard.ts
+++ b/packages/brain/src/guard/upstreamGuard.ts
@@ -266,7 +266,7 @@
     if (this.isDraining || this.isReplaced) {
       return 'draining';
     }
-    if (this.isDoubted(now) || this.doubt.isUncertain(now)) {
+    if (this.isDoubted(now) || this.doubt.isUncertain(now, this.isIdle)) {
       return 'doubted';
     }
     const {state} = this.standing;
--- a/packages/brain/src/guard/upstreamRefusals.ts
+++ b/packages/brain/src/guard/upstreamRefusals.ts
@@ -36,7 +36,7 @@
     if (isReplaced) {
       return 'upstream-replaced';
     }
-    if (this.isDoubtedFor(now, call)) {
+    if (this.isDoubtedFor(now, call, isIdle)) {
       return 'upstream-doubted';
     }
     if (this.isEjectedFor(call, isIdle)) {
@@ -47,10 +47,10 @@
       : undefined;
   }
 
-  private isDoubtedFor(now: number, call: GuardCall): boolean {
+  private isDoubtedFor(now: number, call: GuardCall, isIdle: boolean): boolean {
     return (
       (this.doubt.isDoubted(now) && !this.mayRunDoubted(now, call)) ||
-      (this.doubt.isUncertain(now) && cannotFindOut(call))
+      (this.doubt.isUncertain(now, isIdle) && cannotFindOut(call))
     );
   }
 
--- a/packages/node/src/process/fleetComposition.ts
+++ b/packages/node/src/process/fleetComposition.ts
@@ -211,7 +211,7 @@
       settings: () => host.settings,
     }),
     isReady: () => host.isReady,
-    isLeaving: () => false,
+    isLeaving: () => host.refusesCalls,
     mayBeRepeat: () => host.guard.runsRepeats,
     incarnation: () => undefined,
     isOwnBox: (box) => box === settings.box,
--- a/packages/node/src/process/fleetHost.ts
+++ b/packages/node/src/process/fleetHost.ts
@@ -69,6 +69,7 @@
   private listeners: FleetHostListeners | undefined;
   private stopTicking: (() => void) | undefined;
   private hasLeft = false;
+  private isFinishing = false;
   /** Nodes that follow this one. */
   private followers = 0;
 
@@ -125,6 +126,16 @@
     return this.hasLeft;
   }
 
+  /** Calls that begin now could not be finished before the process ends. */
+  get refusesCalls(): boolean {
+    return this.isFinishing;
+  }
+
+  /** Only what is in flight is served from here on. */
+  finish(): void {
+    this.isFinishing = true;
+  }
+
   /** The address at which a box's node takes calls of other nodes. */
   peerAddress(box: string): string {
     return this.fleet.directory.get(box)?.peerAddress ?? '';
--- a/packages/node/src/process/runFleetNode.ts
+++ b/packages/node/src/process/runFleetNode.ts
@@ -171,6 +171,8 @@
   host.leave();
   await pause(stopLimitMilliseconds * SERVE_SHARE - LEAVE_AFTER_MILLISECONDS);
   stopping.closesConnections = true;
+  // A connection that was opened and has carried no request yet counts as busy.
+  host.finish();
   callers.close();
   callers.closeIdleConnections();
   const result = await finishCalls([guard, entry], steadyClock, limit);
