--- a/packages/node/src/request/frameRows.ts
+++ b/packages/node/src/request/frameRows.ts
@@ -8,7 +8,7 @@
   CallRequest,
   PeerNews,
   RefusalFrame,
-} from './frames.js';
+} from './frameTypes.js';
 import {
   OUTCOME_CODES,
   REASON_CODES,
