--- a/packages/fleet/src/fleetBrain.ts
+++ b/packages/fleet/src/fleetBrain.ts
@@ -26,6 +26,7 @@
 import {OwnUpstreamTracker} from './ownUpstream.js';
 import {PeerAnswers} from './peerAnswers.js';
 import {PeerAsking} from './peerAsking.js';
+import {PeerQuestions} from './peerQuestions.js';
 import type {
   RecordPage,
   RecordStream,
@@ -49,6 +50,7 @@
   private readonly ownRecord: OwnRecord;
   private readonly peers: PeerAsking;
   private readonly answers: PeerAnswers;
+  private readonly questions: PeerQuestions;
   private readonly followerNews: FollowerNews;
 
   constructor(
@@ -62,6 +64,14 @@
     this.duty = new StoreDuty(identity, directory, start.isFirst);
     this.peers = new PeerAsking(identity, directory);
     this.answers = new PeerAnswers(directory);
+    const {inForce, duty, ownRecord, peers} = this;
+    this.questions = new PeerQuestions({
+      inForce,
+      directory,
+      duty,
+      ownRecord,
+      peers,
+    });
     this.followerNews = new FollowerNews(identity.peerAddress);
   }
 
@@ -96,7 +106,12 @@
       case 'upstream-announced':
         return this.announced(now, event);
       case 'peer-version-heard':
-        return this.peerVersionHeard(now, random, event.address, event.version);
+        return this.questions.versionHeard(
+          now,
+          random,
+          event.address,
+          event.version,
+        );
       case 'peer-replied':
         this.peers.ended(event.address);
         return this.learnFromPeer(now, event.address, event.knowledge);
@@ -127,7 +142,7 @@
       ...this.duty.goOn(now, random),
       ...this.writeOwn(now),
       ...gone.flatMap((box) => this.dropRecord(box)),
-      ...this.askPeers(now, random),
+      ...this.questions.due(now, random),
     ];
   }
 
@@ -160,11 +175,11 @@
     this.duty.readers.heard(now, address, report);
     const {digest} = this.directory;
     const asks = this.duty.readers.wantsBoxesOf(now, address, digest)
-      ? this.ask(address, 'with-boxes')
+      ? this.questions.ask(address, 'with-boxes')
       : [];
     return [
       ...asks,
-      ...this.peerVersionHeard(now, random, address, report.version),
+      ...this.questions.versionHeard(now, random, address, report.version),
     ];
   }
 
@@ -272,65 +287,6 @@
     return [note('own-record-not-written', this.identity.box, {kind, detail})];
   }
 
-  private askPeers(now: number, random: RandomSource): readonly FleetAction[] {
-    const overdue = this.peers.overdue(now);
-    return [overdue, this.peerInsteadOfStore(now, random)].flatMap((address) =>
-      address === undefined ? [] : this.ask(address, this.wanted(now)),
-    );
-  }
-
-  /** Peers stand in for a store that does not answer here, or takes no record. */
-  private peerInsteadOfStore(
-    now: number,
-    random: RandomSource,
-  ): string | undefined {
-    if (this.duty.lacksNews(now)) {
-      return this.peers.withoutStore(now, random);
-    }
-    return this.ownRecord.isHeldUp
-      ? this.peers.instead(now, random)
-      : undefined;
-  }
-
-  private peerVersionHeard(
-    now: number,
-    random: RandomSource,
-    address: string,
-    version: number,
-  ): readonly FleetAction[] {
-    if (!this.duty.hasReadBoxes) {
-      return this.ask(address, 'with-boxes');
-    }
-    if (version <= this.version) {
-      return [];
-    }
-    if (this.duty.lacksNews(now)) {
-      return this.ask(address, this.wanted(now));
-    }
-    this.peers.heardOfNewer(now, address, this.duty.isServing(now));
-    return this.askPeers(now, random);
-  }
-
-  private wanted(now: number): 'configuration' | 'with-boxes' {
-    const lacksBoxes = !this.duty.hasReadBoxes || this.duty.lacksNews(now);
-    return lacksBoxes ? 'with-boxes' : 'configuration';
-  }
-
-  private ask(
-    address: string,
-    wanted: 'configuration' | 'with-boxes',
-  ): readonly FleetAction[] {
-    if (!this.peers.begin(address)) {
-      return [];
-    }
-    const question: PeerQuestion = {
-      version: this.version,
-      boxesDigest: wanted === 'with-boxes' ? this.directory.digest : undefined,
-      own: this.ownRecord.statement,
-    };
-    return [{kind: 'ask-peer', address, question}];
-  }
-
   private learnFromPeer(
     now: number,
     address: string,
--- a/packages/node/src/process/fleetHost.ts
+++ b/packages/node/src/process/fleetHost.ts
@@ -13,11 +13,7 @@
   PeerKnowledge,
   PeerQuestion,
   ReadConfiguration,
-  RecordPage,
   RecordStore,
-  RecordStream,
-  StoreResult,
-  StoredRecord,
   UpstreamAnnouncement,
 } from '@lockpin/fleet';
 import type {LoadHint} from '@lockpin/routing';
@@ -27,6 +23,7 @@
 import {fleetGuardSettings} from './fleetGuardSettings.js';
 import type {FleetNodeSettings} from './fleetPorts.js';
 import {fleetRetryBudget} from './fleetRetryBudget.js';
+import {FleetStoreCalls} from './fleetStoreCalls.js';
 import {mechanismSwitch} from './mechanisms.js';
 import {ownUpstreamResource} from './ownUpstreamResource.js';
 import type {PeerPlace} from './peerTraffic.js';
@@ -65,6 +62,7 @@
   readonly fleet: FleetBrain;
   readonly guard: GuardBrain;
   readonly entry: EntryBrain;
+  private readonly store: FleetStoreCalls;
   private currentRouting: FleetRouting | undefined;
   private listeners: FleetHostListeners | undefined;
   private stopTicking: (() => void) | undefined;
@@ -86,6 +84,9 @@
       readConfiguration,
       {isFirst: currentSettings.isFirstStart},
     );
+    this.store = new FleetStoreCalls(environment.store, log, (event) =>
+      this.handle(event),
+    );
     const isOn = mechanismSwitch(currentSettings.switchedOff);
     const startedAt = environment.clock();
     this.guard = new GuardBrain(
@@ -229,22 +230,12 @@
   }
 
   private perform(action: FleetAction): void {
-    const {store} = this.environment;
     switch (action.kind) {
       case 'read-newest':
-        this.whenRead(action.stream, store.readNewest(action.stream));
-        break;
       case 'follow':
-        this.whenRead(
-          action.stream,
-          store.follow(action.stream, action.from, action.waitMilliseconds),
-        );
-        break;
       case 'write':
-        void this.writeRecord(action.record);
-        break;
       case 'drop-record':
-        void this.dropRecord(action.key);
+        this.store.perform(action);
         break;
       case 'ask-peer':
         this.askPeer(action.address, action.question);
@@ -270,36 +261,12 @@
     }
   }
 
-  private async writeRecord(record: StoredRecord): Promise<void> {
-    const result = await this.environment.store.write('boxes', record);
-    this.handle({kind: 'write-ended', result});
-  }
-
-  private async dropRecord(key: string): Promise<void> {
-    const record = {key, value: undefined};
-    const result = await this.environment.store.write('boxes', record);
-    this.log.event('box-forgotten', {
-      subject: key,
-      // A record that stays is found again by the next node that starts.
-      problem: result.ok ? '' : result.failure.detail,
-    });
-  }
-
   private askPeer(address: string, question: PeerQuestion): void {
     this.environment.askPeer(address, question, (knowledge) =>
       this.handle({kind: 'peer-replied', address, knowledge}),
     );
   }
 
-  private whenRead(
-    stream: RecordStream,
-    read: Promise<StoreResult<RecordPage>>,
-  ): void {
-    void read.then((result) =>
-      this.handle({kind: 'read-ended', stream, result}),
-    );
-  }
-
   private configurationChanged({
     configuration,
     source,
