--- a/packages/fleet/src/__tests__/__fixtures__/fleetWorld.ts
+++ b/packages/fleet/src/__tests__/__fixtures__/fleetWorld.ts
@@ -17,7 +17,7 @@
 } from '../../recordStore.js';
 
 /** Time between two ticks of a node. */
-const TICK_MILLISECONDS = 100;
+const TICK_MILLISECONDS = 200;
 
 /** One way between two nodes, and to the store. */
 const TRIP_MILLISECONDS = 2;
--- a/packages/fleet/src/__tests__/fleetBrain.test.ts
+++ b/packages/fleet/src/__tests__/fleetBrain.test.ts
@@ -196,6 +196,14 @@
     expect(kinds(world.tick(1000))).not.toContain('ask-peer');
   });
 
+  it('is asked for at one peer, however many tell of it at a start', () => {
+    const world = new World();
+    const asked = ['p1', 'p2', 'p3', 'p4'].flatMap((address) =>
+      world.tell({kind: 'peer-version-heard', address, version: 2}),
+    );
+    expect(kinds(asked)).toEqual(['ask-peer']);
+  });
+
   it('asks a peer that did not answer again when it is heard of again', () => {
     const world = new World();
     const heard = {
--- a/packages/fleet/src/peerAsking.ts
+++ b/packages/fleet/src/peerAsking.ts
@@ -124,6 +124,11 @@
     return records.filter(({box}) => box !== this.identity.box);
   }
 
+  /** Whether some peer has a question that it did not reply to yet. */
+  get isAsking(): boolean {
+    return this.asked.size > 0;
+  }
+
   /** Whether a question may be sent there now; notes that it is. */
   begin(address: string): boolean {
     if (this.asked.has(address)) {
--- a/packages/fleet/src/peerQuestions.ts
+++ b/packages/fleet/src/peerQuestions.ts
@@ -42,7 +42,8 @@
   ): readonly FleetAction[] {
     const {duty, inForce, peers} = this.context;
     if (!duty.hasReadBoxes) {
-      return this.ask(address, 'with-boxes');
+      // All peers that call a node that has just started tell it their versions.
+      return peers.isAsking ? [] : this.ask(address, 'with-boxes');
     }
     if (version <= inForce.version) {
       return [];
--- a/packages/node/src/process/fleetHost.ts
+++ b/packages/node/src/process/fleetHost.ts
@@ -28,8 +28,11 @@
 import {ownUpstreamResource} from './ownUpstreamResource.js';
 import type {PeerPlace} from './peerTraffic.js';
 
-/** While calls are under way the guard ticks more often by itself. */
-const TICK_MILLISECONDS = 100;
+/**
+ * While calls are under way the guard ticks more often by itself. What the fleet's
+ * control waits for takes several hundred milliseconds, and each tick wakes the process.
+ */
+const TICK_MILLISECONDS = 200;
 
 /** All that the host needs of the world. */
 export interface FleetEnvironment {
