Chunks that come while a caller reads slowly wait for it together

Each chunk that came while the caller had no room added one, and each called the guard again when there was room. One is kept now. The test of a caller that reads slowly fails without it by Node.js's own warning.

--- a/packages/node/src/request/callerExchange.ts
+++ b/packages/node/src/request/callerExchange.ts
@@ -69,6 +69,7 @@
   readonly story = new CallStory();
   private isStreaming = false;
   private isEnded = false;
+  private awaitsDrain = false;
 
   constructor(
     readonly id: string,
@@ -222,8 +223,16 @@
     this.response.end();
   }
 
+  /** Calls back once the caller can take more; chunks on their way add nothing. */
   onDrain(resume: () => void): void {
-    this.response.once('drain', resume);
+    if (this.awaitsDrain) {
+      return;
+    }
+    this.awaitsDrain = true;
+    this.response.once('drain', () => {
+      this.awaitsDrain = false;
+      resume();
+    });
   }
 
   /** An answer broke off: the caller must see that it is not whole. */
--- a/packages/tools/src/__tests__/bodiesAndStops.test.ts
+++ b/packages/tools/src/__tests__/bodiesAndStops.test.ts
@@ -11,7 +11,10 @@
 
 let fleet: SmallFleet;
 
+const warnings: string[] = [];
+
 beforeAll(async () => {
+  process.on('warning', ({message}) => warnings.push(message));
   fleet = await startSmallFleet();
 });
 
@@ -100,6 +103,8 @@
     await other.body.dump();
     expect(other.headers['lockpin-outcome']).toBe('answered');
     expect((await slow.body.arrayBuffer()).byteLength).toBe(3 * MEGABYTE);
+    // Chunks that come meanwhile wait for the caller together.
+    expect(warnings.filter((text) => text.includes('drain'))).toEqual([]);
   });
 
   it('visibly fails when the upstream breaks it off', async () => {
