--- a/packages/fleet/src/storeDuty.ts
+++ b/packages/fleet/src/storeDuty.ts
@@ -57,7 +57,7 @@
       : Math.min(own, told);
   }
 
-  /** Milliseconds since the store answered this node; those it runs while it did not. */
+  /** Milliseconds since the store answered this node; 0 where it never did. */
   storeAge(now: number): number {
     return this.reading.answerAge(now) ?? 0;
   }
