The first readers of a data centre are named once; a flag of the host that nothing read is gone

Found in the last read: peerAsking and recordReaders each cut the ranked boxes down to the readers (firstReaders now); withoutLatest took out the strongest calls and is called so; FleetHost.isLeaving was read by nobody beside refusesCalls.

--- a/packages/detection/src/hangEvidence.ts
+++ b/packages/detection/src/hangEvidence.ts
@@ -79,7 +79,7 @@
     const ratios = this.calls.map((call) => ratioOf(now, call));
     let sum = 0;
     let most = 0;
-    for (const ratio of withoutLatest(ratios, explained).reverse()) {
+    for (const ratio of withoutStrongest(ratios, explained).reverse()) {
       sum += ratio;
       most = Math.max(most, sum);
     }
@@ -88,7 +88,7 @@
 }
 
 /** Takes out what so many of the late calls say, from those that say most. */
-function withoutLatest(ratios: readonly number[], count: number): number[] {
+function withoutStrongest(ratios: readonly number[], count: number): number[] {
   const late = ratios
     .map((ratio, i) => ({ratio, i}))
     .filter(({ratio}) => ratio > 0)
--- a/packages/fleet/src/peerAsking.ts
+++ b/packages/fleet/src/peerAsking.ts
@@ -6,7 +6,7 @@
 import type {BoxDirectory} from './boxDirectory.js';
 import type {BoxRecord} from './boxRecord.js';
 import type {NodeIdentity} from './fleetMessages.js';
-import {READERS_PER_DATA_CENTRE} from './recordReaders.js';
+import {firstReaders} from './recordReaders.js';
 
 /** Time between questions to peers while the store does not answer. */
 const QUESTION_MILLISECONDS = 500;
@@ -103,7 +103,7 @@
   instead(now: number, random: RandomSource): string | undefined {
     return this.dueNow(now, () => {
       const readers = this.directory.dataCentres.flatMap((dataCentre) =>
-        this.directory.rankedIn(dataCentre).slice(0, READERS_PER_DATA_CENTRE),
+        firstReaders(this.directory, dataCentre),
       );
       return oneOf(this.others(readers), random);
     });
--- a/packages/fleet/src/recordReaders.ts
+++ b/packages/fleet/src/recordReaders.ts
@@ -44,6 +44,14 @@
   readonly silent: readonly string[];
 }
 
+/** The nodes of a data centre that read the store while all is well. */
+export function firstReaders(
+  directory: BoxDirectory,
+  dataCentre: string,
+): readonly BoxRecord[] {
+  return directory.rankedIn(dataCentre).slice(0, READERS_PER_DATA_CENTRE);
+}
+
 /** Decides whom this node follows, and whether it has to read by itself. */
 export class RecordReaders {
   private readonly standings = new Map<string, ReaderStanding>();
@@ -172,9 +180,7 @@
     const {box, dataCentre} = this.identity;
     const readers = this.directory.dataCentres
       .filter((other) => other !== dataCentre)
-      .flatMap((other) =>
-        this.directory.rankedIn(other).slice(0, READERS_PER_DATA_CENTRE),
-      );
+      .flatMap((other) => firstReaders(this.directory, other));
     const turn = Math.floor(now / FAR_PEER_MILLISECONDS + this.phase);
     const choice = stableHash(`${box} ${turn}`) / STABLE_HASH_RANGE;
     return readers[Math.floor(choice * readers.length)]?.peerAddress;
--- a/packages/node/src/process/fleetHost.ts
+++ b/packages/node/src/process/fleetHost.ts
@@ -69,7 +69,6 @@
   private currentRouting: FleetRouting | undefined;
   private listeners: FleetHostListeners | undefined;
   private stopTicking: (() => void) | undefined;
-  private hasLeft = false;
   private isFinishing = false;
   /** Nodes that follow this one. */
   private followers = 0;
@@ -126,10 +125,6 @@
     return this.currentRouting !== undefined;
   }
 
-  get isLeaving(): boolean {
-    return this.hasLeft;
-  }
-
   /** Calls that begin now could not be finished before the process ends. */
   get refusesCalls(): boolean {
     return this.isFinishing;
@@ -171,7 +166,6 @@
 
   /** The guard refuses new calls from here on; entries go elsewhere at once. */
   leave(): void {
-    this.hasLeft = true;
     this.handle({kind: 'leaving'});
     this.listeners?.onGuardEvent({kind: 'leaving'});
   }
