Callers show their customer's keys; upstreams hear its name; withdrawn keys are refused

Cause: nothing read keys, public routes or customers.

Change: keys become hashes where the document is read; a route may be public; the customer's name goes to upstreams and the key does not. A key that is unknown is refused once a reader has confirmed it (300 ms at most), else the caller hears when to ask again. Documents with shared keys, unknown services or bare prefixes are refused. A customer's priority goes before its routes'.

Tests: customerKeys (whole nodes), customerTable, keyConfirmation, translations.

--- a/packages/fleet/src/__tests__/__fixtures__/fleetWorld.ts
+++ b/packages/fleet/src/__tests__/__fixtures__/fleetWorld.ts
@@ -79,7 +79,7 @@
     headerMilliseconds: 1,
     idleMilliseconds: 1,
   };
-  return {version, routes: [], services: [], limits};
+  return {version, routes: [], services: [], limits, customers: []};
 }
 
 /** Plays events in order of time. */
--- /dev/null
+++ b/packages/fleet/src/__tests__/customerTable.test.ts
@@ -0,0 +1,149 @@
+// Copyright (c) 2026 the lockpin contributors. MIT licence, see LICENSE.
+/** Who may call, what configurations are refused, and how urgent calls are. */
+
+import {describe, expect, it} from 'vitest';
+import {callPriority} from '../callPriority.js';
+import {checkConfiguration} from '../checkConfiguration.js';
+import {CustomerTable, keyFingerprint, keyHash} from '../customerTable.js';
+import type {
+  DeclaredConfiguration,
+  DeclaredCustomer,
+} from '../declaredConfiguration.js';
+import {longestReadFor, mayServeKnownKeys} from '../keyTrust.js';
+
+function customer(name: string, keys: readonly string[]): DeclaredCustomer {
+  const keyHashes = keys.map(keyHash);
+  return {name, keyHashes, priority: undefined, limit: undefined};
+}
+
+function configuration(
+  change: Partial<DeclaredConfiguration>,
+): DeclaredConfiguration {
+  return {
+    version: 1,
+    services: [{name: 's', mostConnections: 1}],
+    routes: [],
+    limits: {
+      headerBytes: 1,
+      bodyBytes: 1,
+      headerMilliseconds: 1,
+      idleMilliseconds: 1,
+    },
+    customers: [],
+    ...change,
+  };
+}
+
+function route(pathPrefix: string, service: string) {
+  return {
+    host: 'h',
+    isPublic: false,
+    destinations: [{service, weight: 1}],
+    rules: {
+      kind: 'Route' as const,
+      name: 'r',
+      version: 1,
+      spec: {
+        method: '*',
+        pathPrefix,
+        repetition: 'repeatable' as const,
+        waitMilliseconds: 1,
+        priority: 1,
+        retryShare: 0,
+        onceKeyHeader: '',
+      },
+    },
+  };
+}
+
+describe('CustomerTable', () => {
+  const table = new CustomerTable([
+    customer('one', ['a', 'b']),
+    customer('two', ['c']),
+  ]);
+  const answerTo = (key: string | undefined, isPublic: boolean) => {
+    const hash = key === undefined ? undefined : keyHash(key);
+    const found = table.customerOf(hash, isPublic);
+    return found.ok ? found.value?.name : found.failure;
+  };
+
+  it.each([
+    ['a', false, 'one'],
+    ['b', true, 'one'],
+    ['c', false, 'two'],
+    ['d', false, 'key-unknown'],
+    ['d', true, 'key-unknown'],
+    [undefined, false, 'key-missing'],
+    [undefined, true, undefined],
+  ])(
+    'takes the caller with key %s, public %s, as %s',
+    (key, isPublic, name) => {
+      expect(answerTo(key, isPublic)).toBe(name);
+    },
+  );
+
+  it('asks for no keys where no customer is declared', () => {
+    const open = new CustomerTable([]);
+    expect(open.asksForKeys).toBe(false);
+    expect(open.customerOf(keyHash('a'), false)).toEqual({
+      ok: true,
+      value: undefined,
+    });
+  });
+
+  it('keeps no key, and tells fingerprints apart', () => {
+    expect(JSON.stringify(table)).not.toContain('"a"');
+    expect(keyFingerprint(keyHash('a'))).not.toBe(keyFingerprint(keyHash('b')));
+    expect(keyFingerprint(keyHash('a'))).toHaveLength(8);
+  });
+});
+
+describe('a node that has heard nothing new for long', () => {
+  const lenient = {withdrawalMilliseconds: 5000, refusesWhenOutdated: false};
+  const strict = {...lenient, refusesWhenOutdated: true};
+
+  it('serves on with the keys it knows, where operators chose so', () => {
+    expect(mayServeKnownKeys(lenient, undefined)).toBe(true);
+    expect(mayServeKnownKeys(lenient, 60_000)).toBe(true);
+    expect(longestReadFor(lenient)).toBe(Infinity);
+  });
+
+  it('serves none that may have been withdrawn, where they chose that', () => {
+    expect(mayServeKnownKeys(strict, 5000)).toBe(true);
+    expect(mayServeKnownKeys(strict, 5001)).toBe(false);
+    expect(mayServeKnownKeys(strict, undefined)).toBe(false);
+    expect(longestReadFor(strict)).toBe(2500);
+  });
+});
+
+describe('a configuration', () => {
+  it('is sound when keys, services and prefixes are', () => {
+    const sound = configuration({
+      routes: [route('/a/', 's')],
+      customers: [customer('one', ['a']), customer('two', ['b'])],
+    });
+    expect(checkConfiguration(sound)).toBeUndefined();
+  });
+
+  it.each([
+    [
+      'customers.two.keys',
+      {customers: [customer('one', ['a']), customer('two', ['b', 'a'])]},
+    ],
+    ['routes.r.pathPrefix', {routes: [route('/a', 's')]}],
+    ['routes.r.destinations', {routes: [route('/a/', 'none')]}],
+  ])('is refused for %s', (field, change) => {
+    expect(checkConfiguration(configuration(change))).toMatchObject({field});
+  });
+});
+
+describe('the priority of a call', () => {
+  it("goes by its customer first, and by its route among equals'", () => {
+    expect(callPriority(0, 2)).toBeLessThan(callPriority(1, 0));
+    expect(callPriority(1, 0)).toBeLessThan(callPriority(1, 2));
+  });
+
+  it('is that of its route where it has no customer', () => {
+    expect(callPriority(undefined, 1)).toBe(callPriority(1, 1));
+  });
+});
--- a/packages/fleet/src/__tests__/fleetBrain.test.ts
+++ b/packages/fleet/src/__tests__/fleetBrain.test.ts
@@ -25,6 +25,7 @@
       headerMilliseconds: 1,
       idleMilliseconds: 1,
     },
+    customers: [],
   };
 }
 
--- a/packages/fleet/src/__tests__/fleetRouting.test.ts
+++ b/packages/fleet/src/__tests__/fleetRouting.test.ts
@@ -14,6 +14,7 @@
   return {
     host,
     destinations: services.map((service) => ({service, weight: 50})),
+    isPublic: false,
     rules: {
       kind: 'Route' as const,
       name: `${host} ${pathPrefix}`,
@@ -42,7 +43,7 @@
     headerMilliseconds: 1,
     idleMilliseconds: 1,
   };
-  return {version, routes, services, limits};
+  return {version, routes, services, limits, customers: []};
 }
 
 describe('RouteTable', () => {
--- a/packages/fleet/src/configurationInForce.ts
+++ b/packages/fleet/src/configurationInForce.ts
@@ -2,6 +2,7 @@
 /** The configuration that is in force at a node. It never goes back. */
 
 import type {Result} from '@lockpin/types';
+import {checkConfiguration} from './checkConfiguration.js';
 import type {DeclaredConfiguration} from './declaredConfiguration.js';
 import type {FleetAction} from './fleetMessages.js';
 import {note} from './fleetNote.js';
@@ -36,10 +37,15 @@
   take(record: StoredRecord): readonly FleetAction[] {
     const read = this.read(record);
     if (!read.ok) {
-      const {field, problem} = read.failure;
-      return [note('configuration-wrong', record.key, {field, problem})];
+      return [wrong(record.key, read.failure)];
     }
-    return read.value === undefined ? [] : this.adopt(read.value, 'store');
+    if (read.value === undefined) {
+      return [];
+    }
+    const problem = checkConfiguration(read.value);
+    return problem === undefined
+      ? this.adopt(read.value, 'store')
+      : [wrong(record.key, problem)];
   }
 
   /** Never goes back: an older version than the one in force is passed over. */
@@ -54,3 +60,10 @@
     return [{kind: 'configuration-changed', configuration, source}];
   }
 }
+
+function wrong(
+  key: string,
+  {field, problem}: ConfigurationProblem,
+): FleetAction {
+  return note('configuration-wrong', key, {field, problem});
+}
--- /dev/null
+++ b/packages/fleet/src/customerTable.ts
@@ -0,0 +1,56 @@
+// Copyright (c) 2026 the lockpin contributors. MIT licence, see LICENSE.
+/** Who a caller is, by the key that it shows. */
+
+import {failure, sha256Hex, success} from '@lockpin/utils';
+import type {RefusalReason, Result} from '@lockpin/types';
+import type {DeclaredCustomer} from './declaredConfiguration.js';
+
+/** Hexadecimal digits of a key's hash that are kept: 128 bits. */
+const HASH_DIGITS = 32;
+
+/** Digits of it that tell keys apart in a log line. */
+const FINGERPRINT_DIGITS = 8;
+
+/**
+ * What is kept of a key. Keys are long and random, so that a hash without a salt
+ * cannot be turned back by trying; half of it keeps configurations small on the wire.
+ */
+export function keyHash(key: string): string {
+  return sha256Hex(key).slice(0, HASH_DIGITS);
+}
+
+/** Names a key in logs; tells nothing of it that helps to guess it. */
+export function keyFingerprint(hash: string): string {
+  return hash.slice(0, FINGERPRINT_DIGITS);
+}
+
+/** The customers of one version. */
+export class CustomerTable {
+  private readonly owners = new Map<string, DeclaredCustomer>();
+
+  constructor(private readonly customers: readonly DeclaredCustomer[]) {
+    for (const customer of customers) {
+      customer.keyHashes.forEach((hash) => this.owners.set(hash, customer));
+    }
+  }
+
+  /** Whether callers need a key at all. */
+  get asksForKeys(): boolean {
+    return this.customers.length > 0;
+  }
+
+  /** The customer that a caller acts for; undefined on a public route without a key. */
+  customerOf(
+    hash: string | undefined,
+    isPublic: boolean,
+  ): Result<DeclaredCustomer | undefined, RefusalReason> {
+    if (!this.asksForKeys || (hash === undefined && isPublic)) {
+      return success(undefined);
+    }
+    if (hash === undefined) {
+      return failure('key-missing');
+    }
+    const owner = this.owners.get(hash);
+    return owner === undefined ? failure('key-unknown') : success(owner);
+  }
+}
--- a/packages/fleet/src/declaredConfiguration.ts
+++ b/packages/fleet/src/declaredConfiguration.ts
@@ -1,6 +1,7 @@
 // Copyright (c) 2026 the lockpin contributors. MIT licence, see LICENSE.
 /** A configuration that its operators declare as a whole, at one version. */
 
+import type {RateLimit} from '@lockpin/limits';
 import type {Resource} from '@lockpin/types';
 
 /** A service that calls of a route go to, with its share of them. */
@@ -16,6 +17,19 @@
   readonly rules: Resource<'Route'>;
   /** At least one. */
   readonly destinations: readonly Destination[];
+  /** Anyone may call it, without a key. */
+  readonly isPublic: boolean;
+}
+
+/** A customer whose callers show one of its keys. */
+export interface DeclaredCustomer {
+  readonly name: string;
+  /** See keyHash; the keys themselves stay in the operators' document. */
+  readonly keyHashes: readonly string[];
+  /** 0 is the most urgent; goes before what the routes say. */
+  readonly priority: number | undefined;
+  /** Over all boxes together; undefined for none. */
+  readonly limit: RateLimit | undefined;
 }
 
 /** A service as its operators declare it; its upstreams announce themselves. */
@@ -39,4 +53,6 @@
   readonly routes: readonly DeclaredRoute[];
   readonly services: readonly DeclaredService[];
   readonly limits: CallerLimits;
+  /** Where there are none, callers need no key. */
+  readonly customers: readonly DeclaredCustomer[];
 }
--- a/packages/fleet/src/fleetBrain.ts
+++ b/packages/fleet/src/fleetBrain.ts
@@ -39,6 +39,8 @@
 export interface FleetStart {
   /** The fleet starts for the first time: the store has no record of any box. */
   readonly isFirst: boolean;
+  /** Of the configuration, in milliseconds; undefined for no bound of its own. */
+  readonly longestRead?: number;
 }
 
 /** Knows the fleet as far as this node has heard. */
@@ -61,7 +63,12 @@
     const {directory} = this;
     this.inForce = new ConfigurationInForce(readConfiguration);
     this.ownRecord = new OwnRecord(identity, (record) => this.put(record));
-    this.duty = new StoreDuty(identity, directory, start.isFirst);
+    this.duty = new StoreDuty(
+      identity,
+      directory,
+      start.isFirst,
+      start.longestRead,
+    );
     this.peers = new PeerAsking(identity, directory);
     this.answers = new PeerAnswers(directory);
     const {inForce, duty, ownRecord, peers} = this;
@@ -103,6 +110,8 @@
         return this.readEnded(now, random, event.stream, event.result);
       case 'write-ended':
         return this.writeEnded(now, event.result);
+      case 'unknown-key-shown':
+        return this.askForKeys(now);
       case 'upstream-announced':
         return this.announced(now, event);
       case 'peer-version-heard':
@@ -126,6 +135,24 @@
     return this.answers.to(question, this.configuration);
   }
 
+  /** Whether a peer has not replied yet. */
+  get isAskingPeer(): boolean {
+    return this.peers.isAsking;
+  }
+
+  /** Whether this node reads the store itself, and hears of each change at once. */
+  isCurrent(now: number): boolean {
+    return this.duty.isServing(now);
+  }
+
+  /** A reader may know a newer version, whose news is still on its way. */
+  private askForKeys(now: number): readonly FleetAction[] {
+    const address = this.duty.readers.freshestReader(now);
+    return address === undefined || this.isCurrent(now)
+      ? []
+      : this.questions.ask(address, 'configuration');
+  }
+
   private tick(
     now: number,
     random: RandomSource,
--- a/packages/fleet/src/fleetMessages.ts
+++ b/packages/fleet/src/fleetMessages.ts
@@ -67,6 +67,8 @@
       readonly result: StoreResult<RecordPage>;
     }
   | {readonly kind: 'write-ended'; readonly result: StoreResult<undefined>}
+  /** A caller showed a key that no version in force here has. */
+  | {readonly kind: 'unknown-key-shown'}
   | {
       readonly kind: 'upstream-announced';
       readonly announcement: UpstreamAnnouncement;
--- a/packages/fleet/src/fleetRouting.ts
+++ b/packages/fleet/src/fleetRouting.ts
@@ -4,6 +4,7 @@
 import type {ServiceView} from '@lockpin/configuration';
 import type {RandomSource, Resource} from '@lockpin/types';
 import type {BoxDirectory} from './boxDirectory.js';
+import {CustomerTable} from './customerTable.js';
 import type {
   DeclaredConfiguration,
   DeclaredRoute,
@@ -16,10 +17,14 @@
   readonly version: number;
   readonly route: Resource<'Route'>;
   readonly view: ServiceView;
+  /** Anyone may make it, without a key. */
+  readonly isPublic: boolean;
 }
 
 /** Lives as long as one version of the configuration is in force. */
 export class FleetRouting {
+  /** Who may call under this version. */
+  readonly customers: CustomerTable;
   private readonly table: RouteTable;
   private readonly spreads = new Map<string, WeightedSpread>();
   private readonly views = new Map<string, ServiceView>();
@@ -31,6 +36,7 @@
     private readonly random: RandomSource,
     before?: FleetRouting,
   ) {
+    this.customers = new CustomerTable(configuration.customers);
     this.table = new RouteTable(configuration);
     this.mostConnections = new Map(
       configuration.services.map(({name, mostConnections}) => [
@@ -51,6 +57,7 @@
       version: this.configuration.version,
       route: found.rules,
       view: this.view(this.serviceFor(found)),
+      isPublic: found.isPublic,
     };
   }
 
--- a/packages/fleet/src/index.ts
+++ b/packages/fleet/src/index.ts
@@ -3,11 +3,15 @@
 
 export * from './boxDirectory.js';
 export * from './boxRecord.js';
+export * from './callPriority.js';
+export * from './checkConfiguration.js';
 export * from './configurationInForce.js';
+export * from './customerTable.js';
 export * from './declaredConfiguration.js';
 export * from './fleetBrain.js';
 export * from './fleetMessages.js';
 export * from './fleetRouting.js';
+export * from './keyTrust.js';
 export * from './ownRecord.js';
 export * from './ownUpstream.js';
 export * from './peerAsking.js';
--- a/packages/fleet/src/recordReaders.ts
+++ b/packages/fleet/src/recordReaders.ts
@@ -122,6 +122,14 @@
     return ages.length === 0 ? undefined : Math.min(...ages);
   }
 
+  /** Of the nodes that this one follows, the one with the newest news of the store. */
+  freshestReader(now: number): string | undefined {
+    const ageOf = ({peerAddress}: BoxRecord): number =>
+      this.standing(peerAddress).newsAge(now) ?? Number.POSITIVE_INFINITY;
+    const byAge = [...this.chosen].sort((a, b) => ageOf(a) - ageOf(b));
+    return byAge[0]?.peerAddress;
+  }
+
   /** Whom to listen to now. */
   followed(now: number): FollowedPeers {
     const near = this.chosen.map(({peerAddress}) => peerAddress);
--- a/packages/fleet/src/storeDuty.ts
+++ b/packages/fleet/src/storeDuty.ts
@@ -22,9 +22,10 @@
     identity: NodeIdentity,
     private readonly directory: BoxDirectory,
     isFirstStart: boolean,
+    longestRead?: number,
   ) {
     this.readers = new RecordReaders(identity, directory);
-    this.reading = new StoreReading(isFirstStart);
+    this.reading = new StoreReading(isFirstStart, longestRead);
   }
 
   /** Whether this node has read who is in the fleet. */
--- a/packages/fleet/src/storeReading.ts
+++ b/packages/fleet/src/storeReading.ts
@@ -31,12 +31,16 @@
   private hasLostStore = false;
   private lastAnswerAt: number | undefined;
 
-  constructor(isFirstStart: boolean) {
+  constructor(isFirstStart: boolean, longestRead?: number) {
     const firstBoxes: FirstRead = isFirstStart
       ? {kind: 'whole-history', afterMilliseconds: FIRST_START_MILLISECONDS}
       : {kind: 'newest'};
     this.followers = {
-      configuration: new StreamFollower('configuration'),
+      configuration: new StreamFollower(
+        'configuration',
+        {kind: 'newest'},
+        longestRead,
+      ),
       boxes: new StreamFollower('boxes', firstBoxes),
     };
   }
--- a/packages/fleet/src/streamFollower.ts
+++ b/packages/fleet/src/streamFollower.ts
@@ -85,6 +85,8 @@
   constructor(
     private readonly stream: RecordStream,
     private readonly firstRead: FirstRead = {kind: 'newest'},
+    /** No read waits longer for news; in milliseconds. */
+    private readonly longestRead = MOST_WAIT_MILLISECONDS,
   ) {
     this.from = firstRead.kind === 'whole-history' ? 0 : undefined;
   }
@@ -118,7 +120,10 @@
           kind: 'follow',
           stream,
           from,
-          waitMilliseconds: waitFor(stream, random, nodes),
+          waitMilliseconds: Math.min(
+            this.longestRead,
+            waitFor(stream, random, nodes),
+          ),
         };
   }
 
--- /dev/null
+++ b/packages/node/src/__tests__/keyConfirmation.test.ts
@@ -0,0 +1,37 @@
+// Copyright (c) 2026 the lockpin contributors. MIT licence, see LICENSE.
+/** Requests whose key is unknown wait for a reader's word, for a bounded time. */
+
+import {afterEach, beforeEach, describe, expect, it, vi} from 'vitest';
+import {KeyConfirmation} from '../process/keyConfirmation.js';
+
+beforeEach(() => void vi.useFakeTimers());
+afterEach(() => void vi.useRealTimers());
+
+describe('KeyConfirmation', () => {
+  it('tells all that wait what the reader says', async () => {
+    const keys = new KeyConfirmation(() => true);
+    const waiting = [keys.confirm(), keys.confirm()];
+    keys.answered(true);
+    expect(await Promise.all(waiting)).toEqual([true, true]);
+  });
+
+  it('gives up on a reader that says nothing', async () => {
+    const keys = new KeyConfirmation(() => true);
+    const waiting = keys.confirm();
+    await vi.advanceTimersByTimeAsync(300);
+    expect(await waiting).toBe(false);
+  });
+
+  it('waits for nothing where nobody can be asked', async () => {
+    const keys = new KeyConfirmation(() => false);
+    expect(await keys.confirm()).toBe(false);
+  });
+
+  it('holds no more than a hundred requests', async () => {
+    const keys = new KeyConfirmation(() => true);
+    const held = Array.from({length: 100}, () => keys.confirm());
+    expect(await keys.confirm()).toBe(false);
+    keys.answered(true);
+    expect(new Set(await Promise.all(held))).toEqual(new Set([true]));
+  });
+});
--- a/packages/node/src/process/fleetComposition.ts
+++ b/packages/node/src/process/fleetComposition.ts
@@ -209,9 +209,12 @@
     protocol: callerProtocol({
       routing: () => host.routing,
       settings: () => host.settings,
+      authorize: (hash, isPublic) => host.authorize(hash, isPublic),
     }),
     isReady: () => host.isReady,
     isLeaving: () => host.refusesCalls,
+    confirmKeys: () => host.confirmKeys(),
+    onUnrouted: (unrouted) => log.event('request-refused', {...unrouted}),
     mayBeRepeat: () => host.guard.runsRepeats,
     incarnation: () => undefined,
     isOwnBox: (box) => box === settings.box,
--- a/packages/node/src/process/fleetHost.ts
+++ b/packages/node/src/process/fleetHost.ts
@@ -3,8 +3,14 @@
 
 import {EntryBrain, GuardBrain} from '@lockpin/brain';
 import type {GuardAction, GuardEvent} from '@lockpin/brain';
-import {FleetBrain, FleetRouting} from '@lockpin/fleet';
+import {
+  FleetBrain,
+  FleetRouting,
+  longestReadFor,
+  mayServeKnownKeys,
+} from '@lockpin/fleet';
 import type {
+  DeclaredCustomer,
   FleetAction,
   FleetEvent,
   FleetNews,
@@ -17,13 +23,21 @@
   UpstreamAnnouncement,
 } from '@lockpin/fleet';
 import type {LoadHint} from '@lockpin/routing';
-import type {Clock, RandomSource, Resource} from '@lockpin/types';
+import type {
+  Clock,
+  RandomSource,
+  RefusalReason,
+  Resource,
+  Result,
+} from '@lockpin/types';
+import {failure} from '@lockpin/utils';
 import type {DecisionLog} from './decisionLog.js';
 import {fleetEntrySettings} from './fleetEntrySettings.js';
 import {fleetGuardSettings} from './fleetGuardSettings.js';
 import type {FleetNodeSettings} from './fleetPorts.js';
 import {fleetRetryBudget} from './fleetRetryBudget.js';
 import {FleetStoreCalls} from './fleetStoreCalls.js';
+import {KeyConfirmation} from './keyConfirmation.js';
 import {mechanismSwitch} from './mechanisms.js';
 import {ownUpstreamResource} from './ownUpstreamResource.js';
 import type {PeerPlace} from './peerTraffic.js';
@@ -70,6 +84,7 @@
   private listeners: FleetHostListeners | undefined;
   private stopTicking: (() => void) | undefined;
   private isFinishing = false;
+  private readonly keys = new KeyConfirmation(() => this.askForKeys());
   /** Nodes that follow this one. */
   private followers = 0;
 
@@ -84,7 +99,10 @@
     this.fleet = new FleetBrain(
       {box, dataCentre, peerAddress},
       readConfiguration,
-      {isFirst: currentSettings.isFirstStart},
+      {
+        isFirst: currentSettings.isFirstStart,
+        longestRead: longestReadFor(currentSettings.keys),
+      },
     );
     this.store = new FleetStoreCalls(environment.store, log, (event) =>
       this.handle(event),
@@ -135,6 +153,41 @@
     this.isFinishing = true;
   }
 
+  /** The customer that a caller acts for, by the hash of the key that it showed. */
+  authorize(
+    hash: string | undefined,
+    isPublic: boolean,
+  ): Result<DeclaredCustomer | undefined, RefusalReason> {
+    const customers = this.currentRouting?.customers;
+    if (customers === undefined) {
+      return failure('not-ready');
+    }
+    const found = customers.customerOf(hash, isPublic);
+    const isTrusted =
+      !found.ok || found.value === undefined || this.trustsKeys();
+    return isTrusted ? found : failure('keys-outdated');
+  }
+
+  private trustsKeys(): boolean {
+    const newsAge = this.fleet.duty.newsAge(this.environment.clock());
+    return mayServeKnownKeys(this.currentSettings.keys, newsAge);
+  }
+
+  /**
+   * Whether the keys that are known here are the newest, as far as a reader knows. A
+   * refusal of a key is final to its caller, and this version may be older than it.
+   */
+  async confirmKeys(): Promise<boolean> {
+    return (
+      this.fleet.isCurrent(this.environment.clock()) || this.keys.confirm()
+    );
+  }
+
+  private askForKeys(): boolean {
+    this.handle({kind: 'unknown-key-shown'});
+    return this.fleet.isAskingPeer;
+  }
+
   /** The address at which a box's node takes calls of other nodes. */
   peerAddress(box: string): string {
     return this.fleet.directory.get(box)?.peerAddress ?? '';
@@ -259,9 +312,10 @@
   }
 
   private askPeer(address: string, question: PeerQuestion): void {
-    this.environment.askPeer(address, question, (knowledge) =>
-      this.handle({kind: 'peer-replied', address, knowledge}),
-    );
+    this.environment.askPeer(address, question, (knowledge) => {
+      this.handle({kind: 'peer-replied', address, knowledge});
+      this.keys.answered(knowledge !== undefined);
+    });
   }
 
   private configurationChanged({
--- a/packages/node/src/process/fleetPorts.ts
+++ b/packages/node/src/process/fleetPorts.ts
@@ -2,10 +2,13 @@
 /** What a node of a declared fleet is given from outside. */
 
 import type {
+  DeclaredCustomer,
   FleetRouting,
+  KeyPolicy,
   ReadConfiguration,
   RecordStore,
 } from '@lockpin/fleet';
+import type {RefusalReason, Result} from '@lockpin/types';
 import type {CallerProtocol} from '../request/callerProtocol.js';
 import type {UpstreamProtocol} from '../request/upstreamProtocol.js';
 import type {Mechanism} from './mechanisms.js';
@@ -35,6 +38,7 @@
   /** From the signal to stop until the process is killed, in milliseconds. */
   readonly stopLimitMilliseconds: number;
   readonly retries: FleetRetryLimit;
+  readonly keys: KeyPolicy;
   /** The fleet starts for the first time; false for every later process. */
   readonly isFirstStart: boolean;
   /** Mechanisms that are off, to measure what they are worth; none as a rule. */
@@ -46,6 +50,14 @@
   /** Undefined before any configuration is known. */
   readonly routing: () => FleetRouting | undefined;
   readonly settings: () => FleetNodeSettings;
+  /**
+   * The customer that a caller acts for, by the hash of the key that it showed; see
+   * keyHash. Undefined where none is asked for.
+   */
+  readonly authorize: (
+    hash: string | undefined,
+    isPublic: boolean,
+  ) => Result<DeclaredCustomer | undefined, RefusalReason>;
 }
 
 /** Functions that differ between deployments. */
--- a/packages/node/src/request/callerExchange.ts
+++ b/packages/node/src/request/callerExchange.ts
@@ -16,8 +16,11 @@
 /** Bodies of once-only calls are held whole, up to this size. */
 export const ONCE_BODY_BYTES = 256 * 1024;
 
-/** Added to the priority of late calls: behind all that are not late. */
-const LATE_PRIORITY = 10;
+/**
+ * Added to the priority of late calls: behind all that are not late. A priority is two
+ * digits at the most, the customer's and the route's.
+ */
+const LATE_PRIORITY = 100;
 
 /** Answers up to this size are written together with their headers. */
 const ONE_WRITE_BYTES = 8 * 1024;
@@ -152,7 +155,8 @@
    * ahead of its kind.
    */
   private urgency(now: number, attempt: Attempt): number {
-    const {priority, goalMilliseconds} = this.call.route.spec;
+    const {priority, route} = this.call;
+    const {goalMilliseconds} = route.spec;
     if (goalMilliseconds === undefined) {
       return priority;
     }
@@ -254,9 +258,9 @@
   }
 
   private callHeaders(attempt: Attempt): FlatHeaders {
-    const {request, requestId, protocol} = this;
+    const {request, requestId, protocol, call} = this;
     return [
-      ...protocol.callHeaders(request, requestId, attempt.number),
+      ...protocol.callHeaders(request, requestId, attempt.number, call),
       ...this.lengthHeader(),
     ];
   }
--- a/packages/node/src/request/callerProtocol.ts
+++ b/packages/node/src/request/callerProtocol.ts
@@ -4,9 +4,10 @@
 import type {IncomingMessage, ServerResponse} from 'node:http';
 import {v7} from 'uuid';
 import type {ConfigurationState} from '@lockpin/configuration';
-import type {Refusal, RefusalReason, Result} from '@lockpin/types';
+import type {Refusal, Result} from '@lockpin/types';
+import {failure} from '@lockpin/utils';
 import {readCallerRequest} from './callerRequest.js';
-import type {CallerRequest} from './callerRequest.js';
+import type {CallerRequest, UnroutedRequest} from './callerRequest.js';
 import type {AnswerHead, FlatHeaders} from './frames.js';
 import {callHeaders} from './headers.js';
 import {sendProblem} from './problem.js';
@@ -18,12 +19,13 @@
   /** Reads the request, or says why it cannot be routed; it has not run then. */
   readonly read: (
     request: IncomingMessage,
-  ) => Result<CallerRequest, RefusalReason>;
+  ) => Result<CallerRequest, UnroutedRequest>;
   /** The headers that go with a call; attempts count from 1. */
   readonly callHeaders: (
     request: IncomingMessage,
     requestId: string,
     attempt: number,
+    call: CallerRequest,
   ) => FlatHeaders;
   readonly answerHeaders: (head: AnswerHead) => FlatHeaders;
   readonly refuse: (
@@ -40,7 +42,10 @@
 ): CallerProtocol {
   return {
     requestId: (request) => String(request.headers['x-request-id'] ?? v7()),
-    read: (request) => readCallerRequest(state(), request),
+    read: (request) => {
+      const read = readCallerRequest(state(), request);
+      return read.ok ? read : failure({reason: read.failure});
+    },
     callHeaders: (request, requestId, attempt) => {
       const headers = callHeaders(request.rawHeaders);
       if (request.headers['x-request-id'] === undefined) {
--- a/packages/node/src/request/callerRequest.ts
+++ b/packages/node/src/request/callerRequest.ts
@@ -24,6 +24,13 @@
   firstWithKey: 'lockpin-once-attempt',
 } as const;
 
+/** A request that cannot be routed; it has not run. */
+export interface UnroutedRequest {
+  readonly reason: RefusalReason;
+  /** What decided it, for the log; nothing of it is secret. */
+  readonly detail?: Readonly<Record<string, string | number>>;
+}
+
 /** A request that may be routed. */
 export interface CallerRequest {
   readonly view: ServiceView;
@@ -31,6 +38,10 @@
   /** The calling customer, and its weight where customers share. */
   readonly customer: string;
   readonly weight: number;
+  /** 0 is the most urgent. */
+  readonly priority: number;
+  /** The customer whose key the caller showed, as its upstream is told. */
+  readonly keyOwner: string | undefined;
   readonly path: string;
   readonly waitMilliseconds: number;
   readonly onceKey: OnceKey | undefined;
@@ -83,6 +94,8 @@
     view,
     route,
     ...callingCustomer(state, request, view),
+    priority: route.spec.priority,
+    keyOwner: undefined,
     path,
     waitMilliseconds: wait,
     onceKey: key.value,
--- a/packages/node/src/request/earlyRefusals.ts
+++ b/packages/node/src/request/earlyRefusals.ts
@@ -9,6 +9,22 @@
 /** When a caller of a node that is not ready may come back, in milliseconds. */
 const NOT_READY_RETRY_MILLISECONDS = 500;
 
+/** When a caller whose key could not be confirmed may come back, in milliseconds. */
+const OUTDATED_RETRY_MILLISECONDS = 500;
+
+/** Reasons that tell when to come back, in milliseconds; 0 for all others. */
+const RETRY_MILLISECONDS: Readonly<Partial<Record<RefusalReason, number>>> = {
+  'not-ready': NOT_READY_RETRY_MILLISECONDS,
+  'keys-outdated': OUTDATED_RETRY_MILLISECONDS,
+};
+
+/** A request that was refused for who its caller is, for the log. */
+export interface RefusedRecord {
+  readonly requestId: string;
+  readonly reason: RefusalReason;
+  readonly [detail: string]: string | number;
+}
+
 /** A request that is refused before it is a call. */
 export interface RefusedRequest {
   readonly response: ServerResponse;
@@ -42,8 +58,7 @@
   const refusal: Refusal = {
     reason,
     outcome: 'not-run',
-    retryAfterMilliseconds:
-      reason === 'not-ready' ? NOT_READY_RETRY_MILLISECONDS : 0,
+    retryAfterMilliseconds: RETRY_MILLISECONDS[reason] ?? 0,
   };
   if (request === undefined || !hasShortBody(request)) {
     response.shouldKeepAlive = false;
--- a/packages/node/src/request/entryService.ts
+++ b/packages/node/src/request/entryService.ts
@@ -4,11 +4,13 @@
 import type {IncomingMessage, ServerResponse} from 'node:http';
 import type {EntryAction, EntryEvent} from '@lockpin/brain';
 import type {ServiceView} from '@lockpin/configuration';
-import type {Refusal} from '@lockpin/types';
+import type {Refusal, Result} from '@lockpin/types';
+import {failure} from '@lockpin/utils';
 import {AttemptCourse} from './attemptCourse.js';
 import {readBodyFor} from './callerBody.js';
 import {CallerExchange, HELD_BODY_BYTES} from './callerExchange.js';
 import type {ArrivedRequest} from './callerExchange.js';
+import type {CallerRequest, UnroutedRequest} from './callerRequest.js';
 import type {CallRecord} from './callStory.js';
 import {reasonNotToServe, refuseEarly} from './earlyRefusals.js';
 import {digestOf, entryCall} from './entryCall.js';
@@ -64,9 +66,14 @@
       refuseEarly(this.dependencies, unread, reason);
       return;
     }
-    const read = protocol.read(request);
+    const read = await this.read(request);
     if (!read.ok) {
-      refuseEarly(this.dependencies, unread, read.failure);
+      const {reason: why, detail} = read.failure;
+      refuseEarly(this.dependencies, unread, why);
+      if (detail !== undefined) {
+        const record = {requestId, reason: why, ...detail};
+        this.dependencies.onUnrouted?.(record);
+      }
       return;
     }
     const body = await readBodyFor(request, read.value, largestBodyBytes());
@@ -81,6 +88,23 @@
     this.arrived({...unread, call: read.value, body, arrivedAt});
   }
 
+  /** A key is called unknown only once it is unknown in the newest version. */
+  private async read(
+    request: IncomingMessage,
+  ): Promise<Result<CallerRequest, UnroutedRequest>> {
+    const {protocol, confirmKeys} = this.dependencies;
+    const read = protocol.read(request);
+    const isKeyUnknown = !read.ok && read.failure.reason === 'key-unknown';
+    if (!isKeyUnknown || confirmKeys === undefined) {
+      return read;
+    }
+    const isConfirmed = await confirmKeys();
+    const again = protocol.read(request);
+    return again.ok || isConfirmed
+      ? again
+      : failure({...again.failure, reason: 'keys-outdated'});
+  }
+
   /** A key bound to the home of an upstream that takes calls now. */
   mintKey(view: ServiceView): string | undefined {
     return mintKeyFor(this.dependencies, view);
--- a/packages/node/src/request/entryServiceDependencies.ts
+++ b/packages/node/src/request/entryServiceDependencies.ts
@@ -7,6 +7,7 @@
 import type {NodeMetrics} from '../process/metrics.js';
 import type {CallerProtocol} from './callerProtocol.js';
 import type {CallRecord} from './callStory.js';
+import type {RefusedRecord} from './earlyRefusals.js';
 import type {Exchange, ExchangeHandlers} from './exchange.js';
 import type {CallHead} from './frames.js';
 
@@ -21,6 +22,13 @@
   readonly protocol: CallerProtocol;
   readonly isReady: () => boolean;
   readonly isLeaving: () => boolean;
+  /**
+   * Whether the keys known here are the newest; asked before a caller is told that
+   * its key is unknown. Absent where no keys are distributed.
+   */
+  readonly confirmKeys?: () => Promise<boolean>;
+  /** Told of requests that are refused for who their caller is. */
+  readonly onUnrouted?: (record: RefusedRecord) => void;
   /** Whether a call that begins here may be an upstream's, made a second time. */
   readonly mayBeRepeat: () => boolean;
   /** The process now on a box, for minting once keys. */
--- a/packages/node/src/request/wireCodes.ts
+++ b/packages/node/src/request/wireCodes.ts
@@ -67,6 +67,11 @@
     'once-home-unreachable': 33,
     'once-home-replaced': 34,
     'once-key-expired': 35,
+    'key-missing': 36,
+    'key-unknown': 37,
+    'keys-outdated': 38,
+    'customer-over-limit': 39,
+    'limit-unknown': 40,
   },
   'guard-lost',
 );
