npm run cost; the warm-up knows customers and limits; a build leaves what runs in place

The bundle is made in target/made and moved file by file, and an unchanged one stays: a second build from a checkout had ended six starting nodes of the first. The warm-up calls with keys, one customer over its limit, so that those paths are compiled too.

--- a/deploy/build.mjs
+++ b/deploy/build.mjs
@@ -5,7 +5,14 @@
  */
 
 import {execFileSync} from 'node:child_process';
-import {rmSync} from 'node:fs';
+import {
+  existsSync,
+  readFileSync,
+  renameSync,
+  rmSync,
+  writeFileSync,
+} from 'node:fs';
+import {join} from 'node:path';
 import {fileURLToPath} from 'node:url';
 import {build} from 'esbuild';
 
@@ -27,13 +34,25 @@
   logLevel: 'warning',
 };
 
-rmSync('target', {recursive: true, force: true});
+/** Holds what is started. */
+const TARGET = 'target';
+
+/** Made beside it: nodes may start from the files before until all are there. */
+const MADE = join(TARGET, 'made');
+
+/** Names what the compiled code is good for. */
+const STAMP = `${process.version} ${FLAGS.join(' ')}\n`;
+
+/** The file that is started comes last. */
+const FILES = ['stamp', 'node.cache', 'node.cjs', 'lockpin-node.mjs'];
+
+rmSync(MADE, {recursive: true, force: true});
 
 // The file that is started is small; it loads the rest after its first lines.
 await build({
   ...OPTIONS,
   entryPoints: {'lockpin-node': 'platform/lib/start.js'},
-  outdir: 'target',
+  outdir: MADE,
   outExtension: {'.js': '.mjs'},
   format: 'esm',
 });
@@ -41,7 +60,7 @@
 await build({
   ...OPTIONS,
   entryPoints: {node: 'platform/lib/main.js'},
-  outdir: 'target',
+  outdir: MADE,
   outExtension: {'.js': '.cjs'},
   format: 'cjs',
   // platform/src/loadNode.ts calls this function.
@@ -57,7 +76,18 @@
   ],
 });
 
-const warmUp = fileURLToPath(new URL('./compile.mjs', import.meta.url));
-execFileSync(process.execPath, [...FLAGS, warmUp], {
-  stdio: ['ignore', 'ignore', 'inherit'],
-});
+writeFileSync(join(MADE, 'stamp'), STAMP);
+
+/** Whether a file is the same in what is started now. */
+const isUnchanged = (file) =>
+  existsSync(join(TARGET, file)) &&
+  readFileSync(join(TARGET, file)).equals(readFileSync(join(MADE, file)));
+
+if (!FILES.filter((file) => file !== 'node.cache').every(isUnchanged)) {
+  const warmUp = fileURLToPath(new URL('./compile.mjs', import.meta.url));
+  execFileSync(process.execPath, [...FLAGS, warmUp, MADE], {
+    stdio: ['ignore', 'ignore', 'inherit'],
+  });
+  FILES.forEach((file) => renameSync(join(MADE, file), join(TARGET, file)));
+}
+rmSync(MADE, {recursive: true, force: true});
--- a/deploy/compile.mjs
+++ b/deploy/compile.mjs
@@ -9,9 +9,8 @@
 import {request} from 'node:http';
 import {createServer} from 'node:net';
 import {tmpdir} from 'node:os';
-import {join} from 'node:path';
+import {join, resolve} from 'node:path';
 import {setTimeout as pause} from 'node:timers/promises';
-import {fileURLToPath} from 'node:url';
 import {Script} from 'node:vm';
 import {
   StoreStandIn,
@@ -23,10 +22,10 @@
 } from '../platform/stand-ins/lib/index.js';
 import {runBundle} from '../platform/lib/loadNode.js';
 
-const BUNDLE = fileURLToPath(new URL('../target/node.cjs', import.meta.url));
-const COMPILED = fileURLToPath(
-  new URL('../target/node.cache', import.meta.url),
-);
+/** The folder that holds the bundle; see build.mjs. */
+const FOLDER = resolve(process.argv[2] ?? 'target');
+const BUNDLE = join(FOLDER, 'node.cjs');
+const COMPILED = join(FOLDER, 'node.cache');
 
 const SERVICE = 'warm-up';
 const HOST = 'warm-up.example';
@@ -38,6 +37,15 @@
 /** Calls under way at a time; more than one upstream has slots for. */
 const CALLS_AT_A_TIME = 12;
 
+/** One customer within its limit, and one that is soon over it. */
+const CUSTOMERS = [
+  {name: 'one', keys: ['key-of-one'], callsPerSecond: 1000, burst: 1000},
+  {name: 'two', keys: ['key-of-two'], callsPerSecond: 1, burst: 1, priority: 2},
+];
+
+/** Of so many calls one is made by the customer that is over its limit. */
+const CALLS_PER_REFUSED = 6;
+
 /** Time that a call may take. */
 const CALL_MILLISECONDS = 2000;
 
@@ -111,7 +119,12 @@
       {
         method: isSafe ? 'GET' : 'POST',
         agent: false,
-        headers: requestHeaders(HOST, `call-${number}`, CALL_MILLISECONDS),
+        headers: requestHeaders(
+          HOST,
+          `call-${number}`,
+          CALL_MILLISECONDS,
+          number % CALLS_PER_REFUSED === 0 ? 'key-of-two' : 'key-of-one',
+        ),
       },
       (response) => {
         response.resume();
@@ -128,7 +141,11 @@
 const store = new StoreStandIn();
 const storeAddress = await store.start();
 const routes = [route('look', true), route('buy', false)];
-store.put('keyed.op', 'config', configurationText(1, [SERVICE], routes));
+store.put(
+  'keyed.op',
+  'config',
+  configurationText(1, [SERVICE], routes, CUSTOMERS),
+);
 const boxes = [];
 for (let number = 0; number < NODES; number += 1) {
   boxes.push(await startBox(script, number, storeAddress, folder));
--- a/packages/tools/src/cost/costFleet.ts
+++ b/packages/tools/src/cost/costFleet.ts
@@ -21,7 +21,7 @@
 }
 
 /** Calls a second of one caller while a fleet is measured, so that nodes stay cold. */
-const CALL_PAUSE_MILLISECONDS = 20;
+const CALL_PAUSE_MILLISECONDS = 50;
 
 const WAIT_MILLISECONDS = 2000;
 
--- a/packages/tools/src/cost/main.ts
+++ b/packages/tools/src/cost/main.ts
@@ -14,7 +14,7 @@
 const IDLE_MILLISECONDS = 5000;
 
 /** Calls of each stage; nodes are cold in the first and warm after the last. */
-const STAGES = [50, 300, 3000] as const;
+const STAGES = [50, 300, 1000] as const;
 
 /** What one fleet has cost, each in milliseconds of one processor. */
 interface Cost {
