--- a/packages/limits/src/customerTokens.ts
+++ b/packages/limits/src/customerTokens.ts
@@ -4,7 +4,7 @@
 import {STOCK_MILLISECONDS} from './tokenPool.js';
 
 /** The time that a store is to last: a little longer than from one refill to the next. */
-const STORE_SECONDS = 0.7;
+const STORE_SECONDS = 1;
 
 /** Tokens in store at the most; what one box hoards, others lack. */
 const MOST_STORED = 8;
--- a/packages/limits/src/poolLinks.ts
+++ b/packages/limits/src/poolLinks.ts
@@ -10,8 +10,8 @@
 import {PoolSet, poolsAmong} from './poolPlacement.js';
 import {LOAN_MILLISECONDS} from './tokenPool.js';
 
-/** Time between two loans to a pool; two may be lost before it lapses. */
-const RENEWAL_MILLISECONDS = 580;
+/** Time between two loans to a pool; one may be lost before it lapses. */
+const RENEWAL_MILLISECONDS = 980;
 
 /** A pool that has said nothing for this long since it was told something is silent. */
 const SILENCE_MILLISECONDS = 700;
