A failure that an upstream has answered is delivered when a second attempt brings nothing

Change: the answer is kept beside the repeat, and goes to the caller as soon as no offer is left, or when its time ends. The tests fail without the change; the harnesses of truth count the new action as the end of a call.

--- a/packages/brain/src/__tests__/__fixtures__/callWorld.ts
+++ b/packages/brain/src/__tests__/__fixtures__/callWorld.ts
@@ -291,6 +291,7 @@
         this.refused(id, action.refusal);
         break;
       case 'pass-answer':
+      case 'pass-spare-answer':
         this.tell({
           request: id,
           outcome: 'answered',
--- a/packages/brain/src/__tests__/entryTellsTheTruth.test.ts
+++ b/packages/brain/src/__tests__/entryTellsTheTruth.test.ts
@@ -240,5 +240,7 @@
 }
 
 function isEnd({kind}: EntryAction): boolean {
-  return kind === 'refuse' || kind === 'pass-answer';
+  return (
+    kind === 'refuse' || kind === 'pass-answer' || kind === 'pass-spare-answer'
+  );
 }
--- a/packages/brain/src/__tests__/overdueCalls.test.ts
+++ b/packages/brain/src/__tests__/overdueCalls.test.ts
@@ -170,6 +170,42 @@
     : '';
 }
 
+describe('a failure that is at hand', () => {
+  it('goes to the caller at once when a second attempt finds nobody', () => {
+    const world = new World(['a', 'b']);
+    world.arrive('repeatable');
+    const second = upstreamOf(world.answer(500));
+    expect(second).not.toBe('');
+    let actions = world.refuse(second, 'upstream-busy');
+    while (upstreamOf(actions) !== '') {
+      actions = world.refuse(upstreamOf(actions), 'upstream-busy');
+    }
+    expect(kinds(actions)).toEqual(['pass-spare-answer']);
+  });
+
+  it('goes to the caller when the time ends during a second attempt', () => {
+    const world = new World(['a', 'b']);
+    world.arrive('repeatable');
+    world.answer(500);
+    world.now = DEADLINE;
+    const actions = world.tell({
+      kind: 'given-up',
+      callId: '1',
+      reason: 'deadline-passed',
+      wasSent: true,
+    });
+    expect(kinds(actions).at(-1)).toBe('pass-spare-answer');
+    expect(refusalOf(actions)).toBe('');
+  });
+
+  it('makes way for a better answer', () => {
+    const world = new World(['a', 'b']);
+    world.arrive('repeatable');
+    world.answer(500);
+    expect(kinds(world.answer(200))).toEqual(['pass-answer']);
+  });
+});
+
 describe('a guard that is silent', () => {
   it('is passed over at no cost, whatever the kind of call', () => {
     const world = new World(['a', 'b']);
--- a/packages/brain/src/entry/answeredAttempts.ts
+++ b/packages/brain/src/entry/answeredAttempts.ts
@@ -84,6 +84,7 @@
     ) {
       const again = chooser.untried(now, random, state);
       if (again !== undefined) {
+        state.hasSpareAnswer = true;
         return [offers.send(state, again.name, again.box, again.name)];
       }
     }
--- a/packages/brain/src/entry/callBooks.ts
+++ b/packages/brain/src/entry/callBooks.ts
@@ -84,14 +84,22 @@
     outcome: RefusalOutcome,
     retryAfter: number,
   ): readonly EntryAction[] {
-    const refusal = refuse(state.call.id, reason, outcome, retryAfter);
+    const {id: callId} = state.call;
+    // What an upstream said is truer than what is guessed here, and ready.
+    const last: EntryAction = state.hasSpareAnswer
+      ? {kind: 'pass-spare-answer', callId}
+      : refuse(callId, reason, outcome, retryAfter);
     if (state.overdueAt !== undefined) {
       this.attemptEnded(state);
-      state.pending = refusal;
+      state.pending = last;
       return [];
     }
-    this.ended(state);
-    return [refusal];
+    if (last.kind === 'refuse') {
+      this.ended(state);
+    } else {
+      this.attemptEnded(state);
+    }
+    return [last];
   }
 
   /** Forgets a call; nothing more is to be done for it. */
--- a/packages/brain/src/entry/callOffers.ts
+++ b/packages/brain/src/entry/callOffers.ts
@@ -60,7 +60,8 @@
   ): readonly EntryAction[] {
     const {pauseMilliseconds} = this.context.settings;
     const milliseconds = this.pauseBefore(state);
-    if (pauseMilliseconds === 0 || now + milliseconds > state.heldUntil) {
+    const isOver = now + milliseconds > state.heldUntil;
+    if (pauseMilliseconds === 0 || isOver || state.hasSpareAnswer) {
       return this.context.books.finalRefusal(state, reason, retryAfter);
     }
     state.pauses += 1;
--- a/packages/brain/src/entry/callState.ts
+++ b/packages/brain/src/entry/callState.ts
@@ -29,6 +29,8 @@
   pending: EntryAction | undefined;
   /** An attempt that may have run is behind us. */
   mayHaveRun: boolean;
+  /** A whole answer, a failure, is at hand; another attempt was made for a better one. */
+  hasSpareAnswer: boolean;
   /** An attempt is under way. */
   isAttempting: boolean;
 }
@@ -55,6 +57,7 @@
     paidAttempts: 1,
     reroutes: 0,
     mayHaveRun: false,
+    hasSpareAnswer: false,
     isAttempting: false,
   };
 }
--- a/packages/brain/src/entry/entryMessages.ts
+++ b/packages/brain/src/entry/entryMessages.ts
@@ -132,6 +132,8 @@
       readonly refusal: Refusal;
     }
   | {readonly kind: 'pass-answer'; readonly callId: string}
+  /** The answer of an earlier attempt, since a later one brought none. */
+  | {readonly kind: 'pass-spare-answer'; readonly callId: string}
   /** Tell the brain when this time is over. */
   | {
       readonly kind: 'pause';
--- a/packages/node/src/request/attemptCourse.ts
+++ b/packages/node/src/request/attemptCourse.ts
@@ -39,6 +39,7 @@
   /** Offers a call to the guard of a box. */
   attempt(exchange: CallerExchange, attempt: Attempt): void {
     exchange.attemptSerial += 1;
+    exchange.spareAnswer = exchange.heldAnswer ?? exchange.spareAnswer;
     exchange.heldAnswer = undefined;
     const {clock, brain} = this.dependencies;
     const now = clock();
--- a/packages/node/src/request/callerExchange.ts
+++ b/packages/node/src/request/callerExchange.ts
@@ -55,6 +55,8 @@
     | undefined;
   /** An answer at hand that may still be set aside for a retry. */
   heldAnswer: AnswerHead | undefined;
+  /** A whole answer that was set aside; passed on when no later attempt brings one. */
+  spareAnswer: AnswerHead | undefined;
   timer: NodeJS.Timeout | undefined;
   /** Runs while the guard has neither started the call nor let it wait. */
   silenceTimer: NodeJS.Timeout | undefined;
--- a/packages/node/src/request/entryService.ts
+++ b/packages/node/src/request/entryService.ts
@@ -293,6 +293,11 @@
       case 'pass-answer':
         this.passAnswer(exchange);
         break;
+      case 'pass-spare-answer':
+        this.course.cancel(exchange);
+        exchange.heldAnswer = exchange.spareAnswer;
+        this.passAnswer(exchange);
+        break;
       case 'pause':
         this.course.pause(exchange, action.milliseconds);
         break;
--- a/packages/tools/src/measure/serviceRun.ts
+++ b/packages/tools/src/measure/serviceRun.ts
@@ -226,6 +226,12 @@
         this.entryOfCall.delete(callId);
         this.answers.refused(callId);
         break;
+      case 'pass-spare-answer':
+        this.failures += 1;
+        this.entryOfCall.delete(callId);
+        this.answers.refused(callId);
+        this.tellEntry(callId, {kind: 'answer-ended', callId});
+        break;
       case 'pass-answer':
         this.answers.passed(this.now, callId);
         this.tellEntry(callId, {kind: 'answer-ended', callId});
