--- a/packages/node/src/process/fleetComposition.ts
+++ b/packages/node/src/process/fleetComposition.ts
@@ -215,11 +215,11 @@
     protocol: callerProtocol({
       routing: () => host.routing,
       settings: () => host.settings,
-      authorize: (hash, isPublic) => host.authorize(hash, isPublic),
+      authorize: (hash, isPublic) => host.keys.authorize(hash, isPublic),
     }),
     isReady: () => host.isReady,
     isLeaving: () => host.refusesCalls,
-    confirmKeys: () => host.confirmKeys(),
+    confirmKeys: () => host.keys.confirm(),
     admit: (customer) => host.limits.admit(customer),
     onNotRun: (customer) => host.limits.notRun(customer),
     onUnrouted: (unrouted) => log.event('request-refused', {...unrouted}),
--- a/packages/node/src/process/fleetHost.ts
+++ b/packages/node/src/process/fleetHost.ts
@@ -3,14 +3,8 @@
 
 import {EntryBrain, GuardBrain} from '@lockpin/brain';
 import type {GuardAction, GuardEvent} from '@lockpin/brain';
-import {
-  FleetBrain,
-  FleetRouting,
-  longestReadFor,
-  mayServeKnownKeys,
-} from '@lockpin/fleet';
+import {FleetBrain, FleetRouting, longestReadFor} from '@lockpin/fleet';
 import type {
-  DeclaredCustomer,
   FleetAction,
   FleetEvent,
   FleetNews,
@@ -24,22 +18,15 @@
 } from '@lockpin/fleet';
 import type {LimitMessage} from '@lockpin/limits';
 import type {LoadHint} from '@lockpin/routing';
-import type {
-  Clock,
-  RandomSource,
-  RefusalReason,
-  Resource,
-  Result,
-} from '@lockpin/types';
-import {failure} from '@lockpin/utils';
+import type {Clock, RandomSource, Resource} from '@lockpin/types';
 import {CustomerLimits} from './customerLimits.js';
 import type {DecisionLog} from './decisionLog.js';
 import {fleetEntrySettings} from './fleetEntrySettings.js';
 import {fleetGuardSettings} from './fleetGuardSettings.js';
 import type {FleetNodeSettings} from './fleetPorts.js';
+import {FleetKeys} from './fleetKeys.js';
 import {fleetRetryBudget} from './fleetRetryBudget.js';
 import {FleetStoreCalls} from './fleetStoreCalls.js';
-import {KeyConfirmation} from './keyConfirmation.js';
 import {mechanismSwitch} from './mechanisms.js';
 import {ownUpstreamResource} from './ownUpstreamResource.js';
 import type {PeerPlace} from './peerTraffic.js';
@@ -89,12 +76,12 @@
   readonly guard: GuardBrain;
   readonly entry: EntryBrain;
   readonly limits: CustomerLimits;
+  readonly keys: FleetKeys;
   private readonly store: FleetStoreCalls;
   private currentRouting: FleetRouting | undefined;
   private listeners: FleetHostListeners | undefined;
   private stopTicking: (() => void) | undefined;
   private isFinishing = false;
-  private readonly keys = new KeyConfirmation(() => this.askForKeys());
   /** Nodes that follow this one. */
   private followers = 0;
 
@@ -133,6 +120,7 @@
       }),
     );
     this.limits = this.createLimits(box);
+    this.keys = this.createKeys();
     this.entry = new EntryBrain(
       box,
       dataCentre,
@@ -141,6 +129,16 @@
     );
   }
 
+  private createKeys(): FleetKeys {
+    return new FleetKeys({
+      clock: this.environment.clock,
+      fleet: this.fleet,
+      policy: () => this.currentSettings.keys,
+      customers: () => this.currentRouting?.customers,
+      askReader: () => this.askReader(),
+    });
+  }
+
   private createLimits(box: string): CustomerLimits {
     const {directory} = this.fleet;
     const {clock, random} = this.environment;
@@ -179,37 +177,8 @@
     this.isFinishing = true;
   }
 
-  /** The customer that a caller acts for, by the hash of the key that it showed. */
-  authorize(
-    hash: string | undefined,
-    isPublic: boolean,
-  ): Result<DeclaredCustomer | undefined, RefusalReason> {
-    const customers = this.currentRouting?.customers;
-    if (customers === undefined) {
-      return failure('not-ready');
-    }
-    const found = customers.customerOf(hash, isPublic);
-    const isTrusted =
-      !found.ok || found.value === undefined || this.trustsKeys();
-    return isTrusted ? found : failure('keys-outdated');
-  }
-
-  private trustsKeys(): boolean {
-    const newsAge = this.fleet.duty.newsAge(this.environment.clock());
-    return mayServeKnownKeys(this.currentSettings.keys, newsAge);
-  }
-
-  /**
-   * Whether the keys that are known here are the newest, as far as a reader knows. A
-   * refusal of a key is final to its caller, and this version may be older than it.
-   */
-  async confirmKeys(): Promise<boolean> {
-    return (
-      this.fleet.isCurrent(this.environment.clock()) || this.keys.confirm()
-    );
-  }
-
-  private askForKeys(): boolean {
+  /** Asks a reader for a newer configuration; false when none can be asked. */
+  private askReader(): boolean {
     this.handle({kind: 'unknown-key-shown'});
     return this.fleet.isAskingPeer;
   }
--- a/packages/node/src/request/entryService.ts
+++ b/packages/node/src/request/entryService.ts
@@ -5,39 +5,31 @@
 import type {EntryAction, EntryEvent} from '@lockpin/brain';
 import type {ServiceView} from '@lockpin/configuration';
 import type {Admission} from '@lockpin/limits';
-import type {Refusal, RefusalReason, Result} from '@lockpin/types';
+import type {Refusal, Result} from '@lockpin/types';
 import {failure} from '@lockpin/utils';
 import {AttemptCourse} from './attemptCourse.js';
+import {CallAdmission, refusalFor} from './callAdmission.js';
 import {readBodyFor} from './callerBody.js';
 import {CallerExchange, HELD_BODY_BYTES} from './callerExchange.js';
 import type {ArrivedRequest} from './callerExchange.js';
 import type {CallerRequest, UnroutedRequest} from './callerRequest.js';
 import type {CallRecord} from './callStory.js';
 import {reasonNotToServe, refuseEarly} from './earlyRefusals.js';
-import type {RefusedRequest} from './earlyRefusals.js';
 import {digestOf, entryCall} from './entryCall.js';
 import type {EntryServiceDependencies} from './entryServiceDependencies.js';
 import {freshKeyHeader, mintKeyFor} from './freshOnceKeys.js';
 
-const ADMITTED: Admission = {kind: 'admitted'};
-
-const REASON_BY_ADMISSION = {
-  'over-limit': 'customer-over-limit',
-  unknown: 'limit-unknown',
-} as const satisfies Record<
-  Exclude<Admission['kind'], 'admitted'>,
-  RefusalReason
->;
-
 export type {EntryServiceDependencies} from './entryServiceDependencies.js';
 
 /** Calls from callers, each until its answer or refusal. */
 export class EntryService {
   private readonly exchanges = new Map<string, CallerExchange>();
   private readonly course: AttemptCourse;
+  private readonly admission: CallAdmission;
   private serial = 0;
 
   constructor(private readonly dependencies: EntryServiceDependencies) {
+    this.admission = new CallAdmission(dependencies);
     this.course = new AttemptCourse({
       ...dependencies,
       tell: (event) => this.handle(event),
@@ -88,20 +80,20 @@
       }
       return;
     }
-    const admission = this.admit(read.value);
+    const admission = this.admission.of(read.value);
     if (!(admission instanceof Promise) && admission.kind !== 'admitted') {
-      this.refuseOverLimit(unread, read.value, admission);
+      this.admission.refuse(unread, read.value, admission);
       return;
     }
     const body = await readBodyFor(request, read.value, largestBodyBytes());
     if (body === 'too-large') {
       const partlyRead = {response, requestId};
       refuseEarly(this.dependencies, partlyRead, 'body-too-large');
-      void this.giveBack(read.value, admission);
+      void this.admission.giveBack(read.value, admission);
       return;
     }
     if (body === 'cut' || response.destroyed) {
-      void this.giveBack(read.value, admission);
+      void this.admission.giveBack(read.value, admission);
       return;
     }
     const arrived = {...unread, call: read.value, body, arrivedAt};
@@ -112,35 +104,10 @@
     } else if (known.kind === 'admitted') {
       this.arrived(arrived, undefined);
     } else {
-      this.refuseOverLimit(unread, read.value, known);
+      this.admission.refuse(unread, read.value, known);
     }
   }
 
-  private admit({keyOwner}: CallerRequest): Admission | Promise<Admission> {
-    return keyOwner === undefined
-      ? ADMITTED
-      : (this.dependencies.admit?.(keyOwner) ?? ADMITTED);
-  }
-
-  /** A call over its customer's limit is refused at once; none waits for room. */
-  private refuseOverLimit(
-    unread: RefusedRequest,
-    {keyOwner = '', route, version}: CallerRequest,
-    admission: Exclude<Admission, {readonly kind: 'admitted'}>,
-  ): void {
-    const reason = REASON_BY_ADMISSION[admission.kind];
-    const {retryAfterMilliseconds} = admission;
-    refuseEarly(this.dependencies, unread, reason, retryAfterMilliseconds);
-    this.dependencies.onUnrouted?.({
-      requestId: unread.requestId,
-      reason,
-      customer: keyOwner,
-      route: route.name,
-      version,
-      retryAfterMilliseconds: Math.round(retryAfterMilliseconds),
-    });
-  }
-
   /**
    * The pool's word comes while guards are asked for a slot already; no guard is told
    * to go before it. Waiting for it first cost 18 ms of a call of 81 ms (median of the
@@ -152,34 +119,12 @@
   ): Promise<void> {
     const admission = await pending;
     if (!this.exchanges.has(exchange.id)) {
-      void this.giveBack(exchange.call, admission);
+      void this.admission.giveBack(exchange.call, admission);
     } else if (admission.kind === 'admitted') {
       this.course.admitted(exchange);
     } else {
       this.course.cancel(exchange);
-      this.refuse(exchange, {
-        reason: REASON_BY_ADMISSION[admission.kind],
-        outcome: 'not-run',
-        retryAfterMilliseconds: admission.retryAfterMilliseconds,
-      });
-    }
-  }
-
-  /** The token of a call that will never run goes to another. */
-  private async giveBack(
-    call: CallerRequest,
-    pending: Admission | Promise<Admission>,
-  ): Promise<void> {
-    const admission = await pending;
-    if (admission.kind === 'admitted') {
-      this.notRun(call);
-    }
-  }
-
-  /** What does not run does not count against its customer's limit. */
-  private notRun({keyOwner}: CallerRequest): void {
-    if (keyOwner !== undefined) {
-      this.dependencies.onNotRun?.(keyOwner);
+      this.refuse(exchange, refusalFor(admission));
     }
   }
 
@@ -369,7 +314,7 @@
     const {requestId, call} = exchange;
     this.record(exchange, outcome, reason);
     if (outcome === 'not-run' && !exchange.isUndecided) {
-      this.notRun(call);
+      this.admission.notRun(call);
     }
     this.dependencies.metrics.increment('calls.refused', {reason});
     this.dependencies.logger.debug('call refused', {
