A pool that is added is lent to as soon as the others have given its part up

Change: each answer of a pool may free a new one, which is then lent to at once. The new test fails without it.

--- a/packages/limits/src/__tests__/limitWorld.test.ts
+++ b/packages/limits/src/__tests__/limitWorld.test.ts
@@ -52,6 +52,19 @@
     }
   });
 
+  it('are served soon after the whole fleet has started', () => {
+    const made = new LimitWorld(BOXES, 9);
+    made.run(700);
+    const customers = [14, 15, 16, 17].map((usual) =>
+      customer(`usual ${usual}`, usual),
+    );
+    customers.forEach((each) => made.calls(each, 2000));
+    made.run(2000);
+    for (const {name} of customers) {
+      expect(refusedShare(made, name)).toBeLessThan(0.1);
+    }
+  });
+
   it('cost each box few messages, though a token is not always in store', () => {
     // 3.1 messages a second, and 0.40 to 0.57 of the calls draw; with loans every
     // 0.6 s it were 12 messages for 0.29 to 0.51 of the calls.
--- a/packages/limits/src/poolLinks.ts
+++ b/packages/limits/src/poolLinks.ts
@@ -94,11 +94,13 @@
       link.earlierUntil = 0;
     }
     this.choose(now);
-    if (!isOther && !lacksPools) {
-      return [];
+    if (isOther || lacksPools) {
+      link.knowsPools = undefined;
     }
-    link.knowsPools = undefined;
-    return this.mayLend(now, box) ? [this.visit(now, box)] : [];
+    // With this answer a new pool may have become free to lend to as well.
+    return this.pools.names
+      .filter((pool) => this.lacksLoan(pool) && this.mayLend(now, pool))
+      .map((pool) => this.visit(now, pool));
   }
 
   /** A pool did not answer in time. */
@@ -186,6 +188,12 @@
     return now - this.aloneSince > LOAN_MILLISECONDS ? [this.box] : [];
   }
 
+  /** Nothing of this box's part was lent to the pool as it is now. */
+  private lacksLoan(pool: string): boolean {
+    const {isNew, knowsPools} = this.link(pool);
+    return isNew || knowsPools === undefined;
+  }
+
   private mayLend(now: number, pool: string): boolean {
     const {isSilent, moment, isNew} = this.link(pool);
     const isUsed = this.pools.names.includes(pool) && !isSilent;
