--- a/packages/limits/src/limitClient.ts
+++ b/packages/limits/src/limitClient.ts
@@ -1,8 +1,8 @@
 // Copyright (c) 2026 the lockpin contributors. MIT licence, see LICENSE.
 /**
  * The limits of customers at a box that takes their calls. It lends its part of all
- * limits to the pools and draws tokens from them; a call within its customer's usual
- * rate finds one in store and waits for nobody.
+ * limits to the pools and draws tokens from them. Some calls find one in store; the
+ * others are decided by the pool's answer, a few milliseconds later.
  */
 
 import {CustomerTokens} from './customerTokens.js';
--- a/packages/limits/src/tokenPool.ts
+++ b/packages/limits/src/tokenPool.ts
@@ -29,6 +29,9 @@
 /** Boxes that asked within this time share what is there. */
 const CONTENDER_MILLISECONDS = 500;
 
+/** Boxes come and go all day, and each time the pools may be others. */
+const MOST_POOL_SETS = 32;
+
 /** Looking at all loans for each draw would cost more than the draw. */
 const REFILL_MILLISECONDS = 50;
 
@@ -103,6 +106,7 @@
         this.lenders.delete(box);
       }
     }
+    this.forgetPoolSets();
     for (const [customer, account] of this.accounts) {
       const limit = this.context.limitOf(customer);
       if (limit === undefined) {
@@ -118,6 +122,19 @@
     return this.accounts.size;
   }
 
+  /** Sets that no lender goes by any more; one that does names them again. */
+  private forgetPoolSets(): void {
+    if (this.poolSets.size <= MOST_POOL_SETS) {
+      return;
+    }
+    const used = new Set([...this.lenders.values()].map(({pools}) => pools));
+    for (const [digest, pools] of this.poolSets) {
+      if (!used.has(pools)) {
+        this.poolSets.delete(digest);
+      }
+    }
+  }
+
   /** False when the loan names pools that were never told. */
   private lend(now: number, box: string, loan: Loan): boolean {
     if (loan.pools !== undefined && !this.poolSets.has(loan.poolsDigest)) {
