--- a/packages/brain/src/entry/callOffers.ts
+++ b/packages/brain/src/entry/callOffers.ts
@@ -60,8 +60,7 @@
   ): readonly EntryAction[] {
     const {pauseMilliseconds} = this.context.settings;
     const milliseconds = this.pauseBefore(state);
-    const isOver = now + milliseconds > state.heldUntil;
-    if (pauseMilliseconds === 0 || isOver || state.hasSpareAnswer) {
+    if (pauseMilliseconds === 0 || now + milliseconds > state.heldUntil) {
       return this.context.books.finalRefusal(state, reason, retryAfter);
     }
     state.pauses += 1;
