A pool sums up its stores once a draw; a getter and a step that nothing else used are gone

Cause: giving tokens computed the capacity and summed the stores of all boxes twice for each draw, once for the room and once for what may be in store. Change: both come from one look. The getter 'customers' had no caller, put() one. Processor time was not measured.

--- a/packages/limits/src/tokenPool.ts
+++ b/packages/limits/src/tokenPool.ts
@@ -117,11 +117,6 @@
     }
   }
 
-  /** Customers whose tokens are kept here now. */
-  get customers(): number {
-    return this.accounts.size;
-  }
-
   /** Sets that no lender goes by any more; one that does names them again. */
   private forgetPoolSets(): void {
     if (this.poolSets.size <= MOST_POOL_SETS) {
@@ -167,19 +162,10 @@
       made += lent * (now - Math.max(since, begunAt));
     });
     const tokens = account.tokens + (made * limit.callsPerSecond) / 1000;
-    this.put(now, limit, account, {part, tokens});
-  }
-
-  private put(
-    now: number,
-    limit: RateLimit,
-    account: Account,
-    {part, tokens}: Pick<Account, 'part' | 'tokens'>,
-  ): void {
     account.part = part;
     account.refilledAt = now;
-    const room = this.room(now, limit, account);
-    account.tokens = Math.min(tokens, Math.max(0, room));
+    const {capacity, stocked} = this.bounds(now, limit, account);
+    account.tokens = Math.min(tokens, Math.max(0, capacity - stocked));
   }
 
   /** Calls back with the part of a limit that each box lends now, and since when. */
@@ -197,10 +183,14 @@
     }
   }
 
-  /** Tokens that may be here, besides those that boxes have in store. */
-  private room(now: number, limit: RateLimit, {part, stocks}: Account): number {
-    const capacity = tokenCapacity(limit, this.context.rules());
-    return capacity * part - inStock(now, stocks);
+  /** Tokens that may exist here and in boxes' stores, and those in the stores. */
+  private bounds(
+    now: number,
+    limit: RateLimit,
+    {part, stocks}: Account,
+  ): {readonly capacity: number; readonly stocked: number} {
+    const capacity = tokenCapacity(limit, this.context.rules()) * part;
+    return {capacity, stocked: inStock(now, stocks)};
   }
 
   private give(now: number, box: string, draw: Draw): Grant {
@@ -218,7 +208,8 @@
     }
     account.askedAt.set(box, now);
     setStock(account, box, held, now);
-    const room = Math.max(0, this.room(now, limit, account));
+    const {capacity, stocked} = this.bounds(now, limit, account);
+    const room = Math.max(0, capacity - stocked);
     account.tokens = Math.min(room, account.tokens + returned);
     const contenders = countSince(account.askedAt, now);
     const fair = Math.max(1, account.tokens / contenders);
@@ -227,7 +218,7 @@
     const stockRoom = Math.min(
       left * STOCK_SHARE,
       left / contenders,
-      this.stockRoom(now, limit, account),
+      capacity * STOCK_SHARE - stocked,
     );
     const forStock = Math.floor(Math.max(0, Math.min(stock, stockRoom)));
     account.tokens = left - forStock;
@@ -242,12 +233,6 @@
     };
   }
 
-  private stockRoom(now: number, limit: RateLimit, account: Account): number {
-    const capacity = tokenCapacity(limit, this.context.rules());
-    const stocked = inStock(now, account.stocks);
-    return capacity * account.part * STOCK_SHARE - stocked;
-  }
-
   /** A customer that has not called has the tokens that were made meanwhile. */
   private open(now: number, customer: string, limit: RateLimit): Account {
     const account: Account = {
--- a/packages/node/src/process/customerLimits.ts
+++ b/packages/node/src/process/customerLimits.ts
@@ -1,7 +1,7 @@
 // Copyright (c) 2026 the lockpin contributors. MIT licence, see LICENSE.
 /** The limits of customers at one node: its part as an entry and as a pool. */
 
-import {LimitClient, TokenPool} from '@lockpin/limits';
+import {ANSWER_MILLISECONDS, LimitClient, TokenPool} from '@lockpin/limits';
 import type {
   Admission,
   LimitAction,
@@ -12,7 +12,6 @@
   LimitRules,
   RateLimit,
 } from '@lockpin/limits';
-import {ANSWER_MILLISECONDS} from '@lockpin/limits';
 import type {Clock} from '@lockpin/types';
 
 /** What the limits need of their node. */
