A request that has ended three upstreams is run no more, on any box

Cause: attempts were limited within one try of a caller; nothing remembered across tries and boxes that a request had ended an upstream, so each repeat of it ran like a new request. Ruled out: lockpin's own retries as the cause (they double the ends at most; each try kept to its two attempts), upstreams that end for reasons of their own (15 of 16 breaks of several calls hold a call of one route; between the waves all calls of it are served). Change: when running calls break, the guard looks whether anybody listens at the upstream's address; when not, it tells the digests of the requests that ran. Boxes tell each other of them in their records, through the store and past it (readers and entries, at once). Three ends, and more than runs that ended well, keep a request out for 8 h: entries and guards refuse it at once, truthfully and with the time to come back.

--- a/packages/brain/src/entry/callOffers.ts
+++ b/packages/brain/src/entry/callOffers.ts
@@ -44,6 +44,11 @@
     reasonIfNone: RefusalReason,
     retryAfter = NO_UPSTREAM_RETRY_MILLISECONDS,
   ): readonly EntryAction[] {
+    const quarantined = this.quarantinedFor(now, state);
+    if (quarantined > 0) {
+      const reason = 'request-quarantined';
+      return this.context.books.finalRefusal(state, reason, quarantined);
+    }
     const chosen = this.context.chooser.next(now, random, state);
     if (chosen === undefined) {
       return this.pauseOrRefuse(now, state, reasonIfNone, retryAfter);
@@ -51,6 +56,11 @@
     return [this.send(state, chosen.name, chosen.box, chosen.name)];
   }
 
+  /** How much longer no upstream is to run the call, in milliseconds; 0 if one may. */
+  quarantinedFor(now: number, {call}: CallState): number {
+    return this.context.settings.quarantinedFor(now, call.requestDigest);
+  }
+
   /** Upstreams may free slots soon: hold the call a little, but not for long. */
   pauseOrRefuse(
     now: number,
--- a/packages/brain/src/entry/entryBrain.ts
+++ b/packages/brain/src/entry/entryBrain.ts
@@ -255,9 +255,10 @@
     const {onceKey} = state.call;
     const cancels = this.overdueAttempts.cancelAll(state);
     this.overdueAttempts.over(state);
+    const after = this.offers.quarantinedFor(now, state);
     const refusal =
       onceKey === undefined
-        ? this.books.finalRefusal(state, reason)
+        ? this.books.finalRefusal(state, reason, after)
         : this.books.homeRefusal(state, reason);
     return [...cancels, ...refusal];
   }
--- a/packages/brain/src/entry/entryMessages.ts
+++ b/packages/brain/src/entry/entryMessages.ts
@@ -13,6 +13,8 @@
   readonly route: Resource<'Route'>;
   /** The customer that calls; it need not own the service. */
   readonly customer: string;
+  /** The same for all requests that an upstream cannot tell apart; empty if unknown. */
+  readonly requestDigest: string;
   /** Bytes of body that the entry holds for it. */
   readonly bytes: number;
   /** In milliseconds since 1970. */
@@ -88,8 +90,9 @@
   | {
       readonly kind: 'given-up';
       readonly callId: string;
-      /** Its time is over, or its node ends before that. */
-      readonly reason: 'deadline-passed' | 'node-leaving';
+      /** Its time is over, its node ends before that, or no upstream may run it. */
+      readonly reason:
+        'deadline-passed' | 'node-leaving' | 'request-quarantined';
       /** False when the attempt under way certainly did not begin to run. */
       readonly wasSent: boolean;
     }
--- a/packages/brain/src/entry/entrySettings.ts
+++ b/packages/brain/src/entry/entrySettings.ts
@@ -41,6 +41,8 @@
   readonly mostReroutes: number;
   /** Refusals after which going elsewhere costs nothing. */
   readonly freeRefusals: ReadonlySet<RefusalReason>;
+  /** How much longer no upstream is to run a request, in milliseconds; 0 if one may. */
+  readonly quarantinedFor: (now: number, requestDigest: string) => number;
   /** Whether repeatable calls that take too long are sent elsewhere. */
   readonly replacesOverdue: boolean;
   /** Whether a call is offered for a late answer when none in time can be had. */
@@ -68,6 +70,7 @@
   heldShare: 0,
   mostReroutes: 3,
   freeRefusals: new Set(STANDING_REFUSALS),
+  quarantinedFor: () => 0,
   replacesOverdue: false,
   offersLate: true,
 };
@@ -79,6 +82,13 @@
   'deadline-too-short',
 ]);
 
+/** Refusals that hold wherever the call goes. */
+export const LASTING_REFUSALS: ReadonlySet<RefusalReason> = new Set([
+  'deadline-passed',
+  'request-quarantined',
+  'retries-exhausted',
+]);
+
 /** Refusals by guards that did not reach an upstream with the call. */
 export const UNSENT_REFUSALS: ReadonlySet<RefusalReason> =
   new Set<RefusalReason>([
--- a/packages/brain/src/entry/retryPolicy.ts
+++ b/packages/brain/src/entry/retryPolicy.ts
@@ -4,6 +4,7 @@
 import type {RetryAllowance} from '@lockpin/routing';
 import type {Refusal} from '@lockpin/types';
 import type {EntryCall} from './entryMessages.js';
+import {LASTING_REFUSALS} from './entrySettings.js';
 import type {EntrySettings} from './entrySettings.js';
 
 /** Attempts of one call that may be paid for where its route does not say. */
@@ -36,14 +37,14 @@
   /** Whether a refused call may be sent elsewhere; pays for it when so. */
   mayGoElsewhere(now: number, state: RetryState, refusal: Refusal): boolean {
     const {reason, outcome} = refusal;
-    if (!state.call.isReplayable || reason === 'deadline-passed') {
+    if (!state.call.isReplayable) {
       return false;
     }
     if (this.settings.freeRefusals.has(reason) && outcome === 'not-run') {
       return this.takeReroute(state);
     }
     return (
-      reason !== 'retries-exhausted' &&
+      !LASTING_REFUSALS.has(reason) &&
       (outcome === 'not-run' || this.mayRepeat(state)) &&
       this.payRetry(now, state)
     );
--- a/packages/brain/src/guard/callCourse.ts
+++ b/packages/brain/src/guard/callCourse.ts
@@ -14,7 +14,8 @@
 
 /** A call that was accepted and has not ended. */
 export interface KnownCall {
-  readonly call: GuardCall;
+  /** Its digest comes with the go where there is one. */
+  call: GuardCall;
   readonly upstream: UpstreamGuard;
   /** When its slot was reserved; undefined before, and once it was sent. */
   reservedAt: number | undefined;
@@ -91,6 +92,11 @@
   /** The call goes to its upstream, or gives its slot back where nothing pays. */
   send(now: number, known: KnownCall): readonly GuardAction[] {
     const {call, upstream} = known;
+    const quarantined = this.settings.quarantinedFor(now, call.requestDigest);
+    if (quarantined > 0) {
+      const reason = 'request-quarantined';
+      return this.releaseReservation(now, known, reason, quarantined);
+    }
     if (!upstream.send(now, call)) {
       return this.releaseReservation(now, known, 'retries-exhausted');
     }
@@ -115,11 +121,12 @@
     now: number,
     {call, upstream}: KnownCall,
     reason: RefusalReason,
+    retryAfter?: number,
   ): readonly GuardAction[] {
     this.calls.delete(call.id);
     const freed = upstream.release(now, call.id);
     return [
-      this.refuseForGood(now, call, upstream, reason),
+      this.refuseForGood(now, call, upstream, reason, retryAfter),
       ...this.freed(now, freed),
     ];
   }
--- a/packages/brain/src/guard/guardBrain.ts
+++ b/packages/brain/src/guard/guardBrain.ts
@@ -12,6 +12,7 @@
 import {leavingHint, refuse} from './guardRefusals.js';
 import {OfferedCalls} from './offeredCalls.js';
 import {ReportSchedule} from './reportSchedule.js';
+import type {UpstreamGuard} from './upstreamGuard.js';
 
 /** Decides by (now, random, event) alone. */
 export class GuardBrain {
@@ -87,7 +88,7 @@
       case 'call-offered':
         return this.offers.offered(now, random, event.call);
       case 'call-go':
-        return this.go(now, event.callId);
+        return this.go(now, event.callId, event.requestDigest);
       case 'call-cancelled':
         return this.givenUp(now, event.callId, 'caller-left');
       case 'own-call-failed':
@@ -101,6 +102,8 @@
         return this.answered(now, event);
       case 'upstream-failed':
         return this.upstreamFailed(now, event.callId, event.wasSent);
+      case 'upstream-looked-at':
+        return this.lookedAt(now, event);
       case 'upstream-refused':
         return this.upstreamRefused(now, event.callId, event.reason);
       case 'services-changed':
@@ -122,11 +125,16 @@
   }
 
   /** Only a reservation that still stands is acted upon. */
-  private go(now: number, callId: string): readonly GuardAction[] {
+  private go(
+    now: number,
+    callId: string,
+    requestDigest: string,
+  ): readonly GuardAction[] {
     const known = this.course.get(callId);
     if (known?.reservedAt === undefined) {
       return [];
     }
+    known.call = {...known.call, requestDigest};
     if (known.upstream.isDraining && !this.settings.drainFinishesQueue) {
       return this.course.releaseReservation(now, known, 'upstream-draining');
     }
@@ -227,9 +235,30 @@
     return [
       refuse(now, call, 'upstream-failed', 'unknown', upstream),
       ...after,
+      ...crashed(upstream, upstream.crashes.broke(now, call.requestDigest)),
+      ...this.look(now, upstream),
     ];
   }
 
+  /** Calls broke: has the upstream ended, or does it only reset connections? */
+  private look(now: number, upstream: UpstreamGuard): readonly GuardAction[] {
+    const {name, lifetime} = upstream;
+    return upstream.crashes.beginLook(now)
+      ? [{kind: 'look-at-upstream', upstream: name, lifetime}]
+      : [];
+  }
+
+  /** What is found at the address tells nothing of an earlier process there. */
+  private lookedAt(
+    now: number,
+    event: GuardEvent & {readonly kind: 'upstream-looked-at'},
+  ): readonly GuardAction[] {
+    const upstream = this.services.upstream(event.upstream);
+    return upstream === undefined || upstream.lifetime !== event.lifetime
+      ? []
+      : crashed(upstream, upstream.crashes.looked(now, event.presence));
+  }
+
   private replied(
     now: number,
     service: string,
@@ -274,6 +303,7 @@
       const {freed, changes} = upstream.review(now);
       actions.push(...this.course.doubtChanged(now, upstream, wasDoubted));
       actions.push(...this.course.freed(now, freed));
+      actions.push(...this.look(now, upstream));
       for (const change of changes) {
         actions.push(...this.course.noted(now, upstream, change));
       }
@@ -282,3 +312,12 @@
     return actions;
   }
 }
+
+function crashed(
+  {name}: UpstreamGuard,
+  digests: readonly string[],
+): readonly GuardAction[] {
+  return digests.length === 0
+    ? []
+    : [{kind: 'upstream-crashed', upstream: name, digests}];
+}
--- a/packages/brain/src/guard/guardMessages.ts
+++ b/packages/brain/src/guard/guardMessages.ts
@@ -5,6 +5,7 @@
 import type {LoadHint, RetryAllowance} from '@lockpin/routing';
 import type {StoredAnswer} from '@lockpin/once';
 import type {GuardReport, HolderReply} from '@lockpin/floor';
+import type {Presence} from '@lockpin/quarantine';
 import type {Refusal, Repetition, Resource, Sensitivity} from '@lockpin/types';
 
 /** A call as it reaches the guard. */
@@ -27,7 +28,10 @@
   /** A first attempt of a call that its caller may be making a second time. */
   readonly mayBeRepeat?: boolean;
   readonly onceKey: string | undefined;
-  /** Hash of method, path and body, by which a reused key is found out. */
+  /**
+   * The same for all requests that an upstream cannot tell apart; empty where it is not
+   * known, as that of a call which waits for its go.
+   */
   readonly requestDigest: string;
   /** By the clock here: an answer later than this is worth less. */
   readonly usefulUntil?: number;
@@ -69,6 +73,8 @@
    * false where its owner was promised that nothing more would come.
    */
   readonly drainFinishesQueue: boolean;
+  /** How much longer no upstream is to run a request, in milliseconds; 0 if one may. */
+  readonly quarantinedFor: (now: number, requestDigest: string) => number;
   /** A slot kept for an entry that does not say go is given back after this. */
   readonly reservationMilliseconds: number;
 }
@@ -84,6 +90,7 @@
   limitsSuspects: true,
   createRetryBudget: () => new RetryBudget(),
   drainFinishesQueue: true,
+  quarantinedFor: () => 0,
   reservationMilliseconds: 250,
 };
 
@@ -99,7 +106,11 @@
 export type GuardEvent =
   | {readonly kind: 'call-offered'; readonly call: GuardCall}
   /** The entry holds the reservation to be good: the call may run. */
-  | {readonly kind: 'call-go'; readonly callId: string}
+  | {
+      readonly kind: 'call-go';
+      readonly callId: string;
+      readonly requestDigest: string;
+    }
   | {readonly kind: 'call-cancelled'; readonly callId: string}
   | {readonly kind: 'call-deadline-passed'; readonly callId: string}
   /** A call that began on this box failed: its upstream may have made it. */
@@ -119,6 +130,14 @@
       /** False only when not a byte of the call reached the upstream. */
       readonly wasSent: boolean;
     }
+  /** What was found at the address of an upstream that broke calls. */
+  | {
+      readonly kind: 'upstream-looked-at';
+      readonly upstream: string;
+      /** Of the process that broke them. */
+      readonly lifetime: string | undefined;
+      readonly presence: Presence;
+    }
   /** The upstream itself said that it did not run the call. */
   | {
       readonly kind: 'upstream-refused';
@@ -169,6 +188,18 @@
       readonly service: string;
       readonly reports: readonly GuardReport[];
     }
+  /** Is there still anybody at the address of the upstream? */
+  | {
+      readonly kind: 'look-at-upstream';
+      readonly upstream: string;
+      readonly lifetime: string | undefined;
+    }
+  /** The upstream ended while it ran requests with these digests. */
+  | {
+      readonly kind: 'upstream-crashed';
+      readonly upstream: string;
+      readonly digests: readonly string[];
+    }
   /** Entries should know at once how the upstream stands. */
   | {
       readonly kind: 'standing';
--- a/packages/brain/src/guard/upstreamGuard.ts
+++ b/packages/brain/src/guard/upstreamGuard.ts
@@ -5,6 +5,7 @@
 import type {Freed, Offer, WaitingCall} from '@lockpin/admission';
 import type {CallEvidenceKind} from '@lockpin/detection';
 import type {GuardReport} from '@lockpin/floor';
+import {CrashWatch} from '@lockpin/quarantine';
 import type {LoadHint, RetryAllowance} from '@lockpin/routing';
 import type {
   RefusalReason,
@@ -43,6 +44,8 @@
   private readonly admission: Admission;
   /** What the sequential tests say of it, and what follows. */
   readonly standing: UpstreamStanding;
+  /** Whether broken calls mean that its process has ended. */
+  readonly crashes = new CrashWatch();
   private readonly running = new Map<string, RunningCall>();
   private readonly doubt: QuickDoubt;
   private readonly refusals: UpstreamRefusals;
--- a/packages/fleet/src/__tests__/__fixtures__/fleetWorld.ts
+++ b/packages/fleet/src/__tests__/__fixtures__/fleetWorld.ts
@@ -7,7 +7,7 @@
 import type {BoxRecord} from '../../boxRecord.js';
 import type {DeclaredConfiguration} from '../../declaredConfiguration.js';
 import {FleetBrain} from '../../fleetBrain.js';
-import type {FleetAction, FleetEvent} from '../../fleetMessages.js';
+import type {FleetAction, FleetEvent, FleetNews} from '../../fleetMessages.js';
 import type {FollowedPeers} from '../../recordReaders.js';
 import type {
   RecordPage,
@@ -85,6 +85,8 @@
 /** Plays events in order of time. */
 export class FleetWorld {
   storeIsDown = false;
+  /** Whether each node's entry has a stream to each guard, or to none. */
+  entriesHear = false;
   storeCalls = 0;
   private now = EPOCH;
   private order = 0;
@@ -209,6 +211,18 @@
     this.announce(node);
   }
 
+  /** The upstream of a box ends while it runs a request. */
+  crash(box: string, digest: string): void {
+    this.tell(this.node(box), {kind: 'runs-crashed', digests: [digest]});
+  }
+
+  /** Whether every node that runs keeps a request out. */
+  everyoneKeepsOut(digest: string): boolean {
+    return this.alive().every(
+      (box) => this.node(box).brain.suspects.remaining(this.now, digest) > 0,
+    );
+  }
+
   /** Packets in one direction are lost from now on. */
   cut(box: string, direction: 'incoming' | 'outgoing'): void {
     this.node(box).isReachable[direction] = false;
@@ -384,10 +398,20 @@
         break;
       case 'tell-followers':
         node.followers.forEach((box) => {
-          const follower = this.node(box);
-          this.send(node, follower, () =>
-            this.tell(follower, {kind: 'news-told', news: action.news}),
-          );
+          this.sendNews(node, this.node(box), action.news);
+        });
+        break;
+      case 'tell-entries':
+        if (this.entriesHear) {
+          this.tellAll(node, action.news);
+        }
+        break;
+      case 'tell-nodes':
+        action.addresses.forEach((address) => {
+          const other = this.at(address);
+          if (other !== undefined) {
+            this.sendNews(node, other, action.news);
+          }
         });
         break;
       case 'configuration-changed':
@@ -396,6 +420,18 @@
     }
   }
 
+  private sendNews(from: Node, to: Node, news: FleetNews): void {
+    this.send(from, to, () => this.tell(to, {kind: 'news-told', news}));
+  }
+
+  private tellAll(node: Node, news: FleetNews): void {
+    for (const other of this.nodes.values()) {
+      if (other !== node) {
+        this.sendNews(node, other, news);
+      }
+    }
+  }
+
   private follow(node: Node, peers: FollowedPeers): void {
     node.peers.near
       .filter((address) => !peers.near.includes(address))
--- a/packages/fleet/src/boxRecord.ts
+++ b/packages/fleet/src/boxRecord.ts
@@ -1,6 +1,9 @@
 // Copyright (c) 2026 the lockpin contributors. MIT licence, see LICENSE.
 /** What each box says of itself to the others. */
 
+import {MOST_REPORTS, areSameReports} from '@lockpin/quarantine';
+import type {RunReport} from '@lockpin/quarantine';
+
 /** One box with the upstream that it guards. The newest statement counts. */
 export interface BoxRecord {
   readonly box: string;
@@ -16,6 +19,8 @@
   readonly coldUntil: number;
   /** When the box said so, in milliseconds since 1970; rises with each statement. */
   readonly statedAt: number;
+  /** Runs of suspect requests; absent where there are none to tell of. */
+  readonly runs?: readonly RunReport[];
 }
 
 /**
@@ -35,7 +40,8 @@
     a.peerAddress === b.peerAddress &&
     a.service === b.service &&
     a.slots === b.slots &&
-    a.takesWork === b.takesWork
+    a.takesWork === b.takesWork &&
+    areSameReports(a.runs ?? [], b.runs ?? [])
   );
 }
 
@@ -69,6 +75,26 @@
     typeof record.slots === 'number' &&
     typeof record.takesWork === 'boolean' &&
     typeof record.coldUntil === 'number' &&
-    typeof record.statedAt === 'number'
+    typeof record.statedAt === 'number' &&
+    (record.runs === undefined || areRunReports(record.runs))
+  );
+}
+
+function areRunReports(value: unknown): value is readonly RunReport[] {
+  return (
+    Array.isArray(value) &&
+    value.length <= MOST_REPORTS &&
+    value.every(isRunReport)
+  );
+}
+
+function isRunReport(value: unknown): value is RunReport {
+  const report = value as RunReport | null;
+  return (
+    typeof report === 'object' &&
+    report !== null &&
+    typeof report.digest === 'string' &&
+    Number.isFinite(report.at) &&
+    typeof report.hasCrashed === 'boolean'
   );
 }
--- a/packages/fleet/src/fleetBrain.ts
+++ b/packages/fleet/src/fleetBrain.ts
@@ -27,6 +27,7 @@
 import {PeerAnswers} from './peerAnswers.js';
 import {PeerAsking} from './peerAsking.js';
 import {PeerQuestions} from './peerQuestions.js';
+import {RunNews} from './runNews.js';
 import type {
   RecordPage,
   RecordStream,
@@ -34,6 +35,7 @@
   StoredRecord,
 } from './recordStore.js';
 import {StoreDuty} from './storeDuty.js';
+import {SuspectRequests} from './suspectRequests.js';
 
 /** How a fleet is run that is not the same at every start. */
 export interface FleetStart {
@@ -48,12 +50,16 @@
   readonly directory = new BoxDirectory();
   readonly own = new OwnUpstreamTracker();
   readonly duty: StoreDuty;
+  readonly suspects = new SuspectRequests();
   private readonly inForce: ConfigurationInForce;
   private readonly ownRecord: OwnRecord;
   private readonly peers: PeerAsking;
   private readonly answers: PeerAnswers;
   private readonly questions: PeerQuestions;
   private readonly followerNews: FollowerNews;
+  /** Nodes that followed this one at the last tick. */
+  private followers = 0;
+  private readonly runNews: RunNews;
 
   constructor(
     private readonly identity: NodeIdentity,
@@ -62,7 +68,9 @@
   ) {
     const {directory} = this;
     this.inForce = new ConfigurationInForce(readConfiguration);
-    this.ownRecord = new OwnRecord(identity, (record) => this.put(record));
+    this.ownRecord = new OwnRecord(identity, (record) =>
+      this.put(record.statedAt, record),
+    );
     this.duty = new StoreDuty(
       identity,
       directory,
@@ -80,6 +88,7 @@
       peers,
     });
     this.followerNews = new FollowerNews(identity.peerAddress);
+    this.runNews = new RunNews(identity, duty.readers);
   }
 
   get configuration(): DeclaredConfiguration | undefined {
@@ -94,6 +103,16 @@
     now: number,
     random: RandomSource,
     event: FleetEvent,
+  ): readonly FleetAction[] {
+    const actions = this.decide(now, random, event);
+    const findings = this.suspects.takeFindings(now);
+    return [...actions, ...findings, ...this.tellOfRuns(now)];
+  }
+
+  private decide(
+    now: number,
+    random: RandomSource,
+    event: FleetEvent,
   ): readonly FleetAction[] {
     switch (event.kind) {
       case 'tick':
@@ -110,6 +129,12 @@
         return this.readEnded(now, random, event.stream, event.result);
       case 'write-ended':
         return this.writeEnded(now, event.result);
+      case 'runs-crashed':
+        this.suspects.crashed(now, event.digests);
+        return [];
+      case 'run-survived':
+        this.suspects.survived(now, event.digest);
+        return [];
       case 'unknown-key-shown':
         return this.askForKeys(now);
       case 'upstream-announced':
@@ -130,7 +155,7 @@
   /** Answers another node's question, and learns what it told. */
   answer(question: PeerQuestion): PeerKnowledge {
     if (question.own !== undefined) {
-      this.put(question.own);
+      this.put(question.own.statedAt, question.own);
     }
     return this.answers.to(question, this.configuration);
   }
@@ -173,10 +198,25 @@
     ];
   }
 
+  /** Each second in which some boxes do not know costs upstreams: see RunNews. */
+  private tellOfRuns(now: number): readonly FleetAction[] {
+    const actions: FleetAction[] = [];
+    if (this.suspects.takeHasMoreToTell()) {
+      this.ownRecord.runsChanged(now, this.suspects.reports);
+      actions.push(...this.writeOwn(now));
+    }
+    if (this.runNews.hasUntold) {
+      actions.push(...this.runNews.take(now));
+      actions.push(...this.tellFollowers(now, this.followers));
+    }
+    return actions;
+  }
+
   private tellFollowers(
     now: number,
     followers: number,
   ): readonly FleetAction[] {
+    this.followers = followers;
     const state = {
       version: this.version,
       boxesDigest: this.directory.digest,
@@ -251,15 +291,18 @@
 
   private learnBox(now: number, record: BoxRecord): void {
     if (record.box === this.identity.box) {
+      this.suspects.adopt(now, record);
       this.ownRecord.found(now, record);
     } else if (now - record.statedAt <= RECORD_LIFE_MILLISECONDS) {
-      this.put(record);
+      this.put(now, record);
     }
   }
 
-  private put(record: BoxRecord): void {
+  private put(now: number, record: BoxRecord): void {
     if (this.directory.put(record)) {
       this.followerNews.boxChanged(record);
+      this.suspects.learn(now, record);
+      this.runNews.learnt(record);
     }
   }
 
--- a/packages/fleet/src/fleetMessages.ts
+++ b/packages/fleet/src/fleetMessages.ts
@@ -67,6 +67,10 @@
       readonly result: StoreResult<RecordPage>;
     }
   | {readonly kind: 'write-ended'; readonly result: StoreResult<undefined>}
+  /** The upstream of this box ended while it ran these requests. */
+  | {readonly kind: 'runs-crashed'; readonly digests: readonly string[]}
+  /** A run of a request ended here, and the upstream lives. */
+  | {readonly kind: 'run-survived'; readonly digest: string}
   /** A caller showed a key that no version in force here has. */
   | {readonly kind: 'unknown-key-shown'}
   | {
@@ -100,6 +104,16 @@
   /** These nodes are to be followed from now on, and no others. */
   | {readonly kind: 'follow-peers'; readonly peers: FollowedPeers}
   | {readonly kind: 'tell-followers'; readonly news: FleetNews}
+  /** The entries whose calls come here are to know this at once. */
+  | {readonly kind: 'tell-entries'; readonly news: FleetNews}
+  /** So are the nodes at these addresses. */
+  | {
+      readonly kind: 'tell-nodes';
+      readonly addresses: readonly string[];
+      readonly news: FleetNews;
+    }
+  /** No upstream is to run this request. */
+  | {readonly kind: 'request-quarantined'; readonly digest: string}
   /** A newer version is in force from here on. */
   | {
       readonly kind: 'configuration-changed';
--- a/packages/fleet/src/ownRecord.ts
+++ b/packages/fleet/src/ownRecord.ts
@@ -8,6 +8,7 @@
 } from './boxRecord.js';
 import type {BoxRecord} from './boxRecord.js';
 import type {NodeIdentity} from './fleetMessages.js';
+import type {RunReport} from '@lockpin/quarantine';
 import type {OwnUpstream} from './ownUpstream.js';
 import type {StoreResult, StoredRecord} from './recordStore.js';
 
@@ -28,6 +29,7 @@
   private writeAfter = 0;
   private hasFailed = false;
   private startedAt: number | undefined;
+  private runs: readonly RunReport[] = [];
 
   constructor(
     private readonly identity: NodeIdentity,
@@ -58,6 +60,14 @@
     });
   }
 
+  /** There is more to tell of runs of suspect requests. */
+  runsChanged(now: number, runs: readonly RunReport[]): void {
+    this.runs = runs;
+    if (this.desired !== undefined) {
+      this.state(now, this.desired);
+    }
+  }
+
   /** The store has this record of the own box. */
   found(now: number, record: BoxRecord): void {
     this.stored = record;
@@ -101,7 +111,12 @@
   /** Makes a statement, later than any before. */
   private state(at: number, record: BoxRecord): void {
     const statedAt = Math.max(at, (this.desired?.statedAt ?? 0) + 1);
-    this.desired = {...record, statedAt};
+    const {runs} = this;
+    this.desired = {
+      ...record,
+      statedAt,
+      runs: runs.length > 0 ? runs : undefined,
+    };
     this.onStated(this.desired);
   }
 
--- a/packages/fleet/src/recordReaders.ts
+++ b/packages/fleet/src/recordReaders.ts
@@ -139,6 +139,13 @@
     return {near, far: this.farPeer(now), silent};
   }
 
+  /** Those that read for the other data centres, as far as is known here. */
+  elsewhere(): readonly BoxRecord[] {
+    return this.directory.dataCentres
+      .filter((other) => other !== this.identity.dataCentre)
+      .flatMap((other) => firstReaders(this.directory, other));
+  }
+
   private choose(now: number): void {
     const {box: ownBox, dataCentre} = this.identity;
     const chosen: BoxRecord[] = [];
@@ -185,10 +192,8 @@
 
   /** One of the readers elsewhere, by turns; another one for each node. */
   private farPeer(now: number): string | undefined {
-    const {box, dataCentre} = this.identity;
-    const readers = this.directory.dataCentres
-      .filter((other) => other !== dataCentre)
-      .flatMap((other) => firstReaders(this.directory, other));
+    const {box} = this.identity;
+    const readers = this.elsewhere();
     const turn = Math.floor(now / FAR_PEER_MILLISECONDS + this.phase);
     const choice = stableHash(`${box} ${turn}`) / STABLE_HASH_RANGE;
     return readers[Math.floor(choice * readers.length)]?.peerAddress;
--- /dev/null
+++ b/packages/fleet/src/runNews.ts
@@ -0,0 +1,65 @@
+// Copyright (c) 2026 the lockpin contributors. MIT licence, see LICENSE.
+/** The way of what boxes tell of their runs to all other boxes, past the store. */
+
+import type {BoxRecord} from './boxRecord.js';
+import type {FleetAction, FleetNews, NodeIdentity} from './fleetMessages.js';
+import type {RecordReaders} from './recordReaders.js';
+
+/**
+ * Records come from the store as well, but readers gather those of boxes for up to 5 s,
+ * and a request that its caller repeats ten times a second ends as many upstreams
+ * meanwhile. So a box tells its readers and the entries that call it; readers tell the
+ * readers elsewhere of the boxes near them, and all that they hear to their followers.
+ */
+export class RunNews {
+  private untold: BoxRecord[] = [];
+
+  constructor(
+    private readonly identity: NodeIdentity,
+    private readonly readers: RecordReaders,
+  ) {}
+
+  /** Whether anything was learnt since it was last told. */
+  get hasUntold(): boolean {
+    return this.untold.length > 0;
+  }
+
+  /** A statement of a box is new here. */
+  learnt(record: BoxRecord): void {
+    if (record.runs !== undefined) {
+      this.untold.push(record);
+    }
+  }
+
+  /** What is to be told now, and to whom besides this node's followers. */
+  take(now: number): readonly FleetAction[] {
+    const {untold} = this;
+    this.untold = [];
+    return untold.flatMap((record) => this.tell(now, record));
+  }
+
+  private tell(now: number, record: BoxRecord): readonly FleetAction[] {
+    const {box, dataCentre} = this.identity;
+    const news: FleetNews = {kind: 'boxes', boxes: [record]};
+    const isNear = record.dataCentre === dataCentre;
+    const elsewhere =
+      isNear && this.readers.isReader
+        ? this.readers.elsewhere().map(({peerAddress}) => peerAddress)
+        : [];
+    if (record.box !== box) {
+      return tellNodes(elsewhere, news);
+    }
+    const {near} = this.readers.followed(now);
+    return [
+      {kind: 'tell-entries', news},
+      ...tellNodes([...near, ...elsewhere], news),
+    ];
+  }
+}
+
+function tellNodes(
+  addresses: readonly string[],
+  news: FleetNews,
+): readonly FleetAction[] {
+  return addresses.length === 0 ? [] : [{kind: 'tell-nodes', addresses, news}];
+}
--- a/packages/node/src/connection/upstreamPools.ts
+++ b/packages/node/src/connection/upstreamPools.ts
@@ -5,7 +5,9 @@
 import type {Socket} from 'node:net';
 import {Client, Pool} from 'undici';
 import type {buildConnector} from 'undici';
+import type {Presence} from '@lockpin/quarantine';
 import type {Resource} from '@lockpin/types';
+import {lookAtAddress} from './lookAtAddress.js';
 
 /** An upstream on the same box connects at once; all other limits are the guard's. */
 const CONNECT_MILLISECONDS = 1000;
@@ -54,6 +56,16 @@
       : new Client(`http://${address}`, this.options);
   }
 
+  /** Looks whether anybody is at the address of an upstream. */
+  lookAt(upstream: string, done: (presence: Presence) => void): void {
+    const entry = this.pools.get(upstream);
+    if (entry === undefined) {
+      done('unknown');
+    } else {
+      lookAtAddress(entry.address, done);
+    }
+  }
+
   /** Makes pools for what is new and closes those of what is gone. */
   configure(upstreams: readonly Resource<'Upstream'>[]): void {
     const names = new Set(upstreams.map(({name}) => name));
--- a/packages/node/src/process/fleetComposition.ts
+++ b/packages/node/src/process/fleetComposition.ts
@@ -191,7 +191,10 @@
     onOther: (action) => host.guardActed(action),
     onEnded: (record) => {
       log.guardCall(record);
-      const {outcome, ranMilliseconds} = record;
+      const {outcome, ranMilliseconds, head} = record;
+      if (outcome === 'answered') {
+        host.runSurvived(head.requestDigest);
+      }
       metrics.increment('guard.calls', {outcome});
       metrics.timing('guard.milliseconds', ranMilliseconds, {outcome});
     },
--- a/packages/node/src/process/fleetEntrySettings.ts
+++ b/packages/node/src/process/fleetEntrySettings.ts
@@ -42,7 +42,10 @@
 } as const;
 
 /** The settings of an entry whose guards reserve slots and pay for retries. */
-export function fleetEntrySettings(isOn: MechanismSwitch): EntrySettings {
+export function fleetEntrySettings(
+  isOn: MechanismSwitch,
+  fleet: Pick<EntrySettings, 'quarantinedFor'>,
+): EntrySettings {
   return {
     choose: isOn('near-first')
       ? chooseByScore
@@ -57,6 +60,7 @@
     heldShare: HELD_SHARE,
     mostReroutes: MOST_REROUTES,
     freeRefusals: UNSENT_REFUSALS,
+    quarantinedFor: fleet.quarantinedFor,
     replacesOverdue: isOn('overdue-replacement'),
     offersLate: isOn('late-offers'),
   };
--- a/packages/node/src/process/fleetGuardSettings.ts
+++ b/packages/node/src/process/fleetGuardSettings.ts
@@ -9,13 +9,17 @@
 /** The settings of a guard that keeps slots for entries and pays for retries. */
 export function fleetGuardSettings(
   isOn: MechanismSwitch,
-  fleet: Pick<GuardSettings, 'createRetryBudget' | 'heldUpCalls'>,
+  fleet: Pick<
+    GuardSettings,
+    'createRetryBudget' | 'heldUpCalls' | 'quarantinedFor'
+  >,
 ): GuardSettings {
   return {
     ...DEFAULT_GUARD_SETTINGS,
     hasQuickDoubt: isOn('quick-doubt'),
     hasHangEvidence: isOn('hang-evidence'),
     heldUpCalls: fleet.heldUpCalls,
+    quarantinedFor: fleet.quarantinedFor,
     isCautious: isOn('caution'),
     excusesFailures: isOn('excused-failures'),
     doubtReleasesQueue: isOn('queue-release'),
--- a/packages/node/src/process/fleetHost.ts
+++ b/packages/node/src/process/fleetHost.ts
@@ -2,7 +2,7 @@
 /** Drives the brains of a node in a declared fleet. */
 
 import {EntryBrain, GuardBrain} from '@lockpin/brain';
-import type {GuardAction, GuardEvent} from '@lockpin/brain';
+import type {GuardEvent} from '@lockpin/brain';
 import {FleetBrain, FleetRouting, longestReadFor} from '@lockpin/fleet';
 import type {
   FleetAction,
@@ -29,6 +29,7 @@
 import {FleetStoreCalls} from './fleetStoreCalls.js';
 import {mechanismSwitch} from './mechanisms.js';
 import {ownUpstreamResource} from './ownUpstreamResource.js';
+import type {GuardNews} from '../request/guardService.js';
 import type {PeerPlace} from './peerTraffic.js';
 
 /**
@@ -68,6 +69,12 @@
   readonly onSilence: (box: string) => void;
   /** The guard here changed its mind about its upstream. */
   readonly onStanding: (upstream: string, hint: LoadHint) => void;
+  /** For the nodes whose entries call here. */
+  readonly onEntryNews: (news: FleetNews) => void;
+  /** For the nodes at these addresses. */
+  readonly onNodeNews: (addresses: readonly string[], news: FleetNews) => void;
+  /** No upstream is to run this request. */
+  readonly onQuarantined: (requestDigest: string) => void;
 }
 
 /** Lives as long as the process. */
@@ -105,6 +112,10 @@
       this.handle(event),
     );
     const isOn = mechanismSwitch(currentSettings.switchedOff);
+    const quarantinedFor = isOn('quarantine')
+      ? (now: number, digest: string) =>
+          this.fleet.suspects.remaining(now, digest)
+      : () => 0;
     const startedAt = environment.clock();
     this.guard = new GuardBrain(
       {box, incarnation},
@@ -117,6 +128,7 @@
             upstreams: () => this.fleet.directory.countOf(service),
           }),
         heldUpCalls: () => this.entry.heldUpCalls,
+        quarantinedFor,
       }),
     );
     this.limits = this.createLimits(box);
@@ -125,7 +137,7 @@
       box,
       dataCentre,
       {isUsable: () => true, incarnation: () => undefined},
-      fleetEntrySettings(isOn),
+      fleetEntrySettings(isOn, {quarantinedFor}),
     );
   }
 
@@ -252,9 +264,12 @@
   }
 
   /** Logs what the guard came to believe; permits are not used here. */
-  guardActed(
-    action: GuardAction & {readonly kind: 'report' | 'timeline' | 'standing'},
-  ): void {
+  guardActed(action: GuardNews): void {
+    if (action.kind === 'upstream-crashed') {
+      const {upstream, digests} = action;
+      this.log.event(action.kind, {subject: upstream, requests: digests});
+      this.handle({kind: 'runs-crashed', digests});
+    }
     if (action.kind === 'timeline') {
       const {event, subject, detail} = action;
       this.log.event(event, {subject, ...detail});
@@ -266,6 +281,11 @@
     }
   }
 
+  /** A run of a request ended here, and its upstream lives. */
+  runSurvived(digest: string): void {
+    this.handle({kind: 'run-survived', digest});
+  }
+
   /** The guard of an upstream told how it stands. */
   standingHeard(upstream: string, hint: LoadHint): void {
     this.entry.loads.heard(upstream, this.environment.clock(), hint);
@@ -295,6 +315,15 @@
       case 'tell-followers':
         this.listeners?.onFollowerNews(action.news);
         break;
+      case 'tell-entries':
+        this.listeners?.onEntryNews(action.news);
+        break;
+      case 'tell-nodes':
+        this.listeners?.onNodeNews(action.addresses, action.news);
+        break;
+      case 'request-quarantined':
+        this.listeners?.onQuarantined(action.digest);
+        break;
       case 'configuration-changed':
         this.configurationChanged(action);
         break;
--- a/packages/node/src/process/mechanisms.ts
+++ b/packages/node/src/process/mechanisms.ts
@@ -20,6 +20,7 @@
   'overdue-replacement': 'calls that take too long are not sent elsewhere',
   'late-offers': 'calls are not offered once their answer would be late',
   holding: 'calls that find no slot are refused after one round of offers',
+  quarantine: 'requests that end each upstream that runs them run again',
   'paid-retries': 'nothing pays for second attempts',
 } as const;
 
--- a/packages/node/src/process/metrics.ts
+++ b/packages/node/src/process/metrics.ts
@@ -19,6 +19,7 @@
   'peer.bytes',
   'readers.followed',
   'readers.heard',
+  'requests.suspected',
   'store.newsAgeMilliseconds',
   'store.reads',
 ] as const;
--- a/packages/node/src/process/nodeHost.ts
+++ b/packages/node/src/process/nodeHost.ts
@@ -7,7 +7,6 @@
   ControlAction,
   ControlEvent,
   ControlSettings,
-  GuardAction,
   GuardedService,
   PeerReply,
   PeerRequest,
@@ -16,6 +15,7 @@
 import {isUsable} from '@lockpin/membership';
 import type {Datagram, MemberIdentity} from '@lockpin/membership';
 import type {ChangeRecord, TimelineEvent} from '@lockpin/types';
+import type {GuardNews} from '../request/guardService.js';
 import {BoxListPoller} from './boxListPoller.js';
 import type {NodeEnvironment, NodeHostListeners} from './nodeEnvironment.js';
 
@@ -117,12 +117,15 @@
   }
 
   /** Takes the guard's actions that do not concern one exchange. */
-  guardActed(
-    action: GuardAction & {readonly kind: 'report' | 'timeline' | 'standing'},
-  ): void {
+  guardActed(action: GuardNews): void {
     if (action.kind === 'standing') {
       return;
     }
+    if (action.kind === 'upstream-crashed') {
+      const {upstream, digests} = action;
+      this.timeline(action.kind, upstream, {requests: digests.join(' ')});
+      return;
+    }
     if (action.kind === 'timeline') {
       this.timeline(action.event, action.subject, action.detail);
       return;
--- a/packages/node/src/process/runFleetNode.ts
+++ b/packages/node/src/process/runFleetNode.ts
@@ -51,6 +51,7 @@
   const {settings} = container.resolve(FLEET_TOKENS.ports);
   const host = container.resolve(FLEET_TOKENS.host);
   const guard = container.resolve(FLEET_TOKENS.guardService);
+  const entry = container.resolve(FLEET_TOKENS.entryService);
   const pools = container.resolve(FLEET_TOKENS.pools);
   const subscribers = container.resolve(FLEET_TOKENS.news);
   const remote = container.resolve(FLEET_TOKENS.remote);
@@ -81,6 +82,10 @@
     onSilence: (box) => remote.wasSilent(host.peerAddress(box)),
     onStanding: (upstream, hint) =>
       subscribers.tell({kind: 'standing', upstream, hint}),
+    onEntryNews: (news) => subscribers.tell(news),
+    onNodeNews: (addresses, news) =>
+      addresses.forEach((address) => remote.tellNode(address, news)),
+    onQuarantined: (digest) => entry.requestQuarantined(digest),
   });
   const stopFollowing = every(FOLLOW_AGAIN_MILLISECONDS, () =>
     remote.keepFollowing(),
@@ -146,6 +151,7 @@
   return (_request, response) => {
     metrics.gauge('guard.occupied', guard.callCount);
     metrics.gauge('configuration.version', host.fleet.version);
+    metrics.gauge('requests.suspected', host.fleet.suspects.count);
     metrics.gauge('members.usable', host.fleet.directory.size);
     const {duty} = host.fleet;
     const now = steadyClock();
--- a/packages/node/src/request/entryCall.ts
+++ b/packages/node/src/request/entryCall.ts
@@ -31,7 +31,7 @@
 
 /** The call as the entry's brain is told of it. */
 export function entryCall(
-  {id, call, isReplayable}: CallerExchange,
+  {id, call, isReplayable, requestDigest}: CallerExchange,
   bytes: number,
   deadline: number,
   mayBeRepeat: boolean,
@@ -42,6 +42,7 @@
     view,
     route,
     customer,
+    requestDigest,
     bytes,
     deadline,
     onceKey,
--- a/packages/node/src/request/entryService.ts
+++ b/packages/node/src/request/entryService.ts
@@ -21,6 +21,8 @@
 
 export type {EntryServiceDependencies} from './entryServiceDependencies.js';
 
+type GivenUp = EntryEvent & {readonly kind: 'given-up'};
+
 /** Calls from callers, each until its answer or refusal. */
 export class EntryService {
   private readonly exchanges = new Map<string, CallerExchange>();
@@ -205,10 +207,17 @@
     );
   }
 
-  private giveUp(
-    exchange: CallerExchange,
-    reason: 'deadline-passed' | 'node-leaving',
-  ): void {
+  /** No upstream is to run the request: what has not begun is refused at once. */
+  requestQuarantined(digest: string): void {
+    [...this.exchanges.values()]
+      .filter(
+        ({requestDigest, mayHaveBegun}) =>
+          requestDigest === digest && !mayHaveBegun,
+      )
+      .forEach((exchange) => this.giveUp(exchange, 'request-quarantined'));
+  }
+
+  private giveUp(exchange: CallerExchange, reason: GivenUp['reason']): void {
     const wasSent = exchange.mayHaveBegun;
     this.course.noteEnd(exchange, reason);
     this.handle({kind: 'given-up', callId: exchange.id, reason, wasSent});
--- a/packages/node/src/request/frameRows.ts
+++ b/packages/node/src/request/frameRows.ts
@@ -2,6 +2,7 @@
 /** Frames as rows of values, in the order in which they go between nodes. */
 
 import type {BoxRecord, ReaderReport} from '@lockpin/fleet';
+import type {RunReport} from '@lockpin/quarantine';
 import type {
   AnswerHead,
   CallHead,
@@ -90,8 +91,21 @@
   'takesWork',
   'coldUntil',
   'statedAt',
+  'runs',
 ] as const satisfies readonly (keyof BoxRecord)[];
 
+/** The order of what a box tells of a run. */
+const RUN_FIELDS = [
+  'digest',
+  'at',
+  'hasCrashed',
+] as const satisfies readonly (keyof RunReport)[];
+
+/** A box's statement with its runs as rows. */
+type CodedBox = Omit<BoxRecord, 'runs'> & {
+  readonly runs: readonly (readonly unknown[])[] | undefined;
+};
+
 /** The order of a reader's report. */
 const REPORT_FIELDS = [
   'version',
@@ -230,7 +244,7 @@
     case 'report':
       return [REPORT, news.address, toRow(REPORT_FIELDS, news.report)];
     case 'boxes':
-      return [BOXES, news.boxes.map((box) => toRow(BOX_FIELDS, box))];
+      return [BOXES, news.boxes.map(boxRow)];
     case 'limit-request':
       return [LIMIT_REQUEST, ...limitRequestRow(news)];
     case 'limit-reply':
@@ -266,8 +280,18 @@
 }
 
 function boxesFrom([, rows]: BoxesRow): PeerNews {
-  const boxes = rows.map((row) => fromRow<BoxRecord>(BOX_FIELDS, row));
-  return {kind: 'boxes', boxes};
+  return {kind: 'boxes', boxes: rows.map(boxFrom)};
+}
+
+function boxRow(box: BoxRecord): readonly unknown[] {
+  const runs = box.runs?.map((run) => toRow(RUN_FIELDS, run));
+  return toRow<CodedBox>(BOX_FIELDS, {...box, runs});
+}
+
+function boxFrom(row: readonly unknown[]): BoxRecord {
+  const {runs, ...box} = fromRow<CodedBox>(BOX_FIELDS, row);
+  const reports = runs?.map((run) => fromRow<RunReport>(RUN_FIELDS, run));
+  return reports === undefined ? box : {...box, runs: reports};
 }
 
 /** The row of a request. */
--- a/packages/node/src/request/guardService.ts
+++ b/packages/node/src/request/guardService.ts
@@ -37,11 +37,14 @@
   /** Calls back again and again; returns what stops it. */
   readonly every: (milliseconds: number, run: () => void) => () => void;
   /** Takes the actions that do not concern one exchange. */
-  readonly onOther: (
-    action: GuardAction & {readonly kind: 'report' | 'timeline' | 'standing'},
-  ) => void;
+  readonly onOther: (action: GuardNews) => void;
 }
 
+/** Actions of a guard that are for others than the callers it serves. */
+export type GuardNews = GuardAction & {
+  readonly kind: 'report' | 'timeline' | 'standing' | 'upstream-crashed';
+};
+
 /** What became of one call at the guard of its upstream. */
 export interface GuardRecord {
   readonly head: CallHead;
@@ -144,7 +147,8 @@
       sendEnd: () => void exchange.requestBody?.push(null),
       go: (request) => {
         exchange.head = {...exchange.head, ...request};
-        this.handle({kind: 'call-go', callId: exchange.id});
+        const {requestDigest} = request;
+        this.handle({kind: 'call-go', callId: exchange.id, requestDigest});
       },
       resume: () => exchange.controller?.resume(),
       cancel: () => {
@@ -156,6 +160,10 @@
   }
 
   private perform(action: GuardAction): void {
+    if (action.kind === 'look-at-upstream') {
+      this.lookAt(action);
+      return;
+    }
     if (!('callId' in action)) {
       this.dependencies.onOther(action);
       return;
@@ -186,6 +194,15 @@
     }
   }
 
+  private lookAt({
+    upstream,
+    lifetime,
+  }: GuardAction & {readonly kind: 'look-at-upstream'}): void {
+    this.dependencies.pools.lookAt(upstream, (presence) =>
+      this.handle({kind: 'upstream-looked-at', upstream, lifetime, presence}),
+    );
+  }
+
   private refuse(
     exchange: GuardExchange,
     action: GuardAction & {readonly kind: 'refuse'},
--- a/packages/node/src/request/wireCodes.ts
+++ b/packages/node/src/request/wireCodes.ts
@@ -72,6 +72,7 @@
     'keys-outdated': 38,
     'customer-over-limit': 39,
     'limit-unknown': 40,
+    'request-quarantined': 41,
   },
   'guard-lost',
 );
--- /dev/null
+++ b/packages/quarantine/src/__tests__/ownRuns.test.ts
@@ -0,0 +1,56 @@
+// Copyright (c) 2026 the lockpin contributors. MIT licence, see LICENSE.
+/** What a box tells of its own runs. */
+
+import {describe, expect, it} from 'vitest';
+import {OwnRuns} from '../ownRuns.js';
+import {MOST_REPORTS, REPORT_LIFE_MILLISECONDS} from '../runReport.js';
+
+describe('OwnRuns', () => {
+  it('tells of each request that ran when the upstream ended', () => {
+    const runs = new OwnRuns();
+    expect(runs.crashed(5, ['a', 'b', 'b', ''])).toBe(true);
+    expect(runs.reports).toEqual([
+      {digest: 'a', at: 5, hasCrashed: true},
+      {digest: 'b', at: 5, hasCrashed: true},
+    ]);
+  });
+
+  it('excuses as many ends as the request ended well here', () => {
+    const runs = new OwnRuns();
+    runs.survived(1, 'popular', false);
+    runs.survived(2, 'popular', false);
+    expect(runs.crashed(3, ['popular'])).toBe(false);
+    expect(runs.crashed(4, ['popular'])).toBe(false);
+    expect(runs.crashed(5, ['popular'])).toBe(true);
+  });
+
+  it('tells that a request ended well only once it is in question', () => {
+    const runs = new OwnRuns();
+    expect(runs.survived(1, 'a', false)).toBe(false);
+    expect(runs.questioned(2, 'b')).toBe(false);
+    expect(runs.questioned(2, 'a')).toBe(true);
+    expect(runs.reports).toEqual([{digest: 'a', at: 2, hasCrashed: false}]);
+    const more = Array.from({length: 9}, (_, i) => runs.survived(i, 'a', true));
+    expect(more.filter((isNews) => isNews)).toHaveLength(3);
+  });
+
+  it('tells the newest of many, and nothing that is a day old', () => {
+    const runs = new OwnRuns();
+    for (let i = 0; i < 40; i += 1) {
+      runs.crashed(i, [`digest-${i}`]);
+    }
+    expect(runs.reports).toHaveLength(MOST_REPORTS);
+    expect(runs.reports.at(-1)?.digest).toBe('digest-39');
+    runs.crashed(100 + REPORT_LIFE_MILLISECONDS, ['late']);
+    expect(runs.reports).toHaveLength(1);
+  });
+
+  it('takes over what an earlier process of its box has told', () => {
+    const runs = new OwnRuns();
+    const earlier = [{digest: 'a', at: 1, hasCrashed: true}];
+    runs.crashed(9, ['b']);
+    expect(runs.adopt(10, earlier)).toBe(true);
+    expect(runs.adopt(10, earlier)).toBe(false);
+    expect(runs.reports.map(({digest}) => digest)).toEqual(['a', 'b']);
+  });
+});
--- a/packages/tools/src/capacity/decisionSlopes.ts
+++ b/packages/tools/src/capacity/decisionSlopes.ts
@@ -89,6 +89,7 @@
       view,
       route,
       customer: view.customer,
+      requestDigest: '',
       bytes: 0,
       deadline: i + 1000,
       onceKey: undefined,
--- a/packages/tools/src/measure/serviceRun.ts
+++ b/packages/tools/src/measure/serviceRun.ts
@@ -192,6 +192,7 @@
         view: this.view,
         route,
         customer,
+        requestDigest: '',
         bytes: 0,
         deadline: this.now + TRAFFIC.waitMilliseconds,
         onceKey: undefined,
--- a/packages/types/src/refusals.ts
+++ b/packages/types/src/refusals.ts
@@ -15,6 +15,8 @@
   | 'customer-over-limit'
   | 'limit-unknown'
   | 'request-malformed'
+  /** It has ended the upstreams that ran it. */
+  | 'request-quarantined'
   | 'body-too-large'
   | 'no-upstream'
   | 'upstream-ejected'
