--- a/packages/tools/src/faults/platformPromises.ts
+++ b/packages/tools/src/faults/platformPromises.ts
@@ -20,6 +20,8 @@
 const READERS = 'packages/fleet/src/__tests__/readingFleet.test.ts';
 const ROUTES = 'packages/fleet/src/__tests__/fleetRouting.test.ts';
 const SETTINGS = 'packages/node/src/__tests__/fleetRetryBudget.test.ts';
+const CRASHES = 'platform/src/__tests__/crashingRequests.test.ts';
+const SUSPECTS = 'packages/fleet/src/__tests__/suspectRequests.test.ts';
 const BUNDLE = 'platform/src/__tests__/bundle.test.ts';
 const SOAK = 'packages/tools/src/soak/__tests__/soak.test.ts';
 const SOAKED = 'keeps every promise through kills, stops, pauses and bad links';
@@ -176,6 +178,25 @@
     [READERS, 'are others while the store turns them away'],
     [SOAK, SOAKED],
   ]),
+  promise(
+    'a request that ends each upstream that runs it is run no more',
+    [
+      [
+        CRASHES,
+        'is run no more once it has ended three, whichever box it is sent to',
+      ],
+      [CRASHES, 'is known by its body, and others at its path are served'],
+      [CRASHES, 'is not taken for one that many callers send at the same time'],
+      [CRASHES, 'is served as soon as its upstreams answer again'],
+      [SUSPECTS, 'is kept out by all of %i boxes at once'],
+      [SUSPECTS, 'is kept out soon where the readers die with it'],
+      [
+        SUSPECTS,
+        'is still kept out after all boxes have lost their power at once',
+      ],
+    ],
+    'bodies that are streamed have no digest, and are never kept out',
+  ),
   promise('weights are kept', [
     [
       ROUTES,
