A process of an upstream is told by its id and its start; statements by other writers are refused by their field

Cause: an id was taken for a process, so that one which started again under it was late or drained for good; fields were read loosely, and any state but ready ended the upstream. Change: the start decides before the sequence; a newer one ends all calls of its predecessor at once, each truthfully, and what ran there counts as having ended it; connections, standing, durations and doubt begin anew. Ranges, states, services and addresses are checked in one place; the answer names the field.

--- a/packages/brain/src/__tests__/reservations.test.ts
+++ b/packages/brain/src/__tests__/reservations.test.ts
@@ -51,7 +51,7 @@
         slots: 1,
         connections: 9,
         state: 'in-service',
-        lifetime: 'i-1',
+        incarnation: {id: 'i-1', startedAt: 0},
         ...change,
       },
     };
@@ -258,7 +258,7 @@
     expect(reasonOf(world.offer('2', {mayRunDoubted: true}))).toEqual([
       'upstream-replaced not-run',
     ]);
-    world.configure({lifetime: 'i-2'});
+    world.configure({incarnation: {id: 'i-2', startedAt: 0}});
     expect(world.offer('3')).toEqual([{kind: 'reserve', callId: '3'}]);
   });
 });
@@ -464,3 +464,88 @@
     expect(world.offer('4', once)).toEqual([{kind: 'reserve', callId: '4'}]);
   });
 });
+
+describe('an upstream that starts again under its id', () => {
+  function restarted(): {
+    readonly world: World;
+    readonly actions: readonly GuardAction[];
+  } {
+    const world = new World(2);
+    world.configure({
+      slots: 2,
+      incarnation: {id: 'i-1', startedAt: 100},
+    });
+    world.offer('sent', {needsGo: false, requestDigest: 'digest'});
+    world.tell({
+      kind: 'upstream-answered',
+      callId: 'sent',
+      status: 200,
+      isShed: false,
+      answer: undefined,
+    });
+    world.offer('running', {needsGo: false, requestDigest: 'digest'});
+    world.offer('reserved');
+    world.offer('waiting', {mayWait: true});
+    return {
+      world,
+      actions: world.configure({
+        slots: 2,
+        incarnation: {id: 'i-1', startedAt: 200},
+      }),
+    };
+  }
+
+  it('ends the calls of its predecessor at once, each truthfully', () => {
+    const {actions} = restarted();
+    expect(reasonOf(actions)).toEqual([
+      'upstream-failed unknown',
+      'upstream-replaced not-run',
+      'upstream-replaced not-run',
+    ]);
+    expect(actions).toContainEqual({kind: 'abort', callId: 'running'});
+  });
+
+  it('was ended by what ran there, and entries hear how its successor stands', () => {
+    const {actions} = restarted();
+    expect(actions).toContainEqual(
+      expect.objectContaining({
+        kind: 'upstream-crashed',
+        digests: ['digest'],
+      }),
+    );
+    expect(actions).toContainEqual(
+      expect.objectContaining({
+        kind: 'standing',
+        hint: expect.objectContaining({occupied: 0}),
+      }),
+    );
+  });
+
+  it('has all its slots, and late answers to its predecessor change nothing', () => {
+    const {world} = restarted();
+    expect(
+      world.tell({
+        kind: 'upstream-answered',
+        callId: 'running',
+        status: 200,
+        isShed: false,
+        answer: undefined,
+      }),
+    ).toEqual([]);
+    expect(world.offer('1')).toEqual([{kind: 'reserve', callId: '1'}]);
+    expect(world.offer('2')).toEqual([{kind: 'reserve', callId: '2'}]);
+  });
+
+  it('leaves calls alone whose upstream drains beside another id', () => {
+    const world = new World(2);
+    world.configure({
+      slots: 2,
+      incarnation: {id: 'i-1', startedAt: 100},
+    });
+    world.offer('running', {needsGo: false});
+    const actions = world.configure({
+      incarnation: {id: 'i-2', startedAt: 200},
+    });
+    expect(reasonOf(actions)).toEqual([]);
+  });
+});
--- a/packages/brain/src/guard/callCourse.ts
+++ b/packages/brain/src/guard/callCourse.ts
@@ -207,6 +207,41 @@
     return [standingEvent(upstream, standing), ...refusals, ...reports];
   }
 
+  /**
+   * Ends all calls of an upstream whose process has ended: those that were sent may have
+   * run, the others have not. Returns the digests of the first besides.
+   */
+  endAllOf(
+    now: number,
+    upstream: UpstreamGuard,
+  ): {
+    readonly actions: readonly GuardAction[];
+    readonly digests: readonly string[];
+  } {
+    const ended = [...this.calls.values()].filter(
+      (known) => known.upstream === upstream,
+    );
+    const sent = ended.filter(({call}) => upstream.isSent(call.id));
+    const actions = ended.flatMap((known) =>
+      sent.includes(known)
+        ? this.breakOff(now, known)
+        : this.refuseWaiting(now, known.call.id, 'upstream-replaced'),
+    );
+    return {actions, digests: sent.map(({call}) => call.requestDigest)};
+  }
+
+  private breakOff(
+    now: number,
+    {call, upstream}: KnownCall,
+  ): readonly GuardAction[] {
+    this.calls.delete(call.id);
+    this.services.ledgerOf(call)?.broke(call.onceKey ?? '');
+    return [
+      {kind: 'abort', callId: call.id},
+      refuse(now, call, 'upstream-failed', 'unknown', upstream),
+    ];
+  }
+
   /** Slots that no entry has taken up in time go to others. */
   expireReservations(now: number): readonly GuardAction[] {
     const {reservationMilliseconds} = this.settings;
--- a/packages/brain/src/guard/guardBrain.ts
+++ b/packages/brain/src/guard/guardBrain.ts
@@ -4,10 +4,20 @@
 import type {HolderReply} from '@lockpin/floor';
 import type {OnceHome} from '@lockpin/once';
 import type {LoadHint} from '@lockpin/routing';
-import type {RandomSource, RefusalReason} from '@lockpin/types';
+import type {
+  RandomSource,
+  RefusalReason,
+  UpstreamIncarnation,
+} from '@lockpin/types';
+import {isSameIncarnation} from '@lockpin/utils';
 import {CallCourse} from './callCourse.js';
 import {DEFAULT_GUARD_SETTINGS} from './guardMessages.js';
-import type {GuardAction, GuardEvent, GuardSettings} from './guardMessages.js';
+import type {
+  GuardAction,
+  GuardEvent,
+  GuardSettings,
+  GuardedService,
+} from './guardMessages.js';
 import {GuardedServices} from './guardedServices.js';
 import {leavingHint, refuse} from './guardRefusals.js';
 import {OfferedCalls} from './offeredCalls.js';
@@ -57,9 +67,9 @@
     return hint && this.isLeaving ? leavingHint(hint) : hint;
   }
 
-  /** Identity of the process behind an upstream; undefined when not known. */
-  lifetimeOf(upstream: string): string | undefined {
-    return this.services.upstream(upstream)?.lifetime;
+  /** The process behind an upstream; undefined when not known. */
+  incarnationOf(upstream: string): UpstreamIncarnation | undefined {
+    return this.services.upstream(upstream)?.incarnation;
   }
 
   /** The standing of each upstream, for status. */
@@ -107,8 +117,7 @@
       case 'upstream-refused':
         return this.upstreamRefused(now, event.callId, event.reason);
       case 'services-changed':
-        this.services.configure(event.services);
-        return this.course.refuseWhereDraining(now);
+        return this.configure(now, event.services);
       case 'holder-replied':
         return this.replied(now, event.service, event.reply);
       case 'fence-learnt':
@@ -124,6 +133,37 @@
     }
   }
 
+  private configure(
+    now: number,
+    services: readonly GuardedService[],
+  ): readonly GuardAction[] {
+    const succeeded = this.services.configure(services);
+    return [
+      ...succeeded.flatMap((upstream) => this.succeeded(now, upstream)),
+      ...this.course.refuseWhereDraining(now),
+    ];
+  }
+
+  /**
+   * The process ended and another one has its id: nothing of its calls can still come,
+   * and what was told of its standing is past.
+   */
+  private succeeded(
+    now: number,
+    upstream: UpstreamGuard,
+  ): readonly GuardAction[] {
+    const {name, isDraining} = upstream;
+    const {actions, digests} = this.course.endAllOf(now, upstream);
+    const hint = this.hintOf(now, name);
+    return [
+      ...actions,
+      ...crashed(upstream, isDraining ? [] : digests),
+      ...(hint === undefined
+        ? []
+        : [{kind: 'standing', upstream: name, hint} as const]),
+    ];
+  }
+
   /** Only a reservation that still stands is acted upon. */
   private go(
     now: number,
@@ -242,9 +282,9 @@
 
   /** Calls broke: has the upstream ended, or does it only reset connections? */
   private look(now: number, upstream: UpstreamGuard): readonly GuardAction[] {
-    const {name, lifetime} = upstream;
+    const {name, incarnation} = upstream;
     return upstream.crashes.beginLook(now)
-      ? [{kind: 'look-at-upstream', upstream: name, lifetime}]
+      ? [{kind: 'look-at-upstream', upstream: name, incarnation}]
       : [];
   }
 
@@ -254,7 +294,8 @@
     event: GuardEvent & {readonly kind: 'upstream-looked-at'},
   ): readonly GuardAction[] {
     const upstream = this.services.upstream(event.upstream);
-    return upstream === undefined || upstream.lifetime !== event.lifetime
+    return upstream === undefined ||
+      !isSameIncarnation(upstream.incarnation, event.incarnation)
       ? []
       : crashed(upstream, upstream.crashes.looked(now, event.presence));
   }
--- a/packages/brain/src/guard/guardMessages.ts
+++ b/packages/brain/src/guard/guardMessages.ts
@@ -6,7 +6,13 @@
 import type {StoredAnswer} from '@lockpin/once';
 import type {GuardReport, HolderReply} from '@lockpin/floor';
 import type {Presence} from '@lockpin/quarantine';
-import type {Refusal, Repetition, Resource, Sensitivity} from '@lockpin/types';
+import type {
+  Refusal,
+  Repetition,
+  Resource,
+  Sensitivity,
+  UpstreamIncarnation,
+} from '@lockpin/types';
 
 /** A call as it reaches the guard. */
 export interface GuardCall {
@@ -135,7 +141,7 @@
       readonly kind: 'upstream-looked-at';
       readonly upstream: string;
       /** Of the process that broke them. */
-      readonly lifetime: string | undefined;
+      readonly incarnation: UpstreamIncarnation | undefined;
       readonly presence: Presence;
     }
   /** The upstream itself said that it did not run the call. */
@@ -192,7 +198,7 @@
   | {
       readonly kind: 'look-at-upstream';
       readonly upstream: string;
-      readonly lifetime: string | undefined;
+      readonly incarnation: UpstreamIncarnation | undefined;
     }
   /** The upstream ended while it ran requests with these digests. */
   | {
--- a/packages/brain/src/guard/guardedServices.ts
+++ b/packages/brain/src/guard/guardedServices.ts
@@ -5,6 +5,7 @@
 import type {OnceHome} from '@lockpin/once';
 import type {RetryAllowance} from '@lockpin/routing';
 import type {RandomSource} from '@lockpin/types';
+import {isSameIncarnation} from '@lockpin/utils';
 import type {
   GuardCall,
   GuardedService,
@@ -61,8 +62,12 @@
     );
   }
 
-  /** Takes in the configuration of this box. */
-  configure(services: readonly GuardedService[]): void {
+  /**
+   * Takes in the configuration of this box; returns the guards of upstreams whose
+   * processes have surely ended, for others have taken up their ids.
+   */
+  configure(services: readonly GuardedService[]): readonly UpstreamGuard[] {
+    const succeeded: UpstreamGuard[] = [];
     const names = new Set<string>();
     for (const service of services) {
       const state = this.state(service);
@@ -72,9 +77,16 @@
         const {sensitivity} = service;
         names.add(name);
         const found = this.guards.get(name);
-        if (found !== undefined && found.lifetime === resource.spec.lifetime) {
+        const {incarnation} = resource.spec;
+        if (
+          found !== undefined &&
+          isSameIncarnation(found.incarnation, incarnation)
+        ) {
           found.configure(resource, sensitivity);
         } else {
+          if (found?.incarnation?.id === incarnation?.id) {
+            succeeded.push(...(found === undefined ? [] : [found]));
+          }
           // What was learnt of another process says nothing of this one.
           this.guards.set(
             name,
@@ -90,6 +102,7 @@
       }
     }
     this.forgetAllBut(names);
+    return succeeded;
   }
 
   /** The upstream a call names, or for a once-only one the least occupied. */
--- a/packages/brain/src/guard/upstreamGuard.ts
+++ b/packages/brain/src/guard/upstreamGuard.ts
@@ -11,6 +11,7 @@
   RefusalReason,
   Resource,
   Sensitivity,
+  UpstreamIncarnation,
   UpstreamSpec,
 } from '@lockpin/types';
 import {FIRST_FAILED_STATUS} from '@lockpin/utils';
@@ -99,9 +100,9 @@
     this.standing.configure(sensitivity);
   }
 
-  /** Identity of the process that calls are meant for; undefined if unknown. */
-  get lifetime(): string | undefined {
-    return this.spec.lifetime;
+  /** The process that calls are meant for; undefined if unknown. */
+  get incarnation(): UpstreamIncarnation | undefined {
+    return this.spec.incarnation;
   }
 
   isDoubted(now: number): boolean {
@@ -241,6 +242,11 @@
     return {freed: this.release(now, callId), change: undefined};
   }
 
+  /** Whether a call was sent and has not ended. */
+  isSent(callId: string): boolean {
+    return this.running.get(callId)?.isSent === true;
+  }
+
   /** Whether a running call has taken far longer than its kind does. */
   isOverdue(now: number, callId: string): boolean {
     const running = this.running.get(callId);
--- a/packages/fleet/src/__tests__/__fixtures__/fleetWorld.ts
+++ b/packages/fleet/src/__tests__/__fixtures__/fleetWorld.ts
@@ -330,9 +330,9 @@
     this.tell(node, {
       kind: 'upstream-announced',
       announcement: {
-        lifetime: `i-${node.box}`,
+        incarnation: {id: `i-${node.box}`, startedAt: 0},
         service: 's',
-        address: '',
+        address: '127.0.0.1:80',
         slots: 4,
         state: node.takesWork ? 'ready' : 'draining',
         coldMilliseconds: 0,
--- a/packages/fleet/src/__tests__/fleetBrain.test.ts
+++ b/packages/fleet/src/__tests__/fleetBrain.test.ts
@@ -51,7 +51,7 @@
   change: Partial<UpstreamAnnouncement> = {},
 ): UpstreamAnnouncement {
   return {
-    lifetime: 'i-1',
+    incarnation: {id: 'i-1', startedAt: 0},
     service: 's',
     address: '10.0.0.1:8000',
     slots: 4,
@@ -451,8 +451,8 @@
   it('is replaced by a new lifetime, and a late word of the old one is ignored', () => {
     const world = new World();
     world.announce();
-    world.announce({lifetime: 'i-2', sequence: 1});
-    world.announce({lifetime: 'i-1', sequence: 5});
-    expect(world.brain.own.upstream?.lifetime).toBe('i-2');
+    world.announce({incarnation: {id: 'i-2', startedAt: 0}, sequence: 1});
+    world.announce({sequence: 5});
+    expect(world.brain.own.upstream?.incarnation.id).toBe('i-2');
   });
 });
--- a/packages/fleet/src/fleetBrain.ts
+++ b/packages/fleet/src/fleetBrain.ts
@@ -5,7 +5,7 @@
  */
 
 import type {RandomSource} from '@lockpin/types';
-import {stableHash} from '@lockpin/utils';
+import {parseAddress, stableHash} from '@lockpin/utils';
 import {BoxDirectory} from './boxDirectory.js';
 import {RECORD_LIFE_MILLISECONDS, readBoxRecord} from './boxRecord.js';
 import type {BoxRecord} from './boxRecord.js';
@@ -24,6 +24,7 @@
 import {FollowerNews} from './followerNews.js';
 import {OwnRecord} from './ownRecord.js';
 import {OwnUpstreamTracker} from './ownUpstream.js';
+import type {AnnouncementProblem, UpstreamAnnouncement} from './ownUpstream.js';
 import {PeerAnswers} from './peerAnswers.js';
 import {PeerAsking} from './peerAsking.js';
 import {PeerQuestions} from './peerQuestions.js';
@@ -318,15 +319,41 @@
     now: number,
     {announcement}: FleetEvent & {readonly kind: 'upstream-announced'},
   ): readonly FleetAction[] {
-    const isChanged = this.own.announced(now, announcement);
+    const problem = this.problemOf(announcement);
+    if (problem !== undefined) {
+      return [{kind: 'announcement-refused', problem}];
+    }
+    const result = this.own.announced(now, announcement);
+    if (result.kind === 'refused') {
+      return [{kind: 'announcement-refused', problem: result.problem}];
+    }
     const {upstream} = this.own;
-    if (!isChanged || upstream === undefined) {
+    if (result.kind === 'unchanged' || upstream === undefined) {
       return [];
     }
     this.ownRecord.upstreamChanged(now, upstream);
     return [{kind: 'upstream-changed', upstream}, ...this.writeOwn(now)];
   }
 
+  /** Whoever leaves is believed; work goes only to what is declared here. */
+  private problemOf({
+    state,
+    service,
+    address,
+  }: UpstreamAnnouncement): AnnouncementProblem | undefined {
+    const declared = this.configuration?.services ?? [];
+    const isDeclared = declared.some(({name}) => name === service);
+    if (state !== 'ready') {
+      return undefined;
+    }
+    if (declared.length > 0 && !isDeclared) {
+      return {field: 'service', problem: 'is not declared'};
+    }
+    return isOnBoxOf(this.identity.peerAddress, address)
+      ? undefined
+      : {field: 'address', problem: 'is not on the box of this node'};
+  }
+
   /**
    * The store keeps the newest record of each key for good, and boxes are replaced
    * every day. Of the nodes that forget a box, one takes its record away.
@@ -374,3 +401,10 @@
       : this.noteVersion(this.inForce.adopt(configuration, `peer ${address}`));
   }
 }
+
+/** An upstream shares its box, and so the IP number, with the node that guards it. */
+function isOnBoxOf(peerAddress: string, address: string): boolean {
+  const own = parseAddress(peerAddress);
+  const told = parseAddress(address);
+  return told !== undefined && (own === undefined || own.host === told.host);
+}
--- a/packages/fleet/src/fleetMessages.ts
+++ b/packages/fleet/src/fleetMessages.ts
@@ -3,7 +3,11 @@
 
 import type {BoxRecord} from './boxRecord.js';
 import type {DeclaredConfiguration} from './declaredConfiguration.js';
-import type {OwnUpstream, UpstreamAnnouncement} from './ownUpstream.js';
+import type {
+  AnnouncementProblem,
+  OwnUpstream,
+  UpstreamAnnouncement,
+} from './ownUpstream.js';
 import type {ReaderReport} from './readerStanding.js';
 import type {FollowedPeers} from './recordReaders.js';
 import type {
@@ -120,6 +124,11 @@
       readonly configuration: DeclaredConfiguration;
       readonly source: string;
     }
+  /** Another writer's, or one that names nothing to use; nothing follows from it. */
+  | {
+      readonly kind: 'announcement-refused';
+      readonly problem: AnnouncementProblem;
+    }
   | {
       readonly kind: 'upstream-changed';
       readonly upstream: OwnUpstream;
--- a/packages/node/src/connection/upstreamPools.ts
+++ b/packages/node/src/connection/upstreamPools.ts
@@ -6,7 +6,8 @@
 import {Client, Pool} from 'undici';
 import type {buildConnector} from 'undici';
 import type {Presence} from '@lockpin/quarantine';
-import type {Resource} from '@lockpin/types';
+import type {Resource, UpstreamIncarnation} from '@lockpin/types';
+import {isSameIncarnation} from '@lockpin/utils';
 import {lookAtAddress} from './lookAtAddress.js';
 
 /** An upstream on the same box connects at once; all other limits are the guard's. */
@@ -16,6 +17,8 @@
   readonly pool: Pool;
   readonly address: string;
   readonly connections: number;
+  /** Connections to an earlier process at the address are dead. */
+  readonly incarnation: UpstreamIncarnation | undefined;
 }
 
 /** One pool for each upstream, with at most a connection for each slot. */
@@ -116,14 +119,19 @@
   private ensure({name, spec}: Resource<'Upstream'>): void {
     const connections = Math.min(spec.slots, spec.connections);
     const found = this.pools.get(name);
-    if (found?.address === spec.address && found.connections === connections) {
+    const {address, incarnation} = spec;
+    if (
+      found?.address === address &&
+      found.connections === connections &&
+      isSameIncarnation(found.incarnation, incarnation)
+    ) {
       return;
     }
     void found?.pool.close();
-    const pool = new Pool(`http://${spec.address}`, {
+    const pool = new Pool(`http://${address}`, {
       connections,
       ...this.options,
     });
-    this.pools.set(name, {pool, address: spec.address, connections});
+    this.pools.set(name, {pool, address, connections, incarnation});
   }
 }
--- a/packages/node/src/process/fleetHost.ts
+++ b/packages/node/src/process/fleetHost.ts
@@ -5,6 +5,7 @@
 import type {GuardEvent} from '@lockpin/brain';
 import {FleetBrain, FleetRouting, longestReadFor} from '@lockpin/fleet';
 import type {
+  AnnouncementProblem,
   FleetAction,
   FleetEvent,
   FleetNews,
@@ -18,7 +19,8 @@
 } from '@lockpin/fleet';
 import type {LimitMessage} from '@lockpin/limits';
 import type {LoadHint} from '@lockpin/routing';
-import type {Clock, RandomSource, Resource} from '@lockpin/types';
+import type {Clock, RandomSource, Resource, Result} from '@lockpin/types';
+import {failure, incarnationText, success} from '@lockpin/utils';
 import {CustomerLimits} from './customerLimits.js';
 import type {DecisionLog} from './decisionLog.js';
 import {fleetEntrySettings} from './fleetEntrySettings.js';
@@ -239,9 +241,18 @@
     this.currentSettings = settings;
   }
 
-  /** Takes in what the upstream beside this node says of itself. */
-  announced(announcement: UpstreamAnnouncement): void {
-    this.handle({kind: 'upstream-announced', announcement});
+  /** Takes in what the upstream beside this node says of itself, or says why not. */
+  announced(
+    announcement: UpstreamAnnouncement,
+  ): Result<undefined, AnnouncementProblem> {
+    const {clock, random} = this.environment;
+    const event = {kind: 'upstream-announced', announcement} as const;
+    const actions = this.fleet.handle(clock(), random, event);
+    actions.forEach((action) => this.perform(action));
+    const refused = actions.find(({kind}) => kind === 'announcement-refused');
+    return refused?.kind === 'announcement-refused'
+      ? failure(refused.problem)
+      : success(undefined);
   }
 
   /** Counts the nodes that follow this one. */
@@ -327,6 +338,9 @@
       case 'configuration-changed':
         this.configurationChanged(action);
         break;
+      case 'announcement-refused':
+        // Whoever announced it is told.
+        break;
       case 'upstream-changed':
         this.upstreamChanged(action.upstream);
         break;
@@ -371,11 +385,11 @@
   }
 
   private upstreamChanged(upstream: OwnUpstream): void {
-    const {service, lifetime} = upstream;
+    const {service, incarnation} = upstream;
     const resource = ownUpstreamResource(this.currentSettings, upstream);
     this.log.event('upstream-announced', {
       subject: resource.name,
-      lifetime,
+      incarnation: incarnationText(incarnation),
       sequence: upstream.sequence,
       state: resource.spec.state,
     });
--- a/packages/node/src/process/ownUpstreamResource.ts
+++ b/packages/node/src/process/ownUpstreamResource.ts
@@ -11,7 +11,7 @@
   {box, dataCentre}: Pick<FleetNodeSettings, 'box' | 'dataCentre'>,
   upstream: OwnUpstream,
 ): Resource<'Upstream'> {
-  const {service, address, slots, takesWork, lifetime, coldUntil} = upstream;
+  const {service, address, slots, takesWork, incarnation, coldUntil} = upstream;
   return {
     kind: 'Upstream',
     name: upstreamName(service, box),
@@ -23,7 +23,7 @@
       slots,
       connections: slots,
       state: takesWork ? 'in-service' : 'draining',
-      lifetime,
+      incarnation,
       coldUntil,
     },
   };
--- a/packages/node/src/request/guardService.ts
+++ b/packages/node/src/request/guardService.ts
@@ -196,10 +196,15 @@
 
   private lookAt({
     upstream,
-    lifetime,
+    incarnation,
   }: GuardAction & {readonly kind: 'look-at-upstream'}): void {
     this.dependencies.pools.lookAt(upstream, (presence) =>
-      this.handle({kind: 'upstream-looked-at', upstream, lifetime, presence}),
+      this.handle({
+        kind: 'upstream-looked-at',
+        upstream,
+        incarnation,
+        presence,
+      }),
     );
   }
 
--- a/packages/node/src/request/upstreamDispatch.ts
+++ b/packages/node/src/request/upstreamDispatch.ts
@@ -89,9 +89,9 @@
     now: number,
   ): string[] {
     const remaining = Math.max(0, deadline - now);
-    const lifetime = this.dependencies.brain.lifetimeOf(upstream);
+    const incarnation = this.dependencies.brain.incarnationOf(upstream);
     return [
-      ...this.protocol.callHeaders({head, remaining, deadline, lifetime}),
+      ...this.protocol.callHeaders({head, remaining, deadline, incarnation}),
     ];
   }
 
--- a/packages/node/src/request/upstreamProtocol.ts
+++ b/packages/node/src/request/upstreamProtocol.ts
@@ -2,6 +2,7 @@
 /** How calls are written to upstreams, and what their answers say. */
 
 import type {IncomingHttpHeaders} from 'node:http';
+import type {UpstreamIncarnation} from '@lockpin/types';
 import type {CallHead, FlatHeaders} from './frames.js';
 
 /** What an answer says of the call, besides its status. */
@@ -23,8 +24,8 @@
   readonly remaining: number;
   /** The same moment, in milliseconds since 1970. */
   readonly deadline: number;
-  /** Identity of the process that is meant; undefined when not known. */
-  readonly lifetime: string | undefined;
+  /** The process that is meant; undefined when not known. */
+  readonly incarnation: UpstreamIncarnation | undefined;
 }
 
 /** A deployment's way of talking to its upstreams. */
--- a/packages/types/src/resources.ts
+++ b/packages/types/src/resources.ts
@@ -32,6 +32,14 @@
 /** Whether an upstream takes new work. */
 export type UpstreamState = 'in-service' | 'draining';
 
+/** One process of an upstream. */
+export interface UpstreamIncarnation {
+  /** May be used again by a process that starts later. */
+  readonly id: string;
+  /** By the clock of its box, in milliseconds since 1970; 0 where it is not told. */
+  readonly startedAt: number;
+}
+
 /** One back end process of a service. */
 export interface UpstreamSpec {
   /** IP address and port, such as 127.0.0.1:8080. */
@@ -45,10 +53,10 @@
   readonly connections: number;
   readonly state: UpstreamState;
   /**
-   * Identity of the process, new with each of its starts. Calls name it where
-   * it is known, so that another process at the address refuses them.
+   * The process that calls are meant for. They name its id where it is known, so that
+   * another process at the address refuses them.
    */
-  readonly lifetime?: string;
+  readonly incarnation?: UpstreamIncarnation;
   /** It answers slowly until then, in milliseconds since 1970. */
   readonly coldUntil?: number;
 }
--- a/packages/utils/src/index.ts
+++ b/packages/utils/src/index.ts
@@ -3,6 +3,7 @@
 export * from './canonicalJson.js';
 export * from './hashing.js';
 export * from './hybridClock.js';
+export * from './incarnations.js';
 export * from './readerRank.js';
 export * from './results.js';
 export * from './ringBuffer.js';
