Records by other writers name no box to use, and keep no node from what follows

Cause: a record of any time, address, slots, service or data centre was taken as the newest statement of its box; one year ahead would stay so for good. A record of the store without a key made its whole page unreadable, for ever. Change: one place checks what the store and what peers bring, field by field; what is wrong is noted with its field and counted, what was known stays, and a node writes its own record again where something else stands in its place. Boxes of undeclared services are neither called nor asked. A record that cannot be read is passed over and counted, so that reading goes on behind it.

--- a/packages/fleet/src/__tests__/__fixtures__/fleetWorld.ts
+++ b/packages/fleet/src/__tests__/__fixtures__/fleetWorld.ts
@@ -3,7 +3,6 @@
 
 import {seededRandom, success} from '@lockpin/utils';
 import type {RandomSource} from '@lockpin/types';
-import {readBoxRecord} from '../../boxRecord.js';
 import type {BoxRecord} from '../../boxRecord.js';
 import type {DeclaredConfiguration} from '../../declaredConfiguration.js';
 import {FleetBrain} from '../../fleetBrain.js';
@@ -79,7 +78,13 @@
     headerMilliseconds: 1,
     idleMilliseconds: 1,
   };
-  return {version, routes: [], services: [], limits, customers: []};
+  return {
+    version,
+    routes: [],
+    services: [{name: 's', mostConnections: 9}],
+    limits,
+    customers: [],
+  };
 }
 
 /** Plays events in order of time. */
@@ -261,7 +266,7 @@
 
   storedNewest(box: string): BoxRecord | undefined {
     const {value} = this.stored(box);
-    return value && readBoxRecord(value);
+    return value && (JSON.parse(value.toString()) as BoxRecord);
   }
 
   writeLate(record: StoredRecord): void {
@@ -277,7 +282,7 @@
     const made: Omit<Node, 'brain'> = {
       box: `box-${number}`,
       dataCentre: `d${1 + (number % this.size.dataCentres)}`,
-      address: `address-${number}`,
+      address: `10.0.${number}.1:7000`,
       life: 0,
       isUp: false,
       isReachable: {incoming: true, outgoing: true},
@@ -332,7 +337,7 @@
       announcement: {
         incarnation: {id: `i-${node.box}`, startedAt: 0},
         service: 's',
-        address: '127.0.0.1:80',
+        address: `10.0.${node.box.slice(4)}.1:80`,
         slots: 4,
         state: node.takesWork ? 'ready' : 'draining',
         coldMilliseconds: 0,
@@ -487,7 +492,7 @@
     this.in(QUESTION_MILLISECONDS, () => end());
     if (peer !== undefined) {
       this.send(node, peer, () => {
-        const knowledge = peer.brain.answer(question);
+        const knowledge = peer.brain.answer(this.now, question);
         this.send(peer, node, () => end(knowledge));
       });
     }
--- a/packages/fleet/src/__tests__/fleetBrain.test.ts
+++ b/packages/fleet/src/__tests__/fleetBrain.test.ts
@@ -11,6 +11,10 @@
 import type {UpstreamAnnouncement} from '../ownUpstream.js';
 import type {RecordStream, StoredRecord} from '../recordStore.js';
 
+/** Nodes in this and in another data centre. */
+const NEAR = '10.0.0.2:7000';
+const FAR = '10.0.0.3:7000';
+
 const IDENTITY = {box: 'b1', dataCentre: 'd1', peerAddress: '10.0.0.1:7000'};
 const random = seededRandom(3);
 
@@ -18,7 +22,7 @@
   return {
     version,
     routes: [],
-    services: [],
+    services: [{name: 's', mostConnections: 9}],
     limits: {
       headerBytes: 1,
       bodyBytes: 1,
@@ -155,8 +159,8 @@
   it('is left to the store for a moment, then asked for in the own data centre', () => {
     const world = new World();
     world.tick();
-    const near = other({box: 'b2', peerAddress: 'near'});
-    const far = other({box: 'b3', peerAddress: 'far', dataCentre: 'd2'});
+    const near = other({box: 'b2', peerAddress: NEAR});
+    const far = other({box: 'b3', peerAddress: FAR, dataCentre: 'd2'});
     const records = [near, far].map((record) => ({
       key: record.box,
       value: writeBoxRecord(record),
@@ -166,25 +170,25 @@
     world.announceAsReader();
     const hear = (address: string) =>
       world.tell({kind: 'peer-version-heard', address, version: 2});
-    expect(hear('far')).toEqual([]);
-    expect(hear('near')).toEqual([]);
+    expect(hear(FAR)).toEqual([]);
+    expect(hear(NEAR)).toEqual([]);
     expect(kinds(world.tick(300))).not.toContain('ask-peer');
     expect(world.tick(100)).toContainEqual(
-      expect.objectContaining({kind: 'ask-peer', address: 'near'}),
+      expect.objectContaining({kind: 'ask-peer', address: NEAR}),
     );
   });
 
   it('is asked for in another data centre only after neighbours could have it', () => {
     const world = new World();
     world.tick();
-    const far = other({box: 'b3', peerAddress: 'far', dataCentre: 'd2'});
+    const far = other({box: 'b3', peerAddress: FAR, dataCentre: 'd2'});
     world.read('configuration', [stored(1)]);
     world.read('boxes', [{key: far.box, value: writeBoxRecord(far)}]);
     world.announceAsReader();
-    world.tell({kind: 'peer-version-heard', address: 'far', version: 2});
+    world.tell({kind: 'peer-version-heard', address: FAR, version: 2});
     expect(kinds(world.tick(400))).not.toContain('ask-peer');
     expect(world.tick(500)).toContainEqual(
-      expect.objectContaining({kind: 'ask-peer', address: 'far'}),
+      expect.objectContaining({kind: 'ask-peer', address: FAR}),
     );
   });
 
@@ -192,7 +196,7 @@
     const world = new World();
     world.tick();
     world.read('boxes', []);
-    world.tell({kind: 'peer-version-heard', address: 'far', version: 2});
+    world.tell({kind: 'peer-version-heard', address: FAR, version: 2});
     world.read('configuration', [stored(2)]);
     expect(kinds(world.tick(1000))).not.toContain('ask-peer');
   });
@@ -396,7 +400,7 @@
 
   it('learn of the asker from its question', () => {
     const world = new World();
-    const knowledge = world.brain.answer({
+    const knowledge = world.brain.answer(world.now, {
       version: 0,
       boxesDigest: 0,
       own: other(),
@@ -413,11 +417,11 @@
     );
     const boxesDigest = same.brain.directory.digest;
     const question = {version: 0, boxesDigest, own: undefined};
-    expect(one.brain.answer(question).boxes).toEqual([]);
+    expect(one.brain.answer(one.now, question).boxes).toEqual([]);
     one.brain.directory.put(other({statedAt: 30}));
-    expect(one.brain.answer(question).boxes).toHaveLength(2);
+    expect(one.brain.answer(one.now, question).boxes).toHaveLength(2);
     const nothingWanted = {...question, boxesDigest: undefined};
-    expect(one.brain.answer(nothingWanted).boxes).toEqual([]);
+    expect(one.brain.answer(one.now, nothingWanted).boxes).toEqual([]);
   });
 
   it('leave no trace in the digest once they are forgotten', () => {
--- a/packages/fleet/src/__tests__/otherWriters.test.ts
+++ b/packages/fleet/src/__tests__/otherWriters.test.ts
@@ -78,15 +78,14 @@
   }
 
   /** The good box is there, is used, and its next word is believed. */
-  expectGood(): void {
+  expectGood(others: readonly string[] = []): void {
     expect(this.brain.directory.get('b2')).toMatchObject({slots: 4});
     this.now += 5000;
     this.read([stored(boxRecord({statedAt: this.now, slots: 5}))]);
     expect(this.brain.directory.get('b2')).toMatchObject({slots: 5});
     expect(this.brain.directory.working).toContain('b2');
-    expect(this.brain.directory.rankedIn('d1').map(({box}) => box)).toEqual([
-      'b2',
-    ]);
+    const ranked = this.brain.directory.rankedIn('d1');
+    expect(ranked.map(({box}) => box).sort()).toEqual(['b2', ...others]);
   }
 }
 
@@ -151,8 +150,7 @@
       {key: '', value: Buffer.alloc(0)},
       stored(null),
     ]);
-    expect(world.brain.directory.get('b3')).toBeDefined();
-    world.expectGood();
+    world.expectGood(['b3']);
   });
 
   it('of a service that nobody declared name no box to go to or to ask', () => {
--- a/packages/fleet/src/boxDirectory.ts
+++ b/packages/fleet/src/boxDirectory.ts
@@ -14,6 +14,7 @@
   private readonly records = new Map<string, BoxRecord>();
   private readonly byAddress = new Map<string, BoxRecord>();
   private readonly counts = new Map<string, number>();
+  private declared: ReadonlySet<string> | undefined;
   private currentDigest = 0;
   private expireAt = 0;
   private readonly ranked = new Map<string, readonly BoxRecord[]>();
@@ -46,6 +47,16 @@
     return this.byAddress.get(peerAddress)?.dataCentre;
   }
 
+  /** Boxes whose services nobody declared are neither called nor asked. */
+  declare(services: ReadonlySet<string>): void {
+    this.declared = services;
+    this.changed();
+  }
+
+  private isUsable({service, takesWork}: BoxRecord): boolean {
+    return takesWork && (this.declared?.has(service) ?? true);
+  }
+
   /** Takes in a statement; false when a newer one is known already. */
   put(record: BoxRecord): boolean {
     const known = this.records.get(record.box);
@@ -95,7 +106,9 @@
       return found;
     }
     const made = this.all()
-      .filter((record) => record.dataCentre === dataCentre && record.takesWork)
+      .filter(
+        (record) => record.dataCentre === dataCentre && this.isUsable(record),
+      )
       .map((record) => ({record, rank: readerRank(record.box)}))
       .sort((a, b) => a.rank - b.rank)
       .map(({record}) => record);
@@ -106,7 +119,7 @@
   /** The boxes whose upstreams take work; the same list until something changes. */
   get working(): readonly string[] {
     this.knownWorking ??= this.all()
-      .filter(({takesWork}) => takesWork)
+      .filter((record) => this.isUsable(record))
       .map(({box}) => box)
       .sort();
     return this.knownWorking;
--- a/packages/fleet/src/boxRecord.ts
+++ b/packages/fleet/src/boxRecord.ts
@@ -1,7 +1,7 @@
 // Copyright (c) 2026 the lockpin contributors. MIT licence, see LICENSE.
 /** What each box says of itself to the others. */
 
-import {MOST_REPORTS, areSameReports} from '@lockpin/quarantine';
+import {areSameReports} from '@lockpin/quarantine';
 import type {RunReport} from '@lockpin/quarantine';
 
 /** One box with the upstream that it guards. The newest statement counts. */
@@ -45,56 +45,7 @@
   );
 }
 
-/** Reads a stored record; undefined when it is none of this release. */
-export function readBoxRecord(bytes: Buffer): BoxRecord | undefined {
-  try {
-    const value = JSON.parse(bytes.toString('utf8')) as BoxRecord;
-    return isBoxRecord(value) ? value : undefined;
-  } catch (error) {
-    if (error instanceof SyntaxError) {
-      return undefined;
-    }
-    throw error;
-  }
-}
-
 /** The stored form of a record. */
 export function writeBoxRecord(record: BoxRecord): Buffer {
   return Buffer.from(JSON.stringify(record));
 }
-
-function isBoxRecord(value: unknown): value is BoxRecord {
-  const record = value as BoxRecord | null;
-  return (
-    typeof record === 'object' &&
-    record !== null &&
-    typeof record.box === 'string' &&
-    typeof record.dataCentre === 'string' &&
-    typeof record.peerAddress === 'string' &&
-    typeof record.service === 'string' &&
-    typeof record.slots === 'number' &&
-    typeof record.takesWork === 'boolean' &&
-    typeof record.coldUntil === 'number' &&
-    typeof record.statedAt === 'number' &&
-    (record.runs === undefined || areRunReports(record.runs))
-  );
-}
-
-function areRunReports(value: unknown): value is readonly RunReport[] {
-  return (
-    Array.isArray(value) &&
-    value.length <= MOST_REPORTS &&
-    value.every(isRunReport)
-  );
-}
-
-function isRunReport(value: unknown): value is RunReport {
-  const report = value as RunReport | null;
-  return (
-    typeof report === 'object' &&
-    report !== null &&
-    typeof report.digest === 'string' &&
-    Number.isFinite(report.at) &&
-    typeof report.hasCrashed === 'boolean'
-  );
-}
--- a/packages/fleet/src/fleetBrain.ts
+++ b/packages/fleet/src/fleetBrain.ts
@@ -5,10 +5,10 @@
  */
 
 import type {RandomSource} from '@lockpin/types';
-import {parseAddress, stableHash} from '@lockpin/utils';
+import {stableHash} from '@lockpin/utils';
 import {BoxDirectory} from './boxDirectory.js';
-import {RECORD_LIFE_MILLISECONDS, readBoxRecord} from './boxRecord.js';
-import type {BoxRecord} from './boxRecord.js';
+import {BoxLearning} from './boxLearning.js';
+import {checkAnnouncement} from './checkAnnouncement.js';
 import {ConfigurationInForce} from './configurationInForce.js';
 import type {ReadConfiguration} from './configurationInForce.js';
 import type {DeclaredConfiguration} from './declaredConfiguration.js';
@@ -24,7 +24,6 @@
 import {FollowerNews} from './followerNews.js';
 import {OwnRecord} from './ownRecord.js';
 import {OwnUpstreamTracker} from './ownUpstream.js';
-import type {AnnouncementProblem, UpstreamAnnouncement} from './ownUpstream.js';
 import {PeerAnswers} from './peerAnswers.js';
 import {PeerAsking} from './peerAsking.js';
 import {PeerQuestions} from './peerQuestions.js';
@@ -44,6 +43,8 @@
   readonly isFirst: boolean;
   /** Of the configuration, in milliseconds; undefined for no bound of its own. */
   readonly longestRead?: number;
+  /** Those that boxes may name; any where none are given. */
+  readonly dataCentres?: readonly string[];
 }
 
 /** Knows the fleet as far as this node has heard. */
@@ -58,9 +59,12 @@
   private readonly answers: PeerAnswers;
   private readonly questions: PeerQuestions;
   private readonly followerNews: FollowerNews;
+  /** Of what peers told with their questions; written with the next event. */
+  private readonly notes: FleetAction[] = [];
   /** Nodes that followed this one at the last tick. */
   private followers = 0;
   private readonly runNews: RunNews;
+  private readonly boxes: BoxLearning;
 
   constructor(
     private readonly identity: NodeIdentity,
@@ -70,7 +74,7 @@
     const {directory} = this;
     this.inForce = new ConfigurationInForce(readConfiguration);
     this.ownRecord = new OwnRecord(identity, (record) =>
-      this.put(record.statedAt, record),
+      this.boxes.put(record.statedAt, record),
     );
     this.duty = new StoreDuty(
       identity,
@@ -90,6 +94,20 @@
     });
     this.followerNews = new FollowerNews(identity.peerAddress);
     this.runNews = new RunNews(identity, duty.readers);
+    this.boxes = new BoxLearning({
+      identity,
+      dataCentres: start.dataCentres ?? [],
+      directory,
+      ownRecord,
+      followerNews: this.followerNews,
+      suspects: this.suspects,
+      runNews: this.runNews,
+    });
+  }
+
+  /** Records that were none, found since the process began. */
+  get wrongRecordCount(): number {
+    return this.boxes.wrongCount;
   }
 
   get configuration(): DeclaredConfiguration | undefined {
@@ -105,7 +123,8 @@
     random: RandomSource,
     event: FleetEvent,
   ): readonly FleetAction[] {
-    const actions = this.decide(now, random, event);
+    const notes = this.notes.splice(0);
+    const actions = [...notes, ...this.decide(now, random, event)];
     const findings = this.suspects.takeFindings(now);
     return [...actions, ...findings, ...this.tellOfRuns(now)];
   }
@@ -154,9 +173,9 @@
   }
 
   /** Answers another node's question, and learns what it told. */
-  answer(question: PeerQuestion): PeerKnowledge {
+  answer(now: number, question: PeerQuestion): PeerKnowledge {
     if (question.own !== undefined) {
-      this.put(question.own.statedAt, question.own);
+      this.notes.push(...this.boxes.fromPeer(now, 'peer', [question.own]));
     }
     return this.answers.to(question, this.configuration);
   }
@@ -236,8 +255,7 @@
     news: FleetNews,
   ): readonly FleetAction[] {
     if (news.kind === 'boxes') {
-      news.boxes.forEach((record) => this.learnBox(now, record));
-      return [];
+      return this.boxes.fromPeer(now, 'peer', news.boxes);
     }
     const {address, report} = news;
     this.duty.readers.heard(now, address, report);
@@ -274,43 +292,15 @@
     if (stream === 'configuration') {
       return this.noteVersion(this.inForce.take(record));
     }
-    const box = record.value && readBoxRecord(record.value);
-    if (box !== undefined) {
-      this.learnBox(now, box);
-      this.tellOfOldStatement(box);
-    }
-    return [];
-  }
-
-  /** A box whose earlier write was done late hears of it, and writes again. */
-  private tellOfOldStatement(record: BoxRecord): void {
-    const known = this.directory.get(record.box);
-    if (known !== undefined && known.statedAt > record.statedAt) {
-      this.followerNews.boxChanged(record);
-    }
-  }
-
-  private learnBox(now: number, record: BoxRecord): void {
-    if (record.box === this.identity.box) {
-      this.suspects.adopt(now, record);
-      this.ownRecord.found(now, record);
-    } else if (now - record.statedAt <= RECORD_LIFE_MILLISECONDS) {
-      this.put(now, record);
-    }
-  }
-
-  private put(now: number, record: BoxRecord): void {
-    if (this.directory.put(record)) {
-      this.followerNews.boxChanged(record);
-      this.suspects.learn(now, record);
-      this.runNews.learnt(record);
-    }
+    return this.boxes.fromStore(now, record);
   }
 
   /** What was asked of peers for the sake of a newer version is over with it. */
   private noteVersion(actions: readonly FleetAction[]): readonly FleetAction[] {
     if (actions.some(({kind}) => kind === 'configuration-changed')) {
       this.peers.versionCame();
+      const services = this.configuration?.services ?? [];
+      this.directory.declare(new Set(services.map(({name}) => name)));
     }
     return actions;
   }
@@ -319,7 +309,8 @@
     now: number,
     {announcement}: FleetEvent & {readonly kind: 'upstream-announced'},
   ): readonly FleetAction[] {
-    const problem = this.problemOf(announcement);
+    const {identity, configuration} = this;
+    const problem = checkAnnouncement(announcement, identity, configuration);
     if (problem !== undefined) {
       return [{kind: 'announcement-refused', problem}];
     }
@@ -335,25 +326,6 @@
     return [{kind: 'upstream-changed', upstream}, ...this.writeOwn(now)];
   }
 
-  /** Whoever leaves is believed; work goes only to what is declared here. */
-  private problemOf({
-    state,
-    service,
-    address,
-  }: UpstreamAnnouncement): AnnouncementProblem | undefined {
-    const declared = this.configuration?.services ?? [];
-    const isDeclared = declared.some(({name}) => name === service);
-    if (state !== 'ready') {
-      return undefined;
-    }
-    if (declared.length > 0 && !isDeclared) {
-      return {field: 'service', problem: 'is not declared'};
-    }
-    return isOnBoxOf(this.identity.peerAddress, address)
-      ? undefined
-      : {field: 'address', problem: 'is not on the box of this node'};
-  }
-
   /**
    * The store keeps the newest record of each key for good, and boxes are replaced
    * every day. Of the nodes that forget a box, one takes its record away.
@@ -392,19 +364,16 @@
     if (knowledge === undefined) {
       return [];
     }
-    knowledge.boxes
-      .filter(({box}) => box !== this.identity.box)
-      .forEach((record) => this.learnBox(now, record));
+    const others = knowledge.boxes.filter(({box}) => box !== this.identity.box);
+    const notes = this.boxes.fromPeer(now, address, others);
     const {configuration} = knowledge;
     return configuration === undefined
-      ? []
-      : this.noteVersion(this.inForce.adopt(configuration, `peer ${address}`));
+      ? notes
+      : [
+          ...notes,
+          ...this.noteVersion(
+            this.inForce.adopt(configuration, `peer ${address}`),
+          ),
+        ];
   }
 }
-
-/** An upstream shares its box, and so the IP number, with the node that guards it. */
-function isOnBoxOf(peerAddress: string, address: string): boolean {
-  const own = parseAddress(peerAddress);
-  const told = parseAddress(address);
-  return told !== undefined && (own === undefined || own.host === told.host);
-}
--- a/packages/fleet/src/ownRecord.ts
+++ b/packages/fleet/src/ownRecord.ts
@@ -68,6 +68,11 @@
     }
   }
 
+  /** Something else stands in its place in the store. */
+  overwritten(): void {
+    this.stored = undefined;
+  }
+
   /** The store has this record of the own box. */
   found(now: number, record: BoxRecord): void {
     this.stored = record;
--- a/packages/node/src/process/fleetComposition.ts
+++ b/packages/node/src/process/fleetComposition.ts
@@ -263,7 +263,8 @@
     {
       call: (stream) => serveGuardStream(stream, begin),
       exchanges: (stream) => serveExchangeStream(stream, begin, news),
-      exchange: (question, reply) => reply(host.fleet.answer(question)),
+      exchange: (question, reply) =>
+        reply(host.fleet.answer(steadyClock(), question)),
     },
     new ControlTraffic(),
   );
--- a/packages/node/src/process/fleetHost.ts
+++ b/packages/node/src/process/fleetHost.ts
@@ -91,6 +91,8 @@
   private listeners: FleetHostListeners | undefined;
   private stopTicking: (() => void) | undefined;
   private isFinishing = false;
+  /** Statements of upstreams that were refused since the start. */
+  refusedAnnouncements = 0;
   /** Nodes that follow this one. */
   private followers = 0;
 
@@ -107,6 +109,7 @@
       readConfiguration,
       {
         isFirst: currentSettings.isFirstStart,
+        dataCentres: currentSettings.dataCentres,
         longestRead: longestReadFor(currentSettings.keys),
       },
     );
@@ -340,6 +343,7 @@
         break;
       case 'announcement-refused':
         // Whoever announced it is told.
+        this.refusedAnnouncements += 1;
         break;
       case 'upstream-changed':
         this.upstreamChanged(action.upstream);
--- a/packages/node/src/process/fleetPorts.ts
+++ b/packages/node/src/process/fleetPorts.ts
@@ -27,6 +27,8 @@
 export interface FleetNodeSettings {
   readonly box: string;
   readonly dataCentre: string;
+  /** All that boxes may name; any where none are declared. */
+  readonly dataCentres?: readonly string[];
   /** The service whose upstream runs on this box; calls begin in its name. */
   readonly service: string;
   readonly callerAddress: string;
--- a/packages/node/src/process/runFleetNode.ts
+++ b/packages/node/src/process/runFleetNode.ts
@@ -152,6 +152,8 @@
     metrics.gauge('guard.occupied', guard.callCount);
     metrics.gauge('configuration.version', host.fleet.version);
     metrics.gauge('requests.suspected', host.fleet.suspects.count);
+    metrics.gauge('records.wrong', host.fleet.wrongRecordCount);
+    metrics.gauge('announcements.refused', host.refusedAnnouncements);
     metrics.gauge('members.usable', host.fleet.directory.size);
     const {duty} = host.fleet;
     const now = steadyClock();
