--- a/packages/tools/src/faults/platformPromises.ts
+++ b/packages/tools/src/faults/platformPromises.ts
@@ -22,6 +22,10 @@
 const SETTINGS = 'packages/node/src/__tests__/fleetRetryBudget.test.ts';
 const CRASHES = 'platform/src/__tests__/crashingRequests.test.ts';
 const SUSPECTS = 'packages/fleet/src/__tests__/suspectRequests.test.ts';
+const STATEMENTS = 'platform/src/__tests__/upstreamStatements.test.ts';
+const OWN = 'packages/fleet/src/__tests__/ownUpstream.test.ts';
+const WRITERS = 'packages/fleet/src/__tests__/otherWriters.test.ts';
+const CLOCK = 'packages/utils/src/__tests__/countingClock.test.ts';
 const BUNDLE = 'platform/src/__tests__/bundle.test.ts';
 const SOAK = 'packages/tools/src/soak/__tests__/soak.test.ts';
 const SOAKED = 'keeps every promise through kills, stops, pauses and bad links';
@@ -197,6 +201,25 @@
     ],
     'bodies that are streamed have no digest, and are never kept out',
   ),
+  promise('an upstream that starts again under its id is a new one', [
+    [STATEMENTS, 'is believed from its first word on'],
+    [STATEMENTS, 'takes work though its predecessor has drained or left'],
+    [STATEMENTS, 'answers calls, and those of its predecessor end at once'],
+    [OWN, 'is the newest process that was heard, in whatever order'],
+    [SLOTS, 'ends the calls of its predecessor at once, each truthfully'],
+  ]),
+  promise('what other writers write names nothing to use; the others hold', [
+    [STATEMENTS, 'is refused by its field %s: %j'],
+    [STATEMENTS, 'is refused where it is no statement: %s'],
+    [WRITERS, 'name nothing to use: %s of %j'],
+    [WRITERS, 'do not keep a node from what follows them'],
+    [WRITERS, 'throw nothing and cost nothing, whatever their bytes'],
+  ]),
+  promise(
+    'a machine may be suspended',
+    [[CLOCK, 'counts a suspension of %i ms']],
+    'no machine was suspended in a test of whole processes',
+  ),
   promise('weights are kept', [
     [
       ROUTES,
