--- a/packages/tools/src/soak/__tests__/soak.test.ts
+++ b/packages/tools/src/soak/__tests__/soak.test.ts
@@ -8,7 +8,7 @@
 import {runSoak} from '../runSoak.js';
 
 const SEED = 20261202;
-const SIZE = {boxes: 4, faultMilliseconds: 5000};
+const SIZE = {boxes: 4, faultMilliseconds: 5000, faults: 'first'} as const;
 
 describe('a short soak', () => {
   it('keeps every promise through kills, stops, pauses and bad links', async () => {
@@ -18,4 +18,12 @@
     expect(calls).toBeGreaterThan(200);
     expect(faults).toBeGreaterThan(5);
   });
+
+  it('keeps them through restarts under the same id and other writers', async () => {
+    const folder = mkdtempSync(join(tmpdir(), 'lockpin-soak-'));
+    const size = {...SIZE, faults: 'all'} as const;
+    const {violations, calls} = await runSoak(SEED + 1, size, folder);
+    expect(violations).toEqual([]);
+    expect(calls).toBeGreaterThan(200);
+  });
 });
--- a/packages/tools/src/soak/applyFault.ts
+++ b/packages/tools/src/soak/applyFault.ts
@@ -33,6 +33,13 @@
     case 'configure':
       store.configure();
       return;
+    case 'other-record':
+      store.writeOther(targets.boxes[fault.box]?.name ?? '', fault.value);
+      return;
+    case 'other-announcement':
+      // The good ones hold, so that this excuses nothing.
+      await targets.boxes[fault.box]?.upstreams.misstate(fault.fields);
+      return;
     default: {
       const box = targets.boxes[fault.box];
       if (box !== undefined) {
@@ -43,7 +50,10 @@
 }
 
 /** Faults that befall one box. */
-type BoxFault = PlannedFault & {readonly box: number};
+type BoxFault = Exclude<
+  PlannedFault & {readonly box: number},
+  {readonly kind: 'other-announcement' | 'other-record'}
+>;
 
 /** What operators do on purpose, and are promised to lose nothing by. */
 const PLANNED_KINDS: ReadonlySet<BoxFault['kind']> = new Set([
@@ -99,6 +109,9 @@
     case 'crash-upstream':
       await box.upstreams.crash();
       break;
+    case 'restart-upstream':
+      await box.upstreams.crash(true);
+      break;
   }
 }
 
--- a/packages/tools/src/soak/boxUpstreams.ts
+++ b/packages/tools/src/soak/boxUpstreams.ts
@@ -23,6 +23,8 @@
 
 /** The upstream of a box from its start to its end. */
 export interface UpstreamLife {
+  /** Tells its process from all others, those with the same id among them. */
+  readonly process: string;
   readonly standIn: UpstreamStandIn;
   readonly service: string;
   readonly announcer: UpstreamAnnouncer;
@@ -86,26 +88,33 @@
       return;
     }
     leaving.state = 'draining';
-    const {lifetime} = leaving.standIn;
+    const {process} = leaving;
     const {box, drainMilliseconds, onDrained} = this.options;
     const isHeard = await this.isDrainHeard(leaving);
     if (isHeard) {
-      onDrained({lifetime, box, acknowledgedAt: Date.now()});
+      onDrained({lifetime: process, box, acknowledgedAt: Date.now()});
       await pause(drainMilliseconds + LINGER_MILLISECONDS);
     }
     await leaving.announcer.leave(this.options.announcementAddress);
     await this.crash();
   }
 
-  /** The upstream is gone; the next one takes its place. */
-  async crash(): Promise<void> {
+  /** Another writer speaks in the upstream's name, and nobody believes it. */
+  async misstate(fields: object): Promise<void> {
+    const {announcementAddress} = this.options;
+    await this.present?.announcer.sayOther(announcementAddress, fields);
+  }
+
+  /** The upstream is gone; the next one takes its place, and maybe its id. */
+  async crash(keepsId = false): Promise<void> {
     const gone = this.present;
     if (gone !== undefined) {
       gone.state = 'gone';
       gone.standIn.stop();
     }
     if (!this.options.isOver()) {
-      await this.startNext();
+      const id = keepsId ? gone?.standIn.lifetime : undefined;
+      await this.startNext(id);
     }
   }
 
@@ -126,18 +135,21 @@
     return false;
   }
 
-  private async startNext(): Promise<void> {
+  private async startNext(id?: string): Promise<void> {
     const {box, service, link, random} = this.options;
-    const lifetime = `i-${box}-${this.lives.length + 1}`;
+    const lifetime = id ?? `i-${box}-${this.lives.length + 1}`;
+    const startedAt = Date.now();
     const standIn = new UpstreamStandIn(lifetime, random);
     standIn.workMilliseconds = WORK_MILLISECONDS;
     link.retarget(await standIn.start());
     const announcer = new UpstreamAnnouncer({
       lifetime,
+      startedAt,
       service,
       address: this.linkAddress,
       slots: UPSTREAM_SLOTS,
     });
-    this.lives.push({standIn, service, announcer, state: 'ready'});
+    const process = `${lifetime}@${startedAt}`;
+    this.lives.push({process, standIn, service, announcer, state: 'ready'});
   }
 }
--- a/packages/tools/src/soak/faultPlan.ts
+++ b/packages/tools/src/soak/faultPlan.ts
@@ -36,11 +36,30 @@
   | {readonly kind: 'replace-upstream'; readonly box: number}
   /** Its upstream is gone without a word; another lifetime takes its place. */
   | {readonly kind: 'crash-upstream'; readonly box: number}
+  /** Its upstream is gone; a process that starts anew takes up its id. */
+  | {readonly kind: 'restart-upstream'; readonly box: number}
+  /** Another writer speaks in its upstream's name. */
+  | {
+      readonly kind: 'other-announcement';
+      readonly box: number;
+      readonly fields: object;
+    }
+  /** Another writer puts something in the place of a box's record. */
+  | {
+      readonly kind: 'other-record';
+      readonly box: number;
+      readonly value: string;
+    }
   | {readonly kind: 'configure'}
 );
 
 /** How long and how large a soak is. */
 export interface SoakSize {
+  /**
+   * Which faults are played. Seeds that were kept before there were restarts under the
+   * same id and other writers go on without them, so that they show what they showed.
+   */
+  readonly faults: 'first' | 'all';
   readonly boxes: number;
   /** Time in which faults begin, in milliseconds. */
   readonly faultMilliseconds: number;
@@ -148,19 +167,83 @@
     inSeries(random, at, (time) => ({at: time, kind: 'configure'})),
 ];
 
+/** What other writers say of an upstream. */
+const OTHER_FIELDS: readonly object[] = [
+  {State: 'zombie'},
+  {State: undefined},
+  {Slots: -1},
+  {Slots: 'many'},
+  {Service: 'nobody'},
+  {Address: 'nowhere'},
+  {born: 'yesterday'},
+  {born: 9e15},
+];
+
+/** What other writers put in the place of a record; times years ahead among it. */
+const OTHER_VALUES: readonly string[] = [
+  '',
+  '?',
+  'null',
+  '[]',
+  '{"box":1}',
+  '{"box":"box-1","statedAt":9e15}',
+];
+
+/** Faults that came later; drawn apart, so that the others stay as they were. */
+const LATER_DRAWS: readonly DrawFault[] = [
+  (random, at, boxes) =>
+    inSeries(random, at, (time) => ({
+      at: time,
+      kind: 'restart-upstream',
+      box: pick(random, boxes),
+    })),
+  (random, at, boxes) => [
+    {
+      at,
+      kind: 'other-announcement',
+      box: pick(random, boxes),
+      fields: oneOf(random, OTHER_FIELDS),
+    },
+  ],
+  (random, at, boxes) => [
+    {
+      at,
+      kind: 'other-record',
+      box: pick(random, boxes),
+      value: oneOf(random, OTHER_VALUES),
+    },
+  ],
+];
+
+/** Far from other seeds, so that both plans of one seed differ. */
+const LATER_SEED_OFFSET = 7_777_777;
+
 /** The faults of a seed, in the order of their times. */
 export function planFaults(
+  seed: number,
+  size: SoakSize,
+): readonly PlannedFault[] {
+  const first = drawFaults(seed, size, DRAWS);
+  const later =
+    size.faults === 'all'
+      ? drawFaults(seed + LATER_SEED_OFFSET, size, LATER_DRAWS)
+      : [];
+  return [...first, ...later].sort((a, b) => a.at - b.at);
+}
+
+function drawFaults(
   seed: number,
   {boxes, faultMilliseconds}: SoakSize,
+  draws: readonly DrawFault[],
 ): readonly PlannedFault[] {
   const random = seededRandom(seed);
   const faults: PlannedFault[] = [];
   let at = 0;
   while (at < faultMilliseconds) {
-    faults.push(...oneOf(random, DRAWS)(random, Math.round(at), boxes));
+    faults.push(...oneOf(random, draws)(random, Math.round(at), boxes));
     at += 2 * MEAN_GAP_MILLISECONDS * random();
   }
-  return faults.sort((a, b) => a.at - b.at);
+  return faults;
 }
 
 /** A single step half of the time, else two or more. */
--- a/packages/tools/src/soak/main.ts
+++ b/packages/tools/src/soak/main.ts
@@ -6,6 +6,7 @@
 import {fileURLToPath} from 'node:url';
 import yargs from 'yargs';
 import {hideBin} from 'yargs/helpers';
+import type {SoakSize} from './faultPlan.js';
 import {runSoak} from './runSoak.js';
 import type {SoakResult} from './runSoak.js';
 
@@ -47,16 +48,29 @@
   .strict()
   .parse();
 
-function keptSeeds(): readonly number[] {
-  return readdirSync(REGRESSIONS)
-    .filter((name) => name.endsWith('.txt'))
-    .map((name) => Number(name.replace('.txt', '')));
+/** A seed, and which of the faults it draws are played. */
+type SoakSeed = Pick<SoakSize, 'faults'> & {readonly seed: number};
+
+/** Those kept before there were later faults have no word behind their number. */
+function keptSeeds(): readonly SoakSeed[] {
+  return readdirSync(REGRESSIONS).flatMap((name): readonly SoakSeed[] => {
+    const match = /^(\d+)(-all)?\.txt$/.exec(name);
+    return match === null
+      ? []
+      : [
+          {
+            seed: Number(match[1]),
+            faults: match[2] === undefined ? 'first' : 'all',
+          },
+        ];
+  });
 }
 
-function freshSeeds(count: number): readonly number[] {
-  return Array.from({length: count}, () =>
-    Math.floor(Math.random() * LARGEST_SEED),
-  );
+function freshSeeds(count: number): readonly SoakSeed[] {
+  return Array.from({length: count}, () => ({
+    seed: Math.floor(Math.random() * LARGEST_SEED),
+    faults: 'all',
+  }));
 }
 
 function show({seed, calls, served, faults, violations}: SoakResult): void {
@@ -69,7 +83,10 @@
   );
 }
 
-const given = options.seed ?? [];
+const given = (options.seed ?? []).map((seed): SoakSeed => ({
+  seed,
+  faults: 'all',
+}));
 const kept = options.regressions ? keptSeeds() : [];
 const chosen = [...given, ...kept];
 const waiting =
@@ -81,9 +98,10 @@
 const failed: number[] = [];
 
 async function work(): Promise<void> {
-  for (let seed = waiting.shift(); seed !== undefined; seed = waiting.shift()) {
+  for (let next = waiting.shift(); next !== undefined; next = waiting.shift()) {
+    const {seed, faults} = next;
     const folder = join(ROOT, 'artifacts', 'soak', String(seed));
-    const result = await runSoak(seed, size, folder);
+    const result = await runSoak(seed, {...size, faults}, folder);
     show(result);
     if (result.violations.length > 0) {
       failed.push(seed);
--- a/packages/tools/src/soak/soakRecorder.ts
+++ b/packages/tools/src/soak/soakRecorder.ts
@@ -61,7 +61,7 @@
       lives.flatMap((life) =>
         read(life).map((item) => ({
           ...item,
-          lifetime: life.standIn.lifetime,
+          lifetime: life.process,
           service: life.service,
         })),
       );
@@ -78,7 +78,7 @@
       calmFrom,
       readyLifetimes: lives
         .filter(({state}) => state === 'ready')
-        .map(({standIn}) => standIn.lifetime),
+        .map(({process}) => process),
     };
   }
 }
--- a/packages/tools/src/soak/soakStore.ts
+++ b/packages/tools/src/soak/soakStore.ts
@@ -3,6 +3,7 @@
 
 import {setTimeout as pause} from 'node:timers/promises';
 import {
+  BOXES_TOPIC,
   CONFIGURATION_KEY,
   CONFIGURATION_TOPIC,
   StoreStandIn,
@@ -51,6 +52,11 @@
     this.standIn.mood = this.moods.at(-1) ?? 'well';
   }
 
+  /** Another writer puts something in the place of a box's record. */
+  writeOther(box: string, value: string): void {
+    this.standIn.put(BOXES_TOPIC, box, value);
+  }
+
   /** All history is gone; the newest record of each key stays. */
   forget(): void {
     this.standIn.forgetHistory();
