--- a/packages/brain/src/__tests__/reservations.test.ts
+++ b/packages/brain/src/__tests__/reservations.test.ts
@@ -17,22 +17,20 @@
 
 class World {
   now = 0;
-  readonly guard = new GuardBrain(
-    {box: 'box', incarnation: 'a'},
-    {
-      ...DEFAULT_GUARD_SETTINGS,
-      hasQuickDoubt: true,
-      createRetryBudget: () => this.createRetryBudget(),
-      heldUpCalls: () => this.heldUpCalls(),
-      drainFinishesQueue: false,
-    },
-  );
-
   constructor(
     slots = 1,
-    private readonly createRetryBudget: () => RetryAllowance = () =>
-      PAID_ELSEWHERE,
-    private readonly heldUpCalls: () => number = () => 0,
+    createRetryBudget: () => RetryAllowance = () => PAID_ELSEWHERE,
+    heldUpCalls: () => number = () => 0,
+    private readonly guard = new GuardBrain(
+      {box: 'box', incarnation: 'a'},
+      {
+        ...DEFAULT_GUARD_SETTINGS,
+        hasQuickDoubt: true,
+        createRetryBudget,
+        heldUpCalls,
+        drainFinishesQueue: false,
+      },
+    ),
   ) {
     this.configure({slots});
   }
@@ -549,3 +547,81 @@
     expect(reasonOf(actions)).toEqual([]);
   });
 });
+
+describe('an upstream whose process ends', () => {
+  function broken(world: World): readonly GuardAction[] {
+    world.offer('1', {needsGo: false, requestDigest: 'digest'});
+    return world.tell({kind: 'upstream-failed', callId: '1', wasSent: true});
+  }
+
+  function lookedAt(world: World, presence: 'there' | 'gone') {
+    return world.tell({
+      kind: 'upstream-looked-at',
+      upstream: UPSTREAM,
+      incarnation: {id: 'i-1', startedAt: 0},
+      presence,
+    });
+  }
+
+  it('is looked at when a call breaks, and tells what ran when nobody is there', () => {
+    const world = new World();
+    expect(broken(world)).toContainEqual(
+      expect.objectContaining({kind: 'look-at-upstream'}),
+    );
+    expect(lookedAt(world, 'gone')).toEqual([
+      {kind: 'upstream-crashed', upstream: UPSTREAM, digests: ['digest']},
+    ]);
+  });
+
+  it('has not ended when somebody is there', () => {
+    const world = new World();
+    broken(world);
+    expect(lookedAt(world, 'there')).toEqual([]);
+  });
+
+  it('is let go when it drains: what it breaks then has no part in its end', () => {
+    const world = new World();
+    world.offer('1', {needsGo: false, requestDigest: 'digest'});
+    world.configure({state: 'draining'});
+    const actions = world.tell({
+      kind: 'upstream-failed',
+      callId: '1',
+      wasSent: true,
+    });
+    expect(actions.map(({kind}) => kind)).not.toContain('look-at-upstream');
+  });
+});
+
+describe('a request in quarantine', () => {
+  it('is refused with the time that is left when its slot is taken up', () => {
+    const guard = new GuardBrain(
+      {box: 'box', incarnation: 'a'},
+      {
+        ...DEFAULT_GUARD_SETTINGS,
+        quarantinedFor: (_now, digest) => (digest === 'bad' ? 5000 : 0),
+      },
+    );
+    const world = new World(1, undefined, undefined, guard);
+    world.configure({});
+    expect(world.offer('1')).toEqual([{kind: 'reserve', callId: '1'}]);
+    const refused = world.tell({
+      kind: 'call-go',
+      callId: '1',
+      requestDigest: 'bad',
+    });
+    expect(refused).toMatchObject([
+      {
+        kind: 'refuse',
+        refusal: {
+          reason: 'request-quarantined',
+          outcome: 'not-run',
+          retryAfterMilliseconds: 5000,
+        },
+      },
+    ]);
+    world.offer('2');
+    expect(
+      world.tell({kind: 'call-go', callId: '2', requestDigest: 'good'}),
+    ).toMatchObject([{kind: 'run', callId: '2'}]);
+  });
+});
--- a/packages/brain/src/guard/guardBrain.ts
+++ b/packages/brain/src/guard/guardBrain.ts
@@ -275,11 +275,24 @@
     return [
       refuse(now, call, 'upstream-failed', 'unknown', upstream),
       ...after,
-      ...crashed(upstream, upstream.crashes.broke(now, call.requestDigest)),
-      ...this.look(now, upstream),
+      ...this.broke(now, upstream, call.requestDigest),
     ];
   }
 
+  /** One that drains is to end, and breaks what takes longer than it stays. */
+  private broke(
+    now: number,
+    upstream: UpstreamGuard,
+    requestDigest: string,
+  ): readonly GuardAction[] {
+    return upstream.isDraining
+      ? []
+      : [
+          ...crashed(upstream, upstream.crashes.broke(now, requestDigest)),
+          ...this.look(now, upstream),
+        ];
+  }
+
   /** Calls broke: has the upstream ended, or does it only reset connections? */
   private look(now: number, upstream: UpstreamGuard): readonly GuardAction[] {
     const {name, incarnation} = upstream;
