--- /dev/null
+++ b/packages/brain/src/__tests__/__fixtures__/guardWorld.ts
@@ -0,0 +1,107 @@
+// Copyright (c) 2026 the lockpin contributors. MIT licence, see LICENSE.
+/** One guard with one upstream, told of events by hand. */
+
+import {PAID_ELSEWHERE} from '@lockpin/routing';
+import type {RetryAllowance} from '@lockpin/routing';
+import type {Resource} from '@lockpin/types';
+import {seededRandom} from '@lockpin/utils';
+import {GuardBrain} from '../../guard/guardBrain.js';
+import {DEFAULT_GUARD_SETTINGS} from '../../guard/guardMessages.js';
+import type {GuardAction, GuardCall} from '../../guard/guardMessages.js';
+
+export const SERVICE = 's';
+export const UPSTREAM = 's/box';
+const random = seededRandom(1);
+
+/** The guard and its time. */
+export class GuardWorld {
+  now = 0;
+  constructor(
+    slots = 1,
+    createRetryBudget: () => RetryAllowance = () => PAID_ELSEWHERE,
+    heldUpCalls: () => number = () => 0,
+    private readonly guard = new GuardBrain(
+      {box: 'box', incarnation: 'a'},
+      {
+        ...DEFAULT_GUARD_SETTINGS,
+        hasQuickDoubt: true,
+        createRetryBudget,
+        heldUpCalls,
+        drainFinishesQueue: false,
+      },
+    ),
+  ) {
+    this.configure({slots});
+  }
+
+  configure(
+    change: Partial<Resource<'Upstream'>['spec']>,
+  ): readonly GuardAction[] {
+    const upstream: Resource<'Upstream'> = {
+      kind: 'Upstream',
+      name: UPSTREAM,
+      version: 1,
+      spec: {
+        address: '127.0.0.1:1',
+        dataCentre: 'd',
+        box: 'box',
+        slots: 1,
+        connections: 9,
+        state: 'in-service',
+        incarnation: {id: 'i-1', startedAt: 0},
+        ...change,
+      },
+    };
+    return this.tell({
+      kind: 'services-changed',
+      services: [{name: SERVICE, sensitivity: 'fast', upstreams: [upstream]}],
+    });
+  }
+
+  tell(event: Parameters<GuardBrain['handle']>[2]): readonly GuardAction[] {
+    return this.guard
+      .handle(this.now, random, event)
+      .filter(({kind}) => kind !== 'report');
+  }
+
+  offer(id: string, change: Partial<GuardCall> = {}): readonly GuardAction[] {
+    const call: GuardCall = {
+      id,
+      service: SERVICE,
+      upstream: UPSTREAM,
+      customer: 'c',
+      weight: 1,
+      route: 'r',
+      repetition: 'repeatable',
+      priority: 1,
+      deadline: this.now + 10_000,
+      attempt: 1,
+      retryShare: 0,
+      onceKey: undefined,
+      requestDigest: '',
+      needsGo: true,
+      ...change,
+    };
+    return this.tell({kind: 'call-offered', call});
+  }
+
+  /** Runs one call to its end. */
+  run(id: string, status: number): void {
+    this.offer(id, {needsGo: false});
+    this.tell({
+      kind: 'upstream-answered',
+      callId: id,
+      status,
+      isShed: false,
+      answer: undefined,
+    });
+  }
+}
+
+/** The reasons and outcomes of refusals. */
+export const reasonOf = (actions: readonly GuardAction[]) =>
+  actions.flatMap((action) =>
+    action.kind === 'refuse'
+      ? [`${action.refusal.reason} ${action.refusal.outcome}`]
+      : [],
+  );
--- a/packages/brain/src/__tests__/reservations.test.ts
+++ b/packages/brain/src/__tests__/reservations.test.ts
@@ -2,113 +2,15 @@
 /** Slots that a guard keeps until the entry says go, and quick doubt. */
 
 import {describe, expect, it} from 'vitest';
-import {PAID_ELSEWHERE, RetryBudget} from '@lockpin/routing';
-import type {RetryAllowance} from '@lockpin/routing';
-import {seededRandom} from '@lockpin/utils';
-import type {Resource} from '@lockpin/types';
-import {GuardBrain} from '../guard/guardBrain.js';
+import {RetryBudget} from '@lockpin/routing';
 import {DEFAULT_GUARD_SETTINGS} from '../guard/guardMessages.js';
-import type {GuardAction, GuardCall} from '../guard/guardMessages.js';
+import {GuardWorld, UPSTREAM, reasonOf} from './__fixtures__/guardWorld.js';
 
-const SERVICE = 's';
-const UPSTREAM = 's/box';
-const random = seededRandom(1);
 const {reservationMilliseconds} = DEFAULT_GUARD_SETTINGS;
 
-class World {
-  now = 0;
-  constructor(
-    slots = 1,
-    createRetryBudget: () => RetryAllowance = () => PAID_ELSEWHERE,
-    heldUpCalls: () => number = () => 0,
-    private readonly guard = new GuardBrain(
-      {box: 'box', incarnation: 'a'},
-      {
-        ...DEFAULT_GUARD_SETTINGS,
-        hasQuickDoubt: true,
-        createRetryBudget,
-        heldUpCalls,
-        drainFinishesQueue: false,
-      },
-    ),
-  ) {
-    this.configure({slots});
-  }
-
-  configure(
-    change: Partial<Resource<'Upstream'>['spec']>,
-  ): readonly GuardAction[] {
-    const upstream: Resource<'Upstream'> = {
-      kind: 'Upstream',
-      name: UPSTREAM,
-      version: 1,
-      spec: {
-        address: '127.0.0.1:1',
-        dataCentre: 'd',
-        box: 'box',
-        slots: 1,
-        connections: 9,
-        state: 'in-service',
-        incarnation: {id: 'i-1', startedAt: 0},
-        ...change,
-      },
-    };
-    return this.tell({
-      kind: 'services-changed',
-      services: [{name: SERVICE, sensitivity: 'fast', upstreams: [upstream]}],
-    });
-  }
-
-  tell(event: Parameters<GuardBrain['handle']>[2]): readonly GuardAction[] {
-    return this.guard
-      .handle(this.now, random, event)
-      .filter(({kind}) => kind !== 'report');
-  }
-
-  offer(id: string, change: Partial<GuardCall> = {}): readonly GuardAction[] {
-    const call: GuardCall = {
-      id,
-      service: SERVICE,
-      upstream: UPSTREAM,
-      customer: 'c',
-      weight: 1,
-      route: 'r',
-      repetition: 'repeatable',
-      priority: 1,
-      deadline: this.now + 10_000,
-      attempt: 1,
-      retryShare: 0,
-      onceKey: undefined,
-      requestDigest: '',
-      needsGo: true,
-      ...change,
-    };
-    return this.tell({kind: 'call-offered', call});
-  }
-
-  /** Runs one call to its end. */
-  run(id: string, status: number): void {
-    this.offer(id, {needsGo: false});
-    this.tell({
-      kind: 'upstream-answered',
-      callId: id,
-      status,
-      isShed: false,
-      answer: undefined,
-    });
-  }
-}
-
-const reasonOf = (actions: readonly GuardAction[]) =>
-  actions.flatMap((action) =>
-    action.kind === 'refuse'
-      ? [`${action.refusal.reason} ${action.refusal.outcome}`]
-      : [],
-  );
-
 describe('a reservation', () => {
   it('runs only when the entry says go', () => {
-    const world = new World();
+    const world = new GuardWorld();
     expect(world.offer('1')).toEqual([{kind: 'reserve', callId: '1'}]);
     expect(world.tell({kind: 'call-go', callId: '1'})).toEqual([
       {kind: 'run', callId: '1', upstream: UPSTREAM},
@@ -116,7 +18,7 @@
   });
 
   it('is given back unrun when no go comes, and a late go does nothing', () => {
-    const world = new World();
+    const world = new GuardWorld();
     world.offer('1');
     world.now = reservationMilliseconds + 1;
     expect(reasonOf(world.tell({kind: 'tick'}))).toEqual([
@@ -127,7 +29,7 @@
   });
 
   it('is given back unrun when the entry cancels it', () => {
-    const world = new World();
+    const world = new GuardWorld();
     world.offer('1');
     const actions = world.tell({kind: 'call-cancelled', callId: '1'});
     expect(reasonOf(actions)).toEqual(['caller-left not-run']);
@@ -135,7 +37,7 @@
   });
 
   it('lets the next call have its slot', () => {
-    const world = new World();
+    const world = new GuardWorld();
     world.offer('1');
     expect(world.offer('2')).toEqual([{kind: 'queue', callId: '2'}]);
     expect(world.tell({kind: 'call-cancelled', callId: '1'})).toContainEqual({
@@ -145,7 +47,7 @@
   });
 
   it('is refused at once where the entry would rather go elsewhere', () => {
-    const world = new World();
+    const world = new GuardWorld();
     world.offer('1');
     expect(reasonOf(world.offer('2', {mayWait: false}))).toEqual([
       'upstream-busy not-run',
@@ -153,7 +55,7 @@
   });
 
   it('stays truthful when the upstream drains before the go', () => {
-    const world = new World();
+    const world = new GuardWorld();
     world.offer('1');
     world.configure({state: 'draining'});
     const actions = world.tell({kind: 'call-go', callId: '1'});
@@ -166,14 +68,14 @@
   const noRetries = (): RetryAllowance => new RetryBudget(0);
 
   it('is refused at once where no first attempts have paid for it', () => {
-    const world = new World(2, noRetries);
+    const world = new GuardWorld(2, noRetries);
     expect(reasonOf(world.offer('1', {attempt: 2}))).toEqual([
       'retries-exhausted not-run',
     ]);
   });
 
   it('is paid for by first attempts that were sent, not by offers', () => {
-    const world = new World(2, noRetries);
+    const world = new GuardWorld(2, noRetries);
     const paying = {retryShare: 0.5};
     world.offer('1', paying);
     world.offer('2', paying);
@@ -188,7 +90,7 @@
   });
 
   it('costs nothing unless it is sent, and is never sent unpaid', () => {
-    const world = new World(3, () => new RetryBudget(1));
+    const world = new GuardWorld(3, () => new RetryBudget(1));
     world.offer('1', {attempt: 2});
     world.offer('2', {attempt: 2});
     world.offer('3', {attempt: 2});
@@ -200,7 +102,7 @@
   });
 
   it('takes one more where a first attempt may be a repeat of its caller', () => {
-    const world = new World(3, () => new RetryBudget(1));
+    const world = new GuardWorld(3, () => new RetryBudget(1));
     world.offer('1', {needsGo: false, mayBeRepeat: true});
     expect(reasonOf(world.offer('2', {attempt: 2}))).toEqual([
       'retries-exhausted not-run',
@@ -210,7 +112,7 @@
 
 describe('a call that waits', () => {
   it('is refused at once when its upstream begins to drain', () => {
-    const world = new World();
+    const world = new GuardWorld();
     world.offer('1', {needsGo: false});
     world.offer('2');
     const upstream = {state: 'draining', slots: 1} as const;
@@ -222,7 +124,7 @@
 
 describe('a node that leaves', () => {
   it('refuses at once, and tells entries not to ask again soon', () => {
-    const world = new World();
+    const world = new GuardWorld();
     world.tell({kind: 'leaving'});
     expect(world.offer('1')).toMatchObject([
       {
@@ -235,7 +137,7 @@
 
 describe('what an upstream says of a call', () => {
   it('is passed on as not run when it refused it', () => {
-    const world = new World();
+    const world = new GuardWorld();
     world.offer('1', {needsGo: false});
     const actions = world.tell({
       kind: 'upstream-refused',
@@ -246,7 +148,7 @@
   });
 
   it('keeps all calls away once another process has its address', () => {
-    const world = new World();
+    const world = new GuardWorld();
     world.offer('1', {needsGo: false});
     world.tell({
       kind: 'upstream-refused',
@@ -262,8 +164,8 @@
 });
 
 describe('an upstream in doubt', () => {
-  function doubted(): World {
-    const world = new World(2);
+  function doubted(): GuardWorld {
+    const world = new GuardWorld(2);
     world.run('well', 200);
     world.offer('bad', {needsGo: false});
     const failed = {callId: 'bad', wasSent: true} as const;
@@ -312,7 +214,7 @@
   });
 
   it('is none whose failures follow from a failed call of its own', () => {
-    const world = new World(2);
+    const world = new GuardWorld(2);
     world.run('well', 200);
     for (const id of ['1', '2', '3']) {
       world.now += 100;
@@ -328,7 +230,7 @@
   });
 
   it('is one that lets calls hang, before any of them ended', () => {
-    const world = new World(2);
+    const world = new GuardWorld(2);
     world.run('well', 200);
     const expected = {needsGo: false, expectedMilliseconds: 50};
     world.offer('1', expected);
@@ -344,7 +246,7 @@
   });
 
   it('is one that never answered a call, by what is left of their goals', () => {
-    const world = new World(6);
+    const world = new GuardWorld(6);
     const call = {needsGo: false, usefulUntil: 400};
     const isDoubtedAt = (now: number): boolean => {
       world.now = now;
@@ -358,7 +260,7 @@
   });
 
   it('gets no call that cannot be repeated while one is late, until it answers', () => {
-    const world = new World(4);
+    const world = new GuardWorld(4);
     world.run('well', 200);
     world.offer('late', {needsGo: false, expectedMilliseconds: 50});
     world.now = 180;
@@ -378,7 +280,7 @@
   });
 
   it('lets go of the calls that wait, but for those that have nowhere else to go', () => {
-    const world = new World(2);
+    const world = new GuardWorld(2);
     world.run('well', 200);
     const expected = {needsGo: false, expectedMilliseconds: 50};
     world.offer('1', expected);
@@ -396,7 +298,7 @@
   });
 
   it('is none that is late with as many calls as its box holds up', () => {
-    const world = new World(2, undefined, () => 2);
+    const world = new GuardWorld(2, undefined, () => 2);
     world.run('well', 200);
     const expected = {needsGo: false, expectedMilliseconds: 50};
     world.offer('1', expected);
@@ -407,7 +309,7 @@
   });
 
   it('is one that is late with more calls than its box holds up', () => {
-    const world = new World(6, undefined, () => 2);
+    const world = new GuardWorld(6, undefined, () => 2);
     world.run('well', 200);
     const expected = {needsGo: false, expectedMilliseconds: 50};
     ['1', '2', '3', '4'].forEach((id) => world.offer(id, expected));
@@ -417,7 +319,7 @@
   });
 
   it('runs a repeat from when a second attempt is sent until it ends', () => {
-    const world = new World(2);
+    const world = new GuardWorld(2);
     world.run('1', 200);
     world.offer('2', {needsGo: false, attempt: 1});
     expect(world.guard.runsRepeats).toBe(false);
@@ -434,7 +336,7 @@
   });
 
   it('says nothing of probes once its node leaves, which would refuse them', () => {
-    const world = new World();
+    const world = new GuardWorld();
     world.run('1', 500);
     world.run('2', 500);
     expect(world.guard.hintOf(world.now, UPSTREAM)?.probeIn).toBeDefined();
@@ -445,7 +347,7 @@
   });
 
   it('gets one call that cannot be repeated at a time until it has answered one', () => {
-    const world = new World(3);
+    const world = new GuardWorld(3);
     const once = {repetition: 'at-most-once'} as const;
     world.offer('1', {...once, needsGo: false});
     expect(reasonOf(world.offer('2', once))).toEqual([
@@ -462,166 +364,3 @@
     expect(world.offer('4', once)).toEqual([{kind: 'reserve', callId: '4'}]);
   });
 });
-
-describe('an upstream that starts again under its id', () => {
-  function restarted(): {
-    readonly world: World;
-    readonly actions: readonly GuardAction[];
-  } {
-    const world = new World(2);
-    world.configure({
-      slots: 2,
-      incarnation: {id: 'i-1', startedAt: 100},
-    });
-    world.offer('sent', {needsGo: false, requestDigest: 'digest'});
-    world.tell({
-      kind: 'upstream-answered',
-      callId: 'sent',
-      status: 200,
-      isShed: false,
-      answer: undefined,
-    });
-    world.offer('running', {needsGo: false, requestDigest: 'digest'});
-    world.offer('reserved');
-    world.offer('waiting', {mayWait: true});
-    return {
-      world,
-      actions: world.configure({
-        slots: 2,
-        incarnation: {id: 'i-1', startedAt: 200},
-      }),
-    };
-  }
-
-  it('ends the calls of its predecessor at once, each truthfully', () => {
-    const {actions} = restarted();
-    expect(reasonOf(actions)).toEqual([
-      'upstream-failed unknown',
-      'upstream-replaced not-run',
-      'upstream-replaced not-run',
-    ]);
-    expect(actions).toContainEqual({kind: 'abort', callId: 'running'});
-  });
-
-  it('was ended by what ran there, and entries hear how its successor stands', () => {
-    const {actions} = restarted();
-    expect(actions).toContainEqual(
-      expect.objectContaining({
-        kind: 'upstream-crashed',
-        digests: ['digest'],
-      }),
-    );
-    expect(actions).toContainEqual(
-      expect.objectContaining({
-        kind: 'standing',
-        hint: expect.objectContaining({occupied: 0}),
-      }),
-    );
-  });
-
-  it('has all its slots, and late answers to its predecessor change nothing', () => {
-    const {world} = restarted();
-    expect(
-      world.tell({
-        kind: 'upstream-answered',
-        callId: 'running',
-        status: 200,
-        isShed: false,
-        answer: undefined,
-      }),
-    ).toEqual([]);
-    expect(world.offer('1')).toEqual([{kind: 'reserve', callId: '1'}]);
-    expect(world.offer('2')).toEqual([{kind: 'reserve', callId: '2'}]);
-  });
-
-  it('leaves calls alone whose upstream drains beside another id', () => {
-    const world = new World(2);
-    world.configure({
-      slots: 2,
-      incarnation: {id: 'i-1', startedAt: 100},
-    });
-    world.offer('running', {needsGo: false});
-    const actions = world.configure({
-      incarnation: {id: 'i-2', startedAt: 200},
-    });
-    expect(reasonOf(actions)).toEqual([]);
-  });
-});
-
-describe('an upstream whose process ends', () => {
-  function broken(world: World): readonly GuardAction[] {
-    world.offer('1', {needsGo: false, requestDigest: 'digest'});
-    return world.tell({kind: 'upstream-failed', callId: '1', wasSent: true});
-  }
-
-  function lookedAt(world: World, presence: 'there' | 'gone') {
-    return world.tell({
-      kind: 'upstream-looked-at',
-      upstream: UPSTREAM,
-      incarnation: {id: 'i-1', startedAt: 0},
-      presence,
-    });
-  }
-
-  it('is looked at when a call breaks, and tells what ran when nobody is there', () => {
-    const world = new World();
-    expect(broken(world)).toContainEqual(
-      expect.objectContaining({kind: 'look-at-upstream'}),
-    );
-    expect(lookedAt(world, 'gone')).toEqual([
-      {kind: 'upstream-crashed', upstream: UPSTREAM, digests: ['digest']},
-    ]);
-  });
-
-  it('has not ended when somebody is there', () => {
-    const world = new World();
-    broken(world);
-    expect(lookedAt(world, 'there')).toEqual([]);
-  });
-
-  it('is let go when it drains: what it breaks then has no part in its end', () => {
-    const world = new World();
-    world.offer('1', {needsGo: false, requestDigest: 'digest'});
-    world.configure({state: 'draining'});
-    const actions = world.tell({
-      kind: 'upstream-failed',
-      callId: '1',
-      wasSent: true,
-    });
-    expect(actions.map(({kind}) => kind)).not.toContain('look-at-upstream');
-  });
-});
-
-describe('a request in quarantine', () => {
-  it('is refused with the time that is left when its slot is taken up', () => {
-    const guard = new GuardBrain(
-      {box: 'box', incarnation: 'a'},
-      {
-        ...DEFAULT_GUARD_SETTINGS,
-        quarantinedFor: (_now, digest) => (digest === 'bad' ? 5000 : 0),
-      },
-    );
-    const world = new World(1, undefined, undefined, guard);
-    world.configure({});
-    expect(world.offer('1')).toEqual([{kind: 'reserve', callId: '1'}]);
-    const refused = world.tell({
-      kind: 'call-go',
-      callId: '1',
-      requestDigest: 'bad',
-    });
-    expect(refused).toMatchObject([
-      {
-        kind: 'refuse',
-        refusal: {
-          reason: 'request-quarantined',
-          outcome: 'not-run',
-          retryAfterMilliseconds: 5000,
-        },
-      },
-    ]);
-    world.offer('2');
-    expect(
-      world.tell({kind: 'call-go', callId: '2', requestDigest: 'good'}),
-    ).toMatchObject([{kind: 'run', callId: '2'}]);
-  });
-});
--- a/packages/brain/src/guard/guardBrain.ts
+++ b/packages/brain/src/guard/guardBrain.ts
@@ -4,13 +4,9 @@
 import type {HolderReply} from '@lockpin/floor';
 import type {OnceHome} from '@lockpin/once';
 import type {LoadHint} from '@lockpin/routing';
-import type {
-  RandomSource,
-  RefusalReason,
-  UpstreamIncarnation,
-} from '@lockpin/types';
-import {isSameIncarnation} from '@lockpin/utils';
+import type {RandomSource, UpstreamIncarnation} from '@lockpin/types';
 import {CallCourse} from './callCourse.js';
+import {CallEnds} from './callEnds.js';
 import {DEFAULT_GUARD_SETTINGS} from './guardMessages.js';
 import type {
   GuardAction,
@@ -19,10 +15,10 @@
   GuardedService,
 } from './guardMessages.js';
 import {GuardedServices} from './guardedServices.js';
-import {leavingHint, refuse} from './guardRefusals.js';
+import {leavingHint} from './guardRefusals.js';
 import {OfferedCalls} from './offeredCalls.js';
 import {ReportSchedule} from './reportSchedule.js';
-import type {UpstreamGuard} from './upstreamGuard.js';
+import {UpstreamEnds} from './upstreamEnds.js';
 
 /** Decides by (now, random, event) alone. */
 export class GuardBrain {
@@ -30,6 +26,8 @@
   private readonly reports: ReportSchedule;
   private readonly course: CallCourse;
   private readonly offers: OfferedCalls;
+  private readonly callEnds: CallEnds;
+  private readonly upstreamEnds: UpstreamEnds;
   private isLeaving = false;
   /** No permit is taken before the holders stream was read to its end. */
   private mayTakePermits = false;
@@ -46,6 +44,8 @@
       this.course,
       () => this.isLeaving,
     );
+    this.upstreamEnds = new UpstreamEnds(this.services, this.course);
+    this.callEnds = new CallEnds(this.services, this.course, this.upstreamEnds);
   }
 
   /** Calls accepted and not yet ended. */
@@ -100,22 +100,22 @@
       case 'call-go':
         return this.go(now, event.callId, event.requestDigest);
       case 'call-cancelled':
-        return this.givenUp(now, event.callId, 'caller-left');
+        return this.callEnds.givenUp(now, event.callId, 'caller-left');
       case 'own-call-failed':
         for (const upstream of this.services.upstreams()) {
           upstream.ownCallFailed(now);
         }
         return [];
       case 'call-deadline-passed':
-        return this.givenUp(now, event.callId, 'deadline-passed');
+        return this.callEnds.givenUp(now, event.callId, 'deadline-passed');
       case 'upstream-answered':
-        return this.answered(now, event);
+        return this.callEnds.answered(now, event);
       case 'upstream-failed':
-        return this.upstreamFailed(now, event.callId, event.wasSent);
+        return this.callEnds.failed(now, event.callId, event.wasSent);
       case 'upstream-looked-at':
-        return this.lookedAt(now, event);
+        return this.upstreamEnds.lookedAt(now, event);
       case 'upstream-refused':
-        return this.upstreamRefused(now, event.callId, event.reason);
+        return this.callEnds.refused(now, event.callId, event.reason);
       case 'services-changed':
         return this.configure(now, event.services);
       case 'holder-replied':
@@ -139,31 +139,17 @@
   ): readonly GuardAction[] {
     const succeeded = this.services.configure(services);
     return [
-      ...succeeded.flatMap((upstream) => this.succeeded(now, upstream)),
+      ...succeeded.flatMap((upstream) =>
+        this.upstreamEnds.succeeded(
+          now,
+          upstream,
+          this.hintOf(now, upstream.name),
+        ),
+      ),
       ...this.course.refuseWhereDraining(now),
     ];
   }
 
-  /**
-   * The process ended and another one has its id: nothing of its calls can still come,
-   * and what was told of its standing is past.
-   */
-  private succeeded(
-    now: number,
-    upstream: UpstreamGuard,
-  ): readonly GuardAction[] {
-    const {name, isDraining} = upstream;
-    const {actions, digests} = this.course.endAllOf(now, upstream);
-    const hint = this.hintOf(now, name);
-    return [
-      ...actions,
-      ...crashed(upstream, isDraining ? [] : digests),
-      ...(hint === undefined
-        ? []
-        : [{kind: 'standing', upstream: name, hint} as const]),
-    ];
-  }
-
   /** Only a reservation that still stands is acted upon. */
   private go(
     now: number,
@@ -181,138 +167,6 @@
     return this.course.send(now, known);
   }
 
-  private upstreamRefused(
-    now: number,
-    callId: string,
-    reason: 'upstream-refused' | 'upstream-replaced',
-  ): readonly GuardAction[] {
-    const known = this.course.take(callId);
-    if (known === undefined) {
-      return [];
-    }
-    const {call, upstream} = known;
-    const wasDoubted = upstream.isDoubted(now);
-    const freed = upstream.refused(now, callId, reason);
-    return [
-      this.course.refuseForGood(now, call, upstream, reason),
-      ...this.course.doubtChanged(now, upstream, wasDoubted),
-      ...this.course.freed(now, freed),
-    ];
-  }
-
-  private givenUp(
-    now: number,
-    callId: string,
-    reason: RefusalReason,
-  ): readonly GuardAction[] {
-    const known = this.course.get(callId);
-    if (known === undefined) {
-      return [];
-    }
-    const {call, upstream} = known;
-    if (upstream.withdraw(callId)) {
-      return this.course.refuseWaiting(now, callId, reason);
-    }
-    if (known.reservedAt !== undefined) {
-      return this.course.releaseReservation(now, known, reason);
-    }
-    if (call.repetition === 'once-only' && reason === 'caller-left') {
-      // It goes on, so that a repeat of the key is told how it ended.
-      return [];
-    }
-    this.course.take(callId);
-    this.services.ledgerOf(call)?.broke(call.onceKey ?? '');
-    const isFault =
-      reason === 'deadline-passed' && upstream.isOverdue(now, callId);
-    const wasDoubted = upstream.isDoubted(now);
-    const end = upstream.failed(now, callId, isFault);
-    return [
-      {kind: 'abort', callId},
-      refuse(now, call, reason, 'unknown', upstream),
-      ...this.course.ended(now, upstream, end, wasDoubted),
-    ];
-  }
-
-  private answered(
-    now: number,
-    event: GuardEvent & {readonly kind: 'upstream-answered'},
-  ): readonly GuardAction[] {
-    const {callId, status, isShed, answer} = event;
-    const known = this.course.take(callId);
-    if (known === undefined) {
-      return [];
-    }
-    const {call, upstream} = known;
-    const key = call.onceKey ?? '';
-    if (answer === undefined) {
-      this.services.ledgerOf(call)?.ran(key);
-    } else {
-      this.services.ledgerOf(call)?.answered(key, answer);
-    }
-    const wasDoubted = upstream.isDoubted(now);
-    const end = upstream.answered(now, callId, status, isShed);
-    return this.course.ended(now, upstream, end, wasDoubted);
-  }
-
-  private upstreamFailed(
-    now: number,
-    callId: string,
-    wasSent: boolean,
-  ): readonly GuardAction[] {
-    const known = this.course.take(callId);
-    if (known === undefined) {
-      return [];
-    }
-    const {call, upstream} = known;
-    const wasDoubted = upstream.isDoubted(now);
-    const end = upstream.failed(now, callId, true);
-    const after = this.course.ended(now, upstream, end, wasDoubted);
-    if (!wasSent) {
-      const reason = 'upstream-unreachable';
-      return [this.course.refuseForGood(now, call, upstream, reason), ...after];
-    }
-    this.services.ledgerOf(call)?.broke(call.onceKey ?? '');
-    return [
-      refuse(now, call, 'upstream-failed', 'unknown', upstream),
-      ...after,
-      ...this.broke(now, upstream, call.requestDigest),
-    ];
-  }
-
-  /** One that drains is to end, and breaks what takes longer than it stays. */
-  private broke(
-    now: number,
-    upstream: UpstreamGuard,
-    requestDigest: string,
-  ): readonly GuardAction[] {
-    return upstream.isDraining
-      ? []
-      : [
-          ...crashed(upstream, upstream.crashes.broke(now, requestDigest)),
-          ...this.look(now, upstream),
-        ];
-  }
-
-  /** Calls broke: has the upstream ended, or does it only reset connections? */
-  private look(now: number, upstream: UpstreamGuard): readonly GuardAction[] {
-    const {name, incarnation} = upstream;
-    return upstream.crashes.beginLook(now)
-      ? [{kind: 'look-at-upstream', upstream: name, incarnation}]
-      : [];
-  }
-
-  /** What is found at the address tells nothing of an earlier process there. */
-  private lookedAt(
-    now: number,
-    event: GuardEvent & {readonly kind: 'upstream-looked-at'},
-  ): readonly GuardAction[] {
-    const upstream = this.services.upstream(event.upstream);
-    return upstream === undefined ||
-      !isSameIncarnation(upstream.incarnation, event.incarnation)
-      ? []
-      : crashed(upstream, upstream.crashes.looked(now, event.presence));
-  }
-
   private replied(
     now: number,
     service: string,
@@ -357,7 +211,7 @@
       const {freed, changes} = upstream.review(now);
       actions.push(...this.course.doubtChanged(now, upstream, wasDoubted));
       actions.push(...this.course.freed(now, freed));
-      actions.push(...this.look(now, upstream));
+      actions.push(...this.upstreamEnds.look(now, upstream));
       for (const change of changes) {
         actions.push(...this.course.noted(now, upstream, change));
       }
@@ -366,12 +220,3 @@
     return actions;
   }
 }
-
-function crashed(
-  {name}: UpstreamGuard,
-  digests: readonly string[],
-): readonly GuardAction[] {
-  return digests.length === 0
-    ? []
-    : [{kind: 'upstream-crashed', upstream: name, digests}];
-}
--- a/packages/fleet/src/boxLearning.ts
+++ b/packages/fleet/src/boxLearning.ts
@@ -1,6 +1,7 @@
 // Copyright (c) 2026 the lockpin contributors. MIT licence, see LICENSE.
 /** What a node learns of boxes, from the store and from peers, and whom it tells. */
 
+import {stableHash} from '@lockpin/utils';
 import type {BoxDirectory} from './boxDirectory.js';
 import {RECORD_LIFE_MILLISECONDS} from './boxRecord.js';
 import type {BoxRecord} from './boxRecord.js';
@@ -78,6 +79,25 @@
     }
   }
 
+  /** Boxes that have not renewed their records are forgotten. */
+  forget(now: number): readonly FleetAction[] {
+    return this.context.directory
+      .expire(now)
+      .flatMap((box) => this.dropRecord(box));
+  }
+
+  /**
+   * The store keeps the newest record of each key for good, and boxes are replaced
+   * every day. Of the nodes that forget a box, one takes its record away.
+   */
+  private dropRecord(key: string): readonly FleetAction[] {
+    const {identity, directory} = this.context;
+    const rank = (box: string): number => stableHash(`${box} ${key}`);
+    const own = rank(identity.box);
+    const isFirst = directory.all().every(({box}) => rank(box) <= own);
+    return isFirst ? [{kind: 'drop-record', key}] : [];
+  }
+
   private learn(now: number, record: BoxRecord): void {
     const {identity, suspects, ownRecord} = this.context;
     if (record.box === identity.box) {
--- a/packages/fleet/src/fleetBrain.ts
+++ b/packages/fleet/src/fleetBrain.ts
@@ -5,10 +5,8 @@
  */
 
 import type {RandomSource} from '@lockpin/types';
-import {stableHash} from '@lockpin/utils';
 import {BoxDirectory} from './boxDirectory.js';
 import {BoxLearning} from './boxLearning.js';
-import {checkAnnouncement} from './checkAnnouncement.js';
 import {ConfigurationInForce} from './configurationInForce.js';
 import type {ReadConfiguration} from './configurationInForce.js';
 import type {DeclaredConfiguration} from './declaredConfiguration.js';
@@ -20,8 +18,8 @@
   PeerKnowledge,
   PeerQuestion,
 } from './fleetMessages.js';
-import {note} from './fleetNote.js';
 import {FollowerNews} from './followerNews.js';
+import {OwnBox} from './ownBox.js';
 import {OwnRecord} from './ownRecord.js';
 import {OwnUpstreamTracker} from './ownUpstream.js';
 import {PeerAnswers} from './peerAnswers.js';
@@ -65,11 +63,12 @@
   private followers = 0;
   private readonly runNews: RunNews;
   private readonly boxes: BoxLearning;
+  private readonly ownBox: OwnBox;
 
   constructor(
     private readonly identity: NodeIdentity,
     readConfiguration: ReadConfiguration,
-    private readonly start: FleetStart = {isFirst: false},
+    start: FleetStart = {isFirst: false},
   ) {
     const {directory} = this;
     this.inForce = new ConfigurationInForce(readConfiguration);
@@ -103,6 +102,13 @@
       suspects: this.suspects,
       runNews: this.runNews,
     });
+    this.ownBox = new OwnBox({
+      identity,
+      tracker: this.own,
+      record: ownRecord,
+      configuration: () => this.configuration,
+      mayWrite: () => start.isFirst || duty.hasReadBoxes,
+    });
   }
 
   /** Records that were none, found since the process began. */
@@ -148,7 +154,7 @@
       case 'read-ended':
         return this.readEnded(now, random, event.stream, event.result);
       case 'write-ended':
-        return this.writeEnded(now, event.result);
+        return this.ownBox.writeEnded(now, event.result);
       case 'runs-crashed':
         this.suspects.crashed(now, event.digests);
         return [];
@@ -158,7 +164,7 @@
       case 'unknown-key-shown':
         return this.askForKeys(now);
       case 'upstream-announced':
-        return this.announced(now, event);
+        return this.ownBox.announced(now, event.announcement);
       case 'peer-version-heard':
         return this.questions.versionHeard(
           now,
@@ -209,11 +215,10 @@
   /** What is due now, whatever has happened. */
   private goOn(now: number, random: RandomSource): readonly FleetAction[] {
     this.ownRecord.tick(now);
-    const gone = this.directory.expire(now);
     return [
       ...this.duty.goOn(now, random),
-      ...this.writeOwn(now),
-      ...gone.flatMap((box) => this.dropRecord(box)),
+      ...this.ownBox.write(now),
+      ...this.boxes.forget(now),
       ...this.questions.due(now, random),
     ];
   }
@@ -223,7 +228,7 @@
     const actions: FleetAction[] = [];
     if (this.suspects.takeHasMoreToTell()) {
       this.ownRecord.runsChanged(now, this.suspects.reports);
-      actions.push(...this.writeOwn(now));
+      actions.push(...this.ownBox.write(now));
     }
     if (this.runNews.hasUntold) {
       actions.push(...this.runNews.take(now));
@@ -305,57 +310,6 @@
     return actions;
   }
 
-  private announced(
-    now: number,
-    {announcement}: FleetEvent & {readonly kind: 'upstream-announced'},
-  ): readonly FleetAction[] {
-    const {identity, configuration} = this;
-    const problem = checkAnnouncement(announcement, identity, configuration);
-    if (problem !== undefined) {
-      return [{kind: 'announcement-refused', problem}];
-    }
-    const result = this.own.announced(now, announcement);
-    if (result.kind === 'refused') {
-      return [{kind: 'announcement-refused', problem: result.problem}];
-    }
-    const {upstream} = this.own;
-    if (result.kind === 'unchanged' || upstream === undefined) {
-      return [];
-    }
-    this.ownRecord.upstreamChanged(now, upstream);
-    return [{kind: 'upstream-changed', upstream}, ...this.writeOwn(now)];
-  }
-
-  /**
-   * The store keeps the newest record of each key for good, and boxes are replaced
-   * every day. Of the nodes that forget a box, one takes its record away.
-   */
-  private dropRecord(key: string): readonly FleetAction[] {
-    const rank = (box: string): number => stableHash(`${box} ${key}`);
-    const own = rank(this.identity.box);
-    const isFirst = this.directory.all().every(({box}) => rank(box) <= own);
-    return isFirst ? [{kind: 'drop-record', key}] : [];
-  }
-
-  /** What the store has of this box is to be known before it is written. */
-  private writeOwn(now: number): readonly FleetAction[] {
-    const mayWrite = this.start.isFirst || this.duty.hasReadBoxes;
-    const record = mayWrite ? this.ownRecord.nextWrite(now) : undefined;
-    return record === undefined ? [] : [{kind: 'write', record}];
-  }
-
-  private writeEnded(
-    now: number,
-    result: StoreResult<undefined>,
-  ): readonly FleetAction[] {
-    this.ownRecord.writeEnded(now, result);
-    if (result.ok) {
-      return [];
-    }
-    const {kind, detail} = result.failure;
-    return [note('own-record-not-written', this.identity.box, {kind, detail})];
-  }
-
   private learnFromPeer(
     now: number,
     address: string,
--- a/packages/node/src/process/fleetHost.ts
+++ b/packages/node/src/process/fleetHost.ts
@@ -2,28 +2,24 @@
 /** Drives the brains of a node in a declared fleet. */
 
 import {EntryBrain, GuardBrain} from '@lockpin/brain';
-import type {GuardEvent} from '@lockpin/brain';
 import {FleetBrain, FleetRouting, longestReadFor} from '@lockpin/fleet';
 import type {
   AnnouncementProblem,
   FleetAction,
   FleetEvent,
   FleetNews,
-  FollowedPeers,
   OwnUpstream,
-  PeerKnowledge,
   PeerQuestion,
   ReadConfiguration,
-  RecordStore,
   UpstreamAnnouncement,
 } from '@lockpin/fleet';
-import type {LimitMessage} from '@lockpin/limits';
 import type {LoadHint} from '@lockpin/routing';
-import type {Clock, RandomSource, Resource, Result} from '@lockpin/types';
+import type {Result} from '@lockpin/types';
 import {failure, incarnationText, success} from '@lockpin/utils';
 import {CustomerLimits} from './customerLimits.js';
 import type {DecisionLog} from './decisionLog.js';
 import {fleetEntrySettings} from './fleetEntrySettings.js';
+import type {FleetEnvironment, FleetHostListeners} from './fleetEnvironment.js';
 import {fleetGuardSettings} from './fleetGuardSettings.js';
 import type {FleetNodeSettings} from './fleetPorts.js';
 import {FleetKeys} from './fleetKeys.js';
@@ -43,46 +39,6 @@
 /** Numbers that tell the processes of a box apart, as far as their messages live. */
 const PROCESS_NUMBERS = 2 ** 32;
 
-/** All that the host needs of the world. */
-export interface FleetEnvironment {
-  readonly clock: Clock;
-  readonly random: RandomSource;
-  /** Suspension of this machine noticed since this was last asked, in milliseconds. */
-  readonly takeSuspension: () => number;
-  readonly every: (milliseconds: number, run: () => void) => () => void;
-  readonly store: RecordStore;
-  readonly askPeer: (
-    address: string,
-    question: PeerQuestion,
-    done: (knowledge: PeerKnowledge | undefined) => void,
-  ) => void;
-}
-
-/** What the host tells the rest of the process. */
-export interface FleetHostListeners {
-  readonly onGuardEvent: (event: GuardEvent) => void;
-  readonly onUpstreams: (upstreams: readonly Resource<'Upstream'>[]) => void;
-  readonly onVersion: (version: number) => void;
-  /** These nodes are to be followed from now on, and no others. */
-  readonly onFollow: (peers: FollowedPeers) => void;
-  /** For the nodes that follow this one. */
-  readonly onFollowerNews: (news: FleetNews) => void;
-  /** Limits are kept together with other boxes. */
-  readonly onLimitMessage: (box: string, message: LimitMessage) => void;
-  /** A box did not answer; the connection to it may be dead. */
-  readonly onSilence: (box: string) => void;
-  /** The guard here changed its mind about its upstream. */
-  readonly onStanding: (upstream: string, hint: LoadHint) => void;
-  /** For the nodes whose entries call here. */
-  readonly onEntryNews: (news: FleetNews) => void;
-  /** For the nodes at these addresses. */
-  readonly onNodeNews: (addresses: readonly string[], news: FleetNews) => void;
-  /** No upstream is to run this request. */
-  readonly onQuarantined: (requestDigest: string) => void;
-  /** The machine was suspended, and timers with it. */
-  readonly onSuspended: () => void;
-}
-
 /** Lives as long as the process. */
 export class FleetHost {
   readonly fleet: FleetBrain;
