--- a/packages/tools/src/faults/platformPromises.ts
+++ b/packages/tools/src/faults/platformPromises.ts
@@ -25,6 +25,7 @@
 const STATEMENTS = 'platform/src/__tests__/upstreamStatements.test.ts';
 const OWN = 'packages/fleet/src/__tests__/ownUpstream.test.ts';
 const WRITERS = 'packages/fleet/src/__tests__/otherWriters.test.ts';
+const ENDS = 'packages/brain/src/__tests__/crashedUpstreams.test.ts';
 const CLOCK = 'packages/utils/src/__tests__/countingClock.test.ts';
 const BUNDLE = 'platform/src/__tests__/bundle.test.ts';
 const SOAK = 'packages/tools/src/soak/__tests__/soak.test.ts';
@@ -206,7 +207,7 @@
     [STATEMENTS, 'takes work though its predecessor has drained or left'],
     [STATEMENTS, 'answers calls, and those of its predecessor end at once'],
     [OWN, 'is the newest process that was heard, in whatever order'],
-    [SLOTS, 'ends the calls of its predecessor at once, each truthfully'],
+    [ENDS, 'ends the calls of its predecessor at once, each truthfully'],
   ]),
   promise('what other writers write names nothing to use; the others hold', [
     [STATEMENTS, 'is refused by its field %s: %j'],
