--- /dev/null
+++ b/packages/fleet/src/__tests__/suspectReports.test.ts
@@ -0,0 +1,44 @@
+// Copyright (c) 2026 the lockpin contributors. MIT licence, see LICENSE.
+/** What a node tells of several suspects at once. */
+
+import {describe, expect, it} from 'vitest';
+import type {BoxRecord} from '../boxRecord.js';
+import {SuspectRequests} from '../suspectRequests.js';
+
+const NOW = 1000;
+
+function record(box: string, digests: readonly string[]): BoxRecord {
+  return {
+    box,
+    dataCentre: 'd1',
+    peerAddress: '10.0.0.1:80',
+    service: 's',
+    slots: 4,
+    takesWork: true,
+    coldUntil: 0,
+    statedAt: NOW,
+    runs: digests.map((digest) => ({digest, at: NOW, hasCrashed: true})),
+  };
+}
+
+describe('suspects of one moment', () => {
+  it('are all told of where they have ended well', () => {
+    const suspects = new SuspectRequests();
+    suspects.survived(NOW, 'a');
+    suspects.survived(NOW, 'b');
+    suspects.learn(NOW, record('b1', ['a', 'b']));
+    suspects.learn(NOW, record('b2', ['a', 'b']));
+    suspects.takeFindings(NOW);
+    const told = suspects.reports.filter(({hasCrashed}) => !hasCrashed);
+    expect(told.map(({digest}) => digest).sort()).toEqual(['a', 'b']);
+  });
+
+  it('are all told of when they end the upstream, one after the other', () => {
+    const suspects = new SuspectRequests();
+    suspects.crashed(NOW, ['a']);
+    suspects.crashed(NOW + 1, ['b']);
+    expect(suspects.reports.map(({digest}) => digest)).toEqual(['a', 'b']);
+    expect(suspects.takeHasMoreToTell()).toBe(true);
+    expect(suspects.takeHasMoreToTell()).toBe(false);
+  });
+});
