All suspects of one moment are told of; upstreams of all boxes call as one caller

Cause: a fact was noted by ||= of the call that makes it, which then was not made: of several suspects at once only the first was told of (found by reading; the test before failed). Calls without a key had another digest on each box. Reports kept of a suspect are the 16 newest, whatever their order was: 3 MB for a thousand suspects instead of 13.

--- a/packages/fleet/src/suspectRequests.ts
+++ b/packages/fleet/src/suspectRequests.ts
@@ -40,18 +40,18 @@
   /** The store has this of an earlier process of this box. */
   adopt(now: number, record: BoxRecord): void {
     this.learn(now, record);
-    this.hasMoreToTell ||= this.own.adopt(now, record.runs ?? []);
+    this.noteIf(this.own.adopt(now, record.runs ?? []));
   }
 
   /** The upstream here ended while it ran these. */
   crashed(now: number, digests: readonly string[]): void {
-    this.hasMoreToTell ||= this.own.crashed(now, digests);
+    this.noteIf(this.own.crashed(now, digests));
   }
 
   /** A run ended, and the upstream here lives. */
   survived(now: number, digest: string): void {
     const isAsked = this.quarantine.wantsSurvivals(digest);
-    this.hasMoreToTell ||= this.own.survived(now, digest, isAsked);
+    this.noteIf(this.own.survived(now, digest, isAsked));
   }
 
   /** What is newly known, for the log and for calls in hand. */
@@ -62,7 +62,7 @@
     }
     this.learnt = [];
     for (const standing of learnt.filter(isInQuestion)) {
-      this.hasMoreToTell ||= this.own.questioned(now, standing.digest);
+      this.noteIf(this.own.questioned(now, standing.digest));
     }
     return learnt.flatMap((standing) => findingOf(now, standing));
   }
@@ -73,6 +73,10 @@
     this.hasMoreToTell = false;
     return hasMoreToTell;
   }
+
+  private noteIf(isNews: boolean): void {
+    this.hasMoreToTell ||= isNews;
+  }
 }
 
 function findingOf(
--- a/packages/node/src/request/callerRequest.ts
+++ b/packages/node/src/request/callerRequest.ts
@@ -42,6 +42,8 @@
   readonly priority: number;
   /** The customer whose key the caller showed, as its upstream is told. */
   readonly keyOwner: string | undefined;
+  /** Who calls, as far as requests differ by it; the upstreams of all boxes are one. */
+  readonly caller: string;
   readonly path: string;
   readonly waitMilliseconds: number;
   readonly onceKey: OnceKey | undefined;
@@ -90,10 +92,12 @@
   if (!key.ok) {
     return key;
   }
+  const calling = callingCustomer(state, request, view);
   return success({
     view,
     route,
-    ...callingCustomer(state, request, view),
+    ...calling,
+    caller: calling.customer,
     priority: route.spec.priority,
     keyOwner: undefined,
     path,
--- a/packages/node/src/request/entryCall.ts
+++ b/packages/node/src/request/entryCall.ts
@@ -17,7 +17,7 @@
  */
 export function digestOf(
   {method = 'GET', headers}: IncomingMessage,
-  {onceKey, path, view, customer, keyOwner}: CallerRequest,
+  {onceKey, path, view, caller}: CallerRequest,
   body: ArrivedRequest['body'],
 ): string {
   const content = body.kind === 'held' ? body.bytes : body.beginning;
@@ -25,7 +25,7 @@
     return sha256Hex(`${method} ${path}\n${sha256Hex(content ?? '')}`);
   }
   const host = headers.host ?? '';
-  const call = [view.name, keyOwner ?? customer, method, host, path];
+  const call = [view.name, caller, method, host, path];
   const length = headers['content-length'] ?? '';
   const head = body.kind === 'held' ? call : [...call, 'streamed', length];
   return content === undefined ? '' : shortDigest(head, content, DIGEST_BYTES);
--- a/packages/quarantine/src/quarantine.ts
+++ b/packages/quarantine/src/quarantine.ts
@@ -24,8 +24,8 @@
 /** Requests watched at most; the ones reported last stay. */
 const MOST_SUSPECTS = 1000;
 
-/** Reports kept of one request; far more than decide about it. */
-const MOST_REPORTS_OF_SUSPECT = 64;
+/** Reports kept of one request, the newest: a thousand suspects take 3 MB then. */
+const MOST_REPORTS_OF_SUSPECT = 16;
 
 /** What is known of one request that was running when an upstream ended. */
 export interface SuspectStanding {
@@ -89,7 +89,7 @@
     // A clock that is ahead must not keep a request out for longer.
     const at = Math.min(report.at, now);
     suspect.reports.set(key, {...report, at});
-    dropFirstBeyond(suspect.reports, MOST_REPORTS_OF_SUSPECT);
+    dropOldest(suspect.reports);
     return true;
   }
 
@@ -134,6 +134,18 @@
   return {digest, crashes, survived, until};
 }
 
+/** The same reports stay, in whatever order they were heard. */
+function dropOldest(reports: Map<string, RunReport>): void {
+  if (reports.size <= MOST_REPORTS_OF_SUSPECT) {
+    return;
+  }
+  const [oldest] = [...reports].sort(
+    ([key, {at}], [other, {at: otherAt}]) =>
+      at - otherAt || (key < other ? -1 : 1),
+  );
+  reports.delete(oldest?.[0] ?? '');
+}
+
 /** Maps keep the order in which their keys came. */
 function dropFirstBeyond<K, V>(map: Map<K, V>, most: number): void {
   if (map.size > most) {
