--- a/packages/node/src/process/fleetHost.ts
+++ b/packages/node/src/process/fleetHost.ts
@@ -1,11 +1,12 @@
 // Copyright (c) 2026 the lockpin contributors. MIT licence, see LICENSE.
 /** Drives the brains of a node in a declared fleet. */
 
-import {EntryBrain, GuardBrain} from '@lockpin/brain';
-import {FleetBrain, FleetRouting, longestReadFor} from '@lockpin/fleet';
+import type {EntryBrain, GuardBrain} from '@lockpin/brain';
+import {FleetRouting} from '@lockpin/fleet';
 import type {
   AnnouncementProblem,
   FleetAction,
+  FleetBrain,
   FleetEvent,
   FleetNews,
   OwnUpstream,
@@ -16,18 +17,15 @@
 import type {LoadHint} from '@lockpin/routing';
 import type {Result} from '@lockpin/types';
 import {failure, incarnationText, success} from '@lockpin/utils';
+import type {GuardNews} from '../request/guardService.js';
 import {CustomerLimits} from './customerLimits.js';
 import type {DecisionLog} from './decisionLog.js';
-import {fleetEntrySettings} from './fleetEntrySettings.js';
+import {createCallBrains, createFleetBrain} from './fleetBrains.js';
 import type {FleetEnvironment, FleetHostListeners} from './fleetEnvironment.js';
-import {fleetGuardSettings} from './fleetGuardSettings.js';
 import type {FleetNodeSettings} from './fleetPorts.js';
 import {FleetKeys} from './fleetKeys.js';
-import {fleetRetryBudget} from './fleetRetryBudget.js';
 import {FleetStoreCalls} from './fleetStoreCalls.js';
-import {mechanismSwitch} from './mechanisms.js';
 import {ownUpstreamResource} from './ownUpstreamResource.js';
-import type {GuardNews} from '../request/guardService.js';
 import type {PeerPlace} from './peerTraffic.js';
 
 /**
@@ -63,47 +61,20 @@
     readConfiguration: ReadConfiguration,
     private readonly log: DecisionLog,
   ) {
-    const {box, dataCentre, peerAddress} = currentSettings;
-    this.fleet = new FleetBrain(
-      {box, dataCentre, peerAddress},
-      readConfiguration,
-      {
-        isFirst: currentSettings.isFirstStart,
-        dataCentres: currentSettings.dataCentres,
-        longestRead: longestReadFor(currentSettings.keys),
-      },
-    );
+    this.fleet = createFleetBrain(currentSettings, readConfiguration);
     this.store = new FleetStoreCalls(environment.store, log, (event) =>
       this.handle(event),
     );
-    const isOn = mechanismSwitch(currentSettings.switchedOff);
-    const quarantinedFor = isOn('quarantine')
-      ? (now: number, digest: string) =>
-          this.fleet.suspects.remaining(now, digest)
-      : () => 0;
-    const startedAt = environment.clock();
-    this.guard = new GuardBrain(
-      {box, incarnation},
-      fleetGuardSettings(isOn, {
-        createRetryBudget: (service) =>
-          fleetRetryBudget({
-            startedAt,
-            isFirstStart: currentSettings.isFirstStart,
-            retries: () => this.currentSettings.retries,
-            upstreams: () => this.fleet.directory.countOf(service),
-          }),
-        heldUpCalls: () => this.entry.heldUpCalls,
-        quarantinedFor,
-      }),
-    );
-    this.limits = this.createLimits(box);
+    const {guard, entry} = createCallBrains({
+      fleet: this.fleet,
+      incarnation,
+      startedAt: environment.clock(),
+      settings: () => this.currentSettings,
+    });
+    this.guard = guard;
+    this.entry = entry;
+    this.limits = this.createLimits(currentSettings.box);
     this.keys = this.createKeys();
-    this.entry = new EntryBrain(
-      box,
-      dataCentre,
-      {isUsable: () => true, incarnation: () => undefined},
-      fleetEntrySettings(isOn, {quarantinedFor}),
-    );
   }
 
   private createKeys(): FleetKeys {
