Tests of what a node believes after a minute of suspension, with a clock that counts it and one that stands still

Permits: 8 slots of upstreams not heard of for a minute would count as in service; retries: 100 calls from before would pay for one; once keys: those minted meanwhile would be refused as of the future.

--- a/packages/tools/src/faults/platformPromises.ts
+++ b/packages/tools/src/faults/platformPromises.ts
@@ -26,6 +26,7 @@
 const OWN = 'packages/fleet/src/__tests__/ownUpstream.test.ts';
 const WRITERS = 'packages/fleet/src/__tests__/otherWriters.test.ts';
 const ENDS = 'packages/brain/src/__tests__/crashedUpstreams.test.ts';
+const SUSPENSION = 'packages/node/src/__tests__/suspension.test.ts';
 const CLOCK = 'packages/utils/src/__tests__/countingClock.test.ts';
 const BUNDLE = 'platform/src/__tests__/bundle.test.ts';
 const SOAK = 'packages/tools/src/soak/__tests__/soak.test.ts';
@@ -219,7 +220,15 @@
   ]),
   promise(
     'a machine may be suspended',
-    [[CLOCK, 'counts a suspension of %i ms']],
+    [
+      [CLOCK, 'counts a suspension of %i ms'],
+      [
+        SUSPENSION,
+        'no upstream counts as in service that was not heard of since',
+      ],
+      [SUSPENSION, 'calls from before pay for no retry'],
+      [SUSPENSION, 'once keys that were minted meanwhile run'],
+    ],
     'no machine was suspended in a test of whole processes',
   ),
   promise('weights are kept', [
