Calls whose boxes are suspended for a minute or whose clocks are set: the fault matrix has them

Cause: the matrix of faults at every step of a call knew pauses that are shorter than a call, and one clock for all. Nothing broke: no once key ran twice, no refusal was untrue, each call ended once. So nothing is changed.

--- a/packages/brain/src/__tests__/__fixtures__/callWorld.ts
+++ b/packages/brain/src/__tests__/__fixtures__/callWorld.ts
@@ -30,6 +30,10 @@
   'link from the guard is cut',
   'guard is replaced',
   'guard is paused',
+  'box of the guard is suspended',
+  'box of the entry is suspended',
+  'clock of the guard is set back',
+  'clock of the guard is set forwards',
   'entry is replaced',
   'upstream is drained',
   'node leaves',
@@ -65,6 +69,12 @@
 const HOP = 1;
 const WORK = 10;
 const PAUSE = 150;
+
+/** Longer than any call may take. */
+const SUSPENSION = 60_000;
+
+/** What a clock is set by. */
+const CLOCK_STEP = 3_600_000;
 const REPEAT_AFTER = 20;
 const MOST_REPEATS = 3;
 
@@ -92,6 +102,9 @@
   private cutTo = false;
   private cutFrom = false;
   private pausedUntil = 0;
+  private entryWakesAt = 0;
+  /** How far the clock of the first guard is ahead. */
+  private guardAhead = 0;
 
   constructor(
     isOnce: boolean,
@@ -159,6 +172,18 @@
       case 'guard is paused':
         this.pausedUntil = this.now + PAUSE;
         break;
+      case 'box of the guard is suspended':
+        this.pausedUntil = this.now + SUSPENSION;
+        break;
+      case 'box of the entry is suspended':
+        this.entryWakesAt = this.now + SUSPENSION;
+        break;
+      case 'clock of the guard is set back':
+        this.guardAhead = -CLOCK_STEP;
+        break;
+      case 'clock of the guard is set forwards':
+        this.guardAhead = CLOCK_STEP;
+        break;
       case 'entry is replaced':
         this.replaceEntry('e1');
         break;
@@ -276,7 +301,13 @@
     );
   }
 
+  /** Only the first entry is suspended. */
   private tellEntry(id: string, event: EntryEvent): void {
+    const remaining = this.entryWakesAt - this.now;
+    if (remaining > 0 && id.startsWith('e1 ')) {
+      this.later(remaining, () => this.tellEntry(id, event));
+      return;
+    }
     const entry = this.entries.get(id.split(' ')[0] ?? '');
     const actions = entry?.handle(this.now, this.random, event) ?? [];
     actions.forEach((action) => this.performEntry(id, action));
@@ -346,7 +377,7 @@
         route: call.route.name,
         repetition: call.route.spec.repetition,
         priority: 5,
-        deadline: this.now + remaining,
+        deadline: this.guardClock(attempt.box) + remaining,
         attempt: attempt.number,
         retryShare: 1,
         onceKey: call.onceKey?.text,
@@ -358,6 +389,10 @@
     );
   }
 
+  private guardClock(box: string): number {
+    return this.now + (box === 'g1' ? this.guardAhead : 0);
+  }
+
   /** Only the first guard's links are cut, and only it is paused. */
   private toGuard(box: string, event: GuardEvent): void {
     if (this.cutTo && box === 'g1') {
@@ -372,7 +407,8 @@
       return;
     }
     const guard = this.guards.get(box);
-    const actions = guard?.handle(this.now, this.random, event) ?? [];
+    const now = this.guardClock(box);
+    const actions = guard?.handle(now, this.random, event) ?? [];
     actions.forEach((action) => this.performGuard(box, action));
   }
 
