What a box has given out keeps its age when its clock counts time that may not have passed

Cause: a gap between steady clock and time of day does not tell suspension from time of day that was set forwards. Counting it is right for what others lent to the box and wrong for what the box gave out: retries spent were forgotten, pools made tokens for time that did not pass, stores of other boxes were taken for lapsed, parts were lent a second time; and an hour set forwards cost a node the records of all other boxes, until it was started again.

Change: the clock calls back before it counts a gap. Budgets of retries, pools and lenders then move what they gave out by as much.

Each part is needed: without it its test fails (retries, tokens made, stores, lenders, new loans).

Weighed: a clock that stands still for what is given out and one that goes on for what is lent. It needs two times in every event of pools and guards; the move is one event. Time since boot alone: not there on machines without it, and a gap that it does not confirm may be a real one.

--- a/packages/brain/src/guard/guardBrain.ts
+++ b/packages/brain/src/guard/guardBrain.ts
@@ -128,6 +128,11 @@
       case 'leaving':
         this.isLeaving = true;
         return this.tellLeaving(now);
+      case 'clock-gained':
+        for (const {retries} of this.services.all()) {
+          retries.clockGained(event.milliseconds);
+        }
+        return [];
       case 'tick':
         return this.tick(now);
     }
--- a/packages/brain/src/guard/guardMessages.ts
+++ b/packages/brain/src/guard/guardMessages.ts
@@ -166,6 +166,8 @@
     }
   | {readonly kind: 'holders-read'}
   | {readonly kind: 'leaving'}
+  /** From here on the clock counts time that may not have passed. */
+  | {readonly kind: 'clock-gained'; readonly milliseconds: number}
   | {readonly kind: 'tick'};
 
 /** What a guard wants done. */
--- a/packages/limits/src/__tests__/__fixtures__/limitWorld.ts
+++ b/packages/limits/src/__tests__/__fixtures__/limitWorld.ts
@@ -138,6 +138,8 @@
   /** Time of day is set forwards on a box, which looks like a suspension there. */
   setForwards(box: Box, milliseconds: number): void {
     box.ahead += milliseconds;
+    box.client.clockGained(milliseconds);
+    box.pool.clockGained(milliseconds);
   }
 
   run(milliseconds: number): void {
--- /dev/null
+++ b/packages/limits/src/__tests__/clockGained.test.ts
@@ -0,0 +1,141 @@
+// Copyright (c) 2026 the lockpin contributors. MIT licence, see LICENSE.
+/**
+ * What pools and lenders have given out when their clock counts time that may not have
+ * passed: the time of day was set forwards, or the machine was suspended.
+ */
+
+import {describe, expect, it} from 'vitest';
+import {PoolLinks} from '../poolLinks.js';
+import {
+  LOAN_MILLISECONDS,
+  STOCK_MILLISECONDS,
+  TokenPool,
+} from '../tokenPool.js';
+import {PoolSet, poolsAmong} from '../poolPlacement.js';
+import type {Draw} from '../limitMessages.js';
+
+const CUSTOMER = 'customer';
+
+const POOL = 'pool-box';
+
+const LIMIT = {callsPerSecond: 20, burst: 20};
+
+const NOW = 1_000_000;
+
+/** Shorter than a loan, longer than a store is held for. */
+const GAIN = (LOAN_MILLISECONDS + STOCK_MILLISECONDS) / 2;
+
+const PROCESS = 1;
+
+function newPool(): TokenPool {
+  return new TokenPool({
+    box: POOL,
+    process: PROCESS,
+    limitOf: () => LIMIT,
+    rules: () => ({windowMilliseconds: 5000, overage: 0.1, slack: 20}),
+    boxes: () => 1,
+  });
+}
+
+function draw(stock: number): Draw {
+  return {customer: CUSTOMER, held: 0, waiting: 0, stock, returned: 0};
+}
+
+/** Lends all limits to the pool and draws from it. */
+function ask(
+  pool: TokenPool,
+  now: number,
+  box: string,
+  draws: readonly Draw[],
+): number {
+  const pools = new PoolSet([POOL]);
+  const reply = pool.answer(now, {
+    kind: 'limit-request',
+    box,
+    loan: {
+      since: {process: PROCESS, at: now},
+      boxes: 1,
+      poolsDigest: pools.digest,
+      pools: pools.names,
+    },
+    draws,
+  });
+  return reply.grants[0]?.tokens ?? 0;
+}
+
+/** Lends for as long as it takes until the pool has all tokens that it may have. */
+function fill(pool: TokenPool): number {
+  let now = NOW;
+  for (let i = 0; i < 20; i += 1) {
+    now += 1000;
+    ask(pool, now, 'lender', []);
+    pool.tick(now);
+  }
+  return now;
+}
+
+/** Tokens of a full pool that a box has, and those that another one gets afterwards. */
+function tokensAround(gain: number, isTold: boolean): number {
+  const pool = newPool();
+  const filled = fill(pool);
+  const stored = ask(pool, filled, 'first', [draw(100)]);
+  if (isTold) {
+    pool.clockGained(gain);
+  }
+  const now = filled + gain + 100;
+  pool.tick(now);
+  return stored + ask(pool, now, 'second', [draw(100)]);
+}
+
+describe('a pool whose clock counts time that may not have passed', () => {
+  it('does not give out anew what boxes may still have in store', () => {
+    const inTenthOfSecond = tokensAround(0, true);
+    expect(tokensAround(GAIN, true)).toBeLessThanOrEqual(inTenthOfSecond);
+    expect(tokensAround(GAIN, false)).toBeGreaterThan(inTenthOfSecond);
+  });
+
+  it('makes no tokens out of loans that have just begun', () => {
+    const tokensAfter = (isTold: boolean): number => {
+      const pool = newPool();
+      ask(pool, NOW, 'lender', []);
+      if (isTold) {
+        pool.clockGained(GAIN);
+      }
+      return ask(pool, NOW + GAIN, 'lender', [draw(100)]);
+    };
+    expect(tokensAfter(true)).toBe(0);
+    expect(tokensAfter(false)).toBeGreaterThan(5);
+  });
+});
+
+/** Pools that a box uses after one of two that it lent to has fallen silent. */
+function poolsAfterSilence(isTold: boolean): number {
+  const links = new PoolLinks('lender');
+  const boxes = ['a', 'b', 'c', 'lender'];
+  const fleet = {boxes: boxes.length, candidates: boxes};
+  const names = poolsAmong(boxes);
+  const hear = (now: number, box: string): void => {
+    const moment = {process: PROCESS, at: now};
+    const {digest} = links.inUse;
+    const reply = {box, moment, poolsDigest: digest, lacksPools: false};
+    links.heard(now, {kind: 'limit-reply', ...reply, grants: []});
+  };
+  for (let i = 0; i < 4; i += 1) {
+    links.tick(NOW + i * 1000, fleet);
+    names.forEach((name) => hear(NOW + i * 1000, name));
+  }
+  const now = NOW + 4000;
+  links.wasSilent(names[0] ?? '');
+  if (isTold) {
+    links.clockGained(2 * LOAN_MILLISECONDS);
+  }
+  links.tick(now + 2 * LOAN_MILLISECONDS, fleet);
+  return links.inUse.names.length;
+}
+
+describe('a lender whose clock counts time that may not have passed', () => {
+  it('leaves its part with a silent pool for as long as the loan lasts', () => {
+    expect(poolsAfterSilence(true)).toBe(2);
+    expect(poolsAfterSilence(false)).toBe(1);
+  });
+});
--- a/packages/limits/src/limitClient.ts
+++ b/packages/limits/src/limitClient.ts
@@ -118,6 +118,11 @@
     ];
   }
 
+  /** The clock counts this much more time from here on, which may not have passed. */
+  clockGained(milliseconds: number): void {
+    this.links.clockGained(milliseconds);
+  }
+
   /** A call that was admitted has run nowhere, and will not. */
   notRun(now: number, customer: string): void {
     this.customers.get(customer)?.putBack(now);
--- a/packages/limits/src/poolLinks.ts
+++ b/packages/limits/src/poolLinks.ts
@@ -130,6 +130,17 @@
     return found;
   }
 
+  /**
+   * The clock counts this much more time from here on, which may not have passed: what
+   * was lent is not yet free to be lent to others.
+   */
+  clockGained(milliseconds: number): void {
+    for (const link of this.links.values()) {
+      link.lentUntil += milliseconds;
+      link.earlierUntil += milliseconds;
+    }
+  }
+
   /** Whom to tell now. */
   tick(now: number, fleet: LimitFleet): readonly PoolVisit[] {
     this.boxes = fleet.boxes;
--- a/packages/limits/src/tokenPool.ts
+++ b/packages/limits/src/tokenPool.ts
@@ -117,6 +117,23 @@
     }
   }
 
+  /**
+   * The clock counts this much more time from here on, which may not have passed: no
+   * tokens are made for it, and those in boxes' stores are not taken for lapsed.
+   */
+  clockGained(milliseconds: number): void {
+    for (const [box, lender] of this.lenders) {
+      const begunAt = lender.begunAt + milliseconds;
+      this.lenders.set(box, {...lender, begunAt});
+    }
+    for (const account of this.accounts.values()) {
+      account.refilledAt += milliseconds;
+      for (const [box, {tokens, until}] of account.stocks) {
+        account.stocks.set(box, {tokens, until: until + milliseconds});
+      }
+    }
+  }
+
   /** Sets that no lender goes by any more; one that does names them again. */
   private forgetPoolSets(): void {
     if (this.poolSets.size <= MOST_POOL_SETS) {
--- a/packages/node/src/__tests__/suspension.test.ts
+++ b/packages/node/src/__tests__/suspension.test.ts
@@ -25,6 +25,7 @@
   private readonly counting = new CountingClock({
     steady: () => this.ran,
     timeOfDay: () => EPOCH + this.ran + this.slept,
+    sinceBoot: () => this.ran + this.slept,
   });
 
   /** A clock that goes on while the machine is suspended. */
--- a/packages/node/src/process/customerLimits.ts
+++ b/packages/node/src/process/customerLimits.ts
@@ -73,6 +73,12 @@
     customers.forEach((customer) => this.client.limitChanged(customer));
   }
 
+  /** The clock counts this much more time from here on, which may not have passed. */
+  clockGained(milliseconds: number): void {
+    this.client.clockGained(milliseconds);
+    this.pool.clockGained(milliseconds);
+  }
+
   /** Time goes on. */
   tick(): void {
     this.pool.tick(this.now);
--- a/packages/node/src/process/fleetComposition.ts
+++ b/packages/node/src/process/fleetComposition.ts
@@ -7,7 +7,7 @@
 import type {PeerKnowledge, PeerQuestion} from '@lockpin/fleet';
 import type {Logger} from '@lockpin/logger';
 import {makeIncarnation} from '@lockpin/once';
-import {FIRST_FAILED_STATUS, steadyClock, takeSuspension} from '@lockpin/utils';
+import {FIRST_FAILED_STATUS, onClockGain, steadyClock} from '@lockpin/utils';
 import {PeerChannels} from '../connection/peerChannels.js';
 import {PeerServer} from '../connection/peerServer.js';
 import {UpstreamPools} from '../connection/upstreamPools.js';
@@ -106,7 +106,7 @@
     {
       clock: steadyClock,
       random: Math.random,
-      takeSuspension,
+      onClockGain,
       every,
       store,
       askPeer: (address, question, done) =>
--- a/packages/node/src/process/fleetEnvironment.ts
+++ b/packages/node/src/process/fleetEnvironment.ts
@@ -12,13 +12,14 @@
 import type {LimitMessage} from '@lockpin/limits';
 import type {LoadHint} from '@lockpin/routing';
 import type {Clock, RandomSource, Resource} from '@lockpin/types';
+import type {GainListener} from '@lockpin/utils';
 
 /** All that the host needs of the world. */
 export interface FleetEnvironment {
   readonly clock: Clock;
   readonly random: RandomSource;
-  /** Suspension of this machine noticed since this was last asked, in milliseconds. */
-  readonly takeSuspension: () => number;
+  /** Calls back with each suspension that the clock counts; returns what ends that. */
+  readonly onClockGain: (listener: GainListener) => () => void;
   readonly every: (milliseconds: number, run: () => void) => () => void;
   readonly store: RecordStore;
   readonly askPeer: (
--- a/packages/node/src/process/fleetHost.ts
+++ b/packages/node/src/process/fleetHost.ts
@@ -48,6 +48,9 @@
   private currentRouting: FleetRouting | undefined;
   private listeners: FleetHostListeners | undefined;
   private stopTicking: (() => void) | undefined;
+  private stopHearingGains: (() => void) | undefined;
+  /** Suspension that the calls in hand were not looked through for, in milliseconds. */
+  private suspended = 0;
   private isFinishing = false;
   /** Statements of upstreams that were refused since the start. */
   refusedAnnouncements = 0;
@@ -145,8 +148,11 @@
 
   start(listeners: FleetHostListeners): void {
     this.listeners = listeners;
+    this.stopHearingGains = this.environment.onClockGain((milliseconds) =>
+      this.clockGained(milliseconds),
+    );
     this.stopTicking = this.environment.every(TICK_MILLISECONDS, () => {
-      this.noteSuspension();
+      this.reviewDeadlines();
       this.tick();
       // Boxes lend before the first limit is declared, so that it can be kept at once.
       if (this.currentRouting?.customers.asksForKeys) {
@@ -157,13 +163,20 @@
     this.tick();
   }
 
+  /** Called while the clock is read: no time that counts the gain was seen before. */
+  private clockGained(milliseconds: number): void {
+    this.suspended += milliseconds;
+    this.limits.clockGained(milliseconds);
+    this.listeners?.onGuardEvent({kind: 'clock-gained', milliseconds});
+  }
+
   /** The clock counts suspension, timers do not: what is overdue ends now. */
-  private noteSuspension(): void {
-    const milliseconds = this.environment.takeSuspension();
-    if (milliseconds > 0) {
+  private reviewDeadlines(): void {
+    if (this.suspended > 0) {
       this.log.event('machine-suspended', {
-        milliseconds: Math.round(milliseconds),
+        milliseconds: Math.round(this.suspended),
       });
+      this.suspended = 0;
       this.listeners?.onSuspended();
     }
   }
@@ -174,6 +187,7 @@
 
   stop(): void {
     this.stopTicking?.();
+    this.stopHearingGains?.();
   }
 
   /** The guard refuses new calls from here on; entries go elsewhere at once. */
--- a/packages/routing/src/retryBudget.ts
+++ b/packages/routing/src/retryBudget.ts
@@ -14,6 +14,11 @@
   readonly hasRetry: (now: number) => boolean;
   /** Takes one retry, or says that there is none. */
   readonly takeRetry: (now: number) => boolean;
+  /**
+   * The clock counts this much more time from here on, which may not have passed: what
+   * was spent must not be forgotten for it.
+   */
+  readonly clockGained: (milliseconds: number) => void;
 }
 
 /** Lets a fixed share of calls be retried, with a small reserve. */
@@ -47,6 +52,9 @@
     this.saved -= 1;
     return true;
   }
+
+  /** What is saved does not age. */
+  clockGained(): void {}
 }
 
 /** For an entry whose guards pay for retries: it takes whatever they let it. */
@@ -55,6 +63,7 @@
   repeatArrived: () => undefined,
   hasRetry: () => true,
   takeRetry: () => true,
+  clockGained: () => undefined,
 };
 
 /** Pays for nothing. */
@@ -63,4 +72,5 @@
   repeatArrived: () => undefined,
   hasRetry: () => false,
   takeRetry: () => false,
+  clockGained: () => undefined,
 };
--- a/packages/routing/src/windowedRetryBudget.ts
+++ b/packages/routing/src/windowedRetryBudget.ts
@@ -54,6 +54,14 @@
     this.retries.push(now);
     return true;
   }
+
+  /**
+   * Retries keep their age, calls grow older: else the fixed number could be spent twice
+   * in a window when the time of day is set forwards.
+   */
+  clockGained(milliseconds: number): void {
+    this.retries = this.retries.map((at) => at + milliseconds);
+  }
 }
 
 /** The times after a moment; times are in rising order. */
--- a/packages/tools/src/faults/platformPromises.ts
+++ b/packages/tools/src/faults/platformPromises.ts
@@ -27,6 +27,11 @@
 const WRITERS = 'packages/fleet/src/__tests__/otherWriters.test.ts';
 const ENDS = 'packages/brain/src/__tests__/crashedUpstreams.test.ts';
 const SUSPENSION = 'packages/node/src/__tests__/suspension.test.ts';
+const CALLS = 'packages/brain/src/__tests__/callFaults.test.ts';
+const RETRIES = 'packages/routing/src/__tests__/retriesThroughGaps.test.ts';
+const CLOCK_GAIN = 'packages/limits/src/__tests__/clockGained.test.ts';
+const LIMITS_THROUGH_FAULTS =
+  'packages/limits/src/__tests__/limitWorld.test.ts';
 const CLOCK = 'packages/utils/src/__tests__/countingClock.test.ts';
 const BUNDLE = 'platform/src/__tests__/bundle.test.ts';
 const SOAK = 'packages/tools/src/soak/__tests__/soak.test.ts';
@@ -228,9 +233,25 @@
       ],
       [SUSPENSION, 'calls from before pay for no retry'],
       [SUSPENSION, 'once keys that were minted meanwhile run'],
+      [CALLS, 'stays true when %s, at every step'],
+      [LIMITS_THROUGH_FAULTS, 'never let more through, seed %i'],
+      [
+        RETRIES,
+        'stay within their share through suspensions and steps of the clock',
+      ],
     ],
     'no machine was suspended in a test of whole processes',
   ),
+  promise('time of day may be set', [
+    [CLOCK, 'does not move with time of day that is set forwards by an hour'],
+    [CLOCK_GAIN, 'does not give out anew what boxes may still have in store'],
+    [
+      CLOCK_GAIN,
+      'leaves its part with a silent pool for as long as the loan lasts',
+    ],
+    [LIMITS_THROUGH_FAULTS, 'make no tokens for time that did not pass'],
+    [CALLS, 'stays true when %s and another fault comes too'],
+  ]),
   promise('weights are kept', [
     [
       ROUTES,
--- a/packages/utils/src/steadyClock.ts
+++ b/packages/utils/src/steadyClock.ts
@@ -1,11 +1,14 @@
 // Copyright (c) 2026 the lockpin contributors. MIT licence, see LICENSE.
 /** The clock of this process, for all that is measured from one moment to another. */
 
+import {uptime} from 'node:os';
 import {CountingClock} from './countingClock.js';
+import type {GainListener} from './countingClock.js';
 
 const CLOCK = new CountingClock({
   steady: () => performance.now(),
   timeOfDay: () => Date.now(),
+  sinceBoot: () => uptime() * 1000,
 });
 
 /**
@@ -17,7 +20,7 @@
   return CLOCK.now();
 }
 
-/** Suspension of this machine that was noticed since this was last asked. */
-export function takeSuspension(): number {
-  return CLOCK.takeSuspension();
+/** Calls back with each suspension of this machine; returns what ends that. */
+export function onClockGain(listener: GainListener): () => void {
+  return CLOCK.onGain(listener);
 }
