Sight: a version that is told of and late, and reads that the store leaves hanging

A node now says once of each awaited version that it is late, with tellers, questions and unanswered ones, and names reads that ended unanswered after a second or more. No decision changes.

--- a/packages/fleet/src/__tests__/fleetBrain.test.ts
+++ b/packages/fleet/src/__tests__/fleetBrain.test.ts
@@ -222,6 +222,39 @@
     expect(kinds(world.tell(heard))).toEqual(['ask-peer']);
   });
 
+  it('is noted once when it is late, with who told of it and what became of questions', () => {
+    const world = new World();
+    world.tick();
+    world.read('configuration', [stored(1)]);
+    world.read('boxes', []);
+    world.tell({kind: 'peer-version-heard', address: FAR, version: 2});
+    world.tick(600);
+    world.tell({kind: 'peer-version-heard', address: NEAR, version: 3});
+    world.tell({kind: 'peer-replied', address: FAR, knowledge: undefined});
+    const notes = [world.tick(200), world.tick(400), world.tick(400)].flatMap(
+      (actions) =>
+        actions.filter(
+          (action) =>
+            action.kind === 'note' && action.event === 'configuration-late',
+        ),
+    );
+    expect(notes).toEqual([
+      {
+        kind: 'note',
+        event: 'configuration-late',
+        subject: '3',
+        detail: {
+          inForce: 1,
+          firstTold: FAR,
+          milliseconds: 1200,
+          tellers: 2,
+          questions: 2,
+          unanswered: 1,
+        },
+      },
+    ]);
+  });
+
   it('asks peers by itself while the store is lost', () => {
     const world = new World();
     world.tick();
@@ -283,6 +316,20 @@
   });
 });
 
+describe('a read that the store leaves hanging', () => {
+  it('is noted with how long it hung', () => {
+    const world = new World();
+    world.tick();
+    world.now += 2500;
+    expect(world.fail('boxes', 'unavailable')).toContainEqual({
+      kind: 'note',
+      event: 'store-read-hung',
+      subject: 'boxes',
+      detail: {kind: 'unavailable', detail: '', milliseconds: 2500},
+    });
+  });
+});
+
 describe('the own record', () => {
   it('is written once the upstream has announced itself', () => {
     const world = new World();
--- a/packages/fleet/src/fleetBrain.ts
+++ b/packages/fleet/src/fleetBrain.ts
@@ -173,7 +173,7 @@
           event.version,
         );
       case 'peer-replied':
-        this.peers.ended(event.address);
+        this.questions.ended(event.address, event.knowledge !== undefined);
         return this.learnFromPeer(now, event.address, event.knowledge);
     }
   }
--- a/packages/fleet/src/peerQuestions.ts
+++ b/packages/fleet/src/peerQuestions.ts
@@ -8,6 +8,7 @@
 import type {OwnRecord} from './ownRecord.js';
 import type {PeerAsking} from './peerAsking.js';
 import type {StoreDuty} from './storeDuty.js';
+import {VersionWatch} from './versionWatch.js';
 
 /** What a question is about. */
 type Wanted = 'configuration' | 'with-boxes';
@@ -23,14 +24,18 @@
 
 /** Asks for what neither the store nor a reader has brought. */
 export class PeerQuestions {
+  private readonly watch = new VersionWatch();
+
   constructor(private readonly context: PeerQuestionsContext) {}
 
   /** The questions that are due now. */
   due(now: number, random: RandomSource): readonly FleetAction[] {
     const overdue = this.context.peers.overdue(now);
-    return [overdue, this.peerInsteadOfStore(now, random)].flatMap((address) =>
-      address === undefined ? [] : this.ask(address, this.wanted(now)),
+    const asked = [overdue, this.peerInsteadOfStore(now, random)].flatMap(
+      (address) =>
+        address === undefined ? [] : this.ask(address, this.wanted(now)),
     );
+    return [...asked, ...this.watch.due(now, this.context.inForce.version)];
   }
 
   /** A peer told the version that is in force there. */
@@ -41,6 +46,7 @@
     version: number,
   ): readonly FleetAction[] {
     const {duty, inForce, peers} = this.context;
+    this.watch.heard(now, address, version, inForce.version);
     if (!duty.hasReadBoxes) {
       // All peers that call a node that has just started tell it their versions.
       return peers.isAsking ? [] : this.ask(address, 'with-boxes');
@@ -61,6 +67,7 @@
     if (!peers.begin(address)) {
       return [];
     }
+    this.watch.asked();
     const question: PeerQuestion = {
       version: inForce.version,
       boxesDigest: wanted === 'with-boxes' ? directory.digest : undefined,
@@ -69,6 +76,14 @@
     return [{kind: 'ask-peer', address, question}];
   }
 
+  /** A peer replied, or did not answer in time. */
+  ended(address: string, hasAnswered: boolean): void {
+    this.context.peers.ended(address);
+    if (!hasAnswered) {
+      this.watch.unanswered();
+    }
+  }
+
   /** Peers stand in for a store that does not answer here, or takes no record. */
   private peerInsteadOfStore(
     now: number,
--- a/packages/fleet/src/storeReading.ts
+++ b/packages/fleet/src/storeReading.ts
@@ -4,13 +4,21 @@
 import type {RandomSource} from '@lockpin/types';
 import type {FleetAction} from './fleetMessages.js';
 import {note} from './fleetNote.js';
-import type {RecordPage, RecordStream, StoreResult} from './recordStore.js';
+import type {
+  RecordPage,
+  RecordStream,
+  StoreFailure,
+  StoreResult,
+} from './recordStore.js';
 import {StreamFollower} from './streamFollower.js';
 import type {FirstRead} from './streamFollower.js';
 
 /** Failed reads in a row after which the store counts as lost. */
 const FAILURES_TO_LOSE_STORE = 2;
 
+/** A read that ends without an answer after this long was left hanging. */
+const HUNG_MILLISECONDS = 1000;
+
 /**
  * When a fleet starts for the first time no box has written yet. Upstreams announce
  * themselves within 1.5 s of their start; one read after that finds them all.
@@ -28,6 +36,10 @@
 /** Follows both streams; notes when the store is lost, and regained. */
 export class StoreReading {
   private readonly followers: Readonly<Record<RecordStream, StreamFollower>>;
+  private readonly begunAt: Record<RecordStream, number> = {
+    configuration: 0,
+    boxes: 0,
+  };
   private hasLostStore = false;
   private lastAnswerAt: number | undefined;
 
@@ -73,9 +85,11 @@
     random: RandomSource,
     {isFollowing, readers}: ReadingPart,
   ): readonly FleetAction[] {
-    return Object.values(this.followers)
+    const reads = Object.values(this.followers)
       .filter((follower) => isFollowing || !follower.hasRead)
       .flatMap((follower) => follower.due(now, random, readers) ?? []);
+    reads.forEach(({stream}) => (this.begunAt[stream] = now));
+    return reads;
   }
 
   /** Takes in the end of a read; says what is to be noted of it. */
@@ -93,12 +107,24 @@
       this.hasLostStore = false;
       return wasLost ? [note('store-regained', stream, {})] : [];
     }
-    const {failureCount} = follower;
+    const {kind, detail} = result.failure;
+    const milliseconds = Math.round(now - this.begunAt[stream]);
+    const hung =
+      milliseconds < HUNG_MILLISECONDS
+        ? []
+        : [note('store-read-hung', stream, {kind, detail, milliseconds})];
+    return [...hung, ...this.loss(stream, result.failure)];
+  }
+
+  private loss(
+    stream: RecordStream,
+    {kind, detail}: StoreFailure,
+  ): readonly FleetAction[] {
+    const {failureCount} = this.followers[stream];
     if (this.hasLostStore || failureCount < FAILURES_TO_LOSE_STORE) {
       return [];
     }
     this.hasLostStore = true;
-    const {kind, detail} = result.failure;
     return [note('store-lost', stream, {kind, detail, failureCount})];
   }
 }
