--- a/packages/fleet/src/__tests__/__fixtures__/fleetWorld.ts
+++ b/packages/fleet/src/__tests__/__fixtures__/fleetWorld.ts
@@ -30,6 +30,12 @@
 /** A question to a peer is given up after this. */
 const QUESTION_MILLISECONDS = 2500;
 
+/** A call to a store that says nothing is given up after this. */
+const CALL_MILLISECONDS = 2500;
+
+/** A long poll of it, after its wait and this. */
+const POLL_ALLOWANCE_MILLISECONDS = 1500;
+
 /** Later than any played time, and apart from 0. */
 const EPOCH = 1_000_000;
 
@@ -55,7 +61,8 @@
   readonly life: number;
   readonly stream: RecordStream;
   readonly from: number;
-  readonly until: number;
+  /** The connection was open while the store was silent: nothing comes on it. */
+  isLost: boolean;
 }
 
 interface Timed {
@@ -90,6 +97,7 @@
 /** Plays events in order of time. */
 export class FleetWorld {
   storeIsDown = false;
+  private storeIsSilent = false;
   /** Whether each node's entry has a stream to each guard, or to none. */
   entriesHear = false;
   storeCalls = 0;
@@ -237,9 +245,26 @@
     this.node(box).isTurnedAway = true;
   }
 
+  /**
+   * The store answers no call from now on. What is on its way to it then, and what is
+   * sent before it speaks again, is never answered.
+   */
+  silenceStore(): void {
+    this.storeIsSilent = true;
+    this.polls.forEach((poll) => {
+      poll.isLost = true;
+    });
+  }
+
+  /** The store answers calls that are made from now on. */
+  letStoreSpeak(): void {
+    this.storeIsSilent = false;
+  }
+
   /** Everything works again, and every node runs. */
   heal(): void {
     this.storeIsDown = false;
+    this.storeIsSilent = false;
     this.nodes.forEach((node) => {
       node.isReachable = {incoming: true, outgoing: true};
       node.isTurnedAway = false;
@@ -387,7 +412,9 @@
   private perform(node: Node, action: FleetAction): void {
     switch (action.kind) {
       case 'read-newest':
-        this.call(node, action.stream, () => this.newest(action.stream));
+        this.call(node, action.stream, CALL_MILLISECONDS, () =>
+          this.newest(action.stream),
+        );
         break;
       case 'follow':
         this.poll(node, action);
@@ -501,14 +528,16 @@
   private call(
     node: Node,
     stream: RecordStream,
+    patience: number,
     answer: () => StoreResult<RecordPage>,
   ): void {
     const life = node.life;
+    const isLost = this.storeIsSilent;
     node.calls += 1;
     this.storeCalls += 1;
-    this.in(2 * TRIP_MILLISECONDS, () => {
+    this.in(isLost ? patience : 2 * TRIP_MILLISECONDS, () => {
       if (node.life === life) {
-        const result = this.refuses(node) ? refused() : answer();
+        const result = isLost || this.refuses(node) ? refused() : answer();
         this.tell(node, {kind: 'read-ended', stream, result});
       }
     });
@@ -530,16 +559,18 @@
     node: Node,
     {stream, from, waitMilliseconds}: FleetAction & {readonly kind: 'follow'},
   ): void {
+    const patience = waitMilliseconds + POLL_ALLOWANCE_MILLISECONDS;
     if (this.refuses(node) || this.logs[stream].length > from) {
-      this.call(node, stream, () => this.after(stream, from));
+      this.call(node, stream, patience, () => this.after(stream, from));
       return;
     }
     node.calls += 1;
     this.storeCalls += 1;
-    const until = this.now + waitMilliseconds;
-    const poll = {node, life: node.life, stream, from, until};
+    const isLost = this.storeIsSilent;
+    const poll: Poll = {node, life: node.life, stream, from, isLost};
     this.polls.push(poll);
     this.in(waitMilliseconds, () => this.endPoll(poll));
+    this.in(patience, () => this.giveUp(poll));
   }
 
   private after(stream: RecordStream, from: number): StoreResult<RecordPage> {
@@ -548,15 +579,27 @@
   }
 
   private endPoll(poll: Poll): void {
+    if (poll.isLost) {
+      return;
+    }
+    const {node, stream, from} = poll;
+    this.finish(poll, () =>
+      this.refuses(node) ? refused() : this.after(stream, from),
+    );
+  }
+
+  private giveUp(poll: Poll): void {
+    this.finish(poll, refused);
+  }
+
+  private finish(poll: Poll, answer: () => StoreResult<RecordPage>): void {
     if (!this.polls.includes(poll)) {
       return;
     }
     this.polls = this.polls.filter((other) => other !== poll);
-    const {node, life, stream, from} = poll;
+    const {node, life, stream} = poll;
     if (node.life === life) {
-      const isRefused = this.refuses(node);
-      const result = isRefused ? refused() : this.after(stream, from);
-      this.tell(node, {kind: 'read-ended', stream, result});
+      this.tell(node, {kind: 'read-ended', stream, result: answer()});
     }
   }
 
@@ -564,8 +607,9 @@
     const life = node.life;
     node.calls += 1;
     this.storeCalls += 1;
-    this.in(2 * TRIP_MILLISECONDS, () => {
-      const isRefused = this.refuses(node);
+    const isLost = this.storeIsSilent;
+    this.in(isLost ? CALL_MILLISECONDS : 2 * TRIP_MILLISECONDS, () => {
+      const isRefused = isLost || this.refuses(node);
       if (!isRefused) {
         this.append('boxes', record);
       }
