--- a/packages/node/src/process/fleetHost.ts
+++ b/packages/node/src/process/fleetHost.ts
@@ -205,10 +205,7 @@
   announced(
     announcement: UpstreamAnnouncement,
   ): Result<undefined, AnnouncementProblem> {
-    const {clock, random} = this.environment;
-    const event = {kind: 'upstream-announced', announcement} as const;
-    const actions = this.fleet.handle(clock(), random, event);
-    actions.forEach((action) => this.perform(action));
+    const actions = this.handle({kind: 'upstream-announced', announcement});
     const refused = actions.find(({kind}) => kind === 'announcement-refused');
     return refused?.kind === 'announcement-refused'
       ? failure(refused.problem)
@@ -262,11 +259,11 @@
     this.entry.loads.heard(upstream, this.environment.clock(), hint);
   }
 
-  private handle(event: FleetEvent): void {
+  private handle(event: FleetEvent): readonly FleetAction[] {
     const {clock, random} = this.environment;
-    for (const action of this.fleet.handle(clock(), random, event)) {
-      this.perform(action);
-    }
+    const actions = this.fleet.handle(clock(), random, event);
+    actions.forEach((action) => this.perform(action));
+    return actions;
   }
 
   private perform(action: FleetAction): void {
