Tests of versions that are told of while a question is open, or whose question is lost; they fail

Symptom: a box that is told of a newer version by one peer only stays at the older one until somebody tells it again: with the next change, or a reader's report.

--- a/packages/fleet/src/__tests__/fleetBrain.test.ts
+++ b/packages/fleet/src/__tests__/fleetBrain.test.ts
@@ -276,6 +276,50 @@
     ]);
   });
 
+  /*
+   * Found while looking for what else may keep a confirmed change from a box: a peer told
+   * of version 2 and was asked for it, told of 3 before it had answered, and answered with
+   * 2. Nobody told of 3 again, and the box stayed at 2 until the next change.
+   */
+  it('is asked for when it was told of while the teller had a question open', () => {
+    const world = new World();
+    world.tick();
+    const far = other({box: 'b3', peerAddress: FAR, dataCentre: 'd2'});
+    world.read('configuration', [stored(1)]);
+    world.read('boxes', [{key: far.box, value: writeBoxRecord(far)}]);
+    world.announceAsReader();
+    const tell = (version: number) =>
+      world.tell({kind: 'peer-version-heard', address: FAR, version});
+    tell(2);
+    expect(kinds(world.tick(1000))).toContain('ask-peer');
+    tell(3);
+    world.tell({
+      kind: 'peer-replied',
+      address: FAR,
+      knowledge: {configuration: configuration(2), boxes: []},
+    });
+    const asked = [world.tick(500), world.tick(500)].flat();
+    expect(asked).toContainEqual(
+      expect.objectContaining({kind: 'ask-peer', address: FAR}),
+    );
+  });
+
+  it('is asked for again when the question was lost and nobody else knows it', () => {
+    const world = new World();
+    world.tick();
+    const far = other({box: 'b3', peerAddress: FAR, dataCentre: 'd2'});
+    world.read('configuration', [stored(1)]);
+    world.read('boxes', [{key: far.box, value: writeBoxRecord(far)}]);
+    world.announceAsReader();
+    world.tell({kind: 'peer-version-heard', address: FAR, version: 2});
+    expect(kinds(world.tick(1000))).toContain('ask-peer');
+    world.tell({kind: 'peer-replied', address: FAR, knowledge: undefined});
+    const asked = [world.tick(500), world.tick(500)].flat();
+    expect(asked).toContainEqual(
+      expect.objectContaining({kind: 'ask-peer', address: FAR}),
+    );
+  });
+
   it('asks peers by itself while the store is lost', () => {
     const world = new World();
     world.tick();
