What peers told of is kept until it is in force

Callers could be served by an older configuration until the next change. Cause: a version that one peer told of was forgotten when that peer had a question open, when any other newer version came, and when the question for it was lost; peers tell of a version once. Class: an event that is used up before what it asks for is done. Change: told versions are kept by peer until they are in force here, and asked for again after a question in vain, three times at most.

--- a/packages/fleet/src/__tests__/fleetBrain.test.ts
+++ b/packages/fleet/src/__tests__/fleetBrain.test.ts
@@ -280,6 +280,9 @@
    * Found while looking for what else may keep a confirmed change from a box: a peer told
    * of version 2 and was asked for it, told of 3 before it had answered, and answered with
    * 2. Nobody told of 3 again, and the box stayed at 2 until the next change.
+   *
+   * Cause: a number that a peer told was dropped while it had a question open, and with
+   * any newer version that came. Evidence: this test; in it nothing else is lost.
    */
   it('is asked for when it was told of while the teller had a question open', () => {
     const world = new World();
--- a/packages/fleet/src/fleetBrain.ts
+++ b/packages/fleet/src/fleetBrain.ts
@@ -169,7 +169,7 @@
           event.version,
         );
       case 'peer-replied':
-        this.questions.ended(event.address, event.knowledge !== undefined);
+        this.questions.ended(event.address, event.knowledge);
         return this.learnFromPeer(now, event.address, event.knowledge);
     }
   }
@@ -300,7 +300,7 @@
   /** What was asked of peers for the sake of a newer version is over with it. */
   private noteVersion(actions: readonly FleetAction[]): readonly FleetAction[] {
     if (actions.some(({kind}) => kind === 'configuration-changed')) {
-      this.peers.versionCame();
+      this.peers.versionCame(this.version);
       this.duty.versionCame();
       const services = this.configuration?.services ?? [];
       this.directory.declare(new Set(services.map(({name}) => name)));
--- a/packages/fleet/src/peerAsking.ts
+++ b/packages/fleet/src/peerAsking.ts
@@ -33,20 +33,28 @@
 /** A peer that has not brought the newer version by then is not waited for alone. */
 const ANSWER_MILLISECONDS = 400;
 
-/** Newer versions that peers have in force. */
-interface HeardVersion {
-  /** Peers that have one and were not asked for it yet. */
-  readonly addresses: Set<string>;
-  /** When any peer first told of a version that is not in force here. */
-  readonly firstAt: number;
-  /** No further peer is asked before. */
-  nextAt: number;
+/** Questions to one peer that may be in vain before it has to tell again. */
+const MOST_IN_VAIN = 3;
+
+/** A newer version that a peer has in force. */
+interface ToldVersion {
+  readonly version: number;
+  /** Questions for it that were lost, or answered with an earlier version. */
+  readonly inVain: number;
 }
 
 /** Chooses addresses to ask; each is asked once until it has replied. */
 export class PeerAsking {
   private readonly asked = new Set<string>();
-  private heard: HeardVersion | undefined;
+  /**
+   * By the address of the peer. Kept until it is in force here: peers tell of a version
+   * once, and a question may be lost or be answered with an earlier version.
+   */
+  private readonly told = new Map<string, ToldVersion>();
+  /** When a peer first told of a version that is not in force here. */
+  private firstToldAt = 0;
+  /** No further peer is asked for what was told of before. */
+  private nextAt = 0;
   private storePatience = 0;
   private askAfter = 0;
 
@@ -56,31 +64,40 @@
   ) {}
 
   /** A peer has a newer version; a node that reads the store lets it come from there. */
-  heardOfNewer(now: number, address: string, readsStore: boolean): void {
+  heardOfNewer(
+    now: number,
+    address: string,
+    version: number,
+    readsStore: boolean,
+  ): void {
     this.storePatience = readsStore ? STORE_FIRST_MILLISECONDS : 0;
-    this.heard ??= {addresses: new Set(), firstAt: now, nextAt: now};
-    if (!this.asked.has(address)) {
-      this.heard.addresses.add(address);
+    if (this.told.size === 0) {
+      this.firstToldAt = now;
+      this.nextAt = now;
     }
+    this.told.set(address, {version, inVain: 0});
   }
 
   /** A newer version came into force, however it came. */
-  versionCame(): void {
-    this.heard = undefined;
+  versionCame(inForce: number): void {
+    for (const [address, {version}] of this.told) {
+      if (version <= inForce) {
+        this.told.delete(address);
+      }
+    }
   }
 
   /** The peer to ask since the store did not bring what was heard of. */
   overdue(now: number): string | undefined {
-    const {heard} = this;
-    if (heard === undefined || now < heard.nextAt) {
+    if (this.told.size === 0 || now < this.nextAt) {
       return undefined;
     }
-    const address = [...heard.addresses]
-      .filter((peer) => now - heard.firstAt >= this.patience(peer))
+    const address = [...this.told.keys()]
+      .filter((peer) => !this.asked.has(peer))
+      .filter((peer) => now - this.firstToldAt >= this.patience(peer))
       .sort((a, b) => Number(this.isNear(b)) - Number(this.isNear(a)))[0];
     if (address !== undefined) {
-      heard.addresses.delete(address);
-      heard.nextAt = now + ANSWER_MILLISECONDS;
+      this.nextAt = now + ANSWER_MILLISECONDS;
     }
     return address;
   }
@@ -138,9 +155,19 @@
     return true;
   }
 
-  /** A peer replied, or did not answer in time. */
-  ended(address: string): void {
+  /** A peer replied with a version, or 0 for none, or did not answer in time. */
+  ended(address: string, broughtVersion: number): void {
     this.asked.delete(address);
+    const told = this.told.get(address);
+    if (told === undefined || broughtVersion >= told.version) {
+      return;
+    }
+    const inVain = told.inVain + 1;
+    if (inVain < MOST_IN_VAIN) {
+      this.told.set(address, {...told, inVain});
+    } else {
+      this.told.delete(address);
+    }
   }
 
   /** How long the store, and after it the neighbours, are given. */
--- a/packages/fleet/src/peerQuestions.ts
+++ b/packages/fleet/src/peerQuestions.ts
@@ -4,7 +4,11 @@
 import type {RandomSource} from '@lockpin/types';
 import type {BoxDirectory} from './boxDirectory.js';
 import type {ConfigurationInForce} from './configurationInForce.js';
-import type {FleetAction, PeerQuestion} from './fleetMessages.js';
+import type {
+  FleetAction,
+  PeerKnowledge,
+  PeerQuestion,
+} from './fleetMessages.js';
 import type {OwnRecord} from './ownRecord.js';
 import type {PeerAsking} from './peerAsking.js';
 import type {StoreDuty} from './storeDuty.js';
@@ -55,11 +59,10 @@
       return [];
     }
     duty.newerVersionHeard(now);
-    if (duty.lacksNews(now)) {
-      return this.ask(address, this.wanted(now));
-    }
-    peers.heardOfNewer(now, address, duty.isServing(now));
-    return this.due(now, random);
+    peers.heardOfNewer(now, address, version, duty.isServing(now));
+    return duty.lacksNews(now)
+      ? this.ask(address, this.wanted(now))
+      : this.due(now, random);
   }
 
   /** Asks one peer, unless it has not replied yet. */
@@ -78,9 +81,10 @@
   }
 
   /** A peer replied, or did not answer in time. */
-  ended(address: string, hasAnswered: boolean): void {
-    this.context.peers.ended(address);
-    if (!hasAnswered) {
+  ended(address: string, knowledge: PeerKnowledge | undefined): void {
+    const broughtVersion = knowledge?.configuration?.version ?? 0;
+    this.context.peers.ended(address, broughtVersion);
+    if (knowledge === undefined) {
       this.watch.unanswered();
     }
   }
