--- a/packages/fleet/src/__tests__/__fixtures__/fleetWorld.ts
+++ b/packages/fleet/src/__tests__/__fixtures__/fleetWorld.ts
@@ -9,12 +9,9 @@
 import type {FleetAction, FleetEvent, FleetNews} from '../../fleetMessages.js';
 import type {FollowedPeers} from '../../recordReaders.js';
 import type {StreamRead} from '../../streamFollower.js';
-import type {
-  RecordPage,
-  RecordStream,
-  StoreResult,
-  StoredRecord,
-} from '../../recordStore.js';
+import {PlayedStore} from './playedStore.js';
+import type {StoreCaller} from './playedStore.js';
+import type {RecordStream, StoredRecord} from '../../recordStore.js';
 
 /** Time between two ticks of a node. */
 const TICK_MILLISECONDS = 200;
@@ -31,12 +28,6 @@
 /** A question to a peer is given up after this. */
 const QUESTION_MILLISECONDS = 2500;
 
-/** A call to a store that says nothing is given up after this. */
-const CALL_MILLISECONDS = 2500;
-
-/** A long poll of it, after its wait and this. */
-const POLL_ALLOWANCE_MILLISECONDS = 1500;
-
 /** Later than any played time, and apart from 0. */
 const EPOCH = 1_000_000;
 
@@ -57,16 +48,6 @@
   takesWork: boolean;
 }
 
-interface Poll {
-  readonly node: Node;
-  readonly life: number;
-  readonly stream: RecordStream;
-  readonly read: number;
-  readonly from: number;
-  /** The connection was open while the store was silent: nothing comes on it. */
-  isLost: boolean;
-}
-
 interface Timed {
   readonly at: number;
   readonly order: number;
@@ -98,24 +79,27 @@
 
 /** Plays events in order of time. */
 export class FleetWorld {
-  storeIsDown = false;
-  private storeIsSilent = false;
   /** Whether each node's entry has a stream to each guard, or to none. */
   entriesHear = false;
-  storeCalls = 0;
   private now = EPOCH;
   private order = 0;
   private timed: Timed[] = [];
-  private polls: Poll[] = [];
   private readonly random: RandomSource;
   private readonly nodes = new Map<string, Node>();
-  private readonly logs: Readonly<Record<RecordStream, StoredRecord[]>> = {
-    configuration: [{key: 'config', value: Buffer.from('1')}],
-    boxes: [],
-  };
+  private readonly store = new PlayedStore({
+    now: () => this.now,
+    in: (milliseconds, run) => this.in(milliseconds, run),
+  });
+  /** Versions that any node had in force after a higher one was confirmed. */
+  readonly olderInForce: number[] = [];
+  private confirmedVersion = 1;
 
   constructor(private readonly size: WorldSize) {
     this.random = seededRandom(size.seed);
+    this.store.append('configuration', {
+      key: 'config',
+      value: Buffer.from('1'),
+    });
     for (let i = 0; i < size.boxes; i += 1) {
       this.start(this.newNode(true), this.random() * 300);
     }
@@ -152,7 +136,8 @@
   }
 
   publish(version: number): void {
-    this.append('configuration', {
+    this.confirmedVersion = Math.max(this.confirmedVersion, version);
+    this.store.append('configuration', {
       key: 'config',
       value: Buffer.from(String(version)),
     });
@@ -247,26 +232,39 @@
     this.node(box).isTurnedAway = true;
   }
 
-  /**
-   * The store answers no call from now on. What is on its way to it then, and what is
-   * sent before it speaks again, is never answered.
-   */
+  /** Calls that nodes have made. */
+  get storeCalls(): number {
+    return this.store.calls;
+  }
+
+  set storeIsDown(isDown: boolean) {
+    this.store.isDown = isDown;
+  }
+
+  get storeIsDown(): boolean {
+    return this.store.isDown;
+  }
+
   silenceStore(): void {
-    this.storeIsSilent = true;
-    this.polls.forEach((poll) => {
-      poll.isLost = true;
-    });
+    this.store.silence();
   }
 
-  /** The store answers calls that are made from now on. */
   letStoreSpeak(): void {
-    this.storeIsSilent = false;
+    this.store.speak();
+  }
+
+  restoreStore(lostMilliseconds: number): void {
+    this.store.restore(lostMilliseconds);
+  }
+
+  storedCount(stream: RecordStream): number {
+    return this.store.count(stream);
   }
 
   /** Everything works again, and every node runs. */
   heal(): void {
-    this.storeIsDown = false;
-    this.storeIsSilent = false;
+    this.store.isDown = false;
+    this.store.speak();
     this.nodes.forEach((node) => {
       node.isReachable = {incoming: true, outgoing: true};
       node.isTurnedAway = false;
@@ -283,12 +281,22 @@
       .every((node) => node.brain.directory.get(box)?.takesWork === false);
   }
 
+  /** Whether the store has the last statement of every box that runs. */
+  everyoneIsStored(): boolean {
+    return this.alive().every((box) => {
+      const {takesWork} = this.node(box);
+      return (
+        this.isStored(box) && this.storedNewest(box)?.takesWork === takesWork
+      );
+    });
+  }
+
   isStored(box: string): boolean {
-    return this.logs.boxes.some(({key}) => key === box);
+    return this.store.newestOf('boxes', box) !== undefined;
   }
 
   stored(box: string): StoredRecord {
-    return this.logs.boxes.findLast(({key}) => key === box) as StoredRecord;
+    return this.store.newestOf('boxes', box) as StoredRecord;
   }
 
   storedNewest(box: string): BoxRecord | undefined {
@@ -297,7 +305,7 @@
   }
 
   writeLate(record: StoredRecord): void {
-    this.append('boxes', record);
+    this.store.append('boxes', record);
   }
 
   private node(box: string): Node {
@@ -414,16 +422,15 @@
   private perform(node: Node, action: FleetAction): void {
     switch (action.kind) {
       case 'read-newest':
-        this.call(node, action, CALL_MILLISECONDS, () =>
-          this.newest(action.stream),
-        );
-        break;
       case 'follow':
-        this.poll(node, action);
+        this.read(node, action);
         break;
       case 'write':
         this.write(node, action.record);
         break;
+      case 'drop-record':
+        this.store.append('boxes', {key: action.key, value: undefined});
+        break;
       case 'ask-peer':
         this.ask(node, action);
         break;
@@ -449,6 +456,9 @@
         });
         break;
       case 'configuration-changed':
+        if (action.configuration.version < this.confirmedVersion) {
+          this.olderInForce.push(action.configuration.version);
+        }
         this.tellVersion(node);
         break;
     }
@@ -527,111 +537,29 @@
     }
   }
 
-  private call(
-    node: Node,
-    {stream, read}: StreamRead,
-    patience: number,
-    answer: () => StoreResult<RecordPage>,
-  ): void {
-    const life = node.life;
-    const isLost = this.storeIsSilent;
+  private read(node: Node, action: StreamRead): void {
+    const {life} = node;
+    const {stream, read} = action;
     node.calls += 1;
-    this.storeCalls += 1;
-    this.in(isLost ? patience : 2 * TRIP_MILLISECONDS, () => {
+    this.store.read(this.callerOf(node), action, (result) => {
       if (node.life === life) {
-        const result = isLost || this.refuses(node) ? refused() : answer();
         this.tell(node, {kind: 'read-ended', stream, read, result});
       }
     });
   }
 
-  private refuses(node: Node): boolean {
-    return this.storeIsDown || node.isTurnedAway;
-  }
-
-  private newest(stream: RecordStream): StoreResult<RecordPage> {
-    const newest = new Map(
-      this.logs[stream].map((record) => [record.key, record]),
-    );
-    const end = this.logs[stream].length;
-    return {ok: true, value: {records: [...newest.values()], end}};
-  }
-
-  private poll(
-    node: Node,
-    action: FleetAction & {readonly kind: 'follow'},
-  ): void {
-    const {stream, read, from, waitMilliseconds} = action;
-    const patience = waitMilliseconds + POLL_ALLOWANCE_MILLISECONDS;
-    if (this.refuses(node) || this.logs[stream].length > from) {
-      this.call(node, action, patience, () => this.after(stream, from));
-      return;
-    }
-    node.calls += 1;
-    this.storeCalls += 1;
-    const isLost = this.storeIsSilent;
-    const poll: Poll = {node, life: node.life, stream, read, from, isLost};
-    this.polls.push(poll);
-    this.in(2 * TRIP_MILLISECONDS + waitMilliseconds, () => this.endPoll(poll));
-    this.in(patience, () => this.giveUp(poll));
-  }
-
-  private after(stream: RecordStream, from: number): StoreResult<RecordPage> {
-    const records = this.logs[stream].slice(from);
-    return {ok: true, value: {records, end: this.logs[stream].length}};
-  }
-
-  private endPoll(poll: Poll): void {
-    if (poll.isLost) {
-      return;
-    }
-    const {node, stream, from} = poll;
-    this.finish(poll, () =>
-      this.refuses(node) ? refused() : this.after(stream, from),
-    );
-  }
-
-  private giveUp(poll: Poll): void {
-    this.finish(poll, refused);
-  }
-
-  private finish(poll: Poll, answer: () => StoreResult<RecordPage>): void {
-    if (!this.polls.includes(poll)) {
-      return;
-    }
-    this.polls = this.polls.filter((other) => other !== poll);
-    const {node, life, stream, read} = poll;
-    if (node.life === life) {
-      const result = answer();
-      this.tell(node, {kind: 'read-ended', stream, read, result});
-    }
-  }
-
   private write(node: Node, record: StoredRecord): void {
-    const life = node.life;
+    const {life} = node;
     node.calls += 1;
-    this.storeCalls += 1;
-    const isLost = this.storeIsSilent;
-    this.in(isLost ? CALL_MILLISECONDS : 2 * TRIP_MILLISECONDS, () => {
-      const isRefused = isLost || this.refuses(node);
-      if (!isRefused) {
-        this.append('boxes', record);
-      }
+    this.store.write(this.callerOf(node), record, (result) => {
       if (node.life === life) {
-        const result = isRefused
-          ? refused<undefined>()
-          : ({ok: true, value: undefined} as const);
         this.tell(node, {kind: 'write-ended', result});
       }
     });
   }
 
-  private append(stream: RecordStream, record: StoredRecord): void {
-    this.logs[stream].push(record);
-    const waiting = this.polls.filter((poll) => poll.stream === stream);
-    waiting.forEach((poll) =>
-      this.in(TRIP_MILLISECONDS, () => this.endPoll(poll)),
-    );
+  private callerOf(node: Node): StoreCaller {
+    return {isRefused: () => this.store.isDown || node.isTurnedAway};
   }
 
   private in(milliseconds: number, run: () => void): void {
@@ -651,7 +579,3 @@
     this.timed.splice(low, 0, entry);
   }
 }
-
-function refused<T>(): StoreResult<T> {
-  return {ok: false, failure: {kind: 'unavailable', detail: 'refused'}};
-}
