What peers tell of a box's own record is not taken for the store's word

Callers could be sent past a box for up to five minutes: a node that started did not know it, nor did the store. Cause: a box whose write was turned away told its readers instead; they told all followers, the box among them, and it believed that the store had its record and wrote no more. Class: hearsay of one's own statement taken for its confirmation. Change: of its own box a node believes a peer only where the statement differs.

--- a/packages/fleet/src/__tests__/fleetBrain.test.ts
+++ b/packages/fleet/src/__tests__/fleetBrain.test.ts
@@ -469,6 +469,27 @@
     expect(kinds(world.tick(1000))).toContain('write');
   });
 
+  /*
+   * Found with a played fleet in which a box was unknown to those that started later: the
+   * store had turned its write away, its readers told all they had heard of it from the
+   * box itself, the box among them, and it took that for the store's word.
+   */
+  it('is written though peers tell of it, until the store has taken it', () => {
+    const world = new World();
+    world.tick();
+    world.read('boxes', []);
+    world.announce();
+    const failure = {kind: 'unavailable', detail: ''} as const;
+    world.tell({kind: 'write-ended', result: {ok: false, failure}});
+    const own = world.brain.directory.get('b1');
+    expect(own).toBeDefined();
+    world.tell({
+      kind: 'news-told',
+      news: {kind: 'boxes', boxes: own === undefined ? [] : [own]},
+    });
+    expect(kinds(world.tick(1000))).toContain('write');
+  });
+
   it('replaces a write that was done late, after a newer one', () => {
     const world = new World();
     world.tick();
--- a/packages/fleet/src/boxLearning.ts
+++ b/packages/fleet/src/boxLearning.ts
@@ -47,6 +47,9 @@
     if (!read.ok) {
       return this.isWrong(key, 'store', read.failure);
     }
+    if (key === this.context.identity.box) {
+      this.context.ownRecord.found(now, read.value);
+    }
     this.learn(now, read.value);
     this.tellOfOldStatement(read.value);
     return [];
@@ -61,6 +64,9 @@
     return records.flatMap((record) => {
       const checked = checkBoxRecord(this.checkedAgainst(now), record);
       if (checked.ok) {
+        if (checked.value.box === this.context.identity.box) {
+          this.context.ownRecord.toldOf(now, checked.value);
+        }
         this.learn(now, checked.value);
         return [];
       }
@@ -99,10 +105,9 @@
   }
 
   private learn(now: number, record: BoxRecord): void {
-    const {identity, suspects, ownRecord} = this.context;
+    const {identity, suspects} = this.context;
     if (record.box === identity.box) {
       suspects.adopt(now, record);
-      ownRecord.found(now, record);
     } else if (now - record.statedAt <= RECORD_LIFE_MILLISECONDS) {
       this.put(now, record);
     }
--- a/packages/fleet/src/ownRecord.ts
+++ b/packages/fleet/src/ownRecord.ts
@@ -27,6 +27,8 @@
   /** What is being written now. */
   private writing: BoxRecord | undefined;
   private writeAfter = 0;
+  /** Of an earlier process of this box, as far as peers told. */
+  private lastStatedAt = 0;
   private hasFailed = false;
   private startedAt: number | undefined;
   private runs: readonly RunReport[] = [];
@@ -73,6 +75,19 @@
     this.stored = undefined;
   }
 
+  /**
+   * A peer has this record of the own box. The same statement proves nothing: readers tell
+   * what they heard from this box as well as what the store has.
+   */
+  toldOf(now: number, record: BoxRecord): void {
+    const {desired} = this;
+    if (desired === undefined) {
+      this.lastStatedAt = Math.max(this.lastStatedAt, record.statedAt);
+    } else if (record.statedAt !== desired.statedAt) {
+      this.found(now, record);
+    }
+  }
+
   /** The store has this record of the own box. */
   found(now: number, record: BoxRecord): void {
     this.stored = record;
@@ -115,7 +130,8 @@
 
   /** Makes a statement, later than any before. */
   private state(at: number, record: BoxRecord): void {
-    const statedAt = Math.max(at, (this.desired?.statedAt ?? 0) + 1);
+    const before = this.desired?.statedAt ?? this.lastStatedAt;
+    const statedAt = Math.max(at, before + 1);
     const {runs} = this;
     this.desired = {
       ...record,
