--- a/packages/fleet/src/__tests__/__fixtures__/fleetWorld.ts
+++ b/packages/fleet/src/__tests__/__fixtures__/fleetWorld.ts
@@ -428,6 +428,9 @@
       case 'write':
         this.write(node, action.record);
         break;
+      case 'write-for':
+        this.store.append('boxes', action.record);
+        break;
       case 'drop-record':
         this.store.append('boxes', {key: action.key, value: undefined});
         break;
--- a/packages/fleet/src/__tests__/__fixtures__/playedStore.ts
+++ b/packages/fleet/src/__tests__/__fixtures__/playedStore.ts
@@ -52,6 +52,7 @@
   calls = 0;
   isDown = false;
   private isSilent = false;
+  private era = 1;
   private polls: Poll[] = [];
   private readonly logs: Record<RecordStream, Kept[]> = {
     configuration: [],
@@ -82,6 +83,7 @@
     for (const stream of RECORD_STREAMS) {
       this.logs[stream] = this.logs[stream].filter(({at}) => at <= until);
     }
+    this.era += 1;
   }
 
   /** Records that there are now. */
@@ -119,17 +121,18 @@
     }
     const {stream, from, waitMilliseconds} = action;
     const patience = waitMilliseconds + POLL_ALLOWANCE_MILLISECONDS;
-    if (caller.isRefused() || this.count(stream) !== from) {
-      this.answer(caller, patience, () => this.after(stream, from), done);
+    const {offset} = from;
+    if (caller.isRefused() || this.count(stream) !== offset) {
+      this.answer(caller, patience, () => this.after(stream, offset), done);
       return;
     }
     this.calls += 1;
-    const poll = {stream, from, caller, done, isLost: this.isSilent};
+    const poll = {stream, from: offset, caller, done, isLost: this.isSilent};
     this.polls.push(poll);
     this.time.in(CALL_TRIP_MILLISECONDS + waitMilliseconds, () =>
       this.endPoll(poll),
     );
-    this.time.in(patience, () => this.finish(poll, refused));
+    this.time.in(patience, () => this.finish(poll, () => this.refused(true)));
   }
 
   /** A node writes a record of a box. */
@@ -140,7 +143,7 @@
   ): void {
     const answer = (): StoreResult<undefined> => {
       this.append('boxes', record);
-      return {ok: true, value: undefined};
+      return {ok: true, value: undefined, era: this.era};
     };
     this.answer(caller, CALL_PATIENCE_MILLISECONDS, answer, done);
   }
@@ -154,7 +157,7 @@
     this.calls += 1;
     const isLost = this.isSilent;
     this.time.in(isLost ? patience : CALL_TRIP_MILLISECONDS, () =>
-      done(isLost || caller.isRefused() ? refused() : answer()),
+      done(isLost || caller.isRefused() ? this.refused(isLost) : answer()),
     );
   }
 
@@ -165,23 +168,32 @@
     const records = [...newest.values()].filter(
       ({value}) => value !== undefined,
     );
-    return {ok: true, value: {records, end: this.count(stream)}};
+    return this.page(stream, records, true);
   }
 
   private after(stream: RecordStream, from: number): StoreResult<RecordPage> {
-    const end = this.count(stream);
-    if (from > end) {
+    if (from > this.count(stream)) {
       const failure = {kind: 'history-gone', detail: 'not that far'} as const;
-      return {ok: false, failure};
+      return {ok: false, failure, era: this.era};
     }
-    return {ok: true, value: {records: this.logs[stream].slice(from), end}};
+    return this.page(stream, this.logs[stream].slice(from), false);
+  }
+
+  private page(
+    stream: RecordStream,
+    records: readonly StoredRecord[],
+    isWhole: boolean,
+  ): StoreResult<RecordPage> {
+    const {era} = this;
+    const end = {era, offset: this.count(stream)};
+    return {ok: true, value: {records, end, isWhole}, era};
   }
 
   private endPoll(poll: Poll): void {
     if (!poll.isLost) {
       const {caller, stream, from} = poll;
       this.finish(poll, () =>
-        caller.isRefused() ? refused() : this.after(stream, from),
+        caller.isRefused() ? this.refused(false) : this.after(stream, from),
       );
     }
   }
@@ -192,8 +204,9 @@
       poll.done(answer());
     }
   }
-}
 
-function refused<T>(): StoreResult<T> {
-  return {ok: false, failure: {kind: 'unavailable', detail: 'refused'}};
+  private refused<T>(isUnanswered: boolean): StoreResult<T> {
+    const failure = {kind: 'unavailable', detail: 'refused'} as const;
+    return {ok: false, failure, era: isUnanswered ? undefined : this.era};
+  }
 }
--- a/packages/fleet/src/__tests__/fleetBrain.test.ts
+++ b/packages/fleet/src/__tests__/fleetBrain.test.ts
@@ -1,143 +1,25 @@
 // Copyright (c) 2026 the lockpin contributors. MIT licence, see LICENSE.
-/** What a node knows of its fleet, through lost answers, lapses and restarts. */
+/** What a node knows of its fleet, through lapses and restarts. */
 
 import {describe, expect, it} from 'vitest';
-import {failure, seededRandom, success} from '@lockpin/utils';
+import {seededRandom, success} from '@lockpin/utils';
 import {RECORD_RENEWAL_MILLISECONDS, writeBoxRecord} from '../boxRecord.js';
-import type {BoxRecord} from '../boxRecord.js';
-import type {DeclaredConfiguration} from '../declaredConfiguration.js';
 import {FleetBrain} from '../fleetBrain.js';
-import type {FleetAction, FleetEvent} from '../fleetMessages.js';
-import type {UpstreamAnnouncement} from '../ownUpstream.js';
-import type {RecordStream, StoredRecord} from '../recordStore.js';
-
-/** Nodes in this and in another data centre. */
-const NEAR = '10.0.0.2:7000';
-const FAR = '10.0.0.3:7000';
-
-const IDENTITY = {box: 'b1', dataCentre: 'd1', peerAddress: '10.0.0.1:7000'};
-const random = seededRandom(3);
-
-function configuration(version: number): DeclaredConfiguration {
-  return {
-    version,
-    routes: [],
-    services: [{name: 's', mostConnections: 9}],
-    limits: {
-      headerBytes: 1,
-      bodyBytes: 1,
-      headerMilliseconds: 1,
-      idleMilliseconds: 1,
-    },
-    customers: [],
-  };
-}
-
-function stored(version: number): StoredRecord {
-  return {key: 'config', value: Buffer.from(String(version))};
-}
-
-function other(change: Partial<BoxRecord> = {}): BoxRecord {
-  return {
-    box: 'b2',
-    dataCentre: 'd1',
-    peerAddress: '10.0.0.2:7000',
-    service: 's',
-    slots: 4,
-    takesWork: true,
-    coldUntil: 0,
-    statedAt: 10,
-    ...change,
-  };
-}
-
-function announcement(
-  change: Partial<UpstreamAnnouncement> = {},
-): UpstreamAnnouncement {
-  return {
-    incarnation: {id: 'i-1', startedAt: 0},
-    service: 's',
-    address: '10.0.0.1:8000',
-    slots: 4,
-    state: 'ready',
-    coldMilliseconds: 0,
-    sequence: 1,
-    ...change,
-  };
-}
-
-class World {
-  now = 1000;
-  readonly brain = new FleetBrain(IDENTITY, (record) => {
-    const version = Number(record.value?.toString());
-    if (record.key !== 'config') {
-      return success(undefined);
-    }
-    return Number.isNaN(version)
-      ? failure({field: 'version', problem: 'give a number'})
-      : success(configuration(version));
-  });
-
-  /** The newest read of each stream. */
-  private readonly reads = {configuration: 0, boxes: 0};
-
-  tell(event: FleetEvent): readonly FleetAction[] {
-    const actions = this.brain.handle(this.now, random, event);
-    for (const action of actions) {
-      if (action.kind === 'read-newest' || action.kind === 'follow') {
-        this.reads[action.stream] = action.read;
-      }
-    }
-    return actions;
-  }
-
-  read(stream: RecordStream, records: readonly StoredRecord[], end = 1) {
-    const result = {ok: true, value: {records, end}} as const;
-    return this.tell({
-      kind: 'read-ended',
-      stream,
-      read: this.reads[stream],
-      result,
-    });
-  }
-
-  fail(stream: RecordStream, kind: 'unavailable' | 'history-gone') {
-    const result = {ok: false, failure: {kind, detail: ''}} as const;
-    return this.tell({
-      kind: 'read-ended',
-      stream,
-      read: this.reads[stream],
-      result,
-    });
-  }
-
-  announce(change: Partial<UpstreamAnnouncement> = {}) {
-    const news = announcement(change);
-    return this.tell({kind: 'upstream-announced', announcement: news});
-  }
-
-  /** Of its data centre's nodes this one is among those that read the store. */
-  announceAsReader() {
-    this.announce();
-    this.tell({kind: 'write-ended', result: {ok: true, value: undefined}});
-    this.tick();
-    expect(this.brain.duty.isFollowing(this.now)).toBe(true);
-  }
-
-  tick(milliseconds = 0) {
-    this.now += milliseconds;
-    return this.tell({kind: 'tick'});
-  }
-}
-
-const kinds = (actions: readonly FleetAction[]) =>
-  actions.map(({kind}) => kind);
+import {
+  BrainWorld,
+  FAR,
+  IDENTITY,
+  NEAR,
+  configuration,
+  kinds,
+  other,
+  stored,
+} from './__fixtures__/brainWorld.js';
 
 describe('the configuration in force', () => {
   it('never goes back to an older version', () => {
-    const world = new World();
-    world.tick();
-    world.read('configuration', [stored(7)]);
+    const world = new BrainWorld();
+    world.start([stored(7)]);
     expect(kinds(world.read('configuration', [stored(5)]))).not.toContain(
       'configuration-changed',
     );
@@ -145,9 +27,8 @@
   });
 
   it('stays as it is when a document cannot be read, and the log says why', () => {
-    const world = new World();
-    world.tick();
-    world.read('configuration', [stored(7)]);
+    const world = new BrainWorld();
+    world.start([stored(7)]);
     const record = {key: 'config', value: Buffer.from('broken')};
     expect(world.read('configuration', [record])).toContainEqual(
       expect.objectContaining({kind: 'note', event: 'configuration-wrong'}),
@@ -156,7 +37,7 @@
   });
 
   it('is taken from a peer when the store does not answer', () => {
-    const world = new World();
+    const world = new BrainWorld();
     world.tick();
     world.read('configuration', [stored(1)]);
     world.read('boxes', []);
@@ -178,16 +59,14 @@
   });
 
   it('is left to the store for a moment, then asked for in the own data centre', () => {
-    const world = new World();
-    world.tick();
+    const world = new BrainWorld();
     const near = other({box: 'b2', peerAddress: NEAR});
     const far = other({box: 'b3', peerAddress: FAR, dataCentre: 'd2'});
     const records = [near, far].map((record) => ({
       key: record.box,
       value: writeBoxRecord(record),
     }));
-    world.read('configuration', [stored(1)]);
-    world.read('boxes', records);
+    world.start([stored(1)], records);
     world.announceAsReader();
     const hear = (address: string) =>
       world.tell({kind: 'peer-version-heard', address, version: 2});
@@ -200,11 +79,9 @@
   });
 
   it('is asked for in another data centre only after neighbours could have it', () => {
-    const world = new World();
-    world.tick();
+    const world = new BrainWorld();
     const far = other({box: 'b3', peerAddress: FAR, dataCentre: 'd2'});
-    world.read('configuration', [stored(1)]);
-    world.read('boxes', [{key: far.box, value: writeBoxRecord(far)}]);
+    world.start([stored(1)], [{key: far.box, value: writeBoxRecord(far)}]);
     world.announceAsReader();
     world.tell({kind: 'peer-version-heard', address: FAR, version: 2});
     expect(kinds(world.tick(400))).not.toContain('ask-peer');
@@ -214,7 +91,7 @@
   });
 
   it('is not asked for once the store has brought it', () => {
-    const world = new World();
+    const world = new BrainWorld();
     world.tick();
     world.read('boxes', []);
     world.tell({kind: 'peer-version-heard', address: FAR, version: 2});
@@ -223,7 +100,7 @@
   });
 
   it('is asked for at one peer, however many tell of it at a start', () => {
-    const world = new World();
+    const world = new BrainWorld();
     const asked = ['p1', 'p2', 'p3', 'p4'].flatMap((address) =>
       world.tell({kind: 'peer-version-heard', address, version: 2}),
     );
@@ -231,7 +108,7 @@
   });
 
   it('asks a peer that did not answer again when it is heard of again', () => {
-    const world = new World();
+    const world = new BrainWorld();
     const heard = {
       kind: 'peer-version-heard',
       address: 'peer',
@@ -244,7 +121,7 @@
   });
 
   it('is noted once when it is late, with who told of it and what became of questions', () => {
-    const world = new World();
+    const world = new BrainWorld();
     world.tick();
     world.read('configuration', [stored(1)]);
     world.read('boxes', []);
@@ -285,11 +162,9 @@
    * any newer version that came. Evidence: this test; in it nothing else is lost.
    */
   it('is asked for when it was told of while the teller had a question open', () => {
-    const world = new World();
-    world.tick();
+    const world = new BrainWorld();
     const far = other({box: 'b3', peerAddress: FAR, dataCentre: 'd2'});
-    world.read('configuration', [stored(1)]);
-    world.read('boxes', [{key: far.box, value: writeBoxRecord(far)}]);
+    world.start([stored(1)], [{key: far.box, value: writeBoxRecord(far)}]);
     world.announceAsReader();
     const tell = (version: number) =>
       world.tell({kind: 'peer-version-heard', address: FAR, version});
@@ -308,11 +183,9 @@
   });
 
   it('is asked for again when the question was lost and nobody else knows it', () => {
-    const world = new World();
-    world.tick();
+    const world = new BrainWorld();
     const far = other({box: 'b3', peerAddress: FAR, dataCentre: 'd2'});
-    world.read('configuration', [stored(1)]);
-    world.read('boxes', [{key: far.box, value: writeBoxRecord(far)}]);
+    world.start([stored(1)], [{key: far.box, value: writeBoxRecord(far)}]);
     world.announceAsReader();
     world.tell({kind: 'peer-version-heard', address: FAR, version: 2});
     expect(kinds(world.tick(1000))).toContain('ask-peer');
@@ -323,216 +196,68 @@
     );
   });
 
-  it('asks peers by itself while the store is lost', () => {
-    const world = new World();
-    world.tick();
-    const record = {key: 'b2', value: writeBoxRecord(other())};
-    world.read('boxes', [record]);
-    expect(kinds(world.fail('configuration', 'unavailable'))).toContain(
-      'ask-peer',
-    );
-  });
-});
+  describe('of a node that starts', () => {
+    const peer = other({box: 'b2', peerAddress: NEAR});
+    const boxes = [{key: peer.box, value: writeBoxRecord(peer)}];
 
-describe('reading the store', () => {
-  it('follows on from where the newest records ended', () => {
-    const world = new World();
-    expect(kinds(world.tick())).toEqual(['read-newest', 'read-newest']);
-    world.read('boxes', []);
-    world.announceAsReader();
-    const follow = world
-      .read('configuration', [], 42)
-      .find(({kind}) => kind === 'follow');
-    expect(follow).toMatchObject({stream: 'configuration', from: 42});
-  });
-
-  it('reads the newest of each key again when the history is gone', () => {
-    const world = new World();
-    world.tick();
-    world.read('boxes', []);
-    world.announceAsReader();
-    world.read('configuration', [], 42);
-    expect(kinds(world.fail('configuration', 'history-gone'))).toContain(
-      'read-newest',
-    );
-  });
-
-  it('pauses after each failure, longer each time but within a second and a half', () => {
-    const world = new World();
-    world.tick();
-    for (let i = 0; i < 8; i += 1) {
-      expect(kinds(world.fail('boxes', 'unavailable'))).not.toContain(
-        'read-newest',
+    it('is what a peer has, where that is newer than what the store says', () => {
+      const world = new BrainWorld();
+      world.tick();
+      world.read('configuration', [stored(1)]);
+      expect(world.read('boxes', boxes)).toContainEqual(
+        expect.objectContaining({kind: 'ask-peer', address: NEAR}),
       );
-      expect(kinds(world.tick(1500))).toContain('read-newest');
-    }
-  });
-
-  it('notes the loss of the store once, and its return', () => {
-    const world = new World();
-    world.tick();
-    world.read('configuration', []);
-    const notes = [
-      ...world.fail('boxes', 'unavailable'),
-      ...world.tick(2000),
-      ...world.fail('boxes', 'unavailable'),
-      ...world.tick(2000),
-      ...world.fail('boxes', 'unavailable'),
-      ...world.tick(2000),
-      ...world.read('boxes', []),
-    ].flatMap((action) => (action.kind === 'note' ? [action.event] : []));
-    expect(notes).toEqual(['store-lost', 'store-regained']);
-  });
-});
-
-describe('a read that the store leaves hanging', () => {
-  it('is noted with how long it hung, and followed by a short one within a second', () => {
-    const world = new World();
-    world.tick();
-    world.read('boxes', []);
-    const actions = [world.tick(600), world.tick(200), world.tick(200)].flat();
-    expect(actions).toContainEqual({
-      kind: 'note',
-      event: 'store-read-hung',
-      subject: 'configuration',
-      detail: {milliseconds: 600},
-    });
-    expect(actions).toContainEqual({
-      kind: 'read-newest',
-      stream: 'configuration',
-      read: 2,
+      expect(world.brain.version).toBe(0);
+      const actions = world.tell({
+        kind: 'peer-replied',
+        address: NEAR,
+        knowledge: {configuration: configuration(2), boxes: []},
+      });
+      expect(
+        actions.flatMap((action) =>
+          action.kind === 'configuration-changed'
+            ? [action.configuration.version]
+            : [],
+        ),
+      ).toEqual([2]);
     });
-  });
 
-  it('is taken for an answer all the same when one comes late', () => {
-    const world = new World();
-    world.tick();
-    world.read('boxes', []);
-    world.tick(600);
-    world.tick(400);
-    const page = {records: [stored(3)], end: 1};
-    const late = world.tell({
-      kind: 'read-ended',
-      stream: 'configuration',
-      read: 1,
-      result: {ok: true, value: page},
+    it('is what the store says once no peer has said otherwise in time', () => {
+      const world = new BrainWorld();
+      world.tick();
+      world.read('configuration', [stored(1)]);
+      world.read('boxes', boxes);
+      world.tick(300);
+      expect(world.brain.version).toBe(0);
+      world.tick(100);
+      expect(world.brain.version).toBe(1);
     });
-    expect(kinds(late)).toContain('configuration-changed');
-    expect(world.brain.duty.storeAge(world.now)).toBe(0);
-  });
-
-  it('is found out by what a peer knows, and read again beside it', () => {
-    const world = new World();
-    world.tick();
-    world.read('configuration', [stored(1)]);
-    world.read('boxes', []);
-    world.announceAsReader();
-    world.tick(200);
-    world.now += 1000;
-    world.tell({kind: 'peer-version-heard', address: NEAR, version: 2});
-    expect(world.tick(200)).toContainEqual(
-      expect.objectContaining({
-        kind: 'follow',
-        stream: 'configuration',
-        waitMilliseconds: 0,
-      }),
-    );
-  });
-});
-
-describe('the own record', () => {
-  it('is written once the upstream has announced itself', () => {
-    const world = new World();
-    world.tick();
-    world.read('boxes', []);
-    const actions = world.announce();
-    expect(kinds(actions)).toEqual(['upstream-changed', 'write']);
-    world.tell({kind: 'write-ended', result: {ok: true, value: undefined}});
-    expect(kinds(world.tick(1000))).not.toContain('write');
-  });
-
-  it('is not written again by a restart that changes nothing', () => {
-    const world = new World();
-    world.tick();
-    const before = other({...IDENTITY, statedAt: 900});
-    world.read('boxes', [{key: 'b1', value: writeBoxRecord(before)}]);
-    expect(kinds(world.announce())).toEqual(['upstream-changed']);
-  });
-
-  it('is written again when an answer was lost and the store does not have it', () => {
-    const world = new World();
-    world.tick();
-    world.read('boxes', []);
-    world.announce();
-    const failure = {kind: 'outcome-unknown', detail: ''} as const;
-    world.tell({kind: 'write-ended', result: {ok: false, failure}});
-    expect(kinds(world.tick(1000))).toContain('write');
-  });
 
-  /*
-   * Found with a played fleet in which a box was unknown to those that started later: the
-   * store had turned its write away, its readers told all they had heard of it from the
-   * box itself, the box among them, and it took that for the store's word.
-   */
-  it('is written though peers tell of it, until the store has taken it', () => {
-    const world = new World();
-    world.tick();
-    world.read('boxes', []);
-    world.announce();
-    const failure = {kind: 'unavailable', detail: ''} as const;
-    world.tell({kind: 'write-ended', result: {ok: false, failure}});
-    const own = world.brain.directory.get('b1');
-    expect(own).toBeDefined();
-    world.tell({
-      kind: 'news-told',
-      news: {kind: 'boxes', boxes: own === undefined ? [] : [own]},
+    it('is what the store says where the boxes cannot be read', () => {
+      const world = new BrainWorld();
+      world.tick();
+      world.read('configuration', [stored(1)]);
+      world.fail('boxes', 'unavailable');
+      expect(world.brain.version).toBe(0);
+      world.tick(1000);
+      expect(world.brain.version).toBe(1);
     });
-    expect(kinds(world.tick(1000))).toContain('write');
   });
 
-  it('replaces a write that was done late, after a newer one', () => {
-    const world = new World();
-    world.tick();
-    world.read('boxes', []);
-    world.announce();
-    world.tell({kind: 'write-ended', result: {ok: true, value: undefined}});
-    world.now += 100;
-    world.announce({state: 'draining', sequence: 2});
-    world.tell({kind: 'write-ended', result: {ok: true, value: undefined}});
-    const late = other({...IDENTITY, takesWork: true, statedAt: 1000});
-    const actions = world.read('boxes', [
-      {key: 'b1', value: writeBoxRecord(late)},
-    ]);
-    expect(kinds(actions)).toContain('write');
-  });
-
-  it('says that the upstream takes no work when none came after a restart', () => {
-    const world = new World();
-    world.tick();
-    const before = other({...IDENTITY, statedAt: 900});
-    world.read('boxes', [{key: 'b1', value: writeBoxRecord(before)}]);
-    expect(kinds(world.tick(5000))).not.toContain('write');
-    expect(kinds(world.tick(2000))).toContain('write');
-    expect(world.brain.directory.get('b1')?.takesWork).toBe(false);
-    world.tell({kind: 'write-ended', result: {ok: true, value: undefined}});
-    expect(kinds(world.announce())).toEqual(['upstream-changed', 'write']);
-  });
-
-  it('is renewed in time', () => {
-    const world = new World();
+  it('asks peers by itself while the store is lost', () => {
+    const world = new BrainWorld();
     world.tick();
-    world.read('boxes', []);
-    world.announce();
-    world.tell({kind: 'write-ended', result: {ok: true, value: undefined}});
-    expect(kinds(world.tick(RECORD_RENEWAL_MILLISECONDS + 1))).toContain(
-      'write',
+    const record = {key: 'b2', value: writeBoxRecord(other())};
+    world.read('boxes', [record]);
+    expect(kinds(world.fail('configuration', 'unavailable'))).toContain(
+      'ask-peer',
     );
   });
 });
 
 describe('other boxes', () => {
   it('are known by their newest statement, however it came', () => {
-    const world = new World();
+    const world = new BrainWorld();
     world.tick();
     const newer = other({takesWork: false, statedAt: 20});
     world.read('boxes', [
@@ -543,7 +268,7 @@
   });
 
   it('are forgotten when they do not renew their records', () => {
-    const world = new World();
+    const world = new BrainWorld();
     world.tick();
     world.read('boxes', [{key: 'b2', value: writeBoxRecord(other())}]);
     world.tick(3 * RECORD_RENEWAL_MILLISECONDS + 2000);
@@ -562,14 +287,14 @@
       }
       const event = {kind: 'tick'} as const;
       return brain
-        .handle(fresh + 2000, random, event)
+        .handle(fresh + 2000, seededRandom(3), event)
         .filter(({kind}) => kind === 'drop-record');
     });
     expect(drops.flat()).toEqual([{kind: 'drop-record', key: 'b2'}]);
   });
 
   it('pass over a record of another form', () => {
-    const world = new World();
+    const world = new BrainWorld();
     world.tick();
     world.read('boxes', [{key: 'b3', value: Buffer.from('{"box":1}')}]);
     world.read('boxes', [{key: 'b3', value: Buffer.from('no json')}]);
@@ -577,7 +302,7 @@
   });
 
   it('learn of the asker from its question', () => {
-    const world = new World();
+    const world = new BrainWorld();
     const knowledge = world.brain.answer(world.now, {
       version: 0,
       boxesDigest: 0,
@@ -587,7 +312,7 @@
   });
 
   it('are told only to a peer that does not know the same', () => {
-    const [one, same] = [new World(), new World()];
+    const [one, same] = [new BrainWorld(), new BrainWorld()];
     const [b2, b3] = [other(), other({box: 'b3', statedAt: 20})];
     [b2, b3].forEach((record) => one.brain.directory.put(record));
     [b3, other({statedAt: 5}), b2].forEach((record) =>
@@ -603,7 +328,7 @@
   });
 
   it('leave no trace in the digest once they are forgotten', () => {
-    const world = new World();
+    const world = new BrainWorld();
     const before = world.brain.directory.digest;
     world.brain.directory.put(other());
     expect(world.brain.directory.digest).not.toBe(before);
@@ -615,7 +340,7 @@
 
 describe('the own upstream', () => {
   it('never takes work again after it said that it drains', () => {
-    const world = new World();
+    const world = new BrainWorld();
     world.announce();
     world.announce({state: 'draining', sequence: 2});
     world.announce({sequence: 3});
@@ -623,7 +348,7 @@
   });
 
   it('is not revived by a late announcement after it left', () => {
-    const world = new World();
+    const world = new BrainWorld();
     world.announce();
     world.announce({state: 'gone', sequence: 0});
     expect(world.announce({sequence: 9})).toEqual([]);
@@ -631,7 +356,7 @@
   });
 
   it('is replaced by a new lifetime, and a late word of the old one is ignored', () => {
-    const world = new World();
+    const world = new BrainWorld();
     world.announce();
     world.announce({incarnation: {id: 'i-2', startedAt: 0}, sequence: 1});
     world.announce({sequence: 5});
--- a/packages/fleet/src/__tests__/otherWriters.test.ts
+++ b/packages/fleet/src/__tests__/otherWriters.test.ts
@@ -73,7 +73,9 @@
     stream: 'boxes' | 'configuration' = 'boxes',
   ): readonly FleetAction[] {
     const all = stream === 'configuration' ? [stored(1, 'config')] : records;
-    const result = {ok: true, value: {records: all, end: 1}} as const;
+    const end = {era: 1, offset: 1};
+    const value = {records: all, end, isWhole: false};
+    const result = {ok: true, value, era: 1} as const;
     return this.tell({kind: 'read-ended', stream, read: 0, result});
   }
 
@@ -178,7 +180,10 @@
         sequence: 1,
       },
     });
-    world.tell({kind: 'write-ended', result: {ok: true, value: undefined}});
+    world.tell({
+      kind: 'write-ended',
+      result: {ok: true, value: undefined, era: 1},
+    });
     world.now += 1000;
     const actions = world.read([{key: 'b1', value: Buffer.from('?')}]);
     expect(actions.map(({kind}) => kind)).toContain('write');
--- a/packages/fleet/src/__tests__/streamFollower.test.ts
+++ b/packages/fleet/src/__tests__/streamFollower.test.ts
@@ -25,10 +25,11 @@
     const isNews = nextChange < now + wait;
     now = isNews ? nextChange : now + wait;
     const records = isNews ? [{key: 'b', value: undefined}] : [];
-    const value = {records, end: 1};
+    const end = {era: 1, offset: 1};
+    const value = {records, end, isWhole: false};
     follower.ended(now, () => 0.5, {
       read: read.read,
-      result: {ok: true, value},
+      result: {ok: true, value, era: 1},
     });
   }
   return (reads / 600) * nodes;
@@ -40,6 +41,7 @@
     const gone = {
       ok: false,
       failure: {kind: 'history-gone', detail: ''},
+      era: 1,
     } as const;
     let reads = 0;
     for (let now = 0; now < 3000; now += 1) {
@@ -47,7 +49,9 @@
       if (read !== undefined) {
         reads += 1;
         const isNewest = read.kind === 'read-newest';
-        const page = {ok: true, value: {records: [], end: 5}} as const;
+        const end = {era: 1, offset: 5};
+        const value = {records: [], end, isWhole: true};
+        const page = {ok: true, value, era: 1} as const;
         const result = isNewest ? page : gone;
         follower.ended(now, () => 0.5, {read: read.read, result});
       }
--- a/packages/fleet/src/boxLearning.ts
+++ b/packages/fleet/src/boxLearning.ts
@@ -1,17 +1,19 @@
 // Copyright (c) 2026 the lockpin contributors. MIT licence, see LICENSE.
 /** What a node learns of boxes, from the store and from peers, and whom it tells. */
 
+import type {Era} from '@lockpin/types';
 import {stableHash} from '@lockpin/utils';
 import type {BoxDirectory} from './boxDirectory.js';
-import {RECORD_LIFE_MILLISECONDS} from './boxRecord.js';
 import type {BoxRecord} from './boxRecord.js';
 import {checkBoxRecord, readBoxRecord} from './checkBoxRecord.js';
 import type {RecordContext, RecordProblem} from './checkBoxRecord.js';
 import type {FleetAction, NodeIdentity} from './fleetMessages.js';
 import {note} from './fleetNote.js';
 import type {FollowerNews} from './followerNews.js';
+import {isForgotten} from './lostRecords.js';
+import type {LostRecords} from './lostRecords.js';
 import type {OwnRecord} from './ownRecord.js';
-import type {StoredRecord} from './recordStore.js';
+import type {RecordPage} from './recordStore.js';
 import type {RunNews} from './runNews.js';
 import type {SuspectRequests} from './suspectRequests.js';
 
@@ -25,6 +27,9 @@
   readonly followerNews: FollowerNews;
   readonly suspects: SuspectRequests;
   readonly runNews: RunNews;
+  readonly lostRecords: LostRecords;
+  /** Whether of all readers of the store this node acts for boxes that are gone. */
+  readonly actsForOthers: () => boolean;
 }
 
 /** Takes in records; what is none changes nothing of what is known. */
@@ -38,21 +43,49 @@
     return this.wrong;
   }
 
-  /** The store brought a record. */
-  fromStore(now: number, {key, value}: StoredRecord): readonly FleetAction[] {
-    if (value === undefined) {
-      return [];
-    }
-    const read = readBoxRecord(this.checkedAgainst(now), key, value);
-    if (!read.ok) {
-      return this.isWrong(key, 'store', read.failure);
+  /** The store brought records. */
+  fromStore(now: number, page: RecordPage): readonly FleetAction[] {
+    const records: BoxRecord[] = [];
+    const problems: FleetAction[] = [];
+    for (const {key, value} of page.records) {
+      if (value === undefined) {
+        continue;
+      }
+      const read = readBoxRecord(this.checkedAgainst(now), key, value);
+      if (read.ok) {
+        records.push(read.value);
+      } else {
+        problems.push(...this.isWrong(key, 'store', read.failure));
+      }
     }
-    if (key === this.context.identity.box) {
-      this.context.ownRecord.found(now, read.value);
+    records.forEach((record) => this.stored(now, record, page.end.era));
+    return page.isWhole
+      ? [...problems, ...this.readAll(now, records)]
+      : problems;
+  }
+
+  /** Some records of boxes that were forgotten may be back after a restore. */
+  private readAll(
+    now: number,
+    records: readonly BoxRecord[],
+  ): readonly FleetAction[] {
+    const {lostRecords, actsForOthers} = this.context;
+    lostRecords.readAll(now, records);
+    return actsForOthers()
+      ? records
+          .filter((record) => isForgotten(now, record))
+          .map(({box}) => ({kind: 'drop-record', key: box}))
+      : [];
+  }
+
+  private stored(now: number, record: BoxRecord, era: Era): void {
+    const {identity, ownRecord, lostRecords} = this.context;
+    if (record.box === identity.box) {
+      ownRecord.found(now, record, era);
     }
-    this.learn(now, read.value);
-    this.tellOfOldStatement(read.value);
-    return [];
+    lostRecords.found(record);
+    this.learn(now, record);
+    this.tellOfOldStatement(record);
   }
 
   /** A peer brought records; they are checked like those of the store. */
@@ -64,10 +97,7 @@
     return records.flatMap((record) => {
       const checked = checkBoxRecord(this.checkedAgainst(now), record);
       if (checked.ok) {
-        if (checked.value.box === this.context.identity.box) {
-          this.context.ownRecord.toldOf(now, checked.value);
-        }
-        this.learn(now, checked.value);
+        this.told(now, checked.value);
         return [];
       }
       const key = String((record as BoxRecord | null)?.box);
@@ -104,11 +134,22 @@
     return isFirst ? [{kind: 'drop-record', key}] : [];
   }
 
+  /** Of this box a reader tells what the store has, where that is not the newest. */
+  private told(now: number, record: BoxRecord): void {
+    const {identity, ownRecord, lostRecords} = this.context;
+    if (record.box === identity.box) {
+      ownRecord.toldOf(now, record);
+    } else {
+      lostRecords.learnt(now, record);
+    }
+    this.learn(now, record);
+  }
+
   private learn(now: number, record: BoxRecord): void {
     const {identity, suspects} = this.context;
     if (record.box === identity.box) {
       suspects.adopt(now, record);
-    } else if (now - record.statedAt <= RECORD_LIFE_MILLISECONDS) {
+    } else if (!isForgotten(now, record)) {
       this.put(now, record);
     }
   }
--- a/packages/fleet/src/configurationInForce.ts
+++ b/packages/fleet/src/configurationInForce.ts
@@ -22,8 +22,14 @@
 /** Takes in newer versions, from the store and from peers. */
 export class ConfigurationInForce {
   private inForce: DeclaredConfiguration | undefined;
+  /** From the store, and not to be served by yet. */
+  private heldBack: DeclaredConfiguration | undefined;
 
-  constructor(private readonly read: ReadConfiguration) {}
+  constructor(
+    private readonly read: ReadConfiguration,
+    /** Whether what the store says may not be in force yet. */
+    private readonly isHolding: () => boolean,
+  ) {}
 
   get current(): DeclaredConfiguration | undefined {
     return this.inForce;
@@ -43,9 +49,26 @@
       return [];
     }
     const problem = checkConfiguration(read.value);
-    return problem === undefined
-      ? this.adopt(read.value, 'store')
-      : [wrong(record.key, problem)];
+    if (problem !== undefined) {
+      return [wrong(record.key, problem)];
+    }
+    if (this.isHolding()) {
+      this.heldBack = newerOf(this.heldBack, read.value);
+      return [];
+    }
+    return this.adopt(read.value, 'store');
+  }
+
+  /** Whether the store has brought something that is not in force yet. */
+  get hasHeldBack(): boolean {
+    return this.heldBack !== undefined;
+  }
+
+  /** What the store has brought may be in force, unless something newer is. */
+  release(): readonly FleetAction[] {
+    const {heldBack} = this;
+    this.heldBack = undefined;
+    return heldBack === undefined ? [] : this.adopt(heldBack, 'store');
   }
 
   /** Never goes back: an older version than the one in force is passed over. */
@@ -61,6 +84,13 @@
   }
 }
 
+function newerOf(
+  before: DeclaredConfiguration | undefined,
+  next: DeclaredConfiguration,
+): DeclaredConfiguration {
+  return before !== undefined && before.version > next.version ? before : next;
+}
+
 function wrong(
   key: string,
   {field, problem}: ConfigurationProblem,
--- a/packages/fleet/src/fleetBrain.ts
+++ b/packages/fleet/src/fleetBrain.ts
@@ -7,8 +7,8 @@
 import type {RandomSource} from '@lockpin/types';
 import {BoxDirectory} from './boxDirectory.js';
 import {BoxLearning} from './boxLearning.js';
-import {ConfigurationInForce} from './configurationInForce.js';
 import type {ReadConfiguration} from './configurationInForce.js';
+import {ConfigurationLearning} from './configurationLearning.js';
 import type {DeclaredConfiguration} from './declaredConfiguration.js';
 import type {
   FleetAction,
@@ -19,6 +19,8 @@
   PeerQuestion,
 } from './fleetMessages.js';
 import {FollowerNews} from './followerNews.js';
+import {LostRecordDuty} from './lostRecordDuty.js';
+import {LostRecords} from './lostRecords.js';
 import {OwnBox} from './ownBox.js';
 import {OwnRecord} from './ownRecord.js';
 import {OwnUpstreamTracker} from './ownUpstream.js';
@@ -26,9 +28,9 @@
 import {PeerAsking} from './peerAsking.js';
 import {PeerQuestions} from './peerQuestions.js';
 import {RunNews} from './runNews.js';
-import type {RecordStream, StoredRecord} from './recordStore.js';
+import type {RecordPage, RecordStream, StoreResult} from './recordStore.js';
+import {StoreAnswers} from './storeAnswers.js';
 import {StoreDuty} from './storeDuty.js';
-import type {ReadEnd} from './streamFollower.js';
 import {SuspectRequests} from './suspectRequests.js';
 
 /** How a fleet is run that is not the same at every start. */
@@ -47,7 +49,9 @@
   readonly own = new OwnUpstreamTracker();
   readonly duty: StoreDuty;
   readonly suspects = new SuspectRequests();
-  private readonly inForce: ConfigurationInForce;
+  private readonly learning: ConfigurationLearning;
+  private readonly storeAnswers: StoreAnswers;
+  private readonly lostDuty: LostRecordDuty;
   private readonly ownRecord: OwnRecord;
   private readonly peers: PeerAsking;
   private readonly answers: PeerAnswers;
@@ -67,7 +71,6 @@
     start: FleetStart = {isFirst: false},
   ) {
     const {directory} = this;
-    this.inForce = new ConfigurationInForce(readConfiguration);
     this.ownRecord = new OwnRecord(identity, (record) =>
       this.boxes.put(record.statedAt, record),
     );
@@ -79,9 +82,27 @@
     );
     this.peers = new PeerAsking(identity, directory);
     this.answers = new PeerAnswers(directory);
-    const {inForce, duty, ownRecord, peers} = this;
+    this.storeAnswers = new StoreAnswers(this.duty);
+    const {duty, ownRecord, peers} = this;
+    const lostRecords = new LostRecords(directory);
+    this.lostDuty = new LostRecordDuty({
+      identity,
+      directory,
+      duty,
+      ownRecord,
+      lostRecords,
+      era: () => this.storeAnswers.era.current,
+    });
+    this.learning = new ConfigurationLearning({
+      read: readConfiguration,
+      isFirstStart: start.isFirst,
+      directory,
+      duty,
+      peers,
+      ask: (address) => this.questions.ask(address, 'configuration'),
+    });
     this.questions = new PeerQuestions({
-      inForce,
+      inForce: this.learning.inForce,
       directory,
       duty,
       ownRecord,
@@ -97,6 +118,8 @@
       followerNews: this.followerNews,
       suspects: this.suspects,
       runNews: this.runNews,
+      lostRecords,
+      actsForOthers: () => duty.actsForOthers,
     });
     this.ownBox = new OwnBox({
       identity,
@@ -113,11 +136,11 @@
   }
 
   get configuration(): DeclaredConfiguration | undefined {
-    return this.inForce.current;
+    return this.learning.inForce.current;
   }
 
   get version(): number {
-    return this.inForce.version;
+    return this.learning.inForce.version;
   }
 
   handle(
@@ -148,9 +171,9 @@
       case 'news-told':
         return this.newsTold(now, random, event.news);
       case 'read-ended':
-        return this.readEnded(now, random, event.stream, event);
+        return this.readEnded(now, random, event);
       case 'write-ended':
-        return this.ownBox.writeEnded(now, event.result);
+        return this.writeEnded(now, event.result);
       case 'runs-crashed':
         this.suspects.crashed(now, event.digests);
         return [];
@@ -170,7 +193,11 @@
         );
       case 'peer-replied':
         this.questions.ended(event.address, event.knowledge);
-        return this.learnFromPeer(now, event.address, event.knowledge);
+        this.learning.replied(event.address);
+        return [
+          ...this.learnFromPeer(now, event.address, event.knowledge),
+          ...this.learning.due(now, random),
+        ];
     }
   }
 
@@ -213,8 +240,10 @@
     this.ownRecord.tick(now);
     return [
       ...this.duty.goOn(now),
+      ...this.lostDuty.due(now, random),
       ...this.ownBox.write(now),
       ...this.boxes.forget(now),
+      ...this.learning.due(now, random),
       ...this.questions.due(now, random),
     ];
   }
@@ -255,10 +284,26 @@
     random: RandomSource,
     news: FleetNews,
   ): readonly FleetAction[] {
-    if (news.kind === 'boxes') {
-      return this.boxes.fromPeer(now, 'peer', news.boxes);
+    switch (news.kind) {
+      case 'boxes':
+        return this.boxes.fromPeer(now, 'peer', news.boxes);
+      case 'records-lost':
+        return this.lostDuty.told(now, random, news);
+      case 'store-restored':
+        return [
+          ...this.storeAnswers.heard(now, news.era),
+          ...this.goOn(now, random),
+        ];
+      case 'report':
+        return this.reported(now, random, news);
     }
-    const {address, report} = news;
+  }
+
+  private reported(
+    now: number,
+    random: RandomSource,
+    {address, report}: FleetNews & {readonly kind: 'report'},
+  ): readonly FleetAction[] {
     this.duty.readers.heard(now, address, report);
     const {digest} = this.directory;
     const asks = this.duty.readers.wantsBoxesOf(now, address, digest)
@@ -273,39 +318,34 @@
   private readEnded(
     now: number,
     random: RandomSource,
-    stream: RecordStream,
-    end: ReadEnd,
+    {stream, read, result}: FleetEvent & {readonly kind: 'read-ended'},
   ): readonly FleetAction[] {
-    const actions = [...this.duty.readEnded(now, random, stream, end)];
-    const {result} = end;
-    if (result.ok) {
-      for (const record of result.value.records) {
-        actions.push(...this.take(now, stream, record));
-      }
-    }
-    return [...actions, ...this.goOn(now, random)];
+    const checked = this.storeAnswers.check(now, stream, result);
+    const end = {read, result: checked.result};
+    return [
+      ...checked.actions,
+      ...this.duty.readEnded(now, random, stream, end),
+      ...(end.result.ok ? this.take(now, stream, end.result.value) : []),
+      ...this.goOn(now, random),
+    ];
   }
 
-  private take(
+  private writeEnded(
     now: number,
-    stream: RecordStream,
-    record: StoredRecord,
+    result: StoreResult<undefined>,
   ): readonly FleetAction[] {
-    if (stream === 'configuration') {
-      return this.noteVersion(this.inForce.take(record));
-    }
-    return this.boxes.fromStore(now, record);
+    const checked = this.storeAnswers.check(now, 'write', result);
+    return [...checked.actions, ...this.ownBox.writeEnded(now, checked.result)];
   }
 
-  /** What was asked of peers for the sake of a newer version is over with it. */
-  private noteVersion(actions: readonly FleetAction[]): readonly FleetAction[] {
-    if (actions.some(({kind}) => kind === 'configuration-changed')) {
-      this.peers.versionCame(this.version);
-      this.duty.versionCame();
-      const services = this.configuration?.services ?? [];
-      this.directory.declare(new Set(services.map(({name}) => name)));
-    }
-    return actions;
+  private take(
+    now: number,
+    stream: RecordStream,
+    page: RecordPage,
+  ): readonly FleetAction[] {
+    return stream === 'configuration'
+      ? page.records.flatMap((record) => this.learning.fromStore(now, record))
+      : this.boxes.fromStore(now, page);
   }
 
   private learnFromPeer(
@@ -321,11 +361,6 @@
     const {configuration} = knowledge;
     return configuration === undefined
       ? notes
-      : [
-          ...notes,
-          ...this.noteVersion(
-            this.inForce.adopt(configuration, `peer ${address}`),
-          ),
-        ];
+      : [...notes, ...this.learning.fromPeer(address, configuration)];
   }
 }
--- a/packages/fleet/src/fleetMessages.ts
+++ b/packages/fleet/src/fleetMessages.ts
@@ -1,6 +1,7 @@
 // Copyright (c) 2026 the lockpin contributors. MIT licence, see LICENSE.
 /** What the fleet's control is told, and what it decides. */
 
+import type {Era} from '@lockpin/types';
 import type {BoxRecord} from './boxRecord.js';
 import type {DeclaredConfiguration} from './declaredConfiguration.js';
 import type {
@@ -54,7 +55,15 @@
       readonly report: ReaderReport;
     }
   /** Statements of boxes that the teller did not know before. */
-  | {readonly kind: 'boxes'; readonly boxes: readonly BoxRecord[]};
+  | {readonly kind: 'boxes'; readonly boxes: readonly BoxRecord[]}
+  /** The store was restored to an earlier state: what was read of it is to be read anew. */
+  | {readonly kind: 'store-restored'; readonly era: Era}
+  /** Boxes whose newest statements the store has not, since it was restored. */
+  | {
+      readonly kind: 'records-lost';
+      readonly era: Era;
+      readonly boxes: readonly string[];
+    };
 
 /** What happens to the fleet's control. */
 export type FleetEvent =
@@ -102,6 +111,8 @@
   | {readonly kind: 'write'; readonly record: StoredRecord}
   /** The record of a box that is gone leaves the store. */
   | {readonly kind: 'drop-record'; readonly key: string}
+  /** The record of a box that is gone is to be in the store again. */
+  | {readonly kind: 'write-for'; readonly record: StoredRecord}
   | {
       readonly kind: 'ask-peer';
       readonly address: string;
--- a/packages/fleet/src/ownRecord.ts
+++ b/packages/fleet/src/ownRecord.ts
@@ -9,12 +9,16 @@
 import type {BoxRecord} from './boxRecord.js';
 import type {NodeIdentity} from './fleetMessages.js';
 import type {RunReport} from '@lockpin/quarantine';
+import type {Era} from '@lockpin/types';
 import type {OwnUpstream} from './ownUpstream.js';
 import type {StoreResult, StoredRecord} from './recordStore.js';
 
 /** Time before a failed write of the own record is tried again. */
 const WRITE_PAUSE_MILLISECONDS = 400;
 
+/** Both readers of a data centre tell of the same statement within this time. */
+const SAME_NEWS_MILLISECONDS = 5000;
+
 /** Upstreams announce themselves every second or two; three may be lost. */
 const UPSTREAM_PATIENCE_MILLISECONDS = 6000;
 
@@ -24,8 +28,12 @@
   private desired: BoxRecord | undefined;
   /** As the store is known to have it. */
   private stored: BoxRecord | undefined;
+  /** Of the answer that said so. */
+  private storedIn: Era = 0;
   /** What is being written now. */
   private writing: BoxRecord | undefined;
+  /** Another statement of this box that a peer had, and when it told so. */
+  private toldBefore = {statedAt: 0, at: Number.NEGATIVE_INFINITY};
   private writeAfter = 0;
   /** Of an earlier process of this box, as far as peers told. */
   private lastStatedAt = 0;
@@ -75,22 +83,44 @@
     this.stored = undefined;
   }
 
+  /**
+   * Of this box the store has nothing any more, or an older statement, since it was
+   * restored. Others may say so late: what was written since the restore is there.
+   * @param pause Time until it is written again, in milliseconds.
+   * @returns Whether it is to be written again.
+   */
+  lost(now: number, era: Era, pause: number): boolean {
+    if (this.stored === undefined || this.storedIn >= era) {
+      return false;
+    }
+    this.stored = undefined;
+    this.writeAfter = Math.max(this.writeAfter, now + pause);
+    return true;
+  }
+
   /**
    * A peer has this record of the own box. The same statement proves nothing: readers tell
    * what they heard from this box as well as what the store has.
    */
   toldOf(now: number, record: BoxRecord): void {
-    const {desired} = this;
+    const {desired, toldBefore} = this;
     if (desired === undefined) {
       this.lastStatedAt = Math.max(this.lastStatedAt, record.statedAt);
-    } else if (record.statedAt !== desired.statedAt) {
-      this.found(now, record);
+      return;
+    }
+    const isKnown =
+      record.statedAt === toldBefore.statedAt &&
+      now - toldBefore.at < SAME_NEWS_MILLISECONDS;
+    if (record.statedAt !== desired.statedAt && !isKnown) {
+      this.toldBefore = {statedAt: record.statedAt, at: now};
+      this.found(now, record, this.storedIn);
     }
   }
 
   /** The store has this record of the own box. */
-  found(now: number, record: BoxRecord): void {
+  found(now: number, record: BoxRecord, era: Era): void {
     this.stored = record;
+    this.storedIn = era;
     const {desired} = this;
     // A write of an earlier process of this box, or one done late.
     if (desired !== undefined && record.statedAt > desired.statedAt) {
@@ -123,6 +153,7 @@
     this.hasFailed = !result.ok;
     if (result.ok) {
       this.stored = writing;
+      this.storedIn = result.era;
     } else {
       this.writeAfter = now + WRITE_PAUSE_MILLISECONDS;
     }
--- a/packages/fleet/src/peerAsking.ts
+++ b/packages/fleet/src/peerAsking.ts
@@ -7,6 +7,7 @@
 import type {BoxRecord} from './boxRecord.js';
 import type {NodeIdentity} from './fleetMessages.js';
 import {firstReaders} from './recordReaders.js';
+import {PEERS_TO_ASK} from './startCheck.js';
 
 /** Time between questions to peers while the store does not answer. */
 const QUESTION_MILLISECONDS = 500;
@@ -126,6 +127,22 @@
     });
   }
 
+  /**
+   * Peers that a node which has just started asks: those that read the store for its data
+   * centre know most, and one elsewhere knows where these have just started as well.
+   */
+  atStart(random: RandomSource): readonly string[] {
+    const {dataCentre} = this.identity;
+    const near = this.others(firstReaders(this.directory, dataCentre));
+    const others = this.others(this.directory.all()).filter(
+      (record) => !near.includes(record),
+    );
+    const far = others.filter((record) => record.dataCentre !== dataCentre);
+    const further = oneOf(far.length > 0 ? far : others, random);
+    const all = further === undefined ? near : [...near, further];
+    return all.slice(0, PEERS_TO_ASK).map(({peerAddress}) => peerAddress);
+  }
+
   private dueNow(
     now: number,
     choose: () => BoxRecord | undefined,
--- a/packages/fleet/src/recordStore.ts
+++ b/packages/fleet/src/recordStore.ts
@@ -1,6 +1,8 @@
 // Copyright (c) 2026 the lockpin contributors. MIT licence, see LICENSE.
 /** What a fleet needs of the place that keeps its records. */
 
+import type {Era, StreamPosition} from '@lockpin/types';
+
 /** The records that operators write, and those that boxes write. */
 export const RECORD_STREAMS = ['configuration', 'boxes'] as const;
 
@@ -13,10 +15,13 @@
   readonly value: Buffer | undefined;
 }
 
-/** Records of a stream, in order, and the offset after the last of all. */
+/** Records of a stream, in order. */
 export interface RecordPage {
   readonly records: readonly StoredRecord[];
-  readonly end: number;
+  /** After the last of all records. */
+  readonly end: StreamPosition;
+  /** These are the newest of all keys: what is not among them, the store does not have. */
+  readonly isWhole: boolean;
 }
 
 /** Why a call to the store failed. */
@@ -32,8 +37,13 @@
 
 /** A result of the store. */
 export type StoreResult<T> =
-  | {readonly ok: true; readonly value: T}
-  | {readonly ok: false; readonly failure: StoreFailure};
+  | {readonly ok: true; readonly value: T; readonly era: Era}
+  | {
+      readonly ok: false;
+      readonly failure: StoreFailure;
+      /** Undefined where no answer came, or where it does not say. */
+      readonly era: Era | undefined;
+    };
 
 /** The store; each function makes one call and decides nothing. */
 export interface RecordStore {
@@ -41,10 +51,10 @@
   readonly readNewest: (
     stream: RecordStream,
   ) => Promise<StoreResult<RecordPage>>;
-  /** Records from an offset on; waits for one up to a time. */
+  /** Records from a position on; waits for one up to a time. */
   readonly follow: (
     stream: RecordStream,
-    from: number,
+    from: StreamPosition,
     waitMilliseconds: number,
   ) => Promise<StoreResult<RecordPage>>;
   readonly write: (
--- a/packages/fleet/src/storeDuty.ts
+++ b/packages/fleet/src/storeDuty.ts
@@ -98,6 +98,16 @@
     this.reading.newerVersionHeard(now);
   }
 
+  /** The store was restored to an earlier state. */
+  storeRestored(now: number): void {
+    this.reading.restored(now);
+  }
+
+  /** Whether of all nodes that read the store this one acts for boxes that are gone. */
+  get actsForOthers(): boolean {
+    return this.readers.isReader && this.readers.turn().phase === 0;
+  }
+
   /** A newer version came into force. */
   versionCame(): void {
     this.reading.versionCame();
--- a/packages/fleet/src/storeReading.ts
+++ b/packages/fleet/src/storeReading.ts
@@ -79,6 +79,11 @@
     this.followers.configuration.expectNews(now);
   }
 
+  /** The store was restored to an earlier state. */
+  restored(now: number): void {
+    RECORD_STREAMS.forEach((stream) => this.followers[stream].restored(now));
+  }
+
   /** A newer version came into force, however it came. */
   versionCame(): void {
     this.followers.configuration.newsCame();
--- a/packages/fleet/src/streamFollower.ts
+++ b/packages/fleet/src/streamFollower.ts
@@ -1,7 +1,7 @@
 // Copyright (c) 2026 the lockpin contributors. MIT licence, see LICENSE.
 /** When a node reads a stream of the store, and from where. */
 
-import type {RandomSource} from '@lockpin/types';
+import type {RandomSource, StreamPosition} from '@lockpin/types';
 import {waitForTurn} from './readingTurn.js';
 import type {ReadingTurn} from './readingTurn.js';
 import type {RecordPage, RecordStream, StoreResult} from './recordStore.js';
@@ -18,7 +18,7 @@
       readonly stream: RecordStream;
       /** Tells the reads of a node apart; later ones have higher numbers. */
       readonly read: number;
-      readonly from: number;
+      readonly from: StreamPosition;
       readonly waitMilliseconds: number;
     };
 
@@ -78,6 +78,9 @@
 /** A read that is under way should have brought what a peer knows by then. */
 const NEWS_MILLISECONDS = 150;
 
+/** Where a history begins that nothing was ever taken out of. */
+const HISTORY_BEGIN: StreamPosition = {era: 0, offset: 0};
+
 /** What the first read of a stream asks for. */
 export type FirstRead =
   | {readonly kind: 'newest'}
@@ -93,7 +96,7 @@
 
 /** One read at a time is waited for; a pause follows news and failures. */
 export class StreamFollower {
-  private from: number | undefined;
+  private from: StreamPosition | undefined;
   /** The newest one, while its answer is not overdue. */
   private current: BegunRead | undefined;
   /** All that have not ended; what is overdue is welcome still. */
@@ -116,7 +119,7 @@
     /** No read waits longer for news; in milliseconds. */
     private readonly longestRead = Number.POSITIVE_INFINITY,
   ) {
-    this.from = firstRead.kind === 'whole-history' ? 0 : undefined;
+    this.from = firstRead.kind === 'whole-history' ? HISTORY_BEGIN : undefined;
   }
 
   /** Reads failed, one after the other, until now. */
@@ -129,6 +132,16 @@
     return this.hasEndedWell;
   }
 
+  /**
+   * The store was restored. Reads that are under way may skip what was written since, as
+   * their offsets are given out again: all is read anew, at once.
+   */
+  restored(now: number): void {
+    this.from = undefined;
+    this.current = undefined;
+    this.nextAt = this.nextAt === undefined ? undefined : now;
+  }
+
   /** A peer knows what this stream should have brought. */
   expectNews(now: number): void {
     this.expectsNewsSince ??= now;
--- a/packages/node/src/process/fleetComposition.ts
+++ b/packages/node/src/process/fleetComposition.ts
@@ -150,6 +150,8 @@
           break;
         case 'report':
         case 'boxes':
+        case 'records-lost':
+        case 'store-restored':
           host.newsTold(news);
           break;
         case 'limit-request':
--- a/packages/node/src/process/fleetHost.ts
+++ b/packages/node/src/process/fleetHost.ts
@@ -272,6 +272,7 @@
       case 'follow':
       case 'write':
       case 'drop-record':
+      case 'write-for':
         this.store.perform(action);
         break;
       case 'ask-peer':
--- a/packages/node/src/process/fleetStoreCalls.ts
+++ b/packages/node/src/process/fleetStoreCalls.ts
@@ -14,7 +14,8 @@
 
 /** An action that is a call to the store. */
 export type StoreAction = FleetAction & {
-  readonly kind: 'read-newest' | 'follow' | 'write' | 'drop-record';
+  readonly kind:
+    'read-newest' | 'follow' | 'write' | 'drop-record' | 'write-for';
 };
 
 /** Tells the control how each call ended. */
@@ -44,6 +45,9 @@
       case 'drop-record':
         void this.drop(action.key);
         break;
+      case 'write-for':
+        void this.writeFor(action.record);
+        break;
     }
   }
 
@@ -62,6 +66,15 @@
     });
   }
 
+  /** What a promise hangs on, for a box that is gone; tried again until it is read. */
+  private async writeFor(record: StoredRecord): Promise<void> {
+    const result = await this.store.write('boxes', record);
+    this.log.event('record-written-for-box', {
+      subject: record.key,
+      problem: result.ok ? '' : result.failure.detail,
+    });
+  }
+
   private whenRead(
     {stream, read}: StreamRead,
     ending: Promise<StoreResult<RecordPage>>,
--- a/packages/node/src/request/frames.ts
+++ b/packages/node/src/request/frames.ts
@@ -7,14 +7,13 @@
   answerRow,
   headFrom,
   headRow,
-  newsFrom,
-  newsRow,
   refusalFrom,
   refusalRow,
   requestFrom,
   requestRow,
 } from './frameRows.js';
 import type {Frame} from './frameTypes.js';
+import {newsFrom, newsRow} from './newsRows.js';
 
 export type * from './frameTypes.js';
 
--- /dev/null
+++ b/packages/node/src/request/newsRows.ts
@@ -0,0 +1,174 @@
+// Copyright (c) 2026 the lockpin contributors. MIT licence, see LICENSE.
+/** News between nodes as rows of values; see frameRows. */
+
+import type {BoxRecord, ReaderReport} from '@lockpin/fleet';
+import type {RunReport} from '@lockpin/quarantine';
+import type {Era} from '@lockpin/types';
+import type {PeerNews} from './frameTypes.js';
+import {
+  limitReplyFrom,
+  limitReplyRow,
+  limitRequestFrom,
+  limitRequestRow,
+} from './limitRows.js';
+import type {LimitReplyRow, LimitRequestRow} from './limitRows.js';
+import {fromRow, toRow} from './rows.js';
+import {hintOf, hintRow} from './wireCodes.js';
+import type {HintRow} from './wireCodes.js';
+
+/** The order of a box's statement. */
+const BOX_FIELDS = [
+  'box',
+  'dataCentre',
+  'peerAddress',
+  'service',
+  'slots',
+  'takesWork',
+  'coldUntil',
+  'statedAt',
+  'runs',
+] as const satisfies readonly (keyof BoxRecord)[];
+
+/** The order of what a box tells of a run. */
+const RUN_FIELDS = [
+  'digest',
+  'at',
+  'hasCrashed',
+] as const satisfies readonly (keyof RunReport)[];
+
+/** A box's statement with its runs as rows. */
+type CodedBox = Omit<BoxRecord, 'runs'> & {
+  readonly runs: readonly (readonly unknown[])[] | undefined;
+};
+
+/** The order of a reader's report. */
+const REPORT_FIELDS = [
+  'version',
+  'boxesDigest',
+  'isReading',
+  'storeAge',
+  'nextWithin',
+] as const satisfies readonly (keyof ReaderReport)[];
+
+type StandingRow = readonly [upstream: string, hint: HintRow];
+
+type VersionRow = readonly [version: number, address: string];
+
+/**
+ * The first value of news that is neither a standing nor a version. No version is
+ * below 0, so that a node of an earlier release passes over it.
+ */
+const FOLLOW = -1;
+const REPORT = -2;
+const BOXES = -3;
+const LIMIT_REQUEST = -4;
+const LIMIT_REPLY = -5;
+const RECORDS_LOST = -6;
+const STORE_RESTORED = -7;
+
+type FollowRow = readonly [kind: typeof FOLLOW, isWanted: boolean];
+
+type ReportRow = readonly [
+  kind: typeof REPORT,
+  address: string,
+  report: readonly unknown[],
+];
+
+type BoxesRow = readonly [
+  kind: typeof BOXES,
+  boxes: readonly (readonly unknown[])[],
+];
+
+type RecordsLostRow = readonly [
+  kind: typeof RECORDS_LOST,
+  era: Era,
+  boxes: readonly string[],
+];
+
+type StoreRestoredRow = readonly [kind: typeof STORE_RESTORED, era: Era];
+
+/** A piece of news as it goes between nodes. */
+export type NewsRow =
+  | StandingRow
+  | VersionRow
+  | FollowRow
+  | ReportRow
+  | BoxesRow
+  | RecordsLostRow
+  | StoreRestoredRow
+  | readonly [kind: typeof LIMIT_REQUEST, ...row: LimitRequestRow]
+  | readonly [kind: typeof LIMIT_REPLY, ...row: LimitReplyRow];
+
+/** The row of a piece of news. */
+export function newsRow(news: PeerNews): NewsRow {
+  switch (news.kind) {
+    case 'standing':
+      return [news.upstream, hintRow(news.hint)];
+    case 'version':
+      return [news.version, news.address];
+    case 'follow':
+      return [FOLLOW, news.isWanted];
+    case 'report':
+      return [REPORT, news.address, toRow(REPORT_FIELDS, news.report)];
+    case 'boxes':
+      return [BOXES, news.boxes.map(boxRow)];
+    case 'records-lost':
+      return [RECORDS_LOST, news.era, news.boxes];
+    case 'store-restored':
+      return [STORE_RESTORED, news.era];
+    case 'limit-request':
+      return [LIMIT_REQUEST, ...limitRequestRow(news)];
+    case 'limit-reply':
+      return [LIMIT_REPLY, ...limitReplyRow(news)];
+  }
+}
+
+/** What is told of an upstream begins with its name, all else with a number. */
+export function newsFrom(row: NewsRow): PeerNews {
+  const [first, second] = row;
+  if (typeof first === 'string') {
+    return {kind: 'standing', upstream: first, hint: hintOf(second as HintRow)};
+  }
+  switch (first) {
+    case FOLLOW:
+      return {kind: 'follow', isWanted: second as boolean};
+    case REPORT:
+      return reportFrom(row as ReportRow);
+    case BOXES:
+      return boxesFrom(row as BoxesRow);
+    case RECORDS_LOST:
+      return recordsLostFrom(row as RecordsLostRow);
+    case STORE_RESTORED:
+      return {kind: 'store-restored', era: second as Era};
+    case LIMIT_REQUEST:
+      return limitRequestFrom(row.slice(1) as unknown as LimitRequestRow);
+    case LIMIT_REPLY:
+      return limitReplyFrom(row.slice(1) as unknown as LimitReplyRow);
+    default:
+      return {kind: 'version', version: first, address: second as string};
+  }
+}
+
+function reportFrom([, address, row]: ReportRow): PeerNews {
+  const report = fromRow<ReaderReport>(REPORT_FIELDS, row);
+  return {kind: 'report', address, report};
+}
+
+function boxesFrom([, rows]: BoxesRow): PeerNews {
+  return {kind: 'boxes', boxes: rows.map(boxFrom)};
+}
+
+function recordsLostFrom([, era, boxes]: RecordsLostRow): PeerNews {
+  return {kind: 'records-lost', era, boxes};
+}
+
+function boxRow(box: BoxRecord): readonly unknown[] {
+  const runs = box.runs?.map((run) => toRow(RUN_FIELDS, run));
+  return toRow<CodedBox>(BOX_FIELDS, {...box, runs});
+}
+
+function boxFrom(row: readonly unknown[]): BoxRecord {
+  const {runs, ...box} = fromRow<CodedBox>(BOX_FIELDS, row);
+  const reports = runs?.map((run) => fromRow<RunReport>(RUN_FIELDS, run));
+  return reports === undefined ? box : {...box, runs: reports};
+}
--- a/packages/tools/src/faults/platformPromises.ts
+++ b/packages/tools/src/faults/platformPromises.ts
@@ -18,6 +18,10 @@
 const ENTRY = 'packages/brain/src/__tests__/overdueCalls.test.ts';
 const BRAIN = 'packages/fleet/src/__tests__/fleetBrain.test.ts';
 const READERS = 'packages/fleet/src/__tests__/readingFleet.test.ts';
+const STORE = 'packages/fleet/src/__tests__/storeTalk.test.ts';
+const RESTORED = 'packages/fleet/src/__tests__/restoredStore.test.ts';
+const CLIENT = 'platform/src/__tests__/storeClient.test.ts';
+const RESTORE = 'platform/src/__tests__/restoredStore.test.ts';
 const SILENCE = 'packages/fleet/src/__tests__/silentStore.test.ts';
 const ROUTES = 'packages/fleet/src/__tests__/fleetRouting.test.ts';
 const SETTINGS = 'packages/node/src/__tests__/fleetRetryBudget.test.ts';
@@ -181,6 +185,13 @@
       SILENCE,
       'is everywhere in time: $boxes boxes in $dataCentres data centres',
     ],
+    [
+      RESTORED,
+      'is everywhere in time, whichever offsets are given out again: $boxes boxes',
+    ],
+    [RESTORED, 'asks its peers before it serves by that'],
+    [STORE, 'of a newer era ends all reads, and all is read anew at once'],
+    [STORE, 'of an earlier era changes nothing, and is noted'],
     [BRAIN, 'is taken from a peer when the store does not answer'],
     [
       BRAIN,
@@ -214,6 +225,24 @@
     ],
     'a body whose beginning takes more than 200 ms to come has no digest',
   ),
+  promise('what a restored store has lost, and was promised, is there again', [
+    [
+      RESTORED,
+      'is everywhere in time, whichever offsets are given out again: $boxes boxes',
+    ],
+    [RESTORED, 'are written again by the boxes, each once: $boxes boxes'],
+    [
+      RESTORED,
+      'are written again by all boxes where all are lost, not all at once',
+    ],
+    [
+      RESTORED,
+      'is kept out after a restore, the death of one box and the restart of all',
+    ],
+    [RESTORED, 'agrees soon after it is over, and the store has everyone'],
+    [CLIENT, 'makes no whole of pages of two eras'],
+    [RESTORE, 'is not served by an older configuration at any box'],
+  ]),
   promise('an upstream that starts again under its id is a new one', [
     [STATEMENTS, 'is believed from its first word on'],
     [STATEMENTS, 'takes work though its predecessor has drained or left'],
@@ -270,7 +299,7 @@
   promise(
     'the fleet comes back after all of it was killed',
     [
-      [BRAIN, 'is not written again by a restart that changes nothing'],
+      [STORE, 'is not written again by a restart that changes nothing'],
       [READERS, 'are found again after all boxes lost their power at once'],
       [SOAK, SOAKED],
     ],
--- a/packages/types/src/index.ts
+++ b/packages/types/src/index.ts
@@ -1,5 +1,6 @@
 // Copyright (c) 2026 the lockpin contributors. MIT licence, see LICENSE.
 export type * from './failures.js';
+export type * from './positions.js';
 export type * from './random.js';
 export type * from './records.js';
 export type * from './refusals.js';
--- a/packages/utils/src/index.ts
+++ b/packages/utils/src/index.ts
@@ -5,6 +5,7 @@
 export * from './hashing.js';
 export * from './hybridClock.js';
 export * from './incarnations.js';
+export * from './positions.js';
 export * from './readerRank.js';
 export * from './results.js';
 export * from './ringBuffer.js';
