--- a/packages/fleet/src/__tests__/storeTalk.test.ts
+++ b/packages/fleet/src/__tests__/storeTalk.test.ts
@@ -163,6 +163,32 @@
     expect(world.brain.version).toBe(3);
   });
 
+  it('that brings all of an older configuration changes nothing, and is noted', () => {
+    const world = new BrainWorld();
+    world.start([stored(4)]);
+    const older = world.tell({
+      kind: 'read-ended',
+      stream: 'configuration',
+      read: 0,
+      result: {
+        ok: true,
+        value: {
+          records: [stored(3)],
+          end: {era: 1, offset: 3},
+          isWhole: true,
+        },
+        era: 1,
+      },
+    });
+    expect(older).toContainEqual({
+      kind: 'note',
+      event: 'configuration-older-in-store',
+      subject: '3',
+      detail: {version: 4},
+    });
+    expect(world.brain.version).toBe(4);
+  });
+
   it('of an earlier era changes nothing, and is noted', () => {
     const world = new BrainWorld();
     world.start([stored(1)]);
--- a/packages/fleet/src/configurationInForce.ts
+++ b/packages/fleet/src/configurationInForce.ts
@@ -59,6 +59,16 @@
     return this.adopt(read.value, 'store');
   }
 
+  /** Operators have to know that the store has lost what is in force. */
+  noteIfOlder(record: StoredRecord): readonly FleetAction[] {
+    const read = this.read(record);
+    const stored = read.ok ? read.value?.version : undefined;
+    const {version} = this;
+    return stored === undefined || stored >= version
+      ? []
+      : [note('configuration-older-in-store', String(stored), {version})];
+  }
+
   /** Whether the store has brought something that is not in force yet. */
   get hasHeldBack(): boolean {
     return this.heldBack !== undefined;
--- a/packages/fleet/src/configurationLearning.ts
+++ b/packages/fleet/src/configurationLearning.ts
@@ -8,7 +8,7 @@
 import type {DeclaredConfiguration} from './declaredConfiguration.js';
 import type {FleetAction} from './fleetMessages.js';
 import type {PeerAsking} from './peerAsking.js';
-import type {StoredRecord} from './recordStore.js';
+import type {RecordPage} from './recordStore.js';
 import {StartCheck} from './startCheck.js';
 import type {StoreDuty} from './storeDuty.js';
 
@@ -36,9 +36,12 @@
     );
   }
 
-  /** The store brought a document. */
-  fromStore(now: number, record: StoredRecord): readonly FleetAction[] {
-    const actions = this.inForce.take(record);
+  /** The store brought documents. */
+  fromStore(now: number, page: RecordPage): readonly FleetAction[] {
+    const actions = page.records.flatMap((record) => [
+      ...this.inForce.take(record),
+      ...(page.isWhole ? this.inForce.noteIfOlder(record) : []),
+    ]);
     if (this.inForce.hasHeldBack) {
       this.startCheck.held(now);
     }
--- a/packages/fleet/src/fleetBrain.ts
+++ b/packages/fleet/src/fleetBrain.ts
@@ -31,6 +31,7 @@
 import type {RecordPage, RecordStream, StoreResult} from './recordStore.js';
 import {StoreAnswers} from './storeAnswers.js';
 import {StoreDuty} from './storeDuty.js';
+import type {StoreEra} from './storeEra.js';
 import {SuspectRequests} from './suspectRequests.js';
 
 /** How a fleet is run that is not the same at every start. */
@@ -130,6 +131,11 @@
     });
   }
 
+  /** How often the store was restored, as far as this node knows. */
+  get storeEra(): StoreEra {
+    return this.storeAnswers.era;
+  }
+
   /** Records that were none, found since the process began. */
   get wrongRecordCount(): number {
     return this.boxes.wrongCount;
@@ -344,7 +350,7 @@
     page: RecordPage,
   ): readonly FleetAction[] {
     return stream === 'configuration'
-      ? page.records.flatMap((record) => this.learning.fromStore(now, record))
+      ? this.learning.fromStore(now, page)
       : this.boxes.fromStore(now, page);
   }
 
--- a/packages/node/src/__tests__/frames.test.ts
+++ b/packages/node/src/__tests__/frames.test.ts
@@ -67,6 +67,11 @@
     },
   },
   {kind: 'news', news: {kind: 'version', version: 7, address: '10.0.0.1:80'}},
+  {kind: 'news', news: {kind: 'store-restored', era: 3}},
+  {
+    kind: 'news',
+    news: {kind: 'records-lost', era: 3, boxes: ['box-1', 'box-2']},
+  },
   {
     kind: 'news',
     news: {
--- a/packages/node/src/process/metrics.ts
+++ b/packages/node/src/process/metrics.ts
@@ -22,8 +22,10 @@
   'readers.heard',
   'records.wrong',
   'requests.suspected',
+  'store.era',
   'store.newsAgeMilliseconds',
   'store.reads',
+  'store.restores',
 ] as const;
 
 /** One of the metrics. */
--- a/packages/node/src/process/runFleetNode.ts
+++ b/packages/node/src/process/runFleetNode.ts
@@ -163,6 +163,8 @@
     const now = steadyClock();
     metrics.gauge('store.reads', duty.isFollowing(now) ? 1 : 0);
     metrics.gauge('store.newsAgeMilliseconds', duty.newsAge(now) ?? -1);
+    metrics.gauge('store.era', host.fleet.storeEra.current ?? -1);
+    metrics.gauge('store.restores', host.fleet.storeEra.restoreCount);
     metrics.gauge('readers.followed', duty.readers.followed(now).near.length);
     metrics.gauge('readers.heard', duty.readers.hearsReader(now) ? 1 : 0);
     metrics.gauge('log.dropped', writer.counts.dropped);
--- a/packages/tools/src/soak/__tests__/soak.test.ts
+++ b/packages/tools/src/soak/__tests__/soak.test.ts
@@ -21,9 +21,17 @@
 
   it('keeps them through restarts under the same id and other writers', async () => {
     const folder = mkdtempSync(join(tmpdir(), 'lockpin-soak-'));
-    const size = {...SIZE, faults: 'all'} as const;
+    const size = {...SIZE, faults: 'second'} as const;
     const {violations, calls} = await runSoak(SEED + 1, size, folder);
     expect(violations).toEqual([]);
     expect(calls).toBeGreaterThan(200);
   });
+
+  it('keeps them while the store is restored again and again', async () => {
+    const folder = mkdtempSync(join(tmpdir(), 'lockpin-soak-'));
+    const size = {...SIZE, faults: 'all'} as const;
+    const {violations, calls} = await runSoak(SEED + 2, size, folder);
+    expect(violations).toEqual([]);
+    expect(calls).toBeGreaterThan(200);
+  });
 });
--- a/packages/tools/src/soak/applyFault.ts
+++ b/packages/tools/src/soak/applyFault.ts
@@ -30,6 +30,11 @@
     case 'store-forgets':
       store.forget();
       return;
+    case 'store-restored':
+      await recorder.trouble('', false, fault.kind, () =>
+        store.restore(fault.awayFor, fault.lost),
+      );
+      return;
     case 'configure':
       store.configure();
       return;
--- a/packages/tools/src/soak/faultPlan.ts
+++ b/packages/tools/src/soak/faultPlan.ts
@@ -25,6 +25,12 @@
     }
   | {readonly kind: 'store'; readonly mood: StoreMood; readonly lasts: number}
   | {readonly kind: 'store-forgets'}
+  /** It is away for a time and comes back as it was longer ago. */
+  | {
+      readonly kind: 'store-restored';
+      readonly awayFor: number;
+      readonly lost: number;
+    }
   | {
       readonly kind: 'upstream';
       readonly box: number;
@@ -53,13 +59,16 @@
   | {readonly kind: 'configure'}
 );
 
+/**
+ * Which faults are played. Seeds that were kept before there were further ones go on
+ * without them, so that they show what they showed: the second set has restarts under the
+ * same id and other writers, the third restores of the store.
+ */
+export type FaultSet = 'first' | 'second' | 'all';
+
 /** How long and how large a soak is. */
 export interface SoakSize {
-  /**
-   * Which faults are played. Seeds that were kept before there were restarts under the
-   * same id and other writers go on without them, so that they show what they showed.
-   */
-  readonly faults: 'first' | 'all';
+  readonly faults: FaultSet;
   readonly boxes: number;
   /** Time in which faults begin, in milliseconds. */
   readonly faultMilliseconds: number;
@@ -215,8 +224,23 @@
   ],
 ];
 
-/** Far from other seeds, so that both plans of one seed differ. */
+/** The store comes back from a copy, once or several times. */
+const RESTORE_DRAWS: readonly DrawFault[] = [
+  (random, at) =>
+    inSeries(random, at, (time) => ({
+      at: time,
+      kind: 'store-restored',
+      awayFor: span(random) / 4,
+      lost: span(random),
+    })),
+];
+
+/** Far from other seeds, so that the plans of one seed differ. */
 const LATER_SEED_OFFSET = 7_777_777;
+const RESTORE_SEED_OFFSET = 15_555_557;
+
+/** A restore comes this many times less often than other faults. */
+const RESTORE_RARITY = 4;
 
 /** The faults of a seed, in the order of their times. */
 export function planFaults(
@@ -225,23 +249,33 @@
 ): readonly PlannedFault[] {
   const first = drawFaults(seed, size, DRAWS);
   const later =
+    size.faults === 'first'
+      ? []
+      : drawFaults(seed + LATER_SEED_OFFSET, size, LATER_DRAWS);
+  const restores =
     size.faults === 'all'
-      ? drawFaults(seed + LATER_SEED_OFFSET, size, LATER_DRAWS)
+      ? drawFaults(
+          seed + RESTORE_SEED_OFFSET,
+          size,
+          RESTORE_DRAWS,
+          RESTORE_RARITY * MEAN_GAP_MILLISECONDS,
+        )
       : [];
-  return [...first, ...later].sort((a, b) => a.at - b.at);
+  return [...first, ...later, ...restores].sort((a, b) => a.at - b.at);
 }
 
 function drawFaults(
   seed: number,
   {boxes, faultMilliseconds}: SoakSize,
   draws: readonly DrawFault[],
+  meanGap: number = MEAN_GAP_MILLISECONDS,
 ): readonly PlannedFault[] {
   const random = seededRandom(seed);
   const faults: PlannedFault[] = [];
   let at = 0;
   while (at < faultMilliseconds) {
     faults.push(...oneOf(random, draws)(random, Math.round(at), boxes));
-    at += 2 * MEAN_GAP_MILLISECONDS * random();
+    at += 2 * meanGap * random();
   }
   return faults;
 }
--- a/packages/tools/src/soak/main.ts
+++ b/packages/tools/src/soak/main.ts
@@ -6,7 +6,7 @@
 import {fileURLToPath} from 'node:url';
 import yargs from 'yargs';
 import {hideBin} from 'yargs/helpers';
-import type {SoakSize} from './faultPlan.js';
+import type {FaultSet, SoakSize} from './faultPlan.js';
 import {runSoak} from './runSoak.js';
 import type {SoakResult} from './runSoak.js';
 
@@ -51,18 +51,20 @@
 /** A seed, and which of the faults it draws are played. */
 type SoakSeed = Pick<SoakSize, 'faults'> & {readonly seed: number};
 
-/** Those kept before there were later faults have no word behind their number. */
+/** What stands behind the number of a kept seed, for the faults that it was kept with. */
+const FAULT_SETS: Readonly<Record<string, FaultSet>> = {
+  '': 'first',
+  '-all': 'second',
+  '-restores': 'all',
+};
+
 function keptSeeds(): readonly SoakSeed[] {
   return readdirSync(REGRESSIONS).flatMap((name): readonly SoakSeed[] => {
-    const match = /^(\d+)(-all)?\.txt$/.exec(name);
-    return match === null
+    const match = /^(\d+)(-[a-z]+)?\.txt$/.exec(name);
+    const faults = FAULT_SETS[match?.[2] ?? ''];
+    return match === null || faults === undefined
       ? []
-      : [
-          {
-            seed: Number(match[1]),
-            faults: match[2] === undefined ? 'first' : 'all',
-          },
-        ];
+      : [{seed: Number(match[1]), faults}];
   });
 }
 
--- a/packages/tools/src/soak/soakStore.ts
+++ b/packages/tools/src/soak/soakStore.ts
@@ -12,6 +12,9 @@
 import {soakConfiguration} from './soakConfiguration.js';
 import type {VersionFact} from './soakFacts.js';
 
+/** Operators notice a restore, and write again. */
+const REWRITE_MILLISECONDS = 300;
+
 /** Operators reach the store whatever it does to the boxes. */
 export class SoakStore {
   private readonly standIn = new StoreStandIn();
@@ -52,6 +55,15 @@
     this.standIn.mood = this.moods.at(-1) ?? 'well';
   }
 
+  /** Comes back from a copy; operators write again what it has lost. */
+  async restore(awayFor: number, lostMilliseconds: number): Promise<void> {
+    await this.misbehave('silent', awayFor);
+    this.standIn.restore(lostMilliseconds + awayFor);
+    await pause(REWRITE_MILLISECONDS);
+    const text = soakConfiguration(this.newest);
+    this.standIn.put(CONFIGURATION_TOPIC, CONFIGURATION_KEY, text);
+  }
+
   /** Another writer puts something in the place of a box's record. */
   writeOther(box: string, value: string): void {
     this.standIn.put(BOXES_TOPIC, box, value);
