--- a/packages/fleet/src/__tests__/__fixtures__/fleetWorld.ts
+++ b/packages/fleet/src/__tests__/__fixtures__/fleetWorld.ts
@@ -317,7 +317,7 @@
     const made: Omit<Node, 'brain'> = {
       box: `box-${number}`,
       dataCentre: `d${1 + (number % this.size.dataCentres)}`,
-      address: `10.0.${number}.1:7000`,
+      address: `${hostOf(number)}:7000`,
       life: 0,
       isUp: false,
       isReachable: {incoming: true, outgoing: true},
@@ -372,7 +372,7 @@
       announcement: {
         incarnation: {id: `i-${node.box}`, startedAt: 0},
         service: 's',
-        address: `10.0.${node.box.slice(4)}.1:80`,
+        address: `${hostOf(Number(node.box.slice(4)))}:80`,
         slots: 4,
         state: node.takesWork ? 'ready' : 'draining',
         coldMilliseconds: 0,
@@ -582,3 +582,8 @@
     this.timed.splice(low, 0, entry);
   }
 }
+
+/** The address of a box by its number. */
+function hostOf(number: number): string {
+  return `10.${number >> 8}.${number & 255}.1`;
+}
