--- a/packages/brain/src/guard/ownCallFailures.ts
+++ b/packages/brain/src/guard/ownCallFailures.ts
@@ -3,7 +3,7 @@
 
 /**
  * Time from the failure of a call that an upstream made to its own failure: two turns
- * of event loops on one box. On played days 9 of 10 came within 5 ms.
+ * of event loops on one box.
  */
 const SAME_CAUSE_MILLISECONDS = 20;
 
--- a/packages/detection/src/doubt.ts
+++ b/packages/detection/src/doubt.ts
@@ -39,8 +39,8 @@
 const KEPT_AFTER_GOOD = 0.4;
 
 /**
- * Time in doubt where no probe ends it. Played days show upstreams that reset
- * most calls for 5 to 15 s, so that a first second would be too short.
+ * Time in doubt where no probe ends it: upstreams that reset most of their calls do so
+ * for longer than a second.
  */
 const FIRST_HOLD_MILLISECONDS = 2000;
 
--- a/packages/detection/src/hangEvidence.ts
+++ b/packages/detection/src/hangEvidence.ts
@@ -12,8 +12,8 @@
 const HANGING_SHARE = 0.6;
 
 /**
- * Shape of the log-logistic distribution of durations. 2.4 is near a log-normal one
- * with a deviation of 0.7: one call in twenty takes 3.4 times the median.
+ * Shape of the log-logistic distribution of durations, near a log-normal one with a
+ * deviation of 0.7.
  */
 const DURATION_SHAPE = 2.4;
 
--- a/packages/fleet/src/__tests__/__fixtures__/fleetWorld.ts
+++ b/packages/fleet/src/__tests__/__fixtures__/fleetWorld.ts
@@ -7,7 +7,7 @@
 import type {DeclaredConfiguration} from '../../declaredConfiguration.js';
 import {FleetBrain} from '../../fleetBrain.js';
 import type {FleetAction, FleetEvent, FleetNews} from '../../fleetMessages.js';
-import type {FollowedPeers} from '../../recordReaders.js';
+import type {FollowedPeers} from '../../nodeIdentity.js';
 import type {StreamRead} from '../../streamFollower.js';
 import {PlayedStore} from './playedStore.js';
 import type {StoreCaller} from './playedStore.js';
--- a/packages/fleet/src/checkAnnouncement.ts
+++ b/packages/fleet/src/checkAnnouncement.ts
@@ -3,7 +3,7 @@
 
 import {parseAddress} from '@lockpin/utils';
 import type {DeclaredConfiguration} from './declaredConfiguration.js';
-import type {NodeIdentity} from './fleetMessages.js';
+import type {NodeIdentity} from './nodeIdentity.js';
 import type {AnnouncementProblem, UpstreamAnnouncement} from './ownUpstream.js';
 
 /** Whoever leaves is believed; work goes only to what is declared, and here. */
--- a/packages/fleet/src/checkConfiguration.ts
+++ b/packages/fleet/src/checkConfiguration.ts
@@ -1,8 +1,8 @@
 // Copyright (c) 2026 the lockpin contributors. MIT licence, see LICENSE.
 /** What no declared configuration may hold; one that does is not put in force. */
 
-import type {ConfigurationProblem} from './configurationInForce.js';
 import type {
+  ConfigurationProblem,
   DeclaredConfiguration,
   DeclaredCustomer,
   DeclaredRoute,
--- a/packages/fleet/src/configurationInForce.ts
+++ b/packages/fleet/src/configurationInForce.ts
@@ -3,17 +3,14 @@
 
 import type {Result} from '@lockpin/types';
 import {checkConfiguration} from './checkConfiguration.js';
-import type {DeclaredConfiguration} from './declaredConfiguration.js';
+import type {
+  ConfigurationProblem,
+  DeclaredConfiguration,
+} from './declaredConfiguration.js';
 import type {FleetAction} from './fleetMessages.js';
 import {note} from './fleetNote.js';
 import type {StoredRecord} from './recordStore.js';
 
-/** What is wrong with a document that operators wrote. */
-export interface ConfigurationProblem {
-  readonly field: string;
-  readonly problem: string;
-}
-
 /** Reads the operators' record; undefined for a record that is none. */
 export type ReadConfiguration = (
   record: StoredRecord,
--- a/packages/fleet/src/declaredConfiguration.ts
+++ b/packages/fleet/src/declaredConfiguration.ts
@@ -56,3 +56,9 @@
   /** Where there are none, callers need no key. */
   readonly customers: readonly DeclaredCustomer[];
 }
+
+/** What is wrong with a document that operators wrote. */
+export interface ConfigurationProblem {
+  readonly field: string;
+  readonly problem: string;
+}
--- a/packages/fleet/src/fleetBrain.ts
+++ b/packages/fleet/src/fleetBrain.ts
@@ -5,148 +5,76 @@
  */
 
 import type {RandomSource} from '@lockpin/types';
-import {BoxDirectory} from './boxDirectory.js';
-import {BoxLearning} from './boxLearning.js';
+import type {BoxDirectory} from './boxDirectory.js';
 import type {ReadConfiguration} from './configurationInForce.js';
-import {ConfigurationLearning} from './configurationLearning.js';
 import type {DeclaredConfiguration} from './declaredConfiguration.js';
 import type {
   FleetAction,
   FleetEvent,
   FleetNews,
-  NodeIdentity,
   PeerKnowledge,
   PeerQuestion,
 } from './fleetMessages.js';
-import {FollowerNews} from './followerNews.js';
-import {LostRecordDuty} from './lostRecordDuty.js';
-import {LostRecords} from './lostRecords.js';
-import {OwnBox} from './ownBox.js';
-import {OwnRecord} from './ownRecord.js';
-import {OwnUpstreamTracker} from './ownUpstream.js';
-import {PeerAnswers} from './peerAnswers.js';
-import {PeerAsking} from './peerAsking.js';
-import {PeerQuestions} from './peerQuestions.js';
-import {RunNews} from './runNews.js';
-import type {RecordPage, RecordStream, StoreResult} from './recordStore.js';
-import {StoreAnswers} from './storeAnswers.js';
-import {StoreDuty} from './storeDuty.js';
+import {createFleetParts} from './fleetParts.js';
+import type {FleetParts, FleetStart} from './fleetParts.js';
+import type {NodeIdentity} from './nodeIdentity.js';
+import type {OwnUpstreamTracker} from './ownUpstream.js';
+import type {StoreDuty} from './storeDuty.js';
 import type {StoreEra} from './storeEra.js';
-import {SuspectRequests} from './suspectRequests.js';
-
-/** How a fleet is run that is not the same at every start. */
-export interface FleetStart {
-  /** The fleet starts for the first time: the store has no record of any box. */
-  readonly isFirst: boolean;
-  /** Of the configuration, in milliseconds; undefined for no bound of its own. */
-  readonly longestRead?: number;
-  /** Those that boxes may name; any where none are given. */
-  readonly dataCentres?: readonly string[];
-}
+import type {SuspectRequests} from './suspectRequests.js';
 
 /** Knows the fleet as far as this node has heard. */
 export class FleetBrain {
-  readonly directory = new BoxDirectory();
-  readonly own = new OwnUpstreamTracker();
-  readonly duty: StoreDuty;
-  readonly suspects = new SuspectRequests();
-  private readonly learning: ConfigurationLearning;
-  private readonly storeAnswers: StoreAnswers;
-  private readonly lostDuty: LostRecordDuty;
-  private readonly ownRecord: OwnRecord;
-  private readonly peers: PeerAsking;
-  private readonly answers: PeerAnswers;
-  private readonly questions: PeerQuestions;
-  private readonly followerNews: FollowerNews;
+  private readonly parts: FleetParts;
   /** Of what peers told with their questions; written with the next event. */
   private readonly notes: FleetAction[] = [];
   /** Nodes that followed this one at the last tick. */
   private followers = 0;
-  private readonly runNews: RunNews;
-  private readonly boxes: BoxLearning;
-  private readonly ownBox: OwnBox;
 
   constructor(
     private readonly identity: NodeIdentity,
     readConfiguration: ReadConfiguration,
     start: FleetStart = {isFirst: false},
   ) {
-    const {directory} = this;
-    this.ownRecord = new OwnRecord(identity, (record) =>
-      this.boxes.put(record.statedAt, record),
-    );
-    this.duty = new StoreDuty(
-      identity,
-      directory,
-      start.isFirst,
-      start.longestRead,
-    );
-    this.peers = new PeerAsking(identity, directory);
-    this.answers = new PeerAnswers(directory);
-    this.storeAnswers = new StoreAnswers(this.duty);
-    const {duty, ownRecord, peers} = this;
-    const lostRecords = new LostRecords(directory);
-    this.lostDuty = new LostRecordDuty({
-      identity,
-      directory,
-      duty,
-      ownRecord,
-      lostRecords,
-      era: () => this.storeAnswers.era.current,
-    });
-    this.learning = new ConfigurationLearning({
-      read: readConfiguration,
-      isFirstStart: start.isFirst,
-      directory,
-      duty,
-      peers,
-      ask: (address) => this.questions.ask(address, 'configuration'),
-    });
-    this.questions = new PeerQuestions({
-      inForce: this.learning.inForce,
-      directory,
-      duty,
-      ownRecord,
-      peers,
-    });
-    this.followerNews = new FollowerNews(identity.peerAddress);
-    this.runNews = new RunNews(identity, duty.readers);
-    this.boxes = new BoxLearning({
-      identity,
-      dataCentres: start.dataCentres ?? [],
-      directory,
-      ownRecord,
-      followerNews: this.followerNews,
-      suspects: this.suspects,
-      runNews: this.runNews,
-      lostRecords,
-      actsForOthers: () => duty.actsForOthers,
-    });
-    this.ownBox = new OwnBox({
-      identity,
-      tracker: this.own,
-      record: ownRecord,
-      configuration: () => this.configuration,
-      mayWrite: () => start.isFirst || duty.hasReadBoxes,
-    });
+    this.parts = createFleetParts(identity, readConfiguration, start);
+  }
+
+  /** All boxes that this node knows. */
+  get directory(): BoxDirectory {
+    return this.parts.directory;
+  }
+
+  /** The upstream of this box. */
+  get own(): OwnUpstreamTracker {
+    return this.parts.own;
+  }
+
+  /** This node's part in reading the store. */
+  get duty(): StoreDuty {
+    return this.parts.duty;
+  }
+
+  /** Requests that end upstreams. */
+  get suspects(): SuspectRequests {
+    return this.parts.suspects;
   }
 
   /** How often the store was restored, as far as this node knows. */
   get storeEra(): StoreEra {
-    return this.storeAnswers.era;
+    return this.parts.storeAnswers.era;
   }
 
   /** Records that were none, found since the process began. */
   get wrongRecordCount(): number {
-    return this.boxes.wrongCount;
+    return this.parts.boxes.wrongCount;
   }
 
   get configuration(): DeclaredConfiguration | undefined {
-    return this.learning.inForce.current;
+    return this.parts.learning.inForce.current;
   }
 
   get version(): number {
-    return this.learning.inForce.version;
+    return this.parts.learning.inForce.version;
   }
 
   handle(
@@ -169,7 +97,7 @@
       case 'tick':
         return this.tick(now, random, event.followers ?? 0);
       case 'follower-came':
-        this.followerNews.followerCame();
+        this.parts.followerNews.followerCame();
         return [];
       case 'leaving':
         this.duty.leave();
@@ -177,9 +105,12 @@
       case 'news-told':
         return this.newsTold(now, random, event.news);
       case 'read-ended':
-        return this.readEnded(now, random, event);
+        return [
+          ...this.parts.storeResults.readEnded(now, random, event),
+          ...this.goOn(now, random),
+        ];
       case 'write-ended':
-        return this.writeEnded(now, event.result);
+        return this.parts.storeResults.writeEnded(now, event.result);
       case 'runs-crashed':
         this.suspects.crashed(now, event.digests);
         return [];
@@ -189,20 +120,20 @@
       case 'unknown-key-shown':
         return this.askForKeys(now);
       case 'upstream-announced':
-        return this.ownBox.announced(now, event.announcement);
+        return this.parts.ownBox.announced(now, event.announcement);
       case 'peer-version-heard':
-        return this.questions.versionHeard(
+        return this.parts.questions.versionHeard(
           now,
           random,
           event.address,
           event.version,
         );
       case 'peer-replied':
-        this.questions.ended(event.address, event.knowledge);
-        this.learning.replied(event.address);
+        this.parts.questions.ended(event.address, event.knowledge);
+        this.parts.learning.replied(event.address);
         return [
           ...this.learnFromPeer(now, event.address, event.knowledge),
-          ...this.learning.due(now, random),
+          ...this.parts.learning.due(now, random),
         ];
     }
   }
@@ -210,14 +141,16 @@
   /** Answers another node's question, and learns what it told. */
   answer(now: number, question: PeerQuestion): PeerKnowledge {
     if (question.own !== undefined) {
-      this.notes.push(...this.boxes.fromPeer(now, 'peer', [question.own]));
+      this.notes.push(
+        ...this.parts.boxes.fromPeer(now, 'peer', [question.own]),
+      );
     }
-    return this.answers.to(question, this.configuration);
+    return this.parts.answers.to(question, this.configuration);
   }
 
   /** Whether a peer has not replied yet. */
   get isAskingPeer(): boolean {
-    return this.peers.isAsking;
+    return this.parts.peers.isAsking;
   }
 
   /** Whether this node reads the store itself, and hears of each change at once. */
@@ -230,7 +163,7 @@
     const address = this.duty.readers.freshestReader(now);
     return address === undefined || this.isCurrent(now)
       ? []
-      : this.questions.ask(address, 'configuration');
+      : this.parts.questions.ask(address, 'configuration');
   }
 
   private tick(
@@ -243,14 +176,14 @@
 
   /** What is due now, whatever has happened. */
   private goOn(now: number, random: RandomSource): readonly FleetAction[] {
-    this.ownRecord.tick(now);
+    this.parts.ownRecord.tick(now);
     return [
       ...this.duty.goOn(now),
-      ...this.lostDuty.due(now, random),
-      ...this.ownBox.write(now),
-      ...this.boxes.forget(now),
-      ...this.learning.due(now, random),
-      ...this.questions.due(now, random),
+      ...this.parts.lostDuty.due(now, random),
+      ...this.parts.ownBox.write(now),
+      ...this.parts.boxes.forget(now),
+      ...this.parts.learning.due(now, random),
+      ...this.parts.questions.due(now, random),
     ];
   }
 
@@ -258,11 +191,11 @@
   private tellOfRuns(now: number): readonly FleetAction[] {
     const actions: FleetAction[] = [];
     if (this.suspects.takeHasMoreToTell()) {
-      this.ownRecord.runsChanged(now, this.suspects.reports);
-      actions.push(...this.ownBox.write(now));
+      this.parts.ownRecord.runsChanged(now, this.suspects.reports);
+      actions.push(...this.parts.ownBox.write(now));
     }
-    if (this.runNews.hasUntold) {
-      actions.push(...this.runNews.take(now));
+    if (this.parts.runNews.hasUntold) {
+      actions.push(...this.parts.runNews.take(now));
       actions.push(...this.tellFollowers(now, this.followers));
     }
     return actions;
@@ -279,7 +212,7 @@
       isReading: this.duty.isServing(now),
       storeAge: this.duty.storeAge(now),
     };
-    return this.followerNews
+    return this.parts.followerNews
       .due(now, followers, state)
       .map((news) => ({kind: 'tell-followers', news}));
   }
@@ -292,12 +225,12 @@
   ): readonly FleetAction[] {
     switch (news.kind) {
       case 'boxes':
-        return this.boxes.fromPeer(now, 'peer', news.boxes);
+        return this.parts.boxes.fromPeer(now, 'peer', news.boxes);
       case 'records-lost':
-        return this.lostDuty.told(now, random, news);
+        return this.parts.lostDuty.told(now, random, news);
       case 'store-restored':
         return [
-          ...this.storeAnswers.heard(now, news.era),
+          ...this.parts.storeAnswers.heard(now, news.era),
           ...this.goOn(now, random),
         ];
       case 'report':
@@ -313,47 +246,19 @@
     this.duty.readers.heard(now, address, report);
     const {digest} = this.directory;
     const asks = this.duty.readers.wantsBoxesOf(now, address, digest)
-      ? this.questions.ask(address, 'with-boxes')
+      ? this.parts.questions.ask(address, 'with-boxes')
       : [];
     return [
       ...asks,
-      ...this.questions.versionHeard(now, random, address, report.version),
-    ];
-  }
-
-  private readEnded(
-    now: number,
-    random: RandomSource,
-    {stream, read, result}: FleetEvent & {readonly kind: 'read-ended'},
-  ): readonly FleetAction[] {
-    const checked = this.storeAnswers.check(now, stream, result);
-    const end = {read, result: checked.result};
-    return [
-      ...checked.actions,
-      ...this.duty.readEnded(now, random, stream, end),
-      ...(end.result.ok ? this.take(now, stream, end.result.value) : []),
-      ...this.goOn(now, random),
+      ...this.parts.questions.versionHeard(
+        now,
+        random,
+        address,
+        report.version,
+      ),
     ];
   }
 
-  private writeEnded(
-    now: number,
-    result: StoreResult<undefined>,
-  ): readonly FleetAction[] {
-    const checked = this.storeAnswers.check(now, 'write', result);
-    return [...checked.actions, ...this.ownBox.writeEnded(now, checked.result)];
-  }
-
-  private take(
-    now: number,
-    stream: RecordStream,
-    page: RecordPage,
-  ): readonly FleetAction[] {
-    return stream === 'configuration'
-      ? this.learning.fromStore(now, page)
-      : this.boxes.fromStore(now, page);
-  }
-
   private learnFromPeer(
     now: number,
     address: string,
@@ -363,10 +268,10 @@
       return [];
     }
     const others = knowledge.boxes.filter(({box}) => box !== this.identity.box);
-    const notes = this.boxes.fromPeer(now, address, others);
+    const notes = this.parts.boxes.fromPeer(now, address, others);
     const {configuration} = knowledge;
     return configuration === undefined
       ? notes
-      : [...notes, ...this.learning.fromPeer(address, configuration)];
+      : [...notes, ...this.parts.learning.fromPeer(address, configuration)];
   }
 }
--- a/packages/fleet/src/fleetMessages.ts
+++ b/packages/fleet/src/fleetMessages.ts
@@ -10,7 +10,7 @@
   UpstreamAnnouncement,
 } from './ownUpstream.js';
 import type {ReaderReport} from './readerStanding.js';
-import type {FollowedPeers} from './recordReaders.js';
+import type {FollowedPeers} from './nodeIdentity.js';
 import type {
   RecordPage,
   RecordStream,
@@ -19,13 +19,6 @@
 } from './recordStore.js';
 import type {StreamRead} from './streamFollower.js';
 
-/** Who a node is. */
-export interface NodeIdentity {
-  readonly box: string;
-  readonly dataCentre: string;
-  readonly peerAddress: string;
-}
-
 /** A question to another node, asked when the store does not answer. */
 export interface PeerQuestion {
   /** The asker's version; 0 when it has none. */
--- a/packages/fleet/src/ownBox.ts
+++ b/packages/fleet/src/ownBox.ts
@@ -3,7 +3,8 @@
 
 import {checkAnnouncement} from './checkAnnouncement.js';
 import type {DeclaredConfiguration} from './declaredConfiguration.js';
-import type {FleetAction, NodeIdentity} from './fleetMessages.js';
+import type {FleetAction} from './fleetMessages.js';
+import type {NodeIdentity} from './nodeIdentity.js';
 import {note} from './fleetNote.js';
 import type {OwnRecord} from './ownRecord.js';
 import type {OwnUpstreamTracker, UpstreamAnnouncement} from './ownUpstream.js';
--- a/packages/fleet/src/ownRecord.ts
+++ b/packages/fleet/src/ownRecord.ts
@@ -7,7 +7,7 @@
   writeBoxRecord,
 } from './boxRecord.js';
 import type {BoxRecord} from './boxRecord.js';
-import type {NodeIdentity} from './fleetMessages.js';
+import type {NodeIdentity} from './nodeIdentity.js';
 import type {RunReport} from '@lockpin/quarantine';
 import type {Era} from '@lockpin/types';
 import type {OwnUpstream} from './ownUpstream.js';
--- a/packages/fleet/src/peerAsking.ts
+++ b/packages/fleet/src/peerAsking.ts
@@ -5,7 +5,7 @@
 import {STABLE_HASH_RANGE, stableHash} from '@lockpin/utils';
 import type {BoxDirectory} from './boxDirectory.js';
 import type {BoxRecord} from './boxRecord.js';
-import type {NodeIdentity} from './fleetMessages.js';
+import type {NodeIdentity} from './nodeIdentity.js';
 import {firstReaders} from './recordReaders.js';
 import {PEERS_TO_ASK} from './startCheck.js';
 
--- a/packages/fleet/src/recordReaders.ts
+++ b/packages/fleet/src/recordReaders.ts
@@ -8,7 +8,7 @@
 import {STABLE_HASH_RANGE, stableHash} from '@lockpin/utils';
 import type {BoxDirectory} from './boxDirectory.js';
 import type {BoxRecord} from './boxRecord.js';
-import type {NodeIdentity} from './fleetMessages.js';
+import type {FollowedPeers, NodeIdentity} from './nodeIdentity.js';
 import type {ReadingTurn} from './readingTurn.js';
 import {ReaderStanding} from './readerStanding.js';
 import type {ReaderReport} from './readerStanding.js';
@@ -21,8 +21,8 @@
 
 /**
  * Nodes of a data centre that are tried as readers at the most while the store
- * turns them away. Where a third of all nodes cannot reach it, one data centre in
- * 700 has six such in a row; where nobody can, the others need not press it too.
+ * turns them away. Where a third of all nodes cannot reach it, hardly a data centre has
+ * so many such in a row; where nobody can, the others need not press it too.
  */
 const MOST_TRIED = 6;
 
@@ -35,16 +35,6 @@
  */
 const FAR_PEER_MILLISECONDS = 30_000;
 
-/** Whom a node listens to. */
-export interface FollowedPeers {
-  /** Addresses of nodes that tell all they read. */
-  readonly near: readonly string[];
-  /** A node in another data centre, which tells of newer versions only. */
-  readonly far: string | undefined;
-  /** Nodes of this data centre that fell silent; their connections may be dead. */
-  readonly silent: readonly string[];
-}
-
 /** The nodes of a data centre that read the store while all is well. */
 export function firstReaders(
   directory: BoxDirectory,
--- a/packages/fleet/src/runNews.ts
+++ b/packages/fleet/src/runNews.ts
@@ -2,7 +2,8 @@
 /** The way of what boxes tell of their runs to all other boxes, past the store. */
 
 import type {BoxRecord} from './boxRecord.js';
-import type {FleetAction, FleetNews, NodeIdentity} from './fleetMessages.js';
+import type {FleetAction, FleetNews} from './fleetMessages.js';
+import type {NodeIdentity} from './nodeIdentity.js';
 import type {RecordReaders} from './recordReaders.js';
 
 /**
--- a/packages/fleet/src/storeDuty.ts
+++ b/packages/fleet/src/storeDuty.ts
@@ -3,11 +3,12 @@
 
 import type {RandomSource} from '@lockpin/types';
 import type {BoxDirectory} from './boxDirectory.js';
-import type {FleetAction, NodeIdentity} from './fleetMessages.js';
+import type {FleetAction} from './fleetMessages.js';
+import type {NodeIdentity} from './nodeIdentity.js';
 import {note} from './fleetNote.js';
 import type {RecordStream} from './recordStore.js';
 import {RecordReaders} from './recordReaders.js';
-import type {FollowedPeers} from './recordReaders.js';
+import type {FollowedPeers} from './nodeIdentity.js';
 import {StoreReading} from './storeReading.js';
 import type {ReadEnd} from './streamFollower.js';
 
--- a/packages/limits/src/poolLinks.ts
+++ b/packages/limits/src/poolLinks.ts
@@ -11,9 +11,8 @@
 import {LOAN_MILLISECONDS} from './tokenPool.js';
 
 /**
- * Time between two loans to a pool; one may be lost before it lapses. A box sends 3
- * messages a second for 12 with loans every 0.6 s (93 boxes, 1,100 calls a second on a
- * virtual clock), each of which costs it as much as an offer.
+ * Time between two loans to a pool; one may be lost before it lapses. Each message costs
+ * a box as much as an offer, so that they are rare.
  */
 const RENEWAL_MILLISECONDS = 2380;
 
--- a/packages/limits/src/poolPlacement.ts
+++ b/packages/limits/src/poolPlacement.ts
@@ -5,8 +5,7 @@
 
 /**
  * Each box tells every pool of itself again and again, so that pools are few; each
- * pool answers for its customers, so that they are not one. At 93 boxes these are 3
- * pools, and 116 loans a second in all.
+ * pool answers for its customers, so that they are not one.
  */
 const BOXES_PER_POOL = 32;
 
--- a/packages/limits/src/rateLimit.ts
+++ b/packages/limits/src/rateLimit.ts
@@ -26,10 +26,9 @@
 };
 
 /**
- * A call is counted when it is allowed and seen when it reaches its upstream, this much
- * later: with 93 boxes at their usual load 95 of 100 calls reach their first upstream
- * within half of their goal, which is 0.32 s of the longest. What is allowed before a
- * window and arrives in it has to fit in what the rules leave.
+ * A call is counted when it is allowed and seen when it reaches its upstream, up to this
+ * much later. What is allowed before a window and arrives in it has to fit in what the
+ * rules leave.
  */
 const ARRIVAL_SECONDS = 0.4;
 
--- a/packages/node/src/process/customerLimits.ts
+++ b/packages/node/src/process/customerLimits.ts
@@ -12,13 +12,15 @@
   LimitRules,
   RateLimit,
 } from '@lockpin/limits';
-import type {Clock} from '@lockpin/types';
+import type {Clock, RandomSource} from '@lockpin/types';
+
+/** Numbers that tell the processes of a box apart, as far as their messages live. */
+const PROCESS_NUMBERS = 2 ** 32;
 
 /** What the limits need of their node. */
 export interface CustomerLimitsContext {
   readonly box: string;
-  /** Tells this process from earlier ones on the box. */
-  readonly process: number;
+  readonly random: RandomSource;
   readonly clock: Clock;
   readonly rules: () => LimitRules;
   readonly limitOf: (customer: string) => RateLimit | undefined;
@@ -36,11 +38,11 @@
   private serial = 0;
 
   constructor(private readonly context: CustomerLimitsContext) {
-    const {box, process, limitOf, rules, fleet} = context;
+    const {box, random, limitOf, rules, fleet} = context;
     this.client = new LimitClient(box);
     this.pool = new TokenPool({
       box,
-      process,
+      process: Math.floor(random() * PROCESS_NUMBERS),
       limitOf,
       rules,
       boxes: () => fleet().boxes,
--- a/packages/node/src/process/fleetEntrySettings.ts
+++ b/packages/node/src/process/fleetEntrySettings.ts
@@ -28,7 +28,7 @@
  */
 const HELD_SHARE = 0.45;
 
-/** Round trips between data centres take 3 ms; a slow box answers in 50. */
+/** Beyond a round trip between data centres and what a slow box takes to answer. */
 const SILENCE_MILLISECONDS = 80;
 
 /** Offers in all; each costs a round trip, and the caller waits meanwhile. */
--- a/packages/node/src/process/fleetHost.ts
+++ b/packages/node/src/process/fleetHost.ts
@@ -9,24 +9,27 @@
   FleetBrain,
   FleetEvent,
   FleetNews,
-  OwnUpstream,
   PeerQuestion,
   ReadConfiguration,
   UpstreamAnnouncement,
 } from '@lockpin/fleet';
 import type {LoadHint} from '@lockpin/routing';
 import type {Result} from '@lockpin/types';
-import {failure, incarnationText, success} from '@lockpin/utils';
+import {failure, success} from '@lockpin/utils';
 import type {GuardNews} from '../request/guardService.js';
 import {CustomerLimits} from './customerLimits.js';
 import type {DecisionLog} from './decisionLog.js';
 import {createCallBrains, createFleetBrain} from './fleetBrains.js';
+import {performFleetAction} from './fleetActions.js';
+import type {ConfigurationChange, FleetActionTargets} from './fleetActions.js';
 import type {FleetEnvironment, FleetHostListeners} from './fleetEnvironment.js';
 import type {FleetNodeSettings} from './fleetPorts.js';
 import {FleetKeys} from './fleetKeys.js';
 import {FleetStoreCalls} from './fleetStoreCalls.js';
-import {ownUpstreamResource} from './ownUpstreamResource.js';
+import {logGuardNews} from './guardNewsLog.js';
+import {tellOfOwnUpstream} from './ownUpstreamNews.js';
 import type {PeerPlace} from './peerTraffic.js';
+import {SuspensionReview} from './suspensionReview.js';
 
 /**
  * While calls are under way the guard ticks more often by itself. What the fleet's
@@ -34,9 +37,6 @@
  */
 const TICK_MILLISECONDS = 200;
 
-/** Numbers that tell the processes of a box apart, as far as their messages live. */
-const PROCESS_NUMBERS = 2 ** 32;
-
 /** Lives as long as the process. */
 export class FleetHost {
   readonly fleet: FleetBrain;
@@ -45,12 +45,12 @@
   readonly limits: CustomerLimits;
   readonly keys: FleetKeys;
   private readonly store: FleetStoreCalls;
+  private readonly targets: FleetActionTargets;
   private currentRouting: FleetRouting | undefined;
   private listeners: FleetHostListeners | undefined;
   private stopTicking: (() => void) | undefined;
   private stopHearingGains: (() => void) | undefined;
-  /** Suspension that the calls in hand were not looked through for, in milliseconds. */
-  private suspended = 0;
+  private readonly suspension: SuspensionReview;
   private isFinishing = false;
   /** Statements of upstreams that were refused since the start. */
   refusedAnnouncements = 0;
@@ -64,6 +64,7 @@
     readConfiguration: ReadConfiguration,
     private readonly log: DecisionLog,
   ) {
+    this.suspension = new SuspensionReview(log);
     this.fleet = createFleetBrain(currentSettings, readConfiguration);
     this.store = new FleetStoreCalls(environment.store, log, (event) =>
       this.handle(event),
@@ -78,6 +79,21 @@
     this.entry = entry;
     this.limits = this.createLimits(currentSettings.box);
     this.keys = this.createKeys();
+    this.targets = {
+      store: this.store,
+      log,
+      listeners: () => this.listeners,
+      askPeer: (address, question) => this.askPeer(address, question),
+      configurationChanged: (action) => this.configurationChanged(action),
+      announcementRefused: () => {
+        this.refusedAnnouncements += 1;
+      },
+      upstreamChanged: (upstream) =>
+        tellOfOwnUpstream(
+          {settings: this.currentSettings, log, listeners: this.listeners},
+          upstream,
+        ),
+    };
   }
 
   private createKeys(): FleetKeys {
@@ -95,7 +111,7 @@
     const {clock, random} = this.environment;
     return new CustomerLimits({
       box,
-      process: Math.floor(random() * PROCESS_NUMBERS),
+      random,
       clock,
       rules: () => this.currentSettings.limits,
       limitOf: (name) => this.currentRouting?.customers.named(name)?.limit,
@@ -152,7 +168,7 @@
       this.clockGained(milliseconds),
     );
     this.stopTicking = this.environment.every(TICK_MILLISECONDS, () => {
-      this.reviewDeadlines();
+      this.suspension.review(() => listeners.onSuspended());
       this.tick();
       // Boxes lend before the first limit is declared, so that it can be kept at once.
       if (this.currentRouting?.customers.asksForKeys) {
@@ -165,22 +181,11 @@
 
   /** Called while the clock is read: no time that counts the gain was seen before. */
   private clockGained(milliseconds: number): void {
-    this.suspended += milliseconds;
+    this.suspension.gained(milliseconds);
     this.limits.clockGained(milliseconds);
     this.listeners?.onGuardEvent({kind: 'clock-gained', milliseconds});
   }
 
-  /** The clock counts suspension, timers do not: what is overdue ends now. */
-  private reviewDeadlines(): void {
-    if (this.suspended > 0) {
-      this.log.event('machine-suspended', {
-        milliseconds: Math.round(this.suspended),
-      });
-      this.suspended = 0;
-      this.listeners?.onSuspended();
-    }
-  }
-
   private tick(): void {
     this.handle({kind: 'tick', followers: this.followers});
   }
@@ -231,16 +236,11 @@
     this.handle({kind: 'peer-version-heard', address, version});
   }
 
-  /** Logs what the guard came to believe; permits are not used here. */
+  /** Takes in what the guard came to believe; permits are not used here. */
   guardActed(action: GuardNews): void {
+    logGuardNews(this.log, action);
     if (action.kind === 'upstream-crashed') {
-      const {upstream, digests} = action;
-      this.log.event(action.kind, {subject: upstream, requests: digests});
-      this.handle({kind: 'runs-crashed', digests});
-    }
-    if (action.kind === 'timeline') {
-      const {event, subject, detail} = action;
-      this.log.event(event, {subject, ...detail});
+      this.handle({kind: 'runs-crashed', digests: action.digests});
     }
     if (action.kind === 'standing') {
       const {upstream, hint} = action;
@@ -262,56 +262,10 @@
   private handle(event: FleetEvent): readonly FleetAction[] {
     const {clock, random} = this.environment;
     const actions = this.fleet.handle(clock(), random, event);
-    actions.forEach((action) => this.perform(action));
+    actions.forEach((action) => performFleetAction(this.targets, action));
     return actions;
   }
 
-  private perform(action: FleetAction): void {
-    switch (action.kind) {
-      case 'read-newest':
-      case 'follow':
-      case 'write':
-      case 'drop-record':
-      case 'write-for':
-        this.store.perform(action);
-        break;
-      case 'ask-peer':
-        this.askPeer(action.address, action.question);
-        break;
-      case 'follow-peers':
-        this.listeners?.onFollow(action.peers);
-        break;
-      case 'tell-followers':
-        this.listeners?.onFollowerNews(action.news);
-        break;
-      case 'tell-entries':
-        this.listeners?.onEntryNews(action.news);
-        break;
-      case 'tell-nodes':
-        this.listeners?.onNodeNews(action.addresses, action.news);
-        break;
-      case 'request-quarantined':
-        this.listeners?.onQuarantined(action.digest);
-        break;
-      case 'configuration-changed':
-        this.configurationChanged(action);
-        break;
-      case 'announcement-refused':
-        // Whoever announced it is told.
-        this.refusedAnnouncements += 1;
-        break;
-      case 'upstream-changed':
-        this.upstreamChanged(action.upstream);
-        break;
-      case 'note':
-        this.log.event(action.event, {
-          subject: action.subject,
-          ...action.detail,
-        });
-        break;
-    }
-  }
-
   private askPeer(address: string, question: PeerQuestion): void {
     this.environment.askPeer(address, question, (knowledge) => {
       this.handle({kind: 'peer-replied', address, knowledge});
@@ -322,7 +276,7 @@
   private configurationChanged({
     configuration,
     source,
-  }: FleetAction & {readonly kind: 'configuration-changed'}): void {
+  }: ConfigurationChange): void {
     const before = this.currentRouting;
     this.currentRouting = new FleetRouting(
       configuration,
@@ -342,20 +296,4 @@
     });
     this.listeners?.onVersion(configuration.version);
   }
-
-  private upstreamChanged(upstream: OwnUpstream): void {
-    const {service, incarnation} = upstream;
-    const resource = ownUpstreamResource(this.currentSettings, upstream);
-    this.log.event('upstream-announced', {
-      subject: resource.name,
-      incarnation: incarnationText(incarnation),
-      sequence: upstream.sequence,
-      state: resource.spec.state,
-    });
-    this.listeners?.onUpstreams([resource]);
-    this.listeners?.onGuardEvent({
-      kind: 'services-changed',
-      services: [{name: service, sensitivity: 'fast', upstreams: [resource]}],
-    });
-  }
 }
--- a/packages/node/src/request/callerBody.ts
+++ b/packages/node/src/request/callerBody.ts
@@ -2,7 +2,7 @@
 /** How much of a caller's body is read before its call is offered. */
 
 import type {IncomingMessage} from 'node:http';
-import {HELD_BODY_BYTES, ONCE_BODY_BYTES} from './callerExchange.js';
+import {HELD_BODY_BYTES, ONCE_BODY_BYTES} from './bodyLimits.js';
 import type {CallerRequest} from './callerRequest.js';
 import {peekBody} from './peekBody.js';
 import {readBody} from './readBody.js';
--- a/packages/node/src/request/callerExchange.ts
+++ b/packages/node/src/request/callerExchange.ts
@@ -4,6 +4,7 @@
 import type {IncomingMessage, ServerResponse} from 'node:http';
 import type {Attempt} from '@lockpin/brain';
 import type {Refusal} from '@lockpin/types';
+import {rounded, startWithin, urgencyOf, usefulFor} from './attemptUrgency.js';
 import type {CallerBody} from './callerBody.js';
 import type {CallerRequest} from './callerRequest.js';
 import type {Exchange} from './exchange.js';
@@ -11,18 +12,6 @@
 import type {CallerProtocol} from './callerProtocol.js';
 import {CallStory} from './callStory.js';
 
-/** Bodies up to this size are held so that the call can be sent again. */
-export const HELD_BODY_BYTES = 64 * 1024;
-
-/** Bodies of once-only calls are held whole, up to this size. */
-export const ONCE_BODY_BYTES = 256 * 1024;
-
-/**
- * Added to the priority of late calls: behind all that are not late. A priority is two
- * digits at the most, the customer's and the route's.
- */
-const LATE_PRIORITY = 100;
-
 /** Answers up to this size are written together with their headers. */
 const ONE_WRITE_BYTES = 8 * 1024;
 
@@ -134,7 +123,7 @@
       weight,
       route: shortName(route.name),
       repetition: route.spec.repetition,
-      priority: this.urgency(now, attempt),
+      priority: urgencyOf(this.call, this.age(now), attempt),
       remaining: Math.max(0, Math.floor(attempt.call.deadline - now)),
       attempt: attempt.number,
       retryShare: route.spec.retryShare,
@@ -148,31 +137,13 @@
       hasMore: this.body === undefined,
       needsGo,
       terms: attempt.terms,
-      usefulFor: this.usefulFor(now, attempt),
+      usefulFor: usefulFor(this.call, this.age(now), attempt),
       startWithin: startWithin(now, attempt),
       expectedMilliseconds: rounded(attempt.expectedMilliseconds),
     };
     return this.lastHead;
   }
 
-  /**
-   * Under overload, a call whose answer is late anyway makes way for those that
-   * can still be answered in time; one that lost time on a failed upstream goes
-   * ahead of its kind.
-   */
-  private urgency(now: number, attempt: Attempt): number {
-    const {priority, route} = this.call;
-    const {goalMilliseconds} = route.spec;
-    if (goalMilliseconds === undefined) {
-      return priority;
-    }
-    const isLate = this.age(now) > goalMilliseconds;
-    if (isLate || attempt.terms === 'may-be-late') {
-      return priority + LATE_PRIORITY;
-    }
-    return attempt.number > 1 ? Math.max(0, priority - 1) : priority;
-  }
-
   /** Takes the slot that the guard of the attempt under way keeps. */
   go(): void {
     if (this.lastHead !== undefined) {
@@ -271,16 +242,6 @@
     ];
   }
 
-  /** Undefined where the answer is late already, or is worth the same later. */
-  private usefulFor(now: number, {terms}: Attempt): number | undefined {
-    const {goalMilliseconds} = this.call.route.spec;
-    if (goalMilliseconds === undefined || terms === 'may-be-late') {
-      return undefined;
-    }
-    const milliseconds = goalMilliseconds - this.age(now);
-    return milliseconds > 0 ? Math.ceil(milliseconds) : undefined;
-  }
-
   /** undici checks a streamed body against the length that was announced. */
   private lengthHeader(): readonly string[] {
     const length = this.request.headers['content-length'];
@@ -294,15 +255,3 @@
 function shortName(name: string): string {
   return name.slice(name.lastIndexOf('/') + 1);
 }
-
-/** The time in which the guard must give it a slot; undefined for any. */
-function startWithin(now: number, {startBy}: Attempt): number | undefined {
-  return startBy === undefined
-    ? undefined
-    : Math.max(0, Math.floor(startBy - now));
-}
-
-/** Whole milliseconds take a quarter of the bytes on the way. */
-function rounded(milliseconds: number | undefined): number | undefined {
-  return milliseconds === undefined ? undefined : Math.round(milliseconds);
-}
--- a/packages/node/src/request/earlyRefusals.ts
+++ b/packages/node/src/request/earlyRefusals.ts
@@ -3,7 +3,7 @@
 
 import type {IncomingMessage, ServerResponse} from 'node:http';
 import type {Refusal, RefusalReason} from '@lockpin/types';
-import {HELD_BODY_BYTES} from './callerExchange.js';
+import {HELD_BODY_BYTES} from './bodyLimits.js';
 import type {EntryServiceDependencies} from './entryServiceDependencies.js';
 
 /** When a caller of a node that is not ready may come back, in milliseconds. */
@@ -18,13 +18,6 @@
   'keys-outdated': OUTDATED_RETRY_MILLISECONDS,
 };
 
-/** A request that was refused for who its caller is, for the log. */
-export interface RefusedRecord {
-  readonly requestId: string;
-  readonly reason: RefusalReason;
-  readonly [detail: string]: string | number;
-}
-
 /** A request that is refused before it is a call. */
 export interface RefusedRequest {
   readonly response: ServerResponse;
--- a/packages/node/src/request/entryCall.ts
+++ b/packages/node/src/request/entryCall.ts
@@ -13,7 +13,7 @@
 /**
  * The same for two requests that an upstream cannot tell apart, whoever sends them at
  * whichever box. A streamed body counts by its length and its beginning; empty where that
- * came too late. It takes 3 µs of the processor (bodies of 300 bytes, 200,000 in a loop).
+ * came too late.
  */
 export function digestOf(
   {method = 'GET', headers}: IncomingMessage,
--- a/packages/node/src/request/entryService.ts
+++ b/packages/node/src/request/entryService.ts
@@ -8,7 +8,9 @@
 import type {Refusal} from '@lockpin/types';
 import {AttemptCourse} from './attemptCourse.js';
 import {CallAdmission, refusalFor} from './callAdmission.js';
-import {CallerExchange, HELD_BODY_BYTES} from './callerExchange.js';
+import {HELD_BODY_BYTES} from './bodyLimits.js';
+import {CallerExchange} from './callerExchange.js';
+import {recordOf} from './callRecord.js';
 import type {CallRecord} from './callStory.js';
 import {CallReception} from './callReception.js';
 import type {ReceivedCall} from './callReception.js';
@@ -63,8 +65,7 @@
 
   /**
    * The pool's word comes while guards are asked for a slot already; no guard is told
-   * to go before it. Waiting for it first cost calls with a goal of 166 ms 18 ms (median
-   * of 81 ms without limits, 98 ms with them; 93 boxes at their usual load).
+   * to go before it. Calls with a short goal do not have the time to wait for it first.
    */
   private async decide(
     exchange: CallerExchange,
@@ -237,19 +238,10 @@
     outcome: CallRecord['outcome'],
     reason: string,
   ): void {
-    const {requestId, requestDigest, call, story, status} = exchange;
-    this.dependencies.onEnded?.({
-      requestId,
-      requestDigest,
-      service: call.view.name,
-      route: call.route.name,
-      version: call.version,
-      outcome,
-      reason,
-      status,
-      milliseconds: Math.round(exchange.age(this.dependencies.clock())),
-      attempts: story.attempts,
-    });
+    const milliseconds = exchange.age(this.dependencies.clock());
+    this.dependencies.onEnded?.(
+      recordOf(exchange, outcome, reason, milliseconds),
+    );
   }
 
   private refuse(exchange: CallerExchange, refusal: Refusal): void {
--- a/packages/node/src/request/entryServiceDependencies.ts
+++ b/packages/node/src/request/entryServiceDependencies.ts
@@ -8,9 +8,9 @@
 import type {NodeMetrics} from '../process/metrics.js';
 import type {CallerProtocol} from './callerProtocol.js';
 import type {CallRecord} from './callStory.js';
-import type {RefusedRecord} from './earlyRefusals.js';
 import type {Exchange, ExchangeHandlers} from './exchange.js';
 import type {CallHead} from './frames.js';
+import type {RefusedRecord} from './refusedRecord.js';
 
 /** What the entry's service needs of its process. */
 export interface EntryServiceDependencies {
--- a/packages/quarantine/src/crashWatch.ts
+++ b/packages/quarantine/src/crashWatch.ts
@@ -15,8 +15,7 @@
 
 /**
  * Time between looks at an upstream that breaks calls and is there. Upstreams that reset
- * half of their calls for some seconds break 10 to 20 a second; a look costs a
- * connection.
+ * much of what they get break many calls a second, and a look costs a connection.
  */
 const LOOK_PAUSE_MILLISECONDS = 100;
 
--- a/packages/quarantine/src/quarantine.ts
+++ b/packages/quarantine/src/quarantine.ts
@@ -1,8 +1,8 @@
 // Copyright (c) 2026 the lockpin contributors. MIT licence, see LICENSE.
 /**
  * Which requests no upstream is to run. A request that has ended three upstreams, and
- * more of them than it left alive, is kept out everywhere: without that, one request
- * that its caller sent ten times a second ended 33 upstreams of 15 in a minute.
+ * more of them than it left alive, is kept out everywhere: its caller that sends it again
+ * and again would end all upstreams of a service, time after time.
  */
 
 import {REPORT_LIFE_MILLISECONDS, reportKey} from './runReport.js';
@@ -24,7 +24,7 @@
 /** Requests watched at most; the ones reported last stay. */
 const MOST_SUSPECTS = 1000;
 
-/** Reports kept of one request, the newest: a thousand suspects take 3 MB then. */
+/** Reports kept of one request, the newest; they bound the memory of all. */
 const MOST_REPORTS_OF_SUSPECT = 16;
 
 /** What is known of one request that was running when an upstream ended. */
--- a/packages/utils/src/countingClock.ts
+++ b/packages/utils/src/countingClock.ts
@@ -37,8 +37,7 @@
 
 /**
  * Node.js has no clock that counts suspension: os.uptime() does, but comes from a file
- * that is read each time (5.5 µs, 200,000 readings), in steps of 10 ms. So the gap between
- * steady clock and time of day is watched, and the other is read only where there is one.
+ * that is read each time, in steps of 10 ms. So the gap between steady clock and time of day is watched, and the other is read only where there is one.
  * Time of day that is set forwards looks like a short suspension. Then what was lent to
  * this box lapses too early, which costs a moment; not to count would break promises: a
  * box that slept for 60 s would believe in loans that others have lent anew. What this box
