--- a/packages/fleet/src/storeAnswers.ts
+++ b/packages/fleet/src/storeAnswers.ts
@@ -45,6 +45,8 @@
     switch (finding.kind) {
       case 'same':
         return {result, actions: []};
+      case 'first':
+        return {result, actions: [note('store-era', String(finding.era), {})]};
       case 'restored': {
         const elsewhere = this.duty.readers
           .elsewhere()
--- a/packages/fleet/src/storeEra.ts
+++ b/packages/fleet/src/storeEra.ts
@@ -7,6 +7,8 @@
 export type EraFinding =
   /** Nothing was restored since, or the answer does not say. */
   | {readonly kind: 'same'}
+  /** The first answer that this process has had. */
+  | {readonly kind: 'first'; readonly era: Era}
   /** The first answer after a restore. */
   | {readonly kind: 'restored'; readonly before: Era; readonly era: Era}
   /** It was given before a restore that is known here: nothing follows from it. */
@@ -37,7 +39,7 @@
     }
     if (before === undefined) {
       this.newest = era;
-      return SAME;
+      return {kind: 'first', era};
     }
     if (era < before) {
       return {kind: 'outdated', era};
