--- a/packages/brain/src/__tests__/__fixtures__/controlWorld.ts
+++ b/packages/brain/src/__tests__/__fixtures__/controlWorld.ts
@@ -309,6 +309,14 @@
       : {kind: 'confirmed', offset: first + records.length - 1};
   }
 
+  /** The log is what it was before it took the newest records of each stream. */
+  restoreLog(lost: Readonly<Partial<Record<StreamName, number>>>): void {
+    for (const [stream, count] of Object.entries(lost)) {
+      const {records} = this.log.streams[stream as StreamName];
+      records.splice(Math.max(0, records.length - count), count);
+    }
+  }
+
   /** The log forgets all but the newest records of a stream. */
   retain(stream: StreamName, most: number): void {
     const kept = this.log.streams[stream];
