--- a/packages/brain/src/__tests__/__fixtures__/controlWorld.ts
+++ b/packages/brain/src/__tests__/__fixtures__/controlWorld.ts
@@ -15,6 +15,13 @@
   StreamName,
 } from '../../control/controlMessages.js';
 
+/** Records of a stream, with when each came. */
+export interface FakeStream {
+  first: number;
+  readonly records: unknown[];
+  readonly times: number[];
+}
+
 /** How the fake log behaves. */
 export interface FakeLog {
   isAway: boolean;
@@ -24,7 +31,9 @@
   losesAppends: boolean;
   /** Milliseconds that each answer takes besides. */
   slowMilliseconds: number;
-  readonly streams: Record<StreamName, {first: number; records: unknown[]}>;
+  /** Rises with each restore. */
+  era: number;
+  readonly streams: Record<StreamName, FakeStream>;
 }
 
 /** One node of the world. */
@@ -55,10 +64,11 @@
     losesConfirmations: false,
     losesAppends: false,
     slowMilliseconds: 0,
+    era: 1,
     streams: {
-      configuration: {first: 0, records: []},
-      holders: {first: 0, records: []},
-      snapshots: {first: 0, records: []},
+      configuration: {first: 0, records: [], times: []},
+      holders: {first: 0, records: [], times: []},
+      snapshots: {first: 0, records: [], times: []},
     },
   };
   /** Whether what one box sends reaches another. */
@@ -277,13 +287,16 @@
     if (this.log.isAway || !this.usesLog(box)) {
       return {kind: 'unreachable'};
     }
+    const {era} = this.log;
+    const next = first + records.length;
     if (from < first) {
-      return {kind: 'expired', first};
+      return {kind: 'expired', era, first, next};
     }
     return {
       kind: 'records',
+      era,
       first,
-      next: first + records.length,
+      next,
       records: records
         .slice(from - first, from - first + 100)
         .map((value, i) => ({offset: from + i, value})),
@@ -303,25 +316,39 @@
       return {kind: 'unknown'};
     }
     const {first, records} = log.streams[stream];
-    records.push(structuredClone(value));
+    this.appendPastNodes(stream, value);
     return log.losesConfirmations
       ? {kind: 'unknown'}
-      : {kind: 'confirmed', offset: first + records.length - 1};
+      : {
+          kind: 'confirmed',
+          era: log.era,
+          offset: first + records.length - 1,
+        };
   }
 
-  /** The log is what it was before it took the newest records of each stream. */
-  restoreLog(lost: Readonly<Partial<Record<StreamName, number>>>): void {
-    for (const [stream, count] of Object.entries(lost)) {
-      const {records} = this.log.streams[stream as StreamName];
-      records.splice(Math.max(0, records.length - count), count);
+  /** The log comes back as it was at a time; all of its streams do. */
+  restoreLogTo(until: number): void {
+    this.log.era += 1;
+    for (const {records, times} of Object.values(this.log.streams)) {
+      const kept = times.filter((at) => at <= until).length;
+      records.splice(kept);
+      times.splice(kept);
     }
   }
 
+  /** Another writer appends, past all nodes. */
+  appendPastNodes(stream: StreamName, value: unknown): void {
+    const {records, times} = this.log.streams[stream];
+    records.push(structuredClone(value));
+    times.push(this.now);
+  }
+
   /** The log forgets all but the newest records of a stream. */
   retain(stream: StreamName, most: number): void {
     const kept = this.log.streams[stream];
     const excess = Math.max(0, kept.records.length - most);
     kept.records.splice(0, excess);
+    kept.times.splice(0, excess);
     kept.first += excess;
   }
 }
--- a/packages/brain/src/__tests__/__fixtures__/floorWorld.ts
+++ b/packages/brain/src/__tests__/__fixtures__/floorWorld.ts
@@ -1,8 +1,8 @@
 // Copyright (c) 2026 the lockpin contributors. MIT licence, see LICENSE.
 /** Guards and permit holders whose messages can be held back, doubled and lost. */
 
-import {PermitHolder} from '@lockpin/floor';
-import type {GuardReport, HolderReply} from '@lockpin/floor';
+import {NO_FENCE, PermitHolder} from '@lockpin/floor';
+import type {Fence, GuardReport, HolderReply} from '@lockpin/floor';
 import {seededRandom} from '@lockpin/utils';
 import type {Resource} from '@lockpin/types';
 import {GuardBrain} from '../../guard/guardBrain.js';
@@ -26,6 +26,7 @@
   | {readonly kind: 'drop'; readonly message: number}
   | {readonly kind: 'deliver-all' | 'new-holder'}
   | {readonly kind: 'learn-fence'; readonly guard: number}
+  | {readonly kind: 'restore-log'; readonly lost: number}
   | {
       readonly kind: 'restart';
       readonly guard: number;
@@ -69,6 +70,10 @@
   readonly guards: GuardBrain[] = [];
   readonly messages: Message[] = [];
   private readonly incarnations: number[] = [];
+  /** Of each holder, in the order in which they came. */
+  private readonly fences: Fence[] = [];
+  /** Where the next claim will stand in the log. */
+  private next: Fence = {era: 1, offset: 0};
   private readonly random = seededRandom(1);
   private calls = 0;
 
@@ -115,6 +120,9 @@
       case 'learn-fence':
         this.learnFence(step.guard);
         break;
+      case 'restore-log':
+        this.restoreLog(step.lost);
+        break;
       case 'restart':
         this.startGuard(step.guard, step.logIsAway);
         break;
@@ -122,8 +130,11 @@
   }
 
   newHolder(): void {
+    const fence = this.next;
+    this.fences.push(fence);
+    this.next = {...fence, offset: fence.offset + 1};
     this.holders.push(
-      new PermitHolder(this.holders.length + 1, {
+      new PermitHolder(fence, {
         floorSlots: this.floorSlots,
         settleMilliseconds: 0,
         upstreams: Array.from({length: UPSTREAMS}, (_, i) => ({
@@ -152,10 +163,17 @@
   }
 
   /** The newest fence, unless another is given: what a lagging peer tells. */
-  learnFence(i: number, fence = this.holders.length): void {
+  learnFence(i: number, holder = this.holders.length): void {
+    const fence = this.fences[holder - 1] ?? NO_FENCE;
     this.tell(i, {kind: 'fence-learnt', service: SERVICE, fence});
   }
 
+  /** The log comes back as it was: offsets of fences are given out again. */
+  restoreLog(lost: number): void {
+    const {era, offset} = this.next;
+    this.next = {era: era + 1, offset: Math.max(0, offset - lost)};
+  }
+
   callMany(i: number, status: number, count = 40): void {
     for (let n = 0; n < count; n += 1) {
       this.calls += 1;
--- a/packages/brain/src/__tests__/floorIsKept.test.ts
+++ b/packages/brain/src/__tests__/floorIsKept.test.ts
@@ -95,6 +95,45 @@
   });
 });
 
+describe('the floor of a fleet whose log is restored', () => {
+  const stepOrRestore = fc.oneof(
+    {weight: 50, arbitrary: step},
+    {
+      weight: 1,
+      arbitrary: fc.record({
+        kind: fc.constant('restore-log' as const),
+        lost: fc.nat({max: 3}),
+      }),
+    },
+    {
+      weight: 2,
+      arbitrary: fc.record({kind: fc.constant('new-holder' as const)}),
+    },
+  );
+
+  it('holds though offsets of claims are given out again', () => {
+    let mostEjected = 0;
+    fc.assert(
+      fc.property(
+        fc.integer({min: 1, max: UPSTREAMS - 1}),
+        fc.array(stepOrRestore, {minLength: 30, maxLength: 150}),
+        (floorSlots, steps) => {
+          const world = new FloorWorld(floorSlots);
+          for (const next of steps) {
+            world.run(next);
+            mostEjected = Math.max(mostEjected, world.ejectedCount());
+            expect(world.ejectedCount()).toBeLessThanOrEqual(
+              UPSTREAMS - floorSlots,
+            );
+          }
+        },
+      ),
+      {numRuns: 800, seed: 11},
+    );
+    expect(mostEjected).toBeGreaterThan(2);
+  });
+});
+
 /** Takes the newest report of a guard out of what is under way. */
 function takeReport(world: FloorWorld, guard: number): Message {
   const at = world.messages.findLastIndex(
@@ -159,6 +198,19 @@
     expect(world.ejectedCount()).toBe(1);
   });
 
+  it('is not taken once the log was restored and another has its offset', () => {
+    const world = new FloorWorld(UPSTREAMS - 1);
+    acknowledge(world, 0);
+    const late = eject(world, 0, 0);
+    world.restoreLog(1);
+    world.newHolder();
+    acknowledge(world, 1);
+    deliver(world, eject(world, 1, 1));
+    expect(world.ejectedCount()).toBe(1);
+    deliver(world, late);
+    expect(world.ejectedCount()).toBe(1);
+  });
+
   it('is not given by a new holder before all guards know its fence', () => {
     const world = new FloorWorld(UPSTREAMS - 1);
     acknowledge(world, 0);
--- a/packages/brain/src/__tests__/restoredLog.test.ts
+++ b/packages/brain/src/__tests__/restoredLog.test.ts
@@ -60,9 +60,13 @@
   it('stays in force everywhere, and comes into force where nodes start after', () => {
     for (let seed = 1; seed <= 10; seed += 1) {
       const world = startWorld(6, seed);
-      publishMany(world, 0, 8);
+      publishMany(world, 0, 5);
+      world.run(seed * 1000);
+      const copiedAt = world.now;
+      world.run(100);
+      publishMany(world, 5, 8);
       world.run(3000);
-      world.restoreLog({configuration: 3, snapshots: 1});
+      world.restoreLogTo(copiedAt);
       world.run(CONFIGURATION_MILLISECONDS);
       expect(allHave(world, 0, 8)).toBe(true);
       world.nodes.forEach((one) => world.stop(one));
@@ -74,8 +78,11 @@
 
   it('is written again once, not by every node', () => {
     const world = startWorld(8, 3);
-    publishMany(world, 0, 6);
-    world.restoreLog({configuration: 2});
+    publishMany(world, 0, 4);
+    const copiedAt = world.now;
+    world.run(100);
+    publishMany(world, 4, 6);
+    world.restoreLogTo(copiedAt);
     world.run(2 * CONFIGURATION_MILLISECONDS);
     expect(world.log.streams.configuration.records).toHaveLength(6);
   });
@@ -85,8 +92,12 @@
   it('is accepted and in force everywhere', () => {
     for (let seed = 1; seed <= 10; seed += 1) {
       const world = startWorld(6, seed);
-      publishMany(world, 0, 7);
-      world.restoreLog({configuration: 3});
+      publishMany(world, 0, 4);
+      world.run(seed * 1000);
+      const copiedAt = world.now;
+      world.run(100);
+      publishMany(world, 4, 7);
+      world.restoreLogTo(copiedAt);
       world.publish(node(world, seed), 'later', 'customer-7');
       expect(world.runUntil(() => world.settlements.has('later'))).toBe(true);
       expect(world.settlements.get('later')).toMatchObject({
@@ -101,12 +112,14 @@
   it('keeps an earlier one out only where both change the same, and operators hear so', () => {
     const world = startWorld(4, 5);
     publishMany(world, 0, 3);
+    const copiedAt = world.now;
+    world.run(100);
     world.publish(node(world, 0), 'first', 'same');
     expect(world.runUntil(() => world.settlements.has('first'))).toBe(true);
     world.run(2000);
-    world.restoreLog({configuration: 1});
-    // Written past lockpin, before any node can know of the restore.
-    world.log.streams.configuration.records.push({
+    world.restoreLogTo(copiedAt);
+    // Before any node can know of the restore.
+    world.appendPastNodes('configuration', {
       kind: 'change',
       changeId: 'second',
       author: 'test',
@@ -133,13 +146,8 @@
   const one = node(world, Math.floor(random() * world.nodes.length));
   const away = node(world, Math.floor(random() * world.nodes.length)).box;
   const faults = [
-    () => world.restoreLog({configuration: Math.floor(random() * 4)}),
-    () =>
-      world.restoreLog({
-        configuration: Math.floor(random() * 3),
-        holders: 1,
-        snapshots: 1,
-      }),
+    () => world.restoreLogTo(world.now - random() * 6000),
+    () => world.restoreLogTo(world.now - random() * 2000),
     () => (world.usesLog = (box) => box !== away),
     () => (world.reaches = (from, to) => from !== away && to !== away),
     () => (world.reaches = (from) => from !== away),
--- a/packages/brain/src/control/configurationKeeper.ts
+++ b/packages/brain/src/control/configurationKeeper.ts
@@ -8,7 +8,7 @@
   foldChange,
 } from '@lockpin/configuration';
 import type {FoldResult, SnapshotChunk} from '@lockpin/configuration';
-import type {LogRecord} from '@lockpin/types';
+import type {Era, LogRecord} from '@lockpin/types';
 import type {PeerReply} from './controlMessages.js';
 import {RecordBuffer} from './recordBuffer.js';
 import {SnapshotShelf} from './snapshotShelf.js';
@@ -20,7 +20,9 @@
 export class ConfigurationKeeper {
   state = new ConfigurationState();
   history = new ChangeHistory();
-  readonly shelf = new SnapshotShelf();
+  shelf = new SnapshotShelf();
+  /** Of the log that the state was folded from; undefined before anything was. */
+  era: Era | undefined;
   private buffer = new RecordBuffer();
 
   get version(): number {
@@ -60,6 +62,28 @@
     return 'adopted';
   }
 
+  /** Records that led here, as far as they are kept. */
+  rememberedRecords(): readonly LogRecord<unknown>[] {
+    return this.buffer.all();
+  }
+
+  /** Whether another state says the same at the same version. */
+  isSameAs(version: number, digest: string): boolean {
+    return version === this.version && digest === this.state.digest;
+  }
+
+  /** Another history takes over; where it says the same, watches notice nothing. */
+  replaceBy(successor: ConfigurationKeeper): void {
+    const isSame = this.isSameAs(successor.version, successor.state.digest);
+    if (!isSame) {
+      this.state = successor.state;
+      this.history = new ChangeHistory(successor.version);
+    }
+    this.era = successor.era;
+    this.shelf = successor.shelf;
+    this.buffer = successor.buffer;
+  }
+
   /** What a peer that stands at a version lacks. */
   recordsFor(version: number): {
     readonly records: readonly LogRecord<unknown>[];
--- a/packages/brain/src/control/controlBrain.ts
+++ b/packages/brain/src/control/controlBrain.ts
@@ -18,15 +18,17 @@
   ListedBox,
   LogReadResult,
   PeerReply,
-  PeerRequest,
   StreamName,
 } from './controlMessages.js';
 import {HolderRole} from './holderRole.js';
 import {LogFollower} from './logFollower.js';
+import {LogRestore} from './logRestore.js';
 import {PEERS_ASKED_AT_START, PeerPuller} from './peerPuller.js';
-import type {PullResult} from './peerPuller.js';
+import {PeerServing} from './peerServing.js';
+import {PulledRecords} from './pulledRecords.js';
 import {Publisher} from './publisher.js';
 import {ReportRouter} from './reportRouter.js';
+import {RestoreKeeper} from './restoreKeeper.js';
 import {SnapshotWriter} from './snapshotWriter.js';
 import type {SnapshotSettings} from './snapshotWriter.js';
 import {startPhase} from './startPhase.js';
@@ -56,6 +58,9 @@
   private readonly writer: SnapshotWriter;
   private readonly follower: LogFollower;
   private readonly reports: ReportRouter;
+  private readonly serving: PeerServing;
+  private readonly pulled: PulledRecords;
+  readonly restores: RestoreKeeper;
   private phase: StartPhase = 'asking-peers';
   private startedAt: number | undefined;
   private isReader = true;
@@ -71,11 +76,18 @@
     this.puller = new PeerPuller(this.membership, keeper, this.holders);
     this.writer = new SnapshotWriter(this.membership, settings.snapshots);
     this.reports = new ReportRouter(identity.box, keeper, this.holders);
+    this.serving = new PeerServing(this.membership, keeper, this.holders);
     this.news = new VersionNews(this.membership, keeper, (now) =>
       this.context(now),
     );
+    this.restores = new RestoreKeeper({
+      membership: this.membership,
+      keeper,
+      isReader: () => this.isReader,
+    });
     this.follower = new LogFollower({
       box: identity.box,
+      restores: this.restores,
       keeper,
       holders: this.holders,
       writer: this.writer,
@@ -84,9 +96,10 @@
       isReady: () => this.isReady,
       onFolded: (now, random) => [
         ...this.news.tellOfVersion(now, random),
-        ...this.publisher.review(now, keeper.state),
+        ...this.reviewChanges(now),
       ],
     });
+    this.pulled = new PulledRecords(keeper, this.holders, this.follower);
   }
 
   get isReady(): boolean {
@@ -110,11 +123,16 @@
       case 'append-ended':
         return this.appendEnded(now, event);
       case 'exchange-received':
-        return [this.serve(now, event.token, event.request)];
+        return [this.serving.serve(now, event.token, event.request)];
       case 'exchange-ended':
         return this.exchangeEnded(now, random, event.token, event.reply);
       case 'change-offered':
-        return this.publisher.offer(now, this.keeper.state, event.change);
+        return this.publisher.offer(
+          now,
+          this.keeper.state,
+          event.change,
+          this.restores.isPending,
+        );
       case 'guard-reported':
         return this.reports.reported(now, event.service, event.reports);
       case 'watchers-counted':
@@ -134,13 +152,20 @@
       ...this.fromMembership(now, probes),
       ...this.pull(now, random),
       ...this.advancePhase(now),
-      ...this.follower.tick(now, this.phase),
-      ...this.publisher.review(now, state),
+      ...this.follower.tick(now, random, this.phase),
+      ...this.reviewChanges(now),
       ...(this.isReady ? this.holders.tick(now, state) : []),
-      ...(this.follower.mayWriteSnapshots ? this.writer.tick(now, state) : []),
+      ...this.writeSnapshot(now),
     ];
   }
 
+  private writeSnapshot(now: number): readonly ControlAction[] {
+    const {state, era = 0} = this.keeper;
+    return this.follower.mayWriteSnapshots
+      ? this.writer.tick(now, state, era)
+      : [];
+  }
+
   private reviewReaderRole(): void {
     if (this.membersChanged) {
       this.membersChanged = false;
@@ -185,16 +210,28 @@
   ): readonly ControlAction[] {
     return [
       ...this.follower.logRead(now, random, stream, result),
-      ...this.publisher.review(now, this.keeper.state),
+      ...this.reviewChanges(now),
     ];
   }
 
+  private reviewChanges(now: number): readonly ControlAction[] {
+    const {isPending} = this.restores;
+    return this.publisher.review(now, this.keeper.state, isPending);
+  }
+
   private appendEnded(
     now: number,
     event: ControlEvent & {readonly kind: 'append-ended'},
   ): readonly ControlAction[] {
     const {token, result} = event;
     const {readers} = this.follower;
+    if (result.kind === 'confirmed') {
+      this.follower.isOutdated(now, result.era);
+    }
+    if (LogRestore.owns(token)) {
+      this.restores.current?.appendEnded(now, token, result);
+      return [];
+    }
     if (token === 'snapshot') {
       return this.writer.appendEnded(result.kind === 'confirmed');
     }
@@ -206,39 +243,6 @@
     return this.publisher.appendEnded(now, token, result);
   }
 
-  private serve(
-    now: number,
-    token: string,
-    request: PeerRequest,
-  ): ControlAction {
-    return {kind: 'reply', token, reply: this.replyTo(now, request)};
-  }
-
-  private replyTo(now: number, request: PeerRequest): PeerReply {
-    const {keeper, holders} = this;
-    switch (request.kind) {
-      case 'records':
-        return {
-          kind: 'records',
-          version: keeper.version,
-          ...keeper.recordsFor(request.version),
-          holders: holders.entriesAfter(request.holders),
-          holdersVersion: holders.version,
-        };
-      case 'snapshot-chunk':
-        return keeper.chunkReply(request.writer, request.index);
-      case 'members':
-        return {kind: 'members', members: this.membership.all()};
-      case 'reports': {
-        const {service, reports} = request;
-        const replies = holders.answer(now, keeper.state, service, reports);
-        return replies === undefined
-          ? {kind: 'not-holder'}
-          : {kind: 'reports', replies};
-      }
-    }
-  }
-
   private exchangeEnded(
     now: number,
     random: RandomSource,
@@ -251,7 +255,7 @@
     if (!this.puller.owns(token)) {
       return [];
     }
-    const taken = this.takePull(now, random, this.puller.ended(now, reply));
+    const taken = this.pulled.take(now, random, this.puller.ended(now, reply));
     return [...taken, ...this.pull(now, random)];
   }
 
@@ -260,55 +264,42 @@
     return this.puller.tick(now, random, !this.isReady);
   }
 
-  private takePull(
-    now: number,
-    random: RandomSource,
-    pulled: PullResult,
-  ): readonly ControlAction[] {
-    switch (pulled.kind) {
-      case 'records':
-        return this.takePulled(now, random, pulled.reply);
-      case 'snapshot-chunk':
-        return this.keeper.shelf.add(pulled.chunk)
-          ? this.follower.adoptSnapshot()
-          : [];
-      case 'nothing':
-        return [];
-    }
-  }
-
-  private takePulled(
-    now: number,
-    random: RandomSource,
-    reply: PeerReply & {readonly kind: 'records'},
-  ): readonly ControlAction[] {
-    const {holders, follower} = this;
-    const named = reply.holders.flatMap((entry) => holders.apply(entry));
-    holders.version = Math.max(holders.version, reply.holdersVersion);
-    return [
-      ...named,
-      ...(reply.snapshot === undefined ? [] : follower.adoptSnapshot()),
-      ...follower.fold(now, random, reply.records),
-    ];
-  }
-
   private received(
     now: number,
     random: RandomSource,
     datagram: Datagram,
   ): readonly ControlAction[] {
     this.clock.receive(now, datagram.time);
-    const {from, version, holders} = datagram;
-    this.puller.heardOf(from, version, holders);
+    this.puller.heardOf(datagram.from, datagram);
+    const restored = this.restores.peerHeard(now, random, datagram);
     const context = this.context(now);
     const actions = this.membership.receive(now, datagram, context);
     return [
+      ...restored,
+      ...this.reviewDigest(now, datagram),
       ...this.fromMembership(now, actions),
       ...this.news.received(datagram),
       ...this.pull(now, random),
     ];
   }
 
+  /** The same log was folded to something else: both fold it anew. */
+  private reviewDigest(
+    now: number,
+    {era, version, digest}: Datagram,
+  ): readonly ControlAction[] {
+    const {keeper} = this;
+    const differs =
+      this.isReady &&
+      era === keeper.era &&
+      version === keeper.version &&
+      digest !== keeper.state.digest;
+    if (differs) {
+      this.restores.foldAnew(now);
+    }
+    return [];
+  }
+
   private boxesListed(
     now: number,
     boxes: readonly ListedBox[],
@@ -349,8 +340,9 @@
   private context(now: number): MembershipContext {
     const {version, state} = this.keeper;
     const {digest} = state;
-    const holders = this.holders.version;
-    return {version, digest, holders, time: this.clock.tick(now)};
+    const holders = this.holders.position;
+    const era = this.keeper.era ?? 0;
+    return {version, digest, era, holders, time: this.clock.tick(now)};
   }
 
   private get ownBox(): string {
--- a/packages/brain/src/control/controlMessages.ts
+++ b/packages/brain/src/control/controlMessages.ts
@@ -2,13 +2,20 @@
 /** What a node's control part is told, and what it decides. */
 
 import type {FoldResult, SnapshotChunk} from '@lockpin/configuration';
-import type {GuardReport, HolderRecord, HolderReply} from '@lockpin/floor';
+import type {
+  Fence,
+  GuardReport,
+  HolderRecord,
+  HolderReply,
+} from '@lockpin/floor';
 import type {Datagram, Member} from '@lockpin/membership';
 import type {
   ApiFailure,
   ChangeOutcome,
   ChangeRecord,
+  Era,
   LogRecord,
+  StreamPosition,
 } from '@lockpin/types';
 
 /** The streams of the log that lockpin uses. */
@@ -18,17 +25,27 @@
 export type LogReadResult =
   | {
       readonly kind: 'records';
+      readonly era: Era;
       readonly first: number;
       /** Offset that the next append will get. */
       readonly next: number;
       readonly records: readonly LogRecord<unknown>[];
     }
-  | {readonly kind: 'expired'; readonly first: number}
+  | {
+      readonly kind: 'expired';
+      readonly era: Era;
+      readonly first: number;
+      readonly next: number;
+    }
   | {readonly kind: 'unreachable'};
 
 /** What an append came to. */
 export type AppendResult =
-  | {readonly kind: 'confirmed'; readonly offset: number}
+  | {
+      readonly kind: 'confirmed';
+      readonly era: Era;
+      readonly offset: number;
+    }
   /** The log refused it, or was never reached. */
   | {readonly kind: 'not-appended'}
   /** It may have taken effect. */
@@ -36,7 +53,7 @@
 
 /** A holder's record with its fence, as peers pass it on. */
 export interface HolderEntry extends HolderRecord {
-  readonly fence: number;
+  readonly fence: Fence;
 }
 
 /** What one node asks another over the peer connection. */
@@ -44,7 +61,9 @@
   | {
       readonly kind: 'records';
       readonly version: number;
-      readonly holders: number;
+      /** Undefined where the asker has folded nothing yet. */
+      readonly era: Era | undefined;
+      readonly holders: StreamPosition;
     }
   | {
       readonly kind: 'snapshot-chunk';
@@ -63,9 +82,10 @@
   | {
       readonly kind: 'records';
       readonly version: number;
+      readonly era: Era | undefined;
       readonly records: readonly LogRecord<unknown>[];
       readonly holders: readonly HolderEntry[];
-      readonly holdersVersion: number;
+      readonly holdersPosition: StreamPosition;
       /** Set when the records asked for are gone: start from this snapshot. */
       readonly snapshot: SnapshotChunk | undefined;
     }
@@ -170,7 +190,7 @@
   | {
       readonly kind: 'fence-learnt';
       readonly service: string;
-      readonly fence: number;
+      readonly fence: Fence;
     }
   | {readonly kind: 'holders-read'}
   | {
--- a/packages/brain/src/control/holderRole.ts
+++ b/packages/brain/src/control/holderRole.ts
@@ -3,11 +3,12 @@
 
 import type {ConfigurationState, ServiceView} from '@lockpin/configuration';
 import {DETECTION_SETTINGS} from '@lockpin/detection';
-import {HolderTable, PermitHolder} from '@lockpin/floor';
-import type {GuardReport, HolderReply, HolderView} from '@lockpin/floor';
+import {HolderTable, NO_FENCE, PermitHolder} from '@lockpin/floor';
+import type {Fence, GuardReport, HolderReply, HolderView} from '@lockpin/floor';
 import {isUsable} from '@lockpin/membership';
 import type {Member, Membership} from '@lockpin/membership';
-import {stableHash} from '@lockpin/utils';
+import type {Era, StreamPosition} from '@lockpin/types';
+import {isLaterPosition, laterPosition, stableHash} from '@lockpin/utils';
 import type {ControlAction, HolderEntry} from './controlMessages.js';
 
 /** A holder must have been missing this long before it is replaced. */
@@ -25,18 +26,18 @@
   private readonly held = new Map<string, PermitHolder>();
   private readonly missingSince = new Map<string, number>();
   private readonly claimedAt = new Map<string, number>();
-  /** One past the highest offset of the holders stream that is known. */
-  version = 0;
+  /** One past the last record of the holders stream that is known. */
+  position: StreamPosition = {era: 0, offset: 0};
 
   constructor(private readonly membership: Membership) {}
 
   /** Takes in a record of the stream, from the log or a peer. */
   apply(entry: HolderEntry): readonly ControlAction[] {
-    this.version = Math.max(this.version, entry.fence);
-    if (!this.table.apply(entry.fence - 1, entry)) {
+    const {service, box, fence} = entry;
+    this.knownUpTo({...fence, offset: fence.offset + 1});
+    if (!this.table.apply(fence, entry)) {
       return [];
     }
-    const {service, box, fence} = entry;
     const isOwn =
       box === this.membership.own.box &&
       entry.incarnation === this.membership.own.incarnation;
@@ -51,16 +52,26 @@
         kind: 'timeline',
         event: 'permit-holder-named',
         subject: service,
-        detail: {holder: box, fence},
+        detail: {holder: box, era: fence.era, offset: fence.offset},
       },
     ];
   }
 
-  /** Entries after a fence, for a peer that lacks them. */
-  entriesAfter(fence: number): readonly HolderEntry[] {
+  /** The stream is known up to here, by whatever way. */
+  knownUpTo(position: StreamPosition): void {
+    this.position = laterPosition(this.position, position);
+  }
+
+  /** The log was restored: who holds what now is read from its beginning. */
+  logRestored(era: Era): void {
+    this.knownUpTo({era, offset: 0});
+  }
+
+  /** Entries from a position on, for a peer that lacks them. */
+  entriesFrom(position: StreamPosition): readonly HolderEntry[] {
     const entries: HolderEntry[] = [];
     for (const [service, holder] of this.table.entries()) {
-      if (holder.fence > fence) {
+      if (!isLaterPosition(position, holder.fence)) {
         entries.push({kind: 'holder', service, ...holder});
       }
     }
@@ -74,9 +85,9 @@
     return member?.incarnation === holder?.incarnation ? member : undefined;
   }
 
-  /** The fence of a service's holder; 0 while there is none. */
-  fenceOf(service: string): number {
-    return this.table.get(service)?.fence ?? 0;
+  /** The fence of a service's holder. */
+  fenceOf(service: string): Fence {
+    return this.table.get(service)?.fence ?? NO_FENCE;
   }
 
   /** Answers reports when the permits are held here. */
--- a/packages/brain/src/control/logFollower.ts
+++ b/packages/brain/src/control/logFollower.ts
@@ -1,23 +1,26 @@
 // Copyright (c) 2026 the lockpin contributors. MIT licence, see LICENSE.
 /** Follows the streams of the log: what to read when, and what records mean. */
 
-import type {FoldResult} from '@lockpin/configuration';
-import type {LogRecord, RandomSource} from '@lockpin/types';
+import type {Era, LogRecord, RandomSource} from '@lockpin/types';
 import type {ConfigurationKeeper} from './configurationKeeper.js';
 import type {
   ControlAction,
-  HolderEntry,
   LogReadResult,
   StreamName,
 } from './controlMessages.js';
 import type {HolderRole} from './holderRole.js';
+import type {RestoreKeeper} from './restoreKeeper.js';
 import {isSnapshotChunk} from './snapshotShelf.js';
 import type {SnapshotWriter} from './snapshotWriter.js';
 import type {StartPhase} from './startPhase.js';
 import {StreamReader} from './streamReader.js';
 import type {ReadingPace} from './streamReader.js';
+import {foldEvent, readHolder, streamsOf} from './streamRecords.js';
 import {timelineAction} from './timelineAction.js';
 
+/** In place of an answer from before a restore: nothing follows from it. */
+const UNREACHABLE: LogReadResult = {kind: 'unreachable'};
+
 /** Milliseconds between the reads of a node that is no log reader. */
 const SLOW_READ_MILLISECONDS = 60_000;
 const SLOW_SNAPSHOT_READ_MILLISECONDS = 300_000;
@@ -33,6 +36,7 @@
   /** Whether a change offered here waits to be read back. */
   readonly isAwaiting: () => boolean;
   readonly isReady: () => boolean;
+  readonly restores: RestoreKeeper;
   /** Records were folded: tells of the new version. */
   readonly onFolded: (
     now: number,
@@ -50,22 +54,40 @@
     const {keeper, holders} = parts;
     this.readers = {
       configuration: new StreamReader('configuration', () => keeper.version),
-      holders: new StreamReader('holders', () => holders.version),
+      holders: new StreamReader('holders', () => holders.position.offset),
       snapshots: new StreamReader('snapshots', () => this.snapshotsPosition),
     };
   }
 
   /** Only a node that has read the snapshots stream knows what is due. */
   get mayWriteSnapshots(): boolean {
-    const {isReady, isReader} = this.parts;
-    return isReady() && isReader() && this.readers.snapshots.hasReachedTail;
+    const {isReady, isReader, restores} = this.parts;
+    return (
+      isReady() &&
+      isReader() &&
+      !restores.isPending &&
+      this.readers.snapshots.hasReachedTail
+    );
   }
 
   /** Reads what is due. */
-  tick(now: number, phase: StartPhase): readonly ControlAction[] {
-    return streamsOf(phase).flatMap((stream) =>
-      this.readers[stream].tick(now, this.pace(stream)),
-    );
+  tick(
+    now: number,
+    random: RandomSource,
+    phase: StartPhase,
+  ): readonly ControlAction[] {
+    const {restores} = this.parts;
+    const restoring = restores.tick(now);
+    const streams: readonly StreamName[] = restores.isPending
+      ? ['holders']
+      : streamsOf(phase);
+    return [
+      ...streams.flatMap((stream) =>
+        this.readers[stream].tick(now, this.pace(stream)),
+      ),
+      ...restoring,
+      ...this.finishRestore(now, random),
+    ];
   }
 
   /** Takes in the answer of the log. */
@@ -74,6 +96,34 @@
     random: RandomSource,
     stream: StreamName,
     result: LogReadResult,
+  ): readonly ControlAction[] {
+    const {restores} = this.parts;
+    const isOutdated = 'era' in result && this.isOutdated(now, result.era);
+    const taken: LogReadResult = isOutdated ? UNREACHABLE : result;
+    if (stream !== 'holders' && restores.isPending) {
+      this.readers[stream].ended(now, random, UNREACHABLE, this.pace(stream));
+      restores.current?.logRead(now, random, stream, taken);
+      return this.finishRestore(now, random);
+    }
+    return this.takeRead(now, random, stream, taken);
+  }
+
+  /** An append was confirmed in an era. */
+  isOutdated(now: number, era: Era): boolean {
+    const {restores, holders} = this.parts;
+    const isOutdated = restores.isOutdated(now, era);
+    if (!isOutdated && era > holders.position.era) {
+      holders.logRestored(era);
+      this.readers.holders.hurry(now);
+    }
+    return isOutdated;
+  }
+
+  private takeRead(
+    now: number,
+    random: RandomSource,
+    stream: StreamName,
+    result: LogReadResult,
   ): readonly ControlAction[] {
     const reader = this.readers[stream];
     const hadReachedTail = reader.hasReachedTail;
@@ -84,6 +134,24 @@
     return isRead ? [...actions, {kind: 'holders-read'}] : actions;
   }
 
+  /** What was folded anew takes over once nothing is missing in it. */
+  private finishRestore(
+    now: number,
+    random: RandomSource,
+  ): readonly ControlAction[] {
+    const {restores, writer, onFolded} = this.parts;
+    const position = restores.current?.snapshotsPosition ?? 0;
+    const actions = restores.finish(now);
+    if (actions.length === 0) {
+      return [];
+    }
+    this.snapshotsPosition = position;
+    writer.logRestored();
+    this.readers.snapshots.readToTailBy(now);
+    this.readers.configuration.readToTailBy(now);
+    return [...actions, ...onFolded(now, random)];
+  }
+
   /** Folds configuration records. */
   fold(
     now: number,
@@ -139,14 +207,23 @@
     switch (result.kind) {
       case 'records':
         this.noteRetention(stream, result.first, result.next);
-        return this.takeRecords(now, random, stream, result.records);
+        this.noteLength(now, stream, result.next);
+        return this.takeRecords(now, random, stream, result);
       case 'expired':
-        return this.overtaken(now, stream, result.first);
+        return this.overtaken(now, stream, result);
       case 'unreachable':
         return [];
     }
   }
 
+  /** A state of more records than the log has came from a history that is gone. */
+  private noteLength(now: number, stream: StreamName, next: number): void {
+    const {readFrom} = this.readers.configuration;
+    if (stream === 'configuration' && next < readFrom) {
+      this.parts.restores.foldAnew(now);
+    }
+  }
+
   private noteRetention(stream: StreamName, first: number, next: number): void {
     const {writer} = this.parts;
     if (stream === 'configuration') {
@@ -160,13 +237,13 @@
     now: number,
     random: RandomSource,
     stream: StreamName,
-    records: readonly LogRecord<unknown>[],
+    {era, records}: LogReadResult & {readonly kind: 'records'},
   ): readonly ControlAction[] {
     switch (stream) {
       case 'configuration':
         return this.fold(now, random, records);
       case 'holders':
-        return records.flatMap((record) => this.takeHolder(record));
+        return records.flatMap((record) => this.takeHolder(era, record));
       case 'snapshots':
         return records.flatMap((record) => this.takeChunk(now, record));
     }
@@ -176,7 +253,7 @@
   private overtaken(
     now: number,
     stream: StreamName,
-    first: number,
+    {era, first}: LogReadResult & {readonly kind: 'expired'},
   ): readonly ControlAction[] {
     const {keeper, holders, box} = this.parts;
     switch (stream) {
@@ -187,7 +264,7 @@
         return [timelineAction('log-overtook-reader', box, detail)];
       }
       case 'holders':
-        holders.version = first;
+        holders.knownUpTo({era, offset: first});
         return [];
       case 'snapshots':
         this.snapshotsPosition = first;
@@ -195,13 +272,13 @@
     }
   }
 
-  private takeHolder({
-    offset,
-    value,
-  }: LogRecord<unknown>): readonly ControlAction[] {
+  private takeHolder(
+    era: Era,
+    {offset, value}: LogRecord<unknown>,
+  ): readonly ControlAction[] {
     const {holders} = this.parts;
-    const entry = readHolder(offset, value);
-    holders.version = Math.max(holders.version, offset + 1);
+    const entry = readHolder({era, offset}, value);
+    holders.knownUpTo({era, offset: offset + 1});
     return entry === undefined ? [] : holders.apply(entry);
   }
 
@@ -218,32 +295,3 @@
     return this.adoptSnapshot();
   }
 }
-
-function streamsOf(phase: StartPhase): readonly StreamName[] {
-  switch (phase) {
-    case 'asking-peers':
-      return [];
-    case 'reading-snapshots':
-      return ['snapshots'];
-    default:
-      return ['snapshots', 'configuration', 'holders'];
-  }
-}
-
-function foldEvent(fold: FoldResult): ControlAction {
-  const {outcome, changeId, author} = fold;
-  const {version} = outcome;
-  const detail = {version, author, effects: fold.effects.length};
-  return timelineAction(`change-${outcome.kind}`, changeId, detail);
-}
-
-function readHolder(offset: number, value: unknown): HolderEntry | undefined {
-  const record = value as Partial<HolderEntry> | null;
-  const isHolder =
-    typeof record === 'object' &&
-    record?.kind === 'holder' &&
-    typeof record.service === 'string' &&
-    typeof record.box === 'string' &&
-    typeof record.incarnation === 'string';
-  return isHolder ? ({...record, fence: offset + 1} as HolderEntry) : undefined;
-}
--- a/packages/brain/src/control/peerPuller.ts
+++ b/packages/brain/src/control/peerPuller.ts
@@ -3,8 +3,9 @@
 
 import type {SnapshotChunk} from '@lockpin/configuration';
 import {sample} from '@lockpin/membership';
-import type {Member, Membership} from '@lockpin/membership';
+import type {DatagramHeader, Member, Membership} from '@lockpin/membership';
 import type {RandomSource} from '@lockpin/types';
+import {isLaterPosition} from '@lockpin/utils';
 import type {ConfigurationKeeper} from './configurationKeeper.js';
 import type {ControlAction, PeerReply, PeerRequest} from './controlMessages.js';
 import type {HolderRole} from './holderRole.js';
@@ -64,9 +65,11 @@
   }
 
   /** A peer's datagram showed how far it is. */
-  heardOf(peer: Member, version: number, holders: number): void {
+  heardOf(peer: Member, {version, era, holders}: DatagramHeader): void {
+    const isSameLog = this.keeper.era === undefined || era === this.keeper.era;
     const isAhead =
-      version > this.keeper.version || holders > this.holders.version;
+      (isSameLog && version > this.keeper.version) ||
+      isLaterPosition(holders, this.holders.position);
     if (isAhead && this.transfer === undefined) {
       this.ahead = peer;
     }
@@ -95,9 +98,11 @@
     this.isBusy = false;
     if (reply?.kind === 'records') {
       this.answered.add(this.peer?.box ?? '');
-      this.beginTransfer(reply.snapshot);
-      if (reply.version > this.keeper.version && reply.records.length > 0) {
-        this.ahead = this.peer;
+      if (this.keeper.era === undefined || reply.era === this.keeper.era) {
+        this.beginTransfer(reply.snapshot);
+        if (reply.version > this.keeper.version && reply.records.length > 0) {
+          this.ahead = this.peer;
+        }
       }
       return {kind: 'records', reply};
     }
@@ -155,7 +160,8 @@
     const request: PeerRequest = {
       kind: 'records',
       version: this.keeper.version,
-      holders: this.holders.version,
+      era: this.keeper.era,
+      holders: this.holders.position,
     };
     return this.exchange(now, peer, request);
   }
--- a/packages/brain/src/control/publisher.ts
+++ b/packages/brain/src/control/publisher.ts
@@ -42,6 +42,7 @@
     now: number,
     state: ConfigurationState,
     change: ChangeRecord,
+    isHeld: boolean,
   ): readonly ControlAction[] {
     const early = settledEarly(state, change);
     if (early !== undefined) {
@@ -50,11 +51,11 @@
     this.pending.set(change.changeId, {
       change,
       offeredAt: now,
-      appends: 1,
-      retryAt: undefined,
-      mayBePublished: true,
+      appends: isHeld ? 0 : 1,
+      retryAt: isHeld ? now : undefined,
+      mayBePublished: !isHeld,
     });
-    return [append(change)];
+    return isHeld ? [] : [append(change)];
   }
 
   appendEnded(
@@ -74,8 +75,15 @@
     return this.fail(changeId, 'not-published');
   }
 
-  /** Settles what was read back, tries again and gives up. */
-  review(now: number, state: ConfigurationState): readonly ControlAction[] {
+  /**
+   * Settles what was read back, tries again and gives up. While appends are held, nothing
+   * new is written: a restored log takes first what it has lost, in its order.
+   */
+  review(
+    now: number,
+    state: ConfigurationState,
+    isHeld: boolean,
+  ): readonly ControlAction[] {
     const actions: ControlAction[] = [];
     for (const [changeId, pending] of this.pending) {
       const outcome = state.outcomeOf(changeId);
@@ -85,7 +93,11 @@
       } else if (now - pending.offeredAt > PATIENCE_MILLISECONDS) {
         const known = pending.mayBePublished ? 'unknown' : 'not-published';
         actions.push(...this.fail(changeId, known));
-      } else if (pending.retryAt !== undefined && now >= pending.retryAt) {
+      } else if (
+        !isHeld &&
+        pending.retryAt !== undefined &&
+        now >= pending.retryAt
+      ) {
         pending.retryAt = undefined;
         pending.appends += 1;
         pending.mayBePublished = true;
--- a/packages/brain/src/control/recordBuffer.ts
+++ b/packages/brain/src/control/recordBuffer.ts
@@ -22,6 +22,11 @@
     }
   }
 
+  /** All that are kept. */
+  all(): readonly LogRecord<unknown>[] {
+    return this.records;
+  }
+
   /** Up to a number of records from an offset on; undefined when forgotten. */
   from(
     offset: number,
--- a/packages/brain/src/control/snapshotWriter.ts
+++ b/packages/brain/src/control/snapshotWriter.ts
@@ -3,6 +3,7 @@
 
 import {encodeSnapshot} from '@lockpin/configuration';
 import type {ConfigurationState} from '@lockpin/configuration';
+import type {Era} from '@lockpin/types';
 import {isLogReader, isUsable} from '@lockpin/membership';
 import type {Membership} from '@lockpin/membership';
 import {stableHash} from '@lockpin/utils';
@@ -57,6 +58,19 @@
     this.dueSince = undefined;
   }
 
+  /**
+   * The log was restored: what was seen there may be gone, or be of a history that is. One
+   * of the new history is due, so that nobody has to go by an earlier one.
+   */
+  logRestored(): void {
+    this.lastSeenVersion = 0;
+    this.lastSeenOffset = -1;
+    this.isNewestLost = true;
+    this.nextBeginAt = 0;
+    this.dueSince = undefined;
+    this.writing = [];
+  }
+
   /** A read showed how many configuration records the log still keeps. */
   retentionSeen(first: number, next: number): void {
     this.everyRecords =
@@ -73,7 +87,11 @@
     this.isNewestLost = first > this.lastSeenOffset;
   }
 
-  tick(now: number, state: ConfigurationState): readonly ControlAction[] {
+  tick(
+    now: number,
+    state: ConfigurationState,
+    era: Era,
+  ): readonly ControlAction[] {
     if (this.writing.length > 0 || this.isAppending) {
       return this.nextChunk();
     }
@@ -85,7 +103,7 @@
     if (now - this.dueSince < this.turn(state.version) * TURN_MILLISECONDS) {
       return [];
     }
-    return this.begin(now, state);
+    return this.begin(now, state, era);
   }
 
   /** An append of a chunk ended; a failed one spoils the snapshot. */
@@ -114,6 +132,7 @@
   private begin(
     now: number,
     state: ConfigurationState,
+    era: Era,
   ): readonly ControlAction[] {
     this.nextBeginAt = now + COOL_DOWN_MILLISECONDS;
     this.serial += 1;
@@ -121,6 +140,7 @@
     const chunks = encodeSnapshot(
       state,
       `${box} ${incarnation} ${this.serial}`,
+      era,
     );
     this.writing = chunks.map((value) => ({
       kind: 'append',
--- a/packages/brain/src/control/streamReader.ts
+++ b/packages/brain/src/control/streamReader.ts
@@ -26,6 +26,7 @@
   private nextReadAt = 0;
   private failures = 0;
   private reachedTail = false;
+  private from = 0;
 
   constructor(
     private readonly stream: StreamName,
@@ -38,11 +39,22 @@
     return this.reachedTail;
   }
 
+  /** Where the read under way, or the last one, began. */
+  get readFrom(): number {
+    return this.from;
+  }
+
   /** Reads that failed in a row. */
   get failureCount(): number {
     return this.failures;
   }
 
+  /** Another reader has read the stream to its end, up to the present position. */
+  readToTailBy(now: number): void {
+    this.reachedTail = true;
+    this.nextReadAt = now;
+  }
+
   /** Something is expected in the stream: read as soon as possible. */
   hurry(now: number): void {
     this.nextReadAt = Math.min(this.nextReadAt, now);
@@ -53,13 +65,14 @@
       return [];
     }
     this.isReading = true;
+    this.from = this.position();
     const wait =
       pace.isContinuous && this.reachedTail ? LONG_POLL_MILLISECONDS : 0;
     return [
       {
         kind: 'read-log',
         stream: this.stream,
-        from: this.position(),
+        from: this.from,
         waitMilliseconds: wait,
       },
     ];
--- a/packages/brain/src/control/versionNews.ts
+++ b/packages/brain/src/control/versionNews.ts
@@ -97,7 +97,12 @@
 
   private compareDigests(datagram: Datagram): readonly ControlAction[] {
     const {version, digest} = this.keeper.state;
-    if (datagram.version !== version || datagram.digest === digest) {
+    const isSameLog = datagram.era === this.keeper.era;
+    if (
+      !isSameLog ||
+      datagram.version !== version ||
+      datagram.digest === digest
+    ) {
       return [];
     }
     const {box} = this.membership.own;
--- a/packages/brain/src/guard/guardBrain.ts
+++ b/packages/brain/src/guard/guardBrain.ts
@@ -1,7 +1,8 @@
 // Copyright (c) 2026 the lockpin contributors. MIT licence, see LICENSE.
 /** The guard of a box: decides what becomes of each call to its upstreams. */
 
-import type {HolderReply} from '@lockpin/floor';
+import type {Fence, HolderReply} from '@lockpin/floor';
+import {isLaterPosition, laterPosition} from '@lockpin/utils';
 import type {OnceHome} from '@lockpin/once';
 import type {LoadHint} from '@lockpin/routing';
 import type {RandomSource, UpstreamIncarnation} from '@lockpin/types';
@@ -179,7 +180,8 @@
   ): readonly GuardAction[] {
     const state = this.services.get(service);
     const upstream = this.services.upstream(reply.upstream);
-    const isStale = state === undefined || reply.fence < state.fence;
+    const isStale =
+      state === undefined || isLaterPosition(state.fence, reply.fence);
     if (isStale || upstream === undefined || !this.mayTakePermits) {
       return [];
     }
@@ -191,10 +193,10 @@
     );
   }
 
-  private learnFence(service: string, fence: number): readonly GuardAction[] {
+  private learnFence(service: string, fence: Fence): readonly GuardAction[] {
     const state = this.services.get(service);
     if (state !== undefined) {
-      state.fence = Math.max(state.fence, fence);
+      state.fence = laterPosition(state.fence, fence);
     }
     return [];
   }
--- a/packages/brain/src/guard/guardMessages.ts
+++ b/packages/brain/src/guard/guardMessages.ts
@@ -4,7 +4,7 @@
 import {RetryBudget} from '@lockpin/routing';
 import type {LoadHint, RetryAllowance} from '@lockpin/routing';
 import type {StoredAnswer} from '@lockpin/once';
-import type {GuardReport, HolderReply} from '@lockpin/floor';
+import type {Fence, GuardReport, HolderReply} from '@lockpin/floor';
 import type {Presence} from '@lockpin/quarantine';
 import type {
   Refusal,
@@ -162,7 +162,7 @@
   | {
       readonly kind: 'fence-learnt';
       readonly service: string;
-      readonly fence: number;
+      readonly fence: Fence;
     }
   | {readonly kind: 'holders-read'}
   | {readonly kind: 'leaving'}
--- a/packages/brain/src/guard/guardedServices.ts
+++ b/packages/brain/src/guard/guardedServices.ts
@@ -5,6 +5,8 @@
 import type {OnceHome} from '@lockpin/once';
 import type {RetryAllowance} from '@lockpin/routing';
 import type {RandomSource, Resource} from '@lockpin/types';
+import {NO_FENCE} from '@lockpin/floor';
+import type {Fence} from '@lockpin/floor';
 import {isSameIncarnation} from '@lockpin/utils';
 import type {
   GuardCall,
@@ -20,8 +22,8 @@
   readonly ledger: OnceLedger;
   /** Lives as long as the process too: it knows what was spent in its window. */
   readonly retries: RetryAllowance;
-  /** The highest fence known; no permit below it is taken. */
-  fence: number;
+  /** The latest fence known; no permit of an earlier one is taken. */
+  fence: Fence;
 }
 
 /** Follows the configuration; a service stays known once it was here. */
@@ -140,7 +142,7 @@
       guarded,
       ledger: new OnceLedger(this.home),
       retries: this.settings.createRetryBudget(guarded.name),
-      fence: 0,
+      fence: NO_FENCE,
     };
     this.states.set(guarded.name, made);
     return made;
--- a/packages/brain/src/guard/reportSchedule.ts
+++ b/packages/brain/src/guard/reportSchedule.ts
@@ -1,7 +1,7 @@
 // Copyright (c) 2026 the lockpin contributors. MIT licence, see LICENSE.
 /** When the permit holders hear of the upstreams of a box. */
 
-import type {GuardReport} from '@lockpin/floor';
+import type {Fence, GuardReport} from '@lockpin/floor';
 import type {OnceHome} from '@lockpin/once';
 import type {GuardedServices, ServiceState} from './guardedServices.js';
 import type {GuardAction} from './guardMessages.js';
@@ -58,7 +58,7 @@
   private report(
     now: number,
     upstream: UpstreamGuard,
-    fence: number,
+    fence: Fence,
   ): GuardReport {
     const interval = upstream.standing.condemned
       ? URGENT_REPORT_MILLISECONDS
--- a/packages/brain/src/guard/upstreamGuard.ts
+++ b/packages/brain/src/guard/upstreamGuard.ts
@@ -4,7 +4,7 @@
 import {Admission} from '@lockpin/admission';
 import type {Freed, Offer, WaitingCall} from '@lockpin/admission';
 import type {CallEvidenceKind} from '@lockpin/detection';
-import type {GuardReport} from '@lockpin/floor';
+import type {Fence, GuardReport} from '@lockpin/floor';
 import {CrashWatch} from '@lockpin/quarantine';
 import type {LoadHint, RetryAllowance} from '@lockpin/routing';
 import type {
@@ -266,7 +266,7 @@
   report(
     now: number,
     identity: {readonly box: string; readonly incarnation: string},
-    fence: number,
+    fence: Fence,
   ): GuardReport {
     return this.standing.report(now, identity, fence, this.isDraining);
   }
--- a/packages/brain/src/guard/upstreamStanding.ts
+++ b/packages/brain/src/guard/upstreamStanding.ts
@@ -8,7 +8,7 @@
   GrayDetector,
 } from '@lockpin/detection';
 import type {CycleChange, Verdict} from '@lockpin/detection';
-import type {GuardReport, HolderReply} from '@lockpin/floor';
+import type {Fence, GuardReport, HolderReply} from '@lockpin/floor';
 import type {Sensitivity} from '@lockpin/types';
 import type {RunningCall} from './runningCall.js';
 
@@ -92,7 +92,7 @@
   report(
     now: number,
     identity: {readonly box: string; readonly incarnation: string},
-    fence: number,
+    fence: Fence,
     isDraining: boolean,
   ): GuardReport {
     this.sequence += 1;
--- a/packages/cli/src/commands/status.ts
+++ b/packages/cli/src/commands/status.ts
@@ -18,8 +18,9 @@
 }
 
 function rows(node: NodeStatus): readonly Row[] {
-  const {box, dataCentre, version, digest} = node;
-  const common = {box, dataCentre, version, digest};
+  const {box, dataCentre, version, digest, logEra, isFoldingAnew} = node;
+  const log = isFoldingAnew ? `${logEra}, restored` : String(logEra);
+  const common = {box, dataCentre, version, digest, log};
   if (node.upstreams.length === 0) {
     return [{...common, upstream: '-', state: '-', running: '-', why: ''}];
   }
--- a/packages/cli/src/nodeStatuses.ts
+++ b/packages/cli/src/nodeStatuses.ts
@@ -21,6 +21,10 @@
   readonly dataCentre: string;
   readonly version: number;
   readonly digest: string;
+  /** How often the log was restored, as far as the state in force goes. */
+  readonly logEra: number;
+  /** The log was restored and is folded anew; changes that are offered wait. */
+  readonly isFoldingAnew: boolean;
   readonly isLeaving: boolean;
   readonly callsAtEntry: number;
   readonly callsAtGuard: number;
--- a/packages/cli/src/timelinePicture.ts
+++ b/packages/cli/src/timelinePicture.ts
@@ -9,8 +9,8 @@
 const TOP = 40;
 
 const COLOURS: readonly (readonly [RegExp, string])[] = [
-  [/ejected|condemned|dead|differs|corrupt/, '#c0392b'],
-  [/suspect|conflict|refused|revoked|leaving/, '#d68910'],
+  [/ejected|condemned|dead|differs|corrupt|lost/, '#c0392b'],
+  [/suspect|conflict|refused|revoked|leaving|restored/, '#d68910'],
   [/returned|ready|alive|accepted|acquitted/, '#1e8449'],
 ];
 
--- a/packages/configuration/src/__tests__/foldChange.test.ts
+++ b/packages/configuration/src/__tests__/foldChange.test.ts
@@ -115,7 +115,7 @@
         const first = new ConfigurationState();
         all.forEach((record) => foldChange(straight, record));
         all.slice(0, at).forEach((record) => foldChange(first, record));
-        const decoded = decodeSnapshot(encodeSnapshot(first, 'writer'));
+        const decoded = decodeSnapshot(encodeSnapshot(first, 'writer', 0));
         expect(decoded.ok).toBe(true);
         if (decoded.ok) {
           all.slice(at).forEach((record) => foldChange(decoded.value, record));
--- a/packages/configuration/src/snapshot.ts
+++ b/packages/configuration/src/snapshot.ts
@@ -2,7 +2,7 @@
 /** A whole state cut into checksummed chunks, and put together again. */
 
 import {deflateRawSync, inflateRawSync} from 'node:zlib';
-import type {AnyResource, ChangeOutcome, Result} from '@lockpin/types';
+import type {AnyResource, ChangeOutcome, Era, Result} from '@lockpin/types';
 import {failure, sha256Hex, success} from '@lockpin/utils';
 import {ConfigurationState} from './configurationState.js';
 
@@ -16,6 +16,8 @@
   readonly writer: string;
   /** Version the snapshot stands at. */
   readonly version: number;
+  /** Era of the log that the state was folded from. */
+  readonly era: Era;
   /** Digest of the state, by which equal snapshots are known as equal. */
   readonly digest: string;
   readonly index: number;
@@ -42,6 +44,7 @@
 export function encodeSnapshot(
   state: ConfigurationState,
   writer: string,
+  era: Era,
 ): readonly SnapshotChunk[] {
   const content: SnapshotContent = {
     version: state.version,
@@ -57,6 +60,7 @@
       kind: 'snapshot-chunk',
       writer,
       version: state.version,
+      era,
       digest: state.digest,
       index,
       count,
--- a/packages/floor/src/__tests__/permitHolder.test.ts
+++ b/packages/floor/src/__tests__/permitHolder.test.ts
@@ -5,7 +5,7 @@
 import type {GuardReport} from '../messages.js';
 import {PermitHolder} from '../permitHolder.js';
 
-const FENCE = 7;
+const FENCE = {era: 1, offset: 7};
 
 function report(
   upstream: string,
--- a/packages/floor/src/holderTable.ts
+++ b/packages/floor/src/holderTable.ts
@@ -1,14 +1,15 @@
 // Copyright (c) 2026 the lockpin contributors. MIT licence, see LICENSE.
 /** Who holds the permits of each service, as the log has it. */
 
-import type {HolderRecord} from './messages.js';
+import {isLaterPosition} from '@lockpin/utils';
+import type {Fence, HolderRecord} from './messages.js';
 
 /** The holder of a service with the fence that its record gave it. */
 export interface Holder {
   readonly box: string;
   readonly incarnation: string;
-  /** Offset of its record, plus one; the higher fence is the holder. */
-  readonly fence: number;
+  /** The one with the latest fence is the holder. */
+  readonly fence: Fence;
 }
 
 /** The newest record of each service wins. */
@@ -16,10 +17,9 @@
   private readonly holders = new Map<string, Holder>();
 
   /** Takes in a record; records may come again or out of order. */
-  apply(offset: number, record: HolderRecord): boolean {
-    const fence = offset + 1;
+  apply(fence: Fence, record: HolderRecord): boolean {
     const current = this.holders.get(record.service);
-    if (current !== undefined && current.fence >= fence) {
+    if (current !== undefined && !isLaterPosition(fence, current.fence)) {
       return false;
     }
     const {box, incarnation} = record;
--- a/packages/floor/src/messages.ts
+++ b/packages/floor/src/messages.ts
@@ -2,6 +2,19 @@
 /** What guards and the holder of a service's permits tell each other. */
 
 import type {PeerBaseline, PeerSummary} from '@lockpin/detection';
+import type {StreamPosition} from '@lockpin/types';
+
+/**
+ * Where the record stands by which someone holds the permits of a service. Later ones win,
+ * also over those of an era of the log that a restore has ended, whatever their offsets.
+ */
+export type Fence = StreamPosition;
+
+/** Earlier than any: nobody is known to hold the permits. */
+export const NO_FENCE: Fence = {era: 0, offset: -1};
+
+/** The one of the first record of a log that was never restored. */
+export const FIRST_FENCE: Fence = {era: 0, offset: 0};
 
 /** A guard's report on one upstream. */
 export interface GuardReport {
@@ -10,8 +23,8 @@
   readonly incarnation: string;
   /** Rises with every report of this incarnation. */
   readonly sequence: number;
-  /** The highest fence the guard knows; it takes no permit below it. */
-  readonly fence: number;
+  /** The latest fence the guard knows; it takes no permit of an earlier one. */
+  readonly fence: Fence;
   readonly state:
     'in-service' | 'condemned' | 'ejected' | 'probation' | 'draining';
   readonly suspect: boolean;
@@ -28,7 +41,7 @@
 /** The holder's answer to a report. */
 export interface HolderReply {
   readonly upstream: string;
-  readonly fence: number;
+  readonly fence: Fence;
   readonly decision:
     | {readonly kind: 'none'}
     | {readonly kind: 'granted'; readonly request: number}
--- a/packages/floor/src/permitHolder.ts
+++ b/packages/floor/src/permitHolder.ts
@@ -3,7 +3,13 @@
 
 import {peerBaseline} from '@lockpin/detection';
 import type {PeerBaseline} from '@lockpin/detection';
-import type {DenialReason, GuardReport, HolderReply} from './messages.js';
+import {comparePositions} from '@lockpin/utils';
+import type {
+  DenialReason,
+  Fence,
+  GuardReport,
+  HolderReply,
+} from './messages.js';
 
 /** An upstream as the configuration has it. */
 export interface RegisteredUpstream {
@@ -51,7 +57,7 @@
   private readonly guards = new Map<string, KnownGuard>();
 
   constructor(
-    readonly fence: number,
+    readonly fence: Fence,
     private view: HolderView,
   ) {}
 
@@ -62,7 +68,7 @@
 
   /** Takes in a report and decides on what it asks for. */
   report(now: number, report: GuardReport): HolderReply {
-    if (report.fence !== this.fence) {
+    if (comparePositions(report.fence, this.fence) !== 0) {
       return this.reply(now, report, denied('fence-unknown'));
     }
     const known = this.take(now, report);
--- a/packages/membership/src/__tests__/membership.test.ts
+++ b/packages/membership/src/__tests__/membership.test.ts
@@ -13,7 +13,8 @@
 const CONTEXT = {
   version: 0,
   digest: '',
-  holders: 0,
+  era: 0,
+  holders: {era: 0, offset: 0},
   time: {milliseconds: 0, counter: 0},
 };
 
--- a/packages/membership/src/datagrams.ts
+++ b/packages/membership/src/datagrams.ts
@@ -1,7 +1,7 @@
 // Copyright (c) 2026 the lockpin contributors. MIT licence, see LICENSE.
 /** The small messages that nodes exchange over UDP. */
 
-import type {HybridTime} from '@lockpin/types';
+import type {Era, HybridTime, StreamPosition} from '@lockpin/types';
 import type {Member} from './member.js';
 
 /** What every datagram carries besides its purpose. */
@@ -12,8 +12,10 @@
   /** Version in force at the sender, and the digest of its state. */
   readonly version: number;
   readonly digest: string;
+  /** Era of the log that the sender's state was folded from. */
+  readonly era: Era;
   /** How far the sender knows the holders stream. */
-  readonly holders: number;
+  readonly holders: StreamPosition;
   readonly time: HybridTime;
 }
 
--- a/packages/membership/src/membership.ts
+++ b/packages/membership/src/membership.ts
@@ -1,7 +1,12 @@
 // Copyright (c) 2026 the lockpin contributors. MIT licence, see LICENSE.
 /** A failure detector on random probes, with suspicion that can be refuted. */
 
-import type {HybridTime, RandomSource} from '@lockpin/types';
+import type {
+  Era,
+  HybridTime,
+  RandomSource,
+  StreamPosition,
+} from '@lockpin/types';
 import {NEWS_PER_DATAGRAM} from './datagrams.js';
 import type {Datagram, DatagramBody} from './datagrams.js';
 import {isUsable, supersedes} from './member.js';
@@ -36,7 +41,9 @@
 export interface MembershipContext {
   readonly version: number;
   readonly digest: string;
-  readonly holders: number;
+  /** Era of the log that the state was folded from. */
+  readonly era: Era;
+  readonly holders: StreamPosition;
   readonly time: HybridTime;
 }
 
--- a/packages/node/src/__tests__/suspension.test.ts
+++ b/packages/node/src/__tests__/suspension.test.ts
@@ -16,6 +16,8 @@
 
 const MINUTE = 60_000;
 
+const FENCE = {era: 1, offset: 7};
+
 /** Reads the time that a node goes by. */
 type ReadClock = () => number;
 
@@ -56,7 +58,7 @@
     box: `box of ${upstream}`,
     incarnation: 'a',
     sequence: 1,
-    fence: 7,
+    fence: FENCE,
     state: 'in-service',
     suspect: false,
     severity: 0,
@@ -75,7 +77,7 @@
     inService: true,
   }));
   const view = {floorSlots: 4, settleMilliseconds: 200, upstreams};
-  const holder = new PermitHolder(7, view);
+  const holder = new PermitHolder(FENCE, view);
   ['a', 'b'].forEach((name) => holder.report(now(), report(name)));
   machine.isSuspended(MINUTE);
   return holder.availableSlots(now());
--- a/packages/node/src/connection/logClient.ts
+++ b/packages/node/src/connection/logClient.ts
@@ -2,7 +2,7 @@
 /** The platform's log service over HTTP. */
 
 import type {AppendResult, LogReadResult, StreamName} from '@lockpin/brain';
-import type {LogRecord} from '@lockpin/types';
+import type {Era, LogRecord} from '@lockpin/types';
 import {Pool} from 'undici';
 import type {ControlTraffic} from '../process/controlTraffic.js';
 
@@ -10,6 +10,12 @@
 const ANSWER_MARGIN_MILLISECONDS = 3000;
 const APPEND_TIMEOUT_MILLISECONDS = 5000;
 
+/** A poll of each stream, and of two anew while those before the restore still wait. */
+const READ_CONNECTIONS = 6;
+
+/** Apart from reads: an append must not wait until a poll has ended. */
+const APPEND_CONNECTIONS = 2;
+
 /** Errors after which the log certainly has not seen the request. */
 const NOT_SENT_CODES: ReadonlySet<string> = new Set([
   'ECONNREFUSED',
@@ -19,23 +25,46 @@
 ]);
 
 interface ReadAnswer {
+  readonly era?: unknown;
   readonly first: number;
   readonly next: number;
   readonly records: readonly LogRecord<unknown>[];
 }
 
+interface AppendAnswer {
+  readonly era?: unknown;
+  readonly offset: number;
+}
+
+/** A log that does not tell its era was never restored. */
+const NEVER_RESTORED: Era = 0;
+
+/** Undefined for an era that is none: nothing can be concluded from its answer. */
+function eraOf({
+  era = NEVER_RESTORED,
+}: {
+  readonly era?: unknown;
+}): Era | undefined {
+  return Number.isSafeInteger(era) && (era as Era) >= 0
+    ? (era as Era)
+    : undefined;
+}
+
 /** Appends to and reads from streams; every failure is a typed result. */
 export class LogClient {
-  private readonly pool: Pool;
+  private readonly reads: Pool;
+  private readonly appends: Pool;
 
   constructor(
     address: string,
     private readonly traffic: ControlTraffic,
   ) {
-    this.pool = new Pool(`http://${address}`, {
-      connections: 4,
-      pipelining: 1,
-      connectTimeout: 2000,
+    const options = {pipelining: 1, connectTimeout: 2000};
+    const origin = `http://${address}`;
+    this.reads = new Pool(origin, {...options, connections: READ_CONNECTIONS});
+    this.appends = new Pool(origin, {
+      ...options,
+      connections: APPEND_CONNECTIONS,
     });
   }
 
@@ -47,7 +76,7 @@
     this.traffic.sent('log', 0);
     const query = `from=${from}&limit=${READ_LIMIT}&wait=${waitMilliseconds}`;
     try {
-      const {statusCode, body} = await this.pool.request({
+      const {statusCode, body} = await this.reads.request({
         method: 'GET',
         path: `/streams/${stream}/records?${query}`,
         signal: AbortSignal.timeout(
@@ -57,11 +86,16 @@
       const text = await body.text();
       this.traffic.received('log', text.length);
       const answer = JSON.parse(text) as ReadAnswer;
+      const era = eraOf(answer);
+      if (era === undefined) {
+        return {kind: 'unreachable'};
+      }
+      const {first, next, records} = answer;
       if (statusCode === 410) {
-        return {kind: 'expired', first: answer.first};
+        return {kind: 'expired', era, first, next};
       }
       return statusCode === 200
-        ? {kind: 'records', ...answer}
+        ? {kind: 'records', era, first, next, records}
         : {kind: 'unreachable'};
     } catch {
       return {kind: 'unreachable'};
@@ -72,7 +106,7 @@
     const content = JSON.stringify(value);
     this.traffic.sent('log', content.length);
     try {
-      const {statusCode, body} = await this.pool.request({
+      const {statusCode, body} = await this.appends.request({
         method: 'POST',
         path: `/streams/${stream}/records`,
         headers: {'content-type': 'application/json'},
@@ -80,8 +114,11 @@
         signal: AbortSignal.timeout(APPEND_TIMEOUT_MILLISECONDS),
       });
       if (statusCode === 201) {
-        const {offset} = (await body.json()) as {readonly offset: number};
-        return {kind: 'confirmed', offset};
+        const answer = (await body.json()) as AppendAnswer;
+        const era = eraOf(answer);
+        return era === undefined
+          ? {kind: 'unknown'}
+          : {kind: 'confirmed', era, offset: answer.offset};
       }
       await body.dump();
       return statusCode === 429 ? {kind: 'not-appended'} : {kind: 'unknown'};
@@ -93,7 +130,7 @@
   }
 
   async close(): Promise<void> {
-    await this.pool.destroy();
+    await Promise.all([this.reads.destroy(), this.appends.destroy()]);
   }
 }
 
--- a/packages/stand-ins/src/logService.ts
+++ b/packages/stand-ins/src/logService.ts
@@ -34,6 +34,8 @@
 interface Stream {
   first: number;
   readonly records: unknown[];
+  /** When each of them came, in milliseconds since 1970. */
+  readonly times: number[];
   readonly waiting: Set<() => void>;
 }
 
@@ -44,6 +46,8 @@
   readonly counts = {appends: 0, reads: 0, refused: 0};
   private readonly streams = new Map<string, Stream>();
   private server: Server | undefined;
+  /** Told with each answer; rises with each restore. */
+  private era = 1;
   private appendSecond = 0;
   private appendsThisSecond = 0;
 
@@ -79,6 +83,17 @@
     }
   }
 
+  /** Comes back as it was some time ago, in a new era; reads that wait go on waiting. */
+  restore(lostMilliseconds: number): void {
+    const until = Date.now() - lostMilliseconds;
+    for (const {records, times} of this.streams.values()) {
+      const kept = times.filter((at) => at <= until).length;
+      records.splice(kept);
+      times.splice(kept);
+    }
+    this.era += 1;
+  }
+
   /** Records of a stream that are still kept, for tests. */
   records(name: string): readonly unknown[] {
     return this.stream(name).records;
@@ -88,6 +103,7 @@
   appendDirectly(name: string, value: unknown): number {
     const stream = this.stream(name);
     stream.records.push(value);
+    stream.times.push(Date.now());
     const offset = stream.first + stream.records.length - 1;
     this.trim(stream);
     stream.waiting.forEach((wake) => wake());
@@ -104,7 +120,12 @@
     if (found !== undefined) {
       return found;
     }
-    const made: Stream = {first: 0, records: [], waiting: new Set()};
+    const made: Stream = {
+      first: 0,
+      records: [],
+      times: [],
+      waiting: new Set(),
+    };
     this.streams.set(name, made);
     return made;
   }
@@ -113,6 +134,7 @@
     const excess = stream.records.length - this.switches.retainedRecords;
     if (excess > 0) {
       stream.records.splice(0, excess);
+      stream.times.splice(0, excess);
       stream.first += excess;
     }
   }
@@ -136,7 +158,7 @@
       response.destroy();
       return;
     }
-    sendJson(response, 201, {offset});
+    sendJson(response, 201, {era: this.era, offset});
   }
 
   private overAppendRate(): boolean {
@@ -170,20 +192,22 @@
     if (await this.unavailable(response)) {
       return;
     }
-    if (from < stream.first) {
-      sendJson(response, 410, {first: stream.first});
+    const {era} = this;
+    const {first} = stream;
+    const next = first + stream.records.length;
+    if (from < first) {
+      sendJson(response, 410, {era, first, next});
       return;
     }
     const limit = Math.min(
       Number(query.get('limit') ?? LARGEST_READ),
       LARGEST_READ,
     );
-    const start = from - stream.first;
+    const start = from - first;
     const records = stream.records
       .slice(start, start + limit)
       .map((value, i) => ({offset: from + i, value}));
-    const next = stream.first + stream.records.length;
-    sendJson(response, 200, {first: stream.first, next, records});
+    sendJson(response, 200, {era, first, next, records});
   }
 
   private async waitForRecord(
--- a/packages/tools/src/capacity/configurationSlopes.ts
+++ b/packages/tools/src/capacity/configurationSlopes.ts
@@ -66,7 +66,7 @@
   );
   const resources = state.size;
   const encodeStart = performance.now();
-  const chunks = encodeSnapshot(state, 'capacity');
+  const chunks = encodeSnapshot(state, 'capacity', 0);
   const encodeMilliseconds = performance.now() - encodeStart;
   const decodeStart = performance.now();
   decodeSnapshot(chunks);
--- a/packages/tools/src/capacity/decisionSlopes.ts
+++ b/packages/tools/src/capacity/decisionSlopes.ts
@@ -3,7 +3,7 @@
 
 import {EntryBrain, GuardBrain} from '@lockpin/brain';
 import type {EntryCall, GuardCall} from '@lockpin/brain';
-import {PermitHolder} from '@lockpin/floor';
+import {FIRST_FENCE, PermitHolder} from '@lockpin/floor';
 import type {GuardReport} from '@lockpin/floor';
 import {Membership} from '@lockpin/membership';
 import type {Member} from '@lockpin/membership';
@@ -166,7 +166,7 @@
     slots: 4,
     inService: true,
   }));
-  const holder = new PermitHolder(1, {
+  const holder = new PermitHolder(FIRST_FENCE, {
     floorSlots: 80,
     settleMilliseconds: 250,
     upstreams,
@@ -194,7 +194,7 @@
     upstream,
     ...HOME,
     sequence,
-    fence: 1,
+    fence: FIRST_FENCE,
     state: 'in-service',
     suspect: false,
     severity: 0,
@@ -236,7 +236,8 @@
   const context = {
     version: 1,
     digest: '0',
-    holders: 0,
+    era: 0,
+    holders: FIRST_FENCE,
     time: {milliseconds: 0, counter: 0},
   };
   const {bytes, made: membership} = heapBytesOf(() => {
--- a/packages/tools/src/faults/matrix.ts
+++ b/packages/tools/src/faults/matrix.ts
@@ -41,6 +41,7 @@
 const CYCLE = 'packages/detection/src/__tests__/ejectionCycle.test.ts';
 const HOLDER = 'packages/floor/src/__tests__/permitHolder.test.ts';
 const MEMBERS = 'packages/membership/src/__tests__/membership.test.ts';
+const RESTORED = `${BRAIN}/restoredLog.test.ts`;
 const OPERATORS = 'packages/tools/src/__tests__/operators.test.ts';
 
 const single = {file: CALLS, title: 'stays true when %s, at every step'};
@@ -191,6 +192,45 @@
       'a planned stop': NO_LOG,
     },
   },
+  {
+    fault: 'log restored from an older copy',
+    cells: {
+      'a call': NO_LOG,
+      'a configuration change': proved(
+        {
+          file: RESTORED,
+          title:
+            'stays in force everywhere, and comes into force where nodes start after',
+        },
+        {file: RESTORED, title: 'is accepted and in force everywhere'},
+        {
+          file: RESTORED,
+          title:
+            'keeps an earlier one out only where both change the same, and operators hear so',
+        },
+        {
+          file: RESTORED,
+          title: 'agrees again, and no accepted change is lost without a word',
+        },
+      ),
+      'an ejection': proved(
+        {
+          file: FLOOR,
+          title: 'holds though offsets of claims are given out again',
+        },
+        {
+          file: FLOOR,
+          title:
+            'is not taken once the log was restored and another has its offset',
+        },
+      ),
+      'a drain': proved({
+        file: RESTORED,
+        title: 'is written again once, not by every node',
+      }),
+      'a planned stop': NO_LOG,
+    },
+  },
   {
     fault: 'paused holder',
     cells: {
--- a/packages/tools/src/measure/measuredService.ts
+++ b/packages/tools/src/measure/measuredService.ts
@@ -8,6 +8,7 @@
   createWrite,
 } from '@lockpin/configuration';
 import type {ServiceView} from '@lockpin/configuration';
+import {FIRST_FENCE} from '@lockpin/floor';
 import {seededRandom} from '@lockpin/utils';
 import type {MeasuredService} from './scenarios.js';
 import {TRAFFIC} from './scenarios.js';
@@ -15,7 +16,7 @@
 /** The name of the one service. */
 export const SERVICE = 'customer/service';
 
-/** A guard that has read the holders and knows the fence 1. */
+/** A guard that has read the holders and knows the first fence. */
 export function startMeasuredGuard(
   service: MeasuredService,
   upstream: ServiceView['upstreams'][number],
@@ -27,7 +28,11 @@
   const services = [{name: SERVICE, sensitivity, upstreams: [upstream]}];
   guard.handle(0, random, {kind: 'services-changed', services});
   guard.handle(0, random, {kind: 'holders-read'});
-  guard.handle(0, random, {kind: 'fence-learnt', service: SERVICE, fence: 1});
+  guard.handle(0, random, {
+    kind: 'fence-learnt',
+    service: SERVICE,
+    fence: FIRST_FENCE,
+  });
   return guard;
 }
 
--- a/packages/tools/src/measure/serviceRun.ts
+++ b/packages/tools/src/measure/serviceRun.ts
@@ -14,7 +14,7 @@
 } from '@lockpin/brain';
 import type {ServiceView} from '@lockpin/configuration';
 import {DETECTION_SETTINGS} from '@lockpin/detection';
-import {PermitHolder} from '@lockpin/floor';
+import {FIRST_FENCE, PermitHolder} from '@lockpin/floor';
 import {seededRandom} from '@lockpin/utils';
 import type {RandomSource} from '@lockpin/types';
 import {AnswerTally} from './answerTally.js';
@@ -121,7 +121,7 @@
     this.guards = this.view.upstreams.map((upstream, i) =>
       startMeasuredGuard(service, upstream, i),
     );
-    this.holder = new PermitHolder(1, {
+    this.holder = new PermitHolder(FIRST_FENCE, {
       floorSlots: options.baseline
         ? Number.POSITIVE_INFINITY
         : service.floorSlots,
--- a/packages/utils/src/positions.ts
+++ b/packages/utils/src/positions.ts
@@ -8,6 +8,14 @@
   return a.era === b.era ? a.offset - b.offset : a.era - b.era;
 }
 
+/** The later of two places. */
+export function laterPosition(
+  a: StreamPosition,
+  b: StreamPosition,
+): StreamPosition {
+  return comparePositions(a, b) >= 0 ? a : b;
+}
+
 /** Whether the first is later than the second. */
 export function isLaterPosition(a: StreamPosition, b: StreamPosition): boolean {
   return comparePositions(a, b) > 0;
