Operators see and lift quarantines; a new version of the program ends one

Cause: a quarantine could only run out after 8 h. An operator who knew that a request had become harmless, or who had rolled out a version that bears it, could do nothing, and could not even list what is kept out.

- `lockpin quarantine list` and `lift`, at the metrics address of any node, with the token whose hash is LOCKPIN_BOOTSTRAP_TOKEN_HASH.
A lift stands in the record of the box that was told, goes the way of reports of runs, and is rewritten after a restore like them.
Boxes take the reports that it makes void out of their records, so that it outlives that box.
- Upstreams tell the version of their program, reports name it.
Once no working upstream of the service runs a version that has ended under a request, it may run; one end under the new version keeps it out again.

Ruled out: lifts as records of the operators (a way of its own past the store); trying a new version at the first upstream that runs it (entries would have to agree on one run, and on the box).

Late words of an earlier process after another id took over its address: ownUpstream.test.ts, with starts and without.

--- a/packages/cli/src/apiClient.ts
+++ b/packages/cli/src/apiClient.ts
@@ -54,6 +54,11 @@
     return this.send('GET', path, undefined);
   }
 
+  /** Asks for something that takes no content. */
+  post<T>(path: string): Promise<Result<T, ClientFailure>> {
+    return this.send('POST', path, {});
+  }
+
   change(
     changeId: string,
     writes: readonly Write[],
--- a/packages/cli/src/run.ts
+++ b/packages/cli/src/run.ts
@@ -12,6 +12,7 @@
 import {drain} from './commands/drain.js';
 import {explain} from './commands/explain.js';
 import {get} from './commands/get.js';
+import {quarantineLift, quarantineList} from './commands/quarantine.js';
 import {status} from './commands/status.js';
 import {timeline, TIMELINE_FORMATS} from './commands/timeline.js';
 import {validate} from './commands/validate.js';
@@ -77,6 +78,26 @@
       (argv) => argv,
       within(status),
     )
+    .command(
+      'quarantine',
+      'Requests that end the upstreams that run them',
+      (argv) =>
+        argv
+          .command(
+            'list',
+            'Show those that are kept out',
+            (list) => list,
+            within(quarantineList),
+          )
+          .command(
+            'lift <digest>',
+            'Let one run again, on all boxes',
+            (lift) =>
+              lift.positional('digest', {type: 'string', demandOption: true}),
+            within(quarantineLift),
+          )
+          .demandCommand(1, 'Give list or lift.'),
+    )
     .command(
       'timeline',
       'Show events of all nodes',
--- a/packages/fleet/src/__tests__/__fixtures__/fleetWorld.ts
+++ b/packages/fleet/src/__tests__/__fixtures__/fleetWorld.ts
@@ -46,6 +46,8 @@
   calls: number;
   sequence: number;
   takesWork: boolean;
+  /** Version of its upstream's program. */
+  program: string;
 }
 
 interface Timed {
@@ -216,6 +218,25 @@
     this.tell(this.node(box), {kind: 'runs-crashed', digests: [digest]});
   }
 
+  /** An operator lifts a quarantine at a box. */
+  lift(box: string, digest: string): void {
+    this.tell(this.node(box), {kind: 'quarantine-lifted', digest});
+  }
+
+  /** The upstream of a box runs another program from now on. */
+  upgrade(box: string, program: string): void {
+    const node = this.node(box);
+    node.program = program;
+    this.announce(node);
+  }
+
+  /** Whether no node that runs keeps a request out. */
+  nobodyKeepsOut(digest: string): boolean {
+    return this.alive().every(
+      (box) => this.node(box).brain.suspects.remaining(this.now, digest) === 0,
+    );
+  }
+
   /** Whether every node that runs keeps a request out. */
   everyoneKeepsOut(digest: string): boolean {
     return this.alive().every(
@@ -327,6 +348,7 @@
       calls: 0,
       sequence: 0,
       takesWork: true,
+      program: 'v1',
     };
     const node: Node = {...made, brain: this.newBrain(made, isFirstStart)};
     this.nodes.set(node.box, node);
@@ -377,6 +399,7 @@
         state: node.takesWork ? 'ready' : 'draining',
         coldMilliseconds: 0,
         sequence: node.sequence,
+        program: node.program,
       },
     });
   }
--- a/packages/fleet/src/__tests__/ownUpstream.test.ts
+++ b/packages/fleet/src/__tests__/ownUpstream.test.ts
@@ -95,6 +95,30 @@
     expect(tracker.upstream?.incarnation.id).toBe('i-2');
   });
 
+  it.each([
+    ['told', 100, 200],
+    ['not told', 0, 0],
+  ])(
+    'is not replaced by late words of another id at its address, with starts %s',
+    (_, earlier, later) => {
+      const late = [
+        said(earlier, 'ready', 9, 'i-1'),
+        said(earlier, 'draining', 10, 'i-1'),
+        said(earlier, 'gone', 0, 'i-1'),
+      ];
+      const tracker = new OwnUpstreamTracker();
+      tracker.announced(0, said(earlier, 'ready', 1, 'i-1'));
+      tracker.announced(1000, said(later, 'ready', 1, 'i-2'));
+      for (const [i, word] of late.entries()) {
+        tracker.announced(4000 + i, word);
+        expect(tracker.upstream).toMatchObject({
+          incarnation: {id: 'i-2', startedAt: later},
+          takesWork: true,
+        });
+      }
+    },
+  );
+
   it('may leave without a start, but not just after it took up an id', () => {
     const tracker = new OwnUpstreamTracker();
     tracker.announced(0, said(100, 'ready', 1));
--- a/packages/fleet/src/boxDirectory.ts
+++ b/packages/fleet/src/boxDirectory.ts
@@ -24,6 +24,8 @@
     string,
     readonly Resource<'Upstream'>[]
   >();
+  /** The versions of programs that working upstreams run, by service. */
+  private programs: ReadonlyMap<string, ReadonlySet<string>> | undefined;
 
   get size(): number {
     return this.records.size;
@@ -128,6 +130,7 @@
   private changed(): void {
     this.knownWorking = undefined;
     this.upstreams.clear();
+    this.programs = undefined;
     this.ranked.clear();
     this.knownDataCentres = undefined;
   }
@@ -157,6 +160,12 @@
     return this.counts.get(service) ?? 0;
   }
 
+  /** Whether a working upstream of a service runs a version of its program. */
+  runsProgram(service: string, program = ''): boolean {
+    this.programs ??= programsOf(this.all().filter(({takesWork}) => takesWork));
+    return this.programs.get(service)?.has(program) ?? false;
+  }
+
   /** The upstreams of a service; the same list until something changes. */
   upstreamsOf(
     service: string,
@@ -180,6 +189,17 @@
   return `${box} ${statedAt}`;
 }
 
+function programsOf(
+  records: readonly BoxRecord[],
+): ReadonlyMap<string, ReadonlySet<string>> {
+  const programs = new Map<string, Set<string>>();
+  for (const {service, program = ''} of records) {
+    const known = programs.get(service) ?? new Set();
+    programs.set(service, known.add(program));
+  }
+  return programs;
+}
+
 function upstreamOf(
   record: BoxRecord,
   connections: number,
--- a/packages/fleet/src/boxRecord.ts
+++ b/packages/fleet/src/boxRecord.ts
@@ -1,8 +1,8 @@
 // Copyright (c) 2026 the lockpin contributors. MIT licence, see LICENSE.
 /** What each box says of itself to the others. */
 
-import {areSameReports} from '@lockpin/quarantine';
-import type {RunReport} from '@lockpin/quarantine';
+import {areSameLifts, areSameReports} from '@lockpin/quarantine';
+import type {QuarantineLift, RunReport} from '@lockpin/quarantine';
 
 /** One box with the upstream that it guards. The newest statement counts. */
 export interface BoxRecord {
@@ -21,6 +21,15 @@
   readonly statedAt: number;
   /** Runs of suspect requests; absent where there are none to tell of. */
   readonly runs?: readonly RunReport[];
+  /** Quarantines that operators have lifted at this box; absent where there are none. */
+  readonly lifts?: readonly QuarantineLift[];
+  /** Version of its upstream's program; absent where upstreams do not tell it. */
+  readonly program?: string;
+}
+
+/** Whether a record holds more than its box, on which a promise may hang. */
+export function tellsOfRuns({runs, lifts}: BoxRecord): boolean {
+  return runs !== undefined || lifts !== undefined;
 }
 
 /**
@@ -41,7 +50,9 @@
     a.service === b.service &&
     a.slots === b.slots &&
     a.takesWork === b.takesWork &&
-    areSameReports(a.runs ?? [], b.runs ?? [])
+    a.program === b.program &&
+    areSameReports(a.runs ?? [], b.runs ?? []) &&
+    areSameLifts(a.lifts ?? [], b.lifts ?? [])
   );
 }
 
--- a/packages/fleet/src/checkBoxRecord.ts
+++ b/packages/fleet/src/checkBoxRecord.ts
@@ -5,7 +5,7 @@
  * years ahead would be the newest statement of its box for good.
  */
 
-import {MOST_REPORTS} from '@lockpin/quarantine';
+import {MOST_LIFTS, MOST_REPORTS} from '@lockpin/quarantine';
 import type {Result} from '@lockpin/types';
 import {failure, parseAddress, success} from '@lockpin/utils';
 import type {BoxRecord} from './boxRecord.js';
@@ -35,6 +35,8 @@
 /** Names of boxes, services and data centres are short. */
 const LONGEST_NAME = 200;
 
+type Fields = Readonly<Record<string, unknown>>;
+
 type Check = (value: unknown, context: RecordContext) => string | undefined;
 
 const CHECKS: Readonly<Record<keyof BoxRecord, Check>> = {
@@ -67,6 +69,12 @@
     value === undefined || areRunReports(value)
       ? undefined
       : 'give a list of reports',
+  lifts: (value, {now}) =>
+    value === undefined || areLifts(value, now)
+      ? undefined
+      : 'give a list of lifts',
+  program: (value) =>
+    value === undefined || isName(value) ? undefined : 'give a version',
 };
 
 /** Reads a stored record, or says which of its fields is wrong. */
@@ -134,8 +142,27 @@
   if (typeof value !== 'object' || value === null) {
     return false;
   }
-  const {digest, at, hasCrashed} = value as Readonly<Record<string, unknown>>;
+  const {digest, at, hasCrashed, program} = value as Fields;
+  return (
+    isName(digest) &&
+    Number.isFinite(at) &&
+    typeof hasCrashed === 'boolean' &&
+    (program === undefined || isName(program))
+  );
+}
+
+function areLifts(value: unknown, now: number): boolean {
   return (
-    isName(digest) && Number.isFinite(at) && typeof hasCrashed === 'boolean'
+    Array.isArray(value) &&
+    value.length <= MOST_LIFTS &&
+    value.every((lift) => isLift(lift, now))
   );
 }
+
+function isLift(value: unknown, now: number): boolean {
+  if (typeof value !== 'object' || value === null) {
+    return false;
+  }
+  const {digest, at} = value as Fields;
+  return isName(digest) && isWithin(at, 0, now + MOST_AHEAD_MILLISECONDS);
+}
--- a/packages/fleet/src/fleetBrain.ts
+++ b/packages/fleet/src/fleetBrain.ts
@@ -112,11 +112,14 @@
       case 'write-ended':
         return this.parts.storeResults.writeEnded(now, event.result);
       case 'runs-crashed':
-        this.suspects.crashed(now, event.digests);
+        this.suspects.crashed(now, event.digests, this.own.upstream?.program);
         return [];
       case 'run-survived':
         this.suspects.survived(now, event.digest);
         return [];
+      case 'quarantine-lifted':
+        this.suspects.lift(now, event.digest);
+        return [];
       case 'unknown-key-shown':
         return this.askForKeys(now);
       case 'upstream-announced':
@@ -191,7 +194,8 @@
   private tellOfRuns(now: number): readonly FleetAction[] {
     const actions: FleetAction[] = [];
     if (this.suspects.takeHasMoreToTell()) {
-      this.parts.ownRecord.runsChanged(now, this.suspects.reports);
+      const {reports, lifts} = this.suspects;
+      this.parts.ownRecord.runsChanged(now, reports, lifts);
       actions.push(...this.parts.ownBox.write(now));
     }
     if (this.parts.runNews.hasUntold) {
--- a/packages/fleet/src/fleetMessages.ts
+++ b/packages/fleet/src/fleetMessages.ts
@@ -79,6 +79,8 @@
   | {readonly kind: 'runs-crashed'; readonly digests: readonly string[]}
   /** A run of a request ended here, and the upstream lives. */
   | {readonly kind: 'run-survived'; readonly digest: string}
+  /** An operator lifts the quarantine of a request. */
+  | {readonly kind: 'quarantine-lifted'; readonly digest: string}
   /** A caller showed a key that no version in force here has. */
   | {readonly kind: 'unknown-key-shown'}
   | {
--- a/packages/fleet/src/fleetParts.ts
+++ b/packages/fleet/src/fleetParts.ts
@@ -65,7 +65,9 @@
   );
   const storeAnswers = new StoreAnswers(duty);
   const lostRecords = new LostRecords(directory);
-  const suspects = new SuspectRequests();
+  const suspects = new SuspectRequests((service, program) =>
+    directory.runsProgram(service, program),
+  );
   const followerNews = new FollowerNews(identity.peerAddress);
   const runNews = new RunNews(identity, duty.readers);
   const boxes = new BoxLearning({
--- a/packages/fleet/src/lostRecords.ts
+++ b/packages/fleet/src/lostRecords.ts
@@ -6,7 +6,7 @@
  */
 
 import type {BoxDirectory} from './boxDirectory.js';
-import {RECORD_LIFE_MILLISECONDS} from './boxRecord.js';
+import {RECORD_LIFE_MILLISECONDS, tellsOfRuns} from './boxRecord.js';
 import type {BoxRecord} from './boxRecord.js';
 
 /** What was written while all records were read is read on by then. */
@@ -76,7 +76,7 @@
     return due.flatMap(([box, lost]) => {
       lost.dueAt = now + DEAD_MILLISECONDS;
       const record = this.directory.get(box);
-      if (record?.runs !== undefined) {
+      if (record !== undefined && tellsOfRuns(record)) {
         return [record];
       }
       this.lost.delete(box);
--- a/packages/fleet/src/ownRecord.ts
+++ b/packages/fleet/src/ownRecord.ts
@@ -8,7 +8,7 @@
 } from './boxRecord.js';
 import type {BoxRecord} from './boxRecord.js';
 import type {NodeIdentity} from './nodeIdentity.js';
-import type {RunReport} from '@lockpin/quarantine';
+import type {QuarantineLift, RunReport} from '@lockpin/quarantine';
 import type {Era} from '@lockpin/types';
 import type {OwnUpstream} from './ownUpstream.js';
 import type {StoreResult, StoredRecord} from './recordStore.js';
@@ -40,6 +40,7 @@
   private hasFailed = false;
   private startedAt: number | undefined;
   private runs: readonly RunReport[] = [];
+  private lifts: readonly QuarantineLift[] = [];
 
   constructor(
     private readonly identity: NodeIdentity,
@@ -59,7 +60,7 @@
 
   /** The upstream beside this node said something new. */
   upstreamChanged(now: number, upstream: OwnUpstream): void {
-    const {service, slots, takesWork, coldUntil} = upstream;
+    const {service, slots, takesWork, coldUntil, program} = upstream;
     this.state(Math.max(now, (this.stored?.statedAt ?? 0) + 1), {
       ...this.identity,
       service,
@@ -67,12 +68,18 @@
       takesWork,
       coldUntil,
       statedAt: 0,
+      ...(program === undefined ? {} : {program}),
     });
   }
 
-  /** There is more to tell of runs of suspect requests. */
-  runsChanged(now: number, runs: readonly RunReport[]): void {
+  /** There is more to tell of runs of suspect requests, or of lifted quarantines. */
+  runsChanged(
+    now: number,
+    runs: readonly RunReport[],
+    lifts: readonly QuarantineLift[],
+  ): void {
     this.runs = runs;
+    this.lifts = lifts;
     if (this.desired !== undefined) {
       this.state(now, this.desired);
     }
@@ -163,11 +170,12 @@
   private state(at: number, record: BoxRecord): void {
     const before = this.desired?.statedAt ?? this.lastStatedAt;
     const statedAt = Math.max(at, before + 1);
-    const {runs} = this;
+    const {runs, lifts} = this;
     this.desired = {
       ...record,
       statedAt,
       runs: runs.length > 0 ? runs : undefined,
+      lifts: lifts.length > 0 ? lifts : undefined,
     };
     this.onStated(this.desired);
   }
--- a/packages/fleet/src/ownUpstream.ts
+++ b/packages/fleet/src/ownUpstream.ts
@@ -16,6 +16,8 @@
   readonly coldMilliseconds: number;
   /** Rises with each announcement of an incarnation; a late one is lower. */
   readonly sequence: number;
+  /** Version of its program; undefined where it does not tell one. */
+  readonly program?: string | undefined;
 }
 
 /** What is known of the upstream now. */
@@ -27,6 +29,7 @@
   readonly takesWork: boolean;
   readonly coldUntil: number;
   readonly sequence: number;
+  readonly program: string | undefined;
 }
 
 /** Why an announcement is not believed. */
@@ -145,7 +148,7 @@
     ) {
       return UNCHANGED;
     }
-    const {service, address, slots} = announcement;
+    const {service, address, slots, program} = announcement;
     const before = this.current;
     if (
       before !== undefined &&
@@ -159,6 +162,7 @@
       address,
       slots,
       sequence,
+      program,
       takesWork: true,
       coldUntil: coldMilliseconds > 0 ? now + coldMilliseconds : 0,
     };
@@ -229,6 +233,7 @@
     a.service !== b.service ||
     a.address !== b.address ||
     a.slots !== b.slots ||
+    a.program !== b.program ||
     a.takesWork !== b.takesWork
   );
 }
--- a/packages/fleet/src/runNews.ts
+++ b/packages/fleet/src/runNews.ts
@@ -1,6 +1,7 @@
 // Copyright (c) 2026 the lockpin contributors. MIT licence, see LICENSE.
 /** The way of what boxes tell of their runs to all other boxes, past the store. */
 
+import {tellsOfRuns} from './boxRecord.js';
 import type {BoxRecord} from './boxRecord.js';
 import type {FleetAction, FleetNews} from './fleetMessages.js';
 import type {NodeIdentity} from './nodeIdentity.js';
@@ -27,7 +28,7 @@
 
   /** A statement of a box is new here. */
   learnt(record: BoxRecord): void {
-    if (record.runs !== undefined) {
+    if (tellsOfRuns(record)) {
       this.untold.push(record);
     }
   }
--- a/packages/node/src/__tests__/frames.test.ts
+++ b/packages/node/src/__tests__/frames.test.ts
@@ -103,6 +103,30 @@
       draws: [],
     },
   },
+  {
+    kind: 'news',
+    news: {
+      kind: 'boxes',
+      boxes: [
+        {
+          box: 'box-in-centre-a-11',
+          dataCentre: 'centre-a',
+          peerAddress: '10.0.0.1:7380',
+          service: 'shop',
+          slots: 4,
+          takesWork: true,
+          coldUntil: 0,
+          statedAt: 1_700_000_000_123,
+          runs: [
+            {digest: 'a', at: 5, hasCrashed: true, program: 'v1'},
+            {digest: 'b', at: 6, hasCrashed: false, program: undefined},
+          ],
+          lifts: [{digest: 'c', at: 7}],
+          program: 'v1',
+        },
+      ],
+    },
+  },
   {
     kind: 'news',
     news: {
--- a/packages/node/src/operators/access.ts
+++ b/packages/node/src/operators/access.ts
@@ -30,6 +30,35 @@
   state: ConfigurationState,
   bootstrapTokenHash: string,
   request: IncomingMessage,
+): Operator | undefined {
+  return operatorWith(
+    request,
+    (name) =>
+      bootstrapToken(bootstrapTokenHash, name) ??
+      state.get('Token', name)?.spec,
+  );
+}
+
+/** Whether who asks has the token whose hash is a setting of the node. */
+export function hasBootstrapToken(
+  bootstrapTokenHash: string,
+  request: IncomingMessage,
+): boolean {
+  const known = (name: string): KnownToken | undefined =>
+    bootstrapToken(bootstrapTokenHash, name);
+  return operatorWith(request, known) !== undefined;
+}
+
+/** What a token is checked by. */
+interface KnownToken {
+  readonly salt: string;
+  readonly hash: string;
+  readonly scope: string;
+}
+
+function operatorWith(
+  request: IncomingMessage,
+  knownToken: (name: string) => KnownToken | undefined,
 ): Operator | undefined {
   const header = request.headers.authorization ?? '';
   const match = /^Bearer ([a-z0-9-]+)\.(\S+)$/.exec(header);
@@ -37,7 +66,7 @@
     return undefined;
   }
   const [, name = '', secret = ''] = match;
-  const known = knownToken(state, bootstrapTokenHash, name);
+  const known = knownToken(name);
   const isRight = equalInConstantTime(
     saltedHash(known?.salt ?? '', secret),
     known?.hash ?? '',
@@ -47,18 +76,15 @@
     : undefined;
 }
 
-function knownToken(
-  state: ConfigurationState,
+function bootstrapToken(
   bootstrapTokenHash: string,
   name: string,
-):
-  | {readonly salt: string; readonly hash: string; readonly scope: string}
-  | undefined {
-  if (name === BOOTSTRAP_TOKEN && bootstrapTokenHash !== '') {
-    const [salt = '', hash = ''] = bootstrapTokenHash.split(':');
-    return {salt, hash, scope: FLEET};
+): KnownToken | undefined {
+  if (name !== BOOTSTRAP_TOKEN || bootstrapTokenHash === '') {
+    return undefined;
   }
-  return state.get('Token', name)?.spec;
+  const [salt = '', hash = ''] = bootstrapTokenHash.split(':');
+  return {salt, hash, scope: FLEET};
 }
 
 /** Whether an operator looks after the whole fleet. */
--- /dev/null
+++ b/packages/node/src/operators/quarantineApi.ts
@@ -0,0 +1,85 @@
+// Copyright (c) 2026 the lockpin contributors. MIT licence, see LICENSE.
+/** The operators' API of a declared fleet: the requests that are kept out, and lifting. */
+
+import type {IncomingMessage, ServerResponse} from 'node:http';
+import type {QuarantinedRequest} from '@lockpin/quarantine';
+import type {RequestHandler} from '../connection/httpServer.js';
+import {sendJson} from '../request/callerApp.js';
+import {hasBootstrapToken} from './access.js';
+import {sendApiFailure} from './apiProblem.js';
+
+/** The kind under which they are listed. */
+export const QUARANTINE_KIND = 'Quarantine';
+
+/** What the API goes by. */
+export interface QuarantineApiDependencies {
+  /** salt:hash of the token that is asked for; empty when nobody may ask. */
+  readonly tokenHash: string;
+  /** The version of the configuration in force. */
+  readonly version: () => number;
+  readonly all: () => readonly QuarantinedRequest[];
+  /** Lifts the quarantine of a request on all boxes. */
+  readonly lift: (digest: string) => void;
+}
+
+/** GET /resources?kind=Quarantine, and POST /quarantines/DIGEST/lift. */
+export function quarantineApi(
+  dependencies: QuarantineApiDependencies,
+): RequestHandler {
+  return (request, response) => {
+    if (!hasBootstrapToken(dependencies.tokenHash, request)) {
+      sendApiFailure(response, {kind: 'token-wrong'});
+      return;
+    }
+    const {pathname, searchParams} = new URL(
+      request.url ?? '/',
+      'http://lockpin',
+    );
+    const lifted = /^\/quarantines\/([^/]+)\/lift$/.exec(pathname)?.[1];
+    if (request.method === 'POST' && lifted !== undefined) {
+      lift(dependencies, lifted, response);
+    } else if (isList(request, pathname)) {
+      list(dependencies, searchParams.get('kind'), response);
+    } else {
+      sendApiFailure(response, {kind: 'not-found', resource: 'path'});
+    }
+  };
+}
+
+function isList({method}: IncomingMessage, pathname: string): boolean {
+  return method === 'GET' && pathname === '/resources';
+}
+
+function list(
+  {all, version}: QuarantineApiDependencies,
+  kind: string | null,
+  response: ServerResponse,
+): void {
+  if (kind !== QUARANTINE_KIND) {
+    const problem = `give ${QUARANTINE_KIND}: others are in the operators' store`;
+    const problems = [{field: 'kind', problem}];
+    sendApiFailure(response, {kind: 'invalid', problems});
+    return;
+  }
+  const items = all().map(({digest, ...spec}) => ({
+    kind: QUARANTINE_KIND,
+    name: digest,
+    version: spec.since,
+    spec,
+  }));
+  sendJson(response, 200, {version: version(), items});
+}
+
+function lift(
+  dependencies: QuarantineApiDependencies,
+  digest: string,
+  response: ServerResponse,
+): void {
+  if (!dependencies.all().some((request) => request.digest === digest)) {
+    const resource = `${QUARANTINE_KIND} ${digest}`;
+    sendApiFailure(response, {kind: 'not-found', resource});
+    return;
+  }
+  dependencies.lift(digest);
+  sendJson(response, 200, {digest});
+}
--- a/packages/node/src/process/fleetHost.ts
+++ b/packages/node/src/process/fleetHost.ts
@@ -78,7 +78,13 @@
     this.guard = guard;
     this.entry = entry;
     this.limits = this.createLimits(currentSettings.box);
-    this.keys = this.createKeys();
+    this.keys = new FleetKeys({
+      clock: environment.clock,
+      fleet: this.fleet,
+      policy: () => this.currentSettings.keys,
+      customers: () => this.currentRouting?.customers,
+      askReader: () => this.askReader(),
+    });
     this.targets = {
       store: this.store,
       log,
@@ -96,16 +102,6 @@
     };
   }
 
-  private createKeys(): FleetKeys {
-    return new FleetKeys({
-      clock: this.environment.clock,
-      fleet: this.fleet,
-      policy: () => this.currentSettings.keys,
-      customers: () => this.currentRouting?.customers,
-      askReader: () => this.askReader(),
-    });
-  }
-
   private createLimits(box: string): CustomerLimits {
     const {directory} = this.fleet;
     const {clock, random} = this.environment;
@@ -254,6 +250,11 @@
     this.handle({kind: 'run-survived', digest});
   }
 
+  /** An operator lifts a quarantine on all boxes. */
+  liftQuarantine(digest: string): void {
+    this.handle({kind: 'quarantine-lifted', digest});
+  }
+
   /** The guard of an upstream told how it stands. */
   standingHeard(upstream: string, hint: LoadHint): void {
     this.entry.loads.heard(upstream, this.environment.clock(), hint);
--- /dev/null
+++ b/packages/node/src/process/fleetOperators.ts
@@ -0,0 +1,56 @@
+// Copyright (c) 2026 the lockpin contributors. MIT licence, see LICENSE.
+/** What operators may ask of a node of a declared fleet. */
+
+import type {DependencyContainer} from 'tsyringe';
+import {steadyClock} from '@lockpin/utils';
+import type {RequestHandler} from '../connection/httpServer.js';
+import {quarantineApi} from '../operators/quarantineApi.js';
+import {FLEET_TOKENS} from './fleetComposition.js';
+
+/** The operators' API is at these paths; all others have the metrics. */
+const API_PATHS = ['/resources', '/quarantines/'] as const;
+
+/** The operators' API, and the metrics for who collects them. */
+export function fleetOperatorHandler(
+  container: DependencyContainer,
+): RequestHandler {
+  const host = container.resolve(FLEET_TOKENS.host);
+  const {operatorTokenHash = ''} = container.resolve(FLEET_TOKENS.ports);
+  const metrics = metricsHandler(container);
+  const api = quarantineApi({
+    tokenHash: operatorTokenHash,
+    version: () => host.fleet.version,
+    all: () => host.fleet.suspects.quarantined(steadyClock()),
+    lift: (digest) => host.liftQuarantine(digest),
+  });
+  return (request, response) => {
+    const path = request.url ?? '';
+    const isApi = API_PATHS.some((start) => path.startsWith(start));
+    (isApi ? api : metrics)(request, response);
+  };
+}
+
+function metricsHandler(container: DependencyContainer): RequestHandler {
+  const metrics = container.resolve(FLEET_TOKENS.metrics);
+  const host = container.resolve(FLEET_TOKENS.host);
+  const guard = container.resolve(FLEET_TOKENS.guardService);
+  const writer = container.resolve(FLEET_TOKENS.writer);
+  return (_request, response) => {
+    metrics.gauge('guard.occupied', guard.callCount);
+    metrics.gauge('configuration.version', host.fleet.version);
+    metrics.gauge('requests.suspected', host.fleet.suspects.count);
+    metrics.gauge('records.wrong', host.fleet.wrongRecordCount);
+    metrics.gauge('announcements.refused', host.refusedAnnouncements);
+    metrics.gauge('members.usable', host.fleet.directory.size);
+    const {duty} = host.fleet;
+    const now = steadyClock();
+    metrics.gauge('store.reads', duty.isFollowing(now) ? 1 : 0);
+    metrics.gauge('store.newsAgeMilliseconds', duty.newsAge(now) ?? -1);
+    metrics.gauge('store.era', host.fleet.storeEra.current ?? -1);
+    metrics.gauge('store.restores', host.fleet.storeEra.restoreCount);
+    metrics.gauge('readers.followed', duty.readers.followed(now).near.length);
+    metrics.gauge('readers.heard', duty.readers.hearsReader(now) ? 1 : 0);
+    metrics.gauge('log.dropped', writer.counts.dropped);
+    void metrics.text().then((text) => response.end(text));
+  };
+}
--- a/packages/node/src/process/fleetPorts.ts
+++ b/packages/node/src/process/fleetPorts.ts
@@ -73,4 +73,6 @@
   readonly readConfiguration: ReadConfiguration;
   readonly callerProtocol: (fleet: FleetKnowledge) => CallerProtocol;
   readonly upstreamProtocol: UpstreamProtocol;
+  /** salt:hash of the operators' token; absent or empty when they may ask nothing. */
+  readonly operatorTokenHash?: string;
 }
--- a/packages/node/src/process/runFleetNode.ts
+++ b/packages/node/src/process/runFleetNode.ts
@@ -10,6 +10,7 @@
 import {finishCalls} from './finishCalls.js';
 import type {StopResult} from './finishCalls.js';
 import {FLEET_TOKENS, versionNews} from './fleetComposition.js';
+import {fleetOperatorHandler} from './fleetOperators.js';
 import {every} from './timers.js';
 
 /** A node that runs. */
@@ -64,7 +65,10 @@
     callerHandler(container, stopping),
   );
   if (settings.metricsAddress !== '') {
-    await startHttpServer(settings.metricsAddress, metricsHandler(container));
+    await startHttpServer(
+      settings.metricsAddress,
+      fleetOperatorHandler(container),
+    );
   }
   host.start({
     onGuardEvent: (event) => guard.handle(event),
@@ -147,31 +151,6 @@
   callers.headersTimeout = limits.headerMilliseconds;
 }
 
-function metricsHandler(container: DependencyContainer): RequestHandler {
-  const metrics = container.resolve(FLEET_TOKENS.metrics);
-  const host = container.resolve(FLEET_TOKENS.host);
-  const guard = container.resolve(FLEET_TOKENS.guardService);
-  const writer = container.resolve(FLEET_TOKENS.writer);
-  return (_request, response) => {
-    metrics.gauge('guard.occupied', guard.callCount);
-    metrics.gauge('configuration.version', host.fleet.version);
-    metrics.gauge('requests.suspected', host.fleet.suspects.count);
-    metrics.gauge('records.wrong', host.fleet.wrongRecordCount);
-    metrics.gauge('announcements.refused', host.refusedAnnouncements);
-    metrics.gauge('members.usable', host.fleet.directory.size);
-    const {duty} = host.fleet;
-    const now = steadyClock();
-    metrics.gauge('store.reads', duty.isFollowing(now) ? 1 : 0);
-    metrics.gauge('store.newsAgeMilliseconds', duty.newsAge(now) ?? -1);
-    metrics.gauge('store.era', host.fleet.storeEra.current ?? -1);
-    metrics.gauge('store.restores', host.fleet.storeEra.restoreCount);
-    metrics.gauge('readers.followed', duty.readers.followed(now).near.length);
-    metrics.gauge('readers.heard', duty.readers.hearsReader(now) ? 1 : 0);
-    metrics.gauge('log.dropped', writer.counts.dropped);
-    void metrics.text().then((text) => response.end(text));
-  };
-}
-
 async function stopFleetNode(
   container: DependencyContainer,
   callers: Server,
--- a/packages/node/src/request/newsRows.ts
+++ b/packages/node/src/request/newsRows.ts
@@ -2,7 +2,7 @@
 /** News between nodes as rows of values; see frameRows. */
 
 import type {BoxRecord, ReaderReport} from '@lockpin/fleet';
-import type {RunReport} from '@lockpin/quarantine';
+import type {QuarantineLift, RunReport} from '@lockpin/quarantine';
 import type {Era} from '@lockpin/types';
 import type {PeerNews} from './frameTypes.js';
 import {
@@ -27,6 +27,8 @@
   'coldUntil',
   'statedAt',
   'runs',
+  'lifts',
+  'program',
 ] as const satisfies readonly (keyof BoxRecord)[];
 
 /** The order of what a box tells of a run. */
@@ -34,11 +36,21 @@
   'digest',
   'at',
   'hasCrashed',
+  'program',
 ] as const satisfies readonly (keyof RunReport)[];
 
-/** A box's statement with its runs as rows. */
-type CodedBox = Omit<BoxRecord, 'runs'> & {
-  readonly runs: readonly (readonly unknown[])[] | undefined;
+/** The order of a lifted quarantine. */
+const LIFT_FIELDS = [
+  'digest',
+  'at',
+] as const satisfies readonly (keyof QuarantineLift)[];
+
+type Rows = readonly (readonly unknown[])[];
+
+/** A box's statement with its runs and lifts as rows. */
+type CodedBox = Omit<BoxRecord, 'runs' | 'lifts'> & {
+  readonly runs: Rows | undefined;
+  readonly lifts: Rows | undefined;
 };
 
 /** The order of a reader's report. */
@@ -164,11 +176,15 @@
 
 function boxRow(box: BoxRecord): readonly unknown[] {
   const runs = box.runs?.map((run) => toRow(RUN_FIELDS, run));
-  return toRow<CodedBox>(BOX_FIELDS, {...box, runs});
+  const lifts = box.lifts?.map((lift) => toRow(LIFT_FIELDS, lift));
+  return toRow<CodedBox>(BOX_FIELDS, {...box, runs, lifts});
 }
 
 function boxFrom(row: readonly unknown[]): BoxRecord {
-  const {runs, ...box} = fromRow<CodedBox>(BOX_FIELDS, row);
-  const reports = runs?.map((run) => fromRow<RunReport>(RUN_FIELDS, run));
-  return reports === undefined ? box : {...box, runs: reports};
+  const {runs, lifts, ...box} = fromRow<CodedBox>(BOX_FIELDS, row);
+  return {
+    ...box,
+    runs: runs?.map((run) => fromRow<RunReport>(RUN_FIELDS, run)),
+    lifts: lifts?.map((lift) => fromRow<QuarantineLift>(LIFT_FIELDS, lift)),
+  };
 }
--- /dev/null
+++ b/packages/quarantine/src/__tests__/quarantineLift.test.ts
@@ -0,0 +1,146 @@
+// Copyright (c) 2026 the lockpin contributors. MIT licence, see LICENSE.
+/** Quarantines that operators lift, and those that a new program ends sooner. */
+
+import fc from 'fast-check';
+import {describe, expect, it} from 'vitest';
+import {QUARANTINE_MILLISECONDS, Quarantine} from '../quarantine.js';
+import {MOST_LIFTS, OwnLifts} from '../quarantineLift.js';
+import type {QuarantineLift} from '../quarantineLift.js';
+import {REPORT_LIFE_MILLISECONDS} from '../runReport.js';
+import type {RunReport} from '../runReport.js';
+
+const NOW = 1_000_000;
+
+function crash(at: number, program?: string): RunReport {
+  return {digest: 'bad', at, hasCrashed: true, program};
+}
+
+/** Three boxes have told of an end each. */
+function keptOut(quarantine = new Quarantine(), program?: string): Quarantine {
+  for (let i = 0; i < 3; i += 1) {
+    quarantine.learn(NOW, `box-${i}`, [crash(NOW - 3 + i, program)], 'shop');
+  }
+  return quarantine;
+}
+
+describe('a quarantine', () => {
+  it('is listed with its service, ends, boxes and times', () => {
+    expect(keptOut().all(NOW)).toEqual([
+      {
+        digest: 'bad',
+        services: ['shop'],
+        crashes: 3,
+        survived: 0,
+        boxes: ['box-0', 'box-1', 'box-2'],
+        since: NOW - 1,
+        until: NOW - 1 + QUARANTINE_MILLISECONDS,
+      },
+    ]);
+    expect(keptOut().all(NOW + QUARANTINE_MILLISECONDS)).toEqual([]);
+  });
+
+  it('ends when it is lifted, and comes again after three more ends', () => {
+    const quarantine = keptOut();
+    const lift = quarantine.lift(NOW, 'bad') as QuarantineLift;
+    quarantine.learnLifts(NOW, [lift]);
+    expect(quarantine.remaining(NOW, 'bad')).toBe(0);
+    expect(quarantine.all(NOW)).toEqual([]);
+    quarantine.learn(NOW + 2, 'box-1', [crash(NOW + 1), crash(NOW + 2)]);
+    expect(quarantine.remaining(NOW + 3, 'bad')).toBe(0);
+    quarantine.learn(NOW + 3, 'box-2', [crash(NOW + 3)]);
+    expect(quarantine.remaining(NOW + 3, 'bad')).toBeGreaterThan(0);
+  });
+
+  it('cannot be lifted where there is none', () => {
+    const quarantine = keptOut();
+    expect(quarantine.lift(NOW, 'other')).toBeUndefined();
+    const over = NOW + QUARANTINE_MILLISECONDS;
+    expect(quarantine.lift(over, 'bad')).toBeUndefined();
+  });
+
+  it('ends by reports of clocks that are ahead of who lifts it, too', () => {
+    const quarantine = new Quarantine();
+    for (let i = 0; i < 3; i += 1) {
+      quarantine.learn(NOW + 10, `box-${i}`, [crash(NOW + 5 + i)]);
+    }
+    const lift = quarantine.lift(NOW, 'bad') as QuarantineLift;
+    quarantine.learnLifts(NOW + 10, [lift]);
+    expect(quarantine.remaining(NOW + 10, 'bad')).toBe(0);
+  });
+
+  it('is the same in whatever order lifts and reports are heard', () => {
+    const reports = [0, 1, 2, 3, 4].map((i) => crash(NOW - 9 + i));
+    const steps = [
+      ...reports.map((report, i) => (quarantine: Quarantine) => {
+        quarantine.learn(NOW, `box-${i}`, [report]);
+      }),
+      (quarantine: Quarantine) => {
+        quarantine.learnLifts(NOW, [{digest: 'bad', at: NOW - 8}]);
+      },
+      (quarantine: Quarantine) => {
+        quarantine.learnLifts(NOW, [{digest: 'bad', at: NOW - 20}]);
+      },
+    ];
+    fc.assert(
+      fc.property(
+        fc.shuffledSubarray(steps, {minLength: steps.length}),
+        (order) => {
+          const quarantine = new Quarantine();
+          order.forEach((step) => step(quarantine));
+          expect(quarantine.all(NOW)).toMatchObject([
+            {
+              crashes: 3,
+              since: NOW - 5,
+              until: NOW - 5 + QUARANTINE_MILLISECONDS,
+            },
+          ]);
+        },
+      ),
+    );
+  });
+});
+
+describe('a new version of the program', () => {
+  it('is tried once no working upstream runs one that has ended', () => {
+    const running = new Set(['v1']);
+    const quarantine = keptOut(
+      new Quarantine((_, program) => running.has(program ?? '')),
+      'v1',
+    );
+    running.add('v2');
+    expect(quarantine.remaining(NOW, 'bad')).toBeGreaterThan(0);
+    running.delete('v1');
+    expect(quarantine.remaining(NOW, 'bad')).toBe(0);
+    quarantine.learn(NOW, 'box-9', [crash(NOW, 'v2')]);
+    expect(quarantine.remaining(NOW, 'bad')).toBe(QUARANTINE_MILLISECONDS);
+  });
+
+  it('lets nothing in again that is given up for an older one', () => {
+    const running = new Set(['v2']);
+    const quarantine = keptOut(
+      new Quarantine((_, program) => running.has(program ?? '')),
+      'v1',
+    );
+    expect(quarantine.remaining(NOW, 'bad')).toBe(0);
+    running.add('v1');
+    expect(quarantine.remaining(NOW, 'bad')).toBeGreaterThan(0);
+  });
+});
+
+describe('OwnLifts', () => {
+  it('keeps the newest of each request, a day long, and not too many', () => {
+    const lifts = new OwnLifts();
+    expect(lifts.add(NOW, [{digest: 'a', at: 1}])).toBe(true);
+    expect(lifts.add(NOW, [{digest: 'a', at: 1}])).toBe(false);
+    lifts.add(NOW, [{digest: 'a', at: 2}]);
+    expect(lifts.all).toEqual([{digest: 'a', at: 2}]);
+    const many = Array.from({length: 40}, (_, i) => ({
+      digest: `${i}`,
+      at: 100 + i,
+    }));
+    lifts.add(NOW, many);
+    expect(lifts.all).toEqual(many.slice(-MOST_LIFTS));
+    lifts.add(NOW + 2 * REPORT_LIFE_MILLISECONDS, []);
+    expect(lifts.all).toEqual([]);
+  });
+});
--- a/packages/quarantine/src/index.ts
+++ b/packages/quarantine/src/index.ts
@@ -4,4 +4,5 @@
 export * from './crashWatch.js';
 export * from './ownRuns.js';
 export * from './quarantine.js';
+export * from './quarantineLift.js';
 export * from './runReport.js';
--- a/packages/quarantine/src/ownRuns.ts
+++ b/packages/quarantine/src/ownRuns.ts
@@ -1,6 +1,7 @@
 // Copyright (c) 2026 the lockpin contributors. MIT licence, see LICENSE.
 /** What a box has seen of the requests that ran on its own upstream. */
 
+import type {QuarantineLift} from './quarantineLift.js';
 import {
   MOST_REPORTS,
   REPORT_LIFE_MILLISECONDS,
@@ -37,14 +38,22 @@
     return isInQuestion && this.tellSurvival(now, digest);
   }
 
-  /** The upstream ended while it ran these; true when there is more to tell. */
-  crashed(now: number, digests: readonly string[]): boolean {
+  /**
+   * The upstream ended while it ran these; true when there is more to tell.
+   * @param program Version of the upstream's program; undefined where it is not told.
+   */
+  crashed(now: number, digests: readonly string[], program?: string): boolean {
     const guilty = [...new Set(digests)].filter(
       (digest) => digest !== '' && !this.isExcused(digest),
     );
     this.tell(
       now,
-      guilty.map((digest) => ({digest, at: Math.round(now), hasCrashed: true})),
+      guilty.map((digest) => ({
+        digest,
+        at: Math.round(now),
+        hasCrashed: true,
+        program,
+      })),
     );
     return guilty.length > 0;
   }
@@ -54,6 +63,15 @@
     return this.survivors.has(digest) && this.tellSurvival(now, digest);
   }
 
+  /** What a request did up to then counts no more; true when there is less to tell. */
+  lifted({digest, at}: QuarantineLift): boolean {
+    const before = this.told.length;
+    this.told = this.told.filter(
+      (report) => report.digest !== digest || report.at > at,
+    );
+    return this.told.length < before;
+  }
+
   /** An earlier process of this box told these; true when they were not known. */
   adopt(now: number, reports: readonly RunReport[]): boolean {
     const known = new Set(this.told.map(keyOf));
--- a/packages/quarantine/src/quarantine.ts
+++ b/packages/quarantine/src/quarantine.ts
@@ -5,6 +5,7 @@
  * and again would end all upstreams of a service, time after time.
  */
 
+import type {QuarantineLift} from './quarantineLift.js';
 import {REPORT_LIFE_MILLISECONDS, reportKey} from './runReport.js';
 import type {RunReport} from './runReport.js';
 
@@ -34,16 +35,52 @@
   readonly survived: number;
   /** It is kept out until then, in milliseconds since 1970; 0 when it is not. */
   readonly until: number;
+  /** Up to then runs count no more, in milliseconds since 1970; 0 for never lifted. */
+  readonly liftedAt: number;
+}
+
+/** A request that is kept out, for operators. */
+export interface QuarantinedRequest {
+  readonly digest: string;
+  /** The services whose upstreams have ended under it. */
+  readonly services: readonly string[];
+  readonly crashes: number;
+  readonly survived: number;
+  /** Where upstreams have ended under it. */
+  readonly boxes: readonly string[];
+  /** The end that made it one too many, in milliseconds since 1970. */
+  readonly since: number;
+  /** In milliseconds since 1970. */
+  readonly until: number;
+}
+
+/** Whether a working upstream of a service runs this version of its program. */
+export type RunsProgram = (
+  service: string,
+  program: string | undefined,
+) => boolean;
+
+/** A report with who tells it. */
+interface HeardReport extends RunReport {
+  readonly box: string;
+  /** Empty where it was not known. */
+  readonly service: string;
 }
 
 interface Suspect {
-  readonly reports: Map<string, RunReport>;
+  readonly reports: Map<string, HeardReport>;
   standing: SuspectStanding;
+  /** The reports that the standing counts as ends of upstreams, oldest first. */
+  crashes: readonly HeardReport[];
 }
 
 /** Gathers what all boxes report; the same reports give the same verdicts. */
 export class Quarantine {
   private readonly suspects = new Map<string, Suspect>();
+  /** When each request was last lifted; told before or after what it lifts. */
+  private readonly lifts = new Map<string, number>();
+
+  constructor(private readonly runsProgram: RunsProgram = () => true) {}
 
   /** Requests that are watched. */
   get size(): number {
@@ -57,8 +94,31 @@
 
   /** How much longer no upstream is to run a request, in milliseconds; 0 if one may. */
   remaining(now: number, digest: string): number {
-    const until = this.suspects.get(digest)?.standing.until ?? 0;
-    return Math.max(0, until - now);
+    const suspect = this.suspects.get(digest);
+    const remaining = Math.max(0, (suspect?.standing.until ?? 0) - now);
+    return suspect !== undefined && remaining > 0 && this.isStillRun(suspect)
+      ? remaining
+      : 0;
+  }
+
+  /** All requests that no upstream is to run now. */
+  all(now: number): readonly QuarantinedRequest[] {
+    return [...this.suspects.keys()]
+      .filter((digest) => this.remaining(now, digest) > 0)
+      .flatMap((digest) => {
+        const suspect = this.suspects.get(digest);
+        return suspect === undefined ? [] : [quarantinedRequest(suspect)];
+      });
+  }
+
+  /** An operator lifts a quarantine now; undefined where there is none. */
+  lift(now: number, digest: string): QuarantineLift | undefined {
+    const suspect = this.suspects.get(digest);
+    if (suspect === undefined || this.remaining(now, digest) === 0) {
+      return undefined;
+    }
+    const newest = Math.max(...[...suspect.reports.values()].map(({at}) => at));
+    return {digest, at: Math.max(Math.round(now), newest)};
   }
 
   /** Takes in what a box reports; returns the suspects that this is news of. */
@@ -66,18 +126,47 @@
     now: number,
     box: string,
     reports: readonly RunReport[],
+    service = '',
   ): readonly SuspectStanding[] {
     const changed = new Set<string>();
     for (const report of reports) {
-      if (this.take(now, box, report)) {
+      if (this.take(now, {...report, box, service})) {
         changed.add(report.digest);
       }
     }
     return [...changed].flatMap((digest) => this.judge(digest) ?? []);
   }
 
-  private take(now: number, box: string, report: RunReport): boolean {
-    const {digest} = report;
+  /** Takes in lifts that a box tells; returns the suspects that this is news of. */
+  learnLifts(
+    now: number,
+    lifts: readonly QuarantineLift[],
+  ): readonly SuspectStanding[] {
+    return lifts.flatMap(({digest, at}) => {
+      // A clock that is ahead must not let a request run for longer.
+      const liftedAt = Math.min(at, now);
+      if (liftedAt <= (this.lifts.get(digest) ?? 0)) {
+        return [];
+      }
+      this.lifts.delete(digest);
+      this.lifts.set(digest, liftedAt);
+      dropFirstBeyond(this.lifts, MOST_SUSPECTS);
+      return this.judge(digest) ?? [];
+    });
+  }
+
+  /**
+   * A new version of the program may bear the request. It is tried once no working
+   * upstream runs a version that has ended under it: a run before might meet an old one.
+   */
+  private isStillRun({crashes}: Suspect): boolean {
+    return crashes.some(({service, program}) =>
+      this.runsProgram(service, program),
+    );
+  }
+
+  private take(now: number, report: HeardReport): boolean {
+    const {digest, box} = report;
     if (now - report.at > REPORT_LIFE_MILLISECONDS) {
       return false;
     }
@@ -94,8 +183,8 @@
   }
 
   private add(digest: string): Suspect {
-    const standing = {digest, crashes: 0, survived: 0, until: 0};
-    const suspect: Suspect = {reports: new Map(), standing};
+    const standing = {digest, crashes: 0, survived: 0, until: 0, liftedAt: 0};
+    const suspect: Suspect = {reports: new Map(), standing, crashes: []};
     this.suspects.set(digest, suspect);
     dropFirstBeyond(this.suspects, MOST_SUSPECTS);
     return suspect;
@@ -106,7 +195,12 @@
     if (suspect === undefined) {
       return undefined;
     }
-    suspect.standing = standingOf(digest, [...suspect.reports.values()]);
+    const liftedAt = this.lifts.get(digest) ?? 0;
+    const counted = countedOf([...suspect.reports.values()], liftedAt);
+    suspect.standing = standingOf(digest, counted, liftedAt);
+    suspect.crashes = counted
+      .filter(({hasCrashed}) => hasCrashed)
+      .sort((a, b) => a.at - b.at);
     return suspect.standing;
   }
 }
@@ -116,14 +210,22 @@
   return (standing?.crashes ?? 0) >= CRASHES_TO_QUARANTINE - 1;
 }
 
+/** Reports that count: neither lifted nor a day older than the newest. */
+function countedOf(
+  reports: readonly HeardReport[],
+  liftedAt: number,
+): readonly HeardReport[] {
+  const newest = Math.max(...reports.map(({at}) => at));
+  return reports.filter(
+    ({at}) => at > liftedAt && newest - at <= REPORT_LIFE_MILLISECONDS,
+  );
+}
+
 function standingOf(
   digest: string,
-  reports: readonly RunReport[],
+  counted: readonly RunReport[],
+  liftedAt: number,
 ): SuspectStanding {
-  const newest = Math.max(...reports.map(({at}) => at));
-  const counted = reports.filter(
-    ({at}) => newest - at <= REPORT_LIFE_MILLISECONDS,
-  );
   const crashed = counted.filter(({hasCrashed}) => hasCrashed);
   const crashes = crashed.length;
   const survived = counted.length - crashes;
@@ -131,11 +233,24 @@
   const isKeptOut = crashes >= CRASHES_TO_QUARANTINE && crashes > survived;
   const lastCrashAt = Math.max(0, ...crashed.map(({at}) => at));
   const until = isKeptOut ? lastCrashAt + QUARANTINE_MILLISECONDS : 0;
-  return {digest, crashes, survived, until};
+  return {digest, crashes, survived, until, liftedAt};
+}
+
+function quarantinedRequest({standing, crashes}: Suspect): QuarantinedRequest {
+  const {digest, survived, until} = standing;
+  return {
+    digest,
+    services: [...new Set(crashes.map(({service}) => service))].sort(),
+    crashes: crashes.length,
+    survived,
+    boxes: [...new Set(crashes.map(({box}) => box))].sort(),
+    since: crashes[CRASHES_TO_QUARANTINE - 1]?.at ?? 0,
+    until,
+  };
 }
 
 /** The same reports stay, in whatever order they were heard. */
-function dropOldest(reports: Map<string, RunReport>): void {
+function dropOldest(reports: Map<string, HeardReport>): void {
   if (reports.size <= MOST_REPORTS_OF_SUSPECT) {
     return;
   }
--- a/packages/quarantine/src/runReport.ts
+++ b/packages/quarantine/src/runReport.ts
@@ -9,6 +9,8 @@
   readonly at: number;
   /** The upstream's process ended while it ran the request. */
   readonly hasCrashed: boolean;
+  /** Version of the program that ran it; absent where upstreams do not tell it. */
+  readonly program?: string | undefined;
 }
 
 /**
