Log why a guard refuses calls as upstream-doubted

Cause: a guard refuses calls as 'upstream-doubted' for three reasons: no call has succeeded on the upstream yet, unanswered calls are late, or recent calls ended badly or hang.

Change: the guard's log line has a new field doubtReason (unproven, late-calls, bad-calls), and the new counter guard.doubted carries the same value in its tag reason. No decision changes.

--- a/packages/brain/src/__tests__/reservations.test.ts
+++ b/packages/brain/src/__tests__/reservations.test.ts
@@ -184,6 +184,25 @@
     ]);
   });
 
+  it('includes the doubt reason when it refuses an at-most-once call', () => {
+    const once = {repetition: 'at-most-once'} as const;
+    const doubtReasonsOf = (world: GuardWorld) =>
+      world
+        .offer('refused', once)
+        .flatMap((action) =>
+          action.kind === 'refuse' ? [action.doubtReason] : [],
+        );
+    const unproven = new GuardWorld(3);
+    unproven.offer('1', {...once, needsGo: false});
+    expect(doubtReasonsOf(unproven)).toEqual(['unproven']);
+    const late = new GuardWorld(3);
+    late.run('well', 200);
+    late.offer('late', {needsGo: false, expectedMilliseconds: 50});
+    late.now = 180;
+    expect(doubtReasonsOf(late)).toEqual(['late-calls']);
+    expect(doubtReasonsOf(doubted())).toEqual(['bad-calls']);
+  });
+
   it('gets one repeatable call after a pause, as a probe', () => {
     const world = doubted();
     expect(reasonOf(world.offer('1'))).toEqual(['upstream-doubted not-run']);
--- a/packages/brain/src/guard/guardMessages.ts
+++ b/packages/brain/src/guard/guardMessages.ts
@@ -6,6 +6,7 @@
 import type {StoredAnswer} from '@lockpin/once';
 import type {Fence, GuardReport, HolderReply} from '@lockpin/floor';
 import type {Presence} from '@lockpin/quarantine';
+import type {DoubtReason} from './quickDoubt.js';
 import type {
   Refusal,
   Repetition,
@@ -183,6 +184,8 @@
       readonly refusal: Refusal;
       readonly upstream: string;
       readonly hint: LoadHint | undefined;
+      /** Set only for refusals as 'upstream-doubted'; used in logs and metrics. */
+      readonly doubtReason: DoubtReason | undefined;
     }
   | {
       readonly kind: 'answer-stored';
--- a/packages/brain/src/guard/guardRefusals.ts
+++ b/packages/brain/src/guard/guardRefusals.ts
@@ -24,6 +24,8 @@
     refusal: {reason, outcome, retryAfterMilliseconds},
     upstream: upstream?.name ?? '',
     hint: upstream?.hint(now),
+    doubtReason:
+      reason === 'upstream-doubted' ? upstream?.doubtReason(now) : undefined,
   };
 }
 
--- a/packages/brain/src/guard/quickDoubt.ts
+++ b/packages/brain/src/guard/quickDoubt.ts
@@ -27,6 +27,15 @@
   'hasQuickDoubt' | 'hasHangEvidence' | 'isCautious' | 'heldUpCalls'
 >;
 
+/** Why calls to an upstream are refused as 'upstream-doubted'. */
+export type DoubtReason =
+  /** No call has succeeded in the usual time yet, and a slot is occupied. */
+  | 'unproven'
+  /** Unanswered calls are taking longer than usual. */
+  | 'late-calls'
+  /** Recent calls failed, were refused or were slow, or calls are hanging. */
+  | 'bad-calls';
+
 /** Counts each call's evidence once; doubts nothing where it is off. */
 export class QuickDoubt {
   private readonly doubt = new Doubt();
@@ -56,8 +65,25 @@
    * repeated would never use it otherwise.
    */
   isUncertain(now: number, isIdle: boolean): boolean {
-    const isUnproven = !this.doubt.isProven && !isIdle;
-    return this.isOn && (isUnproven || this.looksLikeHanging(now));
+    return this.isOn && (this.isUnproven(isIdle) || this.looksLikeHanging(now));
+  }
+
+  /**
+   * Why calls are refused at this time; undefined when none are. If several reasons
+   * apply, 'bad-calls' takes precedence over 'unproven', and that over 'late-calls'.
+   */
+  reason(now: number, isIdle: boolean): DoubtReason | undefined {
+    if (this.isDoubted(now)) {
+      return 'bad-calls';
+    }
+    if (!this.isUncertain(now, isIdle)) {
+      return undefined;
+    }
+    return this.isUnproven(isIdle) ? 'unproven' : 'late-calls';
+  }
+
+  private isUnproven(isIdle: boolean): boolean {
+    return !this.doubt.isProven && !isIdle;
   }
 
   private looksLikeHanging(now: number): boolean {
--- a/packages/brain/src/guard/upstreamGuard.ts
+++ b/packages/brain/src/guard/upstreamGuard.ts
@@ -20,6 +20,7 @@
 import {payForSending} from './payForSending.js';
 import {presumedDuration} from './presumedDuration.js';
 import {QuickDoubt} from './quickDoubt.js';
+import type {DoubtReason} from './quickDoubt.js';
 import {isLate} from './runningCall.js';
 import type {RunningCall} from './runningCall.js';
 import {UpstreamRefusals} from './upstreamRefusals.js';
@@ -114,6 +115,11 @@
     return this.doubt.cause;
   }
 
+  /** Why calls are refused as 'upstream-doubted'; undefined when none are. */
+  doubtReason(now: number): DoubtReason | undefined {
+    return this.doubt.reason(now, this.isIdle);
+  }
+
   hint(now: number): LoadHint {
     const isLimited = this.settings.limitsSuspects && this.standing.isSuspect;
     const limit = isLimited
--- a/packages/brain/src/index.ts
+++ b/packages/brain/src/index.ts
@@ -4,6 +4,7 @@
 export * from './entry/entrySettings.js';
 export * from './guard/guardBrain.js';
 export * from './guard/guardMessages.js';
+export type {DoubtReason} from './guard/quickDoubt.js';
 export {REPORT_INTERVAL_MILLISECONDS} from './guard/reportSchedule.js';
 export * from './guard/onceRefusals.js';
 export * from './guard/upstreamGuard.js';
--- a/packages/node/src/process/fleetComposition.ts
+++ b/packages/node/src/process/fleetComposition.ts
@@ -194,11 +194,14 @@
     onOther: (action) => host.guardActed(action),
     onEnded: (record) => {
       log.guardCall(record);
-      const {outcome, ranMilliseconds, head} = record;
+      const {outcome, ranMilliseconds, head, doubtReason} = record;
       if (outcome === 'answered') {
         host.runSurvived(head.requestDigest);
       }
       metrics.increment('guard.calls', {outcome});
+      if (doubtReason !== undefined) {
+        metrics.increment('guard.doubted', {reason: doubtReason});
+      }
       metrics.timing('guard.milliseconds', ranMilliseconds, {outcome});
     },
   });
--- a/packages/node/src/process/metrics.ts
+++ b/packages/node/src/process/metrics.ts
@@ -10,6 +10,7 @@
   'calls.refused',
   'calls.milliseconds',
   'guard.calls',
+  'guard.doubted',
   'guard.milliseconds',
   'guard.occupied',
   'log.dropped',
--- a/packages/node/src/request/guardService.ts
+++ b/packages/node/src/request/guardService.ts
@@ -1,7 +1,12 @@
 // Copyright (c) 2026 the lockpin contributors. MIT licence, see LICENSE.
 /** The guard's side of an exchange: from an offered call to its upstream. */
 
-import type {GuardAction, GuardBrain, GuardEvent} from '@lockpin/brain';
+import type {
+  DoubtReason,
+  GuardAction,
+  GuardBrain,
+  GuardEvent,
+} from '@lockpin/brain';
 import type {StoredAnswer} from '@lockpin/once';
 import type {Clock, RandomSource} from '@lockpin/types';
 import type {UpstreamPools} from '../connection/upstreamPools.js';
@@ -52,6 +57,8 @@
   readonly outcome: 'answered' | 'not-run' | 'unknown' | 'cancelled';
   /** The reason of a refusal; empty for an answer. */
   readonly reason: string;
+  /** Set only for calls that were refused as 'upstream-doubted'. */
+  readonly doubtReason: DoubtReason | undefined;
   /** The upstream's status; 0 when there is none. */
   readonly status: number;
   /** From the offer to the call's way to the upstream, or its end. */
@@ -230,9 +237,16 @@
   ): void {
     this.forget(exchange);
     const {reason, outcome} = action.refusal;
+    const {doubtReason} = action;
     const wasCancelled = exchange.handlers === NO_HANDLERS;
     exchange.upstream = action.upstream;
-    this.record(exchange, wasCancelled ? 'cancelled' : outcome, reason, 0);
+    this.record(
+      exchange,
+      wasCancelled ? 'cancelled' : outcome,
+      reason,
+      0,
+      doubtReason,
+    );
     if (exchange.answer?.hasBegun) {
       exchange.handlers.onLost(true);
       return;
@@ -270,6 +284,7 @@
     outcome: GuardRecord['outcome'],
     reason: string,
     status: number,
+    doubtReason?: DoubtReason,
   ): void {
     const {head, upstream, offeredAt, sentAt} = exchange;
     const now = this.dependencies.clock();
@@ -278,6 +293,7 @@
       upstream,
       outcome,
       reason,
+      doubtReason,
       status,
       waitedMilliseconds: (sentAt ?? now) - offeredAt,
       ranMilliseconds: sentAt === undefined ? 0 : now - sentAt,
