Admit calls to uncertain upstreams at intervals, even if a call hangs

Cause: an upstream on which no call had succeeded got one call that cannot be repeated at a time, until it answered one. An upstream with a late call got none until two later calls were answered. In a service with few or no repeatable calls, one hung call therefore kept an upstream idle for as long as it hung, up to 10 s. The condition that ended the wait depended on the fault itself and had no time limit. When a whole fleet starts, all of its upstreams are in that state.

Change: an upstream without a successful call gets its next call after a quarter of the usual duration of such calls, at most 1 s. An upstream that only appears to hang gets its next call at the latest 1 s after the last one started. Doubt after failed calls is unchanged, and evidence of hanging still leads to it.

Tests: the seven tests of idleUpstreams.test.ts failed before (no call for 10 s; 0.6 of the upstreams used in 2 s) and pass now (bounds: 2 s, 0.7).

--- a/packages/brain/src/__tests__/idleUpstreams.test.ts
+++ b/packages/brain/src/__tests__/idleUpstreams.test.ts
@@ -1,25 +1,25 @@
 // Copyright (c) 2026 the lockpin contributors. MIT licence, see LICENSE.
-/** Healthy upstreams of a service whose calls cannot be repeated stay in use. */
+/** Healthy upstreams stay in use although calls that cannot be repeated hang. */
 
 import {describe, expect, it} from 'vitest';
 import {seededRandom} from '@lockpin/utils';
 import type {GuardAction, GuardCall} from '../guard/guardMessages.js';
 import {GuardWorld} from './__fixtures__/guardWorld.js';
 
-/** No healthy upstream goes without calls for this long while callers wait. */
+/** A healthy upstream gets a call within this time while calls are offered. */
 const LONGEST_IDLE_MILLISECONDS = 2000;
 
-/** Share of the healthy upstreams that calls must reach within that time. */
-const FLOOR_SHARE = 0.7;
+/** At least this share of the upstreams of a service gets a call within that time. */
+const LEAST_USED_SHARE = 0.7;
 
 const GOAL_MILLISECONDS = 3000;
-const RUN_MILLISECONDS = 900;
+const CALL_MILLISECONDS = 900;
 const HANG_MILLISECONDS = 10_000;
 const SLOTS = 7;
 const STEP_MILLISECONDS = 20;
 
-/** Upstreams to which an entry offers one call. */
-const OFFERS = 8;
+/** How often a call is offered before it is dropped. */
+const OFFERS_PER_CALL = 8;
 
 const ONCE = {
   repetition: 'at-most-once',
@@ -31,7 +31,7 @@
   return actions.some(({kind}) => kind === 'run');
 }
 
-/** The time until the next call is accepted, offered again and again. */
+/** Offers a call at each step; returns the time until one is accepted. */
 function idleMilliseconds(
   world: GuardWorld,
   change: Partial<GuardCall> = {},
@@ -49,36 +49,37 @@
   return world.now - from;
 }
 
-describe('an upstream that lets one call hang', () => {
-  it('gets another within two seconds if it was its first', () => {
+describe('an upstream with a hung call', () => {
+  it('gets another call within two seconds if none has succeeded', () => {
     const world = new GuardWorld(SLOTS);
     world.offer('hangs', {...ONCE, usefulUntil: GOAL_MILLISECONDS});
     expect(idleMilliseconds(world)).toBeLessThan(LONGEST_IDLE_MILLISECONDS);
   });
 
-  it('gets another within two seconds if it has answered before', () => {
+  it('gets another call within two seconds if one has succeeded', () => {
     const world = new GuardWorld(SLOTS);
     world.run('well', 200);
-    const expectedMilliseconds = RUN_MILLISECONDS;
+    const expectedMilliseconds = CALL_MILLISECONDS;
     world.offer('hangs', {...ONCE, expectedMilliseconds});
-    world.now += 3 * RUN_MILLISECONDS;
+    world.now += 3 * CALL_MILLISECONDS;
     expect(idleMilliseconds(world, {expectedMilliseconds})).toBeLessThan(
       LONGEST_IDLE_MILLISECONDS,
     );
   });
 });
 
-/** The upstreams of one service, offered calls that cannot be repeated. */
+/** Simulates the upstreams of a service whose calls cannot be repeated. */
 class StartingService {
   readonly calledAt: number[][];
   private readonly upstreams: readonly GuardWorld[];
   private readonly random;
-  private ends: {at: number; upstream: number; id: string}[] = [];
+  private pending: {endsAt: number; upstream: number; id: string}[] = [];
 
   constructor(
     seed: number,
     count: number,
-    private readonly hangFirst: number,
+    /** Number of upstreams whose first call hangs. */
+    private readonly hungCount: number,
   ) {
     this.random = seededRandom(seed);
     this.upstreams = Array.from({length: count}, () => new GuardWorld(SLOTS));
@@ -91,15 +92,15 @@
         upstream.now = now;
         upstream.tell({kind: 'tick'});
       });
-      this.end(now);
+      this.answerDueCalls(now);
       for (let i = 0; i < callsPerStep; i += 1) {
-        this.call(now, `${now} ${i}`);
+        this.offerCall(now, `${now} ${i}`);
       }
     }
   }
 
-  /** Share of the upstreams that got a call in each span of the given length. */
-  leastShareUsed(span: number, until: number): number {
+  /** The least share of the upstreams that got a call in any span of this length. */
+  leastUsedShare(span: number, until: number): number {
     let least = 1;
     for (let from = 0; from + span <= until; from += STEP_MILLISECONDS) {
       const used = this.calledAt.filter((times) =>
@@ -110,30 +111,30 @@
     return least;
   }
 
-  private call(now: number, id: string): void {
+  private offerCall(now: number, id: string): void {
     const usefulUntil = now + GOAL_MILLISECONDS;
-    for (let offered = 0; offered < OFFERS; offered += 1) {
+    for (let offered = 0; offered < OFFERS_PER_CALL; offered += 1) {
       const chosen = Math.floor(this.random() * this.upstreams.length);
       const upstream = this.upstreams[chosen];
       const call = {...ONCE, usefulUntil};
       if (upstream && isAccepted(upstream.offer(`${id} ${offered}`, call))) {
-        this.accepted(now, chosen, `${id} ${offered}`);
+        this.recordAccepted(now, chosen, `${id} ${offered}`);
         return;
       }
     }
   }
 
-  private accepted(now: number, upstream: number, id: string): void {
+  private recordAccepted(now: number, upstream: number, id: string): void {
     const calls = this.calledAt[upstream];
-    const hangs = calls?.length === 0 && upstream < this.hangFirst;
+    const hangs = calls?.length === 0 && upstream < this.hungCount;
     calls?.push(now);
-    const at = now + (hangs ? HANG_MILLISECONDS : RUN_MILLISECONDS);
-    this.ends.push({at, upstream, id});
+    const endsAt = now + (hangs ? HANG_MILLISECONDS : CALL_MILLISECONDS);
+    this.pending.push({endsAt, upstream, id});
   }
 
-  private end(now: number): void {
-    const isOver = ({at}: {at: number}) => at <= now;
-    for (const {upstream, id} of this.ends.filter(isOver)) {
+  private answerDueCalls(now: number): void {
+    const isDue = ({endsAt}: {endsAt: number}) => endsAt <= now;
+    for (const {upstream, id} of this.pending.filter(isDue)) {
       this.upstreams[upstream]?.tell({
         kind: 'upstream-answered',
         callId: id,
@@ -142,19 +143,19 @@
         answer: undefined,
       });
     }
-    this.ends = this.ends.filter((end) => !isOver(end));
+    this.pending = this.pending.filter((call) => !isDue(call));
   }
 }
 
 describe('a service that starts', () => {
   it.each([1, 2, 3, 4, 5])(
-    'uses its floor of healthy upstreams though many first calls hang (seed %i)',
+    'keeps most healthy upstreams in use while many first calls hang (seed %i)',
     (seed) => {
       const service = new StartingService(seed, 40, 16);
       service.run(HANG_MILLISECONDS, 3);
       expect(
-        service.leastShareUsed(LONGEST_IDLE_MILLISECONDS, HANG_MILLISECONDS),
-      ).toBeGreaterThanOrEqual(FLOOR_SHARE);
+        service.leastUsedShare(LONGEST_IDLE_MILLISECONDS, HANG_MILLISECONDS),
+      ).toBeGreaterThanOrEqual(LEAST_USED_SHARE);
     },
   );
 });
--- a/packages/brain/src/guard/quickDoubt.ts
+++ b/packages/brain/src/guard/quickDoubt.ts
@@ -6,21 +6,34 @@
 import type {GuardSettings} from './guardMessages.js';
 
 /**
- * Entries ask again this soon after an upstream that has to answer a call first. Calls
- * take a few hundred milliseconds, and offers before the next answer are in vain.
+ * Entries offer calls again this soon after an upstream refused them as uncertain. Calls
+ * take a few hundred milliseconds, and most offers before the next answer are refused.
  */
 const UNCERTAIN_MILLISECONDS = 500;
 
 /**
  * Strength of the evidence of hanging from which calls that cannot be repeated go
  * elsewhere: what is seen is three times as likely from an upstream that hangs. That
- * costs little where it is wrong, and ends with the next answer.
+ * costs little where it is wrong, and ends with the next answers or call interval.
  */
 const CAUTIOUS_AT = 1.2;
 
 /** Strength from which the upstream is doubted: thirty times as likely. */
 const DOUBTED_AT = 3.5;
 
+/**
+ * Interval between calls while none has succeeded yet, as a share of their usual
+ * duration. Calls overlap, so that a single hung call does not block the upstream.
+ */
+const UNPROVEN_INTERVAL_SHARE = 0.25;
+
+/**
+ * An uncertain upstream may get its next call this long after the last one started, at
+ * the latest. A hung call would otherwise block calls that cannot be repeated until it
+ * ends.
+ */
+const LONGEST_CALL_INTERVAL_MILLISECONDS = 1000;
+
 /** What of it is on. */
 export type QuickDoubtSettings = Pick<
   GuardSettings,
@@ -42,6 +55,9 @@
   private readonly evidence = new HangEvidence();
   /** Calls that were taken as evidence of hanging before they ended. */
   private readonly counted = new Set<string>();
+  private lastStartedAt = Number.NEGATIVE_INFINITY;
+  /** Earliest time of the next call while none has succeeded. */
+  private nextUnprovenCallAt = 0;
 
   constructor(private readonly settings: QuickDoubtSettings) {}
 
@@ -60,12 +76,13 @@
   }
 
   /**
-   * The upstream has to answer a call before one that cannot be repeated may come. One
-   * that has answered nothing yet gets one at a time: services whose calls cannot be
-   * repeated would never use it otherwise.
+   * Whether calls that cannot be repeated are refused for now. The refusal lapses when
+   * no call has started for a while, even if none has been answered.
    */
   isUncertain(now: number, isIdle: boolean): boolean {
-    return this.isOn && (this.isUnproven(isIdle) || this.looksLikeHanging(now));
+    return (
+      this.isOn && (this.isUnproven(now, isIdle) || this.looksLikeHanging(now))
+    );
   }
 
   /**
@@ -79,15 +96,21 @@
     if (!this.isUncertain(now, isIdle)) {
       return undefined;
     }
-    return this.isUnproven(isIdle) ? 'unproven' : 'late-calls';
+    return this.isUnproven(now, isIdle) ? 'unproven' : 'late-calls';
   }
 
-  private isUnproven(isIdle: boolean): boolean {
-    return !this.doubt.isProven && !isIdle;
+  private isUnproven(now: number, isIdle: boolean): boolean {
+    return !this.doubt.isProven && !isIdle && now < this.nextUnprovenCallAt;
   }
 
   private looksLikeHanging(now: number): boolean {
-    return this.settings.isCautious && this.hangStrength(now) >= CAUTIOUS_AT;
+    const hasRecentCall =
+      now - this.lastStartedAt < LONGEST_CALL_INTERVAL_MILLISECONDS;
+    return (
+      this.settings.isCautious &&
+      hasRecentCall &&
+      this.hangStrength(now) >= CAUTIOUS_AT
+    );
   }
 
   /** How much longer it is doubted, in milliseconds. */
@@ -107,8 +130,16 @@
     return this.doubt.untilProbe(now);
   }
 
-  /** A call has its slot; under doubt it is the one that finds out. */
-  started(now: number): void {
+  /**
+   * A call has its slot; it usually takes so many milliseconds. Under doubt it is a
+   * probe.
+   */
+  started(now: number, usual: number | undefined): void {
+    const interval =
+      (usual ?? Number.POSITIVE_INFINITY) * UNPROVEN_INTERVAL_SHARE;
+    this.lastStartedAt = now;
+    this.nextUnprovenCallAt =
+      now + Math.min(LONGEST_CALL_INTERVAL_MILLISECONDS, interval);
     if (this.isDoubted(now)) {
       this.doubt.probed(now);
     }
--- a/packages/brain/src/guard/upstreamGuard.ts
+++ b/packages/brain/src/guard/upstreamGuard.ts
@@ -163,7 +163,7 @@
   /** A call has its slot; it is not sent yet. */
   start(now: number, call: GuardCall): void {
     this.running.set(call.id, {call, startedAt: now, isSent: false});
-    this.doubt.started(now);
+    this.doubt.started(now, this.expectedDuration(now, call));
   }
 
   /** Sends a call that has its slot, unless it is a retry that nothing pays for. */
@@ -172,8 +172,7 @@
       return false;
     }
     this.running.set(call.id, {call, startedAt: now, isSent: true});
-    const usual = this.usual(now, call) ?? presumedDuration(now, call);
-    this.doubt.sent(now, call.id, usual);
+    this.doubt.sent(now, call.id, this.expectedDuration(now, call));
     return true;
   }
 
@@ -300,6 +299,11 @@
     return running !== undefined && isLate(now, running, this.spec.coldUntil);
   }
 
+  /** The usual duration of a call, or the presumed one while none is known. */
+  private expectedDuration(now: number, call: GuardCall): number | undefined {
+    return this.usual(now, call) ?? presumedDuration(now, call);
+  }
+
   private usual(now: number, call: GuardCall): number | undefined {
     const isCold = now < (this.spec.coldUntil ?? 0);
     return this.durations.of(call, isCold);
