Return ejected upstreams to services without repeatable calls

Symptom: in a service whose calls are all non-repeatable, an upstream that has been ejected once stays out of service until the floor revokes its permit.

Cause: during probation only repeatable calls could be probes, one at a time, and eight of them have to succeed. If none arrive, probation never ends.

While repeatable calls keep arriving, nothing changes.

--- a/packages/brain/src/guard/upstreamRefusals.ts
+++ b/packages/brain/src/guard/upstreamRefusals.ts
@@ -39,7 +39,7 @@
     if (this.isDoubtedFor(now, call, isIdle)) {
       return 'upstream-doubted';
     }
-    if (this.isEjectedFor(call, isIdle)) {
+    if (this.isEjectedFor(now, call, isIdle)) {
       return 'upstream-ejected';
     }
     return call.attempt > 1 && !this.retries.hasRetry(now)
@@ -63,10 +63,10 @@
     return isProbe || call.mayRunDoubted === true;
   }
 
-  /** One repeatable call at a time finds out whether it is well again. */
-  private isEjectedFor(call: GuardCall, isIdle: boolean): boolean {
+  /** Whether an ejection refuses the call; probation admits one probe at a time. */
+  private isEjectedFor(now: number, call: GuardCall, isIdle: boolean): boolean {
     const {state} = this.standing;
-    const mayProbe = call.repetition === 'repeatable' && isIdle;
+    const mayProbe = isIdle && this.standing.mayProbe(now, call);
     return state === 'ejected' || (state === 'probation' && !mayProbe);
   }
 }
--- a/packages/brain/src/guard/upstreamStanding.ts
+++ b/packages/brain/src/guard/upstreamStanding.ts
@@ -10,6 +10,7 @@
 import type {CycleChange, Verdict} from '@lockpin/detection';
 import type {Fence, GuardReport, HolderReply} from '@lockpin/floor';
 import type {Sensitivity} from '@lockpin/types';
+import type {GuardCall} from './guardMessages.js';
 import type {RunningCall} from './runningCall.js';
 
 /** A change of an upstream's standing, for the time line. */
@@ -61,6 +62,11 @@
     return this.cycle.remainingHold(now);
   }
 
+  /** Whether the upstream is on probation and the call may probe it. */
+  mayProbe(now: number, {repetition}: GuardCall): boolean {
+    return this.cycle.mayProbe(now, repetition === 'repeatable');
+  }
+
   /** Whether a running call has taken far longer than its kind does. */
   isOverdue(now: number, {call, startedAt}: RunningCall): boolean {
     return now - startedAt > this.detector.slowAfter(call.route);
@@ -166,7 +172,8 @@
     running: RunningCall,
   ): StandingChange | undefined {
     const slow = milliseconds > this.detector.slowAfter(running.call.route);
-    const change = this.cycle.probed(now, !failed && !slow);
+    const isRepeatable = running.call.repetition === 'repeatable';
+    const change = this.cycle.probed(now, !failed && !slow, isRepeatable);
     if (change === 'returned') {
       this.resetEvidence(now);
     }
--- a/packages/detection/src/ejectionCycle.ts
+++ b/packages/detection/src/ejectionCycle.ts
@@ -35,6 +35,8 @@
   private ejections = 0;
   private lastReturn = 0;
   private successes = 0;
+  /** Until then, only repeatable calls may be probes. */
+  private repeatableOnlyUntil = 0;
   /** Number of the request for a permit; grants of others are ignored. */
   private request = 0;
 
@@ -101,16 +103,36 @@
     if (this.current === 'ejected' && now >= this.holdUntil) {
       this.current = 'probation';
       this.successes = 0;
+      this.restartRepeatableOnlyPeriod(now);
       return 'probation-began';
     }
     return undefined;
   }
 
-  /** A real, repeatable call of the probation ended. */
-  probed(now: number, well: boolean): CycleChange | undefined {
+  /**
+   * Whether a call may probe an upstream on probation. Non-repeatable calls may once
+   * the first hold has passed without a repeatable probe; otherwise probation would
+   * never end in a service without repeatable calls.
+   */
+  mayProbe(now: number, isRepeatable: boolean): boolean {
+    return (
+      this.current === 'probation' &&
+      (isRepeatable || now >= this.repeatableOnlyUntil)
+    );
+  }
+
+  /** Records the outcome of a call that ended during probation. */
+  probed(
+    now: number,
+    well: boolean,
+    isRepeatable = true,
+  ): CycleChange | undefined {
     if (this.current !== 'probation') {
       return undefined;
     }
+    if (isRepeatable) {
+      this.restartRepeatableOnlyPeriod(now);
+    }
     if (!well) {
       this.current = 'ejected';
       this.hold(now);
@@ -124,6 +146,10 @@
     return this.release('returned');
   }
 
+  private restartRepeatableOnlyPeriod(now: number): void {
+    this.repeatableOnlyUntil = now + this.settings.firstHold;
+  }
+
   private hold(now: number): void {
     const length = this.settings.firstHold * 2 ** this.ejections;
     this.holdUntil = now + Math.min(LONGEST_HOLD, length);
