Docs: calls at intervals to uncertain upstreams; rows of the fault matrix

The matrix names idleUpstreams.test.ts; what entries together use remains open there. faults.test.ts passed.

--- a/packages/tools/src/faults/platformPromises.ts
+++ b/packages/tools/src/faults/platformPromises.ts
@@ -41,6 +41,7 @@
 const BUNDLE = 'platform/src/__tests__/bundle.test.ts';
 const SOAK = 'packages/tools/src/soak/__tests__/soak.test.ts';
 const SOAKED = 'keeps every promise through kills, stops, pauses and bad links';
+const IDLE = 'packages/brain/src/__tests__/idleUpstreams.test.ts';
 const CHOICE = 'packages/routing/src/__tests__/fleetRouting.test.ts';
 
 function promise(
@@ -166,6 +167,11 @@
         'lets no part of the upstreams idle, from the first calls of a fleet on',
       ],
       [ENTRY, 'are asked to let the call wait, then asked again after a pause'],
+      [
+        IDLE,
+        'keeps most healthy upstreams in use while many first calls hang (seed %i)',
+      ],
+      [IDLE, 'gets another call within two seconds if one has succeeded'],
     ],
     'that entries together use a share of them is not tested without the bench',
   ),
