Renew a peer channel when a control exchange times out

Symptom: a node that requests configurations or boxes from another node over a connection that has gone silent gets no answer from that node for up to 25 s, although a new connection would work immediately.

Cause: only silence on the streams (unanswered call offers or limit requests, or a followed node found silent) renewed a connection. A control exchange that timed out (after 2.5 s) left the channel in place until gRPC keep-alive declared it dead, after 20 s plus 5 s.

Change: a control exchange that exceeds its deadline renews the channel, unless the channel has been renewed in the meantime. Calls in progress on the old channel may still complete (checked by hand: a stream goes on after its client was closed), so a slow node loses nothing.

Evidence: silentPeerConnection.test.ts failed before the change (the exchange after the lost one was not answered either) and passes now.

--- a/packages/cli/src/callExplanation.ts
+++ b/packages/cli/src/callExplanation.ts
@@ -25,6 +25,7 @@
   'store-restored',
   'store-answer-outdated',
   'own-record-lost',
+  'peer-connection-renewed',
   'upstream-announced',
   'upstream-doubted',
   'upstream-trusted',
--- /dev/null
+++ b/packages/node/src/__tests__/silentPeerConnection.test.ts
@@ -0,0 +1,105 @@
+// Copyright (c) 2026 the lockpin contributors. MIT licence, see LICENSE.
+/** Connections between nodes that stop delivering data without being closed. */
+
+import {connect, createServer} from 'node:net';
+import type {AddressInfo, Server, Socket} from 'node:net';
+import {afterEach, beforeEach, expect, it} from 'vitest';
+import {PeerChannels} from '../connection/peerChannels.js';
+import {PeerServer} from '../connection/peerServer.js';
+import {ControlTraffic} from '../process/controlTraffic.js';
+
+interface Greeting {
+  readonly greeting: string;
+}
+
+const HOST = '127.0.0.1';
+
+/** TCP proxy that can permanently stop forwarding on the connections open at the time. */
+class SilencingProxy {
+  private readonly sockets: Socket[] = [];
+  private readonly server: Server;
+
+  constructor(targetPort: number) {
+    this.server = createServer((caller) => {
+      const callee = connect(targetPort, HOST);
+      this.sockets.push(caller, callee);
+      caller.on('error', () => callee.destroy());
+      callee.on('error', () => caller.destroy());
+      caller.pipe(callee).pipe(caller);
+    });
+  }
+
+  async start(): Promise<string> {
+    await new Promise<void>((resolve) => {
+      this.server.listen(0, HOST, resolve);
+    });
+    return `${HOST}:${(this.server.address() as AddressInfo).port}`;
+  }
+
+  silenceOpenConnections(): void {
+    this.sockets.forEach((socket) => socket.unpipe().pause());
+  }
+
+  stop(): void {
+    this.sockets.forEach((socket) => socket.destroy());
+    this.server.close();
+  }
+}
+
+let server: PeerServer<Greeting, Greeting>;
+let proxy: SilencingProxy;
+let channels: PeerChannels<Greeting, Greeting>;
+let address: string;
+let renewals: string[];
+
+beforeEach(async () => {
+  const port = await unusedPort();
+  server = new PeerServer<Greeting, Greeting>(
+    {
+      call: (stream) => stream.end(),
+      exchanges: (stream) => stream.end(),
+      exchange: (request, reply) => reply(request),
+    },
+    new ControlTraffic(),
+  );
+  await server.start(`${HOST}:${port}`);
+  proxy = new SilencingProxy(port);
+  address = await proxy.start();
+  renewals = [];
+  channels = new PeerChannels(new ControlTraffic(), (peer, cause) =>
+    renewals.push(`${peer} ${cause}`),
+  );
+});
+
+afterEach(() => {
+  channels.close();
+  proxy.stop();
+  server.stop();
+});
+
+async function unusedPort(): Promise<number> {
+  const server = createServer();
+  await new Promise<void>((resolve) => {
+    server.listen(0, HOST, resolve);
+  });
+  const {port} = server.address() as AddressInfo;
+  await new Promise((resolve) => {
+    server.close(resolve);
+  });
+  return port;
+}
+
+function ask(greeting: string): Promise<Greeting | undefined> {
+  return new Promise((resolve) => {
+    channels.exchange(address, {greeting}, resolve);
+  });
+}
+
+// Without renewal, exchanges keep timing out until keep-alive closes the connection.
+it('uses a new connection after an exchange times out', async () => {
+  expect(await ask('first')).toEqual({greeting: 'first'});
+  proxy.silenceOpenConnections();
+  expect(await ask('lost')).toBeUndefined();
+  expect(await ask('second')).toEqual({greeting: 'second'});
+  expect(renewals).toEqual([`${address} exchange-unanswered`]);
+});
--- a/packages/node/src/connection/peerChannels.ts
+++ b/packages/node/src/connection/peerChannels.ts
@@ -1,6 +1,7 @@
 // Copyright (c) 2026 the lockpin contributors. MIT licence, see LICENSE.
 /** Connections to other nodes, made when needed and dropped when long unused. */
 
+import grpc from '@grpc/grpc-js';
 import type {PeerReply, PeerRequest} from '@lockpin/brain';
 import type {ControlTraffic} from '../process/controlTraffic.js';
 import {decodeDocument, encodeDocument} from './codec.js';
@@ -15,6 +16,9 @@
 /** No call is under way this long after its channel was renewed. */
 const RENEWED_CLOSE_MILLISECONDS = 30_000;
 
+/** Why a channel was renewed: an exchange timed out, or a stream went silent. */
+export type RenewalCause = 'exchange-unanswered' | 'stream-silent';
+
 /** One channel for each address, least recently used dropped first. */
 export class PeerChannels<
   Request extends object = PeerRequest,
@@ -22,7 +26,14 @@
 > {
   private readonly clients = new Map<string, PeerClient>();
 
-  constructor(private readonly traffic: ControlTraffic) {}
+  constructor(
+    private readonly traffic: ControlTraffic,
+    /** Called when the channel to an address is renewed. */
+    private readonly onRenewed: (
+      address: string,
+      cause: RenewalCause,
+    ) => void = () => undefined,
+  ) {}
 
   /** The client of an address. */
   client(address: string): PeerClient {
@@ -47,8 +58,14 @@
     const deadline = Date.now() + EXCHANGE_DEADLINE_MILLISECONDS;
     const sent = encodeDocument(request);
     this.traffic.sent('exchanges', sent.length);
-    this.client(address).exchange(sent, {deadline}, (error, bytes) => {
+    const client = this.client(address);
+    client.exchange(sent, {deadline}, (error, bytes) => {
       this.traffic.received('exchanges', bytes?.length ?? 0);
+      const isUnanswered = error?.code === grpc.status.DEADLINE_EXCEEDED;
+      // Exchanges that time out on the same client renew the channel only once.
+      if (isUnanswered && this.clients.get(address) === client) {
+        this.renew(address, 'exchange-unanswered');
+      }
       done(error || !bytes ? undefined : decodeDocument<Reply>(bytes));
     });
   }
@@ -57,10 +74,11 @@
    * The next call to an address gets a connection of its own; calls under way
    * on the present one may still end.
    */
-  renew(address: string): void {
+  renew(address: string, cause: RenewalCause): void {
     const client = this.clients.get(address);
     this.clients.delete(address);
     if (client !== undefined) {
+      this.onRenewed(address, cause);
       setTimeout(() => client.close(), RENEWED_CLOSE_MILLISECONDS).unref();
     }
   }
--- a/packages/node/src/process/fleetComposition.ts
+++ b/packages/node/src/process/fleetComposition.ts
@@ -70,7 +70,7 @@
   once(FLEET_TOKENS.metrics, () => createPrometheusMetrics());
   once(FLEET_TOKENS.host, createHost);
   once(FLEET_TOKENS.pools, () => new UpstreamPools());
-  once(FLEET_TOKENS.channels, () => new PeerChannels(new ControlTraffic()));
+  once(FLEET_TOKENS.channels, createChannels);
   once(
     FLEET_TOKENS.peerTraffic,
     (parts) => new PeerTraffic(parts.resolve(FLEET_TOKENS.metrics)),
@@ -117,6 +117,17 @@
   );
 }
 
+function createChannels(
+  parts: DependencyContainer,
+): PeerChannels<PeerQuestion, PeerKnowledge> {
+  const log = parts.resolve(FLEET_TOKENS.log);
+  const metrics = parts.resolve(FLEET_TOKENS.metrics);
+  return new PeerChannels(new ControlTraffic(), (peer, cause) => {
+    log.event('peer-connection-renewed', {peer, cause});
+    metrics.increment('peer.renewed', {cause});
+  });
+}
+
 function createFollowers(parts: DependencyContainer): Subscribers<PeerNews> {
   const host = parts.resolve(FLEET_TOKENS.host);
   return new Subscribers<PeerNews>((count) => host.followersChanged(count));
@@ -129,7 +140,7 @@
   return new RemoteExchanges(
     (address) => channels.client(address),
     newsExchange(parts),
-    (address) => channels.renew(address),
+    (address) => channels.renew(address, 'stream-silent'),
     (address) => traffic.counter(host.placeOf(address)),
   );
 }
--- a/packages/node/src/process/metrics.ts
+++ b/packages/node/src/process/metrics.ts
@@ -18,6 +18,7 @@
   'configuration.version',
   'members.usable',
   'peer.bytes',
+  'peer.renewed',
   'announcements.refused',
   'readers.followed',
   'readers.heard',
