--- /dev/null
+++ b/packages/tools/src/measure/ejectionTally.ts
@@ -0,0 +1,70 @@
+// Copyright (c) 2026 the lockpin contributors. MIT licence, see LICENSE.
+/** Detection time, false ejections and floor violations of one run. */
+
+import type {GuardAction} from '@lockpin/brain';
+import type {Fault, MeasuredService} from './scenarios.js';
+
+/** Start of the fault, in milliseconds of virtual time. */
+export const FAULT_AT = 10_000;
+
+/** Index of the faulty upstream when the fault is not shared. */
+export const SICK = 0;
+
+/** True if the fault affects all upstreams. */
+export function isSharedFault({kind}: Fault): boolean {
+  return kind === 'shared-slowness' || kind === 'outage';
+}
+
+/** Classifies ejections against the injected fault and records the guards' timeline events. */
+export class EjectionTally {
+  /** Milliseconds from the fault to the ejection; undefined when never. */
+  detection: number | undefined;
+  /** Healthy upstreams ejected. */
+  falseEjections = 0;
+  /** Timeline events after which fewer slots than the floor were in service. */
+  floorBroken = 0;
+  readonly events: string[] = [];
+  private readonly out = new Set<string>();
+
+  constructor(
+    private readonly service: MeasuredService,
+    private readonly fault: Fault,
+    private readonly upstreamNames: readonly string[],
+  ) {}
+
+  /** Records a guard's timeline event and updates the counts. */
+  observe(
+    now: number,
+    upstream: number,
+    {event, detail}: GuardAction & {readonly kind: 'timeline'},
+  ): void {
+    const name = this.upstreamNames[upstream] ?? '';
+    const seconds = (now / 1000).toFixed(2);
+    const details = Object.entries(detail).map(([k, v]) => `${k}=${v}`);
+    this.events.push([seconds, event, name, ...details].join(' '));
+    if (event === 'upstream-ejected') {
+      this.out.add(name);
+      this.ejected(now, upstream);
+    } else if (
+      event === 'upstream-returned' ||
+      event === 'upstream-permit-revoked'
+    ) {
+      this.out.delete(name);
+    }
+    const {slots, upstreams, floorSlots} = this.service;
+    const left = (upstreams - this.out.size) * slots;
+    this.floorBroken += left < floorSlots ? 1 : 0;
+  }
+
+  /** Counts an ejection by a guard or by a baseline detector. */
+  ejected(now: number, upstream: number): void {
+    const {fault} = this;
+    const isSick =
+      fault.kind !== 'none' && !isSharedFault(fault) && upstream === SICK;
+    if (isSick && now >= FAULT_AT) {
+      this.detection ??= now - FAULT_AT;
+    } else {
+      this.falseEjections += 1;
+    }
+  }
+}
--- a/packages/tools/src/measure/measureTask.ts
+++ b/packages/tools/src/measure/measureTask.ts
@@ -6,7 +6,7 @@
 import type {FalseAlarmResult} from './falseAlarms.js';
 import {SCENARIOS, SERVICES} from './scenarios.js';
 import {runService} from './serviceRun.js';
-import type {RunResult} from './serviceRun.js';
+import type {RunResult} from './serviceRunOptions.js';
 
 /** The detectors that are compared. */
 export const DETECTORS = ['lockpin', 'five in a row', 'success rate'] as const;
--- a/packages/tools/src/measure/overload.ts
+++ b/packages/tools/src/measure/overload.ts
@@ -4,7 +4,7 @@
 import {SERVICES, TRAFFIC} from './scenarios.js';
 import type {MeasuredService} from './scenarios.js';
 import {runService} from './serviceRun.js';
-import type {RunResult} from './serviceRun.js';
+import type {RunResult} from './serviceRunOptions.js';
 
 const SECONDS = 30;
 const SEEDS = [1, 2, 3, 4, 5];
--- a/packages/tools/src/measure/serviceRun.ts
+++ b/packages/tools/src/measure/serviceRun.ts
@@ -1,7 +1,6 @@
 // Copyright (c) 2026 the lockpin contributors. MIT licence, see LICENSE.
 /** One service under one fault: real entries, guards and permit holder on a virtual clock. */
 
-import TinyQueue from 'tinyqueue';
 import {EntryBrain} from '@lockpin/brain';
 import type {
   Attempt,
@@ -18,61 +17,18 @@
 import {seededRandom} from '@lockpin/utils';
 import type {RandomSource} from '@lockpin/types';
 import {AnswerTally} from './answerTally.js';
-import type {BaselineDetector} from './baselines.js';
+import {EjectionTally, FAULT_AT, isSharedFault, SICK} from './ejectionTally.js';
 import {
   makeMeasuredView,
   SERVICE,
   startMeasuredGuard,
 } from './measuredService.js';
-import type {Fault, MeasuredService} from './scenarios.js';
+import type {Fault} from './scenarios.js';
 import {TRAFFIC} from './scenarios.js';
+import type {RunOptions, RunResult} from './serviceRunOptions.js';
 import {UpstreamModel} from './upstreamModel.js';
+import {VirtualClock} from './virtualClock.js';
 
-/** What one run is given. */
-export interface RunOptions {
-  readonly service: MeasuredService;
-  readonly fault: Fault;
-  readonly seed: number;
-  readonly seconds: number;
-  /** Seconds after which the fault is over; it stays when left out. */
-  readonly faultSeconds?: number;
-  /** Takes the place of lockpin's ejections, which are then switched off. */
-  readonly baseline?: BaselineDetector;
-  /** Who calls, and with which share of the calls; one customer when left out. */
-  readonly customers?: readonly CallingCustomer[];
-}
-
-/** A customer and its share of the traffic. */
-export interface CallingCustomer {
-  readonly name: string;
-  readonly share: number;
-}
-
-/** What one run came to. */
-export interface RunResult {
-  /** Milliseconds from the fault to the ejection; undefined when never. */
-  readonly detection: number | undefined;
-  /** Healthy upstreams ejected. */
-  readonly falseEjections: number;
-  readonly floorBroken: number;
-  readonly calls: number;
-  readonly refusedOrFailed: number;
-  /** Attempts that upstreams ran, over calls. */
-  readonly amplification: number;
-  /** Calls that got an answer other than a failure, by customer. */
-  readonly answeredWell: ReadonlyMap<string, readonly number[]>;
-  /** Every change of an upstream's standing, for golden files. */
-  readonly events: readonly string[];
-}
-
-interface Timed {
-  readonly at: number;
-  readonly order: number;
-  readonly run: () => void;
-}
-
-const FAULT_AT = 10_000;
-const SICK = 0;
 const GUARD_TICK = 20;
 
 /** Runs a service from start to end. */
@@ -81,12 +37,7 @@
 }
 
 class ServiceRun {
-  private now = 0;
-  private order = 0;
-  private readonly queue = new TinyQueue<Timed>(
-    [],
-    (a, b) => a.at - b.at || a.order - b.order,
-  );
+  private readonly clock = new VirtualClock();
   private readonly random: RandomSource;
   private readonly view: ServiceView;
   private readonly entries: readonly EntryBrain[];
@@ -95,20 +46,21 @@
   private readonly holder: PermitHolder;
   private readonly entryOfCall = new Map<string, number>();
   private readonly running = new Map<string, Attempt>();
-  private readonly out = new Set<string>();
   private calls = 0;
   private runs = 0;
   private failures = 0;
-  private detection: number | undefined;
-  private falseEjections = 0;
-  private floorBroken = 0;
-  private readonly events: string[] = [];
   private readonly answers = new AnswerTally();
+  private readonly ejections: EjectionTally;
 
   constructor(private readonly options: RunOptions) {
     const {service, seed} = options;
     this.random = seededRandom(seed);
     this.view = makeMeasuredView(service);
+    this.ejections = new EjectionTally(
+      service,
+      options.fault,
+      this.view.upstreams.map(({name}) => name),
+    );
     this.entries = Array.from(
       {length: service.entries},
       (_, i) =>
@@ -139,39 +91,28 @@
     const end = this.options.seconds * 1000;
     this.guards.forEach((_, i) => this.tick(i));
     this.nextCall();
-    for (let next = this.queue.pop(); next; next = this.queue.pop()) {
-      if (next.at > end) {
-        break;
-      }
-      this.now = next.at;
-      next.run();
-    }
+    this.clock.runUntil(end);
     return {
-      detection: this.detection,
-      falseEjections: this.falseEjections,
-      floorBroken: this.floorBroken,
+      detection: this.ejections.detection,
+      falseEjections: this.ejections.falseEjections,
+      floorBroken: this.ejections.floorBroken,
       calls: this.calls,
       refusedOrFailed: this.failures,
       amplification: this.runs / Math.max(1, this.calls),
       answeredWell: this.answers.answeredWell,
-      events: this.events,
+      events: this.ejections.events,
     };
   }
 
-  private later(delay: number, run: () => void): void {
-    this.order += 1;
-    this.queue.push({at: this.now + delay, order: this.order, run});
-  }
-
   private tick(i: number): void {
     this.tellGuard(i, {kind: 'tick'});
-    this.later(GUARD_TICK, () => this.tick(i));
+    this.clock.later(GUARD_TICK, () => this.tick(i));
   }
 
   private nextCall(): void {
     const {callsPerUpstream, upstreams} = this.options.service;
     const rate = (callsPerUpstream * upstreams) / 1000;
-    this.later(-Math.log(1 - this.random()) / rate, () => {
+    this.clock.later(-Math.log(1 - this.random()) / rate, () => {
       this.begin();
       this.nextCall();
     });
@@ -183,7 +124,7 @@
     const entry = Math.floor(this.random() * this.entries.length);
     this.entryOfCall.set(id, entry);
     const customer = this.pickCustomer();
-    this.answers.began(this.now, id, customer);
+    this.answers.began(this.clock.now, id, customer);
     const route = this.view.routes[0] as EntryCall['route'];
     this.tellEntry(id, {
       kind: 'call-arrived',
@@ -194,14 +135,14 @@
         customer,
         requestDigest: '',
         bytes: 0,
-        deadline: this.now + TRAFFIC.waitMilliseconds,
+        deadline: this.clock.now + TRAFFIC.waitMilliseconds,
         onceKey: undefined,
         isFirstWithKey: false,
         isReplayable: true,
         isCallersRetry: false,
       },
     });
-    this.later(TRAFFIC.waitMilliseconds, () =>
+    this.clock.later(TRAFFIC.waitMilliseconds, () =>
       this.tellEntry(id, {
         kind: 'given-up',
         callId: id,
@@ -213,7 +154,7 @@
 
   private tellEntry(callId: string, event: EntryEvent): void {
     const entry = this.entries[this.entryOfCall.get(callId) ?? -1];
-    const actions = entry?.handle(this.now, this.random, event) ?? [];
+    const actions = entry?.handle(this.clock.now, this.random, event) ?? [];
     actions.forEach((action) => this.performEntry(callId, action));
   }
 
@@ -234,7 +175,7 @@
         this.tellEntry(callId, {kind: 'answer-ended', callId});
         break;
       case 'pass-answer':
-        this.answers.passed(this.now, callId);
+        this.answers.passed(this.clock.now, callId);
         this.tellEntry(callId, {kind: 'answer-ended', callId});
         this.entryOfCall.delete(callId);
         break;
@@ -255,13 +196,13 @@
 
   private send(attempt: Attempt): void {
     const i = this.indexOf(attempt.upstream);
-    const id = `${attempt.callId}.${this.order}`;
+    const id = `${attempt.callId}.${this.clock.scheduledCount}`;
     this.running.set(id, attempt);
     const {call} = attempt;
     const hop = this.hop(attempt.callId, i);
-    const remaining = call.deadline - this.now - 5;
-    this.later(hop, () => {
-      this.later(remaining, () =>
+    const remaining = call.deadline - this.clock.now - 5;
+    this.clock.later(hop, () => {
+      this.clock.later(remaining, () =>
         this.tellGuard(i, {kind: 'call-deadline-passed', callId: id}),
       );
       this.tellGuard(i, {
@@ -275,7 +216,7 @@
           route: call.route.name,
           repetition: 'repeatable',
           priority: call.route.spec.priority,
-          deadline: this.now + remaining,
+          deadline: this.clock.now + remaining,
           attempt: attempt.number,
           retryShare: call.route.spec.retryShare,
           onceKey: undefined,
@@ -287,7 +228,7 @@
 
   private tellGuard(i: number, event: GuardEvent): void {
     const guard = this.guards[i] as GuardBrain;
-    const actions = guard.handle(this.now, this.random, event);
+    const actions = guard.handle(this.clock.now, this.random, event);
     actions.forEach((action) => this.performGuard(i, action));
   }
 
@@ -304,9 +245,9 @@
         break;
       case 'report':
         for (const report of action.reports) {
-          this.later(TRAFFIC.farMilliseconds, () => {
-            const reply = this.holder.report(this.now, report);
-            this.later(TRAFFIC.farMilliseconds, () =>
+          this.clock.later(TRAFFIC.farMilliseconds, () => {
+            const reply = this.holder.report(this.clock.now, report);
+            this.clock.later(TRAFFIC.farMilliseconds, () =>
               this.tellGuard(i, {
                 kind: 'holder-replied',
                 service: SERVICE,
@@ -317,7 +258,7 @@
         }
         break;
       case 'timeline':
-        this.note(i, action);
+        this.ejections.observe(this.clock.now, i, action);
         break;
       case 'answer-stored':
       case 'standing':
@@ -330,12 +271,10 @@
   private runUpstream(i: number, id: string): void {
     this.runs += 1;
     const fault = this.presentFault();
-    const isShared =
-      fault.kind === 'shared-slowness' || fault.kind === 'outage';
-    const isFaulty = i === SICK || isShared;
+    const isFaulty = i === SICK || isSharedFault(fault);
     const model = this.models[i] as UpstreamModel;
     const answer = model.answer(
-      this.now,
+      this.clock.now,
       isFaulty ? fault : {kind: 'none'},
       FAULT_AT,
     );
@@ -343,7 +282,7 @@
     if (status === undefined) {
       return;
     }
-    this.later(answer.milliseconds, () => {
+    this.clock.later(answer.milliseconds, () => {
       const attempt = this.running.get(id);
       if (attempt === undefined) {
         return;
@@ -357,9 +296,12 @@
         answer: undefined,
       });
       this.observeBaseline(i, status >= 500);
-      const hint = this.guards[i]?.hintOf(this.now, attempt.upstream ?? '');
+      const hint = this.guards[i]?.hintOf(
+        this.clock.now,
+        attempt.upstream ?? '',
+      );
       const {callId} = attempt;
-      this.later(this.hop(callId, i), () => {
+      this.clock.later(this.hop(callId, i), () => {
         this.answers.heard(callId, status);
         this.tellEntry(callId, {
           kind: 'attempt-answered',
@@ -375,7 +317,7 @@
 
   private presentFault(): Fault {
     const {fault, faultSeconds = Number.POSITIVE_INFINITY} = this.options;
-    const isOver = this.now > FAULT_AT + faultSeconds * 1000;
+    const isOver = this.clock.now > FAULT_AT + faultSeconds * 1000;
     return isOver ? {kind: 'none'} : fault;
   }
 
@@ -390,7 +332,7 @@
     this.running.delete(action.callId);
     const {callId} = attempt;
     const {refusal, upstream, hint} = action;
-    this.later(this.hop(callId, i), () =>
+    this.clock.later(this.hop(callId, i), () =>
       this.tellEntry(callId, {
         kind: 'attempt-refused',
         callId,
@@ -401,42 +343,9 @@
     );
   }
 
-  private note(
-    i: number,
-    {event, detail}: GuardAction & {readonly kind: 'timeline'},
-  ): void {
-    const name = this.view.upstreams[i]?.name ?? '';
-    const seconds = (this.now / 1000).toFixed(2);
-    const details = Object.entries(detail).map(([k, v]) => `${k}=${v}`);
-    this.events.push([seconds, event, name, ...details].join(' '));
-    if (event === 'upstream-ejected') {
-      this.out.add(name);
-      this.ejected(i);
-    } else if (
-      event === 'upstream-returned' ||
-      event === 'upstream-permit-revoked'
-    ) {
-      this.out.delete(name);
-    }
-    const {slots, upstreams, floorSlots} = this.options.service;
-    const left = (upstreams - this.out.size) * slots;
-    this.floorBroken += left < floorSlots ? 1 : 0;
-  }
-
   private observeBaseline(i: number, failed: boolean): void {
-    if (this.options.baseline?.observe(this.now, i, failed)) {
-      this.ejected(i);
-    }
-  }
-
-  private ejected(i: number): void {
-    const {kind} = this.options.fault;
-    const isShared = kind === 'shared-slowness' || kind === 'outage';
-    const isSick = kind !== 'none' && !isShared && i === SICK;
-    if (isSick && this.now >= FAULT_AT) {
-      this.detection ??= this.now - FAULT_AT;
-    } else {
-      this.falseEjections += 1;
+    if (this.options.baseline?.observe(this.clock.now, i, failed)) {
+      this.ejections.ejected(this.clock.now, i);
     }
   }
 
--- a/packages/tools/src/measure/summary.ts
+++ b/packages/tools/src/measure/summary.ts
@@ -1,7 +1,7 @@
 // Copyright (c) 2026 the lockpin contributors. MIT licence, see LICENSE.
 /** What many seeds came to, as rows of a table. */
 
-import type {RunResult} from './serviceRun.js';
+import type {RunResult} from './serviceRunOptions.js';
 
 const DAY_SECONDS = 86_400;
 
