Resume a watch when its connection goes silent

Symptom: `lockpin watch`, and an apply that waits until its change is in force, hung forever when the connection to the node went silent without closing; later changes were not reported.

Cause: the client had no limit on the time without bytes of an open watch, although nodes send a bookmark every 5 s.

Change: after 12 s without bytes the client reopens the watch. It resumes after the last version up to which all changes are known to be in force everywhere, so that no event about a change is missed; a watch without a version that goes silent before its first bookmark starts anew. Each change is reported once; how far it is in force may be reported again.

--- a/packages/cli/src/apiClient.ts
+++ b/packages/cli/src/apiClient.ts
@@ -1,9 +1,10 @@
 // Copyright (c) 2026 the lockpin contributors. MIT licence, see LICENSE.
 /** Talks to the operators' API of a node. */
 
-import {request} from 'undici';
+import {errors, request} from 'undici';
 import type {AnyResource, ApiFailure, Result, Write} from '@lockpin/types';
 import {failure, success} from '@lockpin/utils';
+import {WatchProgress} from './watchProgress.js';
 
 /** Where the API is, and the operator's token. */
 export interface ApiAccess {
@@ -31,9 +32,15 @@
 
 const TIMEOUT_MILLISECONDS = 15_000;
 
+/** A watch reconnects after missing two bookmarks, which nodes send every 5 s. */
+const WATCH_IDLE_TIMEOUT_MILLISECONDS = 12_000;
+
 /** Requests that the commands share. */
 export class ApiClient {
-  constructor(readonly access: ApiAccess) {}
+  constructor(
+    readonly access: ApiAccess,
+    private readonly watchIdleTimeoutMilliseconds = WATCH_IDLE_TIMEOUT_MILLISECONDS,
+  ) {}
 
   list(
     kind: string,
@@ -66,12 +73,34 @@
     return this.send('POST', '/changes', {changeId, writes});
   }
 
-  /** Lines of a watch, until it ends. */
+  /** Lines of a watch, until it ends; reconnects and resumes on an idle timeout. */
   async *watch(version: number | undefined): AsyncGenerator<unknown> {
+    const progress = new WatchProgress(version);
+    for (let isOpen = true; isOpen;) {
+      try {
+        for await (const event of this.watchOnce(progress.resumeAfter)) {
+          if (progress.record(event)) {
+            yield event;
+          }
+        }
+        isOpen = false;
+      } catch (error) {
+        if (!isIdleTimeout(error)) {
+          throw error;
+        }
+      }
+    }
+  }
+
+  /** Lines of a watch over a single connection. */
+  private async *watchOnce(
+    version: number | undefined,
+  ): AsyncGenerator<unknown> {
     const query = version === undefined ? '' : `?version=${version}`;
     const {statusCode, body} = await request(this.url(`/watch${query}`), {
       headers: this.headers(),
-      bodyTimeout: 0,
+      headersTimeout: this.watchIdleTimeoutMilliseconds,
+      bodyTimeout: this.watchIdleTimeoutMilliseconds,
     });
     if (statusCode !== 200) {
       yield await body.json();
@@ -117,3 +146,11 @@
     return {authorization: `Bearer ${this.access.token}`};
   }
 }
+
+/** Whether a request failed because no data arrived within the timeout. */
+function isIdleTimeout(error: unknown): boolean {
+  return (
+    error instanceof errors.BodyTimeoutError ||
+    error instanceof errors.HeadersTimeoutError
+  );
+}
