--- a/packages/node/src/process/decisionLog.ts
+++ b/packages/node/src/process/decisionLog.ts
@@ -6,7 +6,7 @@
  */
 
 import type {CallRecord} from '../request/callStory.js';
-import type {GuardRecord} from '../request/guardService.js';
+import type {GuardRecord} from '../request/guardRecord.js';
 import {LineAllowance} from './lineAllowance.js';
 
 /** Fields of a line; never a secret or a caller's body. */
--- a/packages/node/src/request/guardService.ts
+++ b/packages/node/src/request/guardService.ts
@@ -14,6 +14,7 @@
 import type {CallHead} from './frames.js';
 import {guardCall, NO_HANDLERS} from './guardExchange.js';
 import type {GuardExchange} from './guardExchange.js';
+import type {GuardRecord} from './guardRecord.js';
 import {UpstreamDispatch} from './upstreamDispatch.js';
 import type {UpstreamProtocol} from './upstreamProtocol.js';
 
@@ -50,23 +51,6 @@
   readonly kind: 'report' | 'timeline' | 'standing' | 'upstream-crashed';
 };
 
-/** What became of one call at the guard of its upstream. */
-export interface GuardRecord {
-  readonly head: CallHead;
-  readonly upstream: string;
-  readonly outcome: 'answered' | 'not-run' | 'unknown' | 'cancelled';
-  /** The reason of a refusal; empty for an answer. */
-  readonly reason: string;
-  /** Set only for calls that were refused as 'upstream-doubted'. */
-  readonly doubtReason: DoubtReason | undefined;
-  /** The upstream's status; 0 when there is none. */
-  readonly status: number;
-  /** From the offer to the call's way to the upstream, or its end. */
-  readonly waitedMilliseconds: number;
-  /** From there to the answer; 0 when the call was never sent. */
-  readonly ranMilliseconds: number;
-}
-
 /** Offers calls to the guard's brain and does what it decides. */
 export class GuardService {
   private readonly exchanges = new Map<string, GuardExchange>();
