--- a/packages/brain/src/guard/quickDoubt.ts
+++ b/packages/brain/src/guard/quickDoubt.ts
@@ -42,7 +42,7 @@
 
 /** Why calls to an upstream are refused as 'upstream-doubted'. */
 export type DoubtReason =
-  /** No call has succeeded in the usual time yet, and a slot is occupied. */
+  /** No call has succeeded yet, and the interval since the last one has not passed. */
   | 'unproven'
   /** Unanswered calls are taking longer than usual. */
   | 'late-calls'
