Log what an upstream states about its limit and its leaving

Cause: the guard's line did not show that an answer stated a limit of requests, so the hypotheses of the incident (limit never read, kept by each box for itself, passed by retries) could not be told apart by the lines.

Change: a protocol of upstreams reads the notice of an answer: requests per second, leaving, a limit that is no decimal number. The guard-call line has statedLimit and statedLeaving, and guard.notices counts them. No decision uses it yet.

No answers are read that come from another process or belong to another call.

--- a/packages/node/src/__tests__/brokenAnswers.test.ts
+++ b/packages/node/src/__tests__/brokenAnswers.test.ts
@@ -10,6 +10,7 @@
 import {UpstreamPools} from '../connection/upstreamPools.js';
 import type {CallHead} from '../request/frames.js';
 import {GuardService} from '../request/guardService.js';
+import {NO_NOTICE} from '../request/upstreamNotice.js';
 
 const NAME = 's/box';
 
@@ -48,6 +49,7 @@
     protocol: {
       callHeaders: ({head}) => head.headers,
       classifyAnswer: () => 'answer',
+      readNotice: () => NO_NOTICE,
       buffersUnframed: true,
     },
     every: () => () => undefined,
--- a/packages/node/src/__tests__/decisionLog.test.ts
+++ b/packages/node/src/__tests__/decisionLog.test.ts
@@ -9,6 +9,9 @@
 import {DecisionLog} from '../process/decisionLog.js';
 import {createPrometheusMetrics} from '../process/prometheusMetrics.js';
 import type {CallRecord} from '../request/attemptHistory.js';
+import type {CallHead} from '../request/frames.js';
+import type {GuardRecord} from '../request/guardRecord.js';
+import {NO_NOTICE} from '../request/upstreamNotice.js';
 
 class TestLog {
   now = 0;
@@ -46,7 +49,34 @@
   };
 }
 
+function guardRecord(): GuardRecord {
+  return {
+    head: {requestId: 'x', route: 'r'} as CallHead,
+    upstream: 'u',
+    outcome: 'answered',
+    reason: '',
+    doubtReason: undefined,
+    status: 200,
+    notice: undefined,
+    waitedMilliseconds: 1,
+    ranMilliseconds: 2,
+  };
+}
+
 describe('DecisionLog', () => {
+  it.each([
+    [{requestsPerSecond: 2.6}, {statedLimit: 2.6}],
+    [{unreadableLimit: 'many'}, {statedLimit: 'many'}],
+    [{isLeaving: true}, {statedLeaving: true}],
+    [{}, {}],
+  ])('writes that an upstream states %j', (stated, fields) => {
+    const harness = new TestLog();
+    const notice = {...NO_NOTICE, ...stated};
+    harness.log.guardCall({...guardRecord(), notice});
+    const {statedLimit, statedLeaving} = harness.lines[0] ?? {};
+    expect({statedLimit, statedLeaving}).toEqual(fields);
+  });
+
   it('writes request, configuration version and status of a call', () => {
     const harness = new TestLog();
     harness.log.call(record());
--- a/packages/node/src/index.ts
+++ b/packages/node/src/index.ts
@@ -16,6 +16,7 @@
 export * from './request/callerRequest.js';
 export * from './request/frames.js';
 export * from './request/headers.js';
+export * from './request/upstreamNotice.js';
 export * from './request/upstreamProtocol.js';
 export * from './settings/readSettings.js';
 export * from './settings/settingsSchema.js';
--- a/packages/node/src/process/fleetComposition.ts
+++ b/packages/node/src/process/fleetComposition.ts
@@ -22,6 +22,7 @@
 import {serveExchangeStream} from '../request/exchangeStreamServer.js';
 import type {NewsHandlers} from '../request/exchangeStreamServer.js';
 import {GuardService} from '../request/guardService.js';
+import {noticeKinds} from '../request/upstreamNotice.js';
 import {serveGuardStream} from '../request/guardStreams.js';
 import {RemoteExchanges} from '../request/remoteExchanges.js';
 import {BoundedWriter} from './boundedWriter.js';
@@ -217,7 +218,7 @@
     onNodeAction: (action) => host.handleGuardAction(action),
     onEnded: (record) => {
       log.guardCall(record);
-      const {outcome, ranMilliseconds, head, doubtReason} = record;
+      const {outcome, ranMilliseconds, head, doubtReason, notice} = record;
       if (outcome === 'answered') {
         host.runSurvived(head.requestDigest);
       }
@@ -225,6 +226,9 @@
       if (doubtReason !== undefined) {
         metrics.increment('guard.doubted', {reason: doubtReason});
       }
+      for (const kind of noticeKinds(notice)) {
+        metrics.increment('guard.notices', {kind});
+      }
       metrics.timing('guard.milliseconds', ranMilliseconds, {outcome});
     },
   });
--- a/packages/node/src/process/metrics.ts
+++ b/packages/node/src/process/metrics.ts
@@ -12,6 +12,7 @@
   'guard.calls',
   'guard.doubted',
   'guard.milliseconds',
+  'guard.notices',
   'guard.occupied',
   'log.dropped',
   'upstream.ejected',
--- a/packages/node/src/request/guardExchange.ts
+++ b/packages/node/src/request/guardExchange.ts
@@ -3,6 +3,7 @@
 
 import type {Readable} from 'node:stream';
 import type {GuardCall} from '@lockpin/brain';
+import type {UpstreamNotice} from '@lockpin/types';
 import type {Dispatcher} from 'undici';
 import type {ExchangeHandlers} from './exchange.js';
 import type {CallHead} from './frames.js';
@@ -26,6 +27,8 @@
   requestBody: Readable | undefined;
   isAborted: boolean;
   answer: UpstreamAnswer | undefined;
+  /** Stated in the head of the answer. */
+  notice: UpstreamNotice | undefined;
 }
 
 /** Replaces the handlers of an entry that has cancelled its call. */
--- a/packages/node/src/request/guardRecord.ts
+++ b/packages/node/src/request/guardRecord.ts
@@ -2,6 +2,7 @@
 /** The log record of a call at its guard. */
 
 import type {DoubtReason} from '@lockpin/brain';
+import type {UpstreamNotice} from '@lockpin/types';
 import type {CallHead} from './frames.js';
 
 /** The log record of a call at the guard of its upstream. */
@@ -15,6 +16,8 @@
   readonly doubtReason: DoubtReason | undefined;
   /** The HTTP status of the upstream; 0 when there is none. */
   readonly status: number;
+  /** Stated by the upstream in its answer; undefined without an answer. */
+  readonly notice: UpstreamNotice | undefined;
   /** From the offer until the call was sent to the upstream, or ended. */
   readonly waitedMilliseconds: number;
   /** From sending the call to its end; 0 when it was never sent. */
--- a/packages/node/src/request/guardService.ts
+++ b/packages/node/src/request/guardService.ts
@@ -123,6 +123,7 @@
       requestBody: undefined,
       isAborted: false,
       answer: undefined,
+      notice: undefined,
     };
     this.startDeadlineTimer(exchange, now);
     return exchange;
@@ -279,7 +280,7 @@
     status: number,
     doubtReason?: DoubtReason,
   ): void {
-    const {head, upstream, offeredAt, sentAt} = exchange;
+    const {head, upstream, offeredAt, sentAt, notice} = exchange;
     const now = this.dependencies.clock();
     this.dependencies.onEnded?.({
       head,
@@ -288,6 +289,7 @@
       reason,
       doubtReason,
       status,
+      notice,
       waitedMilliseconds: (sentAt ?? now) - offeredAt,
       ranMilliseconds: sentAt === undefined ? 0 : now - sentAt,
     });
--- a/packages/node/src/request/upstreamDispatch.ts
+++ b/packages/node/src/request/upstreamDispatch.ts
@@ -12,7 +12,10 @@
 import {headerRecord} from './headers.js';
 import {UpstreamAnswer} from './upstreamAnswer.js';
 import {LOCKPIN_UPSTREAM_PROTOCOL} from './upstreamProtocol.js';
-import type {UpstreamProtocol} from './upstreamProtocol.js';
+import type {
+  AnswerClassification,
+  UpstreamProtocol,
+} from './upstreamProtocol.js';
 
 /** What the dispatch needs from the guard service. */
 export interface UpstreamDispatchDependencies {
@@ -28,6 +31,13 @@
   readonly onAnswered: (exchange: GuardExchange, status: number) => void;
 }
 
+/** Answers that were certainly given by the intended upstream. */
+const COMES_FROM_UPSTREAM: ReadonlySet<AnswerClassification> = new Set([
+  'answer',
+  'overloaded',
+  'not-run',
+]);
+
 /** Statuses below this are interim responses. */
 const FIRST_FINAL_STATUS = 200;
 
@@ -153,6 +163,9 @@
       protocol.buffersUnframed,
     );
     exchange.answer = answer;
+    exchange.notice = COMES_FROM_UPSTREAM.has(classification)
+      ? protocol.readNotice(headers)
+      : undefined;
     const isPassed =
       classification === 'answer' || classification === 'overloaded';
     if (!answer.isBuffered && isPassed) {
--- a/packages/node/src/request/upstreamProtocol.ts
+++ b/packages/node/src/request/upstreamProtocol.ts
@@ -2,8 +2,9 @@
 /** Formats calls to upstreams and classifies their answers. */
 
 import type {IncomingHttpHeaders} from 'node:http';
-import type {UpstreamIncarnation} from '@lockpin/types';
+import type {UpstreamIncarnation, UpstreamNotice} from '@lockpin/types';
 import type {CallHead, FlatHeaders} from './frames.js';
+import {readUpstreamNotice} from './upstreamNotice.js';
 
 /** What an answer means for its call, besides its status. */
 export type AnswerClassification =
@@ -36,6 +37,8 @@
     status: number,
     headers: IncomingHttpHeaders,
   ) => AnswerClassification;
+  /** Reads what the upstream states about itself in an answer. */
+  readonly readNotice: (headers: IncomingHttpHeaders) => UpstreamNotice;
   /** Whether answers without a length are buffered until they are complete. */
   readonly buffersUnframed: boolean;
 }
@@ -59,5 +62,10 @@
       (status === UNAVAILABLE && headers['retry-after'] !== undefined);
     return isShed ? 'overloaded' : 'answer';
   },
+  readNotice: (headers) =>
+    readUpstreamNotice({
+      limit: headers['lockpin-upstream-limit'],
+      leaving: headers['lockpin-upstream-leaving'],
+    }),
   buffersUnframed: false,
 };
--- a/packages/types/src/index.ts
+++ b/packages/types/src/index.ts
@@ -6,3 +6,4 @@
 export type * from './refusals.js';
 export type * from './resources.js';
 export type * from './timeline.js';
+export type * from './upstreamNotice.js';
