Keep the calls to an upstream within the limit that it states

Callers and upstreams: an upstream in need that asked for 2.5 requests a second got 41 to 50 in 4 s, where 20 are allowed.

Cause: guards admitted calls by slots and by the retry budget only. Nothing read the limit in the upstream's answers; it was passed on to callers like any other header. Class of the fault: a statement of a peer that is forwarded but not obeyed.

Change: every call to an upstream passes its guard, so the guard keeps the limit with a token bucket beside the slots. First attempts, retries, probes, hedges and calls that waited all take a token when they get their slot; a call that is not sent returns it. Load hints say when the next call is possible, so entries use other upstreams until then, and refused offers return one by one. What no upstream can take before its deadline is refused with the new reason upstream-over-limit and the time until its turn. An entry repeats in its offers what answers told it, so that a restarted guard keeps the limit at once. A limit that falls binds at once; answers read within 100 ms of one another may be out of order, so one that states more, or nothing, counts only after that. A limit that is no number is logged and limits nothing.

--- a/packages/admission/src/admission.ts
+++ b/packages/admission/src/admission.ts
@@ -5,6 +5,7 @@
 import {AdaptiveLimit} from './adaptiveLimit.js';
 import {FairQueue, isTooLateFor} from './fairQueue.js';
 import type {WaitingCall} from './fairQueue.js';
+import {RequestRate} from './requestRate.js';
 
 /** Decision on a call that was offered. */
 export type AdmissionDecision =
@@ -46,8 +47,17 @@
   readonly startedAt: number;
 }
 
+/** When a call can start, in milliseconds from now. */
+interface ExpectedWait {
+  readonly milliseconds: number;
+  /** Whether the call waits for the stated limit rather than for a slot. */
+  readonly isForLimit: boolean;
+}
+
 /** Admission control of a guard for one upstream. */
 export class Admission {
+  /** The limit of calls per second that the upstream states. */
+  readonly rate = new RequestRate();
   private readonly queue = new FairQueue();
   private readonly running = new Map<string, RunningEntry>();
   private readonly limit: AdaptiveLimit;
@@ -85,22 +95,23 @@
 
   /** Decides on a new call. */
   offer(now: number, call: WaitingCall): AdmissionDecision {
-    if (this.running.size < this.limit.current && this.queue.size === 0) {
+    if (this.mayStart(now) && this.queue.size === 0) {
       return this.startOrRefuse(now, call);
     }
     const wait = this.expectedWait(now, call);
+    const startAt = now + wait.milliseconds;
     if (call.mayWait === false) {
-      return refused('upstream-busy', wait);
+      return this.refuse(now, 'upstream-busy', wait);
     }
-    if (isTooLateFor(call, now + wait, this.expectedOf(call))) {
-      return refused('deadline-too-short', wait);
+    if (isTooLateFor(call, startAt, this.expectedOf(call))) {
+      return this.refuse(now, 'deadline-too-short', wait);
     }
     if (this.isOverShare(call)) {
-      return refused('customer-over-share', wait);
+      return refused('customer-over-share', wait.milliseconds);
     }
     const displaced = this.makeRoom(call);
     if (displaced === 'none') {
-      return refused('queue-full', wait);
+      return this.refuse(now, 'queue-full', wait);
     }
     this.queue.add(call);
     return {kind: 'queued', displaced};
@@ -119,6 +130,17 @@
     return this.fill(now);
   }
 
+  /** Ends a call that was not sent; it does not count for the limit. */
+  release(now: number, id: string): DispatchResult {
+    this.rate.giveBack(now);
+    return this.finish(now, id, undefined);
+  }
+
+  /** Milliseconds until the stated limit allows another call. */
+  waitForLimit(now: number): number {
+    return this.rate.waitBehindRefused(now, this.queue.size + 1);
+  }
+
   /** Queued calls. */
   waiting(): readonly WaitingCall[] {
     return this.queue.all();
@@ -162,14 +184,37 @@
     if (now >= call.deadline) {
       return refused('deadline-too-short', 0);
     }
-    this.running.set(call.id, {call, startedAt: now});
+    this.start(now, call);
     return {kind: 'start'};
   }
 
+  private mayStart(now: number): boolean {
+    return this.running.size < this.limit.current && this.rate.hasToken(now);
+  }
+
+  private start(now: number, call: WaitingCall): void {
+    this.rate.take(now);
+    this.running.set(call.id, {call, startedAt: now});
+  }
+
+  /** Refuses a call; the reason only applies if it waits for a slot. */
+  private refuse(
+    now: number,
+    reason: RefusalReason,
+    {milliseconds, isForLimit}: ExpectedWait,
+  ): AdmissionDecision {
+    if (!isForLimit) {
+      return refused(reason, milliseconds);
+    }
+    const wait = Math.max(milliseconds, this.waitForLimit(now));
+    this.rate.refused(now);
+    return refused('upstream-over-limit', wait);
+  }
+
   private fill(now: number): DispatchResult {
     const started: WaitingCall[] = [];
     const expired: WaitingCall[] = [];
-    while (this.running.size < this.limit.current) {
+    while (this.mayStart(now)) {
       const call = this.queue.take();
       if (call === undefined) {
         break;
@@ -178,7 +223,7 @@
         expired.push(call);
         continue;
       }
-      this.running.set(call.id, {call, startedAt: now});
+      this.start(now, call);
       started.push(call);
     }
     return {started, expired};
@@ -189,9 +234,17 @@
   }
 
   /** Infinite when all slots are held by calls that may never end. */
-  private expectedWait(now: number, call: WaitingCall): number {
-    const rounds = (this.queue.aheadOf(call) + 1) / this.availableSlots(now);
-    return rounds * this.duration;
+  private expectedWait(now: number, call: WaitingCall): ExpectedWait {
+    const turn = this.queue.aheadOf(call) + 1;
+    const forLimit = this.rate.wait(now, turn);
+    const hasSlot = this.running.size + turn <= this.limit.current;
+    const forSlot = hasSlot
+      ? 0
+      : (turn / this.availableSlots(now)) * this.duration;
+    return {
+      milliseconds: Math.max(forLimit, forSlot),
+      isForLimit: forLimit > forSlot,
+    };
   }
 
   /**
--- a/packages/admission/src/index.ts
+++ b/packages/admission/src/index.ts
@@ -3,3 +3,4 @@
 export * from './admission.js';
 export * from './customerShares.js';
 export * from './fairQueue.js';
+export * from './requestRate.js';
--- /dev/null
+++ b/packages/brain/src/__tests__/statedLimit.test.ts
@@ -0,0 +1,220 @@
+// Copyright (c) 2026 the lockpin contributors. MIT licence, see LICENSE.
+/** A guard whose upstream states a limit of requests per second. */
+
+import {beforeEach, describe, expect, it} from 'vitest';
+import type {UpstreamNotice} from '@lockpin/types';
+import type {
+  GuardAction,
+  GuardCall,
+  GuardEvent,
+} from '../guard/guardMessages.js';
+import {GuardHarness, refusalsOf} from './__fixtures__/guardHarness.js';
+
+const SLOTS = 4;
+const TICK_MILLISECONDS = 50;
+
+let harness: GuardHarness;
+let serial: number;
+
+beforeEach(() => {
+  harness = new GuardHarness(SLOTS);
+  harness.now = 1000;
+  serial = 0;
+});
+
+function notice(change: Partial<UpstreamNotice>): UpstreamNotice {
+  return {
+    requestsPerSecond: undefined,
+    isLeaving: false,
+    unreadableLimit: undefined,
+    ...change,
+  };
+}
+
+/** Runs a call whose answer contains a notice. */
+function answerWith(
+  stated: Partial<UpstreamNotice>,
+  call: Partial<GuardCall> = {},
+): readonly GuardAction[] {
+  serial += 1;
+  const callId = `call-${serial}`;
+  harness.offer(callId, {needsGo: false, ...call});
+  const event: GuardEvent = {
+    kind: 'upstream-stated',
+    callId,
+    notice: notice(stated),
+  };
+  const actions = harness.handle(event);
+  harness.handle({
+    kind: 'upstream-answered',
+    callId,
+    status: 200,
+    isShed: false,
+    answer: undefined,
+  });
+  return actions;
+}
+
+const offerAtOnce = (call: Partial<GuardCall> = {}): readonly GuardAction[] => {
+  serial += 1;
+  return harness.offer(`call-${serial}`, {
+    needsGo: false,
+    mayWait: false,
+    ...call,
+  });
+};
+
+const isRun = (actions: readonly GuardAction[]): boolean =>
+  actions.some(({kind}) => kind === 'run');
+
+const eventsOf = (actions: readonly GuardAction[]): readonly string[] =>
+  actions.flatMap((action) =>
+    action.kind === 'timeline' ? [action.event] : [],
+  );
+
+/** Lets time pass; returns the calls that start meanwhile. */
+function passTime(milliseconds: number): readonly string[] {
+  const started: string[] = [];
+  const end = harness.now + milliseconds;
+  while (harness.now < end) {
+    harness.now += TICK_MILLISECONDS;
+    for (const action of harness.handle({kind: 'tick'})) {
+      if (action.kind === 'run') {
+        started.push(action.callId);
+      }
+    }
+  }
+  return started;
+}
+
+describe('a guard whose upstream states a limit', () => {
+  it('refuses calls beyond it and says when to come back', () => {
+    expect(eventsOf(answerWith({requestsPerSecond: 2}))).toEqual([
+      'upstream-limited',
+    ]);
+    const [refusal] = offerAtOnce();
+    expect(refusal).toMatchObject({
+      kind: 'refuse',
+      refusal: {
+        reason: 'upstream-over-limit',
+        outcome: 'not-run',
+        retryAfterMilliseconds: 500,
+      },
+      limit: {requestsPerSecond: 2, age: 0},
+    });
+    passTime(500);
+    expect(isRun(offerAtOnce())).toBe(true);
+  });
+
+  it('keeps it for first attempts, retries, probes and calls without a choice', () => {
+    answerWith({requestsPerSecond: 2});
+    const kinds: readonly Partial<GuardCall>[] = [
+      {attempt: 2},
+      {repetition: 'at-most-once'},
+      {mayRunDoubted: true},
+      {onceKey: undefined, priority: 0},
+    ];
+    for (const kind of kinds) {
+      expect(refusalsOf(offerAtOnce(kind))).toEqual([
+        'upstream-over-limit not-run',
+      ]);
+    }
+  });
+
+  it('starts waiting calls one by one, as the limit allows', () => {
+    answerWith({requestsPerSecond: 2});
+    for (const id of ['a', 'b', 'c']) {
+      harness.offer(id, {needsGo: false});
+    }
+    expect(passTime(1000)).toEqual(['a', 'b']);
+    expect(passTime(500)).toEqual(['c']);
+  });
+
+  it('refuses at once what the limit does not allow before its deadline', () => {
+    answerWith({requestsPerSecond: 0.5});
+    const deadline = harness.now + 1000;
+    expect(refusalsOf(harness.offer('late', {deadline}))).toEqual([
+      'upstream-over-limit not-run',
+    ]);
+  });
+
+  it('does not count calls that were reserved and never sent', () => {
+    answerWith({requestsPerSecond: 2});
+    passTime(500);
+    harness.offer('reserved', {mayWait: false});
+    harness.handle({kind: 'call-cancelled', callId: 'reserved'});
+    expect(isRun(offerAtOnce())).toBe(true);
+  });
+
+  it.each([
+    ['falls', {requestsPerSecond: 0.5}, 'upstream-limited', 1],
+    ['rises', {requestsPerSecond: 4}, 'upstream-limited', 4],
+    ['ends', {}, 'upstream-limit-ended', SLOTS],
+    [
+      'is no number',
+      {unreadableLimit: 'many'},
+      'upstream-limit-unreadable',
+      SLOTS,
+    ],
+  ])(
+    'follows a limit that %s',
+    (_name, stated: Partial<UpstreamNotice>, event, started) => {
+      answerWith({requestsPerSecond: 2});
+      passTime(1000);
+      expect(eventsOf(answerWith(stated))).toContain(event);
+      passTime(1000);
+      const starts = Array.from({length: 8}, () => isRun(offerAtOnce()));
+      expect(starts.filter(Boolean)).toHaveLength(started);
+    },
+  );
+
+  it('logs an unreadable limit once as long as its value stays the same', () => {
+    const unreadableLimit = 'many';
+    expect(eventsOf(answerWith({unreadableLimit}))).toHaveLength(1);
+    expect(eventsOf(answerWith({unreadableLimit}))).toHaveLength(0);
+  });
+
+  it('holds a limit that answers read at the same moment do not state', () => {
+    harness.offer('earlier', {needsGo: false});
+    answerWith({requestsPerSecond: 2});
+    harness.handle({
+      kind: 'upstream-stated',
+      callId: 'earlier',
+      notice: notice({}),
+    });
+    expect(refusalsOf(offerAtOnce())).toEqual(['upstream-over-limit not-run']);
+  });
+
+  it('does not let a suspension of the box save up calls', () => {
+    answerWith({requestsPerSecond: 2});
+    const milliseconds = 60_000;
+    harness.now += milliseconds;
+    harness.handle({kind: 'clock-gained', milliseconds});
+    expect(isRun(offerAtOnce())).toBe(false);
+  });
+});
+
+describe('a guard that has restarted', () => {
+  const knownNotice = {
+    incarnation: 'i-1@0',
+    requestsPerSecond: 2,
+    isLeaving: false,
+  };
+
+  it('learns the limit from an entry and allows one call at first', () => {
+    expect(isRun(offerAtOnce({knownNotice}))).toBe(true);
+    expect(refusalsOf(offerAtOnce())).toEqual(['upstream-over-limit not-run']);
+  });
+
+  it('ignores what an entry knows of another process', () => {
+    const earlier = {...knownNotice, incarnation: 'i-0@0'};
+    offerAtOnce({knownNotice: earlier});
+    expect(isRun(offerAtOnce())).toBe(true);
+  });
+
+  it('prefers the answers of the upstream to what entries know', () => {
+    answerWith({});
+    offerAtOnce({knownNotice});
+    expect(isRun(offerAtOnce({knownNotice}))).toBe(true);
+  });
+});
--- a/packages/brain/src/entry/attemptFeedback.ts
+++ b/packages/brain/src/entry/attemptFeedback.ts
@@ -41,6 +41,9 @@
     {hint, status, ranMilliseconds}: AnswerFeedback,
   ): void {
     this.hintReceived(now, upstream, hint);
+    if (hint !== undefined) {
+      this.loads.notices.answered(upstream, hint.notice);
+    }
     if (ranMilliseconds !== undefined && status < FIRST_SERVER_ERROR_STATUS) {
       this.timing.answered(call.route.name, ranMilliseconds);
     }
--- a/packages/brain/src/entry/callOffers.ts
+++ b/packages/brain/src/entry/callOffers.ts
@@ -13,6 +13,7 @@
   EntryAction,
   EntryCall,
 } from './entryMessages.js';
+import {NO_SLOT_REFUSALS} from './entrySettings.js';
 import type {EntrySettings} from './entrySettings.js';
 import type {UpstreamChooser} from './upstreamChooser.js';
 
@@ -74,8 +75,15 @@
   ): readonly EntryAction[] {
     const {pauseMilliseconds} = this.context.settings;
     const milliseconds = this.pauseBefore(state);
-    if (pauseMilliseconds === 0 || now + milliseconds > state.heldUntil) {
-      return this.context.calls.refuseCall(state, reason, retryAfter);
+    if (
+      pauseMilliseconds === 0 ||
+      now + milliseconds > state.heldUntil ||
+      isLimitedBeyond(state, reason, state.heldUntil - now)
+    ) {
+      const after = NO_SLOT_REFUSALS.has(reason)
+        ? Math.min(retryAfter, state.shortestWait)
+        : retryAfter;
+      return this.context.calls.refuseCall(state, reason, after);
     }
     state.pauses += 1;
     return [{kind: 'pause', callId: state.call.id, milliseconds}];
@@ -129,11 +137,18 @@
     this.context.loads.sent(loadKey);
     return {
       kind: 'attempt',
-      attempt: {...this.attemptOf(state), box, upstream},
+      attempt: {
+        ...this.attemptOf(state),
+        box,
+        upstream,
+        knownNotice: this.context.loads.notices.of(loadKey),
+      },
     };
   }
 
-  private attemptOf(state: CallState): Omit<Attempt, 'box' | 'upstream'> {
+  private attemptOf(
+    state: CallState,
+  ): Omit<Attempt, 'box' | 'upstream' | 'knownNotice'> {
     const {timing} = this.context;
     const {call, paidAttempts, terms} = state;
     return {
@@ -154,3 +169,15 @@
     return isHeld ? heldUntil : undefined;
   }
 }
+
+/**
+ * Whether no limit allows the call within a time. Unlike the wait for a slot,
+ * the wait for a limit does not end early.
+ */
+function isLimitedBeyond(
+  {shortestWait}: CallState,
+  reason: RefusalReason,
+  milliseconds: number,
+): boolean {
+  return reason === 'upstream-over-limit' && shortestWait > milliseconds;
+}
--- a/packages/brain/src/entry/entryMessages.ts
+++ b/packages/brain/src/entry/entryMessages.ts
@@ -4,7 +4,7 @@
 import type {ServiceView} from '@lockpin/configuration';
 import type {OnceKey} from '@lockpin/once';
 import type {LoadHint} from '@lockpin/routing';
-import type {Refusal, Resource} from '@lockpin/types';
+import type {KnownNotice, Refusal, Resource} from '@lockpin/types';
 
 /** A call as it arrives at the entry. */
 export interface EntryCall {
@@ -125,6 +125,8 @@
   readonly startBy: number | undefined;
   /** Time in which the guard has to acknowledge the call. */
   readonly acknowledgementTimeoutMilliseconds: number;
+  /** What answers of the upstream have told this entry, if anything. */
+  readonly knownNotice: KnownNotice | undefined;
 }
 
 /** An action that the entry requests. */
--- a/packages/brain/src/entry/entrySettings.ts
+++ b/packages/brain/src/entry/entrySettings.ts
@@ -55,6 +55,7 @@
   'upstream-draining',
   'node-leaving',
   'no-upstream',
+  'upstream-over-limit',
 ];
 
 /** Defaults: immediate refusals, and a retry budget at the entry. */
@@ -78,6 +79,7 @@
 /** Refusals of upstreams that have no free slot. */
 export const NO_SLOT_REFUSALS: ReadonlySet<RefusalReason> = new Set([
   'upstream-busy',
+  'upstream-over-limit',
   'queue-full',
   'deadline-too-short',
 ]);
--- a/packages/brain/src/entry/entryStateMachine.ts
+++ b/packages/brain/src/entry/entryStateMachine.ts
@@ -202,7 +202,9 @@
     refusal: Refusal,
   ): readonly EntryAction[] {
     const {reason, outcome, retryAfterMilliseconds} = refusal;
-    state.isShortOfTime ||= reason === 'deadline-too-short';
+    state.isShortOfTime ||=
+      reason === 'deadline-too-short' ||
+      (reason === 'upstream-over-limit' && state.terms !== 'immediate');
     if (NO_SLOT_REFUSALS.has(reason)) {
       state.shortestWait = Math.min(state.shortestWait, retryAfterMilliseconds);
     }
--- a/packages/brain/src/guard/callLifecycle.ts
+++ b/packages/brain/src/guard/callLifecycle.ts
@@ -127,7 +127,7 @@
     retryAfter?: number,
   ): readonly GuardAction[] {
     this.calls.delete(call.id);
-    const freedSlots = upstream.release(now, call.id);
+    const freedSlots = upstream.releaseUnsent(now, call.id);
     return [
       this.refusePermanently(now, call, upstream, reason, retryAfter),
       ...this.slotsFreed(now, freedSlots),
--- a/packages/brain/src/guard/callOfferHandler.ts
+++ b/packages/brain/src/guard/callOfferHandler.ts
@@ -8,6 +8,7 @@
 import type {GuardAction, GuardCall} from './guardMessages.js';
 import type {GuardedServices, ServiceState} from './guardedServices.js';
 import {leavingHint, refuse} from './guardRefusals.js';
+import type {NoticeHandler} from './noticeHandler.js';
 import {onceRefusal} from './onceRefusals.js';
 import type {UpstreamGuard} from './upstreamGuard.js';
 
@@ -16,6 +17,7 @@
   constructor(
     private readonly services: GuardedServices,
     private readonly lifecycle: CallLifecycle,
+    private readonly notices: NoticeHandler,
     private readonly isLeaving: () => boolean,
   ) {}
 
@@ -30,10 +32,12 @@
     if (service === undefined || upstream === undefined) {
       return [refuse(now, call, 'no-upstream', 'not-run', undefined)];
     }
-    if (call.repetition === 'once-only') {
-      return this.offerOnceOnly(now, call, service, upstream);
-    }
-    return this.admit(now, call, upstream);
+    const learned = this.notices.learned(now, upstream, call);
+    const decided =
+      call.repetition === 'once-only'
+        ? this.offerOnceOnly(now, call, service, upstream)
+        : this.admit(now, call, upstream);
+    return [...learned, ...decided];
   }
 
   private offerOnceOnly(
--- a/packages/brain/src/guard/guardMessages.ts
+++ b/packages/brain/src/guard/guardMessages.ts
@@ -8,11 +8,13 @@
 import type {AddressState} from '@lockpin/quarantine';
 import type {DoubtReason} from './quickDoubt.js';
 import type {
+  KnownNotice,
   Refusal,
   Repetition,
   Resource,
   Sensitivity,
   UpstreamIncarnation,
+  UpstreamNotice,
 } from '@lockpin/types';
 
 /** A call as offered to the guard. */
@@ -52,6 +54,8 @@
   readonly mayRunDoubted?: boolean;
   /** Usual duration of such calls, as observed by the entry. */
   readonly expectedMilliseconds?: number;
+  /** What answers of the upstream have told the entry; see NoticeHandler. */
+  readonly knownNotice?: KnownNotice;
 }
 
 /** Settings of the guard; the owner can switch single features off. */
@@ -132,6 +136,12 @@
       /** The complete answer if it is small enough to be stored. */
       readonly answer: StoredAnswer | undefined;
     }
+  /** The head of an answer arrived, before its body. */
+  | {
+      readonly kind: 'upstream-stated';
+      readonly callId: string;
+      readonly notice: UpstreamNotice;
+    }
   | {
       readonly kind: 'upstream-failed';
       readonly callId: string;
@@ -172,6 +182,13 @@
   | {readonly kind: 'clock-gained'; readonly milliseconds: number}
   | {readonly kind: 'tick'};
 
+/** A limit that an upstream states. */
+export interface LimitInForce {
+  readonly requestsPerSecond: number;
+  /** Milliseconds since it was last stated. */
+  readonly age: number;
+}
+
 /** An action that the guard requests. */
 export type GuardAction =
   | {readonly kind: 'run'; readonly callId: string; readonly upstream: string}
@@ -187,6 +204,8 @@
       readonly hint: LoadHint | undefined;
       /** Set only for 'upstream-doubted' refusals; used in logs and metrics. */
       readonly doubtReason: DoubtReason | undefined;
+      /** Set only for 'upstream-over-limit' refusals; used in logs. */
+      readonly limit: LimitInForce | undefined;
     }
   | {
       readonly kind: 'answer-stored';
--- a/packages/brain/src/guard/guardRefusals.ts
+++ b/packages/brain/src/guard/guardRefusals.ts
@@ -26,6 +26,10 @@
     hint: upstream?.hint(now),
     doubtReason:
       reason === 'upstream-doubted' ? upstream?.doubtReason(now) : undefined,
+    limit:
+      reason === 'upstream-over-limit'
+        ? upstream?.limitInForce(now)
+        : undefined,
   };
 }
 
@@ -34,6 +38,6 @@
  * healthy, but is no longer reachable through this node. Doubt is left out,
  * since a probe would be refused as well.
  */
-export function leavingHint({occupied, limit}: LoadHint): LoadHint {
-  return {state: 'draining', occupied, limit};
+export function leavingHint({occupied, limit, notice}: LoadHint): LoadHint {
+  return {state: 'draining', occupied, limit, ...(notice && {notice})};
 }
--- a/packages/brain/src/guard/guardStateMachine.ts
+++ b/packages/brain/src/guard/guardStateMachine.ts
@@ -17,6 +17,7 @@
 } from './guardMessages.js';
 import {GuardedServices} from './guardedServices.js';
 import {leavingHint} from './guardRefusals.js';
+import {NoticeHandler} from './noticeHandler.js';
 import {CallOfferHandler} from './callOfferHandler.js';
 import {ReportSchedule} from './reportSchedule.js';
 import {UpstreamExitHandler} from './upstreamExitHandler.js';
@@ -29,6 +30,7 @@
   private readonly offers: CallOfferHandler;
   private readonly callEndHandler: CallEndHandler;
   private readonly exitHandler: UpstreamExitHandler;
+  private readonly notices: NoticeHandler;
   private isLeaving = false;
   /** Permits are only accepted once the holders stream was read to its end. */
   private mayTakePermits = false;
@@ -40,9 +42,11 @@
     this.services = new GuardedServices(home, settings);
     this.reports = new ReportSchedule(home, this.services);
     this.lifecycle = new CallLifecycle(this.services, this.reports, settings);
+    this.notices = new NoticeHandler(this.lifecycle);
     this.offers = new CallOfferHandler(
       this.services,
       this.lifecycle,
+      this.notices,
       () => this.isLeaving,
     );
     this.exitHandler = new UpstreamExitHandler(this.services, this.lifecycle);
@@ -84,13 +88,23 @@
     readonly occupied: number;
     readonly limit: number;
     readonly denial: string;
+    /** Requests per second that the upstream states to take, if any. */
+    readonly requestsPerSecond: number | undefined;
   }[] {
     return [...this.services.upstreams()].map((upstream) => {
       const {state, occupied, limit} = upstream.hint(now);
       const shownState = upstream.standing.condemned ? 'condemned' : state;
-      const {name, standing} = upstream;
+      const {name, standing, notice} = upstream;
       const {denial} = standing;
-      return {upstream: name, state: shownState, occupied, limit, denial};
+      const {requestsPerSecond} = notice;
+      return {
+        upstream: name,
+        state: shownState,
+        occupied,
+        limit,
+        denial,
+        requestsPerSecond,
+      };
     });
   }
 
@@ -120,6 +134,8 @@
         );
       case 'upstream-answered':
         return this.callEndHandler.answered(now, event);
+      case 'upstream-stated':
+        return this.notices.stated(now, event);
       case 'upstream-failed':
         return this.callEndHandler.failed(now, event.callId, event.wasSent);
       case 'upstream-checked':
@@ -139,15 +155,22 @@
         this.isLeaving = true;
         return this.announceLeaving(now);
       case 'clock-gained':
-        for (const {retries} of this.services.all()) {
-          retries.clockGained(event.milliseconds);
-        }
+        this.clockGained(event.milliseconds);
         return [];
       case 'tick':
         return this.tick(now);
     }
   }
 
+  private clockGained(milliseconds: number): void {
+    for (const {retries} of this.services.all()) {
+      retries.clockGained(milliseconds);
+    }
+    for (const upstream of this.services.upstreams()) {
+      upstream.clockGained(milliseconds);
+    }
+  }
+
   private configure(
     now: number,
     services: readonly GuardedService[],
--- a/packages/brain/src/guard/guardedServices.ts
+++ b/packages/brain/src/guard/guardedServices.ts
@@ -121,7 +121,10 @@
     const state = this.states.get(call.service);
     const own = state === undefined ? [] : this.guardsOf(state);
     const open = own.filter((guard) => guard.hint(now).state === 'accepting');
-    const usable = open.length > 0 ? open : own;
+    const free = open.filter(
+      (guard) => guard.hint(now).availableIn === undefined,
+    );
+    const usable = [free, open].find(({length}) => length > 0) ?? own;
     const least = Math.min(...usable.map(({occupied}) => occupied));
     const candidates = usable.filter(({occupied}) => occupied === least);
     return candidates[Math.floor(random() * candidates.length)];
--- a/packages/brain/src/guard/upstreamGuard.ts
+++ b/packages/brain/src/guard/upstreamGuard.ts
@@ -18,8 +18,8 @@
   UpstreamIncarnation,
   UpstreamSpec,
 } from '@lockpin/types';
-import {FIRST_SERVER_ERROR_STATUS} from '@lockpin/utils';
-import type {GuardCall, GuardSettings} from './guardMessages.js';
+import {FIRST_SERVER_ERROR_STATUS, incarnationText} from '@lockpin/utils';
+import type {GuardCall, GuardSettings, LimitInForce} from './guardMessages.js';
 import {OwnCallFailures} from './ownCallFailures.js';
 import {chargeRetryBudget} from './chargeRetryBudget.js';
 import {presumedDuration} from './presumedDuration.js';
@@ -27,6 +27,8 @@
 import type {DoubtReason} from './quickDoubt.js';
 import {isLate} from './runningCall.js';
 import type {RunningCall} from './runningCall.js';
+import {StatedNotice} from './statedNotice.js';
+import {upstreamHint} from './upstreamHint.js';
 import {UpstreamRefusals} from './upstreamRefusals.js';
 import {UpstreamStanding} from './upstreamStanding.js';
 import type {StandingChange} from './upstreamStanding.js';
@@ -52,6 +54,8 @@
   readonly standing: UpstreamStanding;
   /** Detects from broken calls whether the process has ended. */
   readonly crashes = new CrashDetector();
+  /** What the upstream states about itself in its answers. */
+  readonly notice: StatedNotice;
   private readonly running = new Map<string, RunningCall>();
   private readonly doubt: QuickDoubt;
   private readonly refusals: UpstreamRefusals;
@@ -73,6 +77,7 @@
       resource.spec.slots,
       !settings.hasQuickDoubt,
     );
+    this.notice = new StatedNotice(this.admission.rate);
     this.doubt = new QuickDoubt(settings);
     this.durations = new UsualDurations();
     this.ownCallFailures = new OwnCallFailures(settings.excusesFailures);
@@ -110,6 +115,26 @@
     return this.spec.incarnation;
   }
 
+  /** The process as text; empty if unknown. */
+  get incarnationName(): string {
+    const {incarnation} = this;
+    return incarnation === undefined ? '' : incarnationText(incarnation);
+  }
+
+  /** The limit that the upstream states; undefined if there is none. */
+  limitInForce(now: number): LimitInForce | undefined {
+    const {requestsPerSecond} = this.notice;
+    const age = this.notice.limitAge(now);
+    return requestsPerSecond === undefined
+      ? undefined
+      : {requestsPerSecond, age};
+  }
+
+  /** The clock jumped ahead, by time that may not have passed. */
+  clockGained(milliseconds: number): void {
+    this.admission.rate.clockGained(milliseconds);
+  }
+
   isDoubted(now: number): boolean {
     return this.doubt.isDoubted(now);
   }
@@ -129,14 +154,9 @@
     const limit = isLimited
       ? Math.max(1, this.admission.currentLimit * SUSPECT_LIMIT_SHARE)
       : this.admission.currentLimit;
-    const state = this.announcedState(now);
-    const {occupied} = this.admission;
-    if (state !== 'doubted') {
-      return {state, occupied, limit};
-    }
-    const doubtedFor = this.doubt.announcedMilliseconds(now);
-    const probeIn = this.doubt.millisecondsUntilProbe(now);
-    return {state, occupied, limit, doubtedFor, probeIn};
+    const {admission, doubt, notice, incarnationName: incarnation} = this;
+    const sources = {admission, doubt, notice, incarnation};
+    return upstreamHint(now, this.announcedState(now), limit, sources);
   }
 
   /** Why calls of this kind are refused now; undefined if they are accepted. */
@@ -149,7 +169,11 @@
   /** Milliseconds after which a refused call may be offered again. */
   retryAfter(now: number): number {
     return Math.ceil(
-      Math.max(this.standing.remainingHold(now), this.doubt.remaining(now)),
+      Math.max(
+        this.standing.remainingHold(now),
+        this.doubt.remaining(now),
+        this.admission.waitForLimit(now),
+      ),
     );
   }
 
@@ -187,6 +211,13 @@
     return this.admission.finish(now, callId, undefined);
   }
 
+  /** Releases the slot of a call that never reached the upstream. */
+  releaseUnsent(now: number, callId: string): DispatchResult {
+    this.doubt.forget(callId);
+    this.running.delete(callId);
+    return this.admission.release(now, callId);
+  }
+
   /** Handles a call that the upstream refused without running it. */
   refused(
     now: number,
--- a/packages/node/src/__tests__/decisionLog.test.ts
+++ b/packages/node/src/__tests__/decisionLog.test.ts
@@ -56,6 +56,7 @@
     outcome: 'answered',
     reason: '',
     doubtReason: undefined,
+    limit: undefined,
     status: 200,
     notice: undefined,
     waitedMilliseconds: 1,
--- a/packages/node/src/__tests__/frames.test.ts
+++ b/packages/node/src/__tests__/frames.test.ts
@@ -32,6 +32,7 @@
   usefulFor: undefined,
   startWithin: 2250,
   expectedMilliseconds: undefined,
+  knownNotice: undefined,
 };
 
 const FRAMES: readonly Frame[] = [
@@ -138,6 +139,54 @@
       grants: [{customer: 'c', tokens: 2, retryAfterMilliseconds: 0}],
     },
   },
+  {
+    kind: 'call',
+    head: {
+      ...HEAD,
+      knownNotice: {
+        incarnation: 'i-4ee3d9cbad@0',
+        requestsPerSecond: 2.6,
+        isLeaving: false,
+      },
+    },
+  },
+  {
+    kind: 'news',
+    news: {
+      kind: 'standing',
+      upstream: 'claims/b',
+      hint: {
+        state: 'accepting',
+        occupied: 1,
+        limit: 4,
+        availableIn: 385,
+        notice: {
+          incarnation: 'i-4ee3d9cbad@0',
+          requestsPerSecond: 2.6,
+          isLeaving: false,
+        },
+      },
+    },
+  },
+  {
+    kind: 'news',
+    news: {
+      kind: 'standing',
+      upstream: 'claims/b',
+      hint: {
+        state: 'doubted',
+        occupied: 1,
+        limit: 4,
+        doubtedFor: 2000,
+        probeIn: 400,
+        notice: {
+          incarnation: 'i-4ee3d9cbad@0',
+          requestsPerSecond: undefined,
+          isLeaving: true,
+        },
+      },
+    },
+  },
 ];
 
 /** Size limits: twice the names that an offer and its refusal must contain. */
--- a/packages/node/src/request/callerExchange.ts
+++ b/packages/node/src/request/callerExchange.ts
@@ -151,6 +151,7 @@
       usefulFor: usefulFor(this.call, this.age(now), attempt),
       startWithin: startWithin(now, attempt),
       expectedMilliseconds: roundMilliseconds(attempt.expectedMilliseconds),
+      knownNotice: attempt.knownNotice,
     };
     return this.lastHead;
   }
--- a/packages/node/src/request/frameEncoding.ts
+++ b/packages/node/src/request/frameEncoding.ts
@@ -14,9 +14,11 @@
   REPETITION_CODES,
   TERMS_CODES,
   decodeLoadHint,
+  decodeNotice,
   encodeLoadHint,
+  encodeNotice,
 } from './wireCodes.js';
-import type {HintRow} from './wireCodes.js';
+import type {HintRow, NoticeRow} from './wireCodes.js';
 
 /**
  * The field order of a call's head. The frames of calls are encoded as rows
@@ -48,6 +50,7 @@
   'usefulFor',
   'startWithin',
   'expectedMilliseconds',
+  'knownNotice',
 ] as const satisfies readonly (keyof CallHead)[];
 
 /** The field order of an answer's head. */
@@ -72,9 +75,10 @@
 ] as const satisfies readonly (keyof CallRequest)[];
 
 /** A call's head with its enum values as codes. */
-type CodedHead = Omit<CallHead, 'repetition' | 'terms'> & {
+type CodedHead = Omit<CallHead, 'repetition' | 'terms' | 'knownNotice'> & {
   readonly repetition: number;
   readonly terms: number;
+  readonly knownNotice: NoticeRow | undefined;
 };
 
 /** An answer's head with its hint as a row. */
@@ -126,6 +130,7 @@
     ...head,
     repetition: REPETITION_CODES.codeOf(head.repetition),
     terms: TERMS_CODES.codeOf(head.terms),
+    knownNotice: head.knownNotice && encodeNotice(head.knownNotice),
   };
   return encodeRow(CALL_FIELDS, coded);
 }
@@ -137,6 +142,7 @@
     ...coded,
     repetition: REPETITION_CODES.nameOf(coded.repetition),
     terms: TERMS_CODES.nameOf(coded.terms),
+    knownNotice: coded.knownNotice && decodeNotice(coded.knownNotice),
   };
 }
 
--- a/packages/node/src/request/frameTypes.ts
+++ b/packages/node/src/request/frameTypes.ts
@@ -5,7 +5,7 @@
 import type {FleetUpdate} from '@lockpin/fleet';
 import type {LimitMessage} from '@lockpin/limits';
 import type {LoadHint} from '@lockpin/routing';
-import type {Refusal, Repetition} from '@lockpin/types';
+import type {KnownNotice, Refusal, Repetition} from '@lockpin/types';
 
 /** Header names and values in turn, as received. */
 export type FlatHeaders = readonly string[];
@@ -44,6 +44,8 @@
   /** Milliseconds in which a slot must be reserved; undefined for no limit. */
   readonly startWithin: number | undefined;
   readonly expectedMilliseconds: number | undefined;
+  /** What answers of the upstream have told the entry, if anything. */
+  readonly knownNotice: KnownNotice | undefined;
 }
 
 /** The part of a call that only its upstream needs. */
--- a/packages/node/src/request/guardExchange.ts
+++ b/packages/node/src/request/guardExchange.ts
@@ -71,5 +71,6 @@
     mayWait: terms !== 'immediate',
     mayRunDoubted: terms === 'last-resort',
     expectedMilliseconds: head.expectedMilliseconds,
+    knownNotice: head.knownNotice,
   };
 }
--- a/packages/node/src/request/guardService.ts
+++ b/packages/node/src/request/guardService.ts
@@ -1,12 +1,7 @@
 // Copyright (c) 2026 the lockpin contributors. MIT licence, see LICENSE.
 /** The guard's side of an exchange, from the offer to the upstream's answer. */
 
-import type {
-  DoubtReason,
-  GuardAction,
-  GuardStateMachine,
-  GuardEvent,
-} from '@lockpin/brain';
+import type {GuardAction, GuardStateMachine, GuardEvent} from '@lockpin/brain';
 import type {StoredAnswer} from '@lockpin/once';
 import type {Clock, RandomSource} from '@lockpin/types';
 import type {UpstreamPools} from '../connection/upstreamPools.js';
@@ -47,6 +42,9 @@
   readonly onNodeAction: (action: GuardNodeAction) => void;
 }
 
+/** What a refusal was based on. */
+type RefusalCause = Partial<Pick<GuardRecord, 'doubtReason' | 'limit'>>;
+
 /** Guard actions that are not addressed to the caller of an exchange. */
 export type GuardNodeAction = GuardAction & {
   readonly kind: 'report' | 'timeline' | 'standing' | 'upstream-crashed';
@@ -231,16 +229,13 @@
   ): void {
     this.remove(exchange);
     const {reason, outcome} = action.refusal;
-    const {doubtReason} = action;
+    const {doubtReason, limit} = action;
     const wasCancelled = exchange.handlers === NOOP_HANDLERS;
     exchange.upstream = action.upstream;
-    this.recordEnd(
-      exchange,
-      wasCancelled ? 'cancelled' : outcome,
-      reason,
-      0,
+    this.recordEnd(exchange, wasCancelled ? 'cancelled' : outcome, reason, 0, {
       doubtReason,
-    );
+      limit,
+    });
     if (exchange.answer?.hasBegun) {
       exchange.handlers.onLost(true);
       return;
@@ -278,7 +273,7 @@
     outcome: GuardRecord['outcome'],
     reason: string,
     status: number,
-    doubtReason?: DoubtReason,
+    cause: RefusalCause = {},
   ): void {
     const {head, upstream, offeredAt, sentAt, notice} = exchange;
     const now = this.dependencies.clock();
@@ -287,7 +282,8 @@
       upstream,
       outcome,
       reason,
-      doubtReason,
+      doubtReason: cause.doubtReason,
+      limit: cause.limit,
       status,
       notice,
       waitedMilliseconds: (sentAt ?? now) - offeredAt,
--- a/packages/node/src/request/upstreamDispatch.ts
+++ b/packages/node/src/request/upstreamDispatch.ts
@@ -4,7 +4,7 @@
 import type {IncomingHttpHeaders} from 'node:http';
 import {Readable} from 'node:stream';
 import type {GuardStateMachine, GuardEvent} from '@lockpin/brain';
-import type {Clock} from '@lockpin/types';
+import type {Clock, UpstreamNotice} from '@lockpin/types';
 import type {Dispatcher} from 'undici';
 import type {UpstreamPools} from '../connection/upstreamPools.js';
 import type {CallHead} from './frames.js';
@@ -163,9 +163,9 @@
       protocol.buffersUnframed,
     );
     exchange.answer = answer;
-    exchange.notice = COMES_FROM_UPSTREAM.has(classification)
-      ? protocol.readNotice(headers)
-      : undefined;
+    if (COMES_FROM_UPSTREAM.has(classification)) {
+      this.noticeReceived(exchange, protocol.readNotice(headers));
+    }
     const isPassed =
       classification === 'answer' || classification === 'overloaded';
     if (!answer.isBuffered && isPassed) {
@@ -173,6 +173,18 @@
     }
   }
 
+  private noticeReceived(
+    exchange: GuardExchange,
+    notice: UpstreamNotice,
+  ): void {
+    exchange.notice = notice;
+    this.dependencies.handleEvent({
+      kind: 'upstream-stated',
+      callId: exchange.id,
+      notice,
+    });
+  }
+
   private received(
     exchange: GuardExchange,
     controller: Dispatcher.DispatchController,
--- a/packages/node/src/request/wireCodes.ts
+++ b/packages/node/src/request/wireCodes.ts
@@ -7,7 +7,12 @@
 
 import type {OfferTerms} from '@lockpin/brain';
 import type {AnnouncedState, LoadHint} from '@lockpin/routing';
-import type {RefusalOutcome, RefusalReason, Repetition} from '@lockpin/types';
+import type {
+  KnownNotice,
+  RefusalOutcome,
+  RefusalReason,
+  Repetition,
+} from '@lockpin/types';
 
 /** Translates between the values of an enum and their codes. */
 export interface WireCodes<Word extends string> {
@@ -75,6 +80,7 @@
     'customer-over-limit': 39,
     'limit-unknown': 40,
     'request-quarantined': 41,
+    'upstream-over-limit': 42,
   },
   'guard-lost',
 );
@@ -104,29 +110,71 @@
   'accepting',
 );
 
+/** The row of a notice; the last value is 1 if the upstream is leaving. */
+export type NoticeRow = readonly [
+  incarnation: string,
+  requestsPerSecond: number | null,
+  isLeaving: number,
+];
+
 /** The row of a load hint; times in whole milliseconds. */
 export type HintRow = readonly [
   state: number,
   occupied: number,
   limit: number,
-  doubtedFor?: number,
-  probeIn?: number,
+  doubtedFor?: number | null,
+  probeIn?: number | null,
+  availableIn?: number | null,
+  notice?: NoticeRow | null,
 ];
 
+/** Encodes a notice. */
+export function encodeNotice(notice: KnownNotice): NoticeRow {
+  const {incarnation, requestsPerSecond, isLeaving} = notice;
+  return [incarnation, requestsPerSecond ?? null, isLeaving ? 1 : 0];
+}
+
+/** Decodes a notice from its row. */
+export function decodeNotice(row: NoticeRow): KnownNotice {
+  const [incarnation, requestsPerSecond, isLeaving] = row;
+  return {
+    incarnation,
+    requestsPerSecond: requestsPerSecond ?? undefined,
+    isLeaving: isLeaving === 1,
+  };
+}
+
 /**
  * Encodes a load hint; the limit rounds up, which admits the same whole calls.
+ * Values at the end that are absent are left out.
  */
 export function encodeLoadHint(hint: LoadHint): HintRow {
-  const {state, occupied, limit, doubtedFor, probeIn} = hint;
+  const {state, occupied, limit} = hint;
+  const {doubtedFor, probeIn = doubtedFor, availableIn, notice} = hint;
   const load = [STATE_CODES.codeOf(state), occupied, Math.ceil(limit)] as const;
-  return doubtedFor === undefined
-    ? load
-    : [...load, Math.ceil(doubtedFor), Math.ceil(probeIn ?? doubtedFor)];
+  const doubt = [roundedUp(doubtedFor), roundedUp(probeIn)] as const;
+  if (notice !== undefined) {
+    return [...load, ...doubt, roundedUp(availableIn), encodeNotice(notice)];
+  }
+  return doubtedFor === undefined ? load : [...load, ...doubt];
 }
 
 /** Decodes a load hint from its row. */
 export function decodeLoadHint(row: HintRow): LoadHint {
-  const [code, occupied, limit, doubtedFor, probeIn] = row;
-  const load = {state: STATE_CODES.nameOf(code), occupied, limit};
-  return doubtedFor === undefined ? load : {...load, doubtedFor, probeIn};
+  const [code, occupied, limit, doubtedFor, probeIn, availableIn, notice] = row;
+  return {
+    state: STATE_CODES.nameOf(code),
+    occupied,
+    limit,
+    ...(typeof doubtedFor === 'number' && {
+      doubtedFor,
+      probeIn: probeIn ?? doubtedFor,
+    }),
+    ...(typeof availableIn === 'number' && {availableIn}),
+    ...(notice && {notice: decodeNotice(notice)}),
+  };
+}
+
+function roundedUp(milliseconds: number | undefined): number | null {
+  return milliseconds === undefined ? null : Math.ceil(milliseconds);
 }
--- a/packages/routing/src/index.ts
+++ b/packages/routing/src/index.ts
@@ -4,5 +4,6 @@
 export * from './chooseUpstream.js';
 export * from './retryBudget.js';
 export * from './typicalDurations.js';
+export * from './noticeMemory.js';
 export * from './upstreamLoads.js';
 export * from './windowedRetryBudget.js';
--- a/packages/routing/src/upstreamLoads.ts
+++ b/packages/routing/src/upstreamLoads.ts
@@ -1,6 +1,9 @@
 // Copyright (c) 2026 the lockpin contributors. MIT licence, see LICENSE.
 /** Load and reachability of each upstream as seen by one entry. */
 
+import type {KnownNotice} from '@lockpin/types';
+import {NoticeMemory} from './noticeMemory.js';
+
 /** State of an upstream as reported by its guard. */
 export type AnnouncedState =
   'accepting' | 'doubted' | 'probation' | 'ejected' | 'draining';
@@ -16,6 +19,13 @@
   readonly doubtedFor?: number;
   /** While doubted: milliseconds until a repeatable call may be a probe. */
   readonly probeIn?: number;
+  /**
+   * Milliseconds until the upstream takes another call within the limit that it
+   * states; absent if it does now.
+   */
+  readonly availableIn?: number;
+  /** What the upstream states about itself; absent if it states nothing. */
+  readonly notice?: KnownNotice;
 }
 
 /** States in which a guard refuses ordinary calls. */
@@ -34,6 +44,9 @@
 /** Time for a slot to become free if calls take a few hundred milliseconds. */
 const FULL_HINT_VALID_MILLISECONDS = 150;
 
+/** A wait for this long counts like a queue with one call for each slot. */
+const WAIT_PER_OCCUPATION_MILLISECONDS = 250;
+
 /** First pause after a guard reported that it has no such upstream. */
 const FIRST_MISSING_MILLISECONDS = 300;
 
@@ -64,6 +77,8 @@
   hintedAt: number;
   /** Its guard refuses ordinary calls until then. */
   refusesUntil: number;
+  /** The limit that it states allows no call until then. */
+  limitedUntil: number;
   /** Its guard refuses even repeatable calls as probes until then. */
   refusesProbesUntil: number;
   /** Its guard was unreachable and is not tried again until then. */
@@ -75,6 +90,8 @@
 
 /** Tracks the loads of the upstreams that this entry has called. */
 export class UpstreamLoads {
+  /** What answers of the upstreams have told this entry. */
+  readonly notices = new NoticeMemory();
   private readonly loads = new Map<string, UpstreamLoad>();
 
   constructor(private readonly avoidance = DEFAULT_LINK_AVOIDANCE) {}
@@ -99,7 +116,9 @@
     load.consecutiveMisses = 0;
     load.unreachableUntil = 0;
     const refuses = REFUSING_STATES.has(hint.state);
-    const {doubtedFor, probeIn} = hint;
+    const {doubtedFor, probeIn, availableIn = 0, notice} = hint;
+    load.limitedUntil = now + availableIn;
+    this.notices.hinted(upstream, notice);
     const pause = doubtedFor ?? REFUSED_PAUSE_MILLISECONDS;
     load.refusesUntil = refuses ? now + pause : 0;
     load.refusesProbesUntil = refuses ? now + (probeIn ?? pause) : 0;
@@ -152,13 +171,19 @@
     return Math.max(refuses, load.unreachableUntil) > now;
   }
 
-  /** Whether the guard recently reported that no slot is free. */
+  /**
+   * Whether the guard recently reported that no slot is free, or that the limit
+   * of the upstream allows no call yet.
+   */
   isFull(upstream: string, now: number): boolean {
     const load = this.loads.get(upstream);
     const hint = load?.hint;
     if (load === undefined || hint === undefined) {
       return false;
     }
+    if (load.limitedUntil > now) {
+      return true;
+    }
     const isFresh = now - load.hintedAt <= FULL_HINT_VALID_MILLISECONDS;
     return isFresh && hint.occupied >= hint.limit;
   }
@@ -180,6 +205,7 @@
   occupation(upstream: string, slots: number, now: number, mean = 0): number {
     const load = this.loads.get(upstream);
     const hint = load?.hint;
+    const limited = limitOccupation(load, now);
     if (load === undefined || hint === undefined) {
       return Math.max(mean, (load?.outstanding ?? 0) / slots);
     }
@@ -187,7 +213,7 @@
     const limit = Math.max(1, hint.limit * weight + slots * (1 - weight));
     const hinted = (hint.occupied * weight) / limit;
     const expected = hinted + mean * (1 - weight);
-    return Math.max(load.outstanding / limit, expected);
+    return Math.max(load.outstanding / limit, expected, limited);
   }
 
   /** Mean occupation of some upstreams, weighted by the age of their hints. */
@@ -224,6 +250,7 @@
       hint: undefined,
       hintedAt: 0,
       refusesUntil: 0,
+      limitedUntil: 0,
       refusesProbesUntil: 0,
       unreachableUntil: 0,
       linkFailures: 0,
@@ -234,6 +261,15 @@
   }
 }
 
+/**
+ * Occupation that stands for the wait until the limit of an upstream allows a
+ * call: 1 for all slots taken, and more for a longer wait.
+ */
+function limitOccupation(load: UpstreamLoad | undefined, now: number): number {
+  const wait = (load?.limitedUntil ?? 0) - now;
+  return wait > 0 ? 1 + wait / WAIT_PER_OCCUPATION_MILLISECONDS : 0;
+}
+
 /** Weight of a hint: 1 when it arrives, decaying to 0. */
 function hintWeight({hintedAt}: UpstreamLoad, now: number): number {
   return Math.exp((hintedAt - now) / HINT_DECAY_MILLISECONDS);
--- a/packages/types/src/refusals.ts
+++ b/packages/types/src/refusals.ts
@@ -24,6 +24,8 @@
   | 'upstream-unreachable'
   | 'upstream-failed'
   | 'upstream-busy'
+  /** The upstream takes no more requests per second than it gets. */
+  | 'upstream-over-limit'
   | 'upstream-doubted'
   | 'upstream-refused'
   | 'upstream-replaced'
--- a/packages/types/src/upstreamNotice.ts
+++ b/packages/types/src/upstreamNotice.ts
@@ -13,3 +13,13 @@
   /** The value of a limit that is not a number; undefined if there is none. */
   readonly unreadableLimit: string | undefined;
 }
+
+/** What nodes tell each other about the statements of an upstream's process. */
+export interface KnownNotice {
+  /** The process as text; empty if upstreams announce no identity. */
+  readonly incarnation: string;
+  /** See UpstreamNotice. */
+  readonly requestsPerSecond: number | undefined;
+  /** See UpstreamNotice. */
+  readonly isLeaving: boolean;
+}
