Send no calls to an upstream that states that it is leaving

Callers and upstreams: an upstream that said in its answers that it is leaving got 26 of 200 calls more than 2 s after that.

Cause: a node learned of a departure only by announcements and by other writers' records. Nothing read the statement in the answers; the same class of fault as the limit, a statement that is forwarded and not obeyed.

Change: the guard takes the statement like a draining announcement. It refuses waiting, reserved and new calls with upstream-draining, so that entries go elsewhere; running calls end. The node treats the process as one that left: it never takes work again, whatever it announces, and the record of the box says so to all others. An entry repeats in its offers what it was told, so that a guard that has restarted, and to which the upstream still announces itself as ready, refuses too. In a fleet of its own, where processes have no identity, the statement holds for 30 s and is then checked with a call.

--- a/packages/brain/src/guard/callLifecycle.ts
+++ b/packages/brain/src/guard/callLifecycle.ts
@@ -108,13 +108,16 @@
     return [{kind: 'run', callId: call.id, upstream: upstream.name}];
   }
 
+  /** Whether an upstream may not even run the calls that it has accepted. */
+  runsNothingMore({isDraining, notice}: UpstreamGuard): boolean {
+    const isDrained = isDraining && !this.settings.drainFinishesQueue;
+    return isDrained || notice.isLeaving;
+  }
+
   /** Refuses calls queued for draining upstreams, so that they go elsewhere. */
   refuseQueuedOnDraining(now: number): readonly GuardAction[] {
-    if (this.settings.drainFinishesQueue) {
-      return [];
-    }
     return [...this.services.upstreams()]
-      .filter(({isDraining}) => isDraining)
+      .filter((upstream) => this.runsNothingMore(upstream))
       .flatMap((upstream) => upstream.withdrawAll())
       .flatMap(({id}) => this.refuseWaiting(now, id, 'upstream-draining'));
   }
--- a/packages/brain/src/guard/guardMessages.ts
+++ b/packages/brain/src/guard/guardMessages.ts
@@ -231,6 +231,12 @@
       readonly upstream: string;
       readonly digests: readonly string[];
     }
+  /** The process states that it is leaving and takes no further calls. */
+  | {
+      readonly kind: 'upstream-leaving';
+      readonly upstream: string;
+      readonly incarnation: UpstreamIncarnation | undefined;
+    }
   /** Tell entries at once about the state of the upstream. */
   | {
       readonly kind: 'standing';
--- a/packages/brain/src/guard/guardStateMachine.ts
+++ b/packages/brain/src/guard/guardStateMachine.ts
@@ -37,7 +37,7 @@
 
   constructor(
     home: OnceHome,
-    private readonly settings: GuardSettings = DEFAULT_GUARD_SETTINGS,
+    settings: GuardSettings = DEFAULT_GUARD_SETTINGS,
   ) {
     this.services = new GuardedServices(home, settings);
     this.reports = new ReportSchedule(home, this.services);
@@ -90,13 +90,15 @@
     readonly denial: string;
     /** Requests per second that the upstream states to take, if any. */
     readonly requestsPerSecond: number | undefined;
+    /** Whether the upstream states that it is leaving. */
+    readonly isLeaving: boolean;
   }[] {
     return [...this.services.upstreams()].map((upstream) => {
       const {state, occupied, limit} = upstream.hint(now);
       const shownState = upstream.standing.condemned ? 'condemned' : state;
       const {name, standing, notice} = upstream;
       const {denial} = standing;
-      const {requestsPerSecond} = notice;
+      const {requestsPerSecond, isLeaving} = notice;
       return {
         upstream: name,
         state: shownState,
@@ -104,6 +106,7 @@
         limit,
         denial,
         requestsPerSecond,
+        isLeaving,
       };
     });
   }
@@ -199,7 +202,7 @@
       return [];
     }
     known.call = {...known.call, requestDigest};
-    if (known.upstream.isDraining && !this.settings.drainFinishesQueue) {
+    if (this.lifecycle.runsNothingMore(known.upstream)) {
       return this.lifecycle.releaseReservation(now, known, 'upstream-draining');
     }
     return this.lifecycle.send(now, known);
--- a/packages/brain/src/guard/noticeHandler.ts
+++ b/packages/brain/src/guard/noticeHandler.ts
@@ -57,10 +57,17 @@
     if (changes.length === 0) {
       return [];
     }
-    const {name} = upstream;
+    const {name, incarnation} = upstream;
+    const isLeaving = changes.some(({kind}) => kind === 'leaving');
     return [
       ...changes.map((change) => noticeEvent(name, source, change)),
       {kind: 'standing', upstream: name, hint: upstream.hint(now)},
+      ...(isLeaving
+        ? [
+            {kind: 'upstream-leaving', upstream: name, incarnation} as const,
+            ...this.lifecycle.refuseQueuedOnDraining(now),
+          ]
+        : []),
     ];
   }
 }
--- a/packages/brain/src/guard/statedNotice.ts
+++ b/packages/brain/src/guard/statedNotice.ts
@@ -10,6 +10,12 @@
  */
 const LIMIT_HOLD_MILLISECONDS = 100;
 
+/**
+ * A leaving upstream without an identity gets a call after this time: another
+ * process may have taken its place.
+ */
+const LEAVING_RECHECK_MILLISECONDS = 30_000;
+
 /** Tokens with which a restarted guard begins to keep a limit. */
 const FIRST_TOKENS_AFTER_RESTART = 1;
 
@@ -17,11 +23,13 @@
 export type NoticeChange =
   | {readonly kind: 'limited'; readonly requestsPerSecond: number}
   | {readonly kind: 'limit-ended'}
-  | {readonly kind: 'limit-unreadable'; readonly value: string};
+  | {readonly kind: 'limit-unreadable'; readonly value: string}
+  | {readonly kind: 'leaving'};
 
-/** Tracks the limit of one process. */
+/** Tracks the limit and the departure of one process. */
 export class StatedNotice {
   private statedAt = Number.NEGATIVE_INFINITY;
+  private leavingAt: number | undefined;
   private hasAnswered = false;
   private lastUnreadable: string | undefined;
 
@@ -32,6 +40,11 @@
     return this.rate.limit;
   }
 
+  /** Whether the upstream takes no further calls. */
+  get isLeaving(): boolean {
+    return this.leavingAt !== undefined;
+  }
+
   /** Milliseconds since the limit was last stated. */
   limitAge(now: number): number {
     return now - this.statedAt;
@@ -40,24 +53,33 @@
   /** Handles the statements of an answer. */
   answered(now: number, notice: UpstreamNotice): readonly NoticeChange[] {
     this.hasAnswered = true;
-    const {requestsPerSecond, unreadableLimit} = notice;
+    const {requestsPerSecond, isLeaving, unreadableLimit} = notice;
     return [
       ...this.unreadable(unreadableLimit),
       ...this.limitStated(now, requestsPerSecond),
+      ...(isLeaving ? this.leave(now) : []),
     ];
   }
 
   /** Handles what an entry was told before this guard's process started. */
   learned(now: number, notice: KnownNotice): readonly NoticeChange[] {
-    const {requestsPerSecond} = notice;
+    const {requestsPerSecond, isLeaving, incarnation} = notice;
     const isNews = !this.hasAnswered && this.rate.limit === undefined;
     return [
       ...(isNews && requestsPerSecond !== undefined
         ? this.setLimit(now, requestsPerSecond, FIRST_TOKENS_AFTER_RESTART)
         : []),
+      ...(isLeaving && incarnation !== '' ? this.leave(now) : []),
     ];
   }
 
+  /** Lets a leaving upstream without an identity take calls again when due. */
+  recheck(now: number): void {
+    if (now - (this.leavingAt ?? now) > LEAVING_RECHECK_MILLISECONDS) {
+      this.leavingAt = undefined;
+    }
+  }
+
   private unreadable(value: string | undefined): readonly NoticeChange[] {
     const isNew = value !== undefined && value !== this.lastUnreadable;
     this.lastUnreadable = value;
@@ -100,4 +122,10 @@
     this.rate.setLimit(now, undefined);
     return [{kind: 'limit-ended'}];
   }
+
+  private leave(now: number): readonly NoticeChange[] {
+    const wasLeaving = this.isLeaving;
+    this.leavingAt = now;
+    return wasLeaving ? [] : [{kind: 'leaving'}];
+  }
 }
--- a/packages/brain/src/guard/upstreamGuard.ts
+++ b/packages/brain/src/guard/upstreamGuard.ts
@@ -86,7 +86,7 @@
   }
 
   get isDraining(): boolean {
-    return this.spec.state === 'draining';
+    return this.spec.state === 'draining' || this.notice.isLeaving;
   }
 
   get isIdle(): boolean {
@@ -301,6 +301,9 @@
     readonly freed: DispatchResult;
     readonly changes: readonly StandingChange[];
   } {
+    if (this.incarnation === undefined) {
+      this.notice.recheck(now);
+    }
     this.doubt.review(now, this.running.keys());
     const changes = this.standing.review(now, this.running.values());
     return {freed: this.admission.expireAndStart(now), changes};
--- a/packages/brain/src/guard/upstreamHint.ts
+++ b/packages/brain/src/guard/upstreamHint.ts
@@ -49,13 +49,13 @@
   now: number,
   {admission, notice, incarnation}: HintSources,
 ): Partial<LoadHint> {
-  const {requestsPerSecond} = notice;
-  if (requestsPerSecond === undefined) {
+  const {requestsPerSecond, isLeaving} = notice;
+  if (requestsPerSecond === undefined && !isLeaving) {
     return {};
   }
   const availableIn = admission.waitForLimit(now);
   return {
     ...(availableIn > 0 ? {availableIn} : {}),
-    notice: {incarnation, requestsPerSecond, isLeaving: false},
+    notice: {incarnation, requestsPerSecond, isLeaving},
   };
 }
--- a/packages/fleet/src/__tests__/ownUpstream.test.ts
+++ b/packages/fleet/src/__tests__/ownUpstream.test.ts
@@ -125,6 +125,25 @@
     },
   );
 
+  it('takes no work once its answers state that it is leaving, whatever it announces', () => {
+    const tracker = new OwnUpstreamTracker();
+    tracker.announced(0, createAnnouncement(100, 'ready', 1));
+    const incarnation = {id: 'i-1', startedAt: 100};
+    expect(tracker.left(incarnation).kind).toBe('changed');
+    expect(tracker.left(incarnation).kind).toBe('unchanged');
+    tracker.announced(1, createAnnouncement(100, 'ready', 2));
+    expect(tracker.upstream?.takesWork).toBe(false);
+    tracker.announced(2, createAnnouncement(200, 'ready', 1));
+    expect(tracker.upstream?.takesWork).toBe(true);
+  });
+
+  it('keeps its work when an earlier process states that it is leaving', () => {
+    const tracker = new OwnUpstreamTracker();
+    tracker.announced(0, createAnnouncement(200, 'ready', 1));
+    tracker.left({id: 'i-1', startedAt: 100});
+    expect(tracker.upstream?.takesWork).toBe(true);
+  });
+
   it('may leave without a start time, but not just after it reused an id', () => {
     const tracker = new OwnUpstreamTracker();
     tracker.announced(0, createAnnouncement(100, 'ready', 1));
--- a/packages/fleet/src/announcementHandler.ts
+++ b/packages/fleet/src/announcementHandler.ts
@@ -3,13 +3,18 @@
  * Handles announcements of this box's upstream and writes the box's own record.
  */
 
+import type {UpstreamIncarnation} from '@lockpin/types';
 import {checkAnnouncement} from './checkAnnouncement.js';
 import type {DeclaredConfiguration} from './declaredConfiguration.js';
 import type {FleetAction} from './fleetMessages.js';
 import type {NodeIdentity} from './nodeIdentity.js';
 import {logEvent} from './logEvent.js';
 import type {OwnRecord} from './ownRecord.js';
-import type {OwnUpstreamTracker, UpstreamAnnouncement} from './ownUpstream.js';
+import type {
+  AnnouncementResult,
+  OwnUpstreamTracker,
+  UpstreamAnnouncement,
+} from './ownUpstream.js';
 import type {StoreResult} from './recordStore.js';
 
 /** Dependencies of the handler. */
@@ -33,7 +38,7 @@
     now: number,
     announcement: UpstreamAnnouncement,
   ): readonly FleetAction[] {
-    const {identity, tracker, record} = this.context;
+    const {identity, tracker} = this.context;
     const configuration = this.context.configuration();
     const problem = checkAnnouncement(announcement, identity, configuration);
     if (problem !== undefined) {
@@ -43,8 +48,26 @@
     if (result.kind === 'refused') {
       return [{kind: 'announcement-refused', problem: result.problem}];
     }
+    return this.applied(now, result);
+  }
+
+  /** A process of the upstream stated in an answer that it is leaving. */
+  left(
+    now: number,
+    incarnation: UpstreamIncarnation | undefined,
+  ): readonly FleetAction[] {
+    return incarnation === undefined
+      ? []
+      : this.applied(now, this.context.tracker.left(incarnation));
+  }
+
+  private applied(
+    now: number,
+    result: AnnouncementResult,
+  ): readonly FleetAction[] {
+    const {tracker, record} = this.context;
     const {upstream} = tracker;
-    if (result.kind === 'unchanged' || upstream === undefined) {
+    if (result.kind !== 'changed' || upstream === undefined) {
       return [];
     }
     record.upstreamChanged(now, upstream);
--- a/packages/fleet/src/fleetMessages.ts
+++ b/packages/fleet/src/fleetMessages.ts
@@ -1,7 +1,7 @@
 // Copyright (c) 2026 the lockpin contributors. MIT licence, see LICENSE.
 /** Events and actions of the fleet state machine. */
 
-import type {Era} from '@lockpin/types';
+import type {Era, UpstreamIncarnation} from '@lockpin/types';
 import type {BoxRecord} from './boxRecord.js';
 import type {DeclaredConfiguration} from './declaredConfiguration.js';
 import type {
@@ -90,6 +90,11 @@
       readonly kind: 'upstream-announced';
       readonly announcement: UpstreamAnnouncement;
     }
+  /** A process of this box's upstream states that it is leaving. */
+  | {
+      readonly kind: 'upstream-left';
+      readonly incarnation: UpstreamIncarnation | undefined;
+    }
   /** A peer reported the version in force there. */
   | {
       readonly kind: 'peer-version-reported';
--- a/packages/fleet/src/fleetStateMachine.ts
+++ b/packages/fleet/src/fleetStateMachine.ts
@@ -130,6 +130,8 @@
           now,
           event.announcement,
         );
+      case 'upstream-left':
+        return this.components.announcementHandler.left(now, event.incarnation);
       case 'peer-version-reported':
         return this.components.questions.versionReported(
           now,
--- a/packages/fleet/src/ownUpstream.ts
+++ b/packages/fleet/src/ownUpstream.ts
@@ -106,6 +106,11 @@
       : this.handleLeave(resolved);
   }
 
+  /** A process is leaving, though it may not have announced that. */
+  left(incarnation: UpstreamIncarnation): AnnouncementResult {
+    return this.handleLeave({incarnation, sequence: 0});
+  }
+
   /** Start times are sent by all processes of a deployment or by none. */
   private lacksStart({incarnation}: UpstreamAnnouncement): boolean {
     return incarnation.startedAt === 0 && this.newestStarts.size > 0;
@@ -190,7 +195,10 @@
   private handleLeave({
     incarnation,
     sequence,
-  }: UpstreamAnnouncement): AnnouncementResult {
+  }: Pick<
+    UpstreamAnnouncement,
+    'incarnation' | 'sequence'
+  >): AnnouncementResult {
     this.markEnded(incarnation);
     const {current} = this;
     if (
--- a/packages/node/src/process/fleetHost.ts
+++ b/packages/node/src/process/fleetHost.ts
@@ -259,6 +259,10 @@
     if (action.kind === 'upstream-crashed') {
       this.handle({kind: 'runs-crashed', digests: action.digests});
     }
+    if (action.kind === 'upstream-leaving') {
+      const {incarnation} = action;
+      this.handle({kind: 'upstream-left', incarnation});
+    }
     if (action.kind === 'standing') {
       const {upstream, hint} = action;
       this.standingReported(upstream, hint);
--- a/packages/node/src/process/nodeHost.ts
+++ b/packages/node/src/process/nodeHost.ts
@@ -130,7 +130,7 @@
 
   /** Handles the guard's actions that do not belong to a single exchange. */
   handleGuardAction(action: GuardNodeAction): void {
-    if (action.kind === 'standing') {
+    if (action.kind === 'standing' || action.kind === 'upstream-leaving') {
       return;
     }
     if (action.kind === 'upstream-crashed') {
--- a/packages/node/src/request/guardService.ts
+++ b/packages/node/src/request/guardService.ts
@@ -47,7 +47,12 @@
 
 /** Guard actions that are not addressed to the caller of an exchange. */
 export type GuardNodeAction = GuardAction & {
-  readonly kind: 'report' | 'timeline' | 'standing' | 'upstream-crashed';
+  readonly kind:
+    | 'report'
+    | 'timeline'
+    | 'standing'
+    | 'upstream-crashed'
+    | 'upstream-leaving';
 };
 
 /** Passes calls to the guard's decision logic and performs its actions. */
