Soak: let upstreams state limits and departures, and check both

Change: the fault set "stated" adds limits (some are no numbers) in series and upstreams that say only in their answers that they are leaving, while their heartbeats go on and nodes are killed, stopped and paused. The checks count requests of the boxes that passed such an answer on: 1.5 times the limit plus five in 4 s, none after the drain period. Earlier seeds keep their fault sets.

The checks have 6 tests of their own.

--- a/packages/tools/src/soak/__tests__/checkHistory.test.ts
+++ b/packages/tools/src/soak/__tests__/checkHistory.test.ts
@@ -13,6 +13,8 @@
   hasProof: true,
   requestId: 'q1',
   body: 'answer q1',
+  statesLimit: false,
+  statesLeaving: false,
 };
 
 const CALL: CallRecord = {
@@ -35,6 +37,7 @@
   runs: [RUN],
   arrivals: [ARRIVAL],
   drains: [],
+  limits: [],
   versionProbes: [],
   versions: [{version: 1, confirmedAt: 0}],
   disruptions: [],
@@ -170,6 +173,76 @@
     expect(violatedGuarantees({arrivals: arrivals.slice(5)})).toEqual([]);
   });
 
+  describe('of what upstreams state', () => {
+    const limit = {
+      lifetime: 'i-1',
+      box: 'box-9',
+      requestsPerSecond: 2,
+      from: 10_000,
+      until: Number.POSITIVE_INFINITY,
+    };
+
+    /** Calls every 200 ms, all answered with the given statements. */
+    function statedHistory(
+      statements: Partial<CallEnd>,
+      change: Partial<SoakHistory> = {},
+    ): Partial<SoakHistory> {
+      const ids = Array.from({length: 60}, (_, i) => i);
+      return {
+        calls: ids.map((i) => ({
+          ...CALL,
+          requestId: `q${i}`,
+          sentAt: 10_000 + 200 * i,
+          endedAt: 10_050 + 200 * i,
+          end: {
+            ...SERVED,
+            requestId: `q${i}`,
+            body: `answer q${i}`,
+            ...statements,
+          } as CallEnd,
+        })),
+        runs: [],
+        arrivals: ids.map((i) => ({
+          ...ARRIVAL,
+          requestId: `q${i}`,
+          at: 10_010 + 200 * i,
+        })),
+        ...change,
+      };
+    }
+
+    it('report more requests than a stated limit allows', () => {
+      const limits = [limit];
+      const history = statedHistory({statesLimit: true}, {limits});
+      expect(violatedGuarantees(history)).toEqual(['stated limits']);
+      const higher = {limits: [{...limit, requestsPerSecond: 3}]};
+      expect(violatedGuarantees({...history, ...higher})).toEqual([]);
+    });
+
+    it('report no requests of boxes that were not told', () => {
+      const history = statedHistory({statesLimit: false}, {limits: [limit]});
+      expect(violatedGuarantees(history)).toEqual([]);
+    });
+
+    it('report requests to an upstream that a box was told is leaving', () => {
+      const history = statedHistory({statesLeaving: true});
+      const violated = violatedGuarantees(history);
+      expect(new Set(violated)).toEqual(new Set(['stated departures']));
+    });
+
+    it.each(['kill', 'stop', 'pause'])('excuse a box after a %s', (what) => {
+      const disruptions = Array.from({length: 12}, (_, i) => ({
+        box: 'box-1',
+        isPlanned: true,
+        what,
+        from: 10_900 + 1000 * i,
+        until: 10_901 + 1000 * i,
+      }));
+      const history = statedHistory({statesLeaving: true}, {disruptions});
+      expect(violatedGuarantees(history)).toEqual([]);
+    });
+  });
+
   it('report unserved calls and idle upstreams in steady state', () => {
     expect(
       violatedGuarantees({calls: [{...CALL, end: REFUSED}], runs: []}),
--- a/packages/tools/src/soak/__tests__/soak.test.ts
+++ b/packages/tools/src/soak/__tests__/soak.test.ts
@@ -27,6 +27,14 @@
     expect(calls).toBeGreaterThan(200);
   });
 
+  it('keeps what upstreams state about their limits and departures', async () => {
+    const folder = mkdtempSync(join(tmpdir(), 'lockpin-soak-'));
+    const size = {...SIZE, faults: 'stated'} as const;
+    const {violations, calls} = await runSoak(SEED + 3, size, folder);
+    expect(violations).toEqual([]);
+    expect(calls).toBeGreaterThan(200);
+  });
+
   it('keeps them while the store is restored repeatedly', async () => {
     const folder = mkdtempSync(join(tmpdir(), 'lockpin-soak-'));
     const size = {...SIZE, faults: 'all'} as const;
--- a/packages/tools/src/soak/applyFault.ts
+++ b/packages/tools/src/soak/applyFault.ts
@@ -44,6 +44,12 @@
         fault.value,
       );
       return;
+    case 'stated-limit':
+      await applyLimit(targets, fault);
+      return;
+    case 'stated-leaving':
+      await targets.boxes[fault.box]?.upstreams.leaveByStatement();
+      return;
     case 'modified-announcement':
       // Nodes keep the valid announcement, so no disruption is recorded that
       // would relax the checks.
@@ -61,7 +67,13 @@
 /** Faults of a single box that count as disruptions. */
 type BoxFault = Exclude<
   PlannedFault & {readonly box: number},
-  {readonly kind: 'modified-announcement' | 'overwritten-record'}
+  {
+    readonly kind:
+      | 'modified-announcement'
+      | 'overwritten-record'
+      | 'stated-limit'
+      | 'stated-leaving';
+  }
 >;
 
 /** Operator actions, which are guaranteed to lose no call. */
@@ -124,6 +136,28 @@
   }
 }
 
+/** Lets the current upstream of a box state a limit for some time. */
+async function applyLimit(
+  {boxes, recorder}: FaultTargets,
+  fault: PlannedFault & {readonly kind: 'stated-limit'},
+): Promise<void> {
+  const box = boxes[fault.box];
+  const instance = box?.upstreams.current;
+  if (
+    box === undefined ||
+    instance === undefined ||
+    instance.standIn.statedLimit !== undefined
+  ) {
+    return;
+  }
+  const {value, durationMilliseconds} = fault;
+  instance.standIn.statedLimit = value;
+  const end = recorder.recordLimit(box.name, instance.process, Number(value));
+  await pause(durationMilliseconds);
+  instance.standIn.statedLimit = undefined;
+  end();
+}
+
 async function injectUpstreamFault(
   box: SoakBox,
   {
--- a/packages/tools/src/soak/boxUpstreams.ts
+++ b/packages/tools/src/soak/boxUpstreams.ts
@@ -21,6 +21,9 @@
 /** Time served past the drain limit, so that late calls are recorded. */
 const LINGER_MILLISECONDS = 1500;
 
+/** Time for which an upstream states that it is leaving before it ends. */
+const STATED_LEAVING_MILLISECONDS = 4000;
+
 /** One upstream process of a box. */
 export interface UpstreamInstance {
   /** Unique identity of the process, even among restarts under the same id. */
@@ -99,6 +102,22 @@
     await this.crash();
   }
 
+  /**
+   * Lets the upstream leave without an announcement: only its answers state it,
+   * while its heartbeats go on.
+   */
+  async leaveByStatement(): Promise<void> {
+    const leaving = this.current;
+    if (leaving?.state !== 'ready' || leaving.standIn.isLeaving) {
+      return;
+    }
+    leaving.standIn.isLeaving = true;
+    await pause(STATED_LEAVING_MILLISECONDS);
+    if (this.current === leaving) {
+      await this.crash();
+    }
+  }
+
   /** Sends an announcement with invalid fields in the upstream's name. */
   async announceModified(fields: object): Promise<void> {
     const {announcementAddress} = this.options;
--- a/packages/tools/src/soak/checkHistory.ts
+++ b/packages/tools/src/soak/checkHistory.ts
@@ -3,6 +3,7 @@
 
 import {isUndisrupted} from './isUndisrupted.js';
 import {checkConfiguration} from './checkConfiguration.js';
+import {checkNotices, noticeHistory} from './checkNotices.js';
 import {checkRetries} from './checkRetries.js';
 import {createViolation, isServed} from './soakHistory.js';
 import type {
@@ -46,6 +47,7 @@
     ...checkDrains(history, bounds),
     ...checkConfiguration(history, bounds),
     ...checkRetries(history, bounds),
+    ...checkNotices(noticeHistory(history), bounds),
     ...checkRecovery(history),
   ];
 }
--- a/packages/tools/src/soak/faultPlan.ts
+++ b/packages/tools/src/soak/faultPlan.ts
@@ -64,6 +64,15 @@
   | {readonly kind: 'crash-upstream'; readonly box: number}
   /** The upstream disappears; a new process reuses its id. */
   | {readonly kind: 'restart-upstream'; readonly box: number}
+  /** The upstream states a limit in its answers. */
+  | {
+      readonly kind: 'stated-limit';
+      readonly box: number;
+      readonly value: string;
+      readonly durationMilliseconds: number;
+    }
+  /** The upstream states that it is leaving, and never announces it. */
+  | {readonly kind: 'stated-leaving'; readonly box: number}
   /** Another writer sends an announcement in the upstream's name. */
   | {
       readonly kind: 'modified-announcement';
@@ -81,10 +90,11 @@
 
 /**
  * Which faults are drawn. `second` adds restarts under the same id and invalid
- * writes by others to `first`; `all` adds store restores. A regression seed
- * keeps the set that it was recorded with, and so replays the same schedule.
+ * writes by others to `first`; `all` adds store restores, and `stated` adds what
+ * upstreams state in their answers. A regression seed keeps the set that it was
+ * recorded with, and so replays the same schedule.
  */
-export type FaultSet = 'first' | 'second' | 'all';
+export type FaultSet = 'first' | 'second' | 'all' | 'stated';
 
 /** Duration, fleet size and fault set of a soak. */
 export interface SoakSize {
@@ -273,9 +283,42 @@
     })),
 ];
 
+/** Limits that upstreams state, in requests per second; some are no numbers. */
+const STATED_LIMITS: readonly string[] = [
+  '0',
+  '0.5',
+  '2.5',
+  '6',
+  '20',
+  'many',
+  '-1',
+];
+
+/** Limits last longer than other faults: they bind after some seconds. */
+const LIMIT_DURATION_FACTOR = 3;
+
+/** Faults that the `stated` set adds. */
+const STATED_DRAWS: readonly DrawFault[] = [
+  (random, at, boxes) =>
+    inSeries(random, at, (time) => ({
+      at: time,
+      kind: 'stated-limit',
+      box: randomIndex(random, boxes),
+      value: randomItem(random, STATED_LIMITS),
+      durationMilliseconds: LIMIT_DURATION_FACTOR * randomDuration(random),
+    })),
+  (random, at, boxes) => [
+    {at, kind: 'stated-leaving', box: randomIndex(random, boxes)},
+  ],
+];
+
 /** Large offsets, so that the fault sets of one seed use distinct sequences. */
 const SECOND_SET_SEED_OFFSET = 7_777_777;
 const RESTORE_SEED_OFFSET = 15_555_557;
+const STATED_SEED_OFFSET = 23_333_339;
+
+/** Statements are this many times less frequent than other faults. */
+const STATED_GAP_FACTOR = 3;
 
 /** Restores are this many times less frequent than other faults. */
 const RESTORE_GAP_FACTOR = 4;
@@ -291,7 +334,7 @@
       ? []
       : drawFaults(seed + SECOND_SET_SEED_OFFSET, size, SECOND_SET_DRAWS);
   const restores =
-    size.faults === 'all'
+    size.faults === 'all' || size.faults === 'stated'
       ? drawFaults(
           seed + RESTORE_SEED_OFFSET,
           size,
@@ -299,7 +342,16 @@
           RESTORE_GAP_FACTOR * MEAN_GAP_MILLISECONDS,
         )
       : [];
-  return [...baseFaults, ...secondSetFaults, ...restores].sort(
+  const statedFaults =
+    size.faults === 'stated'
+      ? drawFaults(
+          seed + STATED_SEED_OFFSET,
+          size,
+          STATED_DRAWS,
+          STATED_GAP_FACTOR * MEAN_GAP_MILLISECONDS,
+        )
+      : [];
+  return [...baseFaults, ...secondSetFaults, ...restores, ...statedFaults].sort(
     (a, b) => a.at - b.at,
   );
 }
--- a/packages/tools/src/soak/main.ts
+++ b/packages/tools/src/soak/main.ts
@@ -56,6 +56,7 @@
   '': 'first',
   '-all': 'second',
   '-restores': 'all',
+  '-stated': 'stated',
 };
 
 function readRegressionSeeds(): readonly SoakSeed[] {
@@ -71,7 +72,7 @@
 function randomSeeds(count: number): readonly SoakSeed[] {
   return Array.from({length: count}, () => ({
     seed: Math.floor(Math.random() * LARGEST_SEED),
-    faults: 'all',
+    faults: 'stated',
   }));
 }
 
@@ -93,7 +94,7 @@
 
 const requestedSeeds = (options.seed ?? []).map((seed): SoakSeed => ({
   seed,
-  faults: 'all',
+  faults: 'stated',
 }));
 const regressionSeeds = options.regressions ? readRegressionSeeds() : [];
 const selectedSeeds = [...requestedSeeds, ...regressionSeeds];
--- a/packages/tools/src/soak/soakHistory.ts
+++ b/packages/tools/src/soak/soakHistory.ts
@@ -11,6 +11,9 @@
       /** Id of the request that the answer states. */
       readonly requestId: string | undefined;
       readonly body: string;
+      /** What the upstream states about itself in the answer. */
+      readonly statesLimit: boolean;
+      readonly statesLeaving: boolean;
     }
   /** The connection ended before the answer was complete. */
   | {readonly kind: 'broken'; readonly hadBegun: boolean}
@@ -104,12 +107,24 @@
   readonly exitCode: number | null;
 }
 
+/** A limit of requests per second that an upstream stated for a time. */
+export interface LimitRecord {
+  readonly lifetime: string;
+  /** Box of the upstream. */
+  readonly box: string;
+  readonly requestsPerSecond: number;
+  readonly from: number;
+  /** Infinity until it ends. */
+  until: number;
+}
+
 /** Everything that the checks use. */
 export interface SoakHistory {
   readonly calls: readonly CallRecord[];
   readonly runs: readonly RunRecord[];
   readonly arrivals: readonly ArrivalRecord[];
   readonly drains: readonly DrainRecord[];
+  readonly limits: readonly LimitRecord[];
   readonly versionProbes: readonly VersionProbe[];
   readonly versions: readonly ConfirmedVersion[];
   readonly disruptions: readonly DisruptionRecord[];
--- a/packages/tools/src/soak/soakRecorder.ts
+++ b/packages/tools/src/soak/soakRecorder.ts
@@ -5,6 +5,7 @@
 import type {
   CallRecord,
   DrainRecord,
+  LimitRecord,
   ExitRecord,
   VersionProbe,
   SoakHistory,
@@ -17,6 +18,7 @@
 export class SoakRecorder {
   readonly calls: CallRecord[] = [];
   readonly drains: DrainRecord[] = [];
+  readonly limits: LimitRecord[] = [];
   readonly versionProbes: VersionProbe[] = [];
   readonly versions: ConfirmedVersion[] = [];
   readonly disruptions: DisruptionRecord[] = [];
@@ -43,6 +45,30 @@
     disruption.until = Date.now();
   }
 
+  /**
+   * Records that an upstream states a limit, unless it is no usable number;
+   * returns a function that records its end.
+   */
+  recordLimit(
+    box: string,
+    lifetime: string,
+    requestsPerSecond: number,
+  ): () => void {
+    const limit: LimitRecord = {
+      box,
+      lifetime,
+      requestsPerSecond,
+      from: Date.now(),
+      until: Number.POSITIVE_INFINITY,
+    };
+    if (requestsPerSecond >= 0) {
+      this.limits.push(limit);
+    }
+    return () => {
+      limit.until = Date.now();
+    };
+  }
+
   /** Records a planned stop; undefined when the node was not running. */
   recordStop(stop: StopRecord | undefined): void {
     if (stop !== undefined) {
@@ -70,6 +96,7 @@
       runs: collect(({standIn}) => standIn.runs),
       arrivals: collect(({standIn}) => standIn.arrivals),
       drains: this.drains,
+      limits: this.limits,
       versionProbes: this.versionProbes,
       versions: this.versions,
       disruptions: this.disruptions,
