Refuse at once what the limits of all upstreams leave no room for

Cause: the wait for the limit was estimated from the calls that wait already. Calls that can still be in time go before late ones, so that late calls waited for tokens that more urgent arrivals took, until their time to start was over. And an entry offered such a call again after a pause, though the wait for a limit does not end early.

Change: the estimate leaves a call only the part of the limit that more urgent calls did not take in the last 2 s, and 50 ms for the next check of the guard. A call that no limit allows before its time to start is refused without a pause, with the shortest wait that any guard reported.

With 2, 5 and 10 of 15 limited to 2.6, more than 0.99 of all calls are served in time and 0.9 or more of the limits is used.

--- a/packages/admission/src/__tests__/requestRate.test.ts
+++ b/packages/admission/src/__tests__/requestRate.test.ts
@@ -114,6 +114,23 @@
     expect(Math.max(...waits)).toBe(4000);
   });
 
+  it('leaves less urgent calls what more urgent ones did not take lately', () => {
+    const rate = limited(10);
+    for (let now = 100; now <= 2000; now += 200) {
+      rate.take(now, 1);
+    }
+    expect(rate.waitForTurn(2000, 15, 1)).toBe(rate.wait(2000, 15));
+    expect(rate.waitForTurn(2000, 15, 2)).toBe(2 * rate.wait(2000, 15));
+  });
+
+  it('expects no turn for calls while more urgent ones take the whole limit', () => {
+    const rate = limited(5);
+    for (let now = 200; now <= 2000; now += 200) {
+      rate.take(now, 1);
+    }
+    expect(rate.waitForTurn(2000, 1, 2)).toBe(Number.POSITIVE_INFINITY);
+  });
+
   it('does not count time that the clock gained', () => {
     const rate = limited(1);
     rate.clockGained(60_000);
--- a/packages/admission/src/admission.ts
+++ b/packages/admission/src/admission.ts
@@ -42,6 +42,9 @@
 /** Retry-after when no slot is expected to be freed. */
 const STUCK_RETRY_MILLISECONDS = 500;
 
+/** Calls that wait for the limit start at the next check of the guard. */
+const START_DELAY_MILLISECONDS = 50;
+
 interface RunningEntry {
   readonly call: WaitingCall;
   readonly startedAt: number;
@@ -99,7 +102,8 @@
       return this.startOrRefuse(now, call);
     }
     const wait = this.expectedWait(now, call);
-    const startAt = now + wait.milliseconds;
+    const delay = wait.isForLimit ? START_DELAY_MILLISECONDS : 0;
+    const startAt = now + wait.milliseconds + delay;
     if (call.mayWait === false) {
       return this.refuse(now, 'upstream-busy', wait);
     }
@@ -193,7 +197,7 @@
   }
 
   private start(now: number, call: WaitingCall): void {
-    this.rate.take(now);
+    this.rate.take(now, call.priority);
     this.running.set(call.id, {call, startedAt: now});
   }
 
@@ -206,7 +210,10 @@
     if (!isForLimit) {
       return refused(reason, milliseconds);
     }
-    const wait = Math.max(milliseconds, this.waitForLimit(now));
+    const behindRefused = this.waitForLimit(now);
+    const wait = Number.isFinite(milliseconds)
+      ? Math.max(milliseconds, behindRefused)
+      : behindRefused;
     this.rate.refused(now);
     return refused('upstream-over-limit', wait);
   }
@@ -236,7 +243,7 @@
   /** Infinite when all slots are held by calls that may never end. */
   private expectedWait(now: number, call: WaitingCall): ExpectedWait {
     const turn = this.queue.aheadOf(call) + 1;
-    const forLimit = this.rate.wait(now, turn);
+    const forLimit = this.rate.waitForTurn(now, turn, call.priority);
     const hasSlot = this.running.size + turn <= this.limit.current;
     const forSlot = hasSlot
       ? 0
--- a/packages/admission/src/requestRate.ts
+++ b/packages/admission/src/requestRate.ts
@@ -19,9 +19,17 @@
  */
 const MAXIMUM_SPREAD_MILLISECONDS = 4000;
 
+/** Time over which the starts of more urgent calls are counted. */
+const URGENT_WINDOW_MILLISECONDS = 2000;
+
 /** Keeps rounding from postponing a token that is due. */
 const ROUNDING_MARGIN = 1e-6;
 
+interface Start {
+  readonly at: number;
+  readonly priority: number;
+}
+
 /** A token bucket with one token for each call; unlimited without a limit. */
 export class RequestRate {
   private callsPerSecond: number | undefined;
@@ -29,6 +37,8 @@
   private refilledAt = 0;
   /** Tokens that accrue until then are expected to be used by refused calls. */
   private spreadUntil = 0;
+  /** Calls that started recently, in order. */
+  private starts: readonly Start[] = [];
 
   /** The limit in calls per second; undefined if there is none. */
   get limit(): number | undefined {
@@ -43,6 +53,7 @@
     if (limit === undefined) {
       this.callsPerSecond = undefined;
       this.spreadUntil = 0;
+      this.starts = [];
       return;
     }
     this.refill(now);
@@ -62,11 +73,12 @@
     return this.wait(now, 1) === 0;
   }
 
-  /** Takes the token of a call that starts. */
-  take(now: number): void {
+  /** Takes the token of a call that starts; 0 is the most urgent priority. */
+  take(now: number, priority = 0): void {
     if (this.callsPerSecond !== undefined) {
       this.refill(now);
       this.tokens -= 1;
+      this.starts = [...this.recentStarts(now), {at: now, priority}];
     }
   }
 
@@ -89,6 +101,22 @@
       : (missing * 1000) / this.callsPerSecond;
   }
 
+  /**
+   * Milliseconds until a call of a priority may start as the given one in turn.
+   * More urgent calls that arrive meanwhile go first and take as much of the
+   * limit as they did lately; infinite if they take all of it.
+   */
+  waitForTurn(now: number, turn: number, priority: number): number {
+    const limit = this.callsPerSecond ?? 0;
+    const urgent = this.recentStarts(now).filter(
+      (start) => start.priority < priority,
+    ).length;
+    const urgentPerSecond = (urgent * 1000) / URGENT_WINDOW_MILLISECONDS;
+    const wait = this.wait(now, turn);
+    const share = Math.max(0, 1 - urgentPerSecond / limit);
+    return wait === 0 ? 0 : wait / share;
+  }
+
   /**
    * Milliseconds until a refused call may be offered again. Calls that were
    * refused before have earlier times.
@@ -112,6 +140,10 @@
     this.refilledAt += milliseconds;
   }
 
+  private recentStarts(now: number): readonly Start[] {
+    return this.starts.filter(({at}) => now - at < URGENT_WINDOW_MILLISECONDS);
+  }
+
   private get capacity(): number {
     const perSecond = this.callsPerSecond ?? 0;
     return Math.max(1, (perSecond * BURST_MILLISECONDS) / 1000);
--- a/packages/brain/src/entry/callOffers.ts
+++ b/packages/brain/src/entry/callOffers.ts
@@ -80,10 +80,11 @@
       now + milliseconds > state.heldUntil ||
       isLimitedBeyond(state, reason, state.heldUntil - now)
     ) {
-      const after = NO_SLOT_REFUSALS.has(reason)
-        ? Math.min(retryAfter, state.shortestWait)
-        : retryAfter;
-      return this.context.calls.refuseCall(state, reason, after);
+      return this.context.calls.refuseCall(
+        state,
+        reason,
+        shortestRetryAfter(state, reason, retryAfter),
+      );
     }
     state.pauses += 1;
     return [{kind: 'pause', callId: state.call.id, milliseconds}];
@@ -170,6 +171,16 @@
   }
 }
 
+/** The shortest wait that guards reported, where they reported any. */
+function shortestRetryAfter(
+  {shortestWait}: CallState,
+  reason: RefusalReason,
+  retryAfter: number,
+): number {
+  const isReported = NO_SLOT_REFUSALS.has(reason) && shortestWait > 0;
+  return isReported ? Math.min(retryAfter, shortestWait) : retryAfter;
+}
+
 /**
  * Whether no limit allows the call within a time. Unlike the wait for a slot,
  * the wait for a limit does not end early.
--- /dev/null
+++ b/packages/node/src/__tests__/__fixtures__/fleetCallSimulation.ts
@@ -0,0 +1,568 @@
+// Copyright (c) 2026 the lockpin contributors. MIT licence, see LICENSE.
+/**
+ * Simulates the calls of a service on a virtual clock: entries and guards with
+ * the settings of a declared fleet, and upstreams that may state limits.
+ */
+
+import {EntryStateMachine, GuardStateMachine} from '@lockpin/brain';
+import type {
+  Attempt,
+  EntryAction,
+  EntryCall,
+  EntryEvent,
+  GuardAction,
+  GuardEvent,
+} from '@lockpin/brain';
+import type {ServiceView} from '@lockpin/configuration';
+import {NO_RETRIES} from '@lockpin/routing';
+import type {LoadHint} from '@lockpin/routing';
+import type {
+  RandomSource,
+  RefusalReason,
+  Repetition,
+  Resource,
+  UpstreamNotice,
+} from '@lockpin/types';
+import {seededRandom} from '@lockpin/utils';
+import {VirtualClock} from '../../../../tools/src/measure/virtualClock.js';
+import type {NoticeTelling} from '../../../../tools/src/soak/checkNotices.js';
+import {fleetEntrySettings} from '../../process/fleetEntrySettings.js';
+import {fleetGuardSettings} from '../../process/fleetGuardSettings.js';
+import {
+  attemptPriority,
+  startWithin,
+  usefulFor,
+} from '../../request/attemptPriority.js';
+import type {CallerRequest} from '../../request/callerRequest.js';
+import {NO_NOTICE} from '../../request/upstreamNotice.js';
+
+const SERVICE = 's';
+const HOP_MILLISECONDS = 2;
+const TICK_MILLISECONDS = 50;
+
+/** Too short for another event to be due in between. */
+const AFTER_END_MILLISECONDS = 1e-9;
+
+/** Size and load of the service. */
+export interface SimulationOptions {
+  readonly seed: number;
+  readonly boxes: number;
+  readonly slots: number;
+  /** Mean service time of a call, in milliseconds. */
+  readonly workMilliseconds: number;
+  /** Calls per second at all boxes together. */
+  readonly callsPerSecond: number;
+  readonly goalMilliseconds: number;
+  readonly waitMilliseconds: number;
+  /** Share of the calls that may be repeated. */
+  readonly repeatableShare: number;
+}
+
+/** A request that reached an upstream. */
+export interface SimulatedArrival {
+  readonly callId: string;
+  /** Box at which the request began. */
+  readonly box: number;
+  readonly upstream: number;
+  readonly sentAt: number;
+  readonly at: number;
+}
+
+/** How a call ended for its caller. */
+export interface SimulatedResult {
+  readonly sentAt: number;
+  readonly endedAt: number;
+  readonly status: number;
+  readonly reason: RefusalReason | undefined;
+  readonly retryAfterMilliseconds: number;
+  readonly offers: number;
+}
+
+interface OpenCall {
+  readonly call: EntryCall;
+  readonly box: number;
+  /** Number of starts of the box's process. */
+  readonly life: number;
+  readonly sentAt: number;
+  attempt: OpenAttempt | undefined;
+  offers: number;
+  lastStatus: number;
+}
+
+interface OpenAttempt {
+  readonly id: string;
+  readonly callId: string;
+  readonly upstream: number;
+  isAcknowledged: boolean;
+}
+
+/** One box with its node and its upstream. */
+export interface SimulatedBox {
+  entry: EntryStateMachine;
+  guard: GuardStateMachine;
+  life: number;
+  /** What the upstream states in its answers. */
+  notice: UpstreamNotice;
+}
+
+/** Runs the calls of one service. */
+export class FleetCallSimulation {
+  readonly boxes: readonly SimulatedBox[];
+  readonly arrivals: SimulatedArrival[] = [];
+  readonly results: SimulatedResult[] = [];
+  /** Notices that boxes passed on to their callers. */
+  readonly tellings: NoticeTelling[] = [];
+  private readonly clock = new VirtualClock();
+  private readonly random: RandomSource;
+  private readonly view: ServiceView;
+  private readonly calls = new Map<string, OpenCall>();
+  private serial = 0;
+
+  constructor(private readonly options: SimulationOptions) {
+    this.random = seededRandom(options.seed);
+    this.view = createView(options);
+    this.boxes = Array.from({length: options.boxes}, (_, box) => ({
+      ...this.createNode(box),
+      life: 0,
+      notice: NO_NOTICE,
+    }));
+    this.boxes.forEach((_, box) => this.tick(box));
+    this.scheduleNextCall();
+  }
+
+  get now(): number {
+    return this.clock.now;
+  }
+
+  run(milliseconds: number): void {
+    const end = this.now + milliseconds;
+    // The clock drops the first event after the end, so there has to be one.
+    this.clock.schedule(milliseconds, () => undefined);
+    this.clock.schedule(milliseconds + AFTER_END_MILLISECONDS, () => undefined);
+    this.clock.runUntil(end);
+  }
+
+  /** Performs an action at a time in milliseconds from now. */
+  after(milliseconds: number, act: () => void): void {
+    this.clock.schedule(milliseconds, act);
+  }
+
+  /** Ends the node of a box and starts a new process. */
+  restart(box: number): void {
+    const state = this.boxes[box] as SimulatedBox;
+    Object.assign(state, this.createNode(box));
+    state.life += 1;
+    for (const [id, open] of this.calls) {
+      if (open.box === box) {
+        this.calls.delete(id);
+      } else if (open.attempt?.upstream === box) {
+        this.toEntry(id, {kind: 'attempt-lost', callId: id, wasSent: true});
+      }
+    }
+  }
+
+  private createNode(box: number): Pick<SimulatedBox, 'entry' | 'guard'> {
+    const isOn = (name: string): boolean => name !== 'overdue-replacement';
+    const quarantinedFor = (): number => 0;
+    const {name, spec} = this.view.upstreams[box] as Resource<'Upstream'>;
+    const entry = new EntryStateMachine(
+      spec.box,
+      spec.dataCentre,
+      {isUsable: () => true, incarnation: () => undefined},
+      fleetEntrySettings(isOn, {quarantinedFor}),
+    );
+    const guard = new GuardStateMachine(
+      {box: spec.box, incarnation: 'a'},
+      fleetGuardSettings(isOn, {
+        createRetryBudget: () => NO_RETRIES,
+        heldUpCalls: () => 0,
+        quarantinedFor,
+      }),
+    );
+    const upstreams = this.view.upstreams.filter((item) => item.name === name);
+    guard.handle(this.clock.now, this.random, {
+      kind: 'services-changed',
+      services: [{name: SERVICE, sensitivity: 'fast', upstreams}],
+    });
+    return {entry, guard};
+  }
+
+  private tick(box: number): void {
+    this.toGuard(box, {kind: 'tick'});
+    this.clock.schedule(TICK_MILLISECONDS, () => this.tick(box));
+  }
+
+  private scheduleNextCall(): void {
+    const mean = 1000 / this.options.callsPerSecond;
+    this.clock.schedule(-Math.log(1 - this.random()) * mean, () => {
+      this.startCall(Math.floor(this.random() * this.boxes.length));
+      this.scheduleNextCall();
+    });
+  }
+
+  private startCall(box: number): void {
+    this.serial += 1;
+    const id = `call-${this.serial}`;
+    const {repeatableShare, waitMilliseconds} = this.options;
+    const isRepeatable = this.random() < repeatableShare;
+    const call: EntryCall = {
+      id,
+      view: this.view,
+      route: this.route(isRepeatable ? 'repeatable' : 'at-most-once'),
+      customer: 'c',
+      requestDigest: '',
+      bytes: 0,
+      deadline: this.now + waitMilliseconds,
+      onceKey: undefined,
+      isFirstWithKey: false,
+      isReplayable: true,
+      isCallersRetry: false,
+    };
+    const {life} = this.boxes[box] as SimulatedBox;
+    this.calls.set(id, {
+      call,
+      box,
+      life,
+      sentAt: this.now,
+      attempt: undefined,
+      offers: 0,
+      lastStatus: 0,
+    });
+    this.toEntry(id, {kind: 'call-arrived', call});
+    this.clock.schedule(waitMilliseconds, () =>
+      this.toEntry(id, {
+        kind: 'call-aborted',
+        callId: id,
+        reason: 'deadline-passed',
+        wasSent: false,
+      }),
+    );
+  }
+
+  private route(repetition: Repetition): Resource<'Route'> {
+    const {waitMilliseconds, goalMilliseconds} = this.options;
+    return {
+      kind: 'Route',
+      name: repetition,
+      version: 1,
+      spec: {
+        method: '*',
+        pathPrefix: '/',
+        repetition,
+        waitMilliseconds,
+        goalMilliseconds,
+        priority: 1,
+        retryShare: 0,
+        onceKeyHeader: '',
+      },
+    };
+  }
+
+  private toEntry(callId: string, event: EntryEvent): void {
+    const open = this.calls.get(callId);
+    if (open === undefined) {
+      return;
+    }
+    const {entry} = this.boxes[open.box] as SimulatedBox;
+    for (const action of entry.handle(this.now, this.random, event)) {
+      this.performEntryAction(callId, open, action);
+    }
+  }
+
+  private performEntryAction(
+    callId: string,
+    open: OpenCall,
+    action: EntryAction,
+  ): void {
+    switch (action.kind) {
+      case 'attempt':
+        this.sendAttempt(open, action.attempt);
+        break;
+      case 'refuse': {
+        const {reason, retryAfterMilliseconds} = action.refusal;
+        this.end(callId, open, {status: 503, reason, retryAfterMilliseconds});
+        break;
+      }
+      case 'pass-answer':
+      case 'pass-fallback-answer':
+        this.toEntry(callId, {kind: 'answer-ended', callId});
+        this.end(callId, open, {
+          status: open.lastStatus,
+          reason: undefined,
+          retryAfterMilliseconds: 0,
+        });
+        break;
+      case 'pause':
+        this.clock.schedule(action.milliseconds, () =>
+          this.toEntry(callId, {kind: 'pause-ended', callId}),
+        );
+        break;
+      default:
+        break;
+    }
+  }
+
+  private end(
+    callId: string,
+    {sentAt, offers}: OpenCall,
+    result: Pick<
+      SimulatedResult,
+      'status' | 'reason' | 'retryAfterMilliseconds'
+    >,
+  ): void {
+    this.calls.delete(callId);
+    this.results.push({sentAt, endedAt: this.now, offers, ...result});
+  }
+
+  private sendAttempt(open: OpenCall, attempt: Attempt): void {
+    open.offers += 1;
+    const {call, box} = open;
+    const upstream = this.view.upstreams.findIndex(
+      ({name}) => name === attempt.upstream,
+    );
+    const id = `${call.id}.${open.offers}`;
+    const current: OpenAttempt = {
+      id,
+      callId: call.id,
+      upstream,
+      isAcknowledged: false,
+    };
+    open.attempt = current;
+    const isLocal = upstream === box;
+    const {acknowledgementTimeoutMilliseconds: timeout} = attempt;
+    this.clock.schedule(timeout, () => {
+      if (!isLocal && open.attempt === current && !current.isAcknowledged) {
+        const {id: callId} = call;
+        this.toEntry(callId, {kind: 'attempt-unacknowledged', callId});
+      }
+    });
+    this.hop(box, upstream, () =>
+      this.toGuard(upstream, {
+        kind: 'call-offered',
+        call: this.guardCall(open, attempt, id, !isLocal),
+      }),
+    );
+  }
+
+  private guardCall(
+    {call, sentAt}: OpenCall,
+    attempt: Attempt,
+    id: string,
+    needsGo: boolean,
+  ): (GuardEvent & {readonly kind: 'call-offered'})['call'] {
+    const request = {route: call.route, priority: 1} as CallerRequest;
+    const age = this.now - sentAt;
+    const useful = usefulFor(request, age, attempt);
+    const start = startWithin(this.now, attempt);
+    return {
+      id,
+      service: SERVICE,
+      upstream: attempt.upstream,
+      customer: call.customer,
+      weight: 1,
+      route: call.route.name,
+      repetition: call.route.spec.repetition,
+      priority: attemptPriority(request, age, attempt),
+      deadline: call.deadline,
+      attempt: attempt.number,
+      retryShare: 0,
+      onceKey: undefined,
+      requestDigest: '',
+      usefulUntil: useful === undefined ? undefined : this.now + useful,
+      startBy: start === undefined ? undefined : this.now + start,
+      needsGo,
+      mayWait: attempt.terms !== 'immediate',
+      mayRunDoubted: attempt.terms === 'last-resort',
+      expectedMilliseconds: attempt.expectedMilliseconds,
+      knownNotice: attempt.knownNotice,
+    };
+  }
+
+  private toGuard(box: number, event: GuardEvent): void {
+    const {guard} = this.boxes[box] as SimulatedBox;
+    for (const action of guard.handle(this.now, this.random, event)) {
+      this.performGuardAction(box, action);
+    }
+  }
+
+  private performGuardAction(box: number, action: GuardAction): void {
+    switch (action.kind) {
+      case 'run':
+        this.runOnUpstream(box, action.callId);
+        break;
+      case 'reserve':
+        this.reply(box, action.callId, (open, attempt) => {
+          attempt.isAcknowledged = true;
+          this.hop(open.box, box, () =>
+            this.toGuard(box, {
+              kind: 'call-go',
+              callId: attempt.id,
+              requestDigest: '',
+            }),
+          );
+        });
+        break;
+      case 'queue':
+        this.reply(box, action.callId, (_open, attempt) => {
+          attempt.isAcknowledged = true;
+        });
+        break;
+      case 'refuse': {
+        const {refusal, upstream, hint} = action;
+        this.reply(box, action.callId, ({call: {id: callId}}, attempt) => {
+          attempt.isAcknowledged = true;
+          this.toEntry(callId, {
+            kind: 'attempt-refused',
+            callId,
+            refusal,
+            upstream,
+            hint,
+          });
+        });
+        break;
+      }
+      case 'standing':
+        this.broadcast(box, action.upstream, action.hint);
+        break;
+      default:
+        break;
+    }
+  }
+
+  private broadcast(from: number, upstream: string, hint: LoadHint): void {
+    this.boxes.forEach((_, box) =>
+      this.hop(from, box, () => {
+        const {entry} = this.boxes[box] as SimulatedBox;
+        entry.loads.hintReceived(upstream, this.now, hint);
+      }),
+    );
+  }
+
+  private runOnUpstream(box: number, attemptId: string): void {
+    const open = this.openCall(attemptId);
+    const {guard} = this.boxes[box] as SimulatedBox;
+    if (open === undefined) {
+      return;
+    }
+    const {box: origin, sentAt, call} = open;
+    this.arrivals.push({
+      callId: call.id,
+      box: origin,
+      upstream: box,
+      sentAt,
+      at: this.now,
+    });
+    const spread = 0.5 + this.random();
+    this.clock.schedule(this.options.workMilliseconds * spread, () => {
+      const current = this.boxes[box] as SimulatedBox;
+      if (current.guard === guard) {
+        this.answer(box, attemptId, current.notice);
+      }
+    });
+  }
+
+  private answer(box: number, attemptId: string, notice: UpstreamNotice): void {
+    this.toGuard(box, {kind: 'upstream-stated', callId: attemptId, notice});
+    this.toGuard(box, {
+      kind: 'upstream-answered',
+      callId: attemptId,
+      status: 200,
+      isShed: false,
+      answer: undefined,
+    });
+    const name = this.view.upstreams[box]?.name ?? '';
+    const hint = this.boxes[box]?.guard.hintOf(this.now, name);
+    this.reply(box, attemptId, (open) => {
+      const {id: callId} = open.call;
+      open.lastStatus = 200;
+      this.recordTelling(open.box, box, notice);
+      this.toEntry(callId, {
+        kind: 'attempt-answered',
+        callId,
+        status: 200,
+        isWhole: true,
+        hint,
+        ranMilliseconds: this.options.workMilliseconds,
+      });
+    });
+  }
+
+  private recordTelling(
+    box: number,
+    upstream: number,
+    {requestsPerSecond, isLeaving}: UpstreamNotice,
+  ): void {
+    const telling = {
+      lifetime: String(upstream),
+      box: String(box),
+      at: this.now,
+    };
+    if (requestsPerSecond !== undefined) {
+      this.tellings.push({...telling, kind: 'limit'});
+    }
+    if (isLeaving) {
+      this.tellings.push({...telling, kind: 'leaving'});
+    }
+  }
+
+  /** Sends a reply to the entry; lost if the attempt is no longer current. */
+  private reply(
+    from: number,
+    attemptId: string,
+    act: (open: OpenCall, attempt: OpenAttempt) => void,
+  ): void {
+    const open = this.openCall(attemptId);
+    const attempt = open?.attempt;
+    if (open === undefined || attempt?.id !== attemptId) {
+      return;
+    }
+    this.hop(from, open.box, () => {
+      if (open.attempt === attempt && this.calls.has(open.call.id)) {
+        act(open, attempt);
+      }
+    });
+  }
+
+  private openCall(attemptId: string): OpenCall | undefined {
+    return this.calls.get(attemptId.slice(0, attemptId.lastIndexOf('.')));
+  }
+
+  private hop(from: number, to: number, act: () => void): void {
+    this.clock.schedule(from === to ? 0 : HOP_MILLISECONDS, act);
+  }
+}
+
+function createView({boxes, slots}: SimulationOptions): ServiceView {
+  return {
+    name: SERVICE,
+    customer: SERVICE,
+    routes: [],
+    upstreams: Array.from({length: boxes}, (_, i) => ({
+      kind: 'Upstream',
+      name: `${SERVICE}/box-${i}`,
+      version: 1,
+      spec: {
+        address: '',
+        dataCentre: `d${i % 3}`,
+        box: `box-${i}`,
+        slots,
+        connections: slots,
+        state: 'in-service',
+        incarnation: {id: `i-${i}`, startedAt: 0},
+      },
+    })),
+    service: {
+      kind: 'Service',
+      name: SERVICE,
+      version: 1,
+      spec: {
+        floorSlots: 0,
+        targetSlots: 0,
+        loadReportPath: '',
+        sensitivity: 'fast',
+        host: '',
+        callerCredentialHash: '',
+      },
+    },
+  };
+}
--- /dev/null
+++ b/packages/node/src/__tests__/limitedService.test.ts
@@ -0,0 +1,193 @@
+// Copyright (c) 2026 the lockpin contributors. MIT licence, see LICENSE.
+/** Entries and guards of a service whose upstreams state limits or leave. */
+
+import {describe, expect, it} from 'vitest';
+import type {UpstreamNotice} from '@lockpin/types';
+import {checkNotices} from '../../../tools/src/soak/checkNotices.js';
+import type {DisruptionRecord} from '../../../tools/src/soak/soakHistory.js';
+import {NO_NOTICE} from '../request/upstreamNotice.js';
+import {FleetCallSimulation} from './__fixtures__/fleetCallSimulation.js';
+import type {
+  SimulatedBox,
+  SimulatedResult,
+} from './__fixtures__/fleetCallSimulation.js';
+
+const BOXES = 15;
+const GOAL_MILLISECONDS = 800;
+const CALLS_PER_SECOND = 95;
+const BOUNDS = {drainMilliseconds: 2000, settleMilliseconds: 3000};
+
+/** Time in which all entries learn what the upstreams state. */
+const LEARNING_MILLISECONDS = 5000;
+
+const MEASURED_MILLISECONDS = 20_000;
+
+/** A refusal that comes later than this has held its caller. */
+const AT_ONCE_MILLISECONDS = 100;
+
+const SEEDS = [1, 2, 3];
+
+function createSimulation(seed: number): FleetCallSimulation {
+  return new FleetCallSimulation({
+    seed,
+    boxes: BOXES,
+    slots: 4,
+    workMilliseconds: 240,
+    callsPerSecond: CALLS_PER_SECOND,
+    goalMilliseconds: GOAL_MILLISECONDS,
+    waitMilliseconds: 5000,
+    repeatableShare: 0.35,
+  });
+}
+
+function state(
+  simulation: FleetCallSimulation,
+  boxes: number,
+  notice: Partial<UpstreamNotice>,
+): void {
+  for (let box = 0; box < boxes; box += 1) {
+    (simulation.boxes[box] as SimulatedBox).notice = {...NO_NOTICE, ...notice};
+  }
+}
+
+interface Outcome {
+  readonly results: readonly SimulatedResult[];
+  /** Requests per second that reached each upstream. */
+  readonly rates: readonly number[];
+}
+
+/** Runs a service in which some upstreams state a limit. */
+function measure(seed: number, limited: number, limit: number): Outcome {
+  const simulation = createSimulation(seed);
+  simulation.run(LEARNING_MILLISECONDS);
+  state(simulation, limited, {requestsPerSecond: limit});
+  simulation.run(LEARNING_MILLISECONDS);
+  const from = simulation.now;
+  simulation.run(MEASURED_MILLISECONDS);
+  const until = simulation.now;
+  const arrivals = simulation.arrivals.filter(
+    ({at}) => at >= from && at < until,
+  );
+  return {
+    results: simulation.results.filter(({sentAt}) => sentAt >= from),
+    rates: simulation.boxes.map(
+      (_, box) =>
+        arrivals.filter(({upstream}) => upstream === box).length /
+        (MEASURED_MILLISECONDS / 1000),
+    ),
+  };
+}
+
+const shareOf = <T>(items: readonly T[], matches: (item: T) => boolean) =>
+  items.filter(matches).length / Math.max(1, items.length);
+
+const isServed = ({status}: SimulatedResult): boolean => status === 200;
+
+describe.each(SEEDS)('a service with limited upstreams (seed %i)', (seed) => {
+  it.each([2, 5, 10])(
+    'serves all calls in time while the others have room for them (%i of 15)',
+    (limited) => {
+      const {results, rates} = measure(seed, limited, 2.6);
+      const isInTime = (result: SimulatedResult): boolean =>
+        isServed(result) && result.endedAt - result.sentAt <= GOAL_MILLISECONDS;
+      expect(shareOf(results, isInTime)).toBeGreaterThan(0.99);
+      const used = rates.slice(0, limited).reduce((a, b) => a + b, 0);
+      expect(used).toBeGreaterThan(0.9 * limited * 2.6);
+      expect(Math.max(...rates.slice(0, limited))).toBeLessThan(1.1 * 2.6);
+    },
+  );
+
+  it.each([0.5, 2.6, 5])(
+    'uses every limit to the full when all state %f a second, and refuses the rest at once',
+    (limit) => {
+      const {results, rates} = measure(seed, BOXES, limit);
+      const used = rates.reduce((a, b) => a + b, 0);
+      expect(used / (BOXES * limit)).toBeGreaterThan(0.95);
+      expect(used / (BOXES * limit)).toBeLessThan(1.05);
+      expect(shareOf(results, isServed)).toBeGreaterThan(
+        (0.95 * BOXES * limit) / CALLS_PER_SECOND,
+      );
+      const refused = results.filter((result) => !isServed(result));
+      const isAtOnce = ({sentAt, endedAt}: SimulatedResult): boolean =>
+        endedAt - sentAt <= AT_ONCE_MILLISECONDS;
+      expect(shareOf(refused, isAtOnce)).toBeGreaterThan(0.9);
+      const waits = refused.map(
+        ({retryAfterMilliseconds}) => retryAfterMilliseconds,
+      );
+      expect(Math.min(...waits)).toBeGreaterThan(0);
+    },
+  );
+
+  it('returns to its upstreams when a limit ends', () => {
+    const simulation = createSimulation(seed);
+    state(simulation, BOXES, {requestsPerSecond: 0.5});
+    simulation.run(LEARNING_MILLISECONDS);
+    state(simulation, BOXES, {});
+    simulation.run(LEARNING_MILLISECONDS);
+    const from = simulation.now;
+    simulation.run(LEARNING_MILLISECONDS);
+    const results = simulation.results.filter(({sentAt}) => sentAt >= from);
+    expect(shareOf(results, isServed)).toBeGreaterThan(0.99);
+  });
+});
+
+describe.each(SEEDS)('notices over restarts of nodes (seed %i)', (seed) => {
+  /** Restarts the first boxes in turn, one every 700 ms. */
+  function runWithRestarts(notice: Partial<UpstreamNotice>, restarted: number) {
+    const simulation = createSimulation(seed);
+    simulation.run(LEARNING_MILLISECONDS);
+    state(simulation, 3, notice);
+    const from = simulation.now;
+    const disruptions: DisruptionRecord[] = [];
+    for (let at = 1000; at < MEASURED_MILLISECONDS; at += 700) {
+      simulation.after(at, () => {
+        const box = Math.floor(at / 700) % restarted;
+        simulation.restart(box);
+        const {now} = simulation;
+        disruptions.push({
+          box: String(box),
+          isPlanned: false,
+          what: 'kill',
+          from: now,
+          until: now,
+        });
+      });
+    }
+    simulation.run(MEASURED_MILLISECONDS);
+    const arrivals = simulation.arrivals.map((arrival) => ({
+      ...arrival,
+      requestId: arrival.callId,
+      lifetime: String(arrival.upstream),
+      box: String(arrival.box),
+    }));
+    const limits = [0, 1, 2].map((box) => ({
+      lifetime: String(box),
+      box: '',
+      requestsPerSecond: notice.requestsPerSecond ?? Number.POSITIVE_INFINITY,
+      from,
+      until: Number.POSITIVE_INFINITY,
+    }));
+    const {tellings} = simulation;
+    expect(tellings.length).toBeGreaterThan(10);
+    return checkNotices({arrivals, tellings, limits, disruptions}, BOUNDS);
+  }
+
+  it.each([
+    [0.4, 1],
+    [0.4, 5],
+    [2.6, 1],
+    [2.6, 5],
+  ])(
+    'keeps a limit of %f a second while %i boxes restart',
+    (requestsPerSecond, restarted) => {
+      expect(runWithRestarts({requestsPerSecond}, restarted)).toEqual([]);
+    },
+  );
+
+  it.each([1, 5])(
+    'sends nothing from a box that passed on that an upstream is leaving while %i boxes restart',
+    (restarted) => {
+      expect(runWithRestarts({isLeaving: true}, restarted)).toEqual([]);
+    },
+  );
+});
