Fault matrix: rows for stated limits and departures

Cause: the matrix and the stand-ins knew no upstream that states something about itself.

Change: the simulated call meets both faults at every step and beside every other fault; the matrix has a row for each, the promises of the platform three entries. The product's stand-in upstream states both in its headers, and the guard is tested with it over HTTP.

--- a/packages/brain/src/__tests__/__fixtures__/callSimulation.ts
+++ b/packages/brain/src/__tests__/__fixtures__/callSimulation.ts
@@ -9,7 +9,7 @@
 import type {ServiceView} from '@lockpin/configuration';
 import {mintOnceKey, parseOnceKey} from '@lockpin/once';
 import {seededRandom} from '@lockpin/utils';
-import type {Refusal, RefusalOutcome} from '@lockpin/types';
+import type {Refusal, RefusalOutcome, UpstreamNotice} from '@lockpin/types';
 import {EntryStateMachine} from '../../entry/entryStateMachine.js';
 import type {
   Attempt,
@@ -36,6 +36,8 @@
   'clock of the guard is set forwards',
   'entry is replaced',
   'upstream is drained',
+  'upstream states a limit',
+  'upstream states that it is leaving',
   'node leaves',
   'caller leaves',
   'caller repeats at once',
@@ -100,6 +102,11 @@
   private attemptCount = 0;
   private upstreamMode: 'well' | 'errors' | 'hangs' | 'refuses' | 'slow' =
     'well';
+  private notice: UpstreamNotice = {
+    requestsPerSecond: undefined,
+    isLeaving: false,
+    unreadableLimit: undefined,
+  };
   private isLinkToGuardCut = false;
   private isLinkFromGuardCut = false;
   private guardPausedUntil = 0;
@@ -191,6 +198,12 @@
       case 'upstream is drained':
         this.handleGuardEvent('g1', createServicesEvent('g1', 'draining'));
         break;
+      case 'upstream states a limit':
+        this.notice = {...this.notice, requestsPerSecond: 0};
+        break;
+      case 'upstream states that it is leaving':
+        this.notice = {...this.notice, isLeaving: true};
+        break;
       case 'node leaves':
         this.handleGuardEvent('g1', {kind: 'leaving'});
         break;
@@ -486,6 +499,12 @@
       if (this.guards.get(box) !== guard || this.aborted.has(id)) {
         return;
       }
+      const {notice} = this;
+      this.handleGuardEvent(box, {
+        kind: 'upstream-stated',
+        callId: id,
+        notice,
+      });
       const answer = {status, headers: {}, body: Buffer.from(id)};
       this.handleGuardEvent(box, {
         kind: 'upstream-answered',
--- a/packages/node/src/__tests__/guardService.test.ts
+++ b/packages/node/src/__tests__/guardService.test.ts
@@ -184,6 +184,39 @@
   });
 });
 
+describe('an upstream that states something about itself', () => {
+  it('gets no call beyond the limit that it states', async () => {
+    upstream.setBehaviour({statedLimit: '0.5'});
+    await exchange(head('first')).ending;
+    expect(
+      await exchange(head('second', {remaining: 1000})).ending,
+    ).toMatchObject({
+      kind: 'refusal',
+      frame: {
+        refusal: {reason: 'upstream-over-limit', outcome: 'not-run'},
+        hint: {notice: {requestsPerSecond: 0.5}},
+      },
+    });
+    expect(upstream.executions).toHaveLength(1);
+  });
+
+  it('gets all calls if its limit is no number', async () => {
+    upstream.setBehaviour({statedLimit: 'many'});
+    for (const id of ['first', 'second', 'third']) {
+      expect(requestIdOf(await exchange(head(id)).ending)).toBe(id);
+    }
+  });
+
+  it('gets no call after it stated that it is leaving', async () => {
+    upstream.setBehaviour({isLeaving: true});
+    await exchange(head('first')).ending;
+    expect(await exchange(head('second')).ending).toMatchObject({
+      frame: {refusal: {reason: 'upstream-draining', outcome: 'not-run'}},
+    });
+    expect(upstream.executions).toHaveLength(1);
+  });
+});
+
 describe('a suspension of the machine', () => {
   it('ends overdue calls at once and no others', async () => {
     upstream.setBehaviour({workMilliseconds: 300});
--- a/packages/stand-ins/src/upstream.ts
+++ b/packages/stand-ins/src/upstream.ts
@@ -18,6 +18,10 @@
   readonly answersCut: boolean;
   /** The mean work of a call, in milliseconds. */
   readonly workMilliseconds: number;
+  /** Limit of requests per second that answers state; undefined for none. */
+  readonly statedLimit: string | undefined;
+  /** Whether answers state that the upstream is leaving. */
+  readonly isLeaving: boolean;
 }
 
 /** The behaviour of a healthy upstream. */
@@ -27,6 +31,8 @@
   truncateShare: 0,
   answersCut: false,
   workMilliseconds: 10,
+  statedLimit: undefined,
+  isLeaving: false,
 };
 
 /** One execution of a call, as recorded by the upstream. */
@@ -118,6 +124,16 @@
     }
   }
 
+  private setNotice(response: ServerResponse): void {
+    const {statedLimit, isLeaving} = this.behaviour;
+    if (statedLimit !== undefined) {
+      response.setHeader('lockpin-upstream-limit', statedLimit);
+    }
+    if (isLeaving) {
+      response.setHeader('lockpin-upstream-leaving', '1');
+    }
+  }
+
   private answer(
     response: ServerResponse,
     requestId: string,
@@ -129,6 +145,7 @@
     if (answersCut) {
       return;
     }
+    this.setNotice(response);
     if (this.options.random() < errorShare) {
       sendJson(response, 500, {error: 'gray failure'});
       return;
--- a/packages/tools/src/faults/matrix.ts
+++ b/packages/tools/src/faults/matrix.ts
@@ -41,6 +41,8 @@
 const EJECTION_CYCLE = 'packages/detection/src/__tests__/ejectionCycle.test.ts';
 const PERMIT_HOLDER = 'packages/floor/src/__tests__/permitHolder.test.ts';
 const MEMBERSHIP = 'packages/membership/src/__tests__/membership.test.ts';
+const STATED_LIMIT = `${BRAIN_TESTS}/statedLimit.test.ts`;
+const STATED_LEAVING = `${BRAIN_TESTS}/statedLeaving.test.ts`;
 const RESTORED_LOG = `${BRAIN_TESTS}/restoredLog.test.ts`;
 const OPERATORS = 'packages/tools/src/__tests__/operators.test.ts';
 
@@ -321,6 +323,51 @@
       'a planned stop': open('no test'),
     },
   },
+  {
+    fault: 'stated limit of requests',
+    cells: {
+      'a call': covered(
+        singleFault,
+        {
+          file: STATED_LIMIT,
+          title: 'refuses calls beyond it and says when to come back',
+        },
+        {file: STATED_LIMIT, title: 'follows a limit that %s'},
+        {
+          file: STATED_LIMIT,
+          title: 'learns the limit from an entry and allows one call at first',
+        },
+      ),
+      'a configuration change': NO_UPSTREAM,
+      'an ejection': covered({
+        file: STATED_LIMIT,
+        title:
+          'keeps it for first attempts, retries, probes and calls without a choice',
+      }),
+      'a drain': covered(twoFaults),
+      'a planned stop': covered(twoFaults),
+    },
+  },
+  {
+    fault: 'stated departure',
+    cells: {
+      'a call': covered(
+        singleFault,
+        {file: STATED_LEAVING, title: 'refuses new calls of every kind'},
+        {
+          file: STATED_LEAVING,
+          title: 'learns from an entry that the upstream is leaving',
+        },
+      ),
+      'a configuration change': NO_UPSTREAM,
+      'an ejection': covered({
+        file: STATED_LEAVING,
+        title: 'refuses new calls of every kind',
+      }),
+      'a drain': covered(twoFaults),
+      'a planned stop': covered(twoFaults),
+    },
+  },
   {
     fault: 'two at once',
     cells: {
--- a/packages/tools/src/faults/platformGuarantees.ts
+++ b/packages/tools/src/faults/platformGuarantees.ts
@@ -46,6 +46,12 @@
 const SOAK_TITLE =
   'keeps every promise through kills, stops, pauses and bad links';
 const IDLE_UPSTREAMS = 'packages/brain/src/__tests__/idleUpstreams.test.ts';
+const UPSTREAM_LIMIT = 'platform/src/__tests__/upstreamLimit.test.ts';
+const UPSTREAM_LEAVING = 'platform/src/__tests__/upstreamLeaving.test.ts';
+const LIMITED_SERVICE = 'packages/node/src/__tests__/limitedService.test.ts';
+const REQUEST_RATE = 'packages/admission/src/__tests__/requestRate.test.ts';
+const STATED_SOAK_TITLE =
+  'keeps what upstreams state about their limits and departures';
 const ROUTING_CHOICE = 'packages/routing/src/__tests__/fleetRouting.test.ts';
 
 function guarantee(
@@ -181,6 +187,48 @@
     ],
     [SOAK, SOAK_TITLE],
   ]),
+  guarantee('an upstream that states that it is leaving gets nothing more', [
+    [
+      UPSTREAM_LEAVING,
+      'gets no request that was sent after its box had passed that on',
+    ],
+    [UPSTREAM_LEAVING, 'is known as such to all boxes'],
+    [
+      OWN_UPSTREAM,
+      'takes no work once its answers state that it is leaving, whatever it announces',
+    ],
+    [
+      LIMITED_SERVICE,
+      'sends nothing from a box that passed on that an upstream is leaving while %i boxes restart',
+    ],
+    [SOAK, STATED_SOAK_TITLE],
+  ]),
+  guarantee('an upstream gets no more requests than it states to take', [
+    [
+      UPSTREAM_LIMIT,
+      'gets no more requests than that from all boxes together (%s)',
+    ],
+    [LIMITED_SERVICE, 'keeps a limit of %f a second while %i boxes restart'],
+    [
+      REQUEST_RATE,
+      'never exceeds the limit by more than a second of calls in any window',
+    ],
+    [SOAK, STATED_SOAK_TITLE],
+  ]),
+  guarantee(
+    'a stated limit is used, and calls beyond it are served elsewhere or refused at once',
+    [
+      [
+        LIMITED_SERVICE,
+        'serves all calls in time while the others have room for them (%i of 15)',
+      ],
+      [
+        LIMITED_SERVICE,
+        'uses every limit to the full when all state %f a second, and refuses the rest at once',
+      ],
+      [LIMITED_SERVICE, 'returns to its upstreams when a limit ends'],
+    ],
+  ),
   guarantee('another process at an address gets no call', [
     [
       PLATFORM_FLEET,
