Show stated limits and departures to operators

Cause: an operator could not see that an upstream states a limit, nor why a call was refused because of it. In a declared fleet there was no lockpin status at all.

Change: lockpin status gives the reason at each upstream, and nodes of a declared fleet serve it for themselves. A change is told to all entries at once, except while the upstream is in doubt: the first call of an upstream would otherwise keep calls that cannot be repeated away from it for 500 ms (seen in the log of a fleet of two boxes).

--- a/packages/brain/src/__tests__/statedLimit.test.ts
+++ b/packages/brain/src/__tests__/statedLimit.test.ts
@@ -168,6 +168,14 @@
     },
   );
 
+  it('tells all entries, but not while its first call is running', () => {
+    const tellsEntries = (actions: readonly GuardAction[]): boolean =>
+      actions.some(({kind}) => kind === 'standing');
+    expect(tellsEntries(answerWith({requestsPerSecond: 2}))).toBe(false);
+    passTime(1000);
+    expect(tellsEntries(answerWith({requestsPerSecond: 4}))).toBe(true);
+  });
+
   it('logs an unreadable limit once as long as its value stays the same', () => {
     const unreadableLimit = 'many';
     expect(eventsOf(answerWith({unreadableLimit}))).toHaveLength(1);
--- a/packages/brain/src/guard/noticeHandler.ts
+++ b/packages/brain/src/guard/noticeHandler.ts
@@ -61,7 +61,7 @@
     const isLeaving = changes.some(({kind}) => kind === 'leaving');
     return [
       ...changes.map((change) => noticeEvent(name, source, change)),
-      {kind: 'standing', upstream: name, hint: upstream.hint(now)},
+      ...standingOf(now, upstream),
       ...(isLeaving
         ? [
             {kind: 'upstream-leaving', upstream: name, incarnation} as const,
@@ -72,6 +72,20 @@
   }
 }
 
+/**
+ * Tells all entries at once, unless the upstream is in doubt: while a first call
+ * runs, that would keep calls away that are welcome once it has been answered.
+ */
+function standingOf(
+  now: number,
+  upstream: UpstreamGuard,
+): readonly GuardAction[] {
+  const hint = upstream.hint(now);
+  return hint.state === 'doubted'
+    ? []
+    : [{kind: 'standing', upstream: upstream.name, hint}];
+}
+
 function noticeEvent(
   subject: string,
   source: NoticeSource,
--- a/packages/cli/src/__tests__/callExplanation.test.ts
+++ b/packages/cli/src/__tests__/callExplanation.test.ts
@@ -54,6 +54,20 @@
     ]);
   });
 
+  it.each([
+    ['upstream-limited', {requestsPerSecond: 2.5}],
+    ['upstream-leaving', {}],
+  ])('shows %s events of the boxes involved', (event, detail) => {
+    const stated = {
+      time: '2026-01-01T00:00:02.000Z',
+      event,
+      box: 'guard',
+      subject: 's/guard',
+      ...detail,
+    };
+    expect(explainCall([...LINES, stated], 'x').join('\n')).toContain(event);
+  });
+
   it('returns no lines for an unknown request', () => {
     expect(explainCall(LINES, 'z')).toEqual([]);
   });
--- a/packages/cli/src/callExplanation.ts
+++ b/packages/cli/src/callExplanation.ts
@@ -28,6 +28,10 @@
   'peer-connection-renewed',
   'upstream-announced',
   'upstream-doubted',
+  'upstream-leaving',
+  'upstream-limit-ended',
+  'upstream-limit-unreadable',
+  'upstream-limited',
   'upstream-trusted',
   'lines-left-out',
 ]);
--- a/packages/cli/src/commands/status.ts
+++ b/packages/cli/src/commands/status.ts
@@ -4,7 +4,7 @@
 import type {CommandContext} from '../commandContext.js';
 import type {ExitCode} from '../exitCodes.js';
 import {fetchNodeStatuses} from '../nodeStatuses.js';
-import type {NodeStatus} from '../nodeStatuses.js';
+import type {NodeStatus, UpstreamStatus} from '../nodeStatuses.js';
 import type {Row} from '../output.js';
 
 /** Shows one row for each upstream, and one for a node without any. */
@@ -24,12 +24,12 @@
   if (node.upstreams.length === 0) {
     return [{...common, upstream: '-', state: '-', running: '-', why: ''}];
   }
-  return node.upstreams.map(({upstream, state, occupied, limit, denial}) => ({
+  return node.upstreams.map((upstream) => ({
     ...common,
-    upstream,
-    state,
-    running: `${occupied}/${limit}`,
-    why: stateReason(state, denial),
+    upstream: upstream.upstream,
+    state: upstream.state,
+    running: `${upstream.occupied}/${upstream.limit}`,
+    why: reasons(upstream).join('; '),
   }));
 }
 
@@ -45,6 +45,22 @@
   settling: 'sick; waiting whether its peers worsen too',
 };
 
+function reasons({
+  state,
+  denial,
+  requestsPerSecond,
+  isLeaving = false,
+}: UpstreamStatus): readonly string[] {
+  const reason = isLeaving
+    ? 'it states that it is leaving'
+    : stateReason(state, denial);
+  const limit =
+    requestsPerSecond === undefined
+      ? ''
+      : `it states that it takes ${requestsPerSecond} requests a second`;
+  return [reason, limit].filter((text) => text !== '');
+}
+
 function stateReason(state: string, denial: string): string {
   return state === 'condemned'
     ? (DENIAL_REASONS[denial] ?? 'sick; no permit to eject it yet')
--- a/packages/cli/src/nodeStatuses.ts
+++ b/packages/cli/src/nodeStatuses.ts
@@ -15,6 +15,19 @@
   readonly versionInForce: number;
 }
 
+/** The standing of an upstream at its guard. */
+export interface UpstreamStatus {
+  readonly upstream: string;
+  readonly state: string;
+  readonly occupied: number;
+  readonly limit: number;
+  readonly denial: string;
+  /** Limit that the upstream states, if any. */
+  readonly requestsPerSecond?: number;
+  /** Whether the upstream states that it is leaving. */
+  readonly isLeaving?: boolean;
+}
+
 /** The status of a node as reported by itself. */
 export interface NodeStatus {
   readonly box: string;
@@ -28,13 +41,7 @@
   readonly isLeaving: boolean;
   readonly callsAtEntry: number;
   readonly callsAtGuard: number;
-  readonly upstreams: readonly {
-    readonly upstream: string;
-    readonly state: string;
-    readonly occupied: number;
-    readonly limit: number;
-    readonly denial: string;
-  }[];
+  readonly upstreams: readonly UpstreamStatus[];
   readonly members: readonly MemberStatus[];
 }
 
--- a/packages/node/src/process/fleetComposition.ts
+++ b/packages/node/src/process/fleetComposition.ts
@@ -218,7 +218,8 @@
     onNodeAction: (action) => host.handleGuardAction(action),
     onEnded: (record) => {
       log.guardCall(record);
-      const {outcome, ranMilliseconds, head, doubtReason, notice} = record;
+      const {outcome, ranMilliseconds, head, notice} = record;
+      const {doubtReason, limit} = record;
       if (outcome === 'answered') {
         host.runSurvived(head.requestDigest);
       }
@@ -226,6 +227,9 @@
       if (doubtReason !== undefined) {
         metrics.increment('guard.doubted', {reason: doubtReason});
       }
+      if (limit !== undefined) {
+        metrics.increment('guard.overLimit');
+      }
       for (const kind of noticeKinds(notice)) {
         metrics.increment('guard.notices', {kind});
       }
--- a/packages/node/src/process/fleetOperators.ts
+++ b/packages/node/src/process/fleetOperators.ts
@@ -4,11 +4,14 @@
 import type {DependencyContainer} from 'tsyringe';
 import {steadyClock} from '@lockpin/utils';
 import type {RequestHandler} from '../connection/httpServer.js';
+import {createFleetStatusApi} from '../operators/fleetStatusApi.js';
 import {createQuarantineApi} from '../operators/quarantineApi.js';
 import {FLEET_TOKENS} from './fleetComposition.js';
 
+const STATUS_PATH = '/status';
+
 /** Path prefixes of the operators' API; all other paths serve the metrics. */
-const API_PATHS = ['/resources', '/quarantines/'] as const;
+const API_PATHS = [STATUS_PATH, '/resources', '/quarantines/'] as const;
 
 /** Creates the handler of the operators' API and the metrics. */
 export function fleetOperatorHandler(
@@ -17,19 +20,28 @@
   const host = container.resolve(FLEET_TOKENS.host);
   const {operatorTokenHash = ''} = container.resolve(FLEET_TOKENS.ports);
   const metrics = metricsHandler(container);
-  const api = createQuarantineApi({
+  const status = createFleetStatusApi({
+    tokenHash: operatorTokenHash,
+    host,
+    clock: steadyClock,
+  });
+  const quarantines = createQuarantineApi({
     tokenHash: operatorTokenHash,
     version: () => host.fleet.version,
     quarantinedRequests: () => host.fleet.suspects.quarantined(steadyClock()),
     lift: (digest) => host.liftQuarantine(digest),
   });
   return (request, response) => {
-    const path = request.url ?? '';
-    const isApi = API_PATHS.some((prefix) => path.startsWith(prefix));
-    (isApi ? api : metrics)(request, response);
+    const {pathname} = new URL(request.url ?? '/', 'http://lockpin');
+    const handle = pathname === STATUS_PATH ? status : quarantines;
+    const isApi = API_PATHS.some((prefix) => pathname.startsWith(prefix));
+    (isApi ? handle : metrics)(request, response);
   };
 }
 
+/** Shown for an upstream that states no limit. */
+const NO_LIMIT = -1;
+
 function metricsHandler(container: DependencyContainer): RequestHandler {
   const metrics = container.resolve(FLEET_TOKENS.metrics);
   const host = container.resolve(FLEET_TOKENS.host);
@@ -57,6 +69,11 @@
       readerRole.readers.hasActiveReader(now) ? 1 : 0,
     );
     metrics.gauge('log.dropped', writer.counts.dropped);
+    for (const {upstream, ...standing} of host.guard.standings(now)) {
+      const {requestsPerSecond = NO_LIMIT, isLeaving} = standing;
+      metrics.gauge('upstream.limit', requestsPerSecond, {upstream});
+      metrics.gauge('upstream.leaving', isLeaving ? 1 : 0, {upstream});
+    }
     void metrics.text().then((text) => response.end(text));
   };
 }
