Count a refused call once in the time at which its caller may return

Cause: each refused offer moved the time for the next refused call by a whole call, and a call is offered to several upstreams. In a fleet of two boxes limited to 0.5 a second the second refused caller was sent away for 3.99 s, the end of the scale; and an entry took a long wait as the sign that a pause is of no use.

Change: an offer that may wait moves the time by a quarter of a call. Whether a pause helps follows from what refused the call in this round: not if it was limits only.

--- a/packages/admission/src/admission.ts
+++ b/packages/admission/src/admission.ts
@@ -45,6 +45,12 @@
 /** Calls that wait for the limit start at the next check of the guard. */
 const START_DELAY_MILLISECONDS = 50;
 
+/**
+ * A call that may wait is offered to several upstreams before its caller is
+ * told to come back, and then needs only one of them.
+ */
+const WAITING_OFFER_SHARE = 0.25;
+
 interface RunningEntry {
   readonly call: WaitingCall;
   readonly startedAt: number;
@@ -108,14 +114,14 @@
       return this.refuse(now, 'upstream-busy', wait);
     }
     if (isTooLateFor(call, startAt, this.expectedOf(call))) {
-      return this.refuse(now, 'deadline-too-short', wait);
+      return this.refuse(now, 'deadline-too-short', wait, WAITING_OFFER_SHARE);
     }
     if (this.isOverShare(call)) {
       return refused('customer-over-share', wait.milliseconds);
     }
     const displaced = this.makeRoom(call);
     if (displaced === 'none') {
-      return this.refuse(now, 'queue-full', wait);
+      return this.refuse(now, 'queue-full', wait, WAITING_OFFER_SHARE);
     }
     this.queue.add(call);
     return {kind: 'queued', displaced};
@@ -201,11 +207,15 @@
     this.running.set(call.id, {call, startedAt: now});
   }
 
-  /** Refuses a call; the reason only applies if it waits for a slot. */
+  /**
+   * Refuses a call; the reason only applies if it waits for a slot. The share is
+   * the part of a call that is expected to come back to this upstream.
+   */
   private refuse(
     now: number,
     reason: RefusalReason,
     {milliseconds, isForLimit}: ExpectedWait,
+    share = 1,
   ): AdmissionDecision {
     if (!isForLimit) {
       return refused(reason, milliseconds);
@@ -214,7 +224,7 @@
     const wait = Number.isFinite(milliseconds)
       ? Math.max(milliseconds, behindRefused)
       : behindRefused;
-    this.rate.refused(now);
+    this.rate.refused(now, share);
     return refused('upstream-over-limit', wait);
   }
 
--- a/packages/admission/src/requestRate.ts
+++ b/packages/admission/src/requestRate.ts
@@ -126,12 +126,16 @@
     return wait === 0 ? 0 : Math.max(wait, this.spreadUntil - now);
   }
 
-  /** Reserves a later time for a refused call than for those before it. */
-  refused(now: number): void {
+  /**
+   * Reserves a later time for a refused call than for those before it.
+   * @param share Part of a call that is expected to come back.
+   */
+  refused(now: number, share = 1): void {
     if (this.callsPerSecond !== undefined) {
       const from = Math.max(now + this.wait(now, 1), this.spreadUntil);
       const latest = now + MAXIMUM_SPREAD_MILLISECONDS;
-      this.spreadUntil = Math.min(latest, from + 1000 / this.callsPerSecond);
+      const interval = (share * 1000) / this.callsPerSecond;
+      this.spreadUntil = Math.min(latest, from + interval);
     }
   }
 
--- a/packages/brain/src/entry/callOffers.ts
+++ b/packages/brain/src/entry/callOffers.ts
@@ -78,7 +78,7 @@
     if (
       pauseMilliseconds === 0 ||
       now + milliseconds > state.heldUntil ||
-      isLimitedBeyond(state, reason, state.heldUntil - now)
+      isHopeless(state, reason)
     ) {
       return this.context.calls.refuseCall(
         state,
@@ -105,6 +105,7 @@
   ): readonly EntryAction[] {
     state.reroutes = 0;
     state.shortestWait = Number.POSITIVE_INFINITY;
+    state.isOnlyLimited = true;
     setTerms(state, this.context.settings.initialTerms);
     return this.next(now, random, state, 'no-upstream');
   }
@@ -182,13 +183,14 @@
 }
 
 /**
- * Whether no limit allows the call within a time. Unlike the wait for a slot,
- * the wait for a limit does not end early.
+ * Whether guards have refused to let the call wait for their limits. Unlike a
+ * slot, a limit does not become free early, so a pause would not help.
  */
-function isLimitedBeyond(
-  {shortestWait}: CallState,
+function isHopeless(
+  {isOnlyLimited, terms}: CallState,
   reason: RefusalReason,
-  milliseconds: number,
 ): boolean {
-  return reason === 'upstream-over-limit' && shortestWait > milliseconds;
+  return (
+    reason === 'upstream-over-limit' && isOnlyLimited && terms !== 'immediate'
+  );
 }
--- a/packages/brain/src/entry/callState.ts
+++ b/packages/brain/src/entry/callState.ts
@@ -14,6 +14,8 @@
   terms: OfferTerms;
   /** A guard refused it because no slot was expected in time. */
   isShortOfTime: boolean;
+  /** Only limits that upstreams state have kept it from a slot this round. */
+  isOnlyLimited: boolean;
   /** Offers that were not acknowledged. */
   unacknowledgedOffers: number;
   /** Rounds of offers that were refused throughout. */
@@ -48,6 +50,7 @@
     ran: new Set(),
     terms: initialTerms,
     isShortOfTime: false,
+    isOnlyLimited: true,
     unacknowledgedOffers: 0,
     pauses: 0,
     shortestWait: Number.POSITIVE_INFINITY,
--- a/packages/brain/src/entry/entryStateMachine.ts
+++ b/packages/brain/src/entry/entryStateMachine.ts
@@ -205,6 +205,7 @@
     state.isShortOfTime ||=
       reason === 'deadline-too-short' ||
       (reason === 'upstream-over-limit' && state.terms !== 'immediate');
+    state.isOnlyLimited &&= reason === 'upstream-over-limit';
     if (NO_SLOT_REFUSALS.has(reason)) {
       state.shortestWait = Math.min(state.shortestWait, retryAfterMilliseconds);
     }
