Test stated limits beside retry budgets, once keys, doubt and idle upstreams

Change: random sequences of guard events contain statements; a refused retry spends no budget; a limited upstream is not doubted for getting few calls, and is doubted for failing ones; in the simulated service none is idle for 2 s.

--- a/packages/brain/src/__tests__/refusalOutcomes.test.ts
+++ b/packages/brain/src/__tests__/refusalOutcomes.test.ts
@@ -31,6 +31,12 @@
       readonly isStored: boolean;
     }
   | {readonly kind: 'fail'; readonly call: number; readonly wasSent: boolean}
+  | {
+      readonly kind: 'state';
+      readonly call: number;
+      readonly requestsPerSecond: number | undefined;
+      readonly isLeaving: boolean;
+    }
   | {readonly kind: 'tick'; readonly milliseconds: number}
   | {readonly kind: 'drain' | 'restart' | 'leave'};
 
@@ -71,6 +77,15 @@
       wasSent: fc.boolean(),
     }),
   },
+  {
+    weight: 2,
+    arbitrary: fc.record({
+      kind: fc.constant('state' as const),
+      call: callIndex,
+      requestsPerSecond: fc.constantFrom(undefined, 0, 2, 50),
+      isLeaving: fc.boolean(),
+    }),
+  },
   {
     weight: 4,
     arbitrary: fc.record({
@@ -137,6 +152,9 @@
       case 'fail':
         this.fail(this.callIdAt(step.call), step.wasSent);
         break;
+      case 'state':
+        this.state(step);
+        break;
       case 'tick':
         this.now += step.milliseconds;
         this.handleEvent({kind: 'tick'});
@@ -212,6 +230,15 @@
     });
   }
 
+  private state(step: Step & {readonly kind: 'state'}): void {
+    const callId = this.callIdAt(step.call);
+    if (this.incarnationByCall.get(callId) === String(this.incarnation)) {
+      const {requestsPerSecond, isLeaving} = step;
+      const notice = {requestsPerSecond, isLeaving, unreadableLimit: undefined};
+      this.handleEvent({kind: 'upstream-stated', callId, notice});
+    }
+  }
+
   private fail(callId: string, wasSent: boolean): void {
     if (this.incarnationByCall.get(callId) !== String(this.incarnation)) {
       return;
--- a/packages/brain/src/__tests__/statedLimit.test.ts
+++ b/packages/brain/src/__tests__/statedLimit.test.ts
@@ -2,6 +2,7 @@
 /** A guard whose upstream states a limit of requests per second. */
 
 import {beforeEach, describe, expect, it} from 'vitest';
+import {UNLIMITED_RETRIES} from '@lockpin/routing';
 import type {UpstreamNotice} from '@lockpin/types';
 import type {
   GuardAction,
@@ -202,6 +203,47 @@
   });
 });
 
+describe('beside a stated limit', () => {
+  it('a refused retry costs nothing of the retry budget', () => {
+    let retries = 0;
+    harness = new GuardHarness(SLOTS, () => ({
+      ...UNLIMITED_RETRIES,
+      takeRetry: () => {
+        retries += 1;
+        return true;
+      },
+    }));
+    answerWith({requestsPerSecond: 0.5});
+    expect(refusalsOf(offerAtOnce({attempt: 2}))).toEqual([
+      'upstream-over-limit not-run',
+    ]);
+    expect(retries).toBe(0);
+  });
+
+  it('the upstream is not doubted for getting few calls', () => {
+    answerWith({requestsPerSecond: 0.5});
+    for (let i = 0; i < 5; i += 1) {
+      passTime(3000);
+      expect(eventsOf(answerWith({requestsPerSecond: 0.5}))).toEqual([]);
+    }
+    expect(isRun(offerAtOnce({repetition: 'at-most-once'}))).toBe(false);
+    passTime(3000);
+    expect(isRun(offerAtOnce({repetition: 'at-most-once'}))).toBe(true);
+  });
+
+  it('failing calls still bring the upstream into doubt', () => {
+    answerWith({requestsPerSecond: 5});
+    for (let i = 0; i < 4; i += 1) {
+      passTime(300);
+      harness.run(`failed ${i}`, 500);
+    }
+    passTime(300);
+    expect(refusalsOf(offerAtOnce({repetition: 'at-most-once'}))).toEqual([
+      'upstream-doubted not-run',
+    ]);
+  });
+});
+
 describe('a guard that has restarted', () => {
   const knownNotice = {
     incarnation: 'i-1@0',
--- a/packages/node/src/__tests__/limitedService.test.ts
+++ b/packages/node/src/__tests__/limitedService.test.ts
@@ -25,6 +25,9 @@
 /** A refusal that comes later than this has held its caller. */
 const AT_ONCE_MILLISECONDS = 100;
 
+/** A healthy upstream gets a call within this time. */
+const MAXIMUM_IDLE_MILLISECONDS = 2000;
+
 const SEEDS = [1, 2, 3];
 
 function createSimulation(seed: number): FleetCallSimulation {
@@ -118,6 +121,21 @@
     },
   );
 
+  it('keeps every limited upstream in use', () => {
+    const simulation = createSimulation(seed);
+    state(simulation, 5, {requestsPerSecond: 2.6});
+    simulation.run(LEARNING_MILLISECONDS + MEASURED_MILLISECONDS);
+    for (let box = 0; box < 5; box += 1) {
+      const times = simulation.arrivals
+        .filter(
+          ({upstream, at}) => upstream === box && at > LEARNING_MILLISECONDS,
+        )
+        .map(({at}) => at);
+      const gaps = times.slice(1).map((at, i) => at - (times[i] ?? at));
+      expect(Math.max(...gaps)).toBeLessThan(MAXIMUM_IDLE_MILLISECONDS);
+    }
+  });
+
   it('returns to its upstreams when a limit ends', () => {
     const simulation = createSimulation(seed);
     state(simulation, BOXES, {requestsPerSecond: 0.5});
