Return a token only for a call that took one

Cause: found while reading the change. A call whose slot was reserved before its upstream stated a limit took no token, yet returned one when it was not sent. The remaining doubt in the line upstream-doubted contained the wait for the limit. An entry that met a silent guard could refuse a call as kept out by limits alone.

Change: a running call knows whether it holds a token; the doubt is logged without the wait; silence and lost offers count as another reason. The shortest reported wait becomes the Retry-After of calls that limits refuse, and of no others. Names: upstream-leaving for the event as for the action.

Result: the new test fails without the change; 640 tests of the packages touched pass.

--- a/packages/admission/src/admission.ts
+++ b/packages/admission/src/admission.ts
@@ -42,7 +42,7 @@
 /** Retry-after when no slot is expected to be freed. */
 const STUCK_RETRY_MILLISECONDS = 500;
 
-/** Calls that wait for the limit start at the next check of the guard. */
+/** Calls that wait for the limit start at the next tick of the guard. */
 const START_DELAY_MILLISECONDS = 50;
 
 /**
@@ -54,6 +54,8 @@
 interface RunningEntry {
   readonly call: WaitingCall;
   readonly startedAt: number;
+  /** Whether it counts for the stated limit. */
+  readonly hasToken: boolean;
 }
 
 /** When a call can start, in milliseconds from now. */
@@ -142,7 +144,9 @@
 
   /** Ends a call that was not sent; it does not count for the limit. */
   release(now: number, id: string): DispatchResult {
-    this.rate.giveBack(now);
+    if (this.running.get(id)?.hasToken === true) {
+      this.rate.giveBack(now);
+    }
     return this.finish(now, id, undefined);
   }
 
@@ -203,8 +207,9 @@
   }
 
   private start(now: number, call: WaitingCall): void {
+    const hasToken = this.rate.limit !== undefined;
     this.rate.take(now, call.priority);
-    this.running.set(call.id, {call, startedAt: now});
+    this.running.set(call.id, {call, startedAt: now, hasToken});
   }
 
   /**
--- a/packages/admission/src/requestRate.ts
+++ b/packages/admission/src/requestRate.ts
@@ -38,7 +38,7 @@
   /** Tokens that accrue until then are expected to be used by refused calls. */
   private spreadUntil = 0;
   /** Calls that started recently, in order. */
-  private starts: readonly Start[] = [];
+  private readonly starts: Start[] = [];
 
   /** The limit in calls per second; undefined if there is none. */
   get limit(): number | undefined {
@@ -53,7 +53,7 @@
     if (limit === undefined) {
       this.callsPerSecond = undefined;
       this.spreadUntil = 0;
-      this.starts = [];
+      this.starts.length = 0;
       return;
     }
     this.refill(now);
@@ -78,7 +78,8 @@
     if (this.callsPerSecond !== undefined) {
       this.refill(now);
       this.tokens -= 1;
-      this.starts = [...this.recentStarts(now), {at: now, priority}];
+      this.forgetStarts(now);
+      this.starts.push({at: now, priority});
     }
   }
 
@@ -107,14 +108,14 @@
    * limit as they did lately; infinite if they take all of it.
    */
   waitForTurn(now: number, turn: number, priority: number): number {
-    const limit = this.callsPerSecond ?? 0;
-    const urgent = this.recentStarts(now).filter(
-      (start) => start.priority < priority,
-    ).length;
-    const urgentPerSecond = (urgent * 1000) / URGENT_WINDOW_MILLISECONDS;
     const wait = this.wait(now, turn);
-    const share = Math.max(0, 1 - urgentPerSecond / limit);
-    return wait === 0 ? 0 : wait / share;
+    if (wait === 0 || this.callsPerSecond === undefined) {
+      return 0;
+    }
+    this.forgetStarts(now);
+    const urgent = this.starts.filter((start) => start.priority < priority);
+    const urgentPerSecond = (urgent.length * 1000) / URGENT_WINDOW_MILLISECONDS;
+    return wait / Math.max(0, 1 - urgentPerSecond / this.callsPerSecond);
   }
 
   /**
@@ -144,8 +145,10 @@
     this.refilledAt += milliseconds;
   }
 
-  private recentStarts(now: number): readonly Start[] {
-    return this.starts.filter(({at}) => now - at < URGENT_WINDOW_MILLISECONDS);
+  private forgetStarts(now: number): void {
+    while (now - (this.starts[0]?.at ?? now) >= URGENT_WINDOW_MILLISECONDS) {
+      this.starts.shift();
+    }
   }
 
   private get capacity(): number {
--- a/packages/brain/src/__tests__/statedLimit.test.ts
+++ b/packages/brain/src/__tests__/statedLimit.test.ts
@@ -147,6 +147,13 @@
     expect(isRun(offerAtOnce())).toBe(true);
   });
 
+  it('returns no token for a call that was reserved before the limit', () => {
+    harness.offer('reserved', {mayWait: false});
+    answerWith({requestsPerSecond: 2});
+    harness.handle({kind: 'call-cancelled', callId: 'reserved'});
+    expect(isRun(offerAtOnce())).toBe(false);
+  });
+
   it.each([
     ['falls', {requestsPerSecond: 0.5}, 'upstream-limited', 1],
     ['rises', {requestsPerSecond: 4}, 'upstream-limited', 4],
--- a/packages/brain/src/entry/callOffers.ts
+++ b/packages/brain/src/entry/callOffers.ts
@@ -13,7 +13,6 @@
   EntryAction,
   EntryCall,
 } from './entryMessages.js';
-import {NO_SLOT_REFUSALS} from './entrySettings.js';
 import type {EntrySettings} from './entrySettings.js';
 import type {UpstreamChooser} from './upstreamChooser.js';
 
@@ -78,7 +77,7 @@
     if (
       pauseMilliseconds === 0 ||
       now + milliseconds > state.heldUntil ||
-      isHopeless(state, reason)
+      isKeptOutByLimits(state, reason)
     ) {
       return this.context.calls.refuseCall(
         state,
@@ -172,21 +171,22 @@
   }
 }
 
-/** The shortest wait that guards reported, where they reported any. */
+/** For a call that limits refuse, the shortest wait that a guard reported. */
 function shortestRetryAfter(
   {shortestWait}: CallState,
   reason: RefusalReason,
   retryAfter: number,
 ): number {
-  const isReported = NO_SLOT_REFUSALS.has(reason) && shortestWait > 0;
+  const isReported = reason === 'upstream-over-limit' && shortestWait > 0;
   return isReported ? Math.min(retryAfter, shortestWait) : retryAfter;
 }
 
 /**
- * Whether guards have refused to let the call wait for their limits. Unlike a
- * slot, a limit does not become free early, so a pause would not help.
+ * Whether only limits keep the call out, and guards have refused to let it wait
+ * for them. Unlike a slot, a limit does not become free early, so a pause would
+ * not help.
  */
-function isHopeless(
+function isKeptOutByLimits(
   {isOnlyLimited, terms}: CallState,
   reason: RefusalReason,
 ): boolean {
--- a/packages/brain/src/entry/entryStateMachine.ts
+++ b/packages/brain/src/entry/entryStateMachine.ts
@@ -178,6 +178,7 @@
   ): readonly EntryAction[] {
     this.calls.attemptEnded(state);
     state.unacknowledgedOffers += 1;
+    state.isOnlyLimited = false;
     this.loads.linkFailed(state.upstream, now, random());
     const cancel: EntryAction = {
       kind: 'cancel-attempt',
@@ -241,6 +242,7 @@
     state: CallState,
     wasSent: boolean,
   ): readonly EntryAction[] {
+    state.isOnlyLimited = false;
     if (wasSent) {
       state.mayHaveRun = true;
       state.ran.add(state.upstream);
--- a/packages/brain/src/guard/guardRefusals.ts
+++ b/packages/brain/src/guard/guardRefusals.ts
@@ -28,7 +28,7 @@
       reason === 'upstream-doubted' ? upstream?.doubtReason(now) : undefined,
     limit:
       reason === 'upstream-over-limit'
-        ? upstream?.limitInForce(now)
+        ? upstream?.notice.limitInForce(now)
         : undefined,
   };
 }
--- a/packages/brain/src/guard/standingActions.ts
+++ b/packages/brain/src/guard/standingActions.ts
@@ -31,7 +31,7 @@
   }
   const {name} = upstream;
   const detail = {
-    remaining: upstream.retryAfter(now),
+    remaining: upstream.remainingHold(now),
     cause: upstream.doubtCause,
   };
   const event = isDoubted ? 'upstream-doubted' : 'upstream-trusted';
--- a/packages/brain/src/guard/statedNotice.ts
+++ b/packages/brain/src/guard/statedNotice.ts
@@ -3,6 +3,7 @@
 
 import type {RequestRate} from '@lockpin/admission';
 import type {KnownNotice, UpstreamNotice} from '@lockpin/types';
+import type {LimitInForce} from './guardMessages.js';
 
 /**
  * Answers that were given at almost the same time may be read in any order, so
@@ -45,9 +46,12 @@
     return this.leavingAt !== undefined;
   }
 
-  /** Milliseconds since the limit was last stated. */
-  limitAge(now: number): number {
-    return now - this.statedAt;
+  /** The limit and its age; undefined if there is none. */
+  limitInForce(now: number): LimitInForce | undefined {
+    const {requestsPerSecond} = this;
+    return requestsPerSecond === undefined
+      ? undefined
+      : {requestsPerSecond, age: now - this.statedAt};
   }
 
   /** Handles the statements of an answer. */
@@ -93,7 +97,7 @@
     const known = this.rate.limit;
     const isRaised =
       known !== undefined && (limit === undefined || limit > known);
-    if (isRaised && this.limitAge(now) <= LIMIT_HOLD_MILLISECONDS) {
+    if (isRaised && now - this.statedAt <= LIMIT_HOLD_MILLISECONDS) {
       return [];
     }
     return limit === undefined
--- a/packages/brain/src/guard/upstreamGuard.ts
+++ b/packages/brain/src/guard/upstreamGuard.ts
@@ -19,7 +19,7 @@
   UpstreamSpec,
 } from '@lockpin/types';
 import {FIRST_SERVER_ERROR_STATUS, incarnationText} from '@lockpin/utils';
-import type {GuardCall, GuardSettings, LimitInForce} from './guardMessages.js';
+import type {GuardCall, GuardSettings} from './guardMessages.js';
 import {OwnCallFailures} from './ownCallFailures.js';
 import {chargeRetryBudget} from './chargeRetryBudget.js';
 import {presumedDuration} from './presumedDuration.js';
@@ -121,15 +121,6 @@
     return incarnation === undefined ? '' : incarnationText(incarnation);
   }
 
-  /** The limit that the upstream states; undefined if there is none. */
-  limitInForce(now: number): LimitInForce | undefined {
-    const {requestsPerSecond} = this.notice;
-    const age = this.notice.limitAge(now);
-    return requestsPerSecond === undefined
-      ? undefined
-      : {requestsPerSecond, age};
-  }
-
   /** The clock jumped ahead, by time that may not have passed. */
   clockGained(milliseconds: number): void {
     this.admission.rate.clockGained(milliseconds);
@@ -166,14 +157,18 @@
     return this.refusals.reason(now, call, condition);
   }
 
+  /** Remaining duration of doubt or ejection, in milliseconds. */
+  remainingHold(now: number): number {
+    return Math.ceil(
+      Math.max(this.standing.remainingHold(now), this.doubt.remaining(now)),
+    );
+  }
+
   /** Milliseconds after which a refused call may be offered again. */
   retryAfter(now: number): number {
-    return Math.ceil(
-      Math.max(
-        this.standing.remainingHold(now),
-        this.doubt.remaining(now),
-        this.admission.waitForLimit(now),
-      ),
+    return Math.max(
+      this.remainingHold(now),
+      Math.ceil(this.admission.waitForLimit(now)),
     );
   }
 
--- a/packages/fleet/src/__tests__/ownUpstream.test.ts
+++ b/packages/fleet/src/__tests__/ownUpstream.test.ts
@@ -129,8 +129,8 @@
     const tracker = new OwnUpstreamTracker();
     tracker.announced(0, createAnnouncement(100, 'ready', 1));
     const incarnation = {id: 'i-1', startedAt: 100};
-    expect(tracker.left(incarnation).kind).toBe('changed');
-    expect(tracker.left(incarnation).kind).toBe('unchanged');
+    expect(tracker.leaving(incarnation).kind).toBe('changed');
+    expect(tracker.leaving(incarnation).kind).toBe('unchanged');
     tracker.announced(1, createAnnouncement(100, 'ready', 2));
     expect(tracker.upstream?.takesWork).toBe(false);
     tracker.announced(2, createAnnouncement(200, 'ready', 1));
@@ -140,7 +140,7 @@
   it('keeps its work when an earlier process states that it is leaving', () => {
     const tracker = new OwnUpstreamTracker();
     tracker.announced(0, createAnnouncement(200, 'ready', 1));
-    tracker.left({id: 'i-1', startedAt: 100});
+    tracker.leaving({id: 'i-1', startedAt: 100});
     expect(tracker.upstream?.takesWork).toBe(true);
   });
 
--- a/packages/fleet/src/announcementHandler.ts
+++ b/packages/fleet/src/announcementHandler.ts
@@ -52,13 +52,13 @@
   }
 
   /** A process of the upstream stated in an answer that it is leaving. */
-  left(
+  upstreamLeaving(
     now: number,
     incarnation: UpstreamIncarnation | undefined,
   ): readonly FleetAction[] {
     return incarnation === undefined
       ? []
-      : this.applied(now, this.context.tracker.left(incarnation));
+      : this.applied(now, this.context.tracker.leaving(incarnation));
   }
 
   private applied(
--- a/packages/fleet/src/fleetMessages.ts
+++ b/packages/fleet/src/fleetMessages.ts
@@ -92,7 +92,7 @@
     }
   /** A process of this box's upstream states that it is leaving. */
   | {
-      readonly kind: 'upstream-left';
+      readonly kind: 'upstream-leaving';
       readonly incarnation: UpstreamIncarnation | undefined;
     }
   /** A peer reported the version in force there. */
--- a/packages/fleet/src/fleetStateMachine.ts
+++ b/packages/fleet/src/fleetStateMachine.ts
@@ -130,8 +130,11 @@
           now,
           event.announcement,
         );
-      case 'upstream-left':
-        return this.components.announcementHandler.left(now, event.incarnation);
+      case 'upstream-leaving':
+        return this.components.announcementHandler.upstreamLeaving(
+          now,
+          event.incarnation,
+        );
       case 'peer-version-reported':
         return this.components.questions.versionReported(
           now,
--- a/packages/fleet/src/ownUpstream.ts
+++ b/packages/fleet/src/ownUpstream.ts
@@ -107,7 +107,7 @@
   }
 
   /** A process is leaving, though it may not have announced that. */
-  left(incarnation: UpstreamIncarnation): AnnouncementResult {
+  leaving(incarnation: UpstreamIncarnation): AnnouncementResult {
     return this.handleLeave({incarnation, sequence: 0});
   }
 
--- a/packages/node/src/process/fleetHost.ts
+++ b/packages/node/src/process/fleetHost.ts
@@ -261,7 +261,7 @@
     }
     if (action.kind === 'upstream-leaving') {
       const {incarnation} = action;
-      this.handle({kind: 'upstream-left', incarnation});
+      this.handle({kind: 'upstream-leaving', incarnation});
     }
     if (action.kind === 'standing') {
       const {upstream, hint} = action;
