Split the fault plan of the soak into faults, draws and plan

Change: plannedFault.ts has the types, faultDraws.ts draws the faults of each set, faultPlan.ts makes the schedule. Nothing else changes.

--- a/packages/tools/src/soak/applyFault.ts
+++ b/packages/tools/src/soak/applyFault.ts
@@ -2,7 +2,7 @@
 /** Injects planned faults and records when each began and ended. */
 
 import {setTimeout as pause} from 'node:timers/promises';
-import type {PlannedFault} from './faultPlan.js';
+import type {PlannedFault} from './plannedFault.js';
 import {HEALTHY_LINK} from './linkProxy.js';
 import type {SoakBox} from './soakBox.js';
 import type {SoakRecorder} from './soakRecorder.js';
--- /dev/null
+++ b/packages/tools/src/soak/faultDraws.ts
@@ -0,0 +1,251 @@
+// Copyright (c) 2026 the lockpin contributors. MIT licence, see LICENSE.
+/** Draws the faults of each fault set at random. */
+
+import type {RandomSource} from '@lockpin/types';
+import type {StoreMode, UpstreamMode} from '@lockpin/platform-stand-ins';
+import type {LinkFault} from './linkProxy.js';
+import type {LinkName, PlannedFault} from './plannedFault.js';
+
+/** Fault durations, with a distribution skewed towards the shortest. */
+const SHORTEST_FAULT_MILLISECONDS = 300;
+const LONGEST_FAULT_MILLISECONDS = 4000;
+
+/** Maximum delay of a delayed link. */
+const LONGEST_DELAY_MILLISECONDS = 300;
+
+/** Maximum number of repetitions when a fault occurs in a series. */
+const MAXIMUM_SERIES_LENGTH = 4;
+
+/** Time between the repetitions of a series. */
+const SERIES_GAP_MILLISECONDS = 350;
+
+/** Minimum share of the requests that a faulty upstream mishandles. */
+const MINIMUM_AFFECTED_SHARE = 0.2;
+
+const STORE_MODES: readonly StoreMode[] = [
+  'busy',
+  'silent',
+  'slow',
+  'answer-lost',
+  'done-late',
+];
+
+const UPSTREAM_MODES: readonly UpstreamMode[] = [
+  'errors',
+  'resets',
+  'sheds',
+  'hangs',
+  'unframed',
+  'cut-short',
+  'answers-twice',
+];
+
+const LINKS: readonly LinkName[] = ['peers', 'store', 'upstream'];
+
+/** Draws the fault, or series of faults, that begins at a given time. */
+export type DrawFault = (
+  random: RandomSource,
+  at: number,
+  boxes: number,
+) => readonly PlannedFault[];
+
+/** The `first` fault set; all entries are equally likely. */
+export const BASE_DRAWS: readonly DrawFault[] = [
+  (random, at, boxes) =>
+    inSeries(random, at, (time) => ({
+      at: time,
+      kind: 'kill',
+      box: randomIndex(random, boxes),
+      downMilliseconds: randomDuration(random),
+    })),
+  (random, at, boxes) =>
+    inSeries(random, at, (time) => ({
+      at: time,
+      kind: 'stop',
+      box: randomIndex(random, boxes),
+      downMilliseconds: randomDuration(random) / 2,
+    })),
+  (random, at, boxes) => [
+    {
+      at,
+      kind: 'pause',
+      box: randomIndex(random, boxes),
+      durationMilliseconds: randomDuration(random),
+    },
+  ],
+  (random, at, boxes) => [
+    {
+      at,
+      kind: 'reload',
+      box: randomIndex(random, boxes),
+      sendsSignal: random() < 0.5,
+    },
+  ],
+  (random, at, boxes) => [
+    {
+      at,
+      kind: 'link',
+      box: randomIndex(random, boxes),
+      link: randomItem(random, LINKS),
+      fault: drawLinkFault(random),
+      durationMilliseconds: randomDuration(random),
+    },
+  ],
+  (random, at) => [
+    {
+      at,
+      kind: 'store',
+      mode: randomItem(random, STORE_MODES),
+      durationMilliseconds: randomDuration(random),
+    },
+  ],
+  (_random, at) => [{at, kind: 'store-history-dropped'}],
+  (random, at, boxes) => [
+    {
+      at,
+      kind: 'upstream',
+      box: randomIndex(random, boxes),
+      mode: randomItem(random, UPSTREAM_MODES),
+      share: MINIMUM_AFFECTED_SHARE + (1 - MINIMUM_AFFECTED_SHARE) * random(),
+      durationMilliseconds: randomDuration(random),
+    },
+  ],
+  (random, at, boxes) => [
+    {at, kind: 'replace-upstream', box: randomIndex(random, boxes)},
+  ],
+  (random, at, boxes) => [
+    {at, kind: 'crash-upstream', box: randomIndex(random, boxes)},
+  ],
+  (random, at) =>
+    inSeries(random, at, (time) => ({at: time, kind: 'configure'})),
+];
+
+/** Invalid fields of announcements by other writers. */
+const INVALID_ANNOUNCEMENT_FIELDS: readonly object[] = [
+  {State: 'zombie'},
+  {State: undefined},
+  {Slots: -1},
+  {Slots: 'many'},
+  {Service: 'nobody'},
+  {Address: 'nowhere'},
+  {born: 'yesterday'},
+  {born: 9e15},
+];
+
+/** Invalid records by other writers, including one stated far in the future. */
+const INVALID_RECORD_VALUES: readonly string[] = [
+  '',
+  '?',
+  'null',
+  '[]',
+  '{"box":1}',
+  '{"box":"box-1","statedAt":9e15}',
+];
+
+/**
+ * Faults that the `second` set adds. They are drawn from a separate random
+ * sequence so that the schedule of the `first` set does not change.
+ */
+export const SECOND_SET_DRAWS: readonly DrawFault[] = [
+  (random, at, boxes) =>
+    inSeries(random, at, (time) => ({
+      at: time,
+      kind: 'restart-upstream',
+      box: randomIndex(random, boxes),
+    })),
+  (random, at, boxes) => [
+    {
+      at,
+      kind: 'modified-announcement',
+      box: randomIndex(random, boxes),
+      fields: randomItem(random, INVALID_ANNOUNCEMENT_FIELDS),
+    },
+  ],
+  (random, at, boxes) => [
+    {
+      at,
+      kind: 'overwritten-record',
+      box: randomIndex(random, boxes),
+      value: randomItem(random, INVALID_RECORD_VALUES),
+    },
+  ],
+];
+
+/** Faults that the `all` set adds, drawn separately for the same reason. */
+export const RESTORE_DRAWS: readonly DrawFault[] = [
+  (random, at) =>
+    inSeries(random, at, (time) => ({
+      at: time,
+      kind: 'store-restored',
+      unavailableMilliseconds: randomDuration(random) / 4,
+      lost: randomDuration(random),
+    })),
+];
+
+/** Limits that upstreams state, in requests per second; some are no numbers. */
+const STATED_LIMITS: readonly string[] = [
+  '0',
+  '0.5',
+  '2.5',
+  '6',
+  '20',
+  'many',
+  '-1',
+];
+
+/** Limits last longer than other faults: they bind after some seconds. */
+const LIMIT_DURATION_FACTOR = 3;
+
+/** Faults that the `stated` set adds. */
+export const STATED_DRAWS: readonly DrawFault[] = [
+  (random, at, boxes) =>
+    inSeries(random, at, (time) => ({
+      at: time,
+      kind: 'stated-limit',
+      box: randomIndex(random, boxes),
+      value: randomItem(random, STATED_LIMITS),
+      durationMilliseconds: LIMIT_DURATION_FACTOR * randomDuration(random),
+    })),
+  (random, at, boxes) => [
+    {at, kind: 'stated-leaving', box: randomIndex(random, boxes)},
+  ],
+];
+
+/** Draws a single fault with probability 0.5, otherwise two or more. */
+function inSeries(
+  random: RandomSource,
+  at: number,
+  draw: (at: number) => PlannedFault,
+): readonly PlannedFault[] {
+  const count =
+    random() < 0.5 ? 1 : 2 + randomIndex(random, MAXIMUM_SERIES_LENGTH - 1);
+  return Array.from({length: count}, (_, i) =>
+    draw(at + i * SERIES_GAP_MILLISECONDS),
+  );
+}
+
+function drawLinkFault(random: RandomSource): LinkFault {
+  const kind = randomItem(random, [
+    'delayed',
+    'silent',
+    'answers-blocked',
+    'resetting',
+  ] as const);
+  return kind === 'delayed'
+    ? {kind, milliseconds: Math.round(LONGEST_DELAY_MILLISECONDS * random())}
+    : {kind};
+}
+
+function randomDuration(random: RandomSource): number {
+  const range = LONGEST_FAULT_MILLISECONDS - SHORTEST_FAULT_MILLISECONDS;
+  return Math.round(SHORTEST_FAULT_MILLISECONDS + range * random() ** 2);
+}
+
+function randomIndex(random: RandomSource, count: number): number {
+  return Math.floor(random() * count);
+}
+
+/** Chooses one of some items. */
+export function randomItem<T>(random: RandomSource, items: readonly T[]): T {
+  return items[randomIndex(random, items.length)] as T;
+}
--- /dev/null
+++ b/packages/tools/src/soak/plannedFault.ts
@@ -0,0 +1,87 @@
+// Copyright (c) 2026 the lockpin contributors. MIT licence, see LICENSE.
+/** The faults that a soak can schedule. */
+
+import type {StoreMode, UpstreamMode} from '@lockpin/platform-stand-ins';
+import type {LinkFault} from './linkProxy.js';
+
+/** The connections of a box that link faults can affect. */
+export type LinkName = 'peers' | 'store' | 'upstream';
+
+/** A scheduled fault; `at` is in milliseconds from the start of the faults. */
+export type PlannedFault = {readonly at: number} & (
+  | {
+      readonly kind: 'kill';
+      readonly box: number;
+      readonly downMilliseconds: number;
+    }
+  | {
+      readonly kind: 'stop';
+      readonly box: number;
+      readonly downMilliseconds: number;
+    }
+  | {
+      readonly kind: 'pause';
+      readonly box: number;
+      readonly durationMilliseconds: number;
+    }
+  /** Changes the settings file, with or without a signal to the node. */
+  | {
+      readonly kind: 'reload';
+      readonly box: number;
+      readonly sendsSignal: boolean;
+    }
+  | {
+      readonly kind: 'link';
+      readonly box: number;
+      readonly link: LinkName;
+      readonly fault: LinkFault;
+      readonly durationMilliseconds: number;
+    }
+  | {
+      readonly kind: 'store';
+      readonly mode: StoreMode;
+      readonly durationMilliseconds: number;
+    }
+  | {readonly kind: 'store-history-dropped'}
+  /** The store is unavailable, then comes back from an older copy. */
+  | {
+      readonly kind: 'store-restored';
+      readonly unavailableMilliseconds: number;
+      readonly lost: number;
+    }
+  | {
+      readonly kind: 'upstream';
+      readonly box: number;
+      readonly mode: UpstreamMode;
+      readonly share: number;
+      readonly durationMilliseconds: number;
+    }
+  /** The upstream drains and leaves; one with a new id replaces it. */
+  | {readonly kind: 'replace-upstream'; readonly box: number}
+  /** The upstream disappears without notice; one with a new id replaces it. */
+  | {readonly kind: 'crash-upstream'; readonly box: number}
+  /** The upstream disappears; a new process reuses its id. */
+  | {readonly kind: 'restart-upstream'; readonly box: number}
+  /** The upstream states a limit in its answers. */
+  | {
+      readonly kind: 'stated-limit';
+      readonly box: number;
+      readonly value: string;
+      readonly durationMilliseconds: number;
+    }
+  /** The upstream states that it is leaving, and never announces it. */
+  | {readonly kind: 'stated-leaving'; readonly box: number}
+  /** Another writer sends an announcement in the upstream's name. */
+  | {
+      readonly kind: 'modified-announcement';
+      readonly box: number;
+      readonly fields: object;
+    }
+  /** Another writer overwrites the record of a box. */
+  | {
+      readonly kind: 'overwritten-record';
+      readonly box: number;
+      readonly value: string;
+    }
+  | {readonly kind: 'configure'}
+);
--- a/packages/tools/src/soak/soakBox.ts
+++ b/packages/tools/src/soak/soakBox.ts
@@ -11,7 +11,7 @@
 import type {RandomSource} from '@lockpin/types';
 import {BoxProcess, STOP_LIMIT_MILLISECONDS} from './boxProcess.js';
 import {BoxUpstreams} from './boxUpstreams.js';
-import type {LinkName} from './faultPlan.js';
+import type {LinkName} from './plannedFault.js';
 import {LinkProxy} from './linkProxy.js';
 import {SOAK_SERVICES} from './soakConfiguration.js';
 import type {DrainRecord, ExitRecord, SoakBounds} from './soakHistory.js';
