Move the expected durations of calls out of the upstream's guard

Change: UsualDurations knows the end of the warm-up and answers usual, expected and late. Behaviour as before.

--- a/packages/brain/src/guard/upstreamGuard.ts
+++ b/packages/brain/src/guard/upstreamGuard.ts
@@ -22,10 +22,8 @@
 import type {GuardCall, GuardSettings} from './guardMessages.js';
 import {OwnCallFailures} from './ownCallFailures.js';
 import {chargeRetryBudget} from './chargeRetryBudget.js';
-import {presumedDuration} from './presumedDuration.js';
 import {QuickDoubt} from './quickDoubt.js';
 import type {DoubtReason} from './quickDoubt.js';
-import {isLate} from './runningCall.js';
 import type {RunningCall} from './runningCall.js';
 import {StatedNotice} from './statedNotice.js';
 import {upstreamHint} from './upstreamHint.js';
@@ -79,7 +77,7 @@
     );
     this.notice = new StatedNotice(this.admission.rate);
     this.doubt = new QuickDoubt(settings);
-    this.durations = new UsualDurations();
+    this.durations = new UsualDurations(() => this.spec.coldUntil ?? 0);
     this.ownCallFailures = new OwnCallFailures(settings.excusesFailures);
     this.standing = new UpstreamStanding(name, sensitivity);
     this.refusals = new UpstreamRefusals(this.doubt, this.standing, retries);
@@ -175,7 +173,7 @@
   offer(now: number, call: GuardCall): AdmissionDecision {
     const offer = this.admission.offer(
       now,
-      toWaitingCall(call, this.usualDuration(now, call)),
+      toWaitingCall(call, this.durations.usual(now, call)),
     );
     if (offer.kind === 'start') {
       this.start(now, call);
@@ -186,7 +184,7 @@
   /** Records that a call got its slot; it is not sent yet. */
   start(now: number, call: GuardCall): void {
     this.running.set(call.id, {call, startedAt: now, isSent: false});
-    this.doubt.started(now, this.expectedDuration(now, call));
+    this.doubt.started(now, this.durations.expected(now, call));
   }
 
   /** Sends a call that has its slot; false if the retry budget is exhausted. */
@@ -195,7 +193,7 @@
       return false;
     }
     this.running.set(call.id, {call, startedAt: now, isSent: true});
-    this.doubt.sent(now, call.id, this.expectedDuration(now, call));
+    this.doubt.sent(now, call.id, this.durations.expected(now, call));
     return true;
   }
 
@@ -328,22 +326,8 @@
 
   /** Whether a successful call took far longer than is usual for its kind. */
   private successEvidence(now: number, callId: string): CallEvidenceKind {
-    return this.isLate(now, callId) ? 'slow' : 'well';
-  }
-
-  private isLate(now: number, callId: string): boolean {
     const running = this.running.get(callId);
-    return running !== undefined && isLate(now, running, this.spec.coldUntil);
-  }
-
-  /** The usual duration of a call, or an estimate while none is known. */
-  private expectedDuration(now: number, call: GuardCall): number | undefined {
-    return this.usualDuration(now, call) ?? presumedDuration(now, call);
-  }
-
-  private usualDuration(now: number, call: GuardCall): number | undefined {
-    const isCold = now < (this.spec.coldUntil ?? 0);
-    return this.durations.usualDuration(call, isCold);
+    return this.durations.isLate(now, running) ? 'slow' : 'well';
   }
 
   private observe(now: number, callId: string, kind: CallEvidenceKind): void {
