Count a limited upstream for the floor by the slots it can use

Cause: the holder of a service's permits counts the slots of its upstreams. An upstream that states a limit can use only a part of them, so that an ejection could take the healthy capacity below the declared floor.

Change: a guard reports the slots that the stated limit keeps busy at the duration of its calls, and the holder counts no more than that. Guards of earlier releases report none and count as before.

--- a/packages/admission/src/admission.ts
+++ b/packages/admission/src/admission.ts
@@ -99,6 +99,14 @@
     return this.duration;
   }
 
+  /** Slots that calls at the stated limit occupy; undefined without a limit. */
+  get usableSlots(): number | undefined {
+    const {limit} = this.rate;
+    return limit === undefined
+      ? undefined
+      : Math.min(this.slots, (limit * this.duration) / 1000);
+  }
+
   setSlots(slots: number): void {
     this.slots = slots;
     this.limit.setSlots(slots);
--- a/packages/brain/src/__tests__/statedLimit.test.ts
+++ b/packages/brain/src/__tests__/statedLimit.test.ts
@@ -9,6 +9,7 @@
   GuardCall,
   GuardEvent,
 } from '../guard/guardMessages.js';
+import {GuardStateMachine} from '../guard/guardStateMachine.js';
 import {GuardHarness, refusalsOf} from './__fixtures__/guardHarness.js';
 
 const SLOTS = 4;
@@ -201,6 +202,26 @@
     expect(refusalsOf(offerAtOnce())).toEqual(['upstream-over-limit not-run']);
   });
 
+  it('reports only the slots that the limit lets it use', () => {
+    const guard = new GuardStateMachine({box: 'box', incarnation: 'a'});
+    const reported = new GuardHarness(SLOTS, undefined, undefined, guard);
+    const usable = (): readonly (number | undefined)[] => {
+      reported.now += 5000;
+      return guard
+        .handle(reported.now, () => 0.5, {kind: 'tick'})
+        .flatMap((action) => (action.kind === 'report' ? action.reports : []))
+        .map(({usableSlots}) => usableSlots);
+    };
+    expect(usable()).toEqual([undefined]);
+    reported.offer('call', {needsGo: false});
+    reported.handle({
+      kind: 'upstream-stated',
+      callId: 'call',
+      notice: notice({requestsPerSecond: 20}),
+    });
+    expect(usable()).toEqual([expect.closeTo(0.2)]);
+  });
+
   it('does not let a suspension of the box save up calls', () => {
     answerWith({requestsPerSecond: 2});
     const milliseconds = 60_000;
--- a/packages/brain/src/guard/upstreamGuard.ts
+++ b/packages/brain/src/guard/upstreamGuard.ts
@@ -308,7 +308,11 @@
     identity: {readonly box: string; readonly incarnation: string},
     fence: Fence,
   ): GuardReport {
-    return this.standing.report(now, identity, fence, this.isDraining);
+    const {usableSlots} = this.admission;
+    return {
+      ...this.standing.report(now, identity, fence, this.isDraining),
+      ...(usableSlots !== undefined && {usableSlots}),
+    };
   }
 
   private announcedState(now: number): LoadHint['state'] {
--- a/packages/floor/src/__tests__/permitHolder.test.ts
+++ b/packages/floor/src/__tests__/permitHolder.test.ts
@@ -74,6 +74,21 @@
     expect(holder.availableSlots(7000)).toBe(0);
   });
 
+  it('counts an upstream that states a limit for the slots it can use', () => {
+    const holder = holderOf(6, 5);
+    holder.report(10, report('u5', 2, {usableSlots: 0.3}));
+    expect(holder.availableSlots(10)).toBeCloseTo(5.3);
+    holder.report(100, report('u0', 2, CONDEMNED));
+    expect(holder.report(400, report('u0', 3, CONDEMNED)).decision).toEqual({
+      kind: 'denied',
+      reason: 'floor',
+    });
+    holder.report(410, report('u5', 3));
+    expect(holder.report(500, report('u0', 4, CONDEMNED)).decision.kind).toBe(
+      'granted',
+    );
+  });
+
   it('grants nothing below the floor', () => {
     const holder = holderOf(4, 4);
     holder.report(100, report('u0', 2, CONDEMNED));
--- a/packages/floor/src/messages.ts
+++ b/packages/floor/src/messages.ts
@@ -30,6 +30,11 @@
     'in-service' | 'condemned' | 'ejected' | 'probation' | 'draining';
   readonly suspect: boolean;
   readonly severity: number;
+  /**
+   * Slots that the limit stated by the upstream lets it use; absent without a
+   * limit.
+   */
+  readonly usableSlots?: number;
   /** Number of the current permit request; lower ones have been returned. */
   readonly request: number;
   readonly summary: PeerSummary;
--- a/packages/floor/src/permitHolder.ts
+++ b/packages/floor/src/permitHolder.ts
@@ -82,9 +82,10 @@
 
   /** Slots that certainly accept calls; all others count as unavailable. */
   availableSlots(now: number): number {
-    return this.settings.upstreams
-      .filter((upstream) => this.isAvailable(now, upstream))
-      .reduce((sum, {slots}) => sum + slots, 0);
+    return this.settings.upstreams.reduce(
+      (sum, upstream) => sum + this.slotsOf(now, upstream),
+      0,
+    );
   }
 
   private acceptReport(
@@ -191,8 +192,7 @@
     if (this.isSharedCause(now)) {
       return 'shared-cause';
     }
-    const own = this.isAvailable(now, upstream) ? upstream.slots : 0;
-    const left = this.availableSlots(now) - own;
+    const left = this.availableSlots(now) - this.slotsOf(now, upstream);
     return left < this.settings.floorSlots ? 'floor' : undefined;
   }
 
@@ -220,6 +220,14 @@
     );
   }
 
+  /** Slots of an upstream that certainly accept calls. */
+  private slotsOf(now: number, upstream: RegisteredUpstream): number {
+    const usable = this.guards.get(upstream.name)?.report.usableSlots;
+    return this.isAvailable(now, upstream)
+      ? Math.min(upstream.slots, usable ?? upstream.slots)
+      : 0;
+  }
+
   private isAvailable(now: number, upstream: RegisteredUpstream): boolean {
     const guard = this.guards.get(upstream.name);
     return (
