Let a call wait for a limit only if it can take longer than usual

Cause: the queue for a limit was filled until a call of the usual duration would just be in time. Under sustained excess every call waited that long, and half of them took longer than usual.

Change: a call waits for a limit only if one and a half times its usual duration fits in.

--- a/packages/admission/src/admission.ts
+++ b/packages/admission/src/admission.ts
@@ -45,6 +45,13 @@
 /** Calls that wait for the limit start at the next tick of the guard. */
 const START_DELAY_MILLISECONDS = 50;
 
+/**
+ * A call waits for the limit only if it is in time even if it takes this
+ * multiple of its usual duration. While more calls come than the limit allows,
+ * the queue is as long as it may be, and half of the calls would just be late.
+ */
+const LIMIT_DURATION_MARGIN = 1.5;
+
 /**
  * A call that may wait is offered to several upstreams before its caller is
  * told to come back, and then needs only one of them.
@@ -118,12 +125,10 @@
       return this.startOrRefuse(now, call);
     }
     const wait = this.expectedWait(now, call);
-    const delay = wait.isForLimit ? START_DELAY_MILLISECONDS : 0;
-    const startAt = now + wait.milliseconds + delay;
     if (call.mayWait === false) {
       return this.refuse(now, 'upstream-busy', wait);
     }
-    if (isTooLateFor(call, startAt, this.expectedOf(call))) {
+    if (this.isTooLateToWait(now, call, wait)) {
       return this.refuse(now, 'deadline-too-short', wait, WAITING_OFFER_SHARE);
     }
     if (this.isOverShare(call)) {
@@ -220,6 +225,22 @@
     this.running.set(call.id, {call, startedAt: now, hasToken});
   }
 
+  private isTooLateToWait(
+    now: number,
+    call: WaitingCall,
+    {milliseconds, isForLimit}: ExpectedWait,
+  ): boolean {
+    const startAt = now + milliseconds;
+    const duration = this.expectedOf(call);
+    return isForLimit
+      ? isTooLateFor(
+          call,
+          startAt + START_DELAY_MILLISECONDS,
+          duration * LIMIT_DURATION_MARGIN,
+        )
+      : isTooLateFor(call, startAt, duration);
+  }
+
   /**
    * Refuses a call; the reason only applies if it waits for a slot. The share is
    * the part of a call that is expected to come back to this upstream.
