Report only changes of a stated limit that matter

An upstream whose limit drifts states another one in each answer; every one was logged and told to all entries, which at hundreds of entries is more than the bytes a node may send. A malformed request target at the operators' address threw where only metrics were asked for before.

Change: a limit is reported when it differs from the last by a tenth, with the former one; entries are told at once when it begins, ends or has doubled, and learn the rest from their hints. Paths of the operators' API are compared as text, as before.

--- a/packages/brain/src/__tests__/statedLimit.test.ts
+++ b/packages/brain/src/__tests__/statedLimit.test.ts
@@ -185,6 +185,19 @@
     expect(tellsEntries(answerWith({requestsPerSecond: 4}))).toBe(true);
   });
 
+  it('reports small changes of a limit neither in the log nor to entries', () => {
+    answerWith({requestsPerSecond: 2});
+    const limits = [2.1, 2.15, 1.9];
+    for (const requestsPerSecond of limits) {
+      passTime(1000);
+      expect(answerWith({requestsPerSecond})).toEqual([]);
+    }
+    passTime(1000);
+    const [event, ...others] = answerWith({requestsPerSecond: 2.5});
+    expect(event).toMatchObject({detail: {requestsPerSecond: 2.5, before: 2}});
+    expect(others).toEqual([]);
+  });
+
   it('logs an unreadable limit once as long as its value stays the same', () => {
     const unreadableLimit = 'many';
     expect(eventsOf(answerWith({unreadableLimit}))).toHaveLength(1);
--- a/packages/brain/src/guard/noticeHandler.ts
+++ b/packages/brain/src/guard/noticeHandler.ts
@@ -9,6 +9,9 @@
 /** From where the guard has a notice, for logs. */
 type NoticeSource = 'answer' | 'entry';
 
+/** Entries are told at once of a limit that has risen by this factor. */
+const TOLD_RISE_FACTOR = 2;
+
 /** Applies notices to upstreams, and publishes what they change. */
 export class NoticeHandler {
   constructor(private readonly lifecycle: CallLifecycle) {}
@@ -61,7 +64,7 @@
     const isLeaving = changes.some(({kind}) => kind === 'leaving');
     return [
       ...changes.map((change) => noticeEvent(name, source, change)),
-      ...standingOf(now, upstream),
+      ...(changes.some(concernsEntries) ? standingOf(now, upstream) : []),
       ...(isLeaving
         ? [
             {kind: 'upstream-leaving', upstream: name, incarnation} as const,
@@ -72,6 +75,21 @@
   }
 }
 
+/** Smaller changes reach entries with the hints that they get anyway. */
+function concernsEntries(change: NoticeChange): boolean {
+  switch (change.kind) {
+    case 'limited': {
+      const {requestsPerSecond, before = 0} = change;
+      return requestsPerSecond >= TOLD_RISE_FACTOR * before;
+    }
+    case 'limit-unreadable':
+      return false;
+    case 'limit-ended':
+    case 'leaving':
+      return true;
+  }
+}
+
 /**
  * Tells all entries at once, unless the upstream is in doubt: while a first call
  * runs, that would keep calls away that are welcome once it has been answered.
@@ -91,11 +109,26 @@
   source: NoticeSource,
   change: NoticeChange,
 ): GuardAction {
-  const {kind, ...detail} = change;
   return {
     kind: 'timeline',
-    event: `upstream-${kind}`,
+    event: `upstream-${change.kind}`,
     subject,
-    detail: {source, ...detail},
+    detail: {source, ...detailOf(change)},
   };
 }
+
+function detailOf(
+  change: NoticeChange,
+): Readonly<Record<string, string | number>> {
+  switch (change.kind) {
+    case 'limited': {
+      const {requestsPerSecond, before} = change;
+      return {requestsPerSecond, ...(before !== undefined && {before})};
+    }
+    case 'limit-unreadable':
+      return {value: change.value};
+    case 'limit-ended':
+    case 'leaving':
+      return {};
+  }
+}
--- a/packages/brain/src/guard/statedNotice.ts
+++ b/packages/brain/src/guard/statedNotice.ts
@@ -17,12 +17,20 @@
  */
 const LEAVING_RECHECK_MILLISECONDS = 30_000;
 
+/** A limit is reported again when it differs from the last by this share. */
+const REPORTED_CHANGE_SHARE = 0.1;
+
 /** Tokens with which a restarted guard begins to keep a limit. */
 const FIRST_TOKENS_AFTER_RESTART = 1;
 
 /** A change of what the upstream states. */
 export type NoticeChange =
-  | {readonly kind: 'limited'; readonly requestsPerSecond: number}
+  | {
+      readonly kind: 'limited';
+      readonly requestsPerSecond: number;
+      /** The limit reported before; undefined if there was none. */
+      readonly before: number | undefined;
+    }
   | {readonly kind: 'limit-ended'}
   | {readonly kind: 'limit-unreadable'; readonly value: string}
   | {readonly kind: 'leaving'};
@@ -33,6 +41,7 @@
   private leavingAt: number | undefined;
   private hasAnswered = false;
   private lastUnreadable: string | undefined;
+  private reportedLimit: number | undefined;
 
   constructor(private readonly rate: RequestRate) {}
 
@@ -110,13 +119,15 @@
     limit: number,
     firstTokens: number,
   ): readonly NoticeChange[] {
-    const before = this.rate.limit;
     this.statedAt = now;
     this.rate.setLimit(now, limit, firstTokens);
-    const requestsPerSecond = this.rate.limit ?? limit;
-    return before === requestsPerSecond
-      ? []
-      : [{kind: 'limited', requestsPerSecond}];
+    const before = this.reportedLimit;
+    const change = Math.abs(limit - (before ?? Number.POSITIVE_INFINITY));
+    if (change <= (before ?? 0) * REPORTED_CHANGE_SHARE) {
+      return [];
+    }
+    this.reportedLimit = limit;
+    return [{kind: 'limited', requestsPerSecond: limit, before}];
   }
 
   private endLimit(now: number): readonly NoticeChange[] {
@@ -124,6 +135,7 @@
       return [];
     }
     this.rate.setLimit(now, undefined);
+    this.reportedLimit = undefined;
     return [{kind: 'limit-ended'}];
   }
 
--- a/packages/node/src/process/fleetOperators.ts
+++ b/packages/node/src/process/fleetOperators.ts
@@ -32,10 +32,10 @@
     lift: (digest) => host.liftQuarantine(digest),
   });
   return (request, response) => {
-    const {pathname} = new URL(request.url ?? '/', 'http://lockpin');
-    const handle = pathname === STATUS_PATH ? status : quarantines;
-    const isApi = API_PATHS.some((prefix) => pathname.startsWith(prefix));
-    (isApi ? handle : metrics)(request, response);
+    const path = request.url ?? '';
+    const api = path.startsWith(STATUS_PATH) ? status : quarantines;
+    const isApi = API_PATHS.some((prefix) => path.startsWith(prefix));
+    (isApi ? api : metrics)(request, response);
   };
 }
 
