--- a/packages/admission/src/admission.ts
+++ b/packages/admission/src/admission.ts
@@ -53,8 +53,8 @@
 const LIMIT_DURATION_MARGIN = 1.5;
 
 /**
- * A call that may wait is offered to several upstreams before its caller is
- * told to come back, and then needs only one of them.
+ * A call that may wait is offered to several upstreams before it is refused, and
+ * will use only one of them when it comes back.
  */
 const WAITING_OFFER_SHARE = 0.25;
 
--- a/packages/brain/src/__tests__/statedLeaving.test.ts
+++ b/packages/brain/src/__tests__/statedLeaving.test.ts
@@ -109,7 +109,7 @@
     expect(refusalsOf(harness.offer('other'))).toEqual(REFUSED);
   });
 
-  it('is not told so of an earlier process', () => {
+  it('ignores notices of an earlier process', () => {
     const earlier = {...knownNotice, incarnation: 'i-0@0'};
     expect(refusalsOf(harness.offer('new', {knownNotice: earlier}))).toEqual(
       [],
--- a/packages/brain/src/entry/entryMessages.ts
+++ b/packages/brain/src/entry/entryMessages.ts
@@ -125,7 +125,7 @@
   readonly startBy: number | undefined;
   /** Time in which the guard has to acknowledge the call. */
   readonly acknowledgementTimeoutMilliseconds: number;
-  /** What answers of the upstream have told this entry, if anything. */
+  /** The latest notice of the upstream that reached this entry, if any. */
   readonly knownNotice: KnownNotice | undefined;
 }
 
--- a/packages/brain/src/guard/guardMessages.ts
+++ b/packages/brain/src/guard/guardMessages.ts
@@ -54,7 +54,7 @@
   readonly mayRunDoubted?: boolean;
   /** Usual duration of such calls, as observed by the entry. */
   readonly expectedMilliseconds?: number;
-  /** What answers of the upstream have told the entry; see NoticeHandler. */
+  /** The latest notice of the upstream that reached the entry, if any. */
   readonly knownNotice?: KnownNotice;
 }
 
--- a/packages/brain/src/guard/noticeHandler.ts
+++ b/packages/brain/src/guard/noticeHandler.ts
@@ -9,8 +9,8 @@
 /** From where the guard has a notice, for logs. */
 type NoticeSource = 'answer' | 'entry';
 
-/** Entries are told at once of a limit that has risen by this factor. */
-const TOLD_RISE_FACTOR = 2;
+/** A limit that has risen by this factor is published to entries at once. */
+const PUBLISHED_RISE_FACTOR = 2;
 
 /** Applies notices to upstreams, and publishes what they change. */
 export class NoticeHandler {
@@ -33,8 +33,8 @@
   }
 
   /**
-   * An entry offers a call with what it was told of the upstream. Answers that
-   * this entry passed on bind it even if this guard has restarted since.
+   * An entry repeats the latest notice that reached it when it offers a call. It
+   * still holds if this guard has restarted since.
    */
   learned(
     now: number,
@@ -80,7 +80,7 @@
   switch (change.kind) {
     case 'limited': {
       const {requestsPerSecond, before = 0} = change;
-      return requestsPerSecond >= TOLD_RISE_FACTOR * before;
+      return requestsPerSecond >= PUBLISHED_RISE_FACTOR * before;
     }
     case 'limit-unreadable':
       return false;
@@ -91,8 +91,8 @@
 }
 
 /**
- * Tells all entries at once, unless the upstream is in doubt: while a first call
- * runs, that would keep calls away that are welcome once it has been answered.
+ * Publishes the hint, unless the upstream is in doubt: while a first call runs,
+ * that would keep calls away that are welcome once it has been answered.
  */
 function standingOf(
   now: number,
--- a/packages/brain/src/guard/statedNotice.ts
+++ b/packages/brain/src/guard/statedNotice.ts
@@ -74,7 +74,7 @@
     ];
   }
 
-  /** Handles what an entry was told before this guard's process started. */
+  /** Handles a notice that an entry got before this guard's process started. */
   learned(now: number, notice: KnownNotice): readonly NoticeChange[] {
     const {requestsPerSecond, isLeaving, incarnation} = notice;
     const isNews = !this.hasAnswered && this.rate.limit === undefined;
--- a/packages/node/src/__tests__/__fixtures__/fleetCallSimulation.ts
+++ b/packages/node/src/__tests__/__fixtures__/fleetCallSimulation.ts
@@ -25,7 +25,7 @@
 } from '@lockpin/types';
 import {seededRandom} from '@lockpin/utils';
 import {VirtualClock} from '../../../../tools/src/measure/virtualClock.js';
-import type {NoticeTelling} from '../../../../tools/src/soak/checkNotices.js';
+import type {RelayedNotice} from '../../../../tools/src/soak/checkNotices.js';
 import {fleetEntrySettings} from '../../process/fleetEntrySettings.js';
 import {fleetGuardSettings} from '../../process/fleetGuardSettings.js';
 import {
@@ -115,7 +115,7 @@
   readonly arrivals: SimulatedArrival[] = [];
   readonly results: SimulatedResult[] = [];
   /** Notices that boxes passed on to their callers. */
-  readonly tellings: NoticeTelling[] = [];
+  readonly relayed: RelayedNotice[] = [];
   private readonly clock = new VirtualClock();
   private readonly random: RandomSource;
   private readonly view: ServiceView;
@@ -499,7 +499,7 @@
     this.reply(box, attemptId, (open) => {
       const {id: callId} = open.call;
       open.lastStatus = 200;
-      this.recordTelling(open.box, box, notice);
+      this.recordRelayed(open.box, box, notice);
       this.toEntry(callId, {
         kind: 'attempt-answered',
         callId,
@@ -511,21 +511,21 @@
     });
   }
 
-  private recordTelling(
+  private recordRelayed(
     box: number,
     upstream: number,
     {requestsPerSecond, isLeaving}: UpstreamNotice,
   ): void {
-    const telling = {
+    const notice = {
       lifetime: String(upstream),
       box: String(box),
       at: this.now,
     };
     if (requestsPerSecond !== undefined) {
-      this.tellings.push({...telling, kind: 'limit'});
+      this.relayed.push({...notice, kind: 'limit'});
     }
     if (isLeaving) {
-      this.tellings.push({...telling, kind: 'leaving'});
+      this.relayed.push({...notice, kind: 'leaving'});
     }
   }
 
--- a/packages/node/src/__tests__/limitedService.test.ts
+++ b/packages/node/src/__tests__/limitedService.test.ts
@@ -225,10 +225,10 @@
       from,
       until: Number.POSITIVE_INFINITY,
     }));
-    const {tellings} = simulation;
-    const stating = new Set(tellings.map(({lifetime}) => lifetime));
+    const {relayed} = simulation;
+    const stating = new Set(relayed.map(({lifetime}) => lifetime));
     expect([...stating].sort()).toEqual(['0', '1', '2']);
-    return checkNotices({arrivals, tellings, limits, disruptions}, BOUNDS);
+    return checkNotices({arrivals, relayed, limits, disruptions}, BOUNDS);
   }
 
   describe.each([
--- a/packages/node/src/request/frameTypes.ts
+++ b/packages/node/src/request/frameTypes.ts
@@ -44,7 +44,7 @@
   /** Milliseconds in which a slot must be reserved; undefined for no limit. */
   readonly startWithin: number | undefined;
   readonly expectedMilliseconds: number | undefined;
-  /** What answers of the upstream have told the entry, if anything. */
+  /** The latest notice of the upstream that reached the entry, if any. */
   readonly knownNotice: KnownNotice | undefined;
 }
 
--- a/packages/routing/src/noticeMemory.ts
+++ b/packages/routing/src/noticeMemory.ts
@@ -1,5 +1,5 @@
 // Copyright (c) 2026 the lockpin contributors. MIT licence, see LICENSE.
-/** What the answers of upstreams have told one entry. */
+/** The notices of upstreams that have reached one entry. */
 
 import type {KnownNotice} from '@lockpin/types';
 
--- a/packages/routing/src/upstreamLoads.ts
+++ b/packages/routing/src/upstreamLoads.ts
@@ -90,7 +90,7 @@
 
 /** Tracks the loads of the upstreams that this entry has called. */
 export class UpstreamLoads {
-  /** What answers of the upstreams have told this entry. */
+  /** The latest notices that reached this entry. */
   readonly notices = new NoticeMemory();
   private readonly loads = new Map<string, UpstreamLoad>();
 
--- a/packages/tools/src/soak/__tests__/checkHistory.test.ts
+++ b/packages/tools/src/soak/__tests__/checkHistory.test.ts
@@ -219,12 +219,12 @@
       expect(violatedGuarantees({...history, ...higher})).toEqual([]);
     });
 
-    it('report no requests of boxes that were not told', () => {
+    it('report no requests of boxes that relayed no notice', () => {
       const history = statedHistory({statesLimit: false}, {limits: [limit]});
       expect(violatedGuarantees(history)).toEqual([]);
     });
 
-    it('report requests to an upstream that a box was told is leaving', () => {
+    it('report requests from a box that relayed that the upstream is leaving', () => {
       const history = statedHistory({statesLeaving: true});
       const violated = violatedGuarantees(history);
       expect(new Set(violated)).toEqual(new Set(['stated departures']));
--- a/packages/tools/src/soak/checkNotices.ts
+++ b/packages/tools/src/soak/checkNotices.ts
@@ -22,7 +22,7 @@
 }
 
 /** An answer with a notice that a box passed on to its caller. */
-export interface NoticeTelling {
+export interface RelayedNotice {
   readonly lifetime: string;
   readonly box: string;
   readonly at: number;
@@ -32,7 +32,7 @@
 /** The part of a history that the checks of notices use. */
 export interface NoticeHistory {
   readonly arrivals: readonly NoticeArrival[];
-  readonly tellings: readonly NoticeTelling[];
+  readonly relayed: readonly RelayedNotice[];
   readonly limits: readonly LimitRecord[];
   readonly disruptions: readonly DisruptionRecord[];
 }
@@ -50,9 +50,9 @@
 const LIMIT_EXTRA = 5;
 
 /** A box counts from this long after it passed on a limit. */
-const TOLD_DELAY_MILLISECONDS = 500;
+const RELAY_DELAY_MILLISECONDS = 500;
 
-/** Disruptions after which a box need not remember what it was told. */
+/** Disruptions after which a box need not remember a notice. */
 const FORGETTING: ReadonlySet<string> = new Set(['kill', 'stop', 'pause']);
 
 /** Returns all violations of limits and departures. */
@@ -76,7 +76,12 @@
         arrival.lifetime === lifetime &&
         arrival.at >= from &&
         arrival.at <= until &&
-        isTold(history, arrival, 'limit', arrival.at - TOLD_DELAY_MILLISECONDS),
+        hasRelayed(
+          history,
+          arrival,
+          'limit',
+          arrival.at - RELAY_DELAY_MILLISECONDS,
+        ),
     );
     const seconds = LIMIT_WINDOW_MILLISECONDS / 1000;
     const allowed = LIMIT_FACTOR * requestsPerSecond * seconds + LIMIT_EXTRA;
@@ -129,13 +134,18 @@
 ): readonly Violation[] {
   return history.arrivals
     .filter((arrival) =>
-      isTold(history, arrival, 'leaving', arrival.sentAt - drainMilliseconds),
+      hasRelayed(
+        history,
+        arrival,
+        'leaving',
+        arrival.sentAt - drainMilliseconds,
+      ),
     )
     .map(({requestId, lifetime, box}) =>
       createViolation(
         'stated departures',
         requestId,
-        `reached ${lifetime} from ${box}, which had been told`,
+        `reached ${lifetime} from ${box}, which had relayed its notice`,
       ),
     );
 }
@@ -144,22 +154,22 @@
  * Whether the box of an arrival passed on a notice of the upstream by a time
  * and has run undisturbed since.
  */
-function isTold(
-  {tellings, disruptions}: NoticeHistory,
+function hasRelayed(
+  {relayed, disruptions}: NoticeHistory,
   {lifetime, box, at}: NoticeArrival,
-  kind: NoticeTelling['kind'],
+  kind: RelayedNotice['kind'],
   by: number,
 ): boolean {
-  return tellings.some(
-    (telling) =>
-      telling.kind === kind &&
-      telling.lifetime === lifetime &&
-      telling.box === box &&
-      telling.at < by &&
+  return relayed.some(
+    (notice) =>
+      notice.kind === kind &&
+      notice.lifetime === lifetime &&
+      notice.box === box &&
+      notice.at < by &&
       isUndisrupted(
         disruptions,
         box,
-        telling.at,
+        notice.at,
         at,
         ({what}) =>
           FORGETTING.has(what) || (kind === 'limit' && what === 'link'),
@@ -177,11 +187,19 @@
       ? []
       : [{...arrival, box: call.box, sentAt: call.sentAt}];
   });
-  return {arrivals: known, tellings: tellingsOf(history), limits, disruptions};
+  return {
+    arrivals: known,
+    relayed: relayedNotices(history),
+    limits,
+    disruptions,
+  };
 }
 
 /** A call that reached several upstreams does not show whose answer it got. */
-function tellingsOf({calls, arrivals}: SoakHistory): readonly NoticeTelling[] {
+function relayedNotices({
+  calls,
+  arrivals,
+}: SoakHistory): readonly RelayedNotice[] {
   const lifetimes = new Map<string, readonly string[]>();
   for (const {requestId, lifetime} of arrivals) {
     lifetimes.set(requestId, [...(lifetimes.get(requestId) ?? []), lifetime]);
@@ -191,10 +209,10 @@
     if (end.kind !== 'answered' || !lifetime || others.length > 0) {
       return [];
     }
-    const telling = {lifetime, box, at};
+    const notice = {lifetime, box, at};
     return [
-      ...(end.statesLimit ? [{...telling, kind: 'limit'} as const] : []),
-      ...(end.statesLeaving ? [{...telling, kind: 'leaving'} as const] : []),
+      ...(end.statesLimit ? [{...notice, kind: 'limit'} as const] : []),
+      ...(end.statesLeaving ? [{...notice, kind: 'leaving'} as const] : []),
     ];
   });
 }
