Split admission and the call simulation by what they are about

Change: BoundedQueue (length and shares of the queue), expectedWait.ts (whether a call is too late to wait), simulatedService.ts (the service of the simulation). No behaviour changes.

--- a/packages/admission/src/admission.ts
+++ b/packages/admission/src/admission.ts
@@ -3,7 +3,10 @@
 
 import type {RefusalReason} from '@lockpin/types';
 import {AdaptiveLimit} from './adaptiveLimit.js';
-import {FairQueue, isTooLateFor} from './fairQueue.js';
+import {BoundedQueue} from './boundedQueue.js';
+import {isTooLateToWait} from './expectedWait.js';
+import type {ExpectedWait} from './expectedWait.js';
+import {isTooLateFor} from './fairQueue.js';
 import type {WaitingCall} from './fairQueue.js';
 import {RequestRate} from './requestRate.js';
 
@@ -23,9 +26,6 @@
   readonly expired: readonly WaitingCall[];
 }
 
-/** Queue length for each slot. */
-const QUEUED_PER_SLOT = 8;
-
 /** Weight of the latest call in the moving average of durations. */
 const DURATION_WEIGHT = 0.1;
 
@@ -42,16 +42,6 @@
 /** Retry-after when no slot is expected to be freed. */
 const STUCK_RETRY_MILLISECONDS = 500;
 
-/** Calls that wait for the limit start at the next tick of the guard. */
-const START_DELAY_MILLISECONDS = 50;
-
-/**
- * A call waits for the limit only if it is in time even if it takes this
- * multiple of its usual duration. While more calls come than the limit allows,
- * the queue is as long as it may be, and half of the calls would just be late.
- */
-const LIMIT_DURATION_MARGIN = 1.5;
-
 /**
  * A call that may wait is offered to several upstreams before it is refused, and
  * will use only one of them when it comes back.
@@ -65,18 +55,11 @@
   readonly hasToken: boolean;
 }
 
-/** When a call can start, in milliseconds from now. */
-interface ExpectedWait {
-  readonly milliseconds: number;
-  /** Whether the call waits for the stated limit rather than for a slot. */
-  readonly isForLimit: boolean;
-}
-
 /** Admission control of a guard for one upstream. */
 export class Admission {
   /** The limit of calls per second that the upstream states. */
   readonly rate = new RequestRate();
-  private readonly queue = new FairQueue();
+  private readonly queue: BoundedQueue;
   private readonly running = new Map<string, RunningEntry>();
   private readonly limit: AdaptiveLimit;
   private duration = FIRST_DURATION_MILLISECONDS;
@@ -85,6 +68,7 @@
     private slots: number,
     cold: boolean,
   ) {
+    this.queue = new BoundedQueue(slots);
     this.limit = new AdaptiveLimit(slots, cold);
   }
 
@@ -116,6 +100,7 @@
 
   setSlots(slots: number): void {
     this.slots = slots;
+    this.queue.setSlots(slots);
     this.limit.setSlots(slots);
   }
 
@@ -128,13 +113,13 @@
     if (call.mayWait === false) {
       return this.refuse(now, 'upstream-busy', wait);
     }
-    if (this.isTooLateToWait(now, call, wait)) {
+    if (isTooLateToWait(now, call, this.expectedOf(call), wait)) {
       return this.refuse(now, 'deadline-too-short', wait, WAITING_OFFER_SHARE);
     }
-    if (this.isOverShare(call)) {
+    if (this.queue.isOverShare(call)) {
       return refused('customer-over-share', wait.milliseconds);
     }
-    const displaced = this.makeRoom(call);
+    const displaced = this.queue.makeRoom(call);
     if (displaced === 'none') {
       return this.refuse(now, 'queue-full', wait, WAITING_OFFER_SHARE);
     }
@@ -225,22 +210,6 @@
     this.running.set(call.id, {call, startedAt: now, hasToken});
   }
 
-  private isTooLateToWait(
-    now: number,
-    call: WaitingCall,
-    {milliseconds, isForLimit}: ExpectedWait,
-  ): boolean {
-    const startAt = now + milliseconds;
-    const duration = this.expectedOf(call);
-    return isForLimit
-      ? isTooLateFor(
-          call,
-          startAt + START_DELAY_MILLISECONDS,
-          duration * LIMIT_DURATION_MARGIN,
-        )
-      : isTooLateFor(call, startAt, duration);
-  }
-
   /**
    * Refuses a call; the reason only applies if it waits for a slot. The share is
    * the part of a call that is expected to come back to this upstream.
@@ -310,37 +279,6 @@
     );
     return Math.max(0, this.limit.current - stuck.length);
   }
-
-  /** Whether a customer exceeds its share of the queue while others wait. */
-  private isOverShare(call: WaitingCall): boolean {
-    const customers = this.queue.waitingCustomers();
-    const others = customers.size - (customers.has(call.customer) ? 1 : 0);
-    if (others === 0) {
-      return false;
-    }
-    const part = Math.ceil(this.queueLength / (others + 1));
-    return this.queue.waitingOf(call.customer) >= part;
-  }
-
-  private makeRoom(call: WaitingCall): WaitingCall | undefined | 'none' {
-    if (this.queue.size < this.queueLength) {
-      return undefined;
-    }
-    const last = this.queue.leastUrgent();
-    const isLessUrgent = last !== undefined && last.priority > call.priority;
-    const displaced = isLessUrgent
-      ? last
-      : this.queue.latestOfBusiestCustomer(call);
-    if (displaced === undefined) {
-      return 'none';
-    }
-    this.queue.remove(displaced.id);
-    return displaced;
-  }
-
-  private get queueLength(): number {
-    return QUEUED_PER_SLOT * this.slots;
-  }
 }
 
 function refused(reason: RefusalReason, wait: number): AdmissionDecision {
--- a/packages/node/src/__tests__/__fixtures__/fleetCallSimulation.ts
+++ b/packages/node/src/__tests__/__fixtures__/fleetCallSimulation.ts
@@ -16,13 +16,7 @@
 import type {ServiceView} from '@lockpin/configuration';
 import {NO_RETRIES} from '@lockpin/routing';
 import type {LoadHint} from '@lockpin/routing';
-import type {
-  RandomSource,
-  RefusalReason,
-  Repetition,
-  Resource,
-  UpstreamNotice,
-} from '@lockpin/types';
+import type {RandomSource, RefusalReason, UpstreamNotice} from '@lockpin/types';
 import {seededRandom} from '@lockpin/utils';
 import {VirtualClock} from '../../../../tools/src/measure/virtualClock.js';
 import type {RelayedNotice} from '../../../../tools/src/soak/checkNotices.js';
@@ -35,29 +29,15 @@
 } from '../../request/attemptPriority.js';
 import type {CallerRequest} from '../../request/callerRequest.js';
 import {NO_NOTICE} from '../../request/upstreamNotice.js';
+import {createRoute, createServiceView, SERVICE} from './simulatedService.js';
+import type {SimulationOptions} from './simulatedService.js';
 
-const SERVICE = 's';
 const HOP_MILLISECONDS = 2;
 const TICK_MILLISECONDS = 50;
 
 /** Too short for another event to be due in between. */
 const AFTER_END_MILLISECONDS = 1e-9;
 
-/** Size and load of the service. */
-export interface SimulationOptions {
-  readonly seed: number;
-  readonly boxes: number;
-  readonly slots: number;
-  /** Mean service time of a call, in milliseconds. */
-  readonly workMilliseconds: number;
-  /** Calls per second at all boxes together. */
-  readonly callsPerSecond: number;
-  readonly goalMilliseconds: number;
-  readonly waitMilliseconds: number;
-  /** Share of the calls that may be repeated. */
-  readonly repeatableShare: number;
-}
-
 /** A request that reached an upstream. */
 export interface SimulatedArrival {
   readonly callId: string;
@@ -124,7 +104,7 @@
 
   constructor(private readonly options: SimulationOptions) {
     this.random = seededRandom(options.seed);
-    this.view = createView(options);
+    this.view = createServiceView(options);
     this.boxes = Array.from({length: options.boxes}, (_, box) => ({
       ...this.createNode(box),
       life: 0,
@@ -224,7 +204,10 @@
     const call: EntryCall = {
       id,
       view: this.view,
-      route: this.route(isRepeatable ? 'repeatable' : 'at-most-once'),
+      route: createRoute(
+        isRepeatable ? 'repeatable' : 'at-most-once',
+        this.options,
+      ),
       customer: 'c',
       requestDigest: '',
       bytes: 0,
@@ -255,25 +238,6 @@
     );
   }
 
-  private route(repetition: Repetition): Resource<'Route'> {
-    const {waitMilliseconds, goalMilliseconds} = this.options;
-    return {
-      kind: 'Route',
-      name: repetition,
-      version: 1,
-      spec: {
-        method: '*',
-        pathPrefix: '/',
-        repetition,
-        waitMilliseconds,
-        goalMilliseconds,
-        priority: 1,
-        retryShare: 0,
-        onceKeyHeader: '',
-      },
-    };
-  }
-
   private toEntry(callId: string, event: EntryEvent): void {
     const open = this.calls.get(callId);
     if (open === undefined) {
@@ -563,38 +527,3 @@
     }
   }
 }
-
-function createView({boxes, slots}: SimulationOptions): ServiceView {
-  return {
-    name: SERVICE,
-    customer: SERVICE,
-    routes: [],
-    upstreams: Array.from({length: boxes}, (_, i) => ({
-      kind: 'Upstream',
-      name: `${SERVICE}/box-${i}`,
-      version: 1,
-      spec: {
-        address: '',
-        dataCentre: `d${i % 3}`,
-        box: `box-${i}`,
-        slots,
-        connections: slots,
-        state: 'in-service',
-        incarnation: {id: `i-${i}`, startedAt: 0},
-      },
-    })),
-    service: {
-      kind: 'Service',
-      name: SERVICE,
-      version: 1,
-      spec: {
-        floorSlots: 0,
-        targetSlots: 0,
-        loadReportPath: '',
-        sensitivity: 'fast',
-        host: '',
-        callerCredentialHash: '',
-      },
-    },
-  };
-}
