--- a/packages/tools/src/cost/costFleet.ts
+++ b/packages/tools/src/cost/costFleet.ts
@@ -70,7 +70,8 @@
     await Promise.all(
       this.boxes.map(async (_, box) => {
         for (let i = 0; i < each; i += 1) {
-          served += (await this.callAt(box)) ? 1 : 0;
+          const isServed = await this.callAt(box);
+          served += isServed ? 1 : 0;
           await pause(CALL_PAUSE_MILLISECONDS);
         }
       }),
