--- a/packages/node/src/__tests__/limitedService.test.ts
+++ b/packages/node/src/__tests__/limitedService.test.ts
@@ -46,7 +46,7 @@
   });
 }
 
-function state(
+function setNotices(
   simulation: FleetCallSimulation,
   boxes: number,
   notice: Partial<UpstreamNotice>,
@@ -66,7 +66,7 @@
 function measure(seed: number, limited: number, limit: number): Outcome {
   const simulation = createSimulation(seed);
   simulation.run(LEARNING_MILLISECONDS);
-  state(simulation, limited, {requestsPerSecond: limit});
+  setNotices(simulation, limited, {requestsPerSecond: limit});
   simulation.run(LEARNING_MILLISECONDS);
   const from = simulation.now;
   simulation.run(MEASURED_MILLISECONDS);
@@ -128,7 +128,7 @@
 
   it('keeps every limited upstream in use', () => {
     const simulation = createSimulation(seed);
-    state(simulation, 5, {requestsPerSecond: 2.6});
+    setNotices(simulation, 5, {requestsPerSecond: 2.6});
     simulation.run(LEARNING_MILLISECONDS + MEASURED_MILLISECONDS);
     for (let box = 0; box < 5; box += 1) {
       const times = simulation.arrivals
@@ -143,9 +143,9 @@
 
   it('returns to its upstreams when a limit ends', () => {
     const simulation = createSimulation(seed);
-    state(simulation, BOXES, {requestsPerSecond: 0.5});
+    setNotices(simulation, BOXES, {requestsPerSecond: 0.5});
     simulation.run(LEARNING_MILLISECONDS);
-    state(simulation, BOXES, {});
+    setNotices(simulation, BOXES, {});
     simulation.run(LEARNING_MILLISECONDS);
     const from = simulation.now;
     simulation.run(LEARNING_MILLISECONDS);
@@ -190,7 +190,7 @@
   ): readonly Violation[] {
     const simulation = createSimulation(seed);
     simulation.run(LEARNING_MILLISECONDS);
-    state(simulation, 3, notice);
+    setNotices(simulation, 3, notice);
     const from = simulation.now;
     const disruptions: DisruptionRecord[] = [];
     for (
