Follow the configuration while the boxes cannot be read

The configuration is now followed while a read of the boxes has failed and none has succeeded.

The test of the logged loss left the reads of the configuration unanswered, which are now logged as hung; it answers or fails them instead and expects the same two lines in both cases.

--- a/packages/fleet/src/__tests__/storeTalk.test.ts
+++ b/packages/fleet/src/__tests__/storeTalk.test.ts
@@ -50,21 +50,30 @@
     }
   });
 
-  it('logs the loss of the store once, and its recovery once', () => {
-    const harness = new StateMachineHarness();
-    harness.tick();
-    harness.completeRead('configuration', []);
-    const logged = [
-      ...harness.failRead('boxes', 'unavailable'),
-      ...harness.tick(2000),
-      ...harness.failRead('boxes', 'unavailable'),
-      ...harness.tick(2000),
-      ...harness.failRead('boxes', 'unavailable'),
-      ...harness.tick(2000),
-      ...harness.completeRead('boxes', []),
-    ].flatMap((action) => (action.kind === 'log-event' ? [action.event] : []));
-    expect(logged).toEqual(['store-lost', 'store-regained']);
-  });
+  it.each(['completeRead', 'failRead'] as const)(
+    'logs the loss of the boxes once, and its recovery once (%s)',
+    (endConfigurationRead) => {
+      const harness = new StateMachineHarness();
+      harness.tick();
+      harness.completeRead('configuration', []);
+      const endReads = () => [
+        ...harness.failRead('boxes', 'unavailable'),
+        ...(endConfigurationRead === 'failRead'
+          ? harness.failRead('configuration', 'unavailable')
+          : harness.completeRead('configuration', [])),
+        ...harness.tick(1900),
+      ];
+      const logged = [
+        ...endReads(),
+        ...endReads(),
+        ...endReads(),
+        ...harness.completeRead('boxes', []),
+      ].flatMap((action) =>
+        action.kind === 'log-event' ? [action.event] : [],
+      );
+      expect(logged).toEqual(['store-lost', 'store-regained']);
+    },
+  );
 });
 
 describe('a read that the store does not answer', () => {
--- a/packages/fleet/src/storeStreams.ts
+++ b/packages/fleet/src/storeStreams.ts
@@ -112,7 +112,8 @@
   /**
    * The reads that are due now. Each stream is read until a read succeeds;
    * after that, while the node keeps reading, or if a peer does not deliver
-   * what it has.
+   * what it has. The configuration is also followed while the boxes cannot be
+   * read, since without them the node has no peers.
    */
   due(
     now: number,
@@ -122,7 +123,10 @@
       const follower = this.followers[stream];
       const timedOut = this.logTimedOutRead(now, stream, isReaderHeard);
       const isDue =
-        isReadingStore || !follower.hasRead || follower.isReadNeeded(now);
+        isReadingStore ||
+        !follower.hasRead ||
+        follower.isReadNeeded(now) ||
+        this.hasFailedToReadBoxes;
       const read = isDue ? follower.due(now, pollPhase()) : undefined;
       return read === undefined ? timedOut : [...timedOut, read];
     });
@@ -142,11 +146,19 @@
     }
     this.lastGap = now - (this.lastAnswerAt ?? now);
     this.lastAnswerAt = now;
+    if (this.hasFailedToReadBoxes) {
+      return [];
+    }
     const wasLost = this.hasLostStore;
     this.hasLostStore = false;
     return wasLost ? [logEvent('store-regained', stream, {})] : [];
   }
 
+  private get hasFailedToReadBoxes(): boolean {
+    const {hasRead, failureCount} = this.followers.boxes;
+    return !hasRead && failureCount > 0;
+  }
+
   private logTimedOutRead(
     now: number,
     stream: RecordStream,
