Log why an entry uses no call of an upstream when a call is not served

The line of a call that was not answered now counts the other upstreams of its service by reason (doubted, ejected, draining, missing, unreachable, full, box-unusable, cold, not-called). Calls that are answered get no such field, so a calm fleet writes and computes nothing more.

--- a/packages/brain/src/entry/entryStateMachine.ts
+++ b/packages/brain/src/entry/entryStateMachine.ts
@@ -23,7 +23,7 @@
 import {OverdueAttempts} from './overdueAttempts.js';
 import {RetryPolicy} from './retryPolicy.js';
 import {UpstreamChooser} from './upstreamChooser.js';
-import type {RoutingRequest} from './upstreamChooser.js';
+import type {RoutingRequest, UnusedUpstreams} from './upstreamChooser.js';
 
 /** Retry-after of calls whose customer is over its share. */
 const OVER_SHARE_RETRY_MILLISECONDS = 100;
@@ -111,6 +111,11 @@
     return this.chooser.choose(now, random, call, tried);
   }
 
+  /** Counts the upstreams of a service that this entry does not use, for logs. */
+  unusedUpstreams(now: number, view: EntryCall['view']): UnusedUpstreams {
+    return this.chooser.unused(now, view);
+  }
+
   private handleArrival(
     now: number,
     random: RandomSource,
--- a/packages/brain/src/entry/upstreamChooser.ts
+++ b/packages/brain/src/entry/upstreamChooser.ts
@@ -1,7 +1,11 @@
 // Copyright (c) 2026 the lockpin contributors. MIT licence, see LICENSE.
 /** Chooses the next upstream of a call and the terms of the offer. */
 
-import type {RoutingCandidate, UpstreamLoads} from '@lockpin/routing';
+import type {
+  RoutingCandidate,
+  UnusedReason,
+  UpstreamLoads,
+} from '@lockpin/routing';
 import type {RandomSource} from '@lockpin/types';
 import {setTerms} from './callState.js';
 import type {CallState} from './callState.js';
@@ -22,6 +26,11 @@
 export type RoutingRequest = Pick<EntryCall, 'view'> &
   Partial<Pick<EntryCall, 'route'>>;
 
+/** Number of upstreams that an entry does not use, by reason. */
+export type UnusedUpstreams = Readonly<
+  Partial<Record<UnusedReason | 'box-unusable' | 'cold', number>>
+>;
+
 /** Chooses from the subset of upstreams that this entry calls. */
 export class UpstreamChooser {
   private readonly subsets: SubsetCache;
@@ -42,6 +51,23 @@
     return this.pick(now, random, false, candidates);
   }
 
+  /** Counts the upstreams of a service that this entry does not use, for logs. */
+  unused(now: number, view: RoutingRequest['view']): UnusedUpstreams {
+    const {boxes, loads} = this.context;
+    const counts: Partial<Record<keyof UnusedUpstreams, number>> = {};
+    for (const {name, box, coldUntil} of this.subsets.subset(view)) {
+      const reason = boxes.isUsable(box)
+        ? loads.unusedReason(name, now)
+        : 'box-unusable';
+      if (reason !== undefined) {
+        const isCold = reason === 'not-called' && now < coldUntil;
+        const key = isCold ? 'cold' : reason;
+        counts[key] = (counts[key] ?? 0) + 1;
+      }
+    }
+    return counts;
+  }
+
   /** The next upstream; relaxes the terms when none is left. */
   next(
     now: number,
--- a/packages/brain/src/index.ts
+++ b/packages/brain/src/index.ts
@@ -2,6 +2,7 @@
 export * from './entry/entryStateMachine.js';
 export * from './entry/entryMessages.js';
 export * from './entry/entrySettings.js';
+export type {UnusedUpstreams} from './entry/upstreamChooser.js';
 export * from './guard/guardStateMachine.js';
 export * from './guard/guardMessages.js';
 export type {DoubtReason} from './guard/quickDoubt.js';
--- a/packages/cli/src/callExplanation.ts
+++ b/packages/cli/src/callExplanation.ts
@@ -127,9 +127,13 @@
   return [summaryLine.trimEnd(), ...attempts];
 }
 
+function valueText(value: unknown): string {
+  return typeof value === 'object' ? JSON.stringify(value) : String(value);
+}
+
 function fields(values: Readonly<Record<string, unknown>>): string {
   return Object.entries(values)
     .filter(([name, value]) => !OMITTED_FIELDS.has(name) && value !== '')
-    .map(([name, value]) => `${name}=${String(value)}`)
+    .map(([name, value]) => `${name}=${valueText(value)}`)
     .join(' ');
 }
--- a/packages/node/src/request/attemptHistory.ts
+++ b/packages/node/src/request/attemptHistory.ts
@@ -1,7 +1,7 @@
 // Copyright (c) 2026 the lockpin contributors. MIT licence, see LICENSE.
 /** The attempts of a call, collected for the log record at its end. */
 
-import type {Attempt, OfferTerms} from '@lockpin/brain';
+import type {Attempt, OfferTerms, UnusedUpstreams} from '@lockpin/brain';
 import type {AnnouncedState} from '@lockpin/routing';
 
 /** One offer of a call to a guard. */
@@ -35,6 +35,11 @@
   readonly status: number;
   readonly milliseconds: number;
   readonly attempts: readonly AttemptRecord[];
+  /**
+   * For a call that was not answered: upstreams of its service that the entry
+   * did not use at its end.
+   */
+  readonly unusedUpstreams?: UnusedUpstreams | undefined;
 }
 
 /**
--- a/packages/node/src/request/callRecord.ts
+++ b/packages/node/src/request/callRecord.ts
@@ -1,6 +1,7 @@
 // Copyright (c) 2026 the lockpin contributors. MIT licence, see LICENSE.
 /** Builds the log record of a finished call. */
 
+import type {UnusedUpstreams} from '@lockpin/brain';
 import type {CallRecord} from './attemptHistory.js';
 import type {CallerExchange} from './callerExchange.js';
 
@@ -10,6 +11,7 @@
   outcome: CallRecord['outcome'],
   reason: string,
   milliseconds: number,
+  unusedUpstreams: UnusedUpstreams | undefined,
 ): CallRecord {
   return {
     requestId,
@@ -22,5 +24,6 @@
     status,
     milliseconds: Math.round(milliseconds),
     attempts: attemptHistory.attempts,
+    unusedUpstreams,
   };
 }
--- a/packages/node/src/request/entryService.ts
+++ b/packages/node/src/request/entryService.ts
@@ -251,9 +251,14 @@
     outcome: CallRecord['outcome'],
     reason: string,
   ): void {
-    const milliseconds = exchange.age(this.dependencies.clock());
-    this.dependencies.onEnded?.(
-      createCallRecord(exchange, outcome, reason, milliseconds),
+    const {clock, onEnded, stateMachine} = this.dependencies;
+    const now = clock();
+    const unused =
+      outcome === 'answered'
+        ? undefined
+        : stateMachine.unusedUpstreams(now, exchange.call.view);
+    onEnded?.(
+      createCallRecord(exchange, outcome, reason, exchange.age(now), unused),
     );
   }
 
--- a/packages/routing/src/__tests__/fleetRouting.test.ts
+++ b/packages/routing/src/__tests__/fleetRouting.test.ts
@@ -10,6 +10,12 @@
 import {UpstreamLoads} from '../upstreamLoads.js';
 import {WindowedRetryBudget} from '../windowedRetryBudget.js';
 
+const FIRST_FAILURE_AVOIDS = {
+  failuresToAvoid: 1,
+  firstAvoidanceMilliseconds: 500,
+  longestAvoidanceMilliseconds: 4000,
+};
+
 const NOW = 1000;
 
 function candidate(
--- a/packages/routing/src/upstreamLoads.ts
+++ b/packages/routing/src/upstreamLoads.ts
@@ -28,6 +28,17 @@
   readonly notice?: KnownNotice;
 }
 
+/** Why an entry currently sends no calls to an upstream. */
+export type UnusedReason =
+  /** Its guard refuses ordinary calls. */
+  | Exclude<AnnouncedState, 'accepting' | 'probation'>
+  /** Its guard has no such upstream. */
+  | 'missing'
+  | 'unreachable'
+  | 'full'
+  /** Nothing keeps calls away, but the entry has sent none for a while. */
+  | 'not-called';
+
 /** States in which a guard refuses ordinary calls. */
 const REFUSING_STATES: ReadonlySet<AnnouncedState> = new Set<AnnouncedState>([
   'doubted',
@@ -35,6 +46,9 @@
   'draining',
 ]);
 
+/** An upstream without a hint or an open call for this long is not in use. */
+const UNUSED_MILLISECONDS = 2000;
+
 /** Time constant of the exponential decay of the weight of a hint. */
 const HINT_DECAY_MILLISECONDS = 1000;
 
@@ -115,7 +129,7 @@
     load.linkFailures = 0;
     load.consecutiveMisses = 0;
     load.unreachableUntil = 0;
-    const refuses = REFUSING_STATES.has(hint.state);
+    const refuses = isRefusing(hint.state);
     const {doubtedFor, probeIn, availableIn = 0, notice} = hint;
     load.limitedUntil = now + availableIn;
     this.notices.hinted(upstream, notice);
@@ -188,6 +202,27 @@
     return isFresh && hint.occupied >= hint.limit;
   }
 
+  /** Why this entry sends no calls to an upstream; undefined if it does. */
+  unusedReason(upstream: string, now: number): UnusedReason | undefined {
+    const load = this.loads.get(upstream);
+    if (load === undefined) {
+      return 'not-called';
+    }
+    const {hint, hintedAt, outstanding, consecutiveMisses} = load;
+    if (load.unreachableUntil > now) {
+      return 'unreachable';
+    }
+    if (load.refusesUntil > now) {
+      const state = hint?.state ?? 'accepting';
+      return consecutiveMisses > 0 || !isRefusing(state) ? 'missing' : state;
+    }
+    if (this.isFull(upstream, now)) {
+      return 'full';
+    }
+    const isUnused = outstanding === 0 && now - hintedAt > UNUSED_MILLISECONDS;
+    return isUnused ? 'not-called' : undefined;
+  }
+
   /** The latest hint of the guard with its age in milliseconds, for logs. */
   lastHint(
     upstream: string,
@@ -261,6 +296,12 @@
   }
 }
 
+function isRefusing(
+  state: AnnouncedState,
+): state is Exclude<AnnouncedState, 'accepting' | 'probation'> {
+  return REFUSING_STATES.has(state);
+}
+
 /**
  * Occupation that stands for the wait until the limit of an upstream allows a
  * call: 1 for all slots taken, and more for a longer wait.
