Call upstreams again whose load is only estimated

An upstream without a hint counts as being as busy as the mean, and while cold as 0.4 busier, so that another that looks idle is always taken. Only a call brings a hint, and the estimate kept the calls away: as long as an upstream is cold, and after that for as long as others look idle.

A new call now goes to a local upstream of which the entry has had no hint for 1.25 to 3.75 s, if there is one. An upstream is left to the ordinary choice if it is avoided, has an open call of this entry, or failed or was slow in the last one, so that those that hang, reset or are slow get no more calls.

The mechanism can be switched off as 'exploration'.

--- a/packages/brain/src/entry/attemptFeedback.ts
+++ b/packages/brain/src/entry/attemptFeedback.ts
@@ -7,6 +7,12 @@
 import type {CallState} from './callState.js';
 import type {EntryEvent} from './entryMessages.js';
 
+/**
+ * An answer that took this many times as long as is typical counts as a failure
+ * of its upstream.
+ */
+const SLOW_FACTOR = 3;
+
 /** Metadata of an answer. */
 type AnswerFeedback = Pick<
   EntryEvent & {readonly kind: 'attempt-answered'},
@@ -28,6 +34,9 @@
   ): void {
     const {upstream, hint, refusal} = event;
     this.hintReceived(now, upstream, hint);
+    if (refusal.outcome === 'unknown') {
+      this.loads.callEnded(state.upstream, false);
+    }
     if (hint === undefined && refusal.reason === 'no-upstream') {
       this.loads.reportedMissing(state.upstream, now);
     }
@@ -44,8 +53,20 @@
     if (hint !== undefined) {
       this.loads.notices.answered(upstream, hint.notice);
     }
-    if (ranMilliseconds !== undefined && status < FIRST_SERVER_ERROR_STATUS) {
-      this.timing.answered(call.route.name, ranMilliseconds);
+    const isSuccess = status < FIRST_SERVER_ERROR_STATUS;
+    const {name} = call.route;
+    const typical = this.timing.typicalDuration(name) ?? ranMilliseconds ?? 0;
+    const isSlow = (ranMilliseconds ?? 0) > SLOW_FACTOR * typical;
+    this.loads.callEnded(upstream, isSuccess && !isSlow);
+    if (ranMilliseconds !== undefined && isSuccess) {
+      this.timing.answered(name, ranMilliseconds);
+    }
+  }
+
+  /** Records that an attempt which may have run ended without an answer. */
+  attemptFailed({isAttempting, upstream}: CallState): void {
+    if (isAttempting) {
+      this.loads.callEnded(upstream, false);
     }
   }
 
--- a/packages/brain/src/entry/entrySettings.ts
+++ b/packages/brain/src/entry/entrySettings.ts
@@ -47,6 +47,8 @@
   readonly hedgesOverdue: boolean;
   /** Whether a call that cannot be answered in time is offered all the same. */
   readonly offersLate: boolean;
+  /** Whether upstreams without a recent hint are called whatever their load. */
+  readonly explores: boolean;
 }
 
 /** Refusals because of an upstream's state; a reroute is free after them. */
@@ -74,6 +76,7 @@
   quarantinedFor: () => 0,
   hedgesOverdue: false,
   offersLate: true,
+  explores: false,
 };
 
 /** Refusals of upstreams that have no free slot. */
--- a/packages/brain/src/entry/entryStateMachine.ts
+++ b/packages/brain/src/entry/entryStateMachine.ts
@@ -150,6 +150,7 @@
         this.feedback.refusalReceived(now, state, event);
         return this.handleRefusal(now, random, state, event.refusal);
       case 'attempt-lost':
+        this.feedback.attemptFailed(state);
         this.calls.attemptEnded(state);
         this.loads.linkFailed(state.upstream, now, random());
         return this.handleLostAttempt(now, random, state, event.wasSent);
@@ -166,6 +167,7 @@
       case 'call-aborted':
         return this.handleAbort(now, random, state, event);
       case 'caller-left':
+        this.feedback.attemptFailed(state);
         return [
           ...this.overdueAttempts.cancelAll(state),
           ...this.calls.callEnded(state),
@@ -275,6 +277,7 @@
     state: CallState,
     {reason, wasSent}: EntryEvent & {readonly kind: 'call-aborted'},
   ): readonly EntryAction[] {
+    this.feedback.attemptFailed(state);
     if (state.isAttempting) {
       this.loads.linkFailed(state.upstream, now, random());
       state.mayHaveRun ||= wasSent;
--- a/packages/brain/src/entry/upstreamChooser.ts
+++ b/packages/brain/src/entry/upstreamChooser.ts
@@ -104,7 +104,32 @@
     const available = this.available(now, state).filter(
       ({name}) => !tried.has(name) && this.mayTake(now, name, terms),
     );
-    return this.pick(now, random, mayProbe(state), available);
+    const unexplored = this.unexplored(now, random, state, available);
+    return unexplored.length > 0
+      ? unexplored[Math.floor(random() * unexplored.length)]
+      : this.pick(now, random, mayProbe(state), available);
+  }
+
+  /** Local upstreams that a new call explores. */
+  private unexplored(
+    now: number,
+    random: RandomSource,
+    {terms, tried, pauses, ran}: CallState,
+    available: readonly RoutingCandidate[],
+  ): readonly RoutingCandidate[] {
+    const {settings, dataCentre: ownDataCentre, loads} = this.context;
+    const isFirstOffer =
+      terms === 'immediate' &&
+      tried.size === 0 &&
+      pauses === 0 &&
+      ran.size === 0;
+    return settings.explores && isFirstOffer
+      ? available.filter(
+          ({name, dataCentre}) =>
+            dataCentre === ownDataCentre &&
+            loads.isDueForExploration(name, now, random()),
+        )
+      : [];
   }
 
   /** Skips full upstreams for offers that need a free slot at once. */
--- a/packages/node/src/__tests__/__fixtures__/fleetCallSimulation.ts
+++ b/packages/node/src/__tests__/__fixtures__/fleetCallSimulation.ts
@@ -1,7 +1,8 @@
 // Copyright (c) 2026 the lockpin contributors. MIT licence, see LICENSE.
 /**
  * Simulates the calls of a service on a virtual clock: entries and guards with
- * the settings of a declared fleet, and upstreams that may state limits.
+ * the settings of a declared fleet, and upstreams that may state limits, reset
+ * connections or join later.
  */
 
 import {EntryStateMachine, GuardStateMachine} from '@lockpin/brain';
@@ -38,6 +39,12 @@
 /** Too short for another event to be due in between. */
 const AFTER_END_MILLISECONDS = 1e-9;
 
+/** Interval at which calls in flight break when their connections are reset. */
+const RESET_INTERVAL_MILLISECONDS = 1;
+
+/** Factor by which a cold upstream is slower. */
+const COLD_FACTOR = 2;
+
 /** A request that reached an upstream. */
 export interface SimulatedArrival {
   readonly callId: string;
@@ -87,6 +94,10 @@
   frozenUntil: number;
   /** Messages between this box and others are lost until then. */
   cutOffUntil: number;
+  /** The upstream resets this share of its calls. */
+  resetShare: number;
+  /** The upstream takes twice as long before this time. */
+  coldUntil: number;
 }
 
 /** Runs the calls of one service. */
@@ -98,12 +109,16 @@
   readonly relayed: RelayedNotice[] = [];
   private readonly clock = new VirtualClock();
   private readonly random: RandomSource;
-  private readonly view: ServiceView;
+  private readonly allUpstreams: ServiceView['upstreams'];
+  private view: ServiceView;
+  /** Boxes of the running attempts, by the attempt's id. */
+  private readonly running = new Map<string, number>();
   private readonly calls = new Map<string, OpenCall>();
   private serial = 0;
 
   constructor(private readonly options: SimulationOptions) {
     this.random = seededRandom(options.seed);
+    this.allUpstreams = createServiceView(options).upstreams;
     this.view = createServiceView(options);
     this.boxes = Array.from({length: options.boxes}, (_, box) => ({
       ...this.createNode(box),
@@ -111,6 +126,8 @@
       notice: NO_NOTICE,
       frozenUntil: 0,
       cutOffUntil: 0,
+      resetShare: 0,
+      coldUntil: 0,
     }));
     this.boxes.forEach((_, box) => this.tick(box));
     this.scheduleNextCall();
@@ -152,6 +169,41 @@
     (this.boxes[box] as SimulatedBox).frozenUntil = this.now + milliseconds;
   }
 
+  /** Resets the connections of a box's upstream; its calls break in turn. */
+  resetConnections(box: number): void {
+    const broken = [...this.running].filter(([, at]) => at === box);
+    broken.forEach(([attemptId], i) =>
+      this.after(i * RESET_INTERVAL_MILLISECONDS, () => this.reset(attemptId)),
+    );
+  }
+
+  /** Makes a box's upstream reset a share of its calls from now on. */
+  resetCalls(box: number, share: number): void {
+    this.resetConnections(box);
+    (this.boxes[box] as SimulatedBox).resetShare = share;
+  }
+
+  /** Removes the upstreams of some boxes from the service. */
+  remove(boxes: readonly number[]): void {
+    const names = new Set(boxes.map((box) => this.allUpstreams[box]?.name));
+    const upstreams = this.view.upstreams.filter(({name}) => !names.has(name));
+    this.view = {...this.view, upstreams};
+  }
+
+  /** Adds the upstreams of removed boxes, which have just started. */
+  join(boxes: readonly number[], coldMilliseconds: number): void {
+    const coldUntil = this.now + coldMilliseconds;
+    const joining = boxes.flatMap((box) => {
+      (this.boxes[box] as SimulatedBox).coldUntil = coldUntil;
+      const upstream = this.allUpstreams[box];
+      return upstream === undefined
+        ? []
+        : [{...upstream, spec: {...upstream.spec, coldUntil}}];
+    });
+    const upstreams = [...this.view.upstreams, ...joining];
+    this.view = {...this.view, upstreams};
+  }
+
   /** Cuts a box off from all others for some time. */
   cutOff(box: number, milliseconds: number): void {
     (this.boxes[box] as SimulatedBox).cutOffUntil = this.now + milliseconds;
@@ -160,7 +212,7 @@
   private createNode(box: number): Pick<SimulatedBox, 'entry' | 'guard'> {
     const isOn = (name: string): boolean => name !== 'overdue-replacement';
     const quarantinedFor = (): number => 0;
-    const {name, spec} = this.view.upstreams[box] as Resource<'Upstream'>;
+    const {name, spec} = this.allUpstreams[box] as Resource<'Upstream'>;
     const entry = new EntryStateMachine(
       spec.box,
       spec.dataCentre,
@@ -175,7 +227,7 @@
         quarantinedFor,
       }),
     );
-    const upstreams = this.view.upstreams.filter((item) => item.name === name);
+    const upstreams = this.allUpstreams.filter((item) => item.name === name);
     guard.handle(this.clock.now, this.random, {
       kind: 'services-changed',
       services: [{name: SERVICE, sensitivity: 'fast', upstreams}],
@@ -301,7 +353,7 @@
   private sendAttempt(open: OpenCall, attempt: Attempt): void {
     open.offers += 1;
     const {call, box} = open;
-    const upstream = this.view.upstreams.findIndex(
+    const upstream = this.allUpstreams.findIndex(
       ({name}) => name === attempt.upstream,
     );
     const id = `${call.id}.${open.offers}`;
@@ -440,15 +492,33 @@
       sentAt,
       at: this.now,
     });
-    const spread = 0.5 + this.random();
+    const {resetShare, coldUntil} = this.boxes[box] as SimulatedBox;
+    this.running.set(attemptId, box);
+    if (resetShare > 0 && this.random() < resetShare) {
+      this.after(RESET_INTERVAL_MILLISECONDS, () => this.reset(attemptId));
+      return;
+    }
+    const factor = this.now < coldUntil ? COLD_FACTOR : 1;
+    const spread = (0.5 + this.random()) * factor;
     this.clock.schedule(this.options.workMilliseconds * spread, () => {
       const current = this.boxes[box] as SimulatedBox;
-      if (current.guard === guard) {
+      if (this.running.delete(attemptId) && current.guard === guard) {
         this.answer(box, attemptId, current.notice);
       }
     });
   }
 
+  private reset(attemptId: string): void {
+    const box = this.running.get(attemptId);
+    if (box !== undefined && this.running.delete(attemptId)) {
+      this.toGuard(box, {
+        kind: 'upstream-failed',
+        callId: attemptId,
+        wasSent: true,
+      });
+    }
+  }
+
   private answer(box: number, attemptId: string, notice: UpstreamNotice): void {
     this.toGuard(box, {kind: 'upstream-stated', callId: attemptId, notice});
     this.toGuard(box, {
@@ -458,7 +528,7 @@
       isShed: false,
       answer: undefined,
     });
-    const name = this.view.upstreams[box]?.name ?? '';
+    const name = this.allUpstreams[box]?.name ?? '';
     const hint = this.boxes[box]?.guard.hintOf(this.now, name);
     this.reply(box, attemptId, (open) => {
       const {id: callId} = open.call;
--- a/packages/node/src/process/fleetEntrySettings.ts
+++ b/packages/node/src/process/fleetEntrySettings.ts
@@ -77,5 +77,6 @@
     quarantinedFor: fleet.quarantinedFor,
     hedgesOverdue: isOn('overdue-replacement'),
     offersLate: isOn('late-offers'),
+    explores: isOn('exploration'),
   };
 }
--- a/packages/routing/src/__tests__/fleetRouting.test.ts
+++ b/packages/routing/src/__tests__/fleetRouting.test.ts
@@ -81,6 +81,42 @@
     expect(loads.occupation('n1', 4, later.now)).toBeLessThan(0.01);
   });
 
+  it('explores an upstream without a recent hint unless its last call failed', () => {
+    const loads = new UpstreamLoads();
+    const isDue = (now: number): boolean =>
+      loads.isDueForExploration('u', now, 0.5);
+    expect(isDue(NOW)).toBe(true);
+    loads.sent('u');
+    expect(isDue(NOW)).toBe(false);
+    loads.ended('u');
+    loads.hintReceived('u', NOW, {state: 'accepting', occupied: 0, limit: 4});
+    expect(isDue(NOW + 2000)).toBe(false);
+    expect(isDue(NOW + 3000)).toBe(true);
+    loads.callEnded('u', false);
+    expect(isDue(NOW + 3000)).toBe(false);
+  });
+
+  it('tells why upstreams are not used', () => {
+    const loads = new UpstreamLoads(FIRST_FAILURE_AVOIDS);
+    const accepting = {state: 'accepting', occupied: 0, limit: 4} as const;
+    loads.hintReceived('full', NOW, {...accepting, occupied: 4});
+    loads.hintReceived('used', NOW, accepting);
+    loads.hintReceived('idle', NOW - 2500, accepting);
+    loads.hintReceived('doubted', NOW, {...accepting, state: 'doubted'});
+    loads.reportedMissing('missing', NOW);
+    loads.linkFailed('unreachable', NOW, 0.5);
+    const names = 'full used idle doubted missing unreachable new'.split(' ');
+    expect(names.map((name) => loads.unusedReason(name, NOW + 1))).toEqual([
+      'full',
+      undefined,
+      'not-called',
+      'doubted',
+      'missing',
+      'unreachable',
+      'not-called',
+    ]);
+  });
+
   it('lets no part of the upstreams idle, from the first calls of a fleet on', () => {
     const all = Array.from({length: 40}, (_, i) => candidate(`u${i}`));
     const random = seededRandom(1);
--- a/packages/routing/src/upstreamLoads.ts
+++ b/packages/routing/src/upstreamLoads.ts
@@ -61,6 +61,13 @@
 /** A wait for this long counts like a queue with one call for each slot. */
 const WAIT_PER_OCCUPATION_MILLISECONDS = 250;
 
+/**
+ * Mean time after which an entry calls an upstream again whatever its estimated
+ * load. Several entries call each upstream, so that together they do so more
+ * than once a second.
+ */
+const EXPLORATION_INTERVAL_MILLISECONDS = 2500;
+
 /** First pause after a guard reported that it has no such upstream. */
 const FIRST_MISSING_MILLISECONDS = 300;
 
@@ -100,6 +107,8 @@
   linkFailures: number;
   /** Consecutive reports of its guard that it does not exist. */
   consecutiveMisses: number;
+  /** Whether the last call of this entry that ran there went well. */
+  lastCallSucceeded: boolean;
 }
 
 /** Tracks the loads of the upstreams that this entry has called. */
@@ -121,6 +130,11 @@
     load.outstanding = Math.max(0, load.outstanding - 1);
   }
 
+  /** Records how a call that ran there, or may have run, ended. */
+  callEnded(upstream: string, hasSucceeded: boolean): void {
+    this.load(upstream).lastCallSucceeded = hasSucceeded;
+  }
+
   /** Records a hint; the guard responded, so the link to it works. */
   hintReceived(upstream: string, now: number, hint: LoadHint): void {
     const load = this.load(upstream);
@@ -185,6 +199,22 @@
     return Math.max(refuses, load.unreachableUntil) > now;
   }
 
+  /**
+   * Whether an upstream is to be called whatever its estimated load. Only a call
+   * brings a new hint, so an estimate alone could keep calls away for good. An
+   * upstream where the last call failed is left to the ordinary choice.
+   */
+  isDueForExploration(upstream: string, now: number, random: number): boolean {
+    const load = this.loads.get(upstream);
+    if (load === undefined) {
+      return true;
+    }
+    const interval = EXPLORATION_INTERVAL_MILLISECONDS * (0.5 + random);
+    const hasRecentHint =
+      load.hint !== undefined && now - load.hintedAt < interval;
+    return load.lastCallSucceeded && load.outstanding === 0 && !hasRecentHint;
+  }
+
   /**
    * Whether the guard recently reported that no slot is free, or that the limit
    * of the upstream allows no call yet.
@@ -290,6 +320,7 @@
       unreachableUntil: 0,
       linkFailures: 0,
       consecutiveMisses: 0,
+      lastCallSucceeded: true,
     };
     this.loads.set(upstream, created);
     return created;
