Count offers in flight that fail for one reason once

An entry avoided a guard for 4 s instead of 0.5 s after six offers had failed on one broken link, and for 5 s instead of 0.3 s after five had found no such upstream: each offer in flight doubled the pause, though all met one event.

Failures during a pause are of offers made before it, and no longer extend it. Two tests fail without the change.

--- a/packages/routing/src/__tests__/routing.test.ts
+++ b/packages/routing/src/__tests__/routing.test.ts
@@ -72,6 +72,31 @@
     expect(loads.isAvoided('u0', 2000)).toBe(false);
   });
 
+  it('counts offers in flight that fail on one broken link once', () => {
+    const loads = new UpstreamLoads({
+      failuresToAvoid: 1,
+      firstAvoidanceMilliseconds: 500,
+      longestAvoidanceMilliseconds: 4000,
+    });
+    for (let i = 0; i < 6; i += 1) {
+      loads.linkFailed('u0', i, 0.5);
+    }
+    expect(loads.isAvoided('u0', 499)).toBe(true);
+    expect(loads.isAvoided('u0', 501)).toBe(false);
+    loads.linkFailed('u0', 600, 0.5);
+    expect(loads.isAvoided('u0', 1599)).toBe(true);
+    expect(loads.isAvoided('u0', 1601)).toBe(false);
+  });
+
+  it('counts offers in flight that find no upstream once', () => {
+    const loads = new UpstreamLoads();
+    for (let i = 0; i < 6; i += 1) {
+      loads.reportedMissing('u0', i);
+    }
+    expect(loads.isAvoided('u0', 299)).toBe(true);
+    expect(loads.isAvoided('u0', 301)).toBe(false);
+  });
+
   it('takes an avoided upstream when there is no other', () => {
     const loads = new UpstreamLoads();
     loads.linkFailed('u0', 0, 0.5);
--- a/packages/routing/src/upstreamLoads.ts
+++ b/packages/routing/src/upstreamLoads.ts
@@ -155,9 +155,13 @@
   /**
    * The guard has no such upstream: its box has lost it, or has not received it
    * yet after a restart. It is tried again after exponentially growing pauses.
+   * Reports during a pause answer offers that were made before it.
    */
   reportedMissing(upstream: string, now: number): void {
     const load = this.load(upstream);
+    if (now < load.refusesUntil) {
+      return;
+    }
     const pause = Math.min(
       LONGEST_MISSING_MILLISECONDS,
       FIRST_MISSING_MILLISECONDS * 2 ** load.consecutiveMisses,
@@ -169,10 +173,14 @@
 
   /**
    * The guard did not respond. This tells about the link between entry and
-   * guard, not about the upstream, so only this entry avoids it.
+   * guard, not about the upstream, so only this entry avoids it. Failures while
+   * it is avoided are of offers made before.
    */
   linkFailed(upstream: string, now: number, random: number): void {
     const load = this.load(upstream);
+    if (now < load.unreachableUntil) {
+      return;
+    }
     load.linkFailures += 1;
     const {avoidance} = this;
     const repeats = load.linkFailures - avoidance.failuresToAvoid;
