Count calls in flight that meet one event once when doubting an upstream

Calls that cannot be repeated were kept from a healthy upstream for 8 s after one event: three calls in flight that broke 1 ms apart counted as a series, and doubt doubled from 2 s to 4 and 8 s.

A failure of a call that started before doubt began or was renewed is of the same event and no longer renews it. Once doubt is over, the upstream is unproven again until a call succeeds, so that calls which cannot be repeated come one at a time to one that still fails.

--- a/packages/brain/src/guard/quickDoubt.ts
+++ b/packages/brain/src/guard/quickDoubt.ts
@@ -158,11 +158,15 @@
     }
   }
 
-  /** Records the outcome of a call unless it was counted as hanging. */
+  /**
+   * Records the outcome of a call unless it was counted as hanging or has
+   * already ended.
+   * @param startedAt When it got its slot; undefined once it has ended.
+   */
   observe(
     now: number,
     callId: string,
-    isRunning: boolean,
+    startedAt: number | undefined,
     kind: CallEvidenceKind,
   ): void {
     const wasCounted = this.countedAsHanging.delete(callId);
@@ -171,8 +175,8 @@
     } else {
       this.evidence.answered(callId);
     }
-    if (this.isEnabled && isRunning && !wasCounted) {
-      this.doubt.observe(now, kind);
+    if (this.isEnabled && startedAt !== undefined && !wasCounted) {
+      this.doubt.observe(now, kind, startedAt);
     }
   }
 
--- a/packages/brain/src/guard/upstreamGuard.ts
+++ b/packages/brain/src/guard/upstreamGuard.ts
@@ -335,7 +335,7 @@
   }
 
   private observe(now: number, callId: string, kind: CallEvidenceKind): void {
-    this.doubt.observe(now, callId, this.running.has(callId), kind);
+    this.doubt.observe(now, callId, this.running.get(callId)?.startedAt, kind);
   }
 
   private ended(now: number, callId: string, failed: boolean): CallEnd {
--- a/packages/detection/src/doubt.ts
+++ b/packages/detection/src/doubt.ts
@@ -45,8 +45,11 @@
  */
 const INITIAL_HOLD_MILLISECONDS = 2000;
 
-/** The duration doubles with each consecutive hold, up to this limit. */
-const MAXIMUM_HOLD_MILLISECONDS = 8000;
+/**
+ * The duration doubles with each consecutive hold, up to this limit. A healthy
+ * upstream without probes stays idle for up to this long.
+ */
+const MAXIMUM_HOLD_MILLISECONDS = 4000;
 
 /** After this long without doubt, the duration starts at the initial value. */
 const HOLD_RESET_MILLISECONDS = 8000;
@@ -66,15 +69,20 @@
 export class Doubt {
   private score = 0;
   private doubtedUntil = 0;
+  /** When doubt last began or was renewed. */
+  private heldAt = Number.NEGATIVE_INFINITY;
   private consecutiveHolds = 0;
   private nextProbeAt = 0;
   private successfulProbes = 0;
-  private hasEverAnswered = false;
+  private hasAnswered = false;
   private lastCause: CallEvidenceKind | 'none' = 'none';
 
-  /** Whether any call to the upstream has succeeded since it became known. */
+  /**
+   * Whether any call to the upstream has succeeded since it became known, or
+   * since it was last doubted.
+   */
   get isProven(): boolean {
-    return this.hasEverAnswered;
+    return this.hasAnswered;
   }
 
   /** The evidence that last began or renewed doubt. */
@@ -102,14 +110,18 @@
     this.nextProbeAt = now + this.probeInterval();
   }
 
-  /** Records the outcome of a call; true when doubt began or ended. */
-  observe(now: number, kind: CallEvidenceKind): boolean {
+  /**
+   * Records the outcome of a call; true when doubt began or ended. Failures of
+   * calls that started before doubt began are of the same event, and do not
+   * renew it.
+   */
+  observe(now: number, kind: CallEvidenceKind, startedAt = now): boolean {
     const before = this.isDoubted(now);
     if (kind === 'well') {
-      this.hasEverAnswered = true;
+      this.hasAnswered = true;
       this.score *= DECAY_AFTER_GOOD;
       this.recordSuccessfulProbe(now);
-    } else {
+    } else if (startedAt >= this.heldAt) {
       this.score = this.score * DECAY_AFTER_BAD + WEIGHTS[kind];
       this.successfulProbes = 0;
       if (before || this.score >= DOUBT_THRESHOLD) {
@@ -138,6 +150,8 @@
     }
     const length = INITIAL_HOLD_MILLISECONDS * 2 ** this.consecutiveHolds;
     this.doubtedUntil = now + Math.min(MAXIMUM_HOLD_MILLISECONDS, length);
+    this.heldAt = now;
+    this.hasAnswered = false;
     this.consecutiveHolds += 1;
     this.nextProbeAt = now + this.probeInterval();
     this.successfulProbes = 0;
--- a/packages/node/src/__tests__/fleetUsesUpstreams.test.ts
+++ b/packages/node/src/__tests__/fleetUsesUpstreams.test.ts
@@ -14,6 +14,9 @@
 /** Share of the healthy upstreams that get a call in each window. */
 const MINIMUM_USED_SHARE = 0.7;
 
+/** An upstream that failed by itself is healthy again after this time. */
+const RECOVERY_MILLISECONDS = 2000;
+
 const STEP_MILLISECONDS = 100;
 
 const COLD_MILLISECONDS = 3000;
@@ -82,4 +85,45 @@
       expect(share).toBeGreaterThanOrEqual(MINIMUM_USED_SHARE);
     },
   );
+
+  it.each([0, 0.2, 0.5])(
+    'are in use again soon after all their calls in flight broke at once (%f repeatable)',
+    (repeatableShare) => {
+      const simulation = createSimulation(seed, 90, repeatableShare);
+      simulation.run(WARM_UP_MILLISECONDS);
+      BOX_INDEXES.forEach((box) => simulation.resetConnections(box));
+      simulation.run(RECOVERY_MILLISECONDS);
+      const recoveredAt = simulation.now;
+      simulation.run(10_000);
+      const share = minimumUsedShare(
+        simulation,
+        BOX_INDEXES,
+        recoveredAt,
+        simulation.now,
+      );
+      expect(share).toBeGreaterThanOrEqual(MINIMUM_USED_SHARE);
+    },
+  );
+
+  it.each([0, 0.2])(
+    'are in use again soon after half of them reset most calls for 5 s (%f repeatable)',
+    (repeatableShare) => {
+      const simulation = createSimulation(seed, 90, repeatableShare);
+      const failing = BOX_INDEXES.slice(0, 12);
+      simulation.run(WARM_UP_MILLISECONDS);
+      failing.forEach((box) => simulation.resetCalls(box, 0.75));
+      simulation.run(5000);
+      failing.forEach((box) => simulation.resetCalls(box, 0));
+      simulation.run(RECOVERY_MILLISECONDS);
+      const recoveredAt = simulation.now;
+      simulation.run(10_000);
+      const share = minimumUsedShare(
+        simulation,
+        failing,
+        recoveredAt,
+        simulation.now,
+      );
+      expect(share).toBeGreaterThanOrEqual(MINIMUM_USED_SHARE);
+    },
+  );
 });
