Lower the limit of an upstream once for calls under the same limit

The limit of running calls fell to a third after three calls in flight were shed at once, as after three sheds in a row. A shed of a call that started before the limit was last lowered no longer lowers it. A test fails without the change.

--- a/packages/admission/src/__tests__/admission.test.ts
+++ b/packages/admission/src/__tests__/admission.test.ts
@@ -19,6 +19,19 @@
   };
 }
 
+describe('Admission: the limit of running calls', () => {
+  it('is lowered once by calls that started under the same limit', () => {
+    const admission = new Admission(10, false);
+    const ids = ['1', '2', '3'];
+    ids.forEach((id) => admission.offer(0, waiting(id)));
+    ids.forEach((id, i) => admission.shed(100 + i, id));
+    expect(admission.currentLimit).toBe(7);
+    admission.offer(200, waiting('4'));
+    admission.shed(300, '4');
+    expect(admission.currentLimit).toBe(4);
+  });
+});
+
 describe('Admission: expected wait', () => {
   it('uses the expected duration of the call', () => {
     const admission = new Admission(1, false);
--- a/packages/admission/src/adaptiveLimit.ts
+++ b/packages/admission/src/adaptiveLimit.ts
@@ -13,6 +13,7 @@
 /** Additive increase, multiplicative decrease (AIMD), capped at the slots. */
 export class AdaptiveLimit {
   private allowed: number;
+  private loweredAt = Number.NEGATIVE_INFINITY;
 
   constructor(
     private slots: number,
@@ -40,9 +41,15 @@
     );
   }
 
-  /** Lowers the limit after the upstream shed a call. */
-  shed(): void {
-    this.allowed = Math.max(1, this.allowed * SHED_FACTOR);
+  /**
+   * Lowers the limit after the upstream shed a call. Calls that started under
+   * the previous limit do not lower it again.
+   */
+  shed(now: number, startedAt: number): void {
+    if (startedAt >= this.loweredAt) {
+      this.allowed = Math.max(1, this.allowed * SHED_FACTOR);
+      this.loweredAt = now;
+    }
   }
 
   /** Resets the limit for an upstream that has returned and is cold. */
--- a/packages/admission/src/admission.ts
+++ b/packages/admission/src/admission.ts
@@ -184,8 +184,9 @@
     this.limit.succeeded();
   }
 
-  shed(): void {
-    this.limit.shed();
+  /** The upstream shed a running call. */
+  shed(now: number, id: string): void {
+    this.limit.shed(now, this.running.get(id)?.startedAt ?? now);
   }
 
   resetToCold(): void {
--- a/packages/brain/src/guard/upstreamGuard.ts
+++ b/packages/brain/src/guard/upstreamGuard.ts
@@ -245,7 +245,7 @@
     const isFailure =
       status >= FIRST_SERVER_ERROR_STATUS && status !== NOT_IMPLEMENTED_STATUS;
     if (isShed) {
-      this.admission.shed();
+      this.admission.shed(now, callId);
     } else if (!isFailure) {
       this.admission.succeeded();
     }
