Send a new box record to the readers directly

The first call of a new upstream came up to 1 s after it had announced itself: readers pause for 1 s after reading box records, so that of seven boxes that are replaced at once the first is known at once and the others a second later.

A box whose upstream has changed sends its record to the readers of all data centres as well as to the store, which pass it on to their followers. A record that the store already holds is not sent: restarts and renewals cost nothing more. Two messages for each data centre and change. Two tests; the first fails without the change.

--- a/packages/fleet/src/__tests__/fleetBrain.test.ts
+++ b/packages/fleet/src/__tests__/fleetBrain.test.ts
@@ -16,6 +16,40 @@
   configurationRecord,
 } from './__fixtures__/stateMachineHarness.js';
 
+describe('the own record', () => {
+  const near = otherBoxRecord({box: 'b2', peerAddress: LOCAL_PEER_ADDRESS});
+  const far = otherBoxRecord({
+    box: 'b3',
+    peerAddress: REMOTE_PEER_ADDRESS,
+    dataCentre: 'd2',
+  });
+  const others = [near, far].map((record) => ({
+    key: record.box,
+    value: serializeBoxRecord(record),
+  }));
+
+  it('is sent to the readers of all data centres when the upstream is new', () => {
+    const harness = new StateMachineHarness();
+    harness.start([configurationRecord(1)], others);
+    expect(harness.announce()).toContainEqual({
+      kind: 'notify-nodes',
+      addresses: [LOCAL_PEER_ADDRESS, REMOTE_PEER_ADDRESS],
+      news: {
+        kind: 'boxes',
+        boxes: [expect.objectContaining({box: IDENTITY.box, takesWork: true})],
+      },
+    });
+  });
+
+  it('is not sent when the store holds it already', () => {
+    const harness = new StateMachineHarness();
+    const stored = otherBoxRecord({...IDENTITY, statedAt: harness.now});
+    const own = {key: IDENTITY.box, value: serializeBoxRecord(stored)};
+    harness.start([configurationRecord(1)], [...others, own]);
+    expect(kinds(harness.announce())).not.toContain('notify-nodes');
+  });
+});
+
 describe('the configuration in force', () => {
   it('never goes back to an older version', () => {
     const harness = new StateMachineHarness();
--- a/packages/fleet/src/announcementHandler.ts
+++ b/packages/fleet/src/announcementHandler.ts
@@ -23,6 +23,8 @@
   readonly tracker: OwnUpstreamTracker;
   readonly record: OwnRecord;
   readonly configuration: () => DeclaredConfiguration | undefined;
+  /** Addresses of the readers that pass records on to all boxes. */
+  readonly readerAddresses: (now: number) => readonly string[];
   /** True once the stored record of this box is known, or if none can exist. */
   readonly mayWrite: () => boolean;
 }
@@ -71,7 +73,30 @@
       return [];
     }
     record.upstreamChanged(now, upstream);
-    return [{kind: 'upstream-changed', upstream}, ...this.write(now)];
+    return [
+      {kind: 'upstream-changed', upstream},
+      ...this.notifyReaders(now),
+      ...this.write(now),
+    ];
+  }
+
+  /**
+   * Sends the own record to the readers, which batch those that they get from
+   * the store.
+   */
+  private notifyReaders(now: number): readonly FleetAction[] {
+    const {record, readerAddresses} = this.context;
+    const {unsaved} = record;
+    const addresses = readerAddresses(now);
+    return unsaved === undefined || addresses.length === 0
+      ? []
+      : [
+          {
+            kind: 'notify-nodes',
+            addresses,
+            news: {kind: 'boxes', boxes: [unsaved]},
+          },
+        ];
   }
 
   /**
--- a/packages/fleet/src/fleetComponents.ts
+++ b/packages/fleet/src/fleetComponents.ts
@@ -119,6 +119,7 @@
     tracker: own,
     record: ownRecord,
     configuration: () => inForce.current,
+    readerAddresses: (now) => readerRole.readers.allReaders(now),
     mayWrite: () => isFirstStart || readerRole.hasReadBoxes,
   });
   return {
--- a/packages/fleet/src/ownRecord.ts
+++ b/packages/fleet/src/ownRecord.ts
@@ -58,6 +58,14 @@
     return this.desired;
   }
 
+  /** The newest version of the record unless the store already holds it. */
+  get unsaved(): BoxRecord | undefined {
+    const {desired, stored} = this;
+    return desired === undefined || isStored(desired, stored)
+      ? undefined
+      : desired;
+  }
+
   /**
    * Whether the store did not take the record; it is sent to peers meanwhile.
    */
@@ -152,13 +160,13 @@
 
   /** The write that is due now, if any; the caller performs it. */
   nextWrite(now: number): StoredRecord | undefined {
-    const {desired, stored} = this;
+    const {unsaved} = this;
     const isDue = this.writing === undefined && now >= this.nextWriteAt;
-    if (desired === undefined || !isDue || isStored(desired, stored)) {
+    if (unsaved === undefined || !isDue) {
       return undefined;
     }
-    this.writing = desired;
-    return {key: desired.box, value: serializeBoxRecord(desired)};
+    this.writing = unsaved;
+    return {key: unsaved.box, value: serializeBoxRecord(unsaved)};
   }
 
   /** A write has ended; if it failed, later reads show what the store holds. */
--- a/packages/fleet/src/readerSelection.ts
+++ b/packages/fleet/src/readerSelection.ts
@@ -200,6 +200,12 @@
       .flatMap((other) => preferredReaders(this.directory, other));
   }
 
+  /** Addresses of the readers of all data centres, without this node. */
+  allReaders(now: number): readonly string[] {
+    const remote = this.remoteReaders().map(({peerAddress}) => peerAddress);
+    return [...new Set([...this.followed(now).near, ...remote])];
+  }
+
   /** The readers of each data centre that would inform this node. */
   private readerCounts(now: number): ReadonlyMap<string, number> {
     const {dataCentre} = this.identity;
