--- a/packages/tools/src/soak/__tests__/checkHistory.test.ts
+++ b/packages/tools/src/soak/__tests__/checkHistory.test.ts
@@ -38,6 +38,7 @@
   arrivals: [ARRIVAL],
   drains: [],
   limits: [],
+  upstreams: [],
   versionProbes: [],
   versions: [{version: 1, confirmedAt: 0}],
   disruptions: [],
--- a/packages/tools/src/soak/boxUpstreams.ts
+++ b/packages/tools/src/soak/boxUpstreams.ts
@@ -32,6 +32,10 @@
   readonly service: string;
   readonly announcer: UpstreamAnnouncer;
   state: 'ready' | 'draining' | 'gone';
+  /** When its first announcement was acknowledged; Infinity before that. */
+  readyFrom: number;
+  /** When it began to leave, or ended; Infinity before that. */
+  readyUntil: number;
 }
 
 /** Options for the upstreams of a box. */
@@ -78,7 +82,10 @@
     while (!isOver()) {
       const {current} = this;
       if (current !== undefined && current.state !== 'gone') {
-        await current.announcer.say(announcementAddress, current.state);
+        const {state} = current;
+        if (await current.announcer.say(announcementAddress, state)) {
+          current.readyFrom = Math.min(current.readyFrom, Date.now());
+        }
       }
       await pause(HEARTBEAT_INTERVAL_MILLISECONDS);
     }
@@ -91,6 +98,7 @@
       return;
     }
     leaving.state = 'draining';
+    leaving.readyUntil = Date.now();
     const {process} = leaving;
     const {box, drainMilliseconds, onDrained} = this.options;
     const isAcknowledged = await this.announceDrain(leaving);
@@ -112,6 +120,7 @@
       return;
     }
     leaving.standIn.isLeaving = true;
+    leaving.readyUntil = Date.now();
     await pause(STATED_LEAVING_MILLISECONDS);
     if (this.current === leaving) {
       await this.crash();
@@ -129,6 +138,7 @@
     const previous = this.current;
     if (previous !== undefined) {
       previous.state = 'gone';
+      previous.readyUntil = Math.min(previous.readyUntil, Date.now());
       previous.standIn.stop();
     }
     if (!this.options.isOver()) {
@@ -169,6 +179,14 @@
       slots: UPSTREAM_SLOTS,
     });
     const process = `${lifetime}@${startedAt}`;
-    this.instances.push({process, standIn, service, announcer, state: 'ready'});
+    this.instances.push({
+      process,
+      standIn,
+      service,
+      announcer,
+      state: 'ready',
+      readyFrom: Number.POSITIVE_INFINITY,
+      readyUntil: Number.POSITIVE_INFINITY,
+    });
   }
 }
--- a/packages/tools/src/soak/checkHistory.ts
+++ b/packages/tools/src/soak/checkHistory.ts
@@ -5,6 +5,7 @@
 import {checkConfiguration} from './checkConfiguration.js';
 import {checkNotices, noticeHistory} from './checkNotices.js';
 import {checkRetries} from './checkRetries.js';
+import {checkUse} from './checkUse.js';
 import {createViolation, isServed} from './soakHistory.js';
 import type {
   CallRecord,
@@ -48,6 +49,7 @@
     ...checkConfiguration(history, bounds),
     ...checkRetries(history, bounds),
     ...checkNotices(noticeHistory(history), bounds),
+    ...checkUse(history, bounds),
     ...checkRecovery(history),
   ];
 }
--- a/packages/tools/src/soak/soakHistory.ts
+++ b/packages/tools/src/soak/soakHistory.ts
@@ -118,6 +118,17 @@
   until: number;
 }
 
+/** Time for which an upstream process took calls. */
+export interface UpstreamPeriod {
+  readonly lifetime: string;
+  readonly box: string;
+  readonly service: string;
+  /** When its first announcement was acknowledged; Infinity if none was. */
+  readonly readyFrom: number;
+  /** When it began to leave, or ended; Infinity if it did not. */
+  readonly readyUntil: number;
+}
+
 /** Everything that the checks use. */
 export interface SoakHistory {
   readonly calls: readonly CallRecord[];
@@ -125,6 +136,7 @@
   readonly arrivals: readonly ArrivalRecord[];
   readonly drains: readonly DrainRecord[];
   readonly limits: readonly LimitRecord[];
+  readonly upstreams: readonly UpstreamPeriod[];
   readonly versionProbes: readonly VersionProbe[];
   readonly versions: readonly ConfirmedVersion[];
   readonly disruptions: readonly DisruptionRecord[];
--- a/packages/tools/src/soak/soakRecorder.ts
+++ b/packages/tools/src/soak/soakRecorder.ts
@@ -97,6 +97,15 @@
       arrivals: collect(({standIn}) => standIn.arrivals),
       drains: this.drains,
       limits: this.limits,
+      upstreams: boxes.flatMap(({name, upstreams}) =>
+        upstreams.all.map(({process, service, readyFrom, readyUntil}) => ({
+          lifetime: process,
+          box: name,
+          service,
+          readyFrom,
+          readyUntil,
+        })),
+      ),
       versionProbes: this.versionProbes,
       versions: this.versions,
       disruptions: this.disruptions,
