--- a/packages/tools/src/soak/__tests__/soak.test.ts
+++ b/packages/tools/src/soak/__tests__/soak.test.ts
@@ -43,6 +43,14 @@
     expect(calls).toBeGreaterThan(200);
   });
 
+  it('uses the upstreams of replaced boxes while others fail', async () => {
+    const folder = mkdtempSync(join(tmpdir(), 'lockpin-soak-'));
+    const size = {...SIZE, boxes: 6, faults: 'replaced'} as const;
+    const {violations, calls} = await runSoak(SEED + 5, size, folder);
+    expect(violations).toEqual([]);
+    expect(calls).toBeGreaterThan(200);
+  });
+
   it('keeps them while the store is restored repeatedly', async () => {
     const folder = mkdtempSync(join(tmpdir(), 'lockpin-soak-'));
     const size = {...SIZE, faults: 'all'} as const;
--- a/packages/tools/src/soak/faultDraws.ts
+++ b/packages/tools/src/soak/faultDraws.ts
@@ -238,6 +238,43 @@
   },
 ];
 
+/** Share of the boxes that are replaced at once, and of those that then fail. */
+const REPLACED_SHARE = 1 / 3;
+
+/** Upstreams fail for long enough that new ones count as healthy meanwhile. */
+const FAILING_MILLISECONDS = 9000;
+
+/**
+ * Faults of the `replaced` set: some boxes are replaced, with their upstreams,
+ * while the upstreams of others fail a part of their calls.
+ */
+export const REPLACEMENT_DRAWS: readonly DrawFault[] = [
+  (random, at, boxes) => {
+    const first = randomIndex(random, boxes);
+    const count = Math.ceil(boxes * REPLACED_SHARE);
+    const boxAt = (i: number): number => (first + i) % boxes;
+    const mode = randomItem(random, ['errors', 'resets', 'hangs'] as const);
+    const share = MINIMUM_AFFECTED_SHARE + 0.6 * random();
+    return Array.from({length: count}, (_, i): readonly PlannedFault[] => [
+      {at, kind: 'crash-upstream', box: boxAt(i)},
+      {
+        at,
+        kind: 'kill',
+        box: boxAt(i),
+        downMilliseconds: SHORTEST_FAULT_MILLISECONDS,
+      },
+      {
+        at,
+        kind: 'upstream',
+        box: boxAt(count + i),
+        mode,
+        share,
+        durationMilliseconds: FAILING_MILLISECONDS,
+      },
+    ]).flat();
+  },
+];
+
 /** Draws a single fault with probability 0.5, otherwise two or more. */
 function inSeries(
   random: RandomSource,
--- a/packages/tools/src/soak/faultPlan.ts
+++ b/packages/tools/src/soak/faultPlan.ts
@@ -5,6 +5,7 @@
 import {
   BASE_DRAWS,
   ISOLATION_DRAWS,
+  REPLACEMENT_DRAWS,
   RESTORE_DRAWS,
   SECOND_SET_DRAWS,
   STATED_DRAWS,
@@ -17,10 +18,11 @@
  * Which faults are drawn. `second` adds restarts under the same id and invalid
  * writes by others to `first`; `all` adds store restores, and `stated` adds what
  * upstreams state in their answers. `isolated` holds only times in which no box
- * hears another. A regression seed keeps the set that it was recorded with, and
+ * hears another, and `replaced` only replacements of boxes. A regression seed keeps the set that it was recorded with, and
  * so replays the same schedule.
  */
-export type FaultSet = 'first' | 'second' | 'all' | 'stated' | 'isolated';
+export type FaultSet =
+  'first' | 'second' | 'all' | 'stated' | 'isolated' | 'replaced';
 
 /** Duration, fleet size and fault set of a soak. */
 export interface SoakSize {
@@ -41,8 +43,16 @@
 /** Statements are this many times less frequent than other faults. */
 const STATED_GAP_FACTOR = 3;
 
-/** Mean time between isolations, in milliseconds; they do not overlap much. */
-const ISOLATION_GAP = 12_000;
+/**
+ * Mean time between the faults of sets that hold only one kind, in milliseconds;
+ * they do not overlap much.
+ */
+const SINGLE_KIND_GAP = 12_000;
+
+/** The draws of fault sets that hold only one kind. */
+const SINGLE_KIND_DRAWS: Readonly<
+  Partial<Record<FaultSet, readonly DrawFault[]>>
+> = {isolated: ISOLATION_DRAWS, replaced: REPLACEMENT_DRAWS};
 
 /** Restores are this many times less frequent than other faults. */
 const RESTORE_GAP_FACTOR = 4;
@@ -52,9 +62,10 @@
   seed: number,
   size: SoakSize,
 ): readonly PlannedFault[] {
-  if (size.faults === 'isolated') {
-    const isolations = drawFaults(seed, size, ISOLATION_DRAWS, ISOLATION_GAP);
-    return [...isolations].sort((a, b) => a.at - b.at);
+  const singleKind = SINGLE_KIND_DRAWS[size.faults];
+  if (singleKind !== undefined) {
+    const faults = drawFaults(seed, size, singleKind, SINGLE_KIND_GAP);
+    return [...faults].sort((a, b) => a.at - b.at);
   }
   const baseFaults = drawFaults(seed, size, BASE_DRAWS);
   const secondSetFaults =
--- a/packages/tools/src/soak/main.ts
+++ b/packages/tools/src/soak/main.ts
@@ -40,7 +40,14 @@
     describe: 'Time in which faults begin',
   })
   .option('faults', {
-    choices: ['first', 'second', 'all', 'stated', 'isolated'] as const,
+    choices: [
+      'first',
+      'second',
+      'all',
+      'stated',
+      'isolated',
+      'replaced',
+    ] as const,
     default: 'stated' as const,
     describe: 'Fault set of the given or fresh seeds',
   })
@@ -63,6 +70,7 @@
   '-restores': 'all',
   '-stated': 'stated',
   '-isolated': 'isolated',
+  '-replaced': 'replaced',
 };
 
 function readRegressionSeeds(): readonly SoakSeed[] {
