--- a/packages/tools/src/faults/platformGuarantees.ts
+++ b/packages/tools/src/faults/platformGuarantees.ts
@@ -46,6 +46,8 @@
 const SOAK_TITLE =
   'keeps every promise through kills, stops, pauses and bad links';
 const IDLE_UPSTREAMS = 'packages/brain/src/__tests__/idleUpstreams.test.ts';
+const FLEET_USES_UPSTREAMS =
+  'packages/node/src/__tests__/fleetUsesUpstreams.test.ts';
 const UPSTREAM_LIMIT = 'platform/src/__tests__/upstreamLimit.test.ts';
 const UPSTREAM_LEAVING = 'platform/src/__tests__/upstreamLeaving.test.ts';
 const LIMITED_SERVICE = 'packages/node/src/__tests__/limitedService.test.ts';
@@ -266,8 +268,20 @@
         IDLE_UPSTREAMS,
         'gets another call within two seconds if one has succeeded',
       ],
+      [
+        FLEET_USES_UPSTREAMS,
+        'are in use while cold, if they have just joined (%i calls a second)',
+      ],
+      [
+        FLEET_USES_UPSTREAMS,
+        'are in use again soon after all their calls in flight broke at once (%f repeatable)',
+      ],
+      [
+        FLEET_USES_UPSTREAMS,
+        'are in use again soon after half of them reset most calls for 5 s (%f repeatable)',
+      ],
     ],
-    'that entries together use a share of them is not tested without the bench',
+    'upstreams of a data centre without callers wait until the others are full',
   ),
   guarantee('a planned stop cuts nothing', [
     [
