Explore only upstreams that are new or cold

Only an upstream of which the entry has no hint is explored, and a cold one again after 1 to 3 s. Others are taken by the ordinary choice soon enough.

--- a/packages/brain/src/entry/upstreamChooser.ts
+++ b/packages/brain/src/entry/upstreamChooser.ts
@@ -125,9 +125,9 @@
       ran.size === 0;
     return settings.explores && isFirstOffer
       ? available.filter(
-          ({name, dataCentre}) =>
+          ({name, dataCentre, coldUntil}) =>
             dataCentre === ownDataCentre &&
-            loads.isDueForExploration(name, now, random()),
+            loads.isDueForExploration(name, now, now < coldUntil, random),
         )
       : [];
   }
--- a/packages/node/src/__tests__/__fixtures__/fleetCallSimulation.ts
+++ b/packages/node/src/__tests__/__fixtures__/fleetCallSimulation.ts
@@ -243,7 +243,8 @@
   private scheduleNextCall(): void {
     const mean = 1000 / this.options.callsPerSecond;
     this.clock.schedule(-Math.log(1 - this.random()) * mean, () => {
-      this.startCall(Math.floor(this.random() * this.boxes.length));
+      const {boxesWithCallers = this.boxes.length} = this.options;
+      this.startCall(Math.floor(this.random() * boxesWithCallers));
       this.scheduleNextCall();
     });
   }
--- a/packages/node/src/__tests__/__fixtures__/simulatedService.ts
+++ b/packages/node/src/__tests__/__fixtures__/simulatedService.ts
@@ -20,6 +20,8 @@
   readonly waitMilliseconds: number;
   /** Share of the calls that may be repeated. */
   readonly repeatableShare: number;
+  /** Number of boxes with callers; all if omitted. */
+  readonly boxesWithCallers?: number;
 }
 
 /** The route of calls that may be repeated or not. */
--- a/packages/node/src/__tests__/fleetUsesUpstreams.test.ts
+++ b/packages/node/src/__tests__/fleetUsesUpstreams.test.ts
@@ -3,6 +3,7 @@
 
 import {describe, expect, it} from 'vitest';
 import {FleetCallSimulation} from './__fixtures__/fleetCallSimulation.js';
+import type {SimulationOptions} from './__fixtures__/simulatedService.js';
 
 const BOXES = 23;
 const BOX_INDEXES = Array.from({length: BOXES}, (_, box) => box);
@@ -26,7 +27,7 @@
 function createSimulation(
   seed: number,
   callsPerSecond: number,
-  repeatableShare = 0.2,
+  change: Partial<SimulationOptions> = {},
 ): FleetCallSimulation {
   return new FleetCallSimulation({
     seed,
@@ -36,7 +37,8 @@
     callsPerSecond,
     goalMilliseconds: 800,
     waitMilliseconds: 2000,
-    repeatableShare,
+    repeatableShare: 0.2,
+    ...change,
   });
 }
 
@@ -69,7 +71,9 @@
   it.each([60, 90, 120, 150])(
     'are in use while cold, if they have just joined (%i calls a second)',
     (callsPerSecond) => {
-      const simulation = createSimulation(seed, callsPerSecond);
+      const simulation = createSimulation(seed, callsPerSecond, {
+        boxesWithCallers: 16,
+      });
       const joining = BOX_INDEXES.slice(16);
       simulation.remove(joining);
       simulation.run(WARM_UP_MILLISECONDS);
@@ -89,7 +93,7 @@
   it.each([0, 0.2, 0.5])(
     'are in use again soon after all their calls in flight broke at once (%f repeatable)',
     (repeatableShare) => {
-      const simulation = createSimulation(seed, 90, repeatableShare);
+      const simulation = createSimulation(seed, 90, {repeatableShare});
       simulation.run(WARM_UP_MILLISECONDS);
       BOX_INDEXES.forEach((box) => simulation.resetConnections(box));
       simulation.run(RECOVERY_MILLISECONDS);
@@ -108,7 +112,7 @@
   it.each([0, 0.2])(
     'are in use again soon after half of them reset most calls for 5 s (%f repeatable)',
     (repeatableShare) => {
-      const simulation = createSimulation(seed, 90, repeatableShare);
+      const simulation = createSimulation(seed, 90, {repeatableShare});
       const failing = BOX_INDEXES.slice(0, 12);
       simulation.run(WARM_UP_MILLISECONDS);
       failing.forEach((box) => simulation.resetCalls(box, 0.75));
--- a/packages/node/src/process/mechanisms.ts
+++ b/packages/node/src/process/mechanisms.ts
@@ -20,7 +20,7 @@
   'overdue-replacement': 'calls that take too long are not sent elsewhere',
   'late-offers': 'calls are not offered once their answer would be late',
   exploration:
-    'upstreams without recent calls wait until the others look busier',
+    'new and cold upstreams get no call while others look less busy',
   holding: 'calls that find no slot are refused after one round of offers',
   quarantine: 'requests that end each upstream that runs them run again',
   'paid-retries': 'nothing pays for second attempts',
--- a/packages/routing/src/upstreamLoads.ts
+++ b/packages/routing/src/upstreamLoads.ts
@@ -1,7 +1,7 @@
 // Copyright (c) 2026 the lockpin contributors. MIT licence, see LICENSE.
 /** Load and reachability of each upstream as seen by one entry. */
 
-import type {KnownNotice} from '@lockpin/types';
+import type {KnownNotice, RandomSource} from '@lockpin/types';
 import {NoticeMemory} from './noticeMemory.js';
 
 /** State of an upstream as reported by its guard. */
@@ -62,11 +62,11 @@
 const WAIT_PER_OCCUPATION_MILLISECONDS = 250;
 
 /**
- * Mean time after which an entry calls an upstream again whatever its estimated
- * load. Several entries call each upstream, so that together they do so more
- * than once a second.
+ * Mean time after which an entry calls a cold upstream again whatever its
+ * estimated load. Several entries call each upstream, so that together they do
+ * so more than once a second.
  */
-const EXPLORATION_INTERVAL_MILLISECONDS = 2500;
+const EXPLORATION_INTERVAL_MILLISECONDS = 2000;
 
 /** First pause after a guard reported that it has no such upstream. */
 const FIRST_MISSING_MILLISECONDS = 300;
@@ -208,19 +208,30 @@
   }
 
   /**
-   * Whether an upstream is to be called whatever its estimated load. Only a call
-   * brings a new hint, so an estimate alone could keep calls away for good. An
-   * upstream where the last call failed is left to the ordinary choice.
+   * Whether an upstream is to be called whatever its estimated load: without a
+   * hint, and now and then while it is cold. Only a call brings a hint, so an
+   * estimate alone could keep calls away. An upstream where the last call failed
+   * is left to the ordinary choice.
    */
-  isDueForExploration(upstream: string, now: number, random: number): boolean {
+  isDueForExploration(
+    upstream: string,
+    now: number,
+    isCold: boolean,
+    random: RandomSource,
+  ): boolean {
     const load = this.loads.get(upstream);
     if (load === undefined) {
       return true;
     }
-    const interval = EXPLORATION_INTERVAL_MILLISECONDS * (0.5 + random);
-    const hasRecentHint =
-      load.hint !== undefined && now - load.hintedAt < interval;
-    return load.lastCallSucceeded && load.outstanding === 0 && !hasRecentHint;
+    const {hint, hintedAt, outstanding, lastCallSucceeded} = load;
+    if (outstanding > 0 || !lastCallSucceeded) {
+      return false;
+    }
+    const interval = EXPLORATION_INTERVAL_MILLISECONDS;
+    return (
+      hint === undefined ||
+      (isCold && now - hintedAt > interval * (0.5 + random()))
+    );
   }
 
   /**
