Count only sent attempts as failures of an upstream; clearer names

A cold upstream is explored again only if its last call went well. An offer that was lost before it was sent says nothing about it, and no longer counts. UpstreamLoads.callEnded becomes recordOutcome, ReaderSelection.allReaders becomes readerAddresses.

--- a/packages/brain/src/entry/attemptFeedback.ts
+++ b/packages/brain/src/entry/attemptFeedback.ts
@@ -35,7 +35,7 @@
     const {upstream, hint, refusal} = event;
     this.hintReceived(now, upstream, hint);
     if (refusal.outcome === 'unknown') {
-      this.loads.callEnded(state.upstream, false);
+      this.loads.recordOutcome(state.upstream, false);
     }
     if (hint === undefined && refusal.reason === 'no-upstream') {
       this.loads.reportedMissing(state.upstream, now);
@@ -57,16 +57,16 @@
     const {name} = call.route;
     const typical = this.timing.typicalDuration(name) ?? ranMilliseconds ?? 0;
     const isSlow = (ranMilliseconds ?? 0) > SLOW_FACTOR * typical;
-    this.loads.callEnded(upstream, isSuccess && !isSlow);
+    this.loads.recordOutcome(upstream, isSuccess && !isSlow);
     if (ranMilliseconds !== undefined && isSuccess) {
       this.timing.answered(name, ranMilliseconds);
     }
   }
 
-  /** Records that an attempt which may have run ended without an answer. */
-  attemptFailed({isAttempting, upstream}: CallState): void {
-    if (isAttempting) {
-      this.loads.callEnded(upstream, false);
+  /** Records that an attempt ended without an answer, if it was sent. */
+  attemptFailed({isAttempting, upstream}: CallState, wasSent: boolean): void {
+    if (isAttempting && wasSent) {
+      this.loads.recordOutcome(upstream, false);
     }
   }
 
--- a/packages/brain/src/entry/entryStateMachine.ts
+++ b/packages/brain/src/entry/entryStateMachine.ts
@@ -150,7 +150,7 @@
         this.feedback.refusalReceived(now, state, event);
         return this.handleRefusal(now, random, state, event.refusal);
       case 'attempt-lost':
-        this.feedback.attemptFailed(state);
+        this.feedback.attemptFailed(state, event.wasSent);
         this.calls.attemptEnded(state);
         this.loads.linkFailed(state.upstream, now, random());
         return this.handleLostAttempt(now, random, state, event.wasSent);
@@ -167,7 +167,7 @@
       case 'call-aborted':
         return this.handleAbort(now, random, state, event);
       case 'caller-left':
-        this.feedback.attemptFailed(state);
+        this.feedback.attemptFailed(state, true);
         return [
           ...this.overdueAttempts.cancelAll(state),
           ...this.calls.callEnded(state),
@@ -277,7 +277,7 @@
     state: CallState,
     {reason, wasSent}: EntryEvent & {readonly kind: 'call-aborted'},
   ): readonly EntryAction[] {
-    this.feedback.attemptFailed(state);
+    this.feedback.attemptFailed(state, wasSent);
     if (state.isAttempting) {
       this.loads.linkFailed(state.upstream, now, random());
       state.mayHaveRun ||= wasSent;
--- a/packages/brain/src/entry/overdueAttempts.ts
+++ b/packages/brain/src/entry/overdueAttempts.ts
@@ -43,7 +43,7 @@
     if (candidate === undefined || !this.retries.payRetry(now, state)) {
       return undefined;
     }
-    this.loads.callEnded(state.upstream, false);
+    this.loads.recordOutcome(state.upstream, false);
     state.mayHaveRun = true;
     state.ran.add(state.upstream);
     state.overdueUpstream = state.upstream;
--- a/packages/fleet/src/fleetComponents.ts
+++ b/packages/fleet/src/fleetComponents.ts
@@ -119,7 +119,7 @@
     tracker: own,
     record: ownRecord,
     configuration: () => inForce.current,
-    readerAddresses: (now) => readerRole.readers.allReaders(now),
+    readerAddresses: (now) => readerRole.readers.readerAddresses(now),
     mayWrite: () => isFirstStart || readerRole.hasReadBoxes,
   });
   return {
--- a/packages/fleet/src/readerSelection.ts
+++ b/packages/fleet/src/readerSelection.ts
@@ -201,7 +201,7 @@
   }
 
   /** Addresses of the readers of all data centres, without this node. */
-  allReaders(now: number): readonly string[] {
+  readerAddresses(now: number): readonly string[] {
     const remote = this.remoteReaders().map(({peerAddress}) => peerAddress);
     return [...new Set([...this.followed(now).near, ...remote])];
   }
--- a/packages/fleet/src/storeStreams.ts
+++ b/packages/fleet/src/storeStreams.ts
@@ -146,6 +146,7 @@
     }
     this.lastGap = now - (this.lastAnswerAt ?? now);
     this.lastAnswerAt = now;
+    // Without the boxes, answers about the configuration do not end the loss.
     if (this.hasFailedToReadBoxes) {
       return [];
     }
--- a/packages/routing/src/__tests__/fleetRouting.test.ts
+++ b/packages/routing/src/__tests__/fleetRouting.test.ts
@@ -93,7 +93,7 @@
     expect(isDue(NOW + 1900)).toBe(false);
     expect(isDue(NOW + 3000)).toBe(true);
     expect(isDue(NOW + 3000, false)).toBe(false);
-    loads.callEnded('u', false);
+    loads.recordOutcome('u', false);
     expect(isDue(NOW + 3000)).toBe(false);
   });
 
--- a/packages/routing/src/upstreamLoads.ts
+++ b/packages/routing/src/upstreamLoads.ts
@@ -131,7 +131,7 @@
   }
 
   /** Records how a call that ran there, or may have run, ended. */
-  callEnded(upstream: string, hasSucceeded: boolean): void {
+  recordOutcome(upstream: string, hasSucceeded: boolean): void {
     this.load(upstream).lastCallSucceeded = hasSucceeded;
   }
 
