Explore only cold upstreams

Upstreams that have just started are cold, so that only these need to be explored. fleetUsesUpstreams.test.ts passes as before (45 cases).

--- a/packages/brain/src/entry/entrySettings.ts
+++ b/packages/brain/src/entry/entrySettings.ts
@@ -47,7 +47,7 @@
   readonly hedgesOverdue: boolean;
   /** Whether a call that cannot be answered in time is offered all the same. */
   readonly offersLate: boolean;
-  /** Whether new and cold upstreams are called whatever their estimated load. */
+  /** Whether cold upstreams are called whatever their estimated load. */
   readonly explores: boolean;
 }
 
--- a/packages/brain/src/entry/upstreamChooser.ts
+++ b/packages/brain/src/entry/upstreamChooser.ts
@@ -110,7 +110,7 @@
       : this.pick(now, random, mayProbe(state), available);
   }
 
-  /** Local upstreams that a new call explores. */
+  /** Cold local upstreams that a new call explores. */
   private unexplored(
     now: number,
     random: RandomSource,
@@ -127,7 +127,8 @@
       ? available.filter(
           ({name, dataCentre, coldUntil}) =>
             dataCentre === ownDataCentre &&
-            loads.isDueForExploration(name, now, now < coldUntil, random),
+            now < coldUntil &&
+            loads.isDueForExploration(name, now, random()),
         )
       : [];
   }
--- a/packages/node/src/process/mechanisms.ts
+++ b/packages/node/src/process/mechanisms.ts
@@ -19,7 +19,7 @@
   'near-first': 'another data centre is as good as the own',
   'overdue-replacement': 'calls that take too long are not sent elsewhere',
   'late-offers': 'calls are not offered once their answer would be late',
-  exploration: 'new and cold upstreams get no call while others look less busy',
+  exploration: 'cold upstreams get no call while others look less busy',
   holding: 'calls that find no slot are refused after one round of offers',
   quarantine: 'requests that end each upstream that runs them run again',
   'paid-retries': 'nothing pays for second attempts',
--- a/packages/routing/src/upstreamLoads.ts
+++ b/packages/routing/src/upstreamLoads.ts
@@ -1,7 +1,7 @@
 // Copyright (c) 2026 the lockpin contributors. MIT licence, see LICENSE.
 /** Load and reachability of each upstream as seen by one entry. */
 
-import type {KnownNotice, RandomSource} from '@lockpin/types';
+import type {KnownNotice} from '@lockpin/types';
 import {NoticeMemory} from './noticeMemory.js';
 
 /** State of an upstream as reported by its guard. */
@@ -208,17 +208,11 @@
   }
 
   /**
-   * Whether an upstream is to be called whatever its estimated load: without a
-   * hint, and now and then while it is cold. Only a call brings a hint, so an
-   * estimate alone could keep calls away. An upstream where the last call failed
-   * is left to the ordinary choice.
+   * Whether a cold upstream is to be called whatever its estimated load. Only a
+   * call brings a hint, so an estimate alone could keep calls away. An upstream
+   * where the last call failed is left to the ordinary choice.
    */
-  isDueForExploration(
-    upstream: string,
-    now: number,
-    isCold: boolean,
-    random: RandomSource,
-  ): boolean {
+  isDueForExploration(upstream: string, now: number, random: number): boolean {
     const load = this.loads.get(upstream);
     if (load === undefined) {
       return true;
@@ -227,11 +221,8 @@
     if (outstanding > 0 || !lastCallSucceeded) {
       return false;
     }
-    const interval = EXPLORATION_INTERVAL_MILLISECONDS;
-    return (
-      hint === undefined ||
-      (isCold && now - hintedAt > interval * (0.5 + random()))
-    );
+    const interval = EXPLORATION_INTERVAL_MILLISECONDS * (0.5 + random);
+    return hint === undefined || now - hintedAt > interval;
   }
 
   /**
