--- a/packages/brain/src/guard/quickDoubt.ts
+++ b/packages/brain/src/guard/quickDoubt.ts
@@ -45,7 +45,10 @@
 
 /** Why calls to an upstream are refused as 'upstream-doubted'. */
 export type DoubtReason =
-  /** No call has succeeded, and the interval since the last has not passed. */
+  /**
+   * No call has succeeded, or none since doubt last began, and the interval
+   * since the last one has not passed.
+   */
   | 'unproven'
   /** Unanswered calls are taking longer than usual. */
   | 'late-calls'
--- a/packages/node/src/__tests__/fleetUsesUpstreams.test.ts
+++ b/packages/node/src/__tests__/fleetUsesUpstreams.test.ts
@@ -42,13 +42,18 @@
   });
 }
 
-/** Smallest share of some upstreams that got a call in any window. */
+/**
+ * Runs a simulation on; returns the smallest share of some upstreams that got a
+ * call in any window of that time.
+ */
 function minimumUsedShare(
-  {arrivals}: FleetCallSimulation,
+  simulation: FleetCallSimulation,
   upstreams: readonly number[],
-  from: number,
-  until: number,
+  milliseconds: number,
 ): number {
+  const from = simulation.now;
+  simulation.run(milliseconds);
+  const {arrivals, now: until} = simulation;
   let minimum = 1;
   for (
     let start = from;
@@ -77,15 +82,8 @@
       const joining = BOX_INDEXES.slice(16);
       simulation.remove(joining);
       simulation.run(WARM_UP_MILLISECONDS);
-      const joinedAt = simulation.now;
       simulation.join(joining, COLD_MILLISECONDS);
-      simulation.run(8000);
-      const share = minimumUsedShare(
-        simulation,
-        joining,
-        joinedAt,
-        simulation.now,
-      );
+      const share = minimumUsedShare(simulation, joining, 8000);
       expect(share).toBeGreaterThanOrEqual(MINIMUM_USED_SHARE);
     },
   );
@@ -97,14 +95,7 @@
       simulation.run(WARM_UP_MILLISECONDS);
       BOX_INDEXES.forEach((box) => simulation.resetConnections(box));
       simulation.run(RECOVERY_MILLISECONDS);
-      const recoveredAt = simulation.now;
-      simulation.run(10_000);
-      const share = minimumUsedShare(
-        simulation,
-        BOX_INDEXES,
-        recoveredAt,
-        simulation.now,
-      );
+      const share = minimumUsedShare(simulation, BOX_INDEXES, 10_000);
       expect(share).toBeGreaterThanOrEqual(MINIMUM_USED_SHARE);
     },
   );
@@ -119,14 +110,7 @@
       simulation.run(5000);
       failing.forEach((box) => simulation.resetCalls(box, 0));
       simulation.run(RECOVERY_MILLISECONDS);
-      const recoveredAt = simulation.now;
-      simulation.run(10_000);
-      const share = minimumUsedShare(
-        simulation,
-        failing,
-        recoveredAt,
-        simulation.now,
-      );
+      const share = minimumUsedShare(simulation, failing, 10_000);
       expect(share).toBeGreaterThanOrEqual(MINIMUM_USED_SHARE);
     },
   );
