Count no time between the readings of two clocks as a suspension

Callers saw: on a busy box, calls refused before their time was over, and leases and permits that end early, until the process restarts; found by reading and by a test, not in a record.

Cause: SuspendAwareClock read the steady clock, then the time of day. A process that is off the processor for more than 250 ms in between took that time for a suspension, added it to a clock that includes it already, and stayed ahead for good. A first reading that is interrupted put the clock ahead, too, and hid the next suspension.

Change: the steady clock is read before and after; a gap counts only as far as it is certain, and an uncertain reading is compared but not kept.

--- a/packages/utils/src/__tests__/countingClock.test.ts
+++ b/packages/utils/src/__tests__/countingClock.test.ts
@@ -12,9 +12,11 @@
   steady = 50;
   timeOfDay = 1_700_000_000_000;
   sinceBoot = 7000;
+  /** For how long the process does not run around the next reading. */
+  private interruption = {before: 0, after: 0};
   readonly clock = new SuspendAwareClock({
     steady: () => this.steady,
-    timeOfDay: () => this.timeOfDay,
+    timeOfDay: () => this.readInterrupted(),
     sinceBoot: () => this.sinceBoot,
   });
 
@@ -33,6 +35,19 @@
     this.timeOfDay += milliseconds;
   }
 
+  interruptNextReading(before: number, after: number): void {
+    this.interruption = {before, after};
+  }
+
+  private readInterrupted(): number {
+    const {before, after} = this.interruption;
+    this.interruption = {before: 0, after: 0};
+    this.run(before);
+    const value = this.timeOfDay;
+    this.run(after);
+    return value;
+  }
+
   /** Returns the milliseconds by which the clock advances during an action. */
   elapsed(action: () => void): number {
     const before = this.clock.now();
@@ -140,4 +155,60 @@
     expect(elapsed(gap)).toBe(1);
     expect(elapsed(gap + 1)).toBe(gap + 2);
   });
+
+  /*
+   * Guards against counting the time between the readings of two clocks as a
+   * suspension when the process does not run in between on a busy box.
+   */
+  it('does not gain time while a reading is interrupted', () => {
+    const length = fc.integer({min: 0, max: 5000});
+    const step = fc.record({before: length, after: length});
+    fc.assert(
+      fc.property(fc.array(step), (steps) => {
+        const machine = new Machine();
+        for (const {before, after} of steps) {
+          const elapsed = machine.elapsed(() => {
+            machine.run(100);
+            machine.interruptNextReading(before, after);
+            machine.clock.now();
+            machine.run(2);
+          });
+          expect(elapsed).toBe(100 + before + after + 2);
+        }
+      }),
+    );
+  });
+
+  it('includes a suspension around a reading that is interrupted', () => {
+    const machine = new Machine();
+    const elapsed = machine.elapsed(() => {
+      machine.suspend(3000);
+      machine.run(5);
+      machine.interruptNextReading(400, 400);
+      machine.clock.now();
+      machine.run(5);
+      machine.clock.now();
+      machine.run(5);
+    });
+    expect(elapsed).toBe(3000 + 800 + 15);
+  });
+
+  it('starts at the time of day although its first reading is interrupted', () => {
+    const machine = new Machine();
+    let isFirst = true;
+    const clock = new SuspendAwareClock({
+      steady: () => machine.steady,
+      timeOfDay: () => {
+        machine.run(isFirst ? 400 : 0);
+        isFirst = false;
+        return machine.timeOfDay;
+      },
+      sinceBoot: () => machine.sinceBoot,
+    });
+    machine.run(2);
+    expect(clock.now()).toBe(machine.timeOfDay);
+    machine.suspend(300);
+    machine.run(2);
+    expect(clock.now()).toBe(machine.timeOfDay);
+  });
 });
--- a/packages/utils/src/suspendAwareClock.ts
+++ b/packages/utils/src/suspendAwareClock.ts
@@ -39,9 +39,26 @@
  */
 const CHECK_INTERVAL_MILLISECONDS = 1;
 
+/**
+ * A reading of two clocks that may differ by more than this from one made at a
+ * single instant shows no change smaller than a suspension: the process did not
+ * run in between.
+ */
+const MAXIMUM_UNCERTAINTY_MILLISECONDS = 10;
+
+/** Readings of which the most certain one is used. */
+const MAXIMUM_READINGS = 5;
+
 /** Receives the length of a suspension that the clock includes from now on. */
 export type SuspensionListener = (milliseconds: number) => void;
 
+/** How far a clock is ahead of the steady one; all in milliseconds. */
+interface ClockOffset {
+  /** Never too large, but too small by up to the uncertainty. */
+  readonly minimum: number;
+  readonly uncertainty: number;
+}
+
 /**
  * Node.js has no clock that counts suspension: os.uptime() does, but comes from
  * a file that is read on each call and has a resolution of 10 ms. This clock
@@ -63,10 +80,9 @@
   private readonly listeners = new Set<SuspensionListener>();
 
   constructor(private readonly sources: ClockSources) {
-    const steady = sources.steady();
-    this.origin = sources.timeOfDay() - steady;
+    this.origin = this.readCertainOffset(sources.timeOfDay).minimum;
     this.timeOfDayOffset = this.origin;
-    this.sinceBootOffset = sources.sinceBoot() - steady;
+    this.sinceBootOffset = this.readCertainOffset(sources.sinceBoot).minimum;
   }
 
   /**
@@ -86,28 +102,57 @@
     const steady = this.sources.steady();
     if (steady - this.checkedAt >= CHECK_INTERVAL_MILLISECONDS) {
       this.checkedAt = steady;
-      this.checkTimeOfDay(steady);
+      this.checkTimeOfDay();
     }
     return this.origin + steady + this.suspended;
   }
 
-  private checkTimeOfDay(steady: number): void {
-    const timeOfDayOffset = this.sources.timeOfDay() - steady;
-    const gap = timeOfDayOffset - this.timeOfDayOffset;
-    this.timeOfDayOffset = timeOfDayOffset;
-    if (gap > MINIMUM_SUSPENSION_MILLISECONDS) {
-      this.countGap(gap, steady);
+  /**
+   * An uncertain reading is compared, but not kept: the next gap would include
+   * its error.
+   */
+  private checkTimeOfDay(): void {
+    const {minimum, uncertainty} = this.readOffset(this.sources.timeOfDay);
+    const gap = minimum - this.timeOfDayOffset;
+    const isSuspension = gap > MINIMUM_SUSPENSION_MILLISECONDS;
+    if (isSuspension || uncertainty <= MAXIMUM_UNCERTAINTY_MILLISECONDS) {
+      this.timeOfDayOffset = minimum;
+    }
+    if (isSuspension) {
+      this.countGap(gap);
     }
   }
 
-  private countGap(gap: number, steady: number): void {
-    const sinceBootOffset = this.sources.sinceBoot() - steady;
-    const confirmed = sinceBootOffset - this.sinceBootOffset;
-    this.sinceBootOffset = sinceBootOffset;
+  private countGap(gap: number): void {
+    const {minimum} = this.readCertainOffset(this.sources.sinceBoot);
+    const confirmed = minimum - this.sinceBootOffset;
+    this.sinceBootOffset = minimum;
     const suspension = gap > MAXIMUM_UNCONFIRMED_MILLISECONDS ? confirmed : gap;
     if (suspension > MINIMUM_SUSPENSION_MILLISECONDS) {
       this.suspended += suspension;
       this.listeners.forEach((listener) => listener(suspension));
     }
   }
+
+  /** The process may be interrupted between the readings of the two clocks. */
+  private readOffset(source: () => number): ClockOffset {
+    const before = this.sources.steady();
+    const value = source();
+    const after = this.sources.steady();
+    return {minimum: value - after, uncertainty: after - before};
+  }
+
+  private readCertainOffset(source: () => number): ClockOffset {
+    let best = this.readOffset(source);
+    for (
+      let readings = 1;
+      readings < MAXIMUM_READINGS &&
+      best.uncertainty > MAXIMUM_UNCERTAINTY_MILLISECONDS;
+      readings += 1
+    ) {
+      const next = this.readOffset(source);
+      best = next.uncertainty < best.uncertainty ? next : best;
+    }
+    return best;
+  }
 }
