Record exit signals and stalls of event loops in nodes and in the soak

Change: an unexpected exit names its signal and the age of the process; nodes log event-loop-delayed for ticks that are 200 ms late; the soak samples its own loop, and violations of time limits, versions and recovery state both. Nothing is excused by it.

--- a/packages/node/src/process/fleetHost.ts
+++ b/packages/node/src/process/fleetHost.ts
@@ -15,7 +15,7 @@
 } from '@lockpin/fleet';
 import type {LoadHint} from '@lockpin/routing';
 import type {Result} from '@lockpin/types';
-import {failure, success} from '@lockpin/utils';
+import {TickMonitor, failure, success} from '@lockpin/utils';
 import type {GuardNodeAction} from '../request/guardService.js';
 import {CustomerLimits} from './customerLimits.js';
 import type {DecisionLog} from './decisionLog.js';
@@ -41,6 +41,9 @@
  */
 const TICK_MILLISECONDS = 200;
 
+/** A tick that is later than this is logged. */
+const LATE_TICK_MILLISECONDS = 200;
+
 /** Runs the state machines of one node and performs their actions. */
 export class FleetHost {
   readonly fleet: FleetStateMachine;
@@ -55,6 +58,10 @@
   private stopTicks: (() => void) | undefined;
   private unsubscribeFromSuspensions: (() => void) | undefined;
   private readonly suspensionMonitor: SuspensionMonitor;
+  private readonly tickMonitor = new TickMonitor({
+    interval: TICK_MILLISECONDS,
+    minimumDelay: LATE_TICK_MILLISECONDS,
+  });
   private isFinishing = false;
   /** Number of upstream announcements refused since the start. */
   refusedAnnouncements = 0;
@@ -175,6 +182,7 @@
     );
     this.stopTicks = this.environment.every(TICK_MILLISECONDS, () => {
       this.suspensionMonitor.handleSuspension(() => listeners.onSuspended());
+      this.logDelay();
       this.tick();
       // Token pools start before the first limit is declared, so that it is
       // enforced at once.
@@ -195,6 +203,13 @@
     this.listeners?.onGuardEvent({kind: 'clock-gained', milliseconds});
   }
 
+  private logDelay(): void {
+    const delay = this.tickMonitor.tick(this.environment.clock());
+    if (delay > 0) {
+      this.log.event('event-loop-delayed', {milliseconds: Math.round(delay)});
+    }
+  }
+
   private tick(): void {
     this.handle({kind: 'tick', followers: this.followers});
   }
--- a/packages/tools/src/soak/__tests__/checkHistory.test.ts
+++ b/packages/tools/src/soak/__tests__/checkHistory.test.ts
@@ -44,6 +44,7 @@
   disruptions: [],
   stops: [],
   unexpectedExits: [],
+  stalls: [],
   steadyStateFrom: 9000,
   readyLifetimes: ['i-1'],
 };
@@ -134,7 +135,9 @@
       wasKilled: false,
     };
     expect(violatedGuarantees({stops: [stop]})).toEqual(['planned stops']);
-    const unexpectedExits = [{box: 'box-1', at: 5, exitCode: null}];
+    const unexpectedExits = [
+      {box: 'box-1', at: 5, exitCode: null, signal: null, age: 5},
+    ];
     expect(violatedGuarantees({unexpectedExits})).toEqual([
       'no unexpected exits',
     ]);
--- a/packages/tools/src/soak/boxProcess.ts
+++ b/packages/tools/src/soak/boxProcess.ts
@@ -75,9 +75,9 @@
     killOnExit(child);
     this.isEnding = false;
     this.exit = new Promise((resolve) =>
-      child.once('exit', (code) => {
+      child.once('exit', (code, signal) => {
         this.process = undefined;
-        this.handleExit(code);
+        this.handleExit(code, signal);
         resolve(code);
       }),
     );
@@ -146,12 +146,17 @@
   }
 
   /** Restarts a process that exited unexpectedly, as on a real box. */
-  private handleExit(exitCode: number | null): void {
+  private handleExit(
+    exitCode: number | null,
+    signal: NodeJS.Signals | null,
+  ): void {
     const {box, isOver, onUnexpectedExit} = this.options;
     if (this.isEnding || isOver()) {
       return;
     }
-    onUnexpectedExit({box, at: Date.now(), exitCode});
+    const at = Date.now();
+    const age = at - this.spawnedAt;
+    onUnexpectedExit({box, at, exitCode, signal, age});
     setTimeout(() => this.start(), RESTART_DELAY_MILLISECONDS);
   }
 }
--- a/packages/tools/src/soak/checkConfiguration.ts
+++ b/packages/tools/src/soak/checkConfiguration.ts
@@ -1,6 +1,7 @@
 // Copyright (c) 2026 the lockpin contributors. MIT licence, see LICENSE.
 /** Checks that configuration versions apply in time and never roll back. */
 
+import {describeStalls} from './describeStalls.js';
 import {isUndisrupted} from './isUndisrupted.js';
 import {createViolation} from './soakHistory.js';
 import type {
@@ -27,7 +28,7 @@
  * hear no other box must as well, and soon after the store was silent.
  */
 function checkInForce(
-  {versionProbes, versions, disruptions}: SoakHistory,
+  {versionProbes, versions, disruptions, stalls}: SoakHistory,
   {applyMilliseconds, settleMilliseconds}: SoakBounds,
 ): readonly Violation[] {
   return versionProbes
@@ -61,7 +62,7 @@
       createViolation(
         'versions in force',
         box,
-        `version ${version} not in force at ${sentAt}`,
+        `version ${version} not in force at ${sentAt}${describeStalls(stalls, sentAt - settleMilliseconds - applyMilliseconds, sentAt)}`,
       ),
     );
 }
--- a/packages/tools/src/soak/checkHistory.ts
+++ b/packages/tools/src/soak/checkHistory.ts
@@ -6,6 +6,7 @@
 import {checkNotices, noticeHistory} from './checkNotices.js';
 import {checkRetries} from './checkRetries.js';
 import {checkUse} from './checkUse.js';
+import {describeStalls} from './describeStalls.js';
 import {createViolation, isServed} from './soakHistory.js';
 import type {
   CallRecord,
@@ -34,15 +35,15 @@
     ...history.calls.flatMap((call) => [
       ...checkRuns(call, runs),
       ...checkAnswer(call, runs, answerBody),
-      ...checkTimeLimit(call, history.disruptions, bounds),
+      ...checkTimeLimit(call, history, bounds),
     ]),
     ...checkStops(history),
     ...checkLosses(history, runs, bounds),
-    ...history.unexpectedExits.map(({box, exitCode}) =>
+    ...history.unexpectedExits.map(({box, exitCode, signal, age}) =>
       createViolation(
         'no unexpected exits',
         box,
-        `exit code ${String(exitCode)}`,
+        `exit code ${String(exitCode)}, signal ${String(signal)}, ${age} ms after its start`,
       ),
     ),
     ...checkDrains(history, bounds),
@@ -120,7 +121,7 @@
 /** An undisrupted box must give a final answer within the route's timeout. */
 function checkTimeLimit(
   call: CallRecord,
-  disruptions: readonly DisruptionRecord[],
+  {disruptions, stalls}: SoakHistory,
   {settleMilliseconds, lateMilliseconds}: SoakBounds,
 ): readonly Violation[] {
   const {requestId, box, sentAt, endedAt, timeoutMilliseconds} = call;
@@ -132,7 +133,7 @@
         createViolation(
           'time limits',
           requestId,
-          `${durationMilliseconds} ms at ${box}`,
+          `${durationMilliseconds} ms at ${box}${describeStalls(stalls, sentAt, endedAt, [box])}`,
         ),
       ]
     : [];
@@ -215,11 +216,17 @@
 function checkRecovery({
   calls,
   arrivals,
+  stalls,
   steadyStateFrom,
   readyLifetimes,
 }: SoakHistory): readonly Violation[] {
   const finalCalls = calls.filter(({sentAt}) => sentAt >= steadyStateFrom);
   const served = finalCalls.filter(({end}) => isServed(end));
+  const stalled = describeStalls(
+    stalls,
+    steadyStateFrom,
+    Number.POSITIVE_INFINITY,
+  );
   const idle = readyLifetimes.filter(
     (lifetime) =>
       !arrivals.some(
@@ -233,12 +240,12 @@
           createViolation(
             'recovery',
             'all',
-            `${served.length} of ${finalCalls.length} served`,
+            `${served.length} of ${finalCalls.length} served${stalled}`,
           ),
         ]
       : []),
     ...idle.map((lifetime) =>
-      createViolation('recovery', lifetime, 'received no calls'),
+      createViolation('recovery', lifetime, `received no calls${stalled}`),
     ),
   ];
 }
--- a/packages/tools/src/soak/runSoak.ts
+++ b/packages/tools/src/soak/runSoak.ts
@@ -17,6 +17,7 @@
 import type {SoakBounds, Violation} from './soakHistory.js';
 import {SoakRecorder} from './soakRecorder.js';
 import {SoakStore} from './soakStore.js';
+import {StallRecorder, readNodeStalls} from './stallRecorder.js';
 import {probeVersions} from './probeVersions.js';
 
 /** The limits that the checks allow, in line with the nodes' settings. */
@@ -57,6 +58,7 @@
 ): Promise<SoakResult> {
   mkdirSync(folder, {recursive: true});
   const recorder = new SoakRecorder();
+  const stallRecorder = new StallRecorder();
   const store = new SoakStore((version) => recorder.versions.push(version));
   const storeAddress = await store.start();
   const boxes = await startBoxes(seed, size, folder, storeAddress, recorder);
@@ -72,15 +74,20 @@
   await pause(STEADY_STATE_MILLISECONDS);
   isOver = true;
   await Promise.all(callers);
+  stallRecorder.stop();
   const history = recorder.history(boxes, steadyStateFrom);
   await Promise.all(boxes.map((box) => box.end()));
   store.stop();
+  const stalls = [
+    ...stallRecorder.stalls,
+    ...boxes.flatMap(({name, logFile}) => readNodeStalls(name, logFile)),
+  ];
   return {
     seed,
     calls: history.calls.length,
     served: history.calls.filter(({end}) => isServed(end)).length,
     faults: faults.length,
-    violations: checkHistory(history, SOAK_BOUNDS, answerBody),
+    violations: checkHistory({...history, stalls}, SOAK_BOUNDS, answerBody),
   };
 }
 
--- a/packages/tools/src/soak/soakBox.ts
+++ b/packages/tools/src/soak/soakBox.ts
@@ -71,6 +71,11 @@
     return this.options.addresses.caller;
   }
 
+  /** File with the output of all processes of the box. */
+  get logFile(): string {
+    return join(this.options.folder, `${this.name}.log`);
+  }
+
   link(name: LinkName): LinkProxy {
     return this.links[name];
   }
@@ -105,7 +110,7 @@
     return new BoxProcess({
       ...(command === undefined ? {} : {command}),
       box: this.name,
-      logFile: join(this.options.folder, `${this.name}.log`),
+      logFile: this.logFile,
       prepareEnvironment: () =>
         settingsEnvironment(this.writeSettings(), this.advertisedAddress),
       isOver: () => this.isOver,
--- a/packages/tools/src/soak/soakHistory.ts
+++ b/packages/tools/src/soak/soakHistory.ts
@@ -105,6 +105,18 @@
   readonly box: string;
   readonly at: number;
   readonly exitCode: number | null;
+  /** The signal that ended the process. */
+  readonly signal: NodeJS.Signals | null;
+  /** Time from the start of the process, in milliseconds. */
+  readonly age: number;
+}
+
+/** Time for which the event loop of a process did not run. */
+export interface StallRecord {
+  /** Empty for the process of the soak. */
+  readonly box: string;
+  readonly from: number;
+  readonly until: number;
 }
 
 /** A limit of requests per second that an upstream stated for a time. */
@@ -142,6 +154,7 @@
   readonly disruptions: readonly DisruptionRecord[];
   readonly stops: readonly StopRecord[];
   readonly unexpectedExits: readonly ExitRecord[];
+  readonly stalls: readonly StallRecord[];
   /** Start of the final phase, after all disruptions have ended. */
   readonly steadyStateFrom: number;
   /** Upstreams that were ready at the end of the soak. */
--- a/packages/tools/src/soak/soakRecorder.ts
+++ b/packages/tools/src/soak/soakRecorder.ts
@@ -76,8 +76,11 @@
     }
   }
 
-  /** Returns the history for the checks. */
-  history(boxes: readonly SoakBox[], steadyStateFrom: number): SoakHistory {
+  /** Returns the history for the checks, except for the stalls. */
+  history(
+    boxes: readonly SoakBox[],
+    steadyStateFrom: number,
+  ): Omit<SoakHistory, 'stalls'> {
     const instances = boxes.flatMap(({upstreams}) => upstreams.all);
     const collect = <
       T extends {readonly requestId: string; readonly at: number},
--- a/packages/utils/src/index.ts
+++ b/packages/utils/src/index.ts
@@ -2,6 +2,7 @@
 export * from './addresses.js';
 export * from './canonicalJson.js';
 export * from './suspendAwareClock.js';
+export * from './tickMonitor.js';
 export * from './hashing.js';
 export * from './hybridClock.js';
 export * from './incarnations.js';
