Send callers elsewhere as soon as the upstream of their box leaves

Cause: a stopping node serves callers for 2.52 s, which they need to go elsewhere, and a call of 5 s that arrives then can outlast the 6 s of a stop. Where two operations stop the same box, only the first signal reaches the process, and it is killed 6 s after that one, while the operator's record counts from the second.

Change: a box goes after its upstream, which announces that it leaves 4.5 s before the signal there. From then on the node is not ready, and serves what comes nevertheless. Callers are gone before the signal, and no call of theirs outlasts the stop.

The new tests fail on the old code.

--- a/packages/fleet/src/__tests__/ownUpstream.test.ts
+++ b/packages/fleet/src/__tests__/ownUpstream.test.ts
@@ -185,6 +185,23 @@
     expect(tracker.upstream?.takesWork).toBe(true);
   });
 
+  it.each(['draining', 'gone'] as const)(
+    'is leaving once it is %s, also for a node that has started since, until another is ready',
+    (state) => {
+      const running = new OwnUpstreamTracker();
+      running.announced(0, createAnnouncement(100, 'ready', 1));
+      expect(running.isLeaving).toBe(false);
+      const started = new OwnUpstreamTracker();
+      expect(started.isLeaving).toBe(false);
+      for (const tracker of [running, started]) {
+        tracker.announced(1000, createAnnouncement(100, state, 2));
+        expect(tracker.isLeaving).toBe(true);
+        tracker.announced(2000, createAnnouncement(200, 'ready', 1));
+        expect(tracker.isLeaving).toBe(false);
+      }
+    },
+  );
+
   it('may leave without a start time, but not just after it reused an id', () => {
     const tracker = new OwnUpstreamTracker();
     tracker.announced(0, createAnnouncement(100, 'ready', 1));
--- a/packages/fleet/src/ownUpstream.ts
+++ b/packages/fleet/src/ownUpstream.ts
@@ -87,6 +87,16 @@
     return this.current;
   }
 
+  /**
+   * Whether the last process that was heard of announced that it leaves. A node
+   * that has just started may know no more of it than that.
+   */
+  get isLeaving(): boolean {
+    return this.current === undefined
+      ? this.ended.size > 0
+      : !this.current.takesWork;
+  }
+
   /** Applies an announcement. */
   announced(
     now: number,
--- a/packages/node/src/process/fleetHost.ts
+++ b/packages/node/src/process/fleetHost.ts
@@ -141,6 +141,11 @@
     return this.currentRouting !== undefined;
   }
 
+  /** Whether the upstream of this box announced that it leaves. */
+  get isUpstreamLeaving(): boolean {
+    return this.fleet.own.isLeaving;
+  }
+
   /**
    * Whether new calls are refused, since they might not finish before the
    * process ends.
--- a/packages/node/src/process/runFleetNode.ts
+++ b/packages/node/src/process/runFleetNode.ts
@@ -17,7 +17,12 @@
 
 /** A running node. */
 export interface RunningFleetNode {
-  /** Whether callers should use this node. */
+  /**
+   * Whether callers should use this node. A box is taken away soon after its
+   * upstream: a long call that arrives after the upstream began to leave might
+   * outlast the node, so that callers are sent elsewhere from then on. Calls
+   * that arrive nevertheless are served.
+   */
   readonly isReady: () => boolean;
   /**
    * Redirects callers to other nodes, finishes calls in flight and closes;
@@ -121,7 +126,8 @@
   every(TRAFFIC_LOG_INTERVAL_MILLISECONDS, () => logTraffic(container));
   let result: Promise<StopResult> | undefined;
   return {
-    isReady: () => host.isReady && !stopping.isStopping,
+    isReady: () =>
+      host.isReady && !host.isUpstreamLeaving && !stopping.isStopping,
     stop: () => {
       stopFollowing();
       result ??= stopFleetNode(container, callers, stopping);
