Count offers from before a pause once, although they fail after it

Callers saw: an upstream kept out of use by an entry for longer than its link was broken, since calls that had been offered before the entry began to avoid it, and ended after the pause, counted as new failures.

Cause: failures were ignored only while the pause lasted. A call may run for seconds longer than the first pauses of 0.3 to 1 s, and its end then doubled the next one.

Change: an attempt keeps when it was offered, and failures of offers from before the last pause began do not count. The same for reports of a missing upstream.

Measured: the new test fails on the old code (avoided at 701 ms after a pause that ended at 600 ms).

--- a/packages/brain/src/entry/answerHandler.ts
+++ b/packages/brain/src/entry/answerHandler.ts
@@ -39,7 +39,7 @@
     }
     return [
       {kind: 'keep-overdue', callId: state.call.id},
-      offers.send(state, candidate.name, candidate.box, candidate.name),
+      offers.send(now, state, candidate.name, candidate.box, candidate.name),
     ];
   }
 
@@ -86,7 +86,13 @@
       if (candidate !== undefined) {
         state.hasFallbackAnswer = true;
         return [
-          offers.send(state, candidate.name, candidate.box, candidate.name),
+          offers.send(
+            now,
+            state,
+            candidate.name,
+            candidate.box,
+            candidate.name,
+          ),
         ];
       }
     }
--- a/packages/brain/src/entry/attemptFeedback.ts
+++ b/packages/brain/src/entry/attemptFeedback.ts
@@ -38,7 +38,7 @@
       this.loads.recordOutcome(state.upstream, false);
     }
     if (hint === undefined && refusal.reason === 'no-upstream') {
-      this.loads.reportedMissing(state.upstream, now);
+      this.loads.reportedMissing(state.upstream, now, state.offeredAt);
     }
   }
 
--- a/packages/brain/src/entry/callOffers.ts
+++ b/packages/brain/src/entry/callOffers.ts
@@ -55,7 +55,7 @@
     if (chosen === undefined) {
       return this.pauseOrRefuse(now, state, reasonIfNone, retryAfter);
     }
-    return [this.send(state, chosen.name, chosen.box, chosen.name)];
+    return [this.send(now, state, chosen.name, chosen.box, chosen.name)];
   }
 
   /** Remaining quarantine of the call in milliseconds; 0 if it may run. */
@@ -111,6 +111,7 @@
 
   /** Only the process that a once key is bound to may run its call. */
   attemptAtHome(
+    now: number,
     state: CallState,
     key: NonNullable<EntryCall['onceKey']>,
   ): readonly EntryAction[] {
@@ -122,17 +123,19 @@
     if (!this.context.boxes.isUsable(box)) {
       return this.context.calls.refuseOnceCall(state, 'once-home-unreachable');
     }
-    return [this.send(state, `home ${box}`, box, undefined)];
+    return [this.send(now, state, `home ${box}`, box, undefined)];
   }
 
   /** Offers a call to one upstream. */
   send(
+    now: number,
     state: CallState,
     loadKey: string,
     box: string,
     upstream: string | undefined,
   ): EntryAction {
     state.upstream = loadKey;
+    state.offeredAt = now;
     state.tried.add(loadKey);
     state.isAttempting = true;
     this.context.loads.sent(loadKey);
--- a/packages/brain/src/entry/callState.ts
+++ b/packages/brain/src/entry/callState.ts
@@ -26,6 +26,8 @@
   readonly heldUntil: number;
   /** The upstream of the latest attempt. */
   upstream: string;
+  /** When the latest attempt was offered, in milliseconds since 1970. */
+  offeredAt: number;
   /** The upstream of an overdue attempt that is still running. */
   overdueUpstream: string | undefined;
   /** The outcome to report unless the overdue attempt succeeds. */
@@ -56,6 +58,7 @@
     shortestWait: Number.POSITIVE_INFINITY,
     heldUntil: now + (call.deadline - now) * heldShare,
     upstream: '',
+    offeredAt: now,
     overdueUpstream: undefined,
     pending: undefined,
     paidAttempts: 1,
--- a/packages/brain/src/entry/entryStateMachine.ts
+++ b/packages/brain/src/entry/entryStateMachine.ts
@@ -133,7 +133,7 @@
     }
     return call.onceKey === undefined
       ? this.offers.next(now, random, state, 'no-upstream')
-      : this.offers.attemptAtHome(state, call.onceKey);
+      : this.offers.attemptAtHome(now, state, call.onceKey);
   }
 
   private handleCallEvent(
@@ -152,7 +152,7 @@
       case 'attempt-lost':
         this.feedback.attemptFailed(state, event.wasSent);
         this.calls.attemptEnded(state);
-        this.loads.linkFailed(state.upstream, now, random());
+        this.loads.linkFailed(state.upstream, now, random(), state.offeredAt);
         return this.handleLostAttempt(now, random, state, event.wasSent);
       case 'pause-ended':
         return this.offers.pauseEnded(now, random, state);
@@ -186,7 +186,7 @@
     this.calls.attemptEnded(state);
     state.unacknowledgedOffers += 1;
     state.isOnlyLimited = false;
-    this.loads.linkFailed(state.upstream, now, random());
+    this.loads.linkFailed(state.upstream, now, random(), state.offeredAt);
     const cancel: EntryAction = {
       kind: 'cancel-attempt',
       callId: state.call.id,
@@ -279,7 +279,7 @@
   ): readonly EntryAction[] {
     this.feedback.attemptFailed(state, wasSent);
     if (state.isAttempting) {
-      this.loads.linkFailed(state.upstream, now, random());
+      this.loads.linkFailed(state.upstream, now, random(), state.offeredAt);
       state.mayHaveRun ||= wasSent;
     }
     const {onceKey} = state.call;
--- a/packages/routing/src/__tests__/routing.test.ts
+++ b/packages/routing/src/__tests__/routing.test.ts
@@ -88,6 +88,25 @@
     expect(loads.isAvoided('u0', 1601)).toBe(false);
   });
 
+  // Guards against pauses that grow with calls from before them that end late.
+  it('counts offers from before a pause once, although they fail after it', () => {
+    const loads = new UpstreamLoads({
+      failuresToAvoid: 1,
+      firstAvoidanceMilliseconds: 500,
+      longestAvoidanceMilliseconds: 4000,
+    });
+    loads.linkFailed('u0', 100, 0.5, 50);
+    loads.linkFailed('u0', 700, 0.5, 90);
+    expect(loads.isAvoided('u0', 701)).toBe(false);
+    loads.linkFailed('u0', 800, 0.5, 750);
+    expect(loads.isAvoided('u0', 1799)).toBe(true);
+    loads.reportedMissing('u1', 100, 50);
+    loads.reportedMissing('u1', 500, 90);
+    expect(loads.isAvoided('u1', 501)).toBe(false);
+    loads.reportedMissing('u1', 600, 550);
+    expect(loads.isAvoided('u1', 1199)).toBe(true);
+  });
+
   it('counts offers in flight that find no upstream once', () => {
     const loads = new UpstreamLoads();
     for (let i = 0; i < 6; i += 1) {
--- a/packages/routing/src/upstreamLoads.ts
+++ b/packages/routing/src/upstreamLoads.ts
@@ -104,6 +104,8 @@
   refusesProbesUntil: number;
   /** Its guard was unreachable and is not tried again until then. */
   unreachableUntil: number;
+  /** When this entry last began to avoid the guard, or the upstream. */
+  avoidedSince: number;
   linkFailures: number;
   /** Consecutive reports of its guard that it does not exist. */
   consecutiveMisses: number;
@@ -155,11 +157,11 @@
   /**
    * The guard has no such upstream: its box has lost it, or has not received it
    * yet after a restart. It is tried again after exponentially growing pauses.
-   * Reports during a pause answer offers that were made before it.
+   * Reports on offers that were made before a pause do not prolong it.
    */
-  reportedMissing(upstream: string, now: number): void {
+  reportedMissing(upstream: string, now: number, offeredAt = now): void {
     const load = this.load(upstream);
-    if (now < load.refusesUntil) {
+    if (now < load.refusesUntil || offeredAt < load.avoidedSince) {
       return;
     }
     const pause = Math.min(
@@ -167,18 +169,25 @@
       FIRST_MISSING_MILLISECONDS * 2 ** load.consecutiveMisses,
     );
     load.consecutiveMisses += 1;
+    load.avoidedSince = now;
     load.refusesUntil = now + pause;
     load.refusesProbesUntil = now + pause;
   }
 
   /**
    * The guard did not respond. This tells about the link between entry and
-   * guard, not about the upstream, so only this entry avoids it. Failures while
-   * it is avoided are of offers made before.
+   * guard, not about the upstream, so only this entry avoids it. Failures of
+   * offers that were made before it was avoided do not count again, even if they
+   * end later.
    */
-  linkFailed(upstream: string, now: number, random: number): void {
+  linkFailed(
+    upstream: string,
+    now: number,
+    random: number,
+    offeredAt = now,
+  ): void {
     const load = this.load(upstream);
-    if (now < load.unreachableUntil) {
+    if (now < load.unreachableUntil || offeredAt < load.avoidedSince) {
       return;
     }
     load.linkFailures += 1;
@@ -191,6 +200,7 @@
       avoidance.longestAvoidanceMilliseconds,
       avoidance.firstAvoidanceMilliseconds * 2 ** repeats,
     );
+    load.avoidedSince = now;
     load.unreachableUntil = now + pause * (0.5 + random);
   }
 
@@ -328,6 +338,7 @@
       limitedUntil: 0,
       refusesProbesUntil: 0,
       unreachableUntil: 0,
+      avoidedSince: Number.NEGATIVE_INFINITY,
       linkFailures: 0,
       consecutiveMisses: 0,
       lastCallSucceeded: true,
