Soak: run each seed in a process of its own

Cause: the jobs shared one process. When a seed ended, its history was checked in one go, and meanwhile the callers, upstreams, forwarders and store of all other seeds stood still.

Change: the tool starts a process for each seed, which ends with the tool. No check, bound or fault is changed.

--- a/packages/tools/src/soak/main.ts
+++ b/packages/tools/src/soak/main.ts
@@ -7,8 +7,8 @@
 import yargs from 'yargs';
 import {hideBin} from 'yargs/helpers';
 import type {FaultSet, SoakSize} from './faultPlan.js';
-import {runSoak} from './runSoak.js';
 import type {SoakResult} from './runSoak.js';
+import {runSoakProcess} from './runSoakProcess.js';
 
 const ROOT = fileURLToPath(new URL('../../../..', import.meta.url));
 
@@ -126,7 +126,8 @@
   for (let next = queue.shift(); next !== undefined; next = queue.shift()) {
     const {seed, faults} = next;
     const folder = join(ROOT, 'artifacts', 'soak', String(seed));
-    const result = await runSoak(seed, {...size, faults}, folder);
+    const order = {seed, size: {...size, faults}, folder};
+    const result = await runSoakProcess(order);
     printResult(result);
     if (result.violations.length > 0) {
       failedSeeds.push(seed);
