Soak: hang up only nodes that have a handler for SIGHUP

Cause: the soak sent SIGHUP from 300 ms after the spawn on. Until the first line of a program the runtime has no handler, and the signal ends it by default; no program can prevent that.

Evidence, load 35: of 320 nodes, 8 or 24 started at once, 302 were sent SIGHUP after 300 ms and before the kernel listed a handler; all of them ended with code null and signal SIGHUP. The 18 that had one survived. The handler was there after 293 ms in the middle with 8 at once, after 571 ms with 24, 601 ms at most.

Change: the kernel's mask of caught signals decides instead of the age, so that a hangup comes as early as a node can bear it. The check of unexpected exits is unchanged.

--- a/packages/tools/src/soak/boxProcess.ts
+++ b/packages/tools/src/soak/boxProcess.ts
@@ -6,6 +6,7 @@
 import {closeSync, openSync} from 'node:fs';
 import {setTimeout as pause} from 'node:timers/promises';
 import {fileURLToPath} from 'node:url';
+import {catchesHangup} from '../harness/catchesHangup.js';
 import {killOnExit} from '../harness/killOnExit.js';
 import type {ExitRecord, StopRecord} from './soakHistory.js';
 
@@ -23,13 +24,6 @@
 /** Delay before the restart of a process that exited unexpectedly. */
 const RESTART_DELAY_MILLISECONDS = 300;
 
-/**
- * A signal terminates a program that has not yet installed its handler. Node.js
- * takes 50 ms of processor time to reach the first line of a program, and more
- * on a busy machine.
- */
-const RUNTIME_START_MILLISECONDS = 300;
-
 /** Options of a box process. */
 export interface BoxProcessOptions {
   readonly box: string;
@@ -119,9 +113,13 @@
     child?.kill('SIGCONT');
   }
 
-  /** Sends SIGHUP, unless the node may not have its signal handler yet. */
+  /**
+   * Sends SIGHUP if the node has its handler. Before that, the signal would end
+   * the runtime, and the node will read the changed settings anyway.
+   */
   signalReload(): void {
-    if (Date.now() - this.spawnedAt > RUNTIME_START_MILLISECONDS) {
+    const {pid} = this;
+    if (pid !== undefined && catchesHangup(pid)) {
       this.process?.kill('SIGHUP');
     }
   }
