Answer calls that outlast the stop of a node with its own log

Callers got a connection that closed, or a 503 with outcome unknown and the reason deadline-passed from what was torn down around them, when their call outlasted the stop limit of a node.

Cause: runNode closed channels and pools at its limit and never ended the calls.

Change: it ends them as runFleetNode does, and waits as long for the answers to go out.

--- a/packages/node/src/process/drainCalls.ts
+++ b/packages/node/src/process/drainCalls.ts
@@ -7,6 +7,9 @@
 /** Whether all calls in flight finished before the time limit. */
 export type StopResult = 'finished' | 'limit-reached';
 
+/** Time to send the last answers before connections are closed. */
+export const LAST_ANSWERS_MILLISECONDS = 50;
+
 /** Interval between checks for calls in flight. */
 const POLL_INTERVAL_MILLISECONDS = 20;
 
--- a/packages/node/src/process/runFleetNode.ts
+++ b/packages/node/src/process/runFleetNode.ts
@@ -9,7 +9,7 @@
 import {steadyClock} from '@lockpin/utils';
 import {startHttpServer} from '../connection/httpServer.js';
 import type {RequestHandler} from '../connection/httpServer.js';
-import {drainCalls} from './drainCalls.js';
+import {LAST_ANSWERS_MILLISECONDS, drainCalls} from './drainCalls.js';
 import type {StopResult} from './drainCalls.js';
 import {FLEET_TOKENS, versionNews} from './fleetComposition.js';
 import {fleetOperatorHandler} from './fleetOperators.js';
@@ -43,9 +43,6 @@
  */
 const SERVE_SHARE = 0.42;
 
-/** Time to send the last answers before connections are closed. */
-const LAST_ANSWERS_MILLISECONDS = 50;
-
 /** Part of the stop limit reserved for the process to exit. */
 const EXIT_RESERVE_MILLISECONDS = 600;
 
--- a/packages/node/src/process/runNode.ts
+++ b/packages/node/src/process/runNode.ts
@@ -10,7 +10,7 @@
 import {steadyClock} from '@lockpin/utils';
 import {startHttpServer} from '../connection/httpServer.js';
 import {TOKENS} from './composition.js';
-import {drainCalls} from './drainCalls.js';
+import {LAST_ANSWERS_MILLISECONDS, drainCalls} from './drainCalls.js';
 import type {StopResult} from './drainCalls.js';
 
 /** A running node. */
@@ -91,6 +91,10 @@
   await delay(ANNOUNCE_MILLISECONDS);
   const result = await drainCalls([guard, entry], steadyClock, limit);
   host.stop();
+  if (result === 'limit-reached') {
+    entry.endAllCalls();
+    await delay(LAST_ANSWERS_MILLISECONDS);
+  }
   container.resolve(TOKENS.watches).stop();
   callers.close();
   callers.closeIdleConnections();
--- a/packages/tools/src/__tests__/stopLimit.test.ts
+++ b/packages/tools/src/__tests__/stopLimit.test.ts
@@ -36,6 +36,19 @@
 }
 
 describe('a node that stops', () => {
+  it('tells the caller of a call that outlasts its limit what became of it', async () => {
+    await startNode(600);
+    const answer = startCall(20_000);
+    await waitUntilRunning();
+    const stopped = fleet.nodes[0]?.running.stop();
+    const {body} = await answer;
+    expect(await body.json()).toMatchObject({
+      reason: 'node-leaving',
+      outcome: 'unknown',
+    });
+    expect(await stopped).toBe('limit-reached');
+  });
+
   it('finishes a call although the time of day is set forwards', async () => {
     await startNode(4000);
     const answer = startCall(900);
