--- a/packages/tools/src/faults/platformGuarantees.ts
+++ b/packages/tools/src/faults/platformGuarantees.ts
@@ -292,6 +292,10 @@
       PLATFORM_FLEET,
       'tells callers whose calls have not ended what became of them',
     ],
+    [
+      PLATFORM_FLEET,
+      'is not ready before it is stopped, but serves its callers',
+    ],
     [BUNDLE, 'outlives a hangup that comes while it still starts'],
     [SOAK, SOAK_TITLE],
   ]),
--- a/packages/tools/src/soak/stallRecorder.ts
+++ b/packages/tools/src/soak/stallRecorder.ts
@@ -12,12 +12,12 @@
 
 const MINIMUM_STALL_MILLISECONDS = 50;
 
-/** Log line of a node about its event loop. */
-interface DelayLine {
-  readonly event: string;
-  readonly time: string;
-  readonly milliseconds: number;
-}
+/**
+ * The line of a node about its event loop. A node that is killed may leave a
+ * part of a line, which the next process continues.
+ */
+const DELAY_LINE =
+  /"time":"([^"]+)","event":"event-loop-delayed",.*"milliseconds":(\d+)\}$/gm;
 
 /** Records stalls of this process until it is stopped. */
 export class StallRecorder {
@@ -48,12 +48,9 @@
   box: string,
   logFile: string,
 ): readonly StallRecord[] {
-  return readFileSync(logFile, 'utf8')
-    .split('\n')
-    .filter((line) => line.includes('"event-loop-delayed"'))
-    .map((line) => JSON.parse(line) as DelayLine)
-    .map(({time, milliseconds}) => {
-      const until = Date.parse(time);
-      return {box, from: until - milliseconds, until};
-    });
+  const lines = readFileSync(logFile, 'utf8').matchAll(DELAY_LINE);
+  return [...lines].map(([, time = '', milliseconds]) => {
+    const until = Date.parse(time);
+    return {box, from: until - Number(milliseconds), until};
+  });
 }
--- a/packages/utils/src/suspendAwareClock.ts
+++ b/packages/utils/src/suspendAwareClock.ts
@@ -40,13 +40,12 @@
 const CHECK_INTERVAL_MILLISECONDS = 1;
 
 /**
- * A reading of two clocks that may differ by more than this from one made at a
- * single instant shows no change smaller than a suspension: the process did not
- * run in between.
+ * Two clocks cannot be read at the same instant, and the process may not run in
+ * between. Offsets that may be wrong by more than this are not kept.
  */
 const MAXIMUM_UNCERTAINTY_MILLISECONDS = 10;
 
-/** Readings of which the most certain one is used. */
+/** Attempts to read an offset with less uncertainty than that. */
 const MAXIMUM_READINGS = 5;
 
 /** Receives the length of a suspension that the clock includes from now on. */
@@ -134,7 +133,6 @@
     }
   }
 
-  /** The process may be interrupted between the readings of the two clocks. */
   private readOffset(source: () => number): ClockOffset {
     const before = this.sources.steady();
     const value = source();
