Soak: a seed without a result fails alone

Seen at load 25 to 40: a fleet did not get into service within 30 s, its process ended, and the tool with it, so that the other seeds of the same call were cut off without a result.

Change: the seed counts as failed, and the others go on.

--- a/packages/tools/src/soak/main.ts
+++ b/packages/tools/src/soak/main.ts
@@ -122,17 +122,29 @@
 };
 const failedSeeds: number[] = [];
 
-async function runWorker(): Promise<void> {
-  for (let next = queue.shift(); next !== undefined; next = queue.shift()) {
-    const {seed, faults} = next;
-    const folder = join(ROOT, 'artifacts', 'soak', String(seed));
-    const order = {seed, size: {...size, faults}, folder};
+/** Runs a soak and prints its result; returns whether it passed. */
+async function runSeed({seed, faults}: SoakSeed): Promise<boolean> {
+  const folder = join(ROOT, 'artifacts', 'soak', String(seed));
+  const order = {seed, size: {...size, faults}, folder};
+  try {
     const result = await runSoakProcess(order);
     printResult(result);
     if (result.violations.length > 0) {
-      failedSeeds.push(seed);
-    } else {
-      rmSync(folder, {recursive: true});
+      return false;
+    }
+  } catch (error) {
+    // The other seeds still run.
+    console.log(`${String(error)}, FAILED`);
+    return false;
+  }
+  rmSync(folder, {recursive: true});
+  return true;
+}
+
+async function runWorker(): Promise<void> {
+  for (let next = queue.shift(); next !== undefined; next = queue.shift()) {
+    if (!(await runSeed(next))) {
+      failedSeeds.push(next.seed);
     }
   }
 }
