--- a/packages/fleet/src/__tests__/fleetBrain.test.ts
+++ b/packages/fleet/src/__tests__/fleetBrain.test.ts
@@ -73,6 +73,28 @@
     expect(harness.stateMachine.version).toBe(7);
   });
 
+  it('comes into force despite a value that is not known, which is logged', () => {
+    const harness = new StateMachineHarness();
+    harness.start([configurationRecord(1)]);
+    const problem = 'unknown kind odd';
+    const warnings = [{field: 'Routes.r.Kind', problem}];
+    const actions = harness.handle({
+      kind: 'peer-replied',
+      address: 'peer',
+      reply: {configuration: {...configuration(2), warnings}, boxes: []},
+    });
+    expect(actions).toMatchObject([
+      {kind: 'configuration-changed'},
+      {
+        kind: 'log-event',
+        event: 'configuration-field-unknown',
+        subject: 'Routes.r.Kind',
+        detail: {version: 2, problem},
+      },
+    ]);
+    expect(harness.stateMachine.version).toBe(2);
+  });
+
   it('is taken from a peer when the store does not answer', () => {
     const harness = new StateMachineHarness();
     harness.tick();
--- a/packages/fleet/src/configurationInForce.ts
+++ b/packages/fleet/src/configurationInForce.ts
@@ -89,7 +89,13 @@
       return [];
     }
     this.inForce = configuration;
-    return [{kind: 'configuration-changed', configuration, source}];
+    const {version, warnings = []} = configuration;
+    return [
+      {kind: 'configuration-changed', configuration, source},
+      ...warnings.map(({field, problem}) =>
+        logEvent('configuration-field-unknown', field, {version, problem}),
+      ),
+    ];
   }
 }
 
--- a/packages/fleet/src/declaredConfiguration.ts
+++ b/packages/fleet/src/declaredConfiguration.ts
@@ -58,6 +58,8 @@
   readonly limits: CallerLimits;
   /** If empty, callers need no key. */
   readonly customers: readonly DeclaredCustomer[];
+  /** Fields with values that are not known; they do not invalidate it. */
+  readonly warnings?: readonly ConfigurationProblem[];
 }
 
 /** The field of an operator's document that is invalid, and why. */
