--- a/packages/admission/src/admission.ts
+++ b/packages/admission/src/admission.ts
@@ -153,6 +153,14 @@
     return this.rate.waitBehindRefused(now, this.queue.size + 1);
   }
 
+  /**
+   * Milliseconds until a usual call would get a slot: 0 if one is free,
+   * infinite if all are held by calls that may never end.
+   */
+  waitForSlot(now: number): number {
+    return this.waitForTurn(now, this.queue.size + 1);
+  }
+
   /** Queued calls. */
   waiting(): readonly WaitingCall[] {
     return this.queue.all();
@@ -258,16 +266,19 @@
   private expectedWait(now: number, call: WaitingCall): ExpectedWait {
     const turn = this.queue.aheadOf(call) + 1;
     const forLimit = this.rate.waitForTurn(now, turn, call.priority);
-    const hasSlot = this.running.size + turn <= this.limit.current;
-    const forSlot = hasSlot
-      ? 0
-      : (turn / this.availableSlots(now)) * this.duration;
+    const forSlot = this.waitForTurn(now, turn);
     return {
       milliseconds: Math.max(forLimit, forSlot),
       isForLimit: forLimit > forSlot,
     };
   }
 
+  private waitForTurn(now: number, turn: number): number {
+    return this.running.size + turn <= this.limit.current
+      ? 0
+      : (turn / this.availableSlots(now)) * this.duration;
+  }
+
   /**
    * Slots that are free or expected to be freed. A call without an expected
    * duration never counts as stuck, since it may simply take long.
--- a/packages/routing/src/retryBudget.ts
+++ b/packages/routing/src/retryBudget.ts
@@ -14,6 +14,8 @@
   readonly hasRetry: (now: number) => boolean;
   /** Takes one retry; false if none is available. */
   readonly takeRetry: (now: number) => boolean;
+  /** Whole retries that are available now; infinite without a limit. */
+  readonly retriesLeft: (now: number) => number;
   /**
    * The clock has jumped forwards by this much, possibly without that time
    * having passed. Retries already taken must not expire because of it.
@@ -53,6 +55,10 @@
     return true;
   }
 
+  retriesLeft(): number {
+    return Math.floor(this.saved);
+  }
+
   /** Does nothing, since saved retries do not expire. */
   clockGained(): void {}
 }
@@ -63,6 +69,7 @@
   repeatArrived: () => undefined,
   hasRetry: () => true,
   takeRetry: () => true,
+  retriesLeft: () => Number.POSITIVE_INFINITY,
   clockGained: () => undefined,
 };
 
@@ -72,5 +79,6 @@
   repeatArrived: () => undefined,
   hasRetry: () => false,
   takeRetry: () => false,
+  retriesLeft: () => 0,
   clockGained: () => undefined,
 };
--- a/packages/routing/src/windowedRetryBudget.ts
+++ b/packages/routing/src/windowedRetryBudget.ts
@@ -39,12 +39,16 @@
   }
 
   hasRetry(now: number): boolean {
+    return this.retriesLeft(now) >= 1;
+  }
+
+  retriesLeft(now: number): number {
     const {ratio, windowMilliseconds, extra} = this.settings(now);
     const since = now - windowMilliseconds;
     this.calls = after(this.calls, since);
     this.retries = after(this.retries, since);
     const limit = this.calls.length * ratio + extra;
-    return this.retries.length + 1 <= limit;
+    return Math.max(0, Math.floor(limit - this.retries.length));
   }
 
   takeRetry(now: number): boolean {
