--- a/packages/brain/src/guard/guardMessages.ts
+++ b/packages/brain/src/guard/guardMessages.ts
@@ -70,6 +70,12 @@
    * call, whichever upstream made it.
    */
   readonly heldUpCalls: () => number;
+  /**
+   * Whether most upstreams of a service reject calls at present. Rejections are
+   * then no evidence against a single upstream: diverting calls from all of
+   * them would leave only upstreams that fail in other ways.
+   */
+  readonly areRejectionsCommon: (now: number, service: string) => boolean;
   /** Whether weak evidence of a hang diverts calls that cannot be repeated. */
   readonly isCautious: boolean;
   /** Whether failures that a failed call from this box explains are ignored. */
@@ -96,6 +102,7 @@
   hasQuickDoubt: false,
   hasHangEvidence: true,
   heldUpCalls: () => 0,
+  areRejectionsCommon: () => false,
   isCautious: true,
   excusesFailures: true,
   doubtReleasesQueue: true,
--- a/packages/brain/src/guard/guardedServices.ts
+++ b/packages/brain/src/guard/guardedServices.ts
@@ -103,7 +103,14 @@
     // Evidence about another process does not apply to this one.
     this.guards.set(
       name,
-      new UpstreamGuard(name, resource, sensitivity, this.settings, retries),
+      new UpstreamGuard(
+        name,
+        resource,
+        sensitivity,
+        this.settings,
+        retries,
+        guarded.name,
+      ),
     );
     const hasSameId = found?.incarnation?.id === incarnation?.id;
     return found !== undefined && hasSameId ? [found] : [];
--- a/packages/brain/src/guard/quickDoubt.ts
+++ b/packages/brain/src/guard/quickDoubt.ts
@@ -41,7 +41,10 @@
 export type QuickDoubtSettings = Pick<
   GuardSettings,
   'hasQuickDoubt' | 'hasHangEvidence' | 'isCautious' | 'heldUpCalls'
->;
+> & {
+  /** Whether most upstreams of the service reject calls at present. */
+  readonly areRejectionsCommon: (now: number) => boolean;
+};
 
 /** Why calls to an upstream are refused as 'upstream-doubted'. */
 export type DoubtReason =
@@ -178,13 +181,29 @@
     } else {
       this.evidence.answered(callId);
     }
-    if (this.isEnabled && startedAt !== undefined && !wasCounted) {
+    const isIgnored = kind === 'refused' && this.areRejectionsCommon(now);
+    if (
+      this.isEnabled &&
+      startedAt !== undefined &&
+      !wasCounted &&
+      !isIgnored
+    ) {
       this.doubt.observe(now, kind, startedAt);
     }
   }
 
-  /** Begins doubt if the running calls show that the upstream hangs. */
+  /**
+   * Begins doubt if the running calls show that the upstream hangs. Ends doubt
+   * that rejections began if most upstreams of the service reject calls.
+   */
   review(now: number, runningIds: Iterable<string>): void {
+    if (
+      this.isDoubted(now) &&
+      this.cause === 'refused' &&
+      this.areRejectionsCommon(now)
+    ) {
+      this.doubt.end(now);
+    }
     if (!this.isEnabled || this.isDoubted(now)) {
       return;
     }
@@ -198,6 +217,10 @@
     this.doubt.observe(now, 'hanging');
   }
 
+  private areRejectionsCommon(now: number): boolean {
+    return this.settings.areRejectionsCommon(now);
+  }
+
   private hangStrength(now: number): number {
     return this.evidence.strength(now, this.settings.heldUpCalls());
   }
--- a/packages/brain/src/guard/upstreamGuard.ts
+++ b/packages/brain/src/guard/upstreamGuard.ts
@@ -9,6 +9,7 @@
 } from '@lockpin/admission';
 import type {CallEvidenceKind} from '@lockpin/detection';
 import type {Fence, GuardReport} from '@lockpin/floor';
+import {RejectionShare} from '@lockpin/detection';
 import {CrashDetector} from '@lockpin/quarantine';
 import type {LoadHint, RetryAllowance} from '@lockpin/routing';
 import type {
@@ -55,6 +56,7 @@
   /** What the upstream states about itself in its answers. */
   readonly notice: StatedNotice;
   private readonly running = new Map<string, RunningCall>();
+  private readonly rejections = new RejectionShare();
   private readonly doubt: QuickDoubt;
   private readonly refusals: UpstreamRefusals;
   private readonly durations: UsualDurations;
@@ -69,6 +71,7 @@
     sensitivity: Sensitivity,
     private readonly settings: GuardSettings,
     private readonly retries: RetryAllowance,
+    service: string,
   ) {
     this.spec = resource.spec;
     this.admission = new Admission(
@@ -76,7 +79,10 @@
       !settings.hasQuickDoubt,
     );
     this.notice = new StatedNotice(this.admission.rate);
-    this.doubt = new QuickDoubt(settings);
+    this.doubt = new QuickDoubt({
+      ...settings,
+      areRejectionsCommon: (now) => settings.areRejectionsCommon(now, service),
+    });
     this.durations = new UsualDurations(() => this.spec.coldUntil ?? 0);
     this.ownCallFailures = new OwnCallFailures(settings.excusesFailures);
     this.standing = new UpstreamStanding(name, sensitivity);
@@ -133,6 +139,11 @@
     return this.doubt.cause;
   }
 
+  /** Share of recent calls that the upstream rejected, from 0 to 1. */
+  rejectedShare(now: number): number {
+    return this.rejections.at(now);
+  }
+
   /** Why calls are refused as 'upstream-doubted'; undefined when none are. */
   doubtReason(now: number): DoubtReason | undefined {
     return this.doubt.reason(now, this.isIdle);
@@ -218,6 +229,7 @@
     reason: 'upstream-refused' | 'upstream-replaced',
   ): DispatchResult {
     this.isReplaced ||= reason === 'upstream-replaced';
+    this.rejections.observe(now, reason === 'upstream-refused');
     this.observe(now, callId, 'refused');
     return this.release(now, callId);
   }
@@ -242,6 +254,7 @@
     status: number,
     isShed: boolean,
   ): CallEnd {
+    this.rejections.observe(now, isShed);
     const isFailure =
       status >= FIRST_SERVER_ERROR_STATUS && status !== NOT_IMPLEMENTED_STATUS;
     if (isShed) {
--- a/packages/detection/src/doubt.ts
+++ b/packages/detection/src/doubt.ts
@@ -132,6 +132,12 @@
     return before !== this.isDoubted(now);
   }
 
+  /** Ends doubt because its cause no longer counts. */
+  end(now: number): void {
+    this.doubtedUntil = Math.min(this.doubtedUntil, now);
+    this.score = 0;
+  }
+
   private recordSuccessfulProbe(now: number): void {
     if (!this.isDoubted(now)) {
       return;
--- a/packages/detection/src/index.ts
+++ b/packages/detection/src/index.ts
@@ -9,5 +9,6 @@
 export * from './grayDetector.js';
 export * from './hangEvidence.js';
 export * from './peerBaseline.js';
+export * from './rejectionShare.js';
 export * from './sensitivity.js';
 export * from './slownessTest.js';
