Cost: stages for refused calls, and a wait until the fleet has started

The idle use was measured 4 s after the start. The measurement now waits until the nodes use less than 0.05 of a processor each. The cost of a call is divided by the calls made: at 24 boxes the first stage makes 72, not 50, so that its earlier figures are too high by 1.44. The default variant runs with the flags of the deployment, since the code cache is refused without them.

Two stages are added: calls over a customer's limit (429) and calls to a service whose slots and queues are full (503).

--- a/packages/tools/src/cost/costFleet.ts
+++ b/packages/tools/src/cost/costFleet.ts
@@ -3,6 +3,11 @@
 
 import {Agent} from 'node:http';
 import {setTimeout as pause} from 'node:timers/promises';
+import {
+  CONFIGURATION_KEY,
+  CONFIGURATION_TOPIC,
+  StoreStandIn,
+} from '@lockpin/platform-stand-ins';
 import {seededRandom} from '@lockpin/utils';
 import {processorSeconds} from '../bench/processTime.js';
 import {freeAddresses} from '../harness/ports.js';
@@ -11,7 +16,15 @@
 import {SoakBox} from '../soak/soakBox.js';
 import {sendRequest} from '../soak/soakCaller.js';
 import {soakRoutes} from '../soak/soakConfiguration.js';
-import {SoakStore} from '../soak/soakStore.js';
+import type {SoakRoute} from '../soak/soakConfiguration.js';
+import {
+  FILLED_SERVICE,
+  FILL_MILLISECONDS,
+  FILL_ROUTE,
+  LIMITED_KEY,
+  costConfiguration,
+} from './costConfiguration.js';
+import type {CostStage} from './costStages.js';
 
 /** A named command line that starts the nodes of a fleet. */
 export interface CostVariant {
@@ -28,12 +41,31 @@
 /** Time in which upstreams are announced and boxes discover each other. */
 const SETTLE_MILLISECONDS = 4000;
 
+/** Use of processors of a fleet that has started: a share of one per node. */
+const STARTED_SHARE = 0.05;
+
+const SHARE_WINDOW_MILLISECONDS = 1000;
+
+const START_TIMEOUT_MILLISECONDS = 90_000;
+
+/** Calls under way at a time that fill the slots and queues of a service. */
+const FILL_CALLS_PER_BOX = 20;
+
+/** The calls of a stage. */
+export interface Made {
+  readonly made: number;
+  /** Calls that ended with the status of the stage. */
+  readonly asExpected: number;
+}
+
 /** Fleet for one measurement. */
 export class CostFleet {
-  private readonly store = new SoakStore(() => undefined);
+  private readonly store = new StoreStandIn();
   private boxes: readonly SoakBox[] = [];
   private agents: readonly Agent[] = [];
+  private fillAgents: readonly Agent[] = [];
   private sequence = 0;
+  private version = 0;
 
   constructor(
     private readonly variant: CostVariant,
@@ -43,17 +75,21 @@
   /** Starts the nodes; resolves after they have discovered each other. */
   async start(count: number): Promise<void> {
     const storeAddress = await this.store.start();
+    this.configure(false);
     const boxes: SoakBox[] = [];
     for (let index = 0; index < count; index += 1) {
       boxes.push(await this.createBox(index, storeAddress));
     }
     this.boxes = boxes;
-    this.agents = boxes.map(() => new Agent({keepAlive: true, maxSockets: 1}));
+    this.agents = boxes.map(() => new Agent({keepAlive: true}));
+    this.fillAgents = boxes.map(() => new Agent({keepAlive: true}));
     await Promise.all(boxes.map((box) => box.start()));
     await waitUntil(() =>
       boxes.every(({process}) => process.pid !== undefined),
     );
     await pause(SETTLE_MILLISECONDS);
+    // On a busy machine the start takes longer and would be taken for idling.
+    await waitUntil(() => this.isQuiet(), START_TIMEOUT_MILLISECONDS);
   }
 
   /** Processor time of all nodes since their start, in milliseconds. */
@@ -63,44 +99,95 @@
       .reduce((sum, used) => sum + used, 0);
   }
 
-  /** Spreads calls over all boxes; resolves to the number of successes. */
-  async call(count: number): Promise<number> {
-    let served = 0;
-    const each = Math.ceil(count / this.boxes.length);
+  /** Brings about the conditions of a stage. */
+  async prepare({condition}: CostStage): Promise<void> {
+    if (condition === 'over-limit') {
+      this.configure(true);
+      await pause(SETTLE_MILLISECONDS);
+    } else if (condition === 'full') {
+      this.fill();
+      await pause(SETTLE_MILLISECONDS);
+    }
+  }
+
+  /** Spreads the calls of a stage over all boxes, with the same at each. */
+  async call({calls, status, condition, atOnce}: CostStage): Promise<Made> {
+    const routes = soakRoutes().filter(
+      ({service}) => condition !== 'full' || service === FILLED_SERVICE,
+    );
+    const key = condition === 'over-limit' ? LIMITED_KEY : undefined;
+    let asExpected = 0;
+    const callers = this.boxes.flatMap((_, box) =>
+      Array.from({length: atOnce}, () => box),
+    );
+    const each = Math.ceil(calls / callers.length);
     await Promise.all(
-      this.boxes.map(async (_, box) => {
+      callers.map(async (box) => {
         for (let i = 0; i < each; i += 1) {
-          const isServed = await this.callAt(box);
-          served += isServed ? 1 : 0;
+          const route = routes[this.sequence % routes.length] as SoakRoute;
+          const ended = await this.callAt(this.agents[box], box, route, key);
+          asExpected += ended === status ? 1 : 0;
           await pause(CALL_PAUSE_MILLISECONDS);
         }
       }),
     );
-    return served;
+    return {made: each * callers.length, asExpected};
   }
 
   async end(): Promise<void> {
-    this.agents.forEach((agent) => agent.destroy());
+    [...this.agents, ...this.fillAgents].forEach((agent) => agent.destroy());
     await Promise.all(this.boxes.map((box) => box.end()));
     this.store.stop();
   }
 
-  private async callAt(box: number): Promise<boolean> {
+  private configure(isLimited: boolean): void {
+    this.version += 1;
+    const text = costConfiguration(this.version, isLimited);
+    this.store.put(CONFIGURATION_TOPIC, CONFIGURATION_KEY, text);
+  }
+
+  private async isQuiet(): Promise<boolean> {
+    const before = this.milliseconds;
+    await pause(SHARE_WINDOW_MILLISECONDS);
+    const used = this.milliseconds - before;
+    const share = used / SHARE_WINDOW_MILLISECONDS / this.boxes.length;
+    return share < STARTED_SHARE;
+  }
+
+  /** Takes all slots and places in the queues of a service until the end. */
+  private fill(): void {
+    this.boxes.forEach(({upstreams: {current}}, box) => {
+      if (current?.service === FILLED_SERVICE) {
+        current.standIn.workMilliseconds = FILL_MILLISECONDS;
+      }
+      for (let i = 0; i < FILL_CALLS_PER_BOX; i += 1) {
+        void this.callAt(this.fillAgents[box], box, FILL_ROUTE, undefined);
+      }
+    });
+  }
+
+  /** Makes a call; resolves to its status, 0 if its connection broke. */
+  private async callAt(
+    agent: Agent | undefined,
+    box: number,
+    route: SoakRoute,
+    key: string | undefined,
+  ): Promise<number> {
     this.sequence += 1;
-    const routes = soakRoutes();
-    const route = routes[this.sequence % routes.length];
     const requestId = `cost-${this.sequence}`;
+    const isFill = route === FILL_ROUTE;
     const end = await sendRequest(
-      this.agents[box] as Agent,
+      agent as Agent,
       this.boxes[box]?.callerAddress ?? '',
       {
-        path: `${route?.pathPrefix}${requestId}`,
-        method: route?.isRepeatable === true ? 'GET' : 'POST',
+        path: `${route.pathPrefix}${requestId}`,
+        method: route.isRepeatable ? 'GET' : 'POST',
         requestId,
-        remaining: WAIT_MILLISECONDS,
+        remaining: isFill ? FILL_MILLISECONDS : WAIT_MILLISECONDS,
+        ...(key === undefined ? {} : {key}),
       },
     );
-    return end.kind === 'answered' && end.status === 200;
+    return end.kind === 'answered' ? end.status : 0;
   }
 
   private async createBox(
--- a/packages/tools/src/cost/main.ts
+++ b/packages/tools/src/cost/main.ts
@@ -10,11 +10,12 @@
 import {NODE_BUNDLE} from '../soak/boxProcess.js';
 import {CostFleet} from './costFleet.js';
 import type {CostVariant} from './costFleet.js';
+import {COST_STAGES} from './costStages.js';
 
 const IDLE_MILLISECONDS = 5000;
 
-/** Calls of each stage; nodes are cold in the first and warm after the last. */
-const STAGES = [50, 300, 1000] as const;
+/** Flags of the runtime, as in deploy/system.toml; others refuse the code cache. */
+const DEPLOYED_FLAGS = '--max-old-space-size=128 --max-semi-space-size=4';
 
 /** Cost of one fleet, in milliseconds of processor time. */
 interface Cost {
@@ -24,7 +25,8 @@
   readonly idle: number;
   /** One call, in each stage. */
   readonly calls: readonly number[];
-  readonly served: number;
+  /** Share of the calls that ended with the status of their stage. */
+  readonly expected: readonly number[];
 }
 
 const options = await yargs(hideBin(process.argv))
@@ -38,7 +40,7 @@
   .option('variant', {
     type: 'string',
     array: true,
-    default: [`this=${NODE_BUNDLE}`],
+    default: [`this=${DEPLOYED_FLAGS} ${NODE_BUNDLE}`],
     describe: 'NAME=ARGUMENTS of the runtime, the bundle among them',
   })
   .strict()
@@ -74,30 +76,34 @@
   await pause(IDLE_MILLISECONDS);
   const idle = (fleet.milliseconds - beforeIdle) / boxes / IDLE_MILLISECONDS;
   const calls: number[] = [];
-  let served = 0;
-  for (const count of STAGES) {
+  const expected: number[] = [];
+  for (const stage of COST_STAGES) {
+    await fleet.prepare(stage);
     const before = fleet.milliseconds;
     const startedAt = Date.now();
-    served += await fleet.call(count);
+    const {made, asExpected} = await fleet.call(stage);
+    expected.push(asExpected / made);
     const idleMilliseconds = idle * boxes * (Date.now() - startedAt);
-    calls.push((fleet.milliseconds - before - idleMilliseconds) / count);
+    const used = fleet.milliseconds - before - idleMilliseconds;
+    calls.push(used / made);
   }
   await fleet.end();
   rmSync(folder, {recursive: true});
-  return {start, idle, calls, served};
+  return {start, idle, calls, expected};
 }
 
 /** Formats the mean, minimum and maximum of all rounds. */
 function formatTable(): string {
-  const head = `| variant | start ms | idle % | ${STAGES.map((count) => `${count} calls, ms each`).join(' | ')} | served |`;
+  const stages = COST_STAGES.map(({name}) => `${name}, ms each | as expected`);
+  const head = `| variant | start ms | idle % | ${stages.join(' | ')} |`;
   const rows = [...costs].map(([name, rounds]) => {
     const cells = [
       formatRange(rounds.map(({start}) => start)),
       formatRange(rounds.map(({idle}) => idle * 100)),
-      ...STAGES.map((_, i) =>
+      ...COST_STAGES.flatMap((_, i) => [
         formatRange(rounds.map(({calls}) => calls[i] ?? 0)),
-      ),
-      formatRange(rounds.map(({served}) => served)),
+        formatRange(rounds.map(({expected}) => expected[i] ?? 0)),
+      ]),
     ];
     return `| ${name} | ${cells.join(' | ')} |`;
   });
--- a/packages/tools/src/soak/soakCaller.ts
+++ b/packages/tools/src/soak/soakCaller.ts
@@ -26,13 +26,15 @@
   readonly method: string;
   readonly requestId: string;
   readonly remaining: number;
+  /** Key of the customer, if any. */
+  readonly key?: string;
 }
 
 /** Sends one request to a node; never rejects. */
 export function sendRequest(
   agent: Agent,
   address: string,
-  {path, method, requestId, remaining}: SoakRequest,
+  {path, method, requestId, remaining, key}: SoakRequest,
 ): Promise<CallEnd> {
   return new Promise((resolve) => {
     let hadBegun = false;
@@ -47,7 +49,7 @@
         agent,
         path,
         method,
-        headers: requestHeaders(SOAK_HOST, requestId, remaining),
+        headers: requestHeaders(SOAK_HOST, requestId, remaining, key),
         signal: AbortSignal.timeout(remaining + ABORT_GRACE_MILLISECONDS),
       },
       (response) => {
