TCP connections between nodes in the place of gRPC

Streams between nodes are now TCP connections with length-prefixed messages: a preface (first byte, version, method), then packets with a header of four bytes. An end is a packet, so that a connection that closes before it has broken. Single requests share a connection and are matched by number. A stream that was never established reports that nothing was sent. Writes of a turn are joined into one. A peer to which connects fail is tried again after 100 ms, growing to 2 s. Silent connections are probed after 20 s and dropped 5 s later. A batch of frames over 4 MiB is split, which would have ended the stream before.

@grpc/grpc-js is no longer a dependency.

--- a/packages/node/src/__tests__/silentPeerConnection.test.ts
+++ b/packages/node/src/__tests__/silentPeerConnection.test.ts
@@ -3,11 +3,11 @@
 
 import {createServer} from 'node:net';
 import type {AddressInfo} from 'node:net';
-import type grpc from '@grpc/grpc-js';
 import {afterEach, beforeEach, expect, it} from 'vitest';
 import {SilencingProxy} from '@lockpin/stand-ins';
 import {PeerChannels} from '../connection/peerChannels.js';
 import {PeerServer} from '../connection/peerServer.js';
+import type {PeerStream} from '../connection/peerStream.js';
 import {ControlTraffic} from '../process/controlTraffic.js';
 import {serveExchangeStream} from '../request/exchangeStreamServer.js';
 import type {PeerNews} from '../request/frames.js';
@@ -39,9 +39,9 @@
   proxy = new SilencingProxy(port);
   address = await proxy.start();
   renewals = [];
-  channels = new PeerChannels(new ControlTraffic(), (peer, cause) =>
-    renewals.push(`${peer} ${cause}`),
-  );
+  channels = new PeerChannels(new ControlTraffic(), {
+    onRenewed: (peer, cause) => renewals.push(`${peer} ${cause}`),
+  });
 });
 
 afterEach(() => {
@@ -102,7 +102,7 @@
 }
 
 /** Replies to requests for the version. */
-function serveVersions(stream: grpc.ServerDuplexStream<Buffer, Buffer>): void {
+function serveVersions(stream: PeerStream): void {
   serveExchangeStream(
     stream,
     () => {
--- a/packages/node/src/connection/peerProtocol.ts
+++ b/packages/node/src/connection/peerProtocol.ts
@@ -1,88 +1,75 @@
 // Copyright (c) 2026 the lockpin contributors. MIT licence, see LICENSE.
 /**
- * The gRPC service between nodes, defined in code so that no generator is
- * needed.
+ * The wire protocol between nodes. Each end of a TCP connection first sends a
+ * preface of three bytes: FIRST_BYTE, the protocol version and the method. It is
+ * followed by packets: a header of four bytes (kind, then the length in three
+ * bytes) and, in messages, the bytes of the message.
  */
 
-import grpc from '@grpc/grpc-js';
+/** No text protocol, TLS record or HTTP/2 frame starts with this byte. */
+export const FIRST_BYTE = 0xf5;
 
-const identity = (bytes: Buffer): Buffer => bytes;
+/** Version of the wire protocol that this release speaks. */
+export const PROTOCOL_VERSION = 1;
 
-const rawBytes = {
-  requestSerialize: identity,
-  requestDeserialize: identity,
-  responseSerialize: identity,
-  responseDeserialize: identity,
-};
+/** Size of the preface in bytes. */
+export const PREFACE_BYTES = 3;
+
+/** Size of a packet's header in bytes. */
+export const HEADER_BYTES = 4;
+
+/** Largest size of a message in bytes. */
+export const MAXIMUM_MESSAGE_BYTES = 4 * 1024 * 1024;
 
 /**
- * Exchanges multiplexes exchanges with upstreams on one stream, Call carries
- * one exchange with a streamed request body, and Exchange carries one control
- * message.
+ * What a connection carries: a stream that multiplexes exchanges, one exchange
+ * with a streamed request body, or single requests with their replies.
  */
-export const peerService = {
-  call: {
-    path: '/lockpin.Peer/Call',
-    requestStream: true,
-    responseStream: true,
-    ...rawBytes,
-  },
-  exchanges: {
-    path: '/lockpin.Peer/Exchanges',
-    requestStream: true,
-    responseStream: true,
-    ...rawBytes,
-  },
-  exchange: {
-    path: '/lockpin.Peer/Exchange',
-    requestStream: false,
-    responseStream: false,
-    ...rawBytes,
-  },
-} as const satisfies grpc.ServiceDefinition;
+export type PeerMethod = 'exchanges' | 'call' | 'requests';
 
-/** A client of the peer service. */
-export interface PeerClient extends grpc.Client {
-  call(): grpc.ClientDuplexStream<Buffer, Buffer>;
-  exchanges(): grpc.ClientDuplexStream<Buffer, Buffer>;
-  exchange(
-    request: Buffer,
-    options: grpc.CallOptions,
-    callback: (error: grpc.ServiceError | null, reply?: Buffer) => void,
-  ): grpc.ClientUnaryCall;
-}
+/** The code of a method is its index in this list. */
+const METHODS = ['exchanges', 'call', 'requests'] as const;
 
-const MAXIMUM_MESSAGE_BYTES = 4 * 1024 * 1024;
+/** Kinds of packets; a kind's value is the first byte of its header. */
+export const PACKET = {
+  message: 0,
+  /** The sender sends no more messages. */
+  end: 1,
+  /** Asks the other end for a probe reply. */
+  probe: 2,
+  probeReply: 3,
+} as const;
 
-/**
- * Channel options of clients and servers. gRPC retries are off: lockpin itself
- * retries, and only calls that may run again.
- */
-export const CHANNEL_OPTIONS: grpc.ChannelOptions = {
-  'grpc.enable_retries': 0,
-  'grpc.service_config_disable_resolution': 1,
-  'grpc.max_receive_message_length': MAXIMUM_MESSAGE_BYTES,
-  'grpc.max_send_message_length': MAXIMUM_MESSAGE_BYTES,
-  'grpc.initial_reconnect_backoff_ms': 100,
-  'grpc.min_reconnect_backoff_ms': 100,
-  'grpc.max_reconnect_backoff_ms': 2000,
-  'grpc.use_local_subchannel_pool': 1,
-  'grpc.client_idle_timeout_ms': 60_000,
-  'grpc.keepalive_time_ms': 20_000,
-  'grpc.keepalive_timeout_ms': 5000,
-};
+/** The kind of a packet. */
+export type PacketKind = (typeof PACKET)[keyof typeof PACKET];
 
-const GenericClient = grpc.makeGenericClientConstructor(
-  peerService,
-  'lockpin.Peer',
-);
+/** Why a connection was closed: the other end violated the protocol. */
+export type PeerViolation =
+  | 'wrong-first-byte'
+  | 'unknown-version'
+  | 'unknown-method'
+  | 'unknown-packet'
+  | 'message-too-long';
+
+/** Writes the preface of a connection to the start of a buffer. */
+export function writePreface(target: Buffer, method: PeerMethod): void {
+  target[0] = FIRST_BYTE;
+  target[1] = PROTOCOL_VERSION;
+  target[2] = METHODS.indexOf(method);
+}
+
+/** Returns the method with a code; undefined if the code is unknown. */
+export function methodOf(code: number): PeerMethod | undefined {
+  return METHODS[code];
+}
 
-/** Creates a client of a node; it connects on first use. */
-export function createPeerClient(address: string): PeerClient {
-  const credentials = grpc.credentials.createInsecure();
-  return new GenericClient(
-    address,
-    credentials,
-    CHANNEL_OPTIONS,
-  ) as unknown as PeerClient;
+/** Writes the header of a packet. */
+export function writeHeader(
+  target: Buffer,
+  offset: number,
+  kind: PacketKind,
+  length: number,
+): void {
+  target[offset] = kind;
+  target.writeUIntBE(length, offset + 1, HEADER_BYTES - 1);
 }
--- a/packages/node/src/connection/peerServer.ts
+++ b/packages/node/src/connection/peerServer.ts
@@ -3,70 +3,148 @@
  * Serves other nodes: calls to the upstreams of this box, and control messages.
  */
 
-import grpc from '@grpc/grpc-js';
+import {createServer} from 'node:net';
+import type {Server, Socket} from 'node:net';
 import type {PeerReply, PeerRequest} from '@lockpin/brain';
+import {parseAddress} from '@lockpin/utils';
 import type {ControlTraffic} from '../process/controlTraffic.js';
 import {decodeDocument, encodeDocument} from './codec.js';
-import {CHANNEL_OPTIONS, peerService} from './peerProtocol.js';
+import {PeerSockets} from './peerProbes.js';
+import type {StartTicks} from './peerProbes.js';
+import type {PeerMethod, PeerViolation} from './peerProtocol.js';
+import {ServedRequests} from './peerRequests.js';
+import {PeerSocket} from './peerSocket.js';
+import type {PeerStream} from './peerStream.js';
 
-/** Handlers of the methods of the peer service. */
+/** Handlers of what other nodes send. */
 export interface PeerServerHandlers<
   Request extends object = PeerRequest,
   Reply extends object = PeerReply,
 > {
-  readonly call: (stream: grpc.ServerDuplexStream<Buffer, Buffer>) => void;
+  /** Handles a stream with one exchange whose request body is streamed. */
+  readonly call: (stream: PeerStream) => void;
   /** Handles a stream that multiplexes exchanges. */
-  readonly exchanges: (stream: grpc.ServerDuplexStream<Buffer, Buffer>) => void;
+  readonly exchanges: (stream: PeerStream) => void;
   readonly exchange: (request: Request, reply: (reply: Reply) => void) => void;
 }
 
-/** The gRPC server of a node. */
+/** Observers and inputs of a server. */
+export interface PeerServerOptions {
+  /** Called when a connection is closed since its client violated the protocol. */
+  readonly onViolation?: (address: string, violation: PeerViolation) => void;
+  readonly startTicks?: StartTicks;
+}
+
+/** The server of a node for other nodes. */
 export class PeerServer<
   Request extends object = PeerRequest,
   Reply extends object = PeerReply,
 > {
-  private readonly server = new grpc.Server(CHANNEL_OPTIONS);
+  private readonly server: Server;
+  private readonly sockets: PeerSockets;
+  private readonly served = new Set<ServedRequests>();
+  private isDraining = false;
+  private onDrained: (() => void) | undefined;
 
   constructor(
-    handlers: PeerServerHandlers<Request, Reply>,
-    traffic: ControlTraffic,
+    private readonly handlers: PeerServerHandlers<Request, Reply>,
+    private readonly traffic: ControlTraffic,
+    private readonly options: PeerServerOptions = {},
   ) {
-    this.server.addService(peerService, {
-      call: handlers.call,
-      exchanges: handlers.exchanges,
-      exchange: (
-        call: grpc.ServerUnaryCall<Buffer, Buffer>,
-        done: grpc.sendUnaryData<Buffer>,
-      ) => {
-        traffic.received('exchanges', call.request.length);
-        handlers.exchange(decodeDocument<Request>(call.request), (reply) => {
-          const bytes = encodeDocument(reply);
-          traffic.sent('exchanges', bytes.length);
-          done(null, bytes);
-        });
-      },
-    });
+    this.sockets = new PeerSockets(options.startTicks);
+    this.server = createServer({noDelay: true}, (socket) =>
+      this.accept(socket),
+    );
   }
 
   /** Listens on an address; rejects if the address is in use. */
   async start(address: string): Promise<void> {
+    const {host, port} = parseAddress(address) ?? {};
+    if (host === undefined) {
+      throw new Error(`not an IP address and port: ${address}`);
+    }
     await new Promise<void>((resolve, reject) => {
-      this.server.bindAsync(
-        address,
-        grpc.ServerCredentials.createInsecure(),
-        (error) => (error ? reject(error) : resolve()),
-      );
+      this.server.once('error', reject);
+      this.server.listen(port, host, () => {
+        this.server.off('error', reject);
+        // An accept may fail while the process has no file descriptor left.
+        this.server.on('error', () => undefined);
+        resolve();
+      });
     });
   }
 
-  /** Refuses new calls; resolves once those in flight have finished. */
+  /**
+   * Accepts no new streams; resolves once the open ones have ended. Connections
+   * of single requests end with their last reply.
+   */
   async drain(): Promise<void> {
+    this.isDraining = true;
+    this.server.close();
+    this.served.forEach((requests) => requests.drain());
     await new Promise<void>((resolve) => {
-      this.server.tryShutdown(() => resolve());
+      this.onDrained = resolve;
+      this.reportDrained();
     });
   }
 
+  /** Accepts no new streams and ends all streams. */
   stop(): void {
-    this.server.forceShutdown();
+    this.server.close();
+    this.sockets.stop();
+  }
+
+  private accept(socket: Socket): void {
+    const {remoteAddress = '', remotePort = 0} = socket;
+    let requests: ServedRequests | undefined;
+    const opened: PeerSocket = new PeerSocket(socket, {
+      onPreface: (method) => {
+        requests = this.serve(opened, method);
+      },
+      onViolation: (violation) =>
+        this.options.onViolation?.(`${remoteAddress}:${remotePort}`, violation),
+      onClosed: () => {
+        this.sockets.delete(opened);
+        if (requests !== undefined) {
+          this.served.delete(requests);
+        }
+        this.reportDrained();
+      },
+    });
+    this.sockets.add(opened);
+  }
+
+  private serve(
+    stream: PeerStream,
+    method: PeerMethod,
+  ): ServedRequests | undefined {
+    if (this.isDraining) {
+      // The connection was accepted before, but no stream was opened on it.
+      stream.cancel();
+    } else if (method === 'requests') {
+      const requests = new ServedRequests(stream, (bytes, reply) =>
+        this.answer(bytes, reply),
+      );
+      this.served.add(requests);
+      return requests;
+    } else {
+      this.handlers[method](stream);
+    }
+    return undefined;
+  }
+
+  private answer(bytes: Buffer, reply: (bytes: Buffer) => void): void {
+    this.traffic.received('exchanges', bytes.length);
+    this.handlers.exchange(decodeDocument<Request>(bytes), (message) => {
+      const encoded = encodeDocument(message);
+      this.traffic.sent('exchanges', encoded.length);
+      reply(encoded);
+    });
+  }
+
+  private reportDrained(): void {
+    if (this.sockets.size === 0) {
+      this.onDrained?.();
+    }
   }
 }
--- a/packages/node/src/process/composition.ts
+++ b/packages/node/src/process/composition.ts
@@ -12,6 +12,7 @@
 import {DatagramSocket} from '../connection/datagramSocket.js';
 import {LogClient} from '../connection/logClient.js';
 import {PeerChannels} from '../connection/peerChannels.js';
+import type {PeerViolation} from '../connection/peerProtocol.js';
 import {PeerServer} from '../connection/peerServer.js';
 import type {PeerServerHandlers} from '../connection/peerServer.js';
 import {UpstreamPools} from '../connection/upstreamPools.js';
@@ -80,7 +81,10 @@
   registerSingleton(TOKENS.pools, () => new UpstreamPools());
   registerSingleton(
     TOKENS.channels,
-    (dependencies) => new PeerChannels(dependencies.resolve(TOKENS.traffic)),
+    (dependencies) =>
+      new PeerChannels(dependencies.resolve(TOKENS.traffic), {
+        onViolation: violationReporter(dependencies),
+      }),
   );
   registerSingleton(
     TOKENS.log,
@@ -284,5 +288,16 @@
     exchanges: (stream) => serveExchangeStream(stream, begin),
     exchange: (request, reply) => host.exchangeReceived(request, reply),
   };
-  return new PeerServer(handlers, dependencies.resolve(TOKENS.traffic));
+  return new PeerServer(handlers, dependencies.resolve(TOKENS.traffic), {
+    onViolation: violationReporter(dependencies),
+  });
+}
+
+/** Reports connections closed since the other end violated the protocol. */
+function violationReporter(
+  dependencies: DependencyContainer,
+): (peer: string, violation: PeerViolation) => void {
+  const logger = dependencies.resolve(TOKENS.logger);
+  return (peer, violation) =>
+    logger.warn('peer protocol violated', {peer, violation});
 }
--- a/packages/node/src/process/fleetComposition.ts
+++ b/packages/node/src/process/fleetComposition.ts
@@ -13,6 +13,7 @@
   steadyClock,
 } from '@lockpin/utils';
 import {PeerChannels} from '../connection/peerChannels.js';
+import type {PeerViolation} from '../connection/peerProtocol.js';
 import {PeerServer} from '../connection/peerServer.js';
 import {UpstreamPools} from '../connection/upstreamPools.js';
 import type {CallRecord} from '../request/attemptHistory.js';
@@ -131,12 +132,27 @@
 ): PeerChannels<PeerQuery, PeerQueryReply> {
   const log = dependencies.resolve(FLEET_TOKENS.log);
   const metrics = dependencies.resolve(FLEET_TOKENS.metrics);
-  return new PeerChannels(new ControlTraffic(), (peer, cause) => {
-    log.event('peer-connection-renewed', {peer, cause});
-    metrics.increment('peer.renewed', {cause});
+  return new PeerChannels(new ControlTraffic(), {
+    onRenewed: (peer, cause) => {
+      log.event('peer-connection-renewed', {peer, cause});
+      metrics.increment('peer.renewed', {cause});
+    },
+    onViolation: violationReporter(dependencies),
   });
 }
 
+/** Reports connections closed since the other end violated the protocol. */
+function violationReporter(
+  dependencies: DependencyContainer,
+): (peer: string, violation: PeerViolation) => void {
+  const log = dependencies.resolve(FLEET_TOKENS.log);
+  const metrics = dependencies.resolve(FLEET_TOKENS.metrics);
+  return (peer, violation) => {
+    log.event('peer-protocol-violated', {peer, violation});
+    metrics.increment('peer.violations', {violation});
+  };
+}
+
 function createFollowers(
   dependencies: DependencyContainer,
 ): Subscribers<PeerNews> {
@@ -308,6 +324,7 @@
         reply(host.fleet.answer(steadyClock(), query)),
     },
     new ControlTraffic(),
+    {onViolation: violationReporter(dependencies)},
   );
 }
 
--- a/packages/node/src/process/metrics.ts
+++ b/packages/node/src/process/metrics.ts
@@ -23,6 +23,7 @@
   'members.usable',
   'peer.bytes',
   'peer.renewed',
+  'peer.violations',
   'announcements.refused',
   'readers.followed',
   'readers.heard',
--- a/packages/node/src/request/exchangeStream.ts
+++ b/packages/node/src/request/exchangeStream.ts
@@ -1,14 +1,14 @@
 // Copyright (c) 2026 the lockpin contributors. MIT licence, see LICENSE.
 /** Client side of a stream that multiplexes exchanges with one guard. */
 
-import type grpc from '@grpc/grpc-js';
+import type {PeerStream} from '../connection/peerStream.js';
 import type {Exchange, ExchangeHandlers} from './exchange.js';
+import {writeBatch} from './exchangeStreamBatch.js';
 import {FrameBatch, decodeBatch} from './frameBatch.js';
 import type {NumberedFrame, OnFrameBytes} from './frameBatch.js';
 import type {CallHead, PeerNews} from './frames.js';
-import {wasNeverSent} from './remoteExchange.js';
 
-/** Time without exchanges after which a stream is closed. */
+/** Time without exchanges after which a stream is closed, at most twice that. */
 const IDLE_MILLISECONDS = 60_000;
 
 /** Consecutive unanswered offers after which a new connection is opened. */
@@ -35,23 +35,27 @@
   private idleTimer: NodeJS.Timeout | undefined;
 
   constructor(
-    private readonly stream: grpc.ClientDuplexStream<Buffer, Buffer>,
+    private readonly stream: PeerStream,
     private readonly onNews: (news: PeerNews) => void,
     onFrameBytes?: OnFrameBytes,
   ) {
     this.batch = new FrameBatch((bytes) => {
       if (!this.hasBroken) {
-        stream.write(bytes);
+        writeBatch(stream, bytes);
       }
     }, onFrameBytes);
-    stream.on('data', (bytes: Buffer) => {
-      this.unansweredOffers = 0;
-      decodeBatch(bytes, onFrameBytes).forEach((frame) => this.receive(frame));
+    stream.handle({
+      onMessage: (bytes) => {
+        this.unansweredOffers = 0;
+        for (const frame of decodeBatch(bytes, onFrameBytes)) {
+          this.receive(frame);
+        }
+      },
+      onEnd: () => this.handleBreak(true),
+      onError: (wasSent) => this.handleBreak(wasSent),
+      onDrain: () => undefined,
     });
-    stream.on('end', () => this.handleBreak(true));
-    stream.on('error', (error: grpc.ServiceError) =>
-      this.handleBreak(!wasNeverSent(error)),
-    );
+    this.startIdlePeriod();
   }
 
   /** Whether new exchanges can be started. */
@@ -60,7 +64,6 @@
   }
 
   begin(head: CallHead, handlers: ExchangeHandlers): Exchange {
-    clearTimeout(this.idleTimer);
     this.serial += 1;
     const number = this.serial;
     const opened: OpenExchange = {handlers, uncreditedBytes: 0};
@@ -83,7 +86,6 @@
   /** Sets whether the stream stays open without exchanges. */
   setKeptOpen(isKept: boolean): void {
     this.isKept = isKept;
-    this.scheduleIdleEnd();
   }
 
   /** Sends news, which belongs to no call, to the guard's node. */
@@ -150,15 +152,23 @@
 
   private close(number: number): void {
     this.openExchanges.delete(number);
-    this.scheduleIdleEnd();
   }
 
-  private scheduleIdleEnd(): void {
-    clearTimeout(this.idleTimer);
-    if (this.openExchanges.size === 0 && !this.isKept) {
-      this.idleTimer = setTimeout(() => this.end(), IDLE_MILLISECONDS);
-      this.idleTimer.unref();
-    }
+  /**
+   * Ends the stream after a period in which no exchange was begun or open. One
+   * timer per period costs less than one per exchange.
+   */
+  private startIdlePeriod(): void {
+    const {serial} = this;
+    this.idleTimer = setTimeout(() => {
+      const isIdle = this.openExchanges.size === 0 && this.serial === serial;
+      if (isIdle && !this.isKept) {
+        this.end();
+      } else {
+        this.startIdlePeriod();
+      }
+    }, IDLE_MILLISECONDS);
+    this.idleTimer.unref();
   }
 
   private end(): void {
--- a/packages/node/src/request/exchangeStreamServer.ts
+++ b/packages/node/src/request/exchangeStreamServer.ts
@@ -1,8 +1,9 @@
 // Copyright (c) 2026 the lockpin contributors. MIT licence, see LICENSE.
 /** Server side of a stream that multiplexes exchanges with one entry. */
 
-import type grpc from '@grpc/grpc-js';
+import type {PeerStream} from '../connection/peerStream.js';
 import type {BeginExchange, Exchange, ExchangeHandlers} from './exchange.js';
+import {writeBatch} from './exchangeStreamBatch.js';
 import {FrameBatch, decodeBatch} from './frameBatch.js';
 import type {NumberedFrame} from './frameBatch.js';
 import {NO_EXCHANGE} from './exchangeStream.js';
@@ -36,7 +37,7 @@
 
 /** Serves a stream until it ends; open exchanges are then cancelled. */
 export function serveExchangeStream(
-  stream: grpc.ServerDuplexStream<Buffer, Buffer>,
+  stream: PeerStream,
   begin: BeginExchange,
   newsHandlers?: NewsHandlers,
 ): void {
@@ -49,12 +50,14 @@
   if (newsHandlers !== undefined) {
     server.sendNews(newsHandlers.first());
   }
-  stream.on('data', (bytes: Buffer) => server.receiveBatch(bytes));
-  stream.on('cancelled', onClose);
-  stream.on('error', onClose);
-  stream.on('end', () => {
-    onClose();
-    stream.end();
+  stream.handle({
+    onMessage: (bytes) => server.receiveBatch(bytes),
+    onEnd: () => {
+      onClose();
+      stream.end();
+    },
+    onError: onClose,
+    onDrain: () => undefined,
   });
 }
 
@@ -64,15 +67,17 @@
   private stopFollowing: (() => void) | undefined;
 
   constructor(
-    stream: grpc.ServerDuplexStream<Buffer, Buffer>,
+    stream: PeerStream,
     private readonly begin: BeginExchange,
     private readonly newsHandlers: NewsHandlers | undefined,
   ) {
-    this.batch = new FrameBatch((bytes) => stream.write(bytes));
+    this.batch = new FrameBatch((bytes) => writeBatch(stream, bytes));
   }
 
   receiveBatch(bytes: Buffer): void {
-    decodeBatch(bytes).forEach((frame) => this.receive(frame));
+    for (const frame of decodeBatch(bytes)) {
+      this.receive(frame);
+    }
   }
 
   sendNews(news: PeerNews): void {
--- a/packages/node/src/request/guardStreams.ts
+++ b/packages/node/src/request/guardStreams.ts
@@ -1,13 +1,13 @@
 // Copyright (c) 2026 the lockpin contributors. MIT licence, see LICENSE.
-/** Serves exchanges that use a gRPC call of their own. */
+/** Serves exchanges that use a connection of their own. */
 
-import type grpc from '@grpc/grpc-js';
+import type {PeerStream} from '../connection/peerStream.js';
 import type {BeginExchange, Exchange, ExchangeHandlers} from './exchange.js';
 import {decodeFrame, encodeFrame} from './frames.js';
 
 /** Serves one exchange; the first frame of its stream is the call. */
 export function serveGuardStream(
-  stream: grpc.ServerDuplexStream<Buffer, Buffer>,
+  stream: PeerStream,
   begin: BeginExchange,
 ): void {
   let exchange: Exchange | undefined;
@@ -16,7 +16,7 @@
     isOver = true;
   };
   const handlers = streamHandlers(stream, markOver);
-  stream.on('data', (bytes: Buffer) => {
+  const receive = (bytes: Buffer): void => {
     const frame = decodeFrame(bytes);
     if (frame.kind === 'call') {
       exchange = begin(frame.head, handlers);
@@ -27,18 +27,21 @@
     } else if (frame.kind === 'end') {
       exchange?.sendEnd();
     }
+  };
+  stream.handle({
+    onMessage: receive,
+    onEnd: () => undefined,
+    onError: () => {
+      if (!isOver) {
+        exchange?.cancel();
+      }
+    },
+    onDrain: () => exchange?.resume(),
   });
-  stream.on('drain', () => exchange?.resume());
-  stream.on('cancelled', () => {
-    if (!isOver) {
-      exchange?.cancel();
-    }
-  });
-  stream.on('error', () => undefined);
 }
 
 function streamHandlers(
-  stream: grpc.ServerDuplexStream<Buffer, Buffer>,
+  stream: PeerStream,
   markOver: () => void,
 ): ExchangeHandlers {
   const endWith = (bytes: Buffer): void => {
@@ -65,7 +68,7 @@
     onRefusal: (refusal) => endWith(encodeFrame({kind: 'refusal', refusal})),
     onLost: () => {
       markOver();
-      stream.destroy(new Error('upstream answer interrupted before its end'));
+      stream.cancel();
     },
   };
 }
--- a/packages/node/src/request/remoteExchange.ts
+++ b/packages/node/src/request/remoteExchange.ts
@@ -1,8 +1,7 @@
 // Copyright (c) 2026 the lockpin contributors. MIT licence, see LICENSE.
-/** An exchange with a guard on another box, on a gRPC call of its own. */
+/** An exchange with a guard on another box, on a connection of its own. */
 
-import grpc from '@grpc/grpc-js';
-import type {PeerClient} from '../connection/peerProtocol.js';
+import type {PeerClient} from '../connection/peerChannels.js';
 import type {Exchange, ExchangeHandlers} from './exchange.js';
 import {decodeFrame, encodeFrame} from './frames.js';
 import type {CallHead, Frame} from './frames.js';
@@ -21,7 +20,7 @@
       handlers.onLost(wasSent);
     }
   };
-  stream.on('data', (bytes: Buffer) => {
+  const receive = (bytes: Buffer): void => {
     if (isOver) {
       return;
     }
@@ -30,10 +29,13 @@
     if (deliver(frame, handlers) === 'congested') {
       stream.pause();
     }
+  };
+  stream.handle({
+    onMessage: receive,
+    onEnd: () => lost(true),
+    onError: lost,
+    onDrain: handlers.onContinue,
   });
-  stream.on('end', () => lost(true));
-  stream.on('error', (error: grpc.ServiceError) => lost(!wasNeverSent(error)));
-  stream.on('drain', handlers.onContinue);
   stream.write(encodeFrame({kind: 'call', head}));
   return {
     sendChunk: (bytes) => stream.write(encodeFrame({kind: 'chunk', bytes})),
@@ -42,7 +44,7 @@
       stream.end();
     },
     go: () => undefined,
-    resume: () => void stream.resume(),
+    resume: () => stream.resume(),
     cancel: () => {
       isOver = true;
       stream.cancel();
@@ -50,17 +52,6 @@
   };
 }
 
-/** Start of the grpc-js error details of a call that got no connection. */
-const NO_CONNECTION = 'No connection established';
-
-/** Whether the call was certainly not sent; when unclear, it counts as sent. */
-export function wasNeverSent(error: grpc.ServiceError): boolean {
-  return (
-    error.code === grpc.status.UNAVAILABLE &&
-    error.details.startsWith(NO_CONNECTION)
-  );
-}
-
 function isLastFrame(frame: Frame): boolean {
   return (
     frame.kind === 'end' ||
--- a/packages/node/src/request/remoteExchanges.ts
+++ b/packages/node/src/request/remoteExchanges.ts
@@ -2,7 +2,7 @@
 /** Manages exchanges with the guards of other boxes. */
 
 import type {FollowedPeers} from '@lockpin/fleet';
-import type {PeerClient} from '../connection/peerProtocol.js';
+import type {PeerClient} from '../connection/peerChannels.js';
 import type {Exchange, ExchangeHandlers} from './exchange.js';
 import {ExchangeStream} from './exchangeStream.js';
 import type {NewsHandlers} from './exchangeStreamServer.js';
@@ -12,9 +12,9 @@
 import {beginRemoteExchange} from './remoteExchange.js';
 
 /**
- * Keeps one stream to each guard in use, since a gRPC call per exchange costs
- * several times as much as the exchange. A streamed request body gets a call of
- * its own, for the flow control of that call.
+ * Keeps one stream to each guard in use, since a stream per exchange costs
+ * several times as much as the exchange. A streamed request body gets a stream
+ * of its own, for the flow control of that call.
  */
 export class RemoteExchanges {
   private readonly streams = new Map<string, ExchangeStream>();
