--- a/packages/brain/src/entry/retryPolicy.ts
+++ b/packages/brain/src/entry/retryPolicy.ts
@@ -83,16 +83,17 @@
 
   /** Takes a retry from the service's budget; false if not allowed. */
   payRetry(now: number, state: RetryState): boolean {
-    if (
-      !this.hasAttemptsLeft(state) ||
-      !this.budget(state.call).takeRetry(now)
-    ) {
+    if (!this.hasAttemptsLeft(state) || !this.takeFromBudget(now, state.call)) {
       return false;
     }
     state.paidAttempts += 1;
     return true;
   }
 
+  private takeFromBudget(now: number, call: EntryCall): boolean {
+    return this.budget(call).takeRetry(now, call.route.spec.priority);
+  }
+
   private isRerouteLimitReached({reroutes}: RetryState): boolean {
     return reroutes >= this.settings.maximumReroutes;
   }
--- a/packages/brain/src/guard/chargeRetryBudget.ts
+++ b/packages/brain/src/guard/chargeRetryBudget.ts
@@ -10,11 +10,11 @@
  */
 export function chargeRetryBudget(
   now: number,
-  {attempt, retryShare, mayBeRepeat}: GuardCall,
+  {attempt, priority, retryShare, mayBeRepeat}: GuardCall,
   retries: RetryAllowance,
 ): boolean {
   if (attempt > 1) {
-    return retries.takeRetry(now);
+    return retries.takeRetry(now, priority);
   }
   retries.firstAttempt(now, retryShare);
   if (mayBeRepeat === true) {
--- a/packages/brain/src/guard/upstreamRefusals.ts
+++ b/packages/brain/src/guard/upstreamRefusals.ts
@@ -42,7 +42,7 @@
     if (this.isEjectedFor(now, call, isIdle)) {
       return 'upstream-ejected';
     }
-    return call.attempt > 1 && !this.retries.hasRetry(now)
+    return call.attempt > 1 && !this.retries.hasRetry(now, call.priority)
       ? 'retries-exhausted'
       : undefined;
   }
--- a/packages/node/src/process/fleetStateMachines.ts
+++ b/packages/node/src/process/fleetStateMachines.ts
@@ -74,11 +74,13 @@
   quarantinedFor: EntrySettings['quarantinedFor'],
 ): GuardStateMachine {
   const {box, isFirstStart, switchedOff} = settings();
+  const isOn = mechanismSwitch(switchedOff);
   return new GuardStateMachine(
     {box, incarnation},
-    fleetGuardSettings(mechanismSwitch(switchedOff), {
+    fleetGuardSettings(isOn, {
       createRetryBudget: (service) =>
         fleetRetryBudget({
+          isOn,
           startedAt,
           isFirstStart,
           retries: () => settings().retries,
--- a/packages/routing/src/retryBudget.ts
+++ b/packages/routing/src/retryBudget.ts
@@ -10,10 +10,13 @@
   readonly firstAttempt: (now: number, share: number) => void;
   /** Records an arriving call that is a repeat made by another party. */
   readonly repeatArrived: (now: number) => void;
-  /** Whether a retry is available now. */
-  readonly hasRetry: (now: number) => boolean;
-  /** Takes one retry; false if none is available. */
-  readonly takeRetry: (now: number) => boolean;
+  /**
+   * Whether a retry is available now to a call of this priority; 0 is the most
+   * urgent.
+   */
+  readonly hasRetry: (now: number, priority: number) => boolean;
+  /** Takes one retry; false if none is available to this priority. */
+  readonly takeRetry: (now: number, priority: number) => boolean;
   /** Whole retries that are available now; infinite without a limit. */
   readonly retriesLeft: (now: number) => number;
   /**
