Concurrency limit that is lowered only where that avoids rejections

Cause: AdaptiveLimit lowers the concurrency by 30% for calls that the upstream shed, whatever the reason, down to one. In a declared fleet it never saw the calls that an upstream refuses without running them (Not-Executed): these only raised doubt, and an upstream that takes three calls at once was offered eight again and again.

Change: RejectionLimit counts accepted and rejected calls by the concurrency at which they were sent, and lowers the limit to the level above which rejections are explained by concurrency (likelihood ratio, effect of at least a half). A lowered limit is kept for 0.5 to 2 s, then raised by 1, 2, 4 every 250 ms; one rejection above it lowers it again. Admission takes the limit as a function; declared fleets use the new one, 'rejection-limit' switches it off, all others keep AdaptiveLimit.

--- a/packages/admission/src/adaptiveLimit.ts
+++ b/packages/admission/src/adaptiveLimit.ts
@@ -1,6 +1,8 @@
 // Copyright (c) 2026 the lockpin contributors. MIT licence, see LICENSE.
 /** Adapts the concurrency limit of an upstream to its answers. */
 
+import type {ConcurrencyLimit} from './concurrencyLimit.js';
+
 /** Multiplicative decrease when the upstream sheds a call. */
 const SHED_FACTOR = 0.7;
 
@@ -11,7 +13,7 @@
 const GROWTH_PER_ROUND = 1;
 
 /** Additive increase, multiplicative decrease (AIMD), capped at the slots. */
-export class AdaptiveLimit {
+export class AdaptiveLimit implements ConcurrencyLimit {
   private allowed: number;
   private loweredAt = Number.NEGATIVE_INFINITY;
 
@@ -34,24 +36,38 @@
   }
 
   /** Raises the limit after a successful call. */
-  succeeded(): void {
-    this.allowed = Math.min(
-      this.slots,
-      this.allowed + GROWTH_PER_ROUND / this.allowed,
-    );
+  accepted(_now: number, _callId: string, isSuccess: boolean): void {
+    if (isSuccess) {
+      this.allowed = Math.min(
+        this.slots,
+        this.allowed + GROWTH_PER_ROUND / this.allowed,
+      );
+    }
   }
 
   /**
    * Lowers the limit after the upstream shed a call. Calls that started under
    * the previous limit do not lower it again.
    */
-  shed(now: number, startedAt: number): void {
+  shed(now: number, _callId: string, startedAt: number): void {
     if (startedAt >= this.loweredAt) {
       this.allowed = Math.max(1, this.allowed * SHED_FACTOR);
       this.loweredAt = now;
     }
   }
 
+  /** Does nothing: only calls that were shed show overload. */
+  rejected(): void {}
+
+  /** Does nothing, as the limit changes with answers only. */
+  advance(): void {}
+
+  /** Does nothing, as the limit does not depend on the running calls. */
+  sent(): void {}
+
+  /** Does nothing, as the limit does not depend on the running calls. */
+  ended(): void {}
+
   /** Resets the limit for an upstream that has returned and is cold. */
   resetToCold(): void {
     this.allowed = Math.max(1, this.slots * COLD_SHARE);
--- a/packages/admission/src/admission.ts
+++ b/packages/admission/src/admission.ts
@@ -4,6 +4,10 @@
 import type {RefusalReason} from '@lockpin/types';
 import {AdaptiveLimit} from './adaptiveLimit.js';
 import {BoundedQueue} from './boundedQueue.js';
+import type {
+  ConcurrencyLimit,
+  CreateConcurrencyLimit,
+} from './concurrencyLimit.js';
 import {isTooLateToWait} from './expectedWait.js';
 import type {ExpectedWait} from './expectedWait.js';
 import {isTooLateFor} from './fairQueue.js';
@@ -59,17 +63,19 @@
 export class Admission {
   /** The limit of calls per second that the upstream states. */
   readonly rate = new RequestRate();
+  /** The limit of concurrent calls. */
+  readonly limit: ConcurrencyLimit;
   private readonly queue: BoundedQueue;
   private readonly running = new Map<string, RunningEntry>();
-  private readonly limit: AdaptiveLimit;
   private duration = FIRST_DURATION_MILLISECONDS;
 
   constructor(
     private slots: number,
     cold: boolean,
+    createLimit: CreateConcurrencyLimit = (...of) => new AdaptiveLimit(...of),
   ) {
     this.queue = new BoundedQueue(slots);
-    this.limit = new AdaptiveLimit(slots, cold);
+    this.limit = createLimit(slots, cold);
   }
 
   /** Running and queued calls. */
@@ -134,6 +140,7 @@
     milliseconds: number | undefined,
   ): DispatchResult {
     this.running.delete(id);
+    this.limit.ended(id);
     if (milliseconds !== undefined) {
       this.duration += DURATION_WEIGHT * (milliseconds - this.duration);
     }
@@ -188,17 +195,9 @@
     return calls;
   }
 
-  succeeded(): void {
-    this.limit.succeeded();
-  }
-
   /** The upstream shed a running call. */
   shed(now: number, id: string): void {
-    this.limit.shed(now, this.running.get(id)?.startedAt ?? now);
-  }
-
-  resetToCold(): void {
-    this.limit.resetToCold();
+    this.limit.shed(now, id, this.running.get(id)?.startedAt ?? now);
   }
 
   private startOrRefuse(now: number, call: WaitingCall): AdmissionDecision {
@@ -210,6 +209,7 @@
   }
 
   private mayStart(now: number): boolean {
+    this.limit.advance(now);
     return this.running.size < this.limit.current && this.rate.hasToken(now);
   }
 
--- a/packages/brain/src/__tests__/reservations.test.ts
+++ b/packages/brain/src/__tests__/reservations.test.ts
@@ -2,8 +2,10 @@
 /** Tests slots reserved until the entry's go signal, retries and doubt. */
 
 import {describe, expect, it} from 'vitest';
+import {RejectionLimit} from '@lockpin/admission';
 import {RetryBudget} from '@lockpin/routing';
 import {DEFAULT_GUARD_SETTINGS} from '../guard/guardMessages.js';
+import {GuardStateMachine} from '../guard/guardStateMachine.js';
 import {
   GuardHarness,
   UPSTREAM,
@@ -153,6 +155,31 @@
     expect(refusalsOf(actions)).toEqual(['upstream-refused not-run']);
   });
 
+  // Guards against more calls than an overloaded upstream takes.
+  it('lowers the limit if only calls beside three others are rejected', () => {
+    const guard = new GuardStateMachine(
+      {box: 'box', incarnation: 'a'},
+      {
+        ...DEFAULT_GUARD_SETTINGS,
+        hasQuickDoubt: true,
+        createLimit: (slots, isCold) => new RejectionLimit(slots, isCold),
+      },
+    );
+    const harness = new GuardHarness(8, undefined, undefined, guard);
+    const call = {needsGo: false, mayRunDoubted: true};
+    ['1', '2', '3'].forEach((id) => harness.offer(id, call));
+    for (let i = 0; i < 10; i += 1) {
+      harness.now += 10;
+      harness.offer(`more ${i}`, call);
+      harness.handle({
+        kind: 'upstream-refused',
+        callId: `more ${i}`,
+        reason: 'upstream-refused',
+      });
+    }
+    expect(guard.hintOf(harness.now, UPSTREAM)?.limit).toBe(3);
+  });
+
   it('excludes the upstream while another process has its address', () => {
     const harness = new GuardHarness();
     harness.offer('1', {needsGo: false});
--- a/packages/brain/src/guard/guardMessages.ts
+++ b/packages/brain/src/guard/guardMessages.ts
@@ -1,6 +1,8 @@
 // Copyright (c) 2026 the lockpin contributors. MIT licence, see LICENSE.
 /** Events that a guard handles, the actions it returns, and its settings. */
 
+import {AdaptiveLimit} from '@lockpin/admission';
+import type {CreateConcurrencyLimit} from '@lockpin/admission';
 import {RetryBudget} from '@lockpin/routing';
 import type {LoadHint, RetryAllowance} from '@lockpin/routing';
 import type {StoredAnswer} from '@lockpin/once';
@@ -78,6 +80,8 @@
   readonly doubtReleasesQueue: boolean;
   /** Whether a suspect upstream announces a reduced limit. */
   readonly limitsSuspects: boolean;
+  /** Creates the limit of concurrent calls to an upstream. */
+  readonly createLimit: CreateConcurrencyLimit;
   /** Creates the retry budget of a service on this box. */
   readonly createRetryBudget: (service: string) => RetryAllowance;
   /**
@@ -100,6 +104,7 @@
   excusesFailures: true,
   doubtReleasesQueue: true,
   limitsSuspects: true,
+  createLimit: (slots, isCold) => new AdaptiveLimit(slots, isCold),
   createRetryBudget: () => new RetryBudget(),
   drainFinishesQueue: true,
   quarantinedFor: () => 0,
--- a/packages/brain/src/guard/upstreamGuard.ts
+++ b/packages/brain/src/guard/upstreamGuard.ts
@@ -74,6 +74,7 @@
     this.admission = new Admission(
       resource.spec.slots,
       !settings.hasQuickDoubt,
+      settings.createLimit,
     );
     this.notice = new StatedNotice(this.admission.rate);
     this.doubt = new QuickDoubt(settings);
@@ -193,6 +194,7 @@
       return false;
     }
     this.running.set(call.id, {call, startedAt: now, isSent: true});
+    this.admission.limit.sent(call.id);
     this.doubt.sent(now, call.id, this.durations.expected(now, call));
     return true;
   }
@@ -217,7 +219,11 @@
     callId: string,
     reason: 'upstream-refused' | 'upstream-replaced',
   ): DispatchResult {
-    this.isReplaced ||= reason === 'upstream-replaced';
+    if (reason === 'upstream-refused') {
+      this.admission.limit.rejected(now, callId);
+    } else {
+      this.isReplaced = true;
+    }
     this.observe(now, callId, 'refused');
     return this.release(now, callId);
   }
@@ -246,8 +252,8 @@
       status >= FIRST_SERVER_ERROR_STATUS && status !== NOT_IMPLEMENTED_STATUS;
     if (isShed) {
       this.admission.shed(now, callId);
-    } else if (!isFailure) {
-      this.admission.succeeded();
+    } else {
+      this.admission.limit.accepted(now, callId, !isFailure);
     }
     if (isFailure && this.ownCallFailures.explainsFailure(now)) {
       this.doubt.forget(callId);
@@ -346,7 +352,7 @@
     }
     const change = this.standing.ended(now, running, failed);
     if (change?.change === 'returned') {
-      this.admission.resetToCold();
+      this.admission.limit.resetToCold();
     }
     // The duration of a failed call is no measure of how long slots are held.
     const milliseconds = failed ? undefined : now - running.startedAt;
--- a/packages/node/src/process/fleetGuardSettings.ts
+++ b/packages/node/src/process/fleetGuardSettings.ts
@@ -1,6 +1,7 @@
 // Copyright (c) 2026 the lockpin contributors. MIT licence, see LICENSE.
 /** Guard settings of a declared fleet. */
 
+import {RejectionLimit} from '@lockpin/admission';
 import {DEFAULT_GUARD_SETTINGS} from '@lockpin/brain';
 import type {GuardSettings} from '@lockpin/brain';
 import {NO_RETRIES} from '@lockpin/routing';
@@ -27,6 +28,9 @@
     excusesFailures: isOn('excused-failures'),
     doubtReleasesQueue: isOn('queue-release'),
     limitsSuspects: isOn('suspect-limit'),
+    ...(isOn('rejection-limit') && {
+      createLimit: (slots, isCold) => new RejectionLimit(slots, isCold),
+    }),
     createRetryBudget: isOn('paid-retries')
       ? fleet.createRetryBudget
       : () => NO_RETRIES,
--- a/packages/node/src/process/mechanisms.ts
+++ b/packages/node/src/process/mechanisms.ts
@@ -23,6 +23,8 @@
   holding: 'calls that find no slot are refused after one round of offers',
   quarantine: 'requests that end each upstream that runs them run again',
   'paid-retries': 'nothing pays for second attempts',
+  'rejection-limit':
+    'calls that an upstream rejects do not change its limit of running calls',
   'strict-budget':
     'retries keep their budget in windows that end with a retry, not in all',
   'urgent-retries': 'the last retries go to whichever call asks first',
