Show the concurrency limit and the retries left of an upstream

Cause: neither the log nor the metrics said which limit a guard applied to concurrent calls, nor how many retries it had left, so that refusals as retries-exhausted could not be told apart from a budget that was not used.

Change: guard-call lines get concurrencyLimit, running, concurrencyLimitAge (ms since rejections lowered it) and retriesLeft; metrics upstream.concurrency, upstream.retriesLeft, guard.rejected and guard.retriesExhausted.

--- a/packages/admission/src/adaptiveLimit.ts
+++ b/packages/admission/src/adaptiveLimit.ts
@@ -15,7 +15,7 @@
 /** Additive increase, multiplicative decrease (AIMD), capped at the slots. */
 export class AdaptiveLimit implements ConcurrencyLimit {
   private allowed: number;
-  private loweredAt = Number.NEGATIVE_INFINITY;
+  private lastShedAt = Number.NEGATIVE_INFINITY;
 
   constructor(
     private slots: number,
@@ -29,6 +29,11 @@
     return Math.max(1, Math.floor(this.allowed));
   }
 
+  get loweredAt(): number | undefined {
+    const isLowered = this.lastShedAt >= 0 && this.allowed < this.slots;
+    return isLowered ? this.lastShedAt : undefined;
+  }
+
   /** The operator changed the slots. */
   setSlots(slots: number): void {
     this.slots = slots;
@@ -50,9 +55,9 @@
    * the previous limit do not lower it again.
    */
   shed(now: number, _callId: string, startedAt: number): void {
-    if (startedAt >= this.loweredAt) {
+    if (startedAt >= this.lastShedAt) {
       this.allowed = Math.max(1, this.allowed * SHED_FACTOR);
-      this.loweredAt = now;
+      this.lastShedAt = now;
     }
   }
 
--- a/packages/admission/src/concurrencyLimit.ts
+++ b/packages/admission/src/concurrencyLimit.ts
@@ -5,6 +5,11 @@
 export interface ConcurrencyLimit {
   /** Concurrent calls allowed now; at least one. */
   readonly current: number;
+  /**
+   * When rejections last lowered the limit, in milliseconds; undefined while it
+   * is not lowered.
+   */
+  readonly loweredAt: number | undefined;
   /** The operator changed the slots. */
   readonly setSlots: (slots: number) => void;
   /** Brings the limit up to date with the time, in milliseconds. */
--- a/packages/admission/src/rejectionLimit.ts
+++ b/packages/admission/src/rejectionLimit.ts
@@ -43,6 +43,7 @@
   private hold = 0;
   private nextRaise = 1;
   private raiseAt = 0;
+  private lastLoweredAt = 0;
 
   constructor(
     private slots: number,
@@ -56,6 +57,10 @@
     return Math.min(this.allowed, this.growth.current);
   }
 
+  get loweredAt(): number | undefined {
+    return this.allowed < this.slots ? this.lastLoweredAt : undefined;
+  }
+
   setSlots(slots: number): void {
     const isLowered = this.allowed < this.slots;
     this.allowed = isLowered ? Math.min(this.allowed, slots) : slots;
@@ -139,6 +144,7 @@
       MAXIMUM_HOLD_MILLISECONDS,
       Math.max(FIRST_HOLD_MILLISECONDS, this.hold * 2),
     );
+    this.lastLoweredAt = now;
     this.nextRaise = 1;
     this.raiseAt = now + this.hold;
   }
--- a/packages/brain/src/guard/guardMessages.ts
+++ b/packages/brain/src/guard/guardMessages.ts
@@ -194,6 +194,20 @@
   readonly age: number;
 }
 
+/** What limits the calls to an upstream, for logs and metrics. */
+export interface GuardLimits {
+  readonly concurrencyLimit: number;
+  /** Calls that hold a slot. */
+  readonly running: number;
+  /**
+   * Milliseconds since rejections lowered the limit; undefined while it is not
+   * lowered.
+   */
+  readonly concurrencyLimitAge: number | undefined;
+  /** Undefined without a limit of retries. */
+  readonly retriesLeft: number | undefined;
+}
+
 /** An action that the guard requests. */
 export type GuardAction =
   | {readonly kind: 'run'; readonly callId: string; readonly upstream: string}
--- a/packages/brain/src/guard/guardStateMachine.ts
+++ b/packages/brain/src/guard/guardStateMachine.ts
@@ -12,6 +12,7 @@
 import type {
   GuardAction,
   GuardEvent,
+  GuardLimits,
   GuardSettings,
   GuardedService,
 } from './guardMessages.js';
@@ -76,6 +77,11 @@
     return hint && this.isLeaving ? leavingHint(hint) : hint;
   }
 
+  /** What limits the calls to an upstream, for logs. */
+  limitsOf(now: number, upstream: string): GuardLimits | undefined {
+    return this.services.upstream(upstream)?.limits(now);
+  }
+
   /** The process behind an upstream; undefined if unknown. */
   incarnationOf(upstream: string): UpstreamIncarnation | undefined {
     return this.services.upstream(upstream)?.incarnation;
@@ -88,6 +94,8 @@
     readonly occupied: number;
     readonly limit: number;
     readonly denial: string;
+    /** Undefined without a limit of retries. */
+    readonly retriesLeft: number | undefined;
     /** Requests per second that the upstream states to take, if any. */
     readonly requestsPerSecond: number | undefined;
     /** Whether the upstream states that it is leaving. */
@@ -99,12 +107,14 @@
       const {name, standing, notice} = upstream;
       const {denial} = standing;
       const {requestsPerSecond, isLeaving} = notice;
+      const {retriesLeft} = upstream.limits(now);
       return {
         upstream: name,
         state: shownState,
         occupied,
         limit,
         denial,
+        retriesLeft,
         requestsPerSecond,
         isLeaving,
       };
--- a/packages/brain/src/guard/upstreamGuard.ts
+++ b/packages/brain/src/guard/upstreamGuard.ts
@@ -19,7 +19,7 @@
   UpstreamSpec,
 } from '@lockpin/types';
 import {FIRST_SERVER_ERROR_STATUS, incarnationText} from '@lockpin/utils';
-import type {GuardCall, GuardSettings} from './guardMessages.js';
+import type {GuardCall, GuardLimits, GuardSettings} from './guardMessages.js';
 import {OwnCallFailures} from './ownCallFailures.js';
 import {chargeRetryBudget} from './chargeRetryBudget.js';
 import {QuickDoubt} from './quickDoubt.js';
@@ -149,6 +149,20 @@
     return upstreamHint(now, this.announcedState(now), limit, sources);
   }
 
+  /** What limits the calls to the upstream at this time. */
+  limits(now: number): GuardLimits {
+    const {currentLimit, runningCount, limit} = this.admission;
+    const {loweredAt} = limit;
+    const retriesLeft = this.retries.retriesLeft(now);
+    return {
+      concurrencyLimit: currentLimit,
+      running: runningCount,
+      concurrencyLimitAge:
+        loweredAt === undefined ? undefined : Math.round(now - loweredAt),
+      retriesLeft: Number.isFinite(retriesLeft) ? retriesLeft : undefined,
+    };
+  }
+
   /** Why calls of this kind are refused now; undefined if they are accepted. */
   refusalReason(now: number, call: GuardCall): RefusalReason | undefined {
     const {isDraining, isReplaced, isIdle} = this;
--- a/packages/node/src/__tests__/decisionLog.test.ts
+++ b/packages/node/src/__tests__/decisionLog.test.ts
@@ -57,6 +57,12 @@
     reason: '',
     doubtReason: undefined,
     limit: undefined,
+    limits: {
+      concurrencyLimit: 3,
+      running: 2,
+      concurrencyLimitAge: 40,
+      retriesLeft: 1,
+    },
     status: 200,
     notice: undefined,
     waitedMilliseconds: 1,
@@ -78,6 +84,13 @@
     expect({statedLimit, statedLeaving}).toEqual(fields);
   });
 
+  it('writes what limits the calls to an upstream', () => {
+    const harness = new TestLog();
+    harness.log.guardCall(guardRecord());
+    const {limits} = guardRecord();
+    expect(harness.lines[0]).toMatchObject({...limits});
+  });
+
   it('writes request, configuration version and status of a call', () => {
     const harness = new TestLog();
     harness.log.call(record());
--- a/packages/node/src/process/decisionLog.ts
+++ b/packages/node/src/process/decisionLog.ts
@@ -60,7 +60,7 @@
   }
 
   /** Logs the end of a call at the guard of its upstream. */
-  guardCall({head, notice, limit, ...record}: GuardRecord): void {
+  guardCall({head, notice, limit, limits, ...record}: GuardRecord): void {
     const isRoutine = record.outcome === 'answered';
     this.write(
       isRoutine ? this.routineLimiter : this.notableLimiter,
@@ -73,6 +73,7 @@
         attempt: head.attempt,
         expectedMilliseconds: head.expectedMilliseconds,
         ...record,
+        ...limits,
         limitPerSecond: limit?.requestsPerSecond,
         limitAge: limit && Math.round(limit.age),
         statedLimit: notice?.requestsPerSecond ?? notice?.unreadableLimit,
--- a/packages/node/src/process/fleetComposition.ts
+++ b/packages/node/src/process/fleetComposition.ts
@@ -223,7 +223,7 @@
     onEnded: (record) => {
       log.guardCall(record);
       const {outcome, ranMilliseconds, head, notice} = record;
-      const {doubtReason, limit} = record;
+      const {doubtReason, limit, reason} = record;
       if (outcome === 'answered') {
         host.runSurvived(head.requestDigest);
       }
@@ -234,6 +234,12 @@
       if (limit !== undefined) {
         metrics.increment('guard.overLimit');
       }
+      if (reason === 'upstream-refused') {
+        metrics.increment('guard.rejected');
+      }
+      if (reason === 'retries-exhausted') {
+        metrics.increment('guard.retriesExhausted');
+      }
       for (const kind of noticeKinds(notice)) {
         metrics.increment('guard.notices', {kind});
       }
--- a/packages/node/src/process/fleetOperators.ts
+++ b/packages/node/src/process/fleetOperators.ts
@@ -39,7 +39,7 @@
   };
 }
 
-/** Shown for an upstream that states no limit. */
+/** Shown for an upstream that states no limit, or whose retries have none. */
 const NO_LIMIT = -1;
 
 function metricsHandler(container: DependencyContainer): RequestHandler {
@@ -76,6 +76,9 @@
     metrics.gauge('log.dropped', writer.counts.dropped);
     for (const {upstream, ...standing} of host.guard.standings(now)) {
       const {requestsPerSecond = NO_LIMIT, isLeaving} = standing;
+      const {limit, retriesLeft = NO_LIMIT} = standing;
+      metrics.gauge('upstream.concurrency', limit, {upstream});
+      metrics.gauge('upstream.retriesLeft', retriesLeft, {upstream});
       metrics.gauge('upstream.limit', requestsPerSecond, {upstream});
       metrics.gauge('upstream.leaving', isLeaving ? 1 : 0, {upstream});
     }
--- a/packages/node/src/request/guardService.ts
+++ b/packages/node/src/request/guardService.ts
@@ -289,6 +289,7 @@
       reason,
       doubtReason: cause.doubtReason,
       limit: cause.limit,
+      limits: this.dependencies.stateMachine.limitsOf(now, upstream),
       status,
       notice,
       waitedMilliseconds: (sentAt ?? now) - offeredAt,
