Charge a call that arrived at a process that replaced its upstream

Cause: each arrival at an upstream beyond the first of a call uses a retry, also one that is rejected. A call rejected by another process at the address of its upstream (421) goes elsewhere at no cost, so that its second arrival was not counted.

Change: the guard that sent it counts a repeat. Tests state besides that a call that an upstream rejected goes to a second one as a paid attempt also if it may run at most once; that was so before.

The new test of the entry stands at the end of its file: the tests there share one sequence of random numbers, and "spreads non-repeatable calls over all upstreams while slots are free" depends on it.

--- a/packages/brain/src/__tests__/overdueCalls.test.ts
+++ b/packages/brain/src/__tests__/overdueCalls.test.ts
@@ -521,3 +521,13 @@
     expect(kindsOf(harness.answerAttempt(500))).toEqual(['pass-answer']);
   });
 });
+
+describe('an upstream that rejects a call', () => {
+  it('leaves it to another as a second attempt, though it may run only once', () => {
+    const harness = new EntryHarness(['a', 'b']);
+    const first = upstreamOf(harness.receiveCall('at-most-once'));
+    const actions = harness.refuseAttempt(first, 'upstream-refused');
+    expect(actions).toMatchObject([{attempt: {number: 2}}]);
+    expect(upstreamOf(actions)).not.toBe(first);
+  });
+});
--- a/packages/brain/src/guard/upstreamGuard.ts
+++ b/packages/brain/src/guard/upstreamGuard.ts
@@ -237,6 +237,8 @@
       this.admission.limit.rejected(now, callId);
     } else {
       this.isReplaced = true;
+      // Its entry takes the call elsewhere at no cost, but it has arrived here.
+      this.retries.repeatArrived(now);
     }
     this.observe(now, callId, 'refused');
     return this.release(now, callId);
