--- a/packages/brain/src/__tests__/reservations.test.ts
+++ b/packages/brain/src/__tests__/reservations.test.ts
@@ -2,8 +2,10 @@
 /** Tests slots reserved until the entry's go signal, retries and doubt. */
 
 import {describe, expect, it} from 'vitest';
+import {RejectionLimit} from '@lockpin/admission';
 import {RetryBudget} from '@lockpin/routing';
 import {DEFAULT_GUARD_SETTINGS} from '../guard/guardMessages.js';
+import {GuardStateMachine} from '../guard/guardStateMachine.js';
 import {
   GuardHarness,
   UPSTREAM,
@@ -116,6 +118,38 @@
   });
 });
 
+describe('a call that its upstream rejected', () => {
+  const atMostOnce = {repetition: 'at-most-once', needsGo: false} as const;
+
+  function rejectedBy(
+    reason: 'upstream-refused' | 'upstream-replaced',
+  ): GuardHarness {
+    const harness = new GuardHarness(3, () => new RetryBudget(1));
+    harness.offer('1', {...atMostOnce, mayRunDoubted: true});
+    harness.handle({kind: 'upstream-refused', callId: '1', reason});
+    return harness;
+  }
+
+  it('is sent to a second one as a retry, though it may run only once', () => {
+    const harness = rejectedBy('upstream-refused');
+    const retry = {...atMostOnce, mayRunDoubted: true, attempt: 2};
+    expect(harness.offer('2', retry)).toMatchObject([{kind: 'run'}]);
+    expect(refusalsOf(harness.offer('3', retry))).toEqual([
+      'retries-exhausted not-run',
+    ]);
+  });
+
+  // Guards against an arrival at a second upstream that nothing counts: the
+  // entry takes a call from a replaced upstream elsewhere at no cost.
+  it('has used a retry if another process had taken the address', () => {
+    const harness = rejectedBy('upstream-replaced');
+    harness.configure({incarnation: {id: 'i-2', startedAt: 0}});
+    expect(refusalsOf(harness.offer('2', {attempt: 2}))).toEqual([
+      'retries-exhausted not-run',
+    ]);
+  });
+});
+
 describe('a queued call', () => {
   it('is refused at once when its upstream begins to drain', () => {
     const harness = new GuardHarness();
@@ -153,6 +187,31 @@
     expect(refusalsOf(actions)).toEqual(['upstream-refused not-run']);
   });
 
+  // Guards against more calls than an overloaded upstream takes.
+  it('lowers the limit if only calls beside three others are rejected', () => {
+    const guard = new GuardStateMachine(
+      {box: 'box', incarnation: 'a'},
+      {
+        ...DEFAULT_GUARD_SETTINGS,
+        hasQuickDoubt: true,
+        createLimit: (slots, isCold) => new RejectionLimit(slots, isCold),
+      },
+    );
+    const harness = new GuardHarness(8, undefined, undefined, guard);
+    const call = {needsGo: false, mayRunDoubted: true};
+    ['1', '2', '3'].forEach((id) => harness.offer(id, call));
+    for (let i = 0; i < 10; i += 1) {
+      harness.now += 10;
+      harness.offer(`more ${i}`, call);
+      harness.handle({
+        kind: 'upstream-refused',
+        callId: `more ${i}`,
+        reason: 'upstream-refused',
+      });
+    }
+    expect(guard.hintOf(harness.now, UPSTREAM)?.limit).toBe(3);
+  });
+
   it('excludes the upstream while another process has its address', () => {
     const harness = new GuardHarness();
     harness.offer('1', {needsGo: false});
--- a/packages/brain/src/guard/upstreamGuard.ts
+++ b/packages/brain/src/guard/upstreamGuard.ts
@@ -20,7 +20,7 @@
   UpstreamSpec,
 } from '@lockpin/types';
 import {FIRST_SERVER_ERROR_STATUS, incarnationText} from '@lockpin/utils';
-import type {GuardCall, GuardSettings} from './guardMessages.js';
+import type {GuardCall, GuardLimits, GuardSettings} from './guardMessages.js';
 import {OwnCallFailures} from './ownCallFailures.js';
 import {chargeRetryBudget} from './chargeRetryBudget.js';
 import {QuickDoubt} from './quickDoubt.js';
@@ -77,6 +77,7 @@
     this.admission = new Admission(
       resource.spec.slots,
       !settings.hasQuickDoubt,
+      settings.createLimit,
     );
     this.notice = new StatedNotice(this.admission.rate);
     this.doubt = new QuickDoubt({
@@ -159,6 +160,20 @@
     return upstreamHint(now, this.announcedState(now), limit, sources);
   }
 
+  /** What limits the calls to the upstream at this time. */
+  limits(now: number): GuardLimits {
+    const {currentLimit, runningCount, limit} = this.admission;
+    const {loweredAt} = limit;
+    const retriesLeft = this.retries.retriesLeft(now);
+    return {
+      concurrencyLimit: currentLimit,
+      running: runningCount,
+      concurrencyLimitAge:
+        loweredAt === undefined ? undefined : Math.round(now - loweredAt),
+      retriesLeft: Number.isFinite(retriesLeft) ? retriesLeft : undefined,
+    };
+  }
+
   /** Why calls of this kind are refused now; undefined if they are accepted. */
   refusalReason(now: number, call: GuardCall): RefusalReason | undefined {
     const {isDraining, isReplaced, isIdle} = this;
@@ -204,6 +219,7 @@
       return false;
     }
     this.running.set(call.id, {call, startedAt: now, isSent: true});
+    this.admission.limit.sent(call.id);
     this.doubt.sent(now, call.id, this.durations.expected(now, call));
     return true;
   }
@@ -228,8 +244,15 @@
     callId: string,
     reason: 'upstream-refused' | 'upstream-replaced',
   ): DispatchResult {
-    this.isReplaced ||= reason === 'upstream-replaced';
-    this.rejections.observe(now, reason === 'upstream-refused');
+    const isRejected = reason === 'upstream-refused';
+    this.rejections.observe(now, isRejected);
+    if (isRejected) {
+      this.admission.limit.rejected(now, callId);
+    } else {
+      this.isReplaced = true;
+      // Its entry takes the call elsewhere at no cost, but it has arrived here.
+      this.retries.repeatArrived(now);
+    }
     this.observe(now, callId, 'refused');
     return this.release(now, callId);
   }
@@ -259,8 +282,8 @@
       status >= FIRST_SERVER_ERROR_STATUS && status !== NOT_IMPLEMENTED_STATUS;
     if (isShed) {
       this.admission.shed(now, callId);
-    } else if (!isFailure) {
-      this.admission.succeeded();
+    } else {
+      this.admission.limit.accepted(now, callId, !isFailure);
     }
     if (isFailure && this.ownCallFailures.explainsFailure(now)) {
       this.doubt.forget(callId);
@@ -359,7 +382,7 @@
     }
     const change = this.standing.ended(now, running, failed);
     if (change?.change === 'returned') {
-      this.admission.resetToCold();
+      this.admission.limit.resetToCold();
     }
     // The duration of a failed call is no measure of how long slots are held.
     const milliseconds = failed ? undefined : now - running.startedAt;
