Nested calls inherit customer, priority and deadline of their parents

Cause: a nested call had neither the priority nor the customer of the call that made it, and any call on a box counted as a repeat while a repeat ran there.

A match gives the nested call the customer, weight and priority of the guard's record and the earlier deadline; an id without a match, and a call that shows a key, inherit nothing. A nested call is not held at the entry without a place in a queue. Call heads get isNested at their end (one byte). A retry no longer takes the priority number of the next more urgent kind of call. Mechanism: nested-calls.

--- a/packages/brain/src/__tests__/overdueCalls.test.ts
+++ b/packages/brain/src/__tests__/overdueCalls.test.ts
@@ -112,6 +112,7 @@
   receiveCall(
     repetition: Repetition,
     mayBeRepeat = false,
+    isNested = false,
   ): readonly EntryAction[] {
     return this.handle({
       kind: 'call-arrived',
@@ -127,6 +128,7 @@
         isReplayable: true,
         isCallersRetry: false,
         mayBeRepeat,
+        isNested,
       },
     });
   }
@@ -340,6 +342,14 @@
     );
   });
 
+  it('refuse a nested call without a pause, since its parent holds a slot', () => {
+    const harness = new EntryHarness(['a']);
+    harness.receiveCall('repeatable', false, true);
+    harness.refuseAttempt('s/a', 'upstream-busy');
+    const actions = harness.refuseAttempt('s/a', 'upstream-busy');
+    expect(kindsOf(actions)).toEqual(['refuse']);
+  });
+
   /** Returns the actions after both have refused with a retry-after time. */
   function actionsAfterWaits(
     first: number,
--- a/packages/brain/src/entry/callOffers.ts
+++ b/packages/brain/src/entry/callOffers.ts
@@ -65,6 +65,7 @@
 
   /**
    * Pauses a call, since slots may be freed soon, but only while it may wait.
+   * A nested call may not: its parent holds a slot.
    */
   pauseOrRefuse(
     now: number,
@@ -76,6 +77,7 @@
     const milliseconds = this.pauseBefore(state);
     if (
       pauseMilliseconds === 0 ||
+      state.call.isNested === true ||
       now + milliseconds > state.heldUntil ||
       isKeptOutByLimits(state, reason)
     ) {
--- a/packages/brain/src/entry/entryMessages.ts
+++ b/packages/brain/src/entry/entryMessages.ts
@@ -32,6 +32,11 @@
    * call may then be a repeat as well, and counts as one in the retry budget.
    */
   readonly mayBeRepeat?: boolean;
+  /**
+   * A call that runs on this box makes it and holds a slot meanwhile. It is
+   * never held here without a place in a queue.
+   */
+  readonly isNested?: boolean;
 }
 
 /** Whether a guard may queue a call, or run it on a doubted upstream. */
--- a/packages/brain/src/guard/callEndHandler.ts
+++ b/packages/brain/src/guard/callEndHandler.ts
@@ -22,7 +22,7 @@
     event: GuardEvent & {readonly kind: 'upstream-answered'},
   ): readonly GuardAction[] {
     const {callId, status, isShed, answer} = event;
-    const known = this.lifecycle.remove(callId);
+    const known = this.lifecycle.remove(now, callId);
     if (known === undefined) {
       return [];
     }
@@ -44,7 +44,7 @@
     callId: string,
     wasSent: boolean,
   ): readonly GuardAction[] {
-    const known = this.lifecycle.remove(callId);
+    const known = this.lifecycle.remove(now, callId);
     if (known === undefined) {
       return [];
     }
@@ -73,7 +73,7 @@
     callId: string,
     reason: 'upstream-refused' | 'upstream-replaced',
   ): readonly GuardAction[] {
-    const known = this.lifecycle.remove(callId);
+    const known = this.lifecycle.remove(now, callId);
     if (known === undefined) {
       return [];
     }
@@ -108,7 +108,7 @@
       // The call continues, so that a repeat of its key gets the outcome.
       return [];
     }
-    this.lifecycle.remove(callId);
+    this.lifecycle.remove(now, callId);
     this.services.ledgerOf(call)?.interrupted(call.onceKey ?? '');
     const isFault =
       reason === 'deadline-passed' && upstream.isOverdue(now, callId);
--- a/packages/brain/src/guard/callLifecycle.ts
+++ b/packages/brain/src/guard/callLifecycle.ts
@@ -3,6 +3,7 @@
 
 import type {DispatchResult} from '@lockpin/admission';
 import type {RefusalReason} from '@lockpin/types';
+import type {CallTree} from './callTree.js';
 import type {GuardAction, GuardCall, GuardSettings} from './guardMessages.js';
 import type {GuardedServices} from './guardedServices.js';
 import {refuse} from './guardRefusals.js';
@@ -29,6 +30,7 @@
     private readonly services: GuardedServices,
     private readonly reports: ReportSchedule,
     private readonly settings: GuardSettings,
+    private readonly callTree: CallTree,
   ) {}
 
   /** Number of accepted calls that have not ended. */
@@ -66,7 +68,7 @@
     callId: string,
     reason: RefusalReason,
   ): readonly GuardAction[] {
-    const known = this.remove(callId);
+    const known = this.remove(now, callId);
     if (known === undefined) {
       return [];
     }
@@ -74,9 +76,10 @@
   }
 
   /** Removes a call that has ended; undefined if it was removed before. */
-  remove(callId: string): AcceptedCall | undefined {
+  remove(now: number, callId: string): AcceptedCall | undefined {
     const known = this.calls.get(callId);
     this.calls.delete(callId);
+    this.callTree.ended(now, callId);
     return known;
   }
 
@@ -104,6 +107,7 @@
       return this.releaseReservation(now, known, 'retries-exhausted');
     }
     known.reservedAt = undefined;
+    this.callTree.started(call);
     this.services.ledgerOf(call)?.started(call.onceKey ?? '');
     return [{kind: 'run', callId: call.id, upstream: upstream.name}];
   }
@@ -242,7 +246,7 @@
     now: number,
     {call, upstream}: AcceptedCall,
   ): readonly GuardAction[] {
-    this.calls.delete(call.id);
+    this.remove(now, call.id);
     this.services.ledgerOf(call)?.interrupted(call.onceKey ?? '');
     return [
       {kind: 'abort', callId: call.id},
--- a/packages/brain/src/guard/guardMessages.ts
+++ b/packages/brain/src/guard/guardMessages.ts
@@ -20,6 +20,8 @@
 /** A call as offered to the guard. */
 export interface GuardCall {
   readonly id: string;
+  /** Id of the caller's request, by which nested calls name it. */
+  readonly requestId?: string;
   readonly service: string;
   /** Undefined for a once-only call, whose home chooses a local upstream. */
   readonly upstream: string | undefined;
@@ -56,6 +58,8 @@
   readonly expectedMilliseconds?: number;
   /** The latest notice of the upstream that reached the entry, if any. */
   readonly knownNotice?: KnownNotice;
+  /** A running call made it; its customer and priority are those of the root. */
+  readonly isNested?: boolean;
 }
 
 /** Settings of the guard; the owner can switch single features off. */
@@ -89,6 +93,8 @@
   readonly quarantinedFor: (now: number, requestDigest: string) => number;
   /** A reserved slot is released after this time without the entry's go. */
   readonly reservationMilliseconds: number;
+  /** Whether nested calls are recognised by the ids of their parents. */
+  readonly tracksNestedCalls: boolean;
 }
 
 /** Reservations outlast the slowest round trip between data centres. */
@@ -104,6 +110,7 @@
   drainFinishesQueue: true,
   quarantinedFor: () => 0,
   reservationMilliseconds: 250,
+  tracksNestedCalls: false,
 };
 
 /** A service with upstreams on this box. */
--- a/packages/brain/src/guard/guardStateMachine.ts
+++ b/packages/brain/src/guard/guardStateMachine.ts
@@ -8,6 +8,7 @@
 import type {RandomSource, UpstreamIncarnation} from '@lockpin/types';
 import {CallLifecycle} from './callLifecycle.js';
 import {CallEndHandler} from './callEndHandler.js';
+import {CallTree} from './callTree.js';
 import {DEFAULT_GUARD_SETTINGS} from './guardMessages.js';
 import type {
   GuardAction,
@@ -20,12 +21,14 @@
 import {NoticeHandler} from './noticeHandler.js';
 import {CallOfferHandler} from './callOfferHandler.js';
 import {ReportSchedule} from './reportSchedule.js';
+import type {ParentCall} from './runningCalls.js';
 import {UpstreamExitHandler} from './upstreamExitHandler.js';
 
 /** Deterministic: actions depend only on the state, now, random and event. */
 export class GuardStateMachine {
   private readonly services: GuardedServices;
   private readonly reports: ReportSchedule;
+  private readonly callTree: CallTree;
   private readonly lifecycle: CallLifecycle;
   private readonly offers: CallOfferHandler;
   private readonly callEndHandler: CallEndHandler;
@@ -41,7 +44,13 @@
   ) {
     this.services = new GuardedServices(home, settings);
     this.reports = new ReportSchedule(home, this.services);
-    this.lifecycle = new CallLifecycle(this.services, this.reports, settings);
+    this.callTree = new CallTree(settings.tracksNestedCalls);
+    this.lifecycle = new CallLifecycle(
+      this.services,
+      this.reports,
+      settings,
+      this.callTree,
+    );
     this.notices = new NoticeHandler(this.lifecycle);
     this.offers = new CallOfferHandler(
       this.services,
@@ -70,6 +79,19 @@
     return [...this.services.upstreams()].some(({runsRepeats}) => runsRepeats);
   }
 
+  /** The running call of this box that has a request id. */
+  parentCall(requestId: string): ParentCall | undefined {
+    return this.callTree.parent(requestId);
+  }
+
+  /**
+   * Whether a call that begins on this box may be a repeat, because a retried
+   * call makes it.
+   */
+  mayBeRepeat(now: number, parentRequestId: string | undefined): boolean {
+    return this.callTree.isRepeat(now, parentRequestId) ?? this.runsRepeats;
+  }
+
   /** The load hint of an upstream, which entries get with each answer. */
   hintOf(now: number, upstream: string): LoadHint | undefined {
     const hint = this.services.upstream(upstream)?.hint(now);
@@ -119,6 +141,7 @@
   ): readonly GuardAction[] {
     switch (event.kind) {
       case 'call-offered':
+        this.callTree.offered(event.call);
         return this.offers.offered(now, random, event.call);
       case 'call-go':
         return this.go(now, event.callId, event.requestDigest);
--- a/packages/node/src/__tests__/frames.test.ts
+++ b/packages/node/src/__tests__/frames.test.ts
@@ -5,6 +5,7 @@
 import {decodeDocument, encodeDocument} from '../connection/codec.js';
 import type {CallHead, Frame} from '../request/frames.js';
 import {decodeFrame, encodeFrame} from '../request/frames.js';
+import {decodeCallHead, encodeCallHead} from '../request/frameEncoding.js';
 import {encodeNews} from '../request/newsEncoding.js';
 import {PeerTraffic} from '../process/peerTraffic.js';
 
@@ -34,6 +35,7 @@
   startWithin: 2250,
   expectedMilliseconds: undefined,
   knownNotice: undefined,
+  isNested: false,
 };
 
 const FRAMES: readonly Frame[] = [
@@ -214,6 +216,12 @@
   });
 });
 
+it('reads the head of a call of an earlier release as not nested', () => {
+  const row = encodeCallHead({...HEAD, isNested: true});
+  expect(decodeCallHead(row)).toMatchObject({isNested: true});
+  expect(decodeCallHead(row.slice(0, -1))).toEqual(HEAD);
+});
+
 describe('a document between nodes', () => {
   it('is compressed when large and unchanged by a round trip', () => {
     const routes = Array.from({length: 300}, (_, i) => ({
--- a/packages/node/src/process/decisionLog.ts
+++ b/packages/node/src/process/decisionLog.ts
@@ -71,6 +71,7 @@
         route: head.route,
         terms: head.terms,
         attempt: head.attempt,
+        isNested: head.isNested ? true : undefined,
         expectedMilliseconds: head.expectedMilliseconds,
         ...record,
         limitPerSecond: limit?.requestsPerSecond,
--- a/packages/node/src/process/fleetComposition.ts
+++ b/packages/node/src/process/fleetComposition.ts
@@ -267,7 +267,9 @@
     admit: (customer) => host.limits.admit(customer),
     onNotRun: (customer) => host.limits.notRun(customer),
     onUnrouted: (unrouted) => log.event('request-refused', {...unrouted}),
-    mayBeRepeat: () => host.guard.runsRepeats,
+    mayBeRepeat: (parentRequestId) =>
+      host.guard.mayBeRepeat(steadyClock(), parentRequestId),
+    parentCall: (requestId) => host.guard.parentCall(requestId),
     incarnation: () => undefined,
     isOwnBox: (box) => box === settings.box,
     needsGo: (box) => box !== settings.box,
--- a/packages/node/src/process/fleetGuardSettings.ts
+++ b/packages/node/src/process/fleetGuardSettings.ts
@@ -27,6 +27,7 @@
     excusesFailures: isOn('excused-failures'),
     doubtReleasesQueue: isOn('queue-release'),
     limitsSuspects: isOn('suspect-limit'),
+    tracksNestedCalls: isOn('nested-calls'),
     createRetryBudget: isOn('paid-retries')
       ? fleet.createRetryBudget
       : () => NO_RETRIES,
--- a/packages/node/src/request/attemptHistory.ts
+++ b/packages/node/src/request/attemptHistory.ts
@@ -40,6 +40,8 @@
    * did not use at its end.
    */
   readonly unusedUpstreams?: UnusedUpstreams | undefined;
+  /** Id of the request whose upstream on this box made the call, if any did. */
+  readonly parentRequestId?: string | undefined;
 }
 
 /**
--- a/packages/node/src/request/attemptPriority.ts
+++ b/packages/node/src/request/attemptPriority.ts
@@ -10,25 +10,31 @@
  */
 const LATE_PRIORITY = 100;
 
+/** The priority of a call without the effect of its lateness. */
+export function priorityWithoutLateness(priority: number): number {
+  return priority % LATE_PRIORITY;
+}
+
 /**
  * The priority of an attempt. Under overload, a call that has missed its
- * latency goal yields to calls that can still meet theirs; a call that lost
- * time on a failed upstream goes ahead of others of the same priority.
+ * latency goal yields to calls that can still meet theirs. A nested call does
+ * not: its parent holds a slot and may still be in time. Guards place retries
+ * ahead of others of the same priority.
  * @param age Milliseconds since the call arrived.
  */
 export function attemptPriority(
-  {priority, route}: CallerRequest,
+  {priority, route, isNested}: CallerRequest,
   age: number,
   attempt: Attempt,
 ): number {
   const {goalMilliseconds} = route.spec;
-  if (goalMilliseconds === undefined) {
+  if (goalMilliseconds === undefined || isNested === true) {
     return priority;
   }
   if (age > goalMilliseconds || attempt.terms === 'may-be-late') {
     return priority + LATE_PRIORITY;
   }
-  return attempt.number > 1 ? Math.max(0, priority - 1) : priority;
+  return priority;
 }
 
 /**
--- a/packages/node/src/request/callReceiver.ts
+++ b/packages/node/src/request/callReceiver.ts
@@ -11,6 +11,7 @@
 import type {CallerRequest, UnroutedRequest} from './callerRequest.js';
 import {unavailabilityReason, refuseRequest} from './earlyRefusals.js';
 import type {EntryServiceDependencies} from './entryServiceDependencies.js';
+import {nestedCall} from './nestedCall.js';
 
 /** A request accepted as a call. */
 export interface ReceivedCall {
@@ -37,10 +38,11 @@
     const arrivedAt = clock();
     const requestId = protocol.requestId(request);
     const unread = {request, response, requestId};
-    const call = await this.readCall(unread);
-    if (call === undefined) {
+    const read = await this.readCall(unread);
+    if (read === undefined) {
       return undefined;
     }
+    const call = nestedCall(arrivedAt, read, this.dependencies.parentCall);
     const admission = this.admission.check(call);
     if (!(admission instanceof Promise) && admission.kind !== 'admitted') {
       this.admission.refuse(unread, call, admission);
--- a/packages/node/src/request/callRecord.ts
+++ b/packages/node/src/request/callRecord.ts
@@ -23,6 +23,7 @@
     reason,
     status,
     milliseconds: Math.round(milliseconds),
+    parentRequestId: call.isNested ? call.parentRequestId : undefined,
     attempts: attemptHistory.attempts,
     unusedUpstreams,
   };
--- a/packages/node/src/request/callerExchange.ts
+++ b/packages/node/src/request/callerExchange.ts
@@ -152,6 +152,7 @@
       startWithin: startWithin(now, attempt),
       expectedMilliseconds: roundMilliseconds(attempt.expectedMilliseconds),
       knownNotice: attempt.knownNotice,
+      isNested: this.call.isNested === true,
     };
     return this.lastHead;
   }
--- a/packages/node/src/request/callerRequest.ts
+++ b/packages/node/src/request/callerRequest.ts
@@ -23,6 +23,7 @@
   timeout: 'lockpin-timeout-milliseconds',
   credential: 'lockpin-credential',
   retry: 'lockpin-retry',
+  parent: 'lockpin-parent',
   firstWithKey: 'lockpin-once-attempt',
 } as const;
 
@@ -54,6 +55,10 @@
   readonly onceKey: OnceKey | undefined;
   readonly isFirstWithKey: boolean;
   readonly isCallersRetry: boolean;
+  /** Id of the request whose upstream makes this call, as the caller states. */
+  readonly parentRequestId?: string;
+  /** That request runs on this box; set by nestedCall and never by a caller. */
+  readonly isNested?: boolean;
   /** The configuration version that the call is served under. */
   readonly version: number;
 }
@@ -114,6 +119,7 @@
       firstHeader(request, CALLER_HEADERS.firstWithKey) === 'first',
     isCallersRetry: firstHeader(request, CALLER_HEADERS.retry) !== undefined,
     version: state.version,
+    parentRequestId: firstHeader(request, CALLER_HEADERS.parent),
   });
 }
 
--- a/packages/node/src/request/entryCall.ts
+++ b/packages/node/src/request/entryCall.ts
@@ -40,6 +40,7 @@
   mayBeRepeat: boolean,
 ): EntryCall {
   const {view, route, customer, onceKey, isFirstWithKey, isCallersRetry} = call;
+  const {isNested} = call;
   return {
     id,
     view,
@@ -53,5 +54,6 @@
     isReplayable,
     isCallersRetry,
     mayBeRepeat,
+    isNested,
   };
 }
--- a/packages/node/src/request/entryService.ts
+++ b/packages/node/src/request/entryService.ts
@@ -111,7 +111,12 @@
       body.kind === 'held' ? body.bytes.length : BODY_BUFFER_LIMIT_BYTES;
     this.handle({
       kind: 'call-arrived',
-      call: entryCall(exchange, bytes, deadline, mayBeRepeat()),
+      call: entryCall(
+        exchange,
+        bytes,
+        deadline,
+        mayBeRepeat(call.parentRequestId),
+      ),
     });
   }
 
--- a/packages/node/src/request/entryServiceDependencies.ts
+++ b/packages/node/src/request/entryServiceDependencies.ts
@@ -1,7 +1,7 @@
 // Copyright (c) 2026 the lockpin contributors. MIT licence, see LICENSE.
 /** The dependencies of the entry service. */
 
-import type {EntryStateMachine} from '@lockpin/brain';
+import type {EntryStateMachine, ParentCall} from '@lockpin/brain';
 import type {Admission} from '@lockpin/limits';
 import type {Logger} from '@lockpin/logger';
 import type {Clock, RandomSource, Repetition} from '@lockpin/types';
@@ -34,8 +34,16 @@
   readonly onNotRun?: (customer: string) => void;
   /** Called for requests refused because of their caller. */
   readonly onUnrouted?: (record: RefusedRequestRecord) => void;
-  /** Whether calls that begin here may be repeats, made by an upstream. */
-  readonly mayBeRepeat: () => boolean;
+  /**
+   * Whether a call that begins here may be a repeat, made by an upstream. The
+   * id is that of its parent, if its caller states one.
+   */
+  readonly mayBeRepeat: (parentRequestId: string | undefined) => boolean;
+  /**
+   * The call with this request id that an upstream of this box runs. Absent
+   * where nested calls are not tracked.
+   */
+  readonly parentCall?: (requestId: string) => ParentCall | undefined;
   /** The incarnation of the current process on a box, for minting once keys. */
   readonly incarnation: (box: string) => string | undefined;
   readonly isOwnBox: (box: string) => boolean;
--- a/packages/node/src/request/frameEncoding.ts
+++ b/packages/node/src/request/frameEncoding.ts
@@ -51,6 +51,7 @@
   'startWithin',
   'expectedMilliseconds',
   'knownNotice',
+  'isNested',
 ] as const satisfies readonly (keyof CallHead)[];
 
 /** The field order of an answer's head. */
@@ -75,10 +76,14 @@
 ] as const satisfies readonly (keyof CallRequest)[];
 
 /** A call's head with its enum values as codes. */
-type CodedHead = Omit<CallHead, 'repetition' | 'terms' | 'knownNotice'> & {
+type CodedHead = Omit<
+  CallHead,
+  'repetition' | 'terms' | 'knownNotice' | 'isNested'
+> & {
   readonly repetition: number;
   readonly terms: number;
   readonly knownNotice: NoticeRow | undefined;
+  readonly isNested: boolean | undefined;
 };
 
 /** An answer's head with its hint as a row. */
@@ -143,6 +148,7 @@
     repetition: REPETITION_CODES.nameOf(coded.repetition),
     terms: TERMS_CODES.nameOf(coded.terms),
     knownNotice: coded.knownNotice && decodeNotice(coded.knownNotice),
+    isNested: coded.isNested === true,
   };
 }
 
--- a/packages/node/src/request/frameTypes.ts
+++ b/packages/node/src/request/frameTypes.ts
@@ -46,6 +46,8 @@
   readonly expectedMilliseconds: number | undefined;
   /** The latest notice of the upstream that reached the entry, if any. */
   readonly knownNotice: KnownNotice | undefined;
+  /** See GuardCall; false when the sender does not know nested calls. */
+  readonly isNested: boolean;
 }
 
 /** The part of a call that only its upstream needs. */
--- a/packages/node/src/request/guardExchange.ts
+++ b/packages/node/src/request/guardExchange.ts
@@ -52,6 +52,7 @@
   const {usefulFor, startWithin, terms} = head;
   return {
     id,
+    requestId: head.requestId,
     service: head.service,
     upstream: head.upstream,
     customer: head.customer,
@@ -72,5 +73,6 @@
     mayRunDoubted: terms === 'last-resort',
     expectedMilliseconds: head.expectedMilliseconds,
     knownNotice: head.knownNotice,
+    isNested: head.isNested,
   };
 }
--- a/packages/node/src/request/headers.ts
+++ b/packages/node/src/request/headers.ts
@@ -20,6 +20,7 @@
   'lockpin-timeout-milliseconds',
   'lockpin-credential',
   'lockpin-retry',
+  'lockpin-parent',
 ]);
 
 /** Answer headers that are hop-by-hop. */
--- /dev/null
+++ b/packages/node/src/request/nestedCall.ts
@@ -0,0 +1,38 @@
+// Copyright (c) 2026 the lockpin contributors. MIT licence, see LICENSE.
+/** What a nested call inherits from the call that makes it. */
+
+import type {ParentCall} from '@lockpin/brain';
+import {priorityWithoutLateness} from './attemptPriority.js';
+import type {CallerRequest} from './callerRequest.js';
+
+/**
+ * Returns the call with the customer, weight and priority of its root and the
+ * earlier of its own and its parent's deadline, if its parent runs on this box;
+ * the unchanged call otherwise. A parent that is late does not make its nested
+ * calls wait behind others, since its slot is held until they end.
+ *
+ * A call that shows a key comes from a caller, whose request ids prove nothing.
+ */
+export function nestedCall(
+  arrivedAt: number,
+  call: CallerRequest,
+  parentCall?: (requestId: string) => ParentCall | undefined,
+): CallerRequest {
+  const {parentRequestId, keyOwner, waitMilliseconds} = call;
+  if (parentRequestId === undefined || keyOwner !== undefined) {
+    return {...call, parentRequestId: undefined};
+  }
+  const parent = parentCall?.(parentRequestId);
+  if (parent === undefined) {
+    return call;
+  }
+  const remaining = Math.max(0, parent.deadline - arrivedAt);
+  return {
+    ...call,
+    customer: parent.customer,
+    weight: parent.weight,
+    priority: priorityWithoutLateness(parent.priority),
+    waitMilliseconds: Math.min(waitMilliseconds, remaining),
+    isNested: true,
+  };
+}
