Order among calls of one priority, and customers with few calls in floods

Cause: calls of one priority were served by customer and deadline alone, so nested calls waited behind calls that hold no slot elsewhere. Fair queueing forgot what a customer had been served as soon as it had no call waiting and did not count calls that started directly, so a customer that makes two calls at once waited a whole round behind each flooding customer. Waiting calls left only once they were too late to start at that moment.

Change: calls rank by priority, then nested, retry, ordinary. With burst-credit, service is remembered and a customer that was served less than others gets as many calls ahead of its turn as the upstream has slots. With queue-review, a waiting call is refused at the next tick once its turn is expected too late. Only declared fleets set these (mechanisms burst-credit, queue-review); the queue of other fleets is as before.

--- a/packages/admission/src/__tests__/admission.test.ts
+++ b/packages/admission/src/__tests__/admission.test.ts
@@ -6,7 +6,7 @@
 import {Admission} from '../admission.js';
 import {CustomerShares} from '../customerShares.js';
 import {FairQueue} from '../fairQueue.js';
-import type {WaitingCall} from '../fairQueue.js';
+import type {WaitingCall} from '../waitingCall.js';
 
 function waiting(id: string, change: Partial<WaitingCall> = {}): WaitingCall {
   return {
--- a/packages/admission/src/admission.ts
+++ b/packages/admission/src/admission.ts
@@ -6,8 +6,9 @@
 import {BoundedQueue} from './boundedQueue.js';
 import {isTooLateToWait} from './expectedWait.js';
 import type {ExpectedWait} from './expectedWait.js';
-import {isTooLateFor} from './fairQueue.js';
-import type {WaitingCall} from './fairQueue.js';
+import {hopelessCalls} from './hopelessCalls.js';
+import {isTooLateFor} from './waitingCall.js';
+import type {WaitingCall} from './waitingCall.js';
 import {RequestRate} from './requestRate.js';
 
 /** Decision on a call that was offered. */
@@ -26,6 +27,14 @@
   readonly expired: readonly WaitingCall[];
 }
 
+/** Behaviour that a deployment may choose. */
+export interface AdmissionOptions {
+  /** See RankLevel; customers have no burst when absent. */
+  readonly burstCallsFor?: (slots: number) => number;
+  /** Whether calls leave the queue once their turn is expected too late. */
+  readonly removesHopeless?: boolean;
+}
+
 /** Weight of the latest call in the moving average of durations. */
 const DURATION_WEIGHT = 0.1;
 
@@ -67,8 +76,9 @@
   constructor(
     private slots: number,
     cold: boolean,
+    private readonly options: AdmissionOptions = {},
   ) {
-    this.queue = new BoundedQueue(slots);
+    this.queue = new BoundedQueue(slots, options.burstCallsFor);
     this.limit = new AdaptiveLimit(slots, cold);
   }
 
@@ -173,7 +183,7 @@
 
   /** Expires queued calls that are too late, and starts those that fit. */
   expireAndStart(now: number): DispatchResult {
-    const late = this.queue.expired(now, (call) => this.expectedOf(call));
+    const late = this.lateCalls(now);
     late.forEach(({id}) => this.queue.remove(id));
     const filled = this.fill(now);
     return {started: filled.started, expired: [...late, ...filled.expired]};
@@ -206,6 +216,7 @@
       return refused('deadline-too-short', 0);
     }
     this.start(now, call);
+    this.queue.startedDirectly(call);
     return {kind: 'start'};
   }
 
@@ -258,14 +269,27 @@
     return {started, expired};
   }
 
+  private lateCalls(now: number): readonly WaitingCall[] {
+    const durationOf = (call: WaitingCall): number => this.expectedOf(call);
+    return this.options.removesHopeless === true
+      ? hopelessCalls(now, this.queue.inOrder(), {
+          durationOf,
+          waitFor: (turn, {priority}) => this.waitOf(now, turn, priority),
+        })
+      : this.queue.expired(now, durationOf);
+  }
+
   private expectedOf({expectedMilliseconds}: WaitingCall): number {
     return expectedMilliseconds ?? this.duration;
   }
 
   /** Infinite when all slots are held by calls that may never end. */
   private expectedWait(now: number, call: WaitingCall): ExpectedWait {
-    const turn = this.queue.aheadOf(call) + 1;
-    const forLimit = this.rate.waitForTurn(now, turn, call.priority);
+    return this.waitOf(now, this.queue.aheadOf(call) + 1, call.priority);
+  }
+
+  private waitOf(now: number, turn: number, priority: number): ExpectedWait {
+    const forLimit = this.rate.waitForTurn(now, turn, priority);
     const forSlot = this.waitForTurn(now, turn);
     return {
       milliseconds: Math.max(forLimit, forSlot),
--- a/packages/admission/src/boundedQueue.ts
+++ b/packages/admission/src/boundedQueue.ts
@@ -2,15 +2,20 @@
 /** A fair queue of limited length, shared between the customers that wait. */
 
 import {FairQueue} from './fairQueue.js';
-import type {WaitingCall} from './fairQueue.js';
+import {queueRank} from './waitingCall.js';
+import type {WaitingCall} from './waitingCall.js';
 
 /** Queue length for each slot. */
 const QUEUED_PER_SLOT = 8;
 
 /** Queue of the calls that wait for a slot of one upstream. */
 export class BoundedQueue extends FairQueue {
-  constructor(private slots: number) {
-    super();
+  /** @param burstCallsFor The burst of a customer for a number of slots. */
+  constructor(
+    private slots: number,
+    burstCallsFor?: (slots: number) => number,
+  ) {
+    super(() => burstCallsFor?.(this.slots));
   }
 
   setSlots(slots: number): void {
@@ -37,7 +42,8 @@
       return undefined;
     }
     const last = this.leastUrgent();
-    const isLessUrgent = last !== undefined && last.priority > call.priority;
+    const isLessUrgent =
+      last !== undefined && queueRank(last) > queueRank(call);
     const displaced = isLessUrgent ? last : this.latestOfBusiestCustomer(call);
     if (displaced === undefined) {
       return 'none';
--- a/packages/admission/src/expectedWait.ts
+++ b/packages/admission/src/expectedWait.ts
@@ -1,8 +1,8 @@
 // Copyright (c) 2026 the lockpin contributors. MIT licence, see LICENSE.
 /** The time that a call would have to wait, and whether it can. */
 
-import {isTooLateFor} from './fairQueue.js';
-import type {WaitingCall} from './fairQueue.js';
+import {isTooLateFor} from './waitingCall.js';
+import type {WaitingCall} from './waitingCall.js';
 
 /** Calls that wait for the limit start at the next tick of the guard. */
 const START_DELAY_MILLISECONDS = 50;
--- a/packages/admission/src/fairQueue.ts
+++ b/packages/admission/src/fairQueue.ts
@@ -1,64 +1,20 @@
 // Copyright (c) 2026 the lockpin contributors. MIT licence, see LICENSE.
-/** Queue of waiting calls: by priority, then fair between customers. */
-
-/** A call that waits for a slot. */
-export interface WaitingCall {
-  readonly id: string;
-  readonly customer: string;
-  /** Weight of the customer relative to others; 1 by default. */
-  readonly weight: number;
-  /** 0 is the most urgent. */
-  readonly priority: number;
-  /** Time after which its answer is useless, in milliseconds since 1970. */
-  readonly deadline: number;
-  /**
-   * The call is queued only if its answer is expected by then; the deadline
-   * when absent.
-   */
-  readonly usefulUntil?: number;
-  /** It is refused rather than started after this; no limit when absent. */
-  readonly startBy?: number;
-  /** Its expected duration; the average of the upstream when absent. */
-  readonly expectedMilliseconds?: number;
-  /** False when the call must not be queued; true when absent. */
-  readonly mayWait?: boolean;
-}
+/** Queue of waiting calls: by rank, then fair between customers. */
 
-/** The latest time at which the answer to a waiting call may be expected. */
-export function latestAnswerTime({deadline, usefulUntil}: WaitingCall): number {
-  return Math.min(deadline, usefulUntil ?? deadline);
-}
+import {RankLevel} from './rankLevel.js';
+import {isTooLateFor, queueRank} from './waitingCall.js';
+import type {WaitingCall} from './waitingCall.js';
 
-/** Whether it is too late to start a call at a given time. */
-export function isTooLateFor(
-  call: WaitingCall,
-  startAt: number,
-  duration: number,
-): boolean {
-  const {startBy = Number.POSITIVE_INFINITY} = call;
-  return startAt > startBy || startAt + duration > latestAnswerTime(call);
-}
-
-interface CustomerQueue {
-  readonly calls: WaitingCall[];
-  /** Calls served to this customer at this priority, divided by its weight. */
-  served: number;
-}
-
-interface PriorityLevel {
-  readonly customers: Map<string, CustomerQueue>;
-  /** Service level at which customers join the level or return to it. */
-  virtualTime: number;
-}
-
-/**
- * Start-time fair queueing in each priority level: the customer with the least
- * weighted service is next, with its call of the nearest deadline.
- */
+/** Serves the lowest rank first, and customers fairly within each rank. */
 export class FairQueue {
-  private readonly levels = new Map<number, PriorityLevel>();
+  private readonly levels = new Map<number, RankLevel>();
   private readonly byId = new Map<string, WaitingCall>();
 
+  /** @param burstCalls See RankLevel. */
+  constructor(
+    private readonly burstCalls: () => number | undefined = () => undefined,
+  ) {}
+
   get size(): number {
     return this.byId.size;
   }
@@ -68,12 +24,15 @@
     return [...this.byId.values()];
   }
 
+  /** All waiting calls in the order in which they would be served now. */
+  inOrder(): readonly WaitingCall[] {
+    return this.ranks().flatMap((rank) => this.level(rank).inOrder());
+  }
+
   /** Number of waiting calls of a customer. */
   waitingOf(customer: string): number {
     let count = 0;
-    for (const level of this.levels.values()) {
-      count += level.customers.get(customer)?.calls.length ?? 0;
-    }
+    this.levels.forEach((level) => (count += level.waitingOf(customer)));
     return count;
   }
 
@@ -87,46 +46,32 @@
   }
 
   /**
-   * Number of calls served before a new one: all more urgent ones, and of
-   * equally urgent ones as many as fair queueing serves first.
+   * Number of calls served before a new one: all of lower rank, and of equal
+   * rank as many as fair queueing serves first.
    */
   aheadOf(call: WaitingCall): number {
-    let moreUrgent = 0;
-    for (const [priority, {customers}] of this.levels) {
-      if (priority < call.priority) {
-        customers.forEach(({calls}) => (moreUrgent += calls.length));
-      }
+    const ownRank = queueRank(call);
+    let ahead = this.levels.get(ownRank)?.aheadOf(call) ?? 0;
+    for (const [rank, level] of this.levels) {
+      ahead += rank < ownRank ? level.size : 0;
     }
-    const customers = this.levels.get(call.priority)?.customers;
-    const turns = (customers?.get(call.customer)?.calls.length ?? 0) + 1;
-    let asUrgent = 0;
-    customers?.forEach(({calls}) => {
-      const weight = (calls[0]?.weight ?? 1) / call.weight;
-      asUrgent += Math.min(calls.length, Math.ceil(turns * weight));
-    });
-    return moreUrgent + asUrgent;
+    return ahead;
   }
 
   add(call: WaitingCall): void {
-    const level = this.level(call.priority);
-    const queue = level.customers.get(call.customer) ?? {
-      calls: [],
-      served: level.virtualTime,
-    };
-    queue.served = Math.max(queue.served, level.virtualTime);
-    const later = queue.calls.findIndex(
-      ({deadline}) => deadline > call.deadline,
-    );
-    queue.calls.splice(later < 0 ? queue.calls.length : later, 0, call);
-    level.customers.set(call.customer, queue);
+    this.level(queueRank(call)).add(call);
     this.byId.set(call.id, call);
   }
 
+  /** Counts a call that started without waiting as served to its customer. */
+  startedDirectly(call: WaitingCall): void {
+    this.level(queueRank(call)).startedDirectly(call);
+  }
+
   /** Removes and returns the next call. */
   take(): WaitingCall | undefined {
-    const priorities = [...this.levels.keys()].sort((a, b) => a - b);
-    for (const priority of priorities) {
-      const call = this.takeFrom(this.level(priority));
+    for (const rank of this.ranks()) {
+      const call = this.level(rank).take();
       if (call !== undefined) {
         this.byId.delete(call.id);
         return call;
@@ -142,13 +87,7 @@
       return false;
     }
     this.byId.delete(id);
-    const level = this.level(call.priority);
-    const queue = level.customers.get(call.customer);
-    const index = queue?.calls.findIndex((waiting) => waiting.id === id) ?? -1;
-    queue?.calls.splice(index, 1);
-    if (queue?.calls.length === 0) {
-      level.customers.delete(call.customer);
-    }
+    this.level(queueRank(call)).remove(call);
     return true;
   }
 
@@ -170,13 +109,14 @@
    */
   latestOfBusiestCustomer(call: WaitingCall): WaitingCall | undefined {
     const ownLoad = (this.waitingOf(call.customer) + 1) / call.weight;
+    const ownRank = queueRank(call);
     let highest = ownLoad;
     let selected: WaitingCall | undefined;
-    for (const [priority, {customers}] of this.levels) {
-      for (const {calls} of customers.values()) {
+    for (const [rank, level] of this.levels) {
+      for (const {calls} of level.customerQueues()) {
         const last = calls.at(-1);
         const load = calls.length / (last?.weight ?? 1);
-        if (priority >= call.priority && load > highest) {
+        if (rank >= ownRank && load > highest) {
           highest = load;
           selected = last;
         }
@@ -193,40 +133,24 @@
     return this.all().filter((call) => isTooLateFor(call, now, needed(call)));
   }
 
-  private level(priority: number): PriorityLevel {
-    const existing = this.levels.get(priority);
+  private ranks(): readonly number[] {
+    return [...this.levels.keys()].sort((a, b) => a - b);
+  }
+
+  private level(rank: number): RankLevel {
+    const existing = this.levels.get(rank);
     if (existing !== undefined) {
       return existing;
     }
-    const created: PriorityLevel = {customers: new Map(), virtualTime: 0};
-    this.levels.set(priority, created);
+    const created = new RankLevel(this.burstCalls);
+    this.levels.set(rank, created);
     return created;
   }
-
-  private takeFrom(level: PriorityLevel): WaitingCall | undefined {
-    let lowest: [string, CustomerQueue] | undefined;
-    for (const candidate of level.customers) {
-      if (lowest === undefined || candidate[1].served < lowest[1].served) {
-        lowest = candidate;
-      }
-    }
-    if (lowest === undefined) {
-      return undefined;
-    }
-    const [customer, queue] = lowest;
-    const call = queue.calls.shift() as WaitingCall;
-    level.virtualTime = queue.served;
-    queue.served += 1 / call.weight;
-    if (queue.calls.length === 0) {
-      level.customers.delete(customer);
-    }
-    return call;
-  }
 }
 
 function isLessUrgent(a: WaitingCall, b: WaitingCall): boolean {
+  const rankDifference = queueRank(a) - queueRank(b);
   return (
-    a.priority > b.priority ||
-    (a.priority === b.priority && a.deadline > b.deadline)
+    rankDifference > 0 || (rankDifference === 0 && a.deadline > b.deadline)
   );
 }
--- a/packages/admission/src/index.ts
+++ b/packages/admission/src/index.ts
@@ -4,3 +4,4 @@
 export * from './customerShares.js';
 export * from './fairQueue.js';
 export * from './requestRate.js';
+export * from './waitingCall.js';
--- a/packages/brain/src/guard/guardMessages.ts
+++ b/packages/brain/src/guard/guardMessages.ts
@@ -1,6 +1,7 @@
 // Copyright (c) 2026 the lockpin contributors. MIT licence, see LICENSE.
 /** Events that a guard handles, the actions it returns, and its settings. */
 
+import type {AdmissionOptions} from '@lockpin/admission';
 import {RetryBudget} from '@lockpin/routing';
 import type {LoadHint, RetryAllowance} from '@lockpin/routing';
 import type {StoredAnswer} from '@lockpin/once';
@@ -95,6 +96,7 @@
   readonly reservationMilliseconds: number;
   /** Whether nested calls are recognised by the ids of their parents. */
   readonly tracksNestedCalls: boolean;
+  readonly admission: AdmissionOptions;
 }
 
 /** Reservations outlast the slowest round trip between data centres. */
@@ -111,6 +113,7 @@
   quarantinedFor: () => 0,
   reservationMilliseconds: 250,
   tracksNestedCalls: false,
+  admission: {},
 };
 
 /** A service with upstreams on this box. */
--- a/packages/brain/src/guard/upstreamGuard.ts
+++ b/packages/brain/src/guard/upstreamGuard.ts
@@ -31,7 +31,7 @@
 import {UpstreamStanding} from './upstreamStanding.js';
 import type {StandingChange} from './upstreamStanding.js';
 import {UsualDurations} from './usualDurations.js';
-import {toWaitingCall} from './toWaitingCall.js';
+import {precedenceOf, toWaitingCall} from './toWaitingCall.js';
 
 /** Share of its limit that a suspect upstream announces, to divert calls. */
 const SUSPECT_LIMIT_SHARE = 0.25;
@@ -74,6 +74,7 @@
     this.admission = new Admission(
       resource.spec.slots,
       !settings.hasQuickDoubt,
+      settings.admission,
     );
     this.notice = new StatedNotice(this.admission.rate);
     this.doubt = new QuickDoubt(settings);
@@ -171,10 +172,12 @@
   }
 
   offer(now: number, call: GuardCall): AdmissionDecision {
-    const offer = this.admission.offer(
-      now,
-      toWaitingCall(call, this.durations.usual(now, call)),
-    );
+    const precedence = this.settings.tracksNestedCalls
+      ? precedenceOf(call)
+      : 'ordinary';
+    const usual = this.durations.usual(now, call);
+    const waiting = toWaitingCall(call, usual, precedence);
+    const offer = this.admission.offer(now, waiting);
     if (offer.kind === 'start') {
       this.start(now, call);
     }
--- a/packages/node/src/process/fleetGuardSettings.ts
+++ b/packages/node/src/process/fleetGuardSettings.ts
@@ -6,6 +6,12 @@
 import {NO_RETRIES} from '@lockpin/routing';
 import type {MechanismSwitch} from './mechanisms.js';
 
+/**
+ * A customer that has used less than others may have as many calls served ahead
+ * of its turn as the upstream runs at once: they would have found free slots.
+ */
+const burstCalls = (slots: number): number => slots;
+
 /**
  * Returns the settings of guards that reserve slots for entries and budget
  * retries.
@@ -28,6 +34,10 @@
     doubtReleasesQueue: isOn('queue-release'),
     limitsSuspects: isOn('suspect-limit'),
     tracksNestedCalls: isOn('nested-calls'),
+    admission: {
+      ...(isOn('burst-credit') && {burstCallsFor: burstCalls}),
+      removesHopeless: isOn('queue-review'),
+    },
     createRetryBudget: isOn('paid-retries')
       ? fleet.createRetryBudget
       : () => NO_RETRIES,
--- a/packages/node/src/process/mechanisms.ts
+++ b/packages/node/src/process/mechanisms.ts
@@ -22,6 +22,8 @@
   exploration: 'cold upstreams get no call while others look less busy',
   holding: 'calls that find no slot are refused after one round of offers',
   quarantine: 'requests that end each upstream that runs them run again',
+  'burst-credit': 'customers with few calls wait for their turn among floods',
+  'queue-review': 'calls that can no longer be in time wait on for a while',
   'nested-calls':
     'nested calls have the priority and deadline that their own request states',
   'paid-retries': 'nothing pays for second attempts',
