Refuse calls whose nested calls have no capacity, before they start

Cause: a call whose nested call is refused holds its slot until then and ends with its upstream's own error, which its caller does not retry.

Change: guards learn decayed shares of the services that a kind of call calls. Two nested calls of the box in a row that were refused for lack of a slot show a shortage of their service for their priority and less urgent ones. A call that is more likely than not to call such a service is refused as nested-busy (code 43), as not run, at its offer or at its turn in the queue. One call per second (two after a check that was refused) is admitted to check; a served nested call ends the shortage. The entry asks one other box and then refuses. Mechanism: nested-busy. Metrics: calls.nested, guard.nestedBusy.

--- a/packages/brain/src/__tests__/overdueCalls.test.ts
+++ b/packages/brain/src/__tests__/overdueCalls.test.ts
@@ -350,6 +350,25 @@
     expect(kindsOf(actions)).toEqual(['refuse']);
   });
 
+  it('are asked twice for capacity for nested calls, and the call is refused', () => {
+    const harness = new EntryHarness(['a', 'b', 'c']);
+    const first = upstreamOf(harness.receiveCall('at-most-once'));
+    const second = harness.refuseAttempt(first, 'nested-busy');
+    expect(kindsOf(second)).toEqual(['attempt']);
+    const refusal = harness.refuseAttempt(
+      upstreamOf(second),
+      'nested-busy',
+      'not-run',
+      700,
+    );
+    expect(refusal).toMatchObject([
+      {
+        kind: 'refuse',
+        refusal: {outcome: 'not-run', retryAfterMilliseconds: 700},
+      },
+    ]);
+  });
+
   /** Returns the actions after both have refused with a retry-after time. */
   function actionsAfterWaits(
     first: number,
--- a/packages/brain/src/entry/callOffers.ts
+++ b/packages/brain/src/entry/callOffers.ts
@@ -78,6 +78,7 @@
     if (
       pauseMilliseconds === 0 ||
       state.call.isNested === true ||
+      reason === 'nested-busy' ||
       now + milliseconds > state.heldUntil ||
       isKeptOutByLimits(state, reason)
     ) {
--- a/packages/brain/src/entry/callState.ts
+++ b/packages/brain/src/entry/callState.ts
@@ -20,6 +20,8 @@
   unacknowledgedOffers: number;
   /** Rounds of offers that were refused throughout. */
   pauses: number;
+  /** Guards that refused the call for lack of capacity for its nested calls. */
+  nestedBusyRefusals: number;
   /** Shortest wait for a slot reported in this round, in milliseconds. */
   shortestWait: number;
   /** Until then the call may wait for a slot, in milliseconds since 1970. */
@@ -55,6 +57,7 @@
     isOnlyLimited: true,
     unacknowledgedOffers: 0,
     pauses: 0,
+    nestedBusyRefusals: 0,
     shortestWait: Number.POSITIVE_INFINITY,
     heldUntil: now + (call.deadline - now) * heldShare,
     upstream: '',
--- a/packages/brain/src/entry/entrySettings.ts
+++ b/packages/brain/src/entry/entrySettings.ts
@@ -107,4 +107,17 @@
     'queue-full',
     'deadline-too-short',
     'not-ready',
+    'nested-busy',
+  ]);
+
+/**
+ * Refusals of nested calls that show a lack of capacity of their service. Those
+ * of upstreams that reject calls regardless of their load do not.
+ */
+export const NO_CAPACITY_REFUSALS: ReadonlySet<RefusalReason> =
+  new Set<RefusalReason>([
+    ...NO_SLOT_REFUSALS,
+    'customer-over-share',
+    'deadline-passed',
+    'nested-busy',
   ]);
--- a/packages/brain/src/entry/entryStateMachine.ts
+++ b/packages/brain/src/entry/entryStateMachine.ts
@@ -229,6 +229,9 @@
         retryAfterMilliseconds,
       );
     }
+    if (reason === 'nested-busy' && this.isBusyElsewhere(state)) {
+      return this.calls.refuseCall(state, reason, retryAfterMilliseconds);
+    }
     if (this.retries.takeRerouteOrRetry(now, state, refusal)) {
       return this.offers.next(
         now,
@@ -243,6 +246,15 @@
       : this.calls.refuseCall(state, reason, retryAfterMilliseconds);
   }
 
+  /**
+   * Whether two boxes lack capacity for the nested calls of a call. One may be
+   * mistaken; after two, most others would refuse it as well.
+   */
+  private isBusyElsewhere(state: CallState): boolean {
+    state.nestedBusyRefusals += 1;
+    return state.nestedBusyRefusals > 1;
+  }
+
   private handleLostAttempt(
     now: number,
     random: RandomSource,
--- a/packages/brain/src/guard/callEndHandler.ts
+++ b/packages/brain/src/guard/callEndHandler.ts
@@ -2,6 +2,7 @@
 /** Handles the ends of calls and passes their slots on to waiting calls. */
 
 import type {RefusalReason} from '@lockpin/types';
+import {FIRST_SERVER_ERROR_STATUS} from '@lockpin/utils';
 import type {CallLifecycle} from './callLifecycle.js';
 import type {GuardAction, GuardEvent} from './guardMessages.js';
 import type {GuardedServices} from './guardedServices.js';
@@ -22,7 +23,8 @@
     event: GuardEvent & {readonly kind: 'upstream-answered'},
   ): readonly GuardAction[] {
     const {callId, status, isShed, answer} = event;
-    const known = this.lifecycle.remove(now, callId);
+    const isComplete = status < FIRST_SERVER_ERROR_STATUS;
+    const known = this.lifecycle.remove(now, callId, isComplete);
     if (known === undefined) {
       return [];
     }
--- a/packages/brain/src/guard/callLifecycle.ts
+++ b/packages/brain/src/guard/callLifecycle.ts
@@ -75,16 +75,24 @@
     return [this.refusePermanently(now, known.call, known.upstream, reason)];
   }
 
-  /** Removes a call that has ended; undefined if it was removed before. */
-  remove(now: number, callId: string): AcceptedCall | undefined {
+  /**
+   * Removes a call that has ended; undefined if it was removed before.
+   * @param isComplete Whether it ran to its end without an error.
+   */
+  remove(
+    now: number,
+    callId: string,
+    isComplete = false,
+  ): AcceptedCall | undefined {
     const known = this.calls.get(callId);
     this.calls.delete(callId);
-    this.callTree.ended(now, callId);
+    this.callTree.ended(now, callId, isComplete);
     return known;
   }
 
   /** Sends a call that got its slot, or reserves the slot until its go. */
   run(now: number, known: AcceptedCall): readonly GuardAction[] {
+    this.callTree.gotSlot(now, known.call);
     if (known.call.needsGo === true) {
       known.reservedAt = now;
       return [{kind: 'reserve', callId: known.call.id}];
@@ -133,7 +141,7 @@
     reason: RefusalReason,
     retryAfter?: number,
   ): readonly GuardAction[] {
-    this.calls.delete(call.id);
+    this.remove(now, call.id);
     const freedSlots = upstream.releaseUnsent(now, call.id);
     return [
       this.refusePermanently(now, call, upstream, reason, retryAfter),
@@ -151,6 +159,10 @@
       if (known === undefined) {
         return [];
       }
+      const blocked = this.callTree.blockedFor(now, known.call);
+      if (blocked > 0) {
+        return this.releaseReservation(now, known, 'nested-busy', blocked);
+      }
       known.upstream.start(now, known.call);
       return this.run(now, known);
     });
--- a/packages/brain/src/guard/callOfferHandler.ts
+++ b/packages/brain/src/guard/callOfferHandler.ts
@@ -4,6 +4,7 @@
 import {parseOnceKey} from '@lockpin/once';
 import type {OnceDecision} from '@lockpin/once';
 import type {RandomSource} from '@lockpin/types';
+import type {CallTree} from './callTree.js';
 import type {CallLifecycle} from './callLifecycle.js';
 import type {GuardAction, GuardCall} from './guardMessages.js';
 import type {GuardedServices, ServiceState} from './guardedServices.js';
@@ -18,6 +19,7 @@
     private readonly services: GuardedServices,
     private readonly lifecycle: CallLifecycle,
     private readonly notices: NoticeHandler,
+    private readonly callTree: CallTree,
     private readonly isLeaving: () => boolean,
   ) {}
 
@@ -82,6 +84,18 @@
     if (reason !== undefined) {
       return [this.lifecycle.refusePermanently(now, call, upstream, reason)];
     }
+    const blocked = this.callTree.blockedFor(now, call);
+    if (blocked > 0) {
+      return [
+        this.lifecycle.refusePermanently(
+          now,
+          call,
+          upstream,
+          'nested-busy',
+          blocked,
+        ),
+      ];
+    }
     const offer = upstream.offer(now, call);
     if (offer.kind === 'refused') {
       const after = offer.retryAfterMilliseconds;
--- a/packages/brain/src/guard/callTree.ts
+++ b/packages/brain/src/guard/callTree.ts
@@ -2,16 +2,35 @@
 /** Which running calls of this box make which nested calls. */
 
 import type {GuardCall} from './guardMessages.js';
+import {NestedCapacity} from './nestedCapacity.js';
+import {NestedShares} from './nestedShares.js';
 import {RunningCalls} from './runningCalls.js';
 import type {ParentCall} from './runningCalls.js';
 
+/** How a nested call ended, as far as its service is concerned. */
+export type NestedCallEnd =
+  | 'served'
+  /** Refused as not run, because no slot was free in time. */
+  | 'no-capacity'
+  | 'other';
+
+/** The parts of the call tree that are in use. */
+export interface CallTreeSettings {
+  readonly tracksNestedCalls: boolean;
+  readonly refusesBusyParents: boolean;
+}
+
 /** Tracks the calls that run here and answers for their nested calls. */
 export class CallTree {
   private readonly running = new RunningCalls();
+  private readonly shares = new NestedShares();
+  private readonly capacity = new NestedCapacity();
+  /** Services called by running calls, by call id. */
+  private readonly called = new Map<string, Set<string>>();
   /** Whether any nested call with the id of its parent was seen. */
   private hasSeenParentIds = false;
 
-  constructor(private readonly isEnabled: boolean) {}
+  constructor(private readonly settings: CallTreeSettings) {}
 
   /** Records a call that was offered, possibly by another box. */
   offered({isNested}: GuardCall): void {
@@ -23,14 +42,65 @@
     this.running.add(call);
   }
 
-  /** Records that a call has ended; ignores calls that were not sent. */
-  ended(now: number, callId: string): void {
-    this.running.remove(now, callId);
+  /**
+   * Records that a call has ended or lost its slot.
+   * @param isComplete Whether it ran to its end without an error.
+   */
+  ended(now: number, callId: string, isComplete: boolean): void {
+    const call = this.running.remove(now, callId);
+    const called = this.called.get(callId);
+    this.called.delete(callId);
+    // A call that broke off might have made further nested calls.
+    if (call !== undefined && (isComplete || called !== undefined)) {
+      this.shares.add(kindOf(call), called ?? new Set());
+    }
+    this.capacity.ended(now, callId);
+  }
+
+  /** Records that a running call calls a service. */
+  nestedBegan(parentRequestId: string, service: string): void {
+    for (const callId of this.running.idsOf(parentRequestId)) {
+      const services = this.called.get(callId) ?? new Set();
+      this.called.set(callId, services.add(service));
+    }
+  }
+
+  /** Records the end of a nested call, with the priority that it inherited. */
+  nestedEnded(
+    now: number,
+    service: string,
+    priority: number,
+    end: NestedCallEnd,
+  ): void {
+    if (end === 'served') {
+      this.capacity.served(service, priority);
+    } else if (end === 'no-capacity') {
+      this.capacity.refused(now, service, priority);
+    }
+  }
+
+  /**
+   * Milliseconds until a call may start, because a service that it is likely to
+   * call has no capacity for its priority; 0 if it may start now.
+   */
+  blockedFor(now: number, call: GuardCall): number {
+    return this.settings.refusesBusyParents
+      ? this.capacity.blockedFor(now, this.needs(call), call.priority)
+      : 0;
+  }
+
+  /** Records that a call got its slot; ended() must follow. */
+  gotSlot(now: number, call: GuardCall): void {
+    this.capacity.admitted(now, call.id, this.needs(call), call.priority);
+  }
+
+  private needs(call: GuardCall): readonly string[] {
+    return this.shares.neededBy(kindOf(call));
   }
 
   /** The running call that a nested call names as its parent, if any. */
   parent(requestId: string): ParentCall | undefined {
-    if (!this.isEnabled) {
+    if (!this.settings.tracksNestedCalls) {
       return undefined;
     }
     const parent = this.running.parent(requestId);
@@ -47,7 +117,7 @@
     now: number,
     parentRequestId: string | undefined,
   ): boolean | undefined {
-    if (!this.isEnabled || !this.hasSeenParentIds) {
+    if (!this.settings.tracksNestedCalls || !this.hasSeenParentIds) {
       return undefined;
     }
     return (
@@ -56,3 +126,8 @@
     );
   }
 }
+
+/** Identifies a kind of call; routes of different services may be alike. */
+function kindOf({service, route}: GuardCall): string {
+  return `${service} ${route}`;
+}
--- a/packages/brain/src/guard/guardMessages.ts
+++ b/packages/brain/src/guard/guardMessages.ts
@@ -7,6 +7,7 @@
 import type {StoredAnswer} from '@lockpin/once';
 import type {Fence, GuardReport, HolderReply} from '@lockpin/floor';
 import type {AddressState} from '@lockpin/quarantine';
+import type {NestedCallEnd} from './callTree.js';
 import type {DoubtReason} from './quickDoubt.js';
 import type {
   KnownNotice,
@@ -96,6 +97,11 @@
   readonly reservationMilliseconds: number;
   /** Whether nested calls are recognised by the ids of their parents. */
   readonly tracksNestedCalls: boolean;
+  /**
+   * Whether calls are refused while services that they are likely to call have
+   * no capacity for them.
+   */
+  readonly refusesBusyParents: boolean;
   readonly admission: AdmissionOptions;
 }
 
@@ -113,6 +119,7 @@
   quarantinedFor: () => 0,
   reservationMilliseconds: 250,
   tracksNestedCalls: false,
+  refusesBusyParents: false,
   admission: {},
 };
 
@@ -135,6 +142,20 @@
     }
   | {readonly kind: 'call-cancelled'; readonly callId: string}
   | {readonly kind: 'call-deadline-passed'; readonly callId: string}
+  /** A running call makes a nested call. */
+  | {
+      readonly kind: 'nested-call-began';
+      readonly parentRequestId: string;
+      readonly service: string;
+    }
+  /** A nested call that began on this box has ended. */
+  | {
+      readonly kind: 'nested-call-ended';
+      readonly service: string;
+      /** Inherited from the root, without lateness. */
+      readonly priority: number;
+      readonly end: NestedCallEnd;
+    }
   /** A call from this box failed; a local upstream may have made it. */
   | {readonly kind: 'own-call-failed'}
   | {
--- a/packages/brain/src/guard/guardStateMachine.ts
+++ b/packages/brain/src/guard/guardStateMachine.ts
@@ -44,7 +44,7 @@
   ) {
     this.services = new GuardedServices(home, settings);
     this.reports = new ReportSchedule(home, this.services);
-    this.callTree = new CallTree(settings.tracksNestedCalls);
+    this.callTree = new CallTree(settings);
     this.lifecycle = new CallLifecycle(
       this.services,
       this.reports,
@@ -56,6 +56,7 @@
       this.services,
       this.lifecycle,
       this.notices,
+      this.callTree,
       () => this.isLeaving,
     );
     this.exitHandler = new UpstreamExitHandler(this.services, this.lifecycle);
@@ -147,6 +148,14 @@
         return this.go(now, event.callId, event.requestDigest);
       case 'call-cancelled':
         return this.callEndHandler.abandoned(now, event.callId, 'caller-left');
+      case 'nested-call-began':
+        this.callTree.nestedBegan(event.parentRequestId, event.service);
+        return [];
+      case 'nested-call-ended': {
+        const {service, priority, end} = event;
+        this.callTree.nestedEnded(now, service, priority, end);
+        return [];
+      }
       case 'own-call-failed':
         for (const upstream of this.services.upstreams()) {
           upstream.ownCallFailed(now);
--- a/packages/brain/src/index.ts
+++ b/packages/brain/src/index.ts
@@ -8,6 +8,7 @@
 export type {DoubtReason} from './guard/quickDoubt.js';
 export {REPORT_INTERVAL_MILLISECONDS} from './guard/reportSchedule.js';
 export * from './guard/onceRefusals.js';
+export type {NestedCallEnd} from './guard/callTree.js';
 export type {ParentCall} from './guard/runningCalls.js';
 export * from './guard/upstreamGuard.js';
 export type {StandingChange} from './guard/upstreamStanding.js';
--- a/packages/node/src/__tests__/nestedCall.test.ts
+++ b/packages/node/src/__tests__/nestedCall.test.ts
@@ -22,6 +22,7 @@
   waitMilliseconds: 2000,
   parentRequestId: 'p',
   keyOwner: undefined,
+  view: {name: 'service'},
   route: {spec: {goalMilliseconds: 400}},
 } as CallerRequest;
 
--- a/packages/node/src/process/fleetComposition.ts
+++ b/packages/node/src/process/fleetComposition.ts
@@ -30,6 +30,7 @@
 import {DecisionLog} from './decisionLog.js';
 import {FleetHost} from './fleetHost.js';
 import type {FleetPorts} from './fleetPorts.js';
+import {nestedCallEnded} from './nestedCallEvents.js';
 import {PeerTraffic} from './peerTraffic.js';
 import {createPrometheusMetrics} from './prometheusMetrics.js';
 import type {TextMetrics} from './prometheusMetrics.js';
@@ -222,7 +223,7 @@
     onNodeAction: (action) => host.handleGuardAction(action),
     onEnded: (record) => {
       log.guardCall(record);
-      const {outcome, ranMilliseconds, head, notice} = record;
+      const {outcome, ranMilliseconds, head, notice, reason} = record;
       const {doubtReason, limit} = record;
       if (outcome === 'answered') {
         host.runSurvived(head.requestDigest);
@@ -231,6 +232,9 @@
       if (doubtReason !== undefined) {
         metrics.increment('guard.doubted', {reason: doubtReason});
       }
+      if (reason === 'nested-busy') {
+        metrics.increment('guard.nestedBusy');
+      }
       if (limit !== undefined) {
         metrics.increment('guard.overLimit');
       }
@@ -247,13 +251,14 @@
   const guard = dependencies.resolve(FLEET_TOKENS.guardService);
   const remote = dependencies.resolve(FLEET_TOKENS.remote);
   const log = dependencies.resolve(FLEET_TOKENS.log);
+  const metrics = dependencies.resolve(FLEET_TOKENS.metrics);
   const {callerProtocol, settings} = dependencies.resolve(FLEET_TOKENS.ports);
   return new EntryService({
     clock: steadyClock,
     random: Math.random,
     stateMachine: host.entry,
     logger: createDecisionLogger(log),
-    metrics: dependencies.resolve(FLEET_TOKENS.metrics),
+    metrics,
     largestBodyBytes: () =>
       host.routing?.configuration.limits.bodyBytes ?? INITIAL_BODY_LIMIT_BYTES,
     protocol: callerProtocol({
@@ -269,13 +274,24 @@
     onUnrouted: (unrouted) => log.event('request-refused', {...unrouted}),
     mayBeRepeat: (parentRequestId) =>
       host.guard.mayBeRepeat(steadyClock(), parentRequestId),
-    parentCall: (requestId) => host.guard.parentCall(requestId),
+    parentCall: (parentRequestId, service) => {
+      const parent = host.guard.parentCall(parentRequestId);
+      if (parent !== undefined) {
+        guard.handle({kind: 'nested-call-began', parentRequestId, service});
+      }
+      return parent;
+    },
     incarnation: () => undefined,
     isOwnBox: (box) => box === settings.box,
     needsGo: (box) => box !== settings.box,
     onSilence: (box) => remote.countUnansweredOffer(host.peerAddress(box)),
     onEnded: (record) => {
       log.call(record);
+      const nestedEnd = nestedCallEnded(record);
+      if (nestedEnd !== undefined) {
+        metrics.increment('calls.nested', {end: nestedEnd.end});
+        guard.handle(nestedEnd);
+      }
       if (hasFailed(record)) {
         guard.handle({kind: 'own-call-failed'});
       }
--- a/packages/node/src/process/fleetGuardSettings.ts
+++ b/packages/node/src/process/fleetGuardSettings.ts
@@ -34,6 +34,7 @@
     doubtReleasesQueue: isOn('queue-release'),
     limitsSuspects: isOn('suspect-limit'),
     tracksNestedCalls: isOn('nested-calls'),
+    refusesBusyParents: isOn('nested-calls') && isOn('nested-busy'),
     admission: {
       ...(isOn('burst-credit') && {burstCallsFor: burstCalls}),
       removesHopeless: isOn('queue-review'),
--- a/packages/node/src/process/mechanisms.ts
+++ b/packages/node/src/process/mechanisms.ts
@@ -26,6 +26,7 @@
   'queue-review': 'calls that can no longer be in time wait on for a while',
   'nested-calls':
     'nested calls have the priority and deadline that their own request states',
+  'nested-busy': 'calls start though services that they call are full',
   'paid-retries': 'nothing pays for second attempts',
 } as const;
 
--- /dev/null
+++ b/packages/node/src/process/nestedCallEvents.ts
@@ -0,0 +1,33 @@
+// Copyright (c) 2026 the lockpin contributors. MIT licence, see LICENSE.
+/** Tells the guard how the nested calls of its box ended. */
+
+import {NO_CAPACITY_REFUSALS} from '@lockpin/brain';
+import type {GuardEvent, NestedCallEnd} from '@lockpin/brain';
+import type {RefusalReason} from '@lockpin/types';
+import {FIRST_SERVER_ERROR_STATUS} from '@lockpin/utils';
+import type {CallRecord} from '../request/attemptHistory.js';
+
+type NestedCallEnded = GuardEvent & {readonly kind: 'nested-call-ended'};
+
+/** The event for the end of a nested call; undefined for other calls. */
+export function nestedCallEnded(
+  record: CallRecord,
+): NestedCallEnded | undefined {
+  const {nested, service} = record;
+  return (
+    nested && {
+      kind: 'nested-call-ended',
+      service,
+      priority: nested.priority,
+      end: endOf(record),
+    }
+  );
+}
+
+function endOf({outcome, reason, status}: CallRecord): NestedCallEnd {
+  if (outcome === 'answered') {
+    return status < FIRST_SERVER_ERROR_STATUS ? 'served' : 'other';
+  }
+  const lacksCapacity = NO_CAPACITY_REFUSALS.has(reason as RefusalReason);
+  return outcome === 'not-run' && lacksCapacity ? 'no-capacity' : 'other';
+}
--- a/packages/node/src/request/attemptHistory.ts
+++ b/packages/node/src/request/attemptHistory.ts
@@ -20,6 +20,14 @@
   readonly endedAt: number;
 }
 
+/** What a nested call has from the call that made it. */
+export interface NestedCallRecord {
+  /** Id of the request that the upstream was running. */
+  readonly parent: string;
+  /** Inherited from the root; 0 is the most urgent. */
+  readonly priority: number;
+}
+
 /** The log record of a call, from its arrival to its end at the entry. */
 export interface CallRecord {
   readonly requestId: string;
@@ -40,8 +48,8 @@
    * did not use at its end.
    */
   readonly unusedUpstreams?: UnusedUpstreams | undefined;
-  /** Id of the request whose upstream on this box made the call, if any did. */
-  readonly parentRequestId?: string | undefined;
+  /** Set if an upstream of this box made the call while it ran another. */
+  readonly nested?: NestedCallRecord | undefined;
 }
 
 /**
--- a/packages/node/src/request/callRecord.ts
+++ b/packages/node/src/request/callRecord.ts
@@ -2,7 +2,8 @@
 /** Builds the log record of a finished call. */
 
 import type {UnusedUpstreams} from '@lockpin/brain';
-import type {CallRecord} from './attemptHistory.js';
+import type {CallRecord, NestedCallRecord} from './attemptHistory.js';
+import type {CallerRequest} from './callerRequest.js';
 import type {CallerExchange} from './callerExchange.js';
 
 /** Builds the log record of a call from its exchange and outcome. */
@@ -23,8 +24,18 @@
     reason,
     status,
     milliseconds: Math.round(milliseconds),
-    parentRequestId: call.isNested ? call.parentRequestId : undefined,
+    nested: nestedRecord(call),
     attempts: attemptHistory.attempts,
     unusedUpstreams,
   };
 }
+
+function nestedRecord({
+  isNested,
+  parentRequestId,
+  priority,
+}: CallerRequest): NestedCallRecord | undefined {
+  return isNested === true && parentRequestId !== undefined
+    ? {parent: parentRequestId, priority}
+    : undefined;
+}
--- a/packages/node/src/request/entryServiceDependencies.ts
+++ b/packages/node/src/request/entryServiceDependencies.ts
@@ -1,7 +1,7 @@
 // Copyright (c) 2026 the lockpin contributors. MIT licence, see LICENSE.
 /** The dependencies of the entry service. */
 
-import type {EntryStateMachine, ParentCall} from '@lockpin/brain';
+import type {EntryStateMachine} from '@lockpin/brain';
 import type {Admission} from '@lockpin/limits';
 import type {Logger} from '@lockpin/logger';
 import type {Clock, RandomSource, Repetition} from '@lockpin/types';
@@ -10,6 +10,7 @@
 import type {CallRecord} from './attemptHistory.js';
 import type {Exchange, ExchangeHandlers} from './exchange.js';
 import type {CallHead} from './frames.js';
+import type {FindParentCall} from './nestedCall.js';
 import type {RefusedRequestRecord} from './refusedRecord.js';
 
 /** What the entry service needs from its process. */
@@ -40,10 +41,10 @@
    */
   readonly mayBeRepeat: (parentRequestId: string | undefined) => boolean;
   /**
-   * The call with this request id that an upstream of this box runs. Absent
-   * where nested calls are not tracked.
+   * The call with this request id that an upstream of this box runs, and that
+   * now calls a service. Absent where nested calls are not tracked.
    */
-  readonly parentCall?: (requestId: string) => ParentCall | undefined;
+  readonly parentCall?: FindParentCall;
   /** The incarnation of the current process on a box, for minting once keys. */
   readonly incarnation: (box: string) => string | undefined;
   readonly isOwnBox: (box: string) => boolean;
--- a/packages/node/src/request/nestedCall.ts
+++ b/packages/node/src/request/nestedCall.ts
@@ -5,6 +5,12 @@
 import {priorityWithoutLateness} from './attemptPriority.js';
 import type {CallerRequest} from './callerRequest.js';
 
+/** The running call with a request id, which calls a service now. */
+export type FindParentCall = (
+  requestId: string,
+  service: string,
+) => ParentCall | undefined;
+
 /**
  * Returns the call with the customer, weight and priority of its root and the
  * earlier of its own and its parent's deadline, if its parent runs on this box;
@@ -16,13 +22,13 @@
 export function nestedCall(
   arrivedAt: number,
   call: CallerRequest,
-  parentCall?: (requestId: string) => ParentCall | undefined,
+  findParent?: FindParentCall,
 ): CallerRequest {
-  const {parentRequestId, keyOwner, waitMilliseconds} = call;
+  const {parentRequestId, keyOwner, waitMilliseconds, view} = call;
   if (parentRequestId === undefined || keyOwner !== undefined) {
     return {...call, parentRequestId: undefined};
   }
-  const parent = parentCall?.(parentRequestId);
+  const parent = findParent?.(parentRequestId, view.name);
   if (parent === undefined) {
     return call;
   }
--- a/packages/node/src/request/wireCodes.ts
+++ b/packages/node/src/request/wireCodes.ts
@@ -81,6 +81,7 @@
     'limit-unknown': 40,
     'request-quarantined': 41,
     'upstream-over-limit': 42,
+    'nested-busy': 43,
   },
   'guard-lost',
 );
--- a/packages/types/src/refusals.ts
+++ b/packages/types/src/refusals.ts
@@ -35,6 +35,8 @@
   | 'guard-silent'
   | 'node-leaving'
   | 'not-ready'
+  /** A service that the call is likely to call has no capacity for it. */
+  | 'nested-busy'
   | 'queue-full'
   | 'customer-over-share'
   | 'retries-exhausted'
