--- a/packages/admission/src/admission.ts
+++ b/packages/admission/src/admission.ts
@@ -2,6 +2,11 @@
 /** Admission control: runs, queues or refuses the calls to an upstream. */
 
 import type {RefusalReason} from '@lockpin/types';
+import type {
+  AdmissionDecision,
+  AdmissionOptions,
+  DispatchResult,
+} from './admissionMessages.js';
 import {AdaptiveLimit} from './adaptiveLimit.js';
 import {BoundedQueue} from './boundedQueue.js';
 import {isTooLateToWait} from './expectedWait.js';
@@ -11,30 +16,6 @@
 import type {WaitingCall} from './waitingCall.js';
 import {RequestRate} from './requestRate.js';
 
-/** Decision on a call that was offered. */
-export type AdmissionDecision =
-  | {readonly kind: 'start'}
-  | {readonly kind: 'queued'; readonly displaced: WaitingCall | undefined}
-  | {
-      readonly kind: 'refused';
-      readonly reason: RefusalReason;
-      readonly retryAfterMilliseconds: number;
-    };
-
-/** Queued calls that were started or expired when slots were filled. */
-export interface DispatchResult {
-  readonly started: readonly WaitingCall[];
-  readonly expired: readonly WaitingCall[];
-}
-
-/** Behaviour that a deployment may choose. */
-export interface AdmissionOptions {
-  /** See RankLevel; customers have no burst when absent. */
-  readonly burstCallsFor?: (slots: number) => number;
-  /** Whether calls leave the queue once their turn is expected too late. */
-  readonly removesHopeless?: boolean;
-}
-
 /** Weight of the latest call in the moving average of durations. */
 const DURATION_WEIGHT = 0.1;
 
@@ -119,7 +100,8 @@
     if (this.mayStart(now) && this.queue.size === 0) {
       return this.startOrRefuse(now, call);
     }
-    const wait = this.expectedWait(now, call);
+    const turn = this.queue.aheadOf(call) + 1;
+    const wait = this.waitOf(now, turn, call.priority);
     if (call.mayWait === false) {
       return this.refuse(now, 'upstream-busy', wait);
     }
@@ -284,10 +266,6 @@
   }
 
   /** Infinite when all slots are held by calls that may never end. */
-  private expectedWait(now: number, call: WaitingCall): ExpectedWait {
-    return this.waitOf(now, this.queue.aheadOf(call) + 1, call.priority);
-  }
-
   private waitOf(now: number, turn: number, priority: number): ExpectedWait {
     const forLimit = this.rate.waitForTurn(now, turn, priority);
     const forSlot = this.waitForTurn(now, turn);
