Nested calls are of another kind than their parents; shortages in the log

Cause: a caller that numbers its repeats after a dot would have been taken for an upstream that makes a nested call, and unmarked nested calls would then not have counted as repeats any more. Refusals as nested-busy did not say on what they were based.

Change: a call of the same service and route as the call that it names is no nested call. guard-call lines of offers refused as nested-busy have busyService, busyPriority and busyAge.

--- a/packages/brain/src/guard/callLifecycle.ts
+++ b/packages/brain/src/guard/callLifecycle.ts
@@ -159,9 +159,10 @@
       if (known === undefined) {
         return [];
       }
-      const blocked = this.callTree.blockedFor(now, known.call);
-      if (blocked > 0) {
-        return this.releaseReservation(now, known, 'nested-busy', blocked);
+      const shortage = this.callTree.shortage(now, known.call);
+      if (shortage !== undefined) {
+        const after = Math.ceil(shortage.milliseconds);
+        return this.releaseReservation(now, known, 'nested-busy', after);
       }
       known.upstream.start(now, known.call);
       return this.run(now, known);
--- a/packages/brain/src/guard/callOfferHandler.ts
+++ b/packages/brain/src/guard/callOfferHandler.ts
@@ -9,6 +9,7 @@
 import type {GuardAction, GuardCall} from './guardMessages.js';
 import type {GuardedServices, ServiceState} from './guardedServices.js';
 import {leavingHint, refuse} from './guardRefusals.js';
+import type {NestedShortage} from './nestedCapacity.js';
 import type {NoticeHandler} from './noticeHandler.js';
 import {onceRefusal} from './onceRefusals.js';
 import type {UpstreamGuard} from './upstreamGuard.js';
@@ -84,17 +85,9 @@
     if (reason !== undefined) {
       return [this.lifecycle.refusePermanently(now, call, upstream, reason)];
     }
-    const blocked = this.callTree.blockedFor(now, call);
-    if (blocked > 0) {
-      return [
-        this.lifecycle.refusePermanently(
-          now,
-          call,
-          upstream,
-          'nested-busy',
-          blocked,
-        ),
-      ];
+    const shortage = this.callTree.shortage(now, call);
+    if (shortage !== undefined) {
+      return [this.refuseBusyParent(now, call, upstream, shortage)];
     }
     const offer = upstream.offer(now, call);
     if (offer.kind === 'refused') {
@@ -126,6 +119,20 @@
         ];
   }
 
+  private refuseBusyParent(
+    now: number,
+    call: GuardCall,
+    upstream: UpstreamGuard,
+    shortage: NestedShortage,
+  ): GuardAction {
+    const after = Math.ceil(shortage.milliseconds);
+    const reason = 'nested-busy';
+    return {
+      ...this.lifecycle.refusePermanently(now, call, upstream, reason, after),
+      shortage,
+    };
+  }
+
   private refuseLeaving(
     now: number,
     call: GuardCall,
--- a/packages/brain/src/guard/callTree.ts
+++ b/packages/brain/src/guard/callTree.ts
@@ -3,9 +3,10 @@
 
 import type {GuardCall} from './guardMessages.js';
 import {NestedCapacity} from './nestedCapacity.js';
+import type {NestedShortage} from './nestedCapacity.js';
 import {NestedShares} from './nestedShares.js';
 import {RunningCalls} from './runningCalls.js';
-import type {ParentCall} from './runningCalls.js';
+import type {CallKind, ParentCall} from './runningCalls.js';
 
 /** How a nested call ended, as far as its service is concerned. */
 export type NestedCallEnd =
@@ -80,13 +81,13 @@
   }
 
   /**
-   * Milliseconds until a call may start, because a service that it is likely to
-   * call has no capacity for its priority; 0 if it may start now.
+   * The lack of capacity, for the priority of a call, of a service that it is
+   * likely to call; undefined if the call may start now.
    */
-  blockedFor(now: number, call: GuardCall): number {
+  shortage(now: number, call: GuardCall): NestedShortage | undefined {
     return this.settings.refusesBusyParents
-      ? this.capacity.blockedFor(now, this.needs(call), call.priority)
-      : 0;
+      ? this.capacity.shortage(now, this.needs(call), call.priority)
+      : undefined;
   }
 
   /** Records that a call got its slot; ended() must follow. */
@@ -98,12 +99,20 @@
     return this.shares.neededBy(kindOf(call));
   }
 
-  /** The running call that a nested call names as its parent, if any. */
-  parent(requestId: string): ParentCall | undefined {
-    if (!this.settings.tracksNestedCalls) {
+  /**
+   * The running call that a call of some kind names as its parent, if any. One
+   * of the same kind is taken for a caller's repeat with a similar id.
+   */
+  parent(
+    requestId: string,
+    {service, route}: CallKind,
+  ): ParentCall | undefined {
+    const parent = this.settings.tracksNestedCalls
+      ? this.running.parent(requestId)
+      : undefined;
+    if (parent?.service === service && parent.route === route) {
       return undefined;
     }
-    const parent = this.running.parent(requestId);
     this.hasSeenParentIds ||= parent !== undefined;
     return parent;
   }
@@ -128,6 +137,6 @@
 }
 
 /** Identifies a kind of call; routes of different services may be alike. */
-function kindOf({service, route}: GuardCall): string {
+function kindOf({service, route}: CallKind): string {
   return `${service} ${route}`;
 }
--- a/packages/brain/src/guard/guardMessages.ts
+++ b/packages/brain/src/guard/guardMessages.ts
@@ -8,6 +8,7 @@
 import type {Fence, GuardReport, HolderReply} from '@lockpin/floor';
 import type {AddressState} from '@lockpin/quarantine';
 import type {NestedCallEnd} from './callTree.js';
+import type {NestedShortage} from './nestedCapacity.js';
 import type {DoubtReason} from './quickDoubt.js';
 import type {
   KnownNotice,
@@ -237,6 +238,8 @@
       readonly doubtReason: DoubtReason | undefined;
       /** Set only for 'upstream-over-limit' refusals; used in logs. */
       readonly limit: LimitInForce | undefined;
+      /** Set for offers refused as 'nested-busy'; used in logs. */
+      readonly shortage?: NestedShortage;
     }
   | {
       readonly kind: 'answer-stored';
--- a/packages/brain/src/guard/guardStateMachine.ts
+++ b/packages/brain/src/guard/guardStateMachine.ts
@@ -21,7 +21,7 @@
 import {NoticeHandler} from './noticeHandler.js';
 import {CallOfferHandler} from './callOfferHandler.js';
 import {ReportSchedule} from './reportSchedule.js';
-import type {ParentCall} from './runningCalls.js';
+import type {CallKind, ParentCall} from './runningCalls.js';
 import {UpstreamExitHandler} from './upstreamExitHandler.js';
 
 /** Deterministic: actions depend only on the state, now, random and event. */
@@ -80,9 +80,9 @@
     return [...this.services.upstreams()].some(({runsRepeats}) => runsRepeats);
   }
 
-  /** The running call of this box that has a request id. */
-  parentCall(requestId: string): ParentCall | undefined {
-    return this.callTree.parent(requestId);
+  /** The running call of this box that makes a call of some kind. */
+  parentCall(requestId: string, kind: CallKind): ParentCall | undefined {
+    return this.callTree.parent(requestId, kind);
   }
 
   /**
--- a/packages/brain/src/guard/nestedCapacity.ts
+++ b/packages/brain/src/guard/nestedCapacity.ts
@@ -20,11 +20,24 @@
 /** A shortage that no call has checked for this long is forgotten. */
 const FORGET_MILLISECONDS = 5000;
 
+/** A service that lacks capacity for a call. */
+export interface NestedShortage {
+  readonly service: string;
+  /** Time until a call that needs it may start. */
+  readonly milliseconds: number;
+  /** The most urgent priority that was refused. */
+  readonly priority: number;
+  /** Milliseconds since the last refusal. */
+  readonly age: number;
+}
+
 interface Shortage {
+  readonly service: string;
   /** Refusals since a nested call was last served. */
   refusals: number;
   /** The most urgent priority that was refused. */
   priority: number;
+  refusedAt: number;
   /** No call that needs the service starts before this time. */
   until: number;
   /** Time from a refusal to the next check, in milliseconds. */
@@ -50,6 +63,8 @@
       ? Math.min(LONGEST_INTERVAL_MILLISECONDS, interval * 2)
       : interval;
     this.shortages.set(service, {
+      service,
+      refusedAt: now,
       refusals: (known?.refusals ?? 0) + 1,
       priority: Math.min(priority, known?.priority ?? priority),
       until: now + next,
@@ -67,18 +82,25 @@
   }
 
   /**
-   * Milliseconds until a call that needs these services may start; 0 if it may
-   * start now.
+   * The longest shortage that keeps a call that needs these services from
+   * starting now.
    */
-  blockedFor(
+  shortage(
     now: number,
     services: readonly string[],
     priority: number,
-  ): number {
-    const waits = this.shortagesOf(now, services, priority).map(
-      ({until}) => until - now,
+  ): NestedShortage | undefined {
+    const [longest] = [...this.shortagesOf(now, services, priority)].sort(
+      (a, b) => b.until - a.until,
     );
-    return Math.max(0, ...waits);
+    return longest === undefined || longest.until <= now
+      ? undefined
+      : {
+          service: longest.service,
+          milliseconds: longest.until - now,
+          priority: longest.priority,
+          age: now - longest.refusedAt,
+        };
   }
 
   /** Records that a call got its slot; it checks services that are short. */
--- a/packages/brain/src/guard/runningCalls.ts
+++ b/packages/brain/src/guard/runningCalls.ts
@@ -3,8 +3,11 @@
 
 import type {GuardCall} from './guardMessages.js';
 
+/** A kind of call: a route of a service. */
+export type CallKind = Pick<GuardCall, 'service' | 'route'>;
+
 /** What a nested call takes over from the call that makes it. */
-export interface ParentCall {
+export interface ParentCall extends CallKind {
   readonly customer: string;
   readonly weight: number;
   /** As offered to the guard; lateness is still included. */
@@ -61,9 +64,10 @@
     if (latest === undefined) {
       return undefined;
     }
-    const {customer, weight, priority, deadline} = latest;
+    const {service, route, customer, weight, priority, deadline} = latest;
     const isRepeat = calls.some(countsAsRepeat);
-    return {customer, weight, priority, deadline, isRepeat};
+    const kind = {service, route};
+    return {...kind, customer, weight, priority, deadline, isRepeat};
   }
 
   /** The ids of the running calls with a request id. */
--- a/packages/node/src/process/decisionLog.ts
+++ b/packages/node/src/process/decisionLog.ts
@@ -60,7 +60,7 @@
   }
 
   /** Logs the end of a call at the guard of its upstream. */
-  guardCall({head, notice, limit, ...record}: GuardRecord): void {
+  guardCall({head, notice, limit, shortage, ...record}: GuardRecord): void {
     const isRoutine = record.outcome === 'answered';
     this.write(
       isRoutine ? this.routineLimiter : this.notableLimiter,
@@ -74,6 +74,9 @@
         isNested: head.isNested ? true : undefined,
         expectedMilliseconds: head.expectedMilliseconds,
         ...record,
+        busyService: shortage?.service,
+        busyPriority: shortage?.priority,
+        busyAge: shortage && Math.round(shortage.age),
         limitPerSecond: limit?.requestsPerSecond,
         limitAge: limit && Math.round(limit.age),
         statedLimit: notice?.requestsPerSecond ?? notice?.unreadableLimit,
--- a/packages/node/src/process/fleetComposition.ts
+++ b/packages/node/src/process/fleetComposition.ts
@@ -274,9 +274,10 @@
     onUnrouted: (unrouted) => log.event('request-refused', {...unrouted}),
     mayBeRepeat: (parentRequestId) =>
       host.guard.mayBeRepeat(steadyClock(), parentRequestId),
-    parentCall: (parentRequestId, service) => {
-      const parent = host.guard.parentCall(parentRequestId);
+    parentCall: (parentRequestId, kind) => {
+      const parent = host.guard.parentCall(parentRequestId, kind);
       if (parent !== undefined) {
+        const {service} = kind;
         guard.handle({kind: 'nested-call-began', parentRequestId, service});
       }
       return parent;
--- a/packages/node/src/request/callerExchange.ts
+++ b/packages/node/src/request/callerExchange.ts
@@ -273,6 +273,6 @@
 }
 
 /** The last segment of a name; the service is sent separately. */
-function shortName(name: string): string {
+export function shortName(name: string): string {
   return name.slice(name.lastIndexOf('/') + 1);
 }
--- a/packages/node/src/request/entryServiceDependencies.ts
+++ b/packages/node/src/request/entryServiceDependencies.ts
@@ -42,7 +42,7 @@
   readonly mayBeRepeat: (parentRequestId: string | undefined) => boolean;
   /**
    * The call with this request id that an upstream of this box runs, and that
-   * now calls a service. Absent where nested calls are not tracked.
+   * makes a call now. Absent where nested calls are not tracked.
    */
   readonly parentCall?: FindParentCall;
   /** The incarnation of the current process on a box, for minting once keys. */
--- a/packages/node/src/request/guardRecord.ts
+++ b/packages/node/src/request/guardRecord.ts
@@ -1,7 +1,7 @@
 // Copyright (c) 2026 the lockpin contributors. MIT licence, see LICENSE.
 /** The log record of a call at its guard. */
 
-import type {DoubtReason, LimitInForce} from '@lockpin/brain';
+import type {DoubtReason, LimitInForce, NestedShortage} from '@lockpin/brain';
 import type {UpstreamNotice} from '@lockpin/types';
 import type {CallHead} from './frames.js';
 
@@ -16,6 +16,8 @@
   readonly doubtReason: DoubtReason | undefined;
   /** Set only for calls that were refused as 'upstream-over-limit'. */
   readonly limit: LimitInForce | undefined;
+  /** Set for offers that were refused as 'nested-busy'. */
+  readonly shortage?: NestedShortage | undefined;
   /** The HTTP status of the upstream; 0 when there is none. */
   readonly status: number;
   /** Stated by the upstream in its answer; undefined without an answer. */
--- a/packages/node/src/request/guardService.ts
+++ b/packages/node/src/request/guardService.ts
@@ -43,7 +43,9 @@
 }
 
 /** What a refusal was based on. */
-type RefusalCause = Partial<Pick<GuardRecord, 'doubtReason' | 'limit'>>;
+type RefusalCause = Partial<
+  Pick<GuardRecord, 'doubtReason' | 'limit' | 'shortage'>
+>;
 
 /** Guard actions that are not addressed to the caller of an exchange. */
 export type GuardNodeAction = GuardAction & {
@@ -234,12 +236,13 @@
   ): void {
     this.remove(exchange);
     const {reason, outcome} = action.refusal;
-    const {doubtReason, limit} = action;
+    const {doubtReason, limit, shortage} = action;
     const wasCancelled = exchange.handlers === NOOP_HANDLERS;
     exchange.upstream = action.upstream;
     this.recordEnd(exchange, wasCancelled ? 'cancelled' : outcome, reason, 0, {
       doubtReason,
       limit,
+      shortage,
     });
     if (exchange.answer?.hasBegun) {
       exchange.handlers.onLost(true);
@@ -289,6 +292,7 @@
       reason,
       doubtReason: cause.doubtReason,
       limit: cause.limit,
+      shortage: cause.shortage,
       status,
       notice,
       waitedMilliseconds: (sentAt ?? now) - offeredAt,
--- a/packages/node/src/request/nestedCall.ts
+++ b/packages/node/src/request/nestedCall.ts
@@ -1,14 +1,15 @@
 // Copyright (c) 2026 the lockpin contributors. MIT licence, see LICENSE.
 /** What a nested call inherits from the call that makes it. */
 
-import type {ParentCall} from '@lockpin/brain';
+import type {CallKind, ParentCall} from '@lockpin/brain';
 import {priorityWithoutLateness} from './attemptPriority.js';
+import {shortName} from './callerExchange.js';
 import type {CallerRequest} from './callerRequest.js';
 
-/** The running call with a request id, which calls a service now. */
+/** The running call with a request id, which makes a call of this kind now. */
 export type FindParentCall = (
   requestId: string,
-  service: string,
+  kind: CallKind,
 ) => ParentCall | undefined;
 
 /**
@@ -24,11 +25,12 @@
   call: CallerRequest,
   findParent?: FindParentCall,
 ): CallerRequest {
-  const {parentRequestId, keyOwner, waitMilliseconds, view} = call;
+  const {parentRequestId, keyOwner, waitMilliseconds, view, route} = call;
   if (parentRequestId === undefined || keyOwner !== undefined) {
     return {...call, parentRequestId: undefined};
   }
-  const parent = findParent?.(parentRequestId, view.name);
+  const kind = {service: view.name, route: shortName(route.name)};
+  const parent = findParent?.(parentRequestId, kind);
   if (parent === undefined) {
     return call;
   }
