Errors of calls whose nested calls were not served are no evidence

Cause: an upstream that ends a call with an error because its nested call was refused was doubted unless the error came within 20 ms of the refusal, which a box with a quarter of a core does not always manage. Its service then lost slots too.

Change: the guard knows which running call a nested call belongs to, and excuses the error of that call whenever it comes (mechanism excused-failures). nested-call-ended tells the parent, and failed calls from those that were given up.

--- a/packages/brain/src/__tests__/nestedBusy.test.ts
+++ b/packages/brain/src/__tests__/nestedBusy.test.ts
@@ -51,12 +51,9 @@
   at = harness,
 ): readonly GuardAction[] {
   at.handle({kind: 'nested-call-began', parentRequestId: parent, service});
-  at.handle({kind: 'nested-call-ended', service, priority: 1, end});
-  if (end === 'served') {
-    return [];
-  }
-  at.handle({kind: 'own-call-failed'});
-  return answer(parent, 500, at);
+  const result = {parentRequestId: parent, service, priority: 1, end};
+  at.handle({kind: 'nested-call-ended', ...result});
+  return end === 'served' ? [] : answer(parent, 500, at);
 }
 
 function answer(
@@ -136,6 +133,19 @@
   expect(offered()).toEqual([]);
 });
 
+it('an upstream is not doubted for errors after refusals of nested calls', () => {
+  harness = createHarness(4, false);
+  run(3, 'served');
+  const calls = [begin(), begin(), begin()];
+  for (const {id} of calls) {
+    const result = {parentRequestId: id, service, priority: 1};
+    harness.handle({kind: 'nested-call-ended', ...result, end: 'failed'});
+  }
+  harness.now += 300;
+  calls.forEach(({id}) => answer(id, 500));
+  expect(offered()).toEqual([]);
+});
+
 it('nothing is refused where the mechanism is off', () => {
   harness = createHarness(4, false);
   run(5, 'no-capacity');
--- a/packages/brain/src/guard/callEndHandler.ts
+++ b/packages/brain/src/guard/callEndHandler.ts
@@ -3,6 +3,7 @@
 
 import type {RefusalReason} from '@lockpin/types';
 import {FIRST_SERVER_ERROR_STATUS} from '@lockpin/utils';
+import type {CallTree} from './callTree.js';
 import type {CallLifecycle} from './callLifecycle.js';
 import type {GuardAction, GuardEvent} from './guardMessages.js';
 import type {GuardedServices} from './guardedServices.js';
@@ -15,6 +16,7 @@
     private readonly services: GuardedServices,
     private readonly lifecycle: CallLifecycle,
     private readonly exitHandler: UpstreamExitHandler,
+    private readonly callTree: CallTree,
   ) {}
 
   /** Handles an answer from the upstream. */
@@ -23,6 +25,7 @@
     event: GuardEvent & {readonly kind: 'upstream-answered'},
   ): readonly GuardAction[] {
     const {callId, status, isShed, answer} = event;
+    const isExplained = this.callTree.hasFailedNested(callId);
     const isComplete = status < FIRST_SERVER_ERROR_STATUS;
     const known = this.lifecycle.remove(now, callId, isComplete);
     if (known === undefined) {
@@ -36,7 +39,8 @@
       this.services.ledgerOf(call)?.answered(key, answer);
     }
     const wasDoubted = upstream.isDoubted(now);
-    const end = upstream.answered(now, callId, status, isShed);
+    const result = {status, isShed, isExplained};
+    const end = upstream.answered(now, callId, result);
     return this.lifecycle.callEnded(now, upstream, end, wasDoubted);
   }
 
--- a/packages/brain/src/guard/callTree.ts
+++ b/packages/brain/src/guard/callTree.ts
@@ -13,7 +13,19 @@
   | 'served'
   /** Refused as not run, because no slot was free in time. */
   | 'no-capacity'
-  | 'other';
+  /** Refused for other reasons, or answered with a server error. */
+  | 'failed'
+  /** The call that made it gave it up. */
+  | 'given-up';
+
+/** The end of a nested call. */
+export interface NestedCallResult {
+  readonly parentRequestId: string;
+  readonly service: string;
+  /** Inherited from the root, without lateness. */
+  readonly priority: number;
+  readonly end: NestedCallEnd;
+}
 
 /** The parts of the call tree that are in use. */
 export interface CallTreeSettings {
@@ -28,6 +40,8 @@
   private readonly capacity = new NestedCapacity();
   /** Services called by running calls, by call id. */
   private readonly called = new Map<string, Set<string>>();
+  /** Ids of running calls with a nested call that was not served. */
+  private readonly failedByNested = new Set<string>();
   /** Whether any nested call with the id of its parent was seen. */
   private hasSeenParentIds = false;
 
@@ -51,6 +65,7 @@
     const call = this.running.remove(now, callId);
     const called = this.called.get(callId);
     this.called.delete(callId);
+    this.failedByNested.delete(callId);
     // A call that broke off might have made further nested calls.
     if (call !== undefined && (isComplete || called !== undefined)) {
       this.shares.add(kindOf(call), called ?? new Set());
@@ -66,18 +81,27 @@
     }
   }
 
-  /** Records the end of a nested call, with the priority that it inherited. */
-  nestedEnded(
-    now: number,
-    service: string,
-    priority: number,
-    end: NestedCallEnd,
-  ): void {
+  /** Records the end of a nested call. */
+  nestedEnded(now: number, result: NestedCallResult): void {
+    const {parentRequestId, service, priority, end} = result;
     if (end === 'served') {
       this.capacity.served(service, priority);
     } else if (end === 'no-capacity') {
       this.capacity.refused(now, service, priority);
     }
+    if (end === 'no-capacity' || end === 'failed') {
+      this.running
+        .idsOf(parentRequestId)
+        .forEach((callId) => this.failedByNested.add(callId));
+    }
+  }
+
+  /**
+   * Whether a nested call of a running call was not served, which explains a
+   * failure of the running call.
+   */
+  hasFailedNested(callId: string): boolean {
+    return this.failedByNested.has(callId);
   }
 
   /**
--- a/packages/brain/src/guard/guardMessages.ts
+++ b/packages/brain/src/guard/guardMessages.ts
@@ -7,7 +7,7 @@
 import type {StoredAnswer} from '@lockpin/once';
 import type {Fence, GuardReport, HolderReply} from '@lockpin/floor';
 import type {AddressState} from '@lockpin/quarantine';
-import type {NestedCallEnd} from './callTree.js';
+import type {NestedCallResult} from './callTree.js';
 import type {NestedShortage} from './nestedCapacity.js';
 import type {DoubtReason} from './quickDoubt.js';
 import type {
@@ -150,13 +150,7 @@
       readonly service: string;
     }
   /** A nested call that began on this box has ended. */
-  | {
-      readonly kind: 'nested-call-ended';
-      readonly service: string;
-      /** Inherited from the root, without lateness. */
-      readonly priority: number;
-      readonly end: NestedCallEnd;
-    }
+  | ({readonly kind: 'nested-call-ended'} & NestedCallResult)
   /** A call from this box failed; a local upstream may have made it. */
   | {readonly kind: 'own-call-failed'}
   | {
--- a/packages/brain/src/guard/guardStateMachine.ts
+++ b/packages/brain/src/guard/guardStateMachine.ts
@@ -64,6 +64,7 @@
       this.services,
       this.lifecycle,
       this.exitHandler,
+      this.callTree,
     );
   }
 
@@ -151,11 +152,9 @@
       case 'nested-call-began':
         this.callTree.nestedBegan(event.parentRequestId, event.service);
         return [];
-      case 'nested-call-ended': {
-        const {service, priority, end} = event;
-        this.callTree.nestedEnded(now, service, priority, end);
+      case 'nested-call-ended':
+        this.callTree.nestedEnded(now, event);
         return [];
-      }
       case 'own-call-failed':
         for (const upstream of this.services.upstreams()) {
           upstream.ownCallFailed(now);
--- a/packages/brain/src/guard/upstreamGuard.ts
+++ b/packages/brain/src/guard/upstreamGuard.ts
@@ -45,6 +45,15 @@
   readonly change: StandingChange | undefined;
 }
 
+/** A complete answer, as far as it tells about the upstream. */
+export interface UpstreamResult {
+  readonly status: number;
+  /** The upstream reported overload. */
+  readonly isShed: boolean;
+  /** A nested call of the call was not served. */
+  readonly isExplained: boolean;
+}
+
 /** Admits calls to one upstream and evaluates their outcomes. */
 export class UpstreamGuard {
   private readonly admission: Admission;
@@ -242,8 +251,7 @@
   answered(
     now: number,
     callId: string,
-    status: number,
-    isShed: boolean,
+    {status, isShed, isExplained}: UpstreamResult,
   ): CallEnd {
     const isFailure =
       status >= FIRST_SERVER_ERROR_STATUS && status !== NOT_IMPLEMENTED_STATUS;
@@ -252,7 +260,7 @@
     } else if (!isFailure) {
       this.admission.succeeded();
     }
-    if (isFailure && this.ownCallFailures.explainsFailure(now)) {
+    if (isFailure && this.isExcused(now, isExplained)) {
       this.doubt.forget(callId);
       return this.ended(now, callId, false);
     }
@@ -268,6 +276,13 @@
     return this.ended(now, callId, isError);
   }
 
+  private isExcused(now: number, isExplained: boolean): boolean {
+    return (
+      (isExplained && this.settings.excusesFailures) ||
+      this.ownCallFailures.explainsFailure(now)
+    );
+  }
+
   /** Records that a call from this box, possibly by the upstream, failed. */
   ownCallFailed(now: number): void {
     this.ownCallFailures.failed(now);
--- a/packages/node/src/process/nestedCallEvents.ts
+++ b/packages/node/src/process/nestedCallEvents.ts
@@ -17,6 +17,7 @@
   return (
     nested && {
       kind: 'nested-call-ended',
+      parentRequestId: nested.parent,
       service,
       priority: nested.priority,
       end: endOf(record),
@@ -26,8 +27,11 @@
 
 function endOf({outcome, reason, status}: CallRecord): NestedCallEnd {
   if (outcome === 'answered') {
-    return status < FIRST_SERVER_ERROR_STATUS ? 'served' : 'other';
+    return status < FIRST_SERVER_ERROR_STATUS ? 'served' : 'failed';
+  }
+  if (outcome === 'caller-left') {
+    return 'given-up';
   }
   const lacksCapacity = NO_CAPACITY_REFUSALS.has(reason as RefusalReason);
-  return outcome === 'not-run' && lacksCapacity ? 'no-capacity' : 'other';
+  return outcome === 'not-run' && lacksCapacity ? 'no-capacity' : 'failed';
 }
