--- a/packages/admission/src/__tests__/rejectionLimit.test.ts
+++ b/packages/admission/src/__tests__/rejectionLimit.test.ts
@@ -85,7 +85,7 @@
 /** Plays calls that do not wait for a slot. */
 function play(create: CreateConcurrencyLimit, load: Load): Outcome {
   const random = seededRandom(1);
-  const admission = new Admission(load.slots, false, create);
+  const admission = new Admission(load.slots, false, {createLimit: create});
   const outcome: Outcome = {refused: 0, rejected: 0, limits: []};
   const ends: {at: number; id: string; isRejected: boolean}[] = [];
   const start = (now: number, id: string): void => {
--- a/packages/admission/src/admission.ts
+++ b/packages/admission/src/admission.ts
@@ -2,6 +2,11 @@
 /** Admission control: runs, queues or refuses the calls to an upstream. */
 
 import type {RefusalReason} from '@lockpin/types';
+import type {
+  AdmissionDecision,
+  AdmissionOptions,
+  DispatchResult,
+} from './admissionMessages.js';
 import {AdaptiveLimit} from './adaptiveLimit.js';
 import {BoundedQueue} from './boundedQueue.js';
 import type {
@@ -10,26 +15,11 @@
 } from './concurrencyLimit.js';
 import {isTooLateToWait} from './expectedWait.js';
 import type {ExpectedWait} from './expectedWait.js';
-import {isTooLateFor} from './fairQueue.js';
-import type {WaitingCall} from './fairQueue.js';
+import {hopelessCalls} from './hopelessCalls.js';
+import {isTooLateFor} from './waitingCall.js';
+import type {WaitingCall} from './waitingCall.js';
 import {RequestRate} from './requestRate.js';
 
-/** Decision on a call that was offered. */
-export type AdmissionDecision =
-  | {readonly kind: 'start'}
-  | {readonly kind: 'queued'; readonly displaced: WaitingCall | undefined}
-  | {
-      readonly kind: 'refused';
-      readonly reason: RefusalReason;
-      readonly retryAfterMilliseconds: number;
-    };
-
-/** Queued calls that were started or expired when slots were filled. */
-export interface DispatchResult {
-  readonly started: readonly WaitingCall[];
-  readonly expired: readonly WaitingCall[];
-}
-
 /** Weight of the latest call in the moving average of durations. */
 const DURATION_WEIGHT = 0.1;
 
@@ -72,9 +62,10 @@
   constructor(
     private slots: number,
     cold: boolean,
-    createLimit: CreateConcurrencyLimit = (...of) => new AdaptiveLimit(...of),
+    private readonly options: AdmissionOptions = {},
   ) {
-    this.queue = new BoundedQueue(slots);
+    const {burstCallsFor, createLimit = createAdaptiveLimit} = options;
+    this.queue = new BoundedQueue(slots, burstCallsFor);
     this.limit = createLimit(slots, cold);
   }
 
@@ -115,7 +106,8 @@
     if (this.mayStart(now) && this.queue.size === 0) {
       return this.startOrRefuse(now, call);
     }
-    const wait = this.expectedWait(now, call);
+    const turn = this.queue.aheadOf(call) + 1;
+    const wait = this.waitOf(now, turn, call.priority);
     if (call.mayWait === false) {
       return this.refuse(now, 'upstream-busy', wait);
     }
@@ -180,7 +172,7 @@
 
   /** Expires queued calls that are too late, and starts those that fit. */
   expireAndStart(now: number): DispatchResult {
-    const late = this.queue.expired(now, (call) => this.expectedOf(call));
+    const late = this.lateCalls(now);
     late.forEach(({id}) => this.queue.remove(id));
     const filled = this.fill(now);
     return {started: filled.started, expired: [...late, ...filled.expired]};
@@ -205,6 +197,7 @@
       return refused('deadline-too-short', 0);
     }
     this.start(now, call);
+    this.queue.startedDirectly(call);
     return {kind: 'start'};
   }
 
@@ -258,14 +251,23 @@
     return {started, expired};
   }
 
+  private lateCalls(now: number): readonly WaitingCall[] {
+    const durationOf = (call: WaitingCall): number => this.expectedOf(call);
+    return this.options.removesHopeless === true
+      ? hopelessCalls(now, this.queue.inOrder(), {
+          durationOf,
+          waitFor: (turn, {priority}) => this.waitOf(now, turn, priority),
+        })
+      : this.queue.expired(now, durationOf);
+  }
+
   private expectedOf({expectedMilliseconds}: WaitingCall): number {
     return expectedMilliseconds ?? this.duration;
   }
 
   /** Infinite when all slots are held by calls that may never end. */
-  private expectedWait(now: number, call: WaitingCall): ExpectedWait {
-    const turn = this.queue.aheadOf(call) + 1;
-    const forLimit = this.rate.waitForTurn(now, turn, call.priority);
+  private waitOf(now: number, turn: number, priority: number): ExpectedWait {
+    const forLimit = this.rate.waitForTurn(now, turn, priority);
     const forSlot = this.waitForTurn(now, turn);
     return {
       milliseconds: Math.max(forLimit, forSlot),
@@ -297,3 +299,6 @@
   const after = Number.isFinite(wait) ? wait : STUCK_RETRY_MILLISECONDS;
   return {kind: 'refused', reason, retryAfterMilliseconds: Math.ceil(after)};
 }
+
+const createAdaptiveLimit: CreateConcurrencyLimit = (slots, cold) =>
+  new AdaptiveLimit(slots, cold);
--- a/packages/brain/src/guard/callEndHandler.ts
+++ b/packages/brain/src/guard/callEndHandler.ts
@@ -2,6 +2,8 @@
 /** Handles the ends of calls and passes their slots on to waiting calls. */
 
 import type {RefusalReason} from '@lockpin/types';
+import {FIRST_SERVER_ERROR_STATUS} from '@lockpin/utils';
+import type {CallTree} from './callTree.js';
 import type {CallLifecycle} from './callLifecycle.js';
 import type {GuardAction, GuardEvent} from './guardMessages.js';
 import type {GuardedServices} from './guardedServices.js';
@@ -14,6 +16,7 @@
     private readonly services: GuardedServices,
     private readonly lifecycle: CallLifecycle,
     private readonly exitHandler: UpstreamExitHandler,
+    private readonly callTree: CallTree,
   ) {}
 
   /** Handles an answer from the upstream. */
@@ -22,7 +25,9 @@
     event: GuardEvent & {readonly kind: 'upstream-answered'},
   ): readonly GuardAction[] {
     const {callId, status, isShed, answer} = event;
-    const known = this.lifecycle.remove(callId);
+    const isExplained = this.callTree.hasFailedNested(callId);
+    const isComplete = status < FIRST_SERVER_ERROR_STATUS;
+    const known = this.lifecycle.remove(now, callId, isComplete);
     if (known === undefined) {
       return [];
     }
@@ -34,7 +39,8 @@
       this.services.ledgerOf(call)?.answered(key, answer);
     }
     const wasDoubted = upstream.isDoubted(now);
-    const end = upstream.answered(now, callId, status, isShed);
+    const result = {status, isShed, isExplained};
+    const end = upstream.answered(now, callId, result);
     return this.lifecycle.callEnded(now, upstream, end, wasDoubted);
   }
 
@@ -44,7 +50,7 @@
     callId: string,
     wasSent: boolean,
   ): readonly GuardAction[] {
-    const known = this.lifecycle.remove(callId);
+    const known = this.lifecycle.remove(now, callId);
     if (known === undefined) {
       return [];
     }
@@ -73,7 +79,7 @@
     callId: string,
     reason: 'upstream-refused' | 'upstream-replaced',
   ): readonly GuardAction[] {
-    const known = this.lifecycle.remove(callId);
+    const known = this.lifecycle.remove(now, callId);
     if (known === undefined) {
       return [];
     }
@@ -108,7 +114,7 @@
       // The call continues, so that a repeat of its key gets the outcome.
       return [];
     }
-    this.lifecycle.remove(callId);
+    this.lifecycle.remove(now, callId);
     this.services.ledgerOf(call)?.interrupted(call.onceKey ?? '');
     const isFault =
       reason === 'deadline-passed' && upstream.isOverdue(now, callId);
--- a/packages/brain/src/guard/callLifecycle.ts
+++ b/packages/brain/src/guard/callLifecycle.ts
@@ -3,6 +3,7 @@
 
 import type {DispatchResult} from '@lockpin/admission';
 import type {RefusalReason} from '@lockpin/types';
+import type {CallTree} from './callTree.js';
 import type {GuardAction, GuardCall, GuardSettings} from './guardMessages.js';
 import type {GuardedServices} from './guardedServices.js';
 import {refuse} from './guardRefusals.js';
@@ -29,6 +30,7 @@
     private readonly services: GuardedServices,
     private readonly reports: ReportSchedule,
     private readonly settings: GuardSettings,
+    private readonly callTree: CallTree,
   ) {}
 
   /** Number of accepted calls that have not ended. */
@@ -66,22 +68,31 @@
     callId: string,
     reason: RefusalReason,
   ): readonly GuardAction[] {
-    const known = this.remove(callId);
+    const known = this.remove(now, callId);
     if (known === undefined) {
       return [];
     }
     return [this.refusePermanently(now, known.call, known.upstream, reason)];
   }
 
-  /** Removes a call that has ended; undefined if it was removed before. */
-  remove(callId: string): AcceptedCall | undefined {
+  /**
+   * Removes a call that has ended; undefined if it was removed before.
+   * @param isComplete Whether it ran to its end without an error.
+   */
+  remove(
+    now: number,
+    callId: string,
+    isComplete = false,
+  ): AcceptedCall | undefined {
     const known = this.calls.get(callId);
     this.calls.delete(callId);
+    this.callTree.ended(now, callId, isComplete);
     return known;
   }
 
   /** Sends a call that got its slot, or reserves the slot until its go. */
   run(now: number, known: AcceptedCall): readonly GuardAction[] {
+    this.callTree.gotSlot(now, known.call);
     if (known.call.needsGo === true) {
       known.reservedAt = now;
       return [{kind: 'reserve', callId: known.call.id}];
@@ -104,6 +115,7 @@
       return this.releaseReservation(now, known, 'retries-exhausted');
     }
     known.reservedAt = undefined;
+    this.callTree.started(call);
     this.services.ledgerOf(call)?.started(call.onceKey ?? '');
     return [{kind: 'run', callId: call.id, upstream: upstream.name}];
   }
@@ -129,7 +141,7 @@
     reason: RefusalReason,
     retryAfter?: number,
   ): readonly GuardAction[] {
-    this.calls.delete(call.id);
+    this.remove(now, call.id);
     const freedSlots = upstream.releaseUnsent(now, call.id);
     return [
       this.refusePermanently(now, call, upstream, reason, retryAfter),
@@ -147,6 +159,11 @@
       if (known === undefined) {
         return [];
       }
+      const shortage = this.callTree.shortage(now, known.call);
+      if (shortage !== undefined) {
+        const after = Math.ceil(shortage.milliseconds);
+        return this.releaseReservation(now, known, 'nested-busy', after);
+      }
       known.upstream.start(now, known.call);
       return this.run(now, known);
     });
@@ -242,7 +259,7 @@
     now: number,
     {call, upstream}: AcceptedCall,
   ): readonly GuardAction[] {
-    this.calls.delete(call.id);
+    this.remove(now, call.id);
     this.services.ledgerOf(call)?.interrupted(call.onceKey ?? '');
     return [
       {kind: 'abort', callId: call.id},
--- a/packages/brain/src/guard/callOfferHandler.ts
+++ b/packages/brain/src/guard/callOfferHandler.ts
@@ -4,10 +4,12 @@
 import {parseOnceKey} from '@lockpin/once';
 import type {OnceDecision} from '@lockpin/once';
 import type {RandomSource} from '@lockpin/types';
+import type {CallTree} from './callTree.js';
 import type {CallLifecycle} from './callLifecycle.js';
 import type {GuardAction, GuardCall} from './guardMessages.js';
 import type {GuardedServices, ServiceState} from './guardedServices.js';
 import {leavingHint, refuse} from './guardRefusals.js';
+import type {NestedShortage} from './nestedCapacity.js';
 import type {NoticeHandler} from './noticeHandler.js';
 import {onceRefusal} from './onceRefusals.js';
 import type {UpstreamGuard} from './upstreamGuard.js';
@@ -18,6 +20,7 @@
     private readonly services: GuardedServices,
     private readonly lifecycle: CallLifecycle,
     private readonly notices: NoticeHandler,
+    private readonly callTree: CallTree,
     private readonly isLeaving: () => boolean,
   ) {}
 
@@ -82,6 +85,10 @@
     if (reason !== undefined) {
       return [this.lifecycle.refusePermanently(now, call, upstream, reason)];
     }
+    const shortage = this.callTree.shortage(now, call);
+    if (shortage !== undefined) {
+      return [this.refuseBusyParent(now, call, upstream, shortage)];
+    }
     const offer = upstream.offer(now, call);
     if (offer.kind === 'refused') {
       const after = offer.retryAfterMilliseconds;
@@ -112,6 +119,20 @@
         ];
   }
 
+  private refuseBusyParent(
+    now: number,
+    call: GuardCall,
+    upstream: UpstreamGuard,
+    shortage: NestedShortage,
+  ): GuardAction {
+    const after = Math.ceil(shortage.milliseconds);
+    const reason = 'nested-busy';
+    return {
+      ...this.lifecycle.refusePermanently(now, call, upstream, reason, after),
+      shortage,
+    };
+  }
+
   private refuseLeaving(
     now: number,
     call: GuardCall,
--- a/packages/brain/src/guard/guardMessages.ts
+++ b/packages/brain/src/guard/guardMessages.ts
@@ -2,12 +2,17 @@
 /** Events that a guard handles, the actions it returns, and its settings. */
 
 import {AdaptiveLimit} from '@lockpin/admission';
-import type {CreateConcurrencyLimit} from '@lockpin/admission';
+import type {
+  AdmissionOptions,
+  CreateConcurrencyLimit,
+} from '@lockpin/admission';
 import {RetryBudget} from '@lockpin/routing';
 import type {LoadHint, RetryAllowance} from '@lockpin/routing';
 import type {StoredAnswer} from '@lockpin/once';
 import type {Fence, GuardReport, HolderReply} from '@lockpin/floor';
 import type {AddressState} from '@lockpin/quarantine';
+import type {NestedCallResult} from './callTree.js';
+import type {NestedShortage} from './nestedCapacity.js';
 import type {DoubtReason} from './quickDoubt.js';
 import type {
   KnownNotice,
@@ -22,6 +27,8 @@
 /** A call as offered to the guard. */
 export interface GuardCall {
   readonly id: string;
+  /** Id of the caller's request, by which nested calls name it. */
+  readonly requestId?: string;
   readonly service: string;
   /** Undefined for a once-only call, whose home chooses a local upstream. */
   readonly upstream: string | undefined;
@@ -58,6 +65,8 @@
   readonly expectedMilliseconds?: number;
   /** The latest notice of the upstream that reached the entry, if any. */
   readonly knownNotice?: KnownNotice;
+  /** A running call made it; its customer and priority are those of the root. */
+  readonly isNested?: boolean;
 }
 
 /** Settings of the guard; the owner can switch single features off. */
@@ -99,6 +108,14 @@
   readonly quarantinedFor: (now: number, requestDigest: string) => number;
   /** A reserved slot is released after this time without the entry's go. */
   readonly reservationMilliseconds: number;
+  /** Whether nested calls are recognised by the ids of their parents. */
+  readonly tracksNestedCalls: boolean;
+  /**
+   * Whether calls are refused while services that they are likely to call have
+   * no capacity for them.
+   */
+  readonly refusesBusyParents: boolean;
+  readonly admission: AdmissionOptions;
 }
 
 /** Reservations outlast the slowest round trip between data centres. */
@@ -116,6 +133,9 @@
   drainFinishesQueue: true,
   quarantinedFor: () => 0,
   reservationMilliseconds: 250,
+  tracksNestedCalls: false,
+  refusesBusyParents: false,
+  admission: {},
 };
 
 /** A service with upstreams on this box. */
@@ -137,6 +157,14 @@
     }
   | {readonly kind: 'call-cancelled'; readonly callId: string}
   | {readonly kind: 'call-deadline-passed'; readonly callId: string}
+  /** A running call makes a nested call. */
+  | {
+      readonly kind: 'nested-call-began';
+      readonly parentRequestId: string;
+      readonly service: string;
+    }
+  /** A nested call that began on this box has ended. */
+  | ({readonly kind: 'nested-call-ended'} & NestedCallResult)
   /** A call from this box failed; a local upstream may have made it. */
   | {readonly kind: 'own-call-failed'}
   | {
@@ -232,6 +260,8 @@
       readonly doubtReason: DoubtReason | undefined;
       /** Set only for 'upstream-over-limit' refusals; used in logs. */
       readonly limit: LimitInForce | undefined;
+      /** Set for offers refused as 'nested-busy'; used in logs. */
+      readonly shortage?: NestedShortage;
     }
   | {
       readonly kind: 'answer-stored';
--- a/packages/brain/src/guard/guardStateMachine.ts
+++ b/packages/brain/src/guard/guardStateMachine.ts
@@ -8,6 +8,7 @@
 import type {RandomSource, UpstreamIncarnation} from '@lockpin/types';
 import {CallLifecycle} from './callLifecycle.js';
 import {CallEndHandler} from './callEndHandler.js';
+import {CallTree} from './callTree.js';
 import {DEFAULT_GUARD_SETTINGS} from './guardMessages.js';
 import type {
   GuardAction,
@@ -21,12 +22,14 @@
 import {NoticeHandler} from './noticeHandler.js';
 import {CallOfferHandler} from './callOfferHandler.js';
 import {ReportSchedule} from './reportSchedule.js';
+import type {CallKind, ParentCall} from './runningCalls.js';
 import {UpstreamExitHandler} from './upstreamExitHandler.js';
 
 /** Deterministic: actions depend only on the state, now, random and event. */
 export class GuardStateMachine {
   private readonly services: GuardedServices;
   private readonly reports: ReportSchedule;
+  private readonly callTree: CallTree;
   private readonly lifecycle: CallLifecycle;
   private readonly offers: CallOfferHandler;
   private readonly callEndHandler: CallEndHandler;
@@ -42,12 +45,19 @@
   ) {
     this.services = new GuardedServices(home, settings);
     this.reports = new ReportSchedule(home, this.services);
-    this.lifecycle = new CallLifecycle(this.services, this.reports, settings);
+    this.callTree = new CallTree(settings);
+    this.lifecycle = new CallLifecycle(
+      this.services,
+      this.reports,
+      settings,
+      this.callTree,
+    );
     this.notices = new NoticeHandler(this.lifecycle);
     this.offers = new CallOfferHandler(
       this.services,
       this.lifecycle,
       this.notices,
+      this.callTree,
       () => this.isLeaving,
     );
     this.exitHandler = new UpstreamExitHandler(this.services, this.lifecycle);
@@ -55,6 +65,7 @@
       this.services,
       this.lifecycle,
       this.exitHandler,
+      this.callTree,
     );
   }
 
@@ -71,6 +82,19 @@
     return [...this.services.upstreams()].some(({runsRepeats}) => runsRepeats);
   }
 
+  /** The running call of this box that makes a call of some kind. */
+  parentCall(requestId: string, kind: CallKind): ParentCall | undefined {
+    return this.callTree.parent(requestId, kind);
+  }
+
+  /**
+   * Whether a call that begins on this box may be a repeat, because a retried
+   * call makes it.
+   */
+  mayBeRepeat(now: number, parentRequestId: string | undefined): boolean {
+    return this.callTree.isRepeat(now, parentRequestId) ?? this.runsRepeats;
+  }
+
   /** The load hint of an upstream, which entries get with each answer. */
   hintOf(now: number, upstream: string): LoadHint | undefined {
     const hint = this.services.upstream(upstream)?.hint(now);
@@ -129,11 +153,18 @@
   ): readonly GuardAction[] {
     switch (event.kind) {
       case 'call-offered':
+        this.callTree.offered(event.call);
         return this.offers.offered(now, random, event.call);
       case 'call-go':
         return this.go(now, event.callId, event.requestDigest);
       case 'call-cancelled':
         return this.callEndHandler.abandoned(now, event.callId, 'caller-left');
+      case 'nested-call-began':
+        this.callTree.nestedBegan(event.parentRequestId, event.service);
+        return [];
+      case 'nested-call-ended':
+        this.callTree.nestedEnded(now, event);
+        return [];
       case 'own-call-failed':
         for (const upstream of this.services.upstreams()) {
           upstream.ownCallFailed(now);
--- a/packages/brain/src/guard/upstreamGuard.ts
+++ b/packages/brain/src/guard/upstreamGuard.ts
@@ -32,7 +32,7 @@
 import {UpstreamStanding} from './upstreamStanding.js';
 import type {StandingChange} from './upstreamStanding.js';
 import {UsualDurations} from './usualDurations.js';
-import {toWaitingCall} from './toWaitingCall.js';
+import {precedenceOf, toWaitingCall} from './toWaitingCall.js';
 
 /** Share of its limit that a suspect upstream announces, to divert calls. */
 const SUSPECT_LIMIT_SHARE = 0.25;
@@ -46,6 +46,15 @@
   readonly change: StandingChange | undefined;
 }
 
+/** A complete answer, as far as it tells about the upstream. */
+export interface UpstreamResult {
+  readonly status: number;
+  /** The upstream reported overload. */
+  readonly isShed: boolean;
+  /** A nested call of the call was not served. */
+  readonly isExplained: boolean;
+}
+
 /** Admits calls to one upstream and evaluates their outcomes. */
 export class UpstreamGuard {
   private readonly admission: Admission;
@@ -77,7 +86,7 @@
     this.admission = new Admission(
       resource.spec.slots,
       !settings.hasQuickDoubt,
-      settings.createLimit,
+      {...settings.admission, createLimit: settings.createLimit},
     );
     this.notice = new StatedNotice(this.admission.rate);
     this.doubt = new QuickDoubt({
@@ -197,10 +206,12 @@
   }
 
   offer(now: number, call: GuardCall): AdmissionDecision {
-    const offer = this.admission.offer(
-      now,
-      toWaitingCall(call, this.durations.usual(now, call)),
-    );
+    const precedence = this.settings.tracksNestedCalls
+      ? precedenceOf(call)
+      : 'ordinary';
+    const usual = this.durations.usual(now, call);
+    const waiting = toWaitingCall(call, usual, precedence);
+    const offer = this.admission.offer(now, waiting);
     if (offer.kind === 'start') {
       this.start(now, call);
     }
@@ -274,8 +285,7 @@
   answered(
     now: number,
     callId: string,
-    status: number,
-    isShed: boolean,
+    {status, isShed, isExplained}: UpstreamResult,
   ): CallEnd {
     this.rejections.observe(now, isShed);
     const isFailure =
@@ -285,7 +295,7 @@
     } else {
       this.admission.limit.accepted(now, callId, !isFailure);
     }
-    if (isFailure && this.ownCallFailures.explainsFailure(now)) {
+    if (isFailure && this.isExcused(now, isExplained)) {
       this.doubt.forget(callId);
       return this.ended(now, callId, false);
     }
@@ -301,6 +311,13 @@
     return this.ended(now, callId, isError);
   }
 
+  private isExcused(now: number, isExplained: boolean): boolean {
+    return (
+      (isExplained && this.settings.excusesFailures) ||
+      this.ownCallFailures.explainsFailure(now)
+    );
+  }
+
   /** Records that a call from this box, possibly by the upstream, failed. */
   ownCallFailed(now: number): void {
     this.ownCallFailures.failed(now);
--- a/packages/node/src/process/decisionLog.ts
+++ b/packages/node/src/process/decisionLog.ts
@@ -60,7 +60,14 @@
   }
 
   /** Logs the end of a call at the guard of its upstream. */
-  guardCall({head, notice, limit, limits, ...record}: GuardRecord): void {
+  guardCall({
+    head,
+    notice,
+    limit,
+    limits,
+    shortage,
+    ...record
+  }: GuardRecord): void {
     const isRoutine = record.outcome === 'answered';
     this.write(
       isRoutine ? this.routineLimiter : this.notableLimiter,
@@ -71,9 +78,13 @@
         route: head.route,
         terms: head.terms,
         attempt: head.attempt,
+        isNested: head.isNested ? true : undefined,
         expectedMilliseconds: head.expectedMilliseconds,
         ...record,
         ...limits,
+        busyService: shortage?.service,
+        busyPriority: shortage?.priority,
+        busyAge: shortage && Math.round(shortage.age),
         limitPerSecond: limit?.requestsPerSecond,
         limitAge: limit && Math.round(limit.age),
         statedLimit: notice?.requestsPerSecond ?? notice?.unreadableLimit,
--- a/packages/node/src/process/fleetGuardSettings.ts
+++ b/packages/node/src/process/fleetGuardSettings.ts
@@ -7,6 +7,12 @@
 import {NO_RETRIES} from '@lockpin/routing';
 import type {MechanismSwitch} from './mechanisms.js';
 
+/**
+ * A customer that has used less than others may have as many calls served ahead
+ * of its turn as the upstream runs at once: they would have found free slots.
+ */
+const burstCalls = (slots: number): number => slots;
+
 /**
  * Returns the settings of guards that reserve slots for entries and budget
  * retries.
@@ -31,6 +37,12 @@
     ...(isOn('rejection-limit') && {
       createLimit: (slots, isCold) => new RejectionLimit(slots, isCold),
     }),
+    tracksNestedCalls: isOn('nested-calls'),
+    refusesBusyParents: isOn('nested-calls') && isOn('nested-busy'),
+    admission: {
+      ...(isOn('burst-credit') && {burstCallsFor: burstCalls}),
+      removesHopeless: isOn('queue-review'),
+    },
     createRetryBudget: isOn('paid-retries')
       ? fleet.createRetryBudget
       : () => NO_RETRIES,
--- a/packages/node/src/process/mechanisms.ts
+++ b/packages/node/src/process/mechanisms.ts
@@ -22,6 +22,11 @@
   exploration: 'cold upstreams get no call while others look less busy',
   holding: 'calls that find no slot are refused after one round of offers',
   quarantine: 'requests that end each upstream that runs them run again',
+  'burst-credit': 'customers with few calls wait for their turn among floods',
+  'queue-review': 'calls that can no longer be in time wait on for a while',
+  'nested-calls':
+    'nested calls have the priority and deadline that their own request states',
+  'nested-busy': 'calls start though services that they call are full',
   'paid-retries': 'nothing pays for second attempts',
   'rejection-limit':
     'calls that an upstream rejects do not change its limit of running calls',
--- a/packages/node/src/request/callerExchange.ts
+++ b/packages/node/src/request/callerExchange.ts
@@ -152,6 +152,7 @@
       startWithin: startWithin(now, attempt),
       expectedMilliseconds: roundMilliseconds(attempt.expectedMilliseconds),
       knownNotice: attempt.knownNotice,
+      isNested: this.call.isNested === true,
     };
     return this.lastHead;
   }
@@ -272,6 +273,6 @@
 }
 
 /** The last segment of a name; the service is sent separately. */
-function shortName(name: string): string {
+export function shortName(name: string): string {
   return name.slice(name.lastIndexOf('/') + 1);
 }
--- a/packages/node/src/request/entryServiceDependencies.ts
+++ b/packages/node/src/request/entryServiceDependencies.ts
@@ -10,6 +10,7 @@
 import type {CallRecord} from './attemptHistory.js';
 import type {Exchange, ExchangeHandlers} from './exchange.js';
 import type {CallHead} from './frames.js';
+import type {FindParentCall} from './nestedCall.js';
 import type {RefusedRequestRecord} from './refusedRecord.js';
 
 /** What the entry service needs from its process. */
@@ -34,8 +35,16 @@
   readonly onNotRun?: (customer: string) => void;
   /** Called for requests refused because of their caller. */
   readonly onUnrouted?: (record: RefusedRequestRecord) => void;
-  /** Whether calls that begin here may be repeats, made by an upstream. */
-  readonly mayBeRepeat: () => boolean;
+  /**
+   * Whether a call that begins here may be a repeat, made by an upstream. The
+   * id is that of its parent, if its caller states one.
+   */
+  readonly mayBeRepeat: (parentRequestId: string | undefined) => boolean;
+  /**
+   * The call with this request id that an upstream of this box runs, and that
+   * makes a call now. Absent where nested calls are not tracked.
+   */
+  readonly parentCall?: FindParentCall;
   /** The incarnation of the current process on a box, for minting once keys. */
   readonly incarnation: (box: string) => string | undefined;
   readonly isOwnBox: (box: string) => boolean;
--- a/packages/node/src/request/guardRecord.ts
+++ b/packages/node/src/request/guardRecord.ts
@@ -1,7 +1,12 @@
 // Copyright (c) 2026 the lockpin contributors. MIT licence, see LICENSE.
 /** The log record of a call at its guard. */
 
-import type {DoubtReason, GuardLimits, LimitInForce} from '@lockpin/brain';
+import type {
+  DoubtReason,
+  GuardLimits,
+  LimitInForce,
+  NestedShortage,
+} from '@lockpin/brain';
 import type {UpstreamNotice} from '@lockpin/types';
 import type {CallHead} from './frames.js';
 
@@ -18,6 +23,8 @@
   readonly limit: LimitInForce | undefined;
   /** At the end of the call; undefined if its upstream is not known. */
   readonly limits: GuardLimits | undefined;
+  /** Set for offers that were refused as 'nested-busy'. */
+  readonly shortage?: NestedShortage | undefined;
   /** The HTTP status of the upstream; 0 when there is none. */
   readonly status: number;
   /** Stated by the upstream in its answer; undefined without an answer. */
