--- a/packages/tools/src/cost/costFleet.ts
+++ b/packages/tools/src/cost/costFleet.ts
@@ -1,7 +1,7 @@
 // Copyright (c) 2026 the lockpin contributors. MIT licence, see LICENSE.
 /** A fleet of node processes whose processor time is read from the system. */
 
-import {Agent} from 'node:http';
+import {Agent, get} from 'node:http';
 import {setTimeout as pause} from 'node:timers/promises';
 import {
   CONFIGURATION_KEY,
@@ -48,6 +48,10 @@
 
 const START_TIMEOUT_MILLISECONDS = 90_000;
 
+const READINESS_INTERVAL_MILLISECONDS = 1000;
+
+const HTTP_OK = 200;
+
 /** Calls under way at a time that fill the slots and queues of a service. */
 const FILL_CALLS_PER_BOX = 20;
 
@@ -62,6 +66,7 @@
 export class CostFleet {
   private readonly store = new StoreStandIn();
   private boxes: readonly SoakBox[] = [];
+  private readonly readinessAddresses: string[] = [];
   private agents: readonly Agent[] = [];
   private fillAgents: readonly Agent[] = [];
   private sequence = 0;
@@ -84,11 +89,9 @@
     this.agents = boxes.map(() => new Agent({keepAlive: true}));
     this.fillAgents = boxes.map(() => new Agent({keepAlive: true}));
     await Promise.all(boxes.map((box) => box.start()));
-    await waitUntil(() =>
-      boxes.every(({process}) => process.pid !== undefined),
-    );
+    // On a busy machine a start takes long and would be taken for idling.
+    await Promise.all(this.readinessAddresses.map(waitUntilReady));
     await pause(SETTLE_MILLISECONDS);
-    // On a busy machine the start takes longer and would be taken for idling.
     await waitUntil(() => this.isQuiet(), START_TIMEOUT_MILLISECONDS);
   }
 
@@ -196,6 +199,7 @@
   ): Promise<SoakBox> {
     const [caller = '', peer = '', readiness = '', announcements = ''] =
       await freeAddresses(4);
+    this.readinessAddresses.push(readiness);
     return new SoakBox({
       index,
       addresses: {caller, peer, readiness, announcements},
@@ -209,3 +213,21 @@
     });
   }
 }
+
+/** Checks at the interval of the platform, so that it costs a node little. */
+async function waitUntilReady(address: string): Promise<void> {
+  const deadline = Date.now() + START_TIMEOUT_MILLISECONDS;
+  while (!(await isReady(address)) && Date.now() < deadline) {
+    await pause(READINESS_INTERVAL_MILLISECONDS);
+  }
+}
+
+function isReady(address: string): Promise<boolean> {
+  return new Promise((resolve) => {
+    const request = get(`http://${address}/`, (response) => {
+      response.resume();
+      resolve(response.statusCode === HTTP_OK);
+    });
+    request.on('error', () => resolve(false));
+  });
+}
