Soak checks windows that start with a retry; guarantees name the budget's tests

Cause: the soak counted retries in windows that end with one. There the calls that earned the retries are always inside, so that the excess of a window that starts after them was not seen.

Change: windows that start with a retry are checked too.

The case added to the test of the check fails without the change.

--- a/packages/tools/src/faults/platformGuarantees.ts
+++ b/packages/tools/src/faults/platformGuarantees.ts
@@ -127,6 +127,18 @@
         FLEET_RETRY_BUDGET,
         'are none but its share of calls while an earlier process may have spent them',
       ],
+      [
+        FLEET_RETRY_BUDGET,
+        'keep the budget in every window through restarts, clock jumps and changes',
+      ],
+      [
+        FLEET_RETRY_BUDGET,
+        'leave room for repeats of other parties once one has arrived',
+      ],
+      [
+        RESERVATIONS,
+        'has used a retry if another process had taken the address',
+      ],
       [
         RESERVATIONS,
         'is paid for by first attempts that were sent, not by offers',
@@ -146,7 +158,7 @@
       [OVERDUE_CALLS, 'are taken out of what the entry itself may repeat'],
       [SOAK, SOAK_TITLE],
     ],
-    'a ratio that restarting guards spend twice is covered by a margin of 0.15, not proved',
+    'repeats that upstreams make while they run a repeated call are counted, not prevented; with more guards than additional retries, each may exceed a window by one',
   ),
   guarantee(
     'work ends when its caller leaves, and nothing more reaches upstreams',
--- a/packages/tools/src/soak/__tests__/checkHistory.test.ts
+++ b/packages/tools/src/soak/__tests__/checkHistory.test.ts
@@ -195,6 +195,9 @@
     }));
     expect(violatedGuarantees({arrivals})).toEqual(['retry budget']);
     expect(violatedGuarantees({arrivals: arrivals.slice(5)})).toEqual([]);
+    // Calls of the windows that end with the retries do not cover a later one.
+    const calls = Array.from({length: 100}, () => CALL);
+    expect(violatedGuarantees({arrivals, calls})).toEqual(['retry budget']);
   });
 
   describe('of what upstreams state', () => {
--- a/packages/tools/src/soak/checkRetries.ts
+++ b/packages/tools/src/soak/checkRetries.ts
@@ -42,15 +42,17 @@
   return times;
 }
 
-/** Checks each window that ends with a retry; returns the first excess. */
+/** Checks windows that end or start with a retry; returns the first excess. */
 function findExcess(
   sent: readonly number[],
   repeated: readonly number[],
   {retryRatio, retryExtra, retryWindowMilliseconds}: SoakBounds,
 ): string | undefined {
-  for (const end of repeated) {
-    const inWindow = (at: number): boolean =>
-      at <= end && at > end - retryWindowMilliseconds;
+  const ending = (end: number) => (at: number) =>
+    at <= end && at > end - retryWindowMilliseconds;
+  const starting = (start: number) => (at: number) =>
+    at >= start && at < start + retryWindowMilliseconds;
+  for (const inWindow of repeated.flatMap((at) => [ending(at), starting(at)])) {
     const count = repeated.filter(inWindow).length;
     const limit = sent.filter(inWindow).length * retryRatio + retryExtra;
     if (count > limit) {
