--- a/packages/admission/src/rejectionLimit.ts
+++ b/packages/admission/src/rejectionLimit.ts
@@ -97,8 +97,8 @@
 
   /**
    * Running calls that were sent before the rejected one have been accepted.
-   * Without them, long calls would count only once they have ended, and recent
-   * concurrency would seem to cause more rejections.
+   * Without them, long calls would count only once they have ended, and
+   * overload would not show before.
    */
   rejected(now: number, callId: string): void {
     if (!this.undecided.has(callId)) {
--- a/packages/tools/src/faults/platformGuarantees.ts
+++ b/packages/tools/src/faults/platformGuarantees.ts
@@ -137,7 +137,7 @@
       ],
       [
         RESERVATIONS,
-        'has used a retry if another process had taken the address',
+        'uses a retry if another process has the address of the upstream',
       ],
       [
         RESERVATIONS,
