Tests of exchanges between nodes over real connections

An answer that the upstream or the guard's node breaks off is lost at the entry, a cancellation reaches the guard, and a call to a box that is gone was never sent, on shared and on own streams.

--- /dev/null
+++ b/packages/node/src/__tests__/remoteExchange.test.ts
@@ -0,0 +1,113 @@
+// Copyright (c) 2026 the lockpin contributors. MIT licence, see LICENSE.
+/** Exchanges with a guard on another box, over connections on loopback. */
+
+import {afterEach, beforeEach, describe, expect, it} from 'vitest';
+import {PeerChannels} from '../connection/peerChannels.js';
+import {PeerServer} from '../connection/peerServer.js';
+import {ControlTraffic} from '../process/controlTraffic.js';
+import type {Exchange, ExchangeHandlers} from '../request/exchange.js';
+import {serveExchangeStream} from '../request/exchangeStreamServer.js';
+import type {AnswerHead, CallHead} from '../request/frames.js';
+import {serveGuardStream} from '../request/guardStreams.js';
+import {RemoteExchanges} from '../request/remoteExchanges.js';
+
+let server: PeerServer;
+let channels: PeerChannels;
+let remote: RemoteExchanges;
+let address: string;
+/** What the guard was told, and its way to answer. */
+let guardEvents: string[];
+let guard: ExchangeHandlers;
+
+beforeEach(async () => {
+  guardEvents = [];
+  const begin = (_head: CallHead, handlers: ExchangeHandlers): Exchange => {
+    guard = handlers;
+    guardEvents.push('begun');
+    return {
+      sendChunk: (bytes) => guardEvents.push(`${bytes}`) > 0,
+      sendEnd: () => guardEvents.push('end'),
+      go: () => guardEvents.push('go'),
+      resume: () => undefined,
+      cancel: () => guardEvents.push('cancelled'),
+    };
+  };
+  server = new PeerServer(
+    {
+      call: (stream) => serveGuardStream(stream, begin),
+      exchanges: (stream) => serveExchangeStream(stream, begin),
+      exchange: () => undefined,
+    },
+    new ControlTraffic(),
+  );
+  address = await server.start('127.0.0.1:0');
+  channels = new PeerChannels(new ControlTraffic());
+  remote = new RemoteExchanges((peer) => channels.client(peer));
+});
+
+afterEach(() => {
+  channels.close();
+  server.stop();
+});
+
+/** Begins a call, with or without a streamed body; the entry's events. */
+function begin(hasMore: boolean): {exchange: Exchange; events: string[]} {
+  const events: string[] = [];
+  const head = {requestId: 'x', headers: [], hasMore, needsGo: true};
+  const exchange = remote.begin(address, head as unknown as CallHead, {
+    onContinue: () => events.push('continue'),
+    onQueued: () => events.push('queued'),
+    onAnswer: ({status}) => events.push(`status ${status}`),
+    onChunk: (bytes) => events.push(`${bytes}`) > 0,
+    onEnd: () => events.push('end'),
+    onRefusal: () => events.push('refused'),
+    onLost: (wasSent) => events.push(wasSent ? 'lost' : 'never sent'),
+  });
+  return {exchange, events};
+}
+
+function beginAnswer(): void {
+  guard.onAnswer({
+    status: 200,
+    headers: [],
+    hasMore: true,
+  } as unknown as AnswerHead);
+  guard.onChunk(Buffer.from('part'));
+}
+
+// An answer that is cut short must never look complete to the caller.
+it.each([
+  ['the upstream', true, () => guard.onLost(true)],
+  ['the upstream', false, () => guard.onLost(true)],
+  ['the node of the guard', true, () => server.stop()],
+  ['the node of the guard', false, () => server.stop()],
+])(
+  'loses an answer that %s breaks off (streamed: %s)',
+  async (_who, hasMore, breakOff) => {
+    const {exchange, events} = begin(hasMore);
+    exchange.sendEnd();
+    await expect.poll(() => guardEvents[0]).toBe('begun');
+    beginAnswer();
+    await expect.poll(() => events).toEqual(['status 200', 'part']);
+    breakOff();
+    await expect.poll(() => events).toEqual(['status 200', 'part', 'lost']);
+  },
+);
+
+describe.each([true, false])('an exchange (streamed: %s)', (hasMore) => {
+  // Otherwise the upstream would go on for a caller that has left.
+  it('is cancelled at the guard', async () => {
+    const {exchange, events} = begin(hasMore);
+    exchange.sendEnd();
+    await expect.poll(() => guardEvents[0]).toBe('begun');
+    exchange.cancel();
+    await expect.poll(() => guardEvents.at(-1)).toBe('cancelled');
+    expect(events).toEqual([]);
+  });
+
+  it('was never sent to a box that is gone', async () => {
+    server.stop();
+    const {events} = begin(hasMore);
+    await expect.poll(() => events).toEqual(['never sent']);
+  });
+});
--- a/packages/node/src/connection/peerServer.ts
+++ b/packages/node/src/connection/peerServer.ts
@@ -4,7 +4,7 @@
  */
 
 import {createServer} from 'node:net';
-import type {Server, Socket} from 'node:net';
+import type {AddressInfo, Server, Socket} from 'node:net';
 import type {PeerReply, PeerRequest} from '@lockpin/brain';
 import {parseAddress} from '@lockpin/utils';
 import type {ControlTraffic} from '../process/controlTraffic.js';
@@ -57,8 +57,11 @@
     );
   }
 
-  /** Listens on an address; rejects if the address is in use. */
-  async start(address: string): Promise<void> {
+  /**
+   * Listens on an address; resolves to it, with the chosen port if that was 0.
+   * Rejects if the address is in use.
+   */
+  async start(address: string): Promise<string> {
     const {host, port} = parseAddress(address) ?? {};
     if (host === undefined) {
       throw new Error(`not an IP address and port: ${address}`);
@@ -72,6 +75,8 @@
         resolve();
       });
     });
+    const chosen = (this.server.address() as AddressInfo).port;
+    return address.replace(/:0$/, `:${chosen}`);
   }
 
   /**
