Let a restarted guard send the retries that its calls earn

A guard that is not the first process of its box sent no retries at all for 13.1 s, so that a fleet whose boxes restart in turn had none in between. It still does without its constant, and now sends single retries that calls since its start have earned.

--- a/packages/node/src/__tests__/fleetRetryBudget.test.ts
+++ b/packages/node/src/__tests__/fleetRetryBudget.test.ts
@@ -52,6 +52,17 @@
     expect(retriesAt(STARTED_AT + 13_100, false)).toBe(10);
   });
 
+  // Guards against a fleet whose boxes restart in turn having no retries.
+  it('are those earned by its calls after a restart', () => {
+    const budget = createBudget({isFirstStart: false});
+    const calls = Array.from({length: 50}, (_, i) => STARTED_AT + i * 200);
+    const taken = calls.filter((now) => {
+      budget.firstAttempt(now, 0);
+      return budget.takeRetry(now, 0);
+    });
+    expect(taken).toHaveLength(10);
+  });
+
   // Guards against calls of low value using up what urgent ones need.
   it('are kept for urgent calls when few are left, if any have asked', () => {
     const budget = createBudget({});
--- a/packages/node/src/process/fleetRetryBudget.ts
+++ b/packages/node/src/process/fleetRetryBudget.ts
@@ -88,8 +88,8 @@
 
 /**
  * A guard's share of the fleet's retries. A process that is not the first of
- * its box uses none for one window, since it does not know what the earlier one
- * used: without the constant, any retry would exceed the limit of some window.
+ * its box does without the constant for one window, since it does not know what
+ * the earlier one used, and sends only the retries that its calls have earned.
  */
 class GuardShare implements EveryWindowSettings {
   private readonly constants: SlidingMinimum;
@@ -119,7 +119,7 @@
         ? ownExtra * URGENT_SHARE
         : 0,
       repeatExtra: ownExtra * REPEAT_SHARE,
-      savesRetry: constant < 1 && !mayHaveUsedRetries,
+      savesRetry: constant < 1 || mayHaveUsedRetries,
     };
   }
 
--- a/packages/routing/src/everyWindowRetryBudget.ts
+++ b/packages/routing/src/everyWindowRetryBudget.ts
@@ -25,7 +25,7 @@
   /**
    * Whether calls alone may earn single retries. A retry that is paid for by
    * earlier calls exceeds the limit of a window that starts between them and
-   * it, by one at each budget that has this setting.
+   * it, by one at most for each budget that has this setting.
    */
   readonly savesRetry: boolean;
 }
