--- a/packages/admission/src/__tests__/__fixtures__/admissionLoad.ts
+++ b/packages/admission/src/__tests__/__fixtures__/admissionLoad.ts
@@ -2,6 +2,7 @@
 /** Calls of several kinds at the admission of one upstream, on a virtual clock. */
 
 import {seededRandom} from '@lockpin/utils';
+import {VirtualClock} from '../../../../tools/src/measure/virtualClock.js';
 import {Admission} from '../../admission.js';
 import type {
   AdmissionOptions,
@@ -46,14 +47,8 @@
   const random = seededRandom(seed);
   const admission = new Admission(slots, false, options);
   const calls = new Map<string, Call>();
-  const events: {readonly at: number; readonly run: () => void}[] = [];
-  let now = 0;
+  const clock = new VirtualClock();
   let serial = 0;
-  const after = (delay: number, run: () => void): void => {
-    const at = now + delay;
-    const index = events.findLastIndex((event) => event.at >= at);
-    events.splice(index + 1, 0, {at, run});
-  };
   const exponential = (mean: number): number => -Math.log(1 - random()) * mean;
   const start = (id: string): void => {
     const {stream, arrivedAt, latencies} = calls.get(id) as Call;
@@ -61,19 +56,19 @@
       Math.sqrt(2 * exponential(1)) * Math.cos(2 * Math.PI * random());
     const factor = Math.exp(SIGMA * normal - SIGMA ** 2 / 2);
     const work = stream.workMilliseconds * factor;
-    after(work, () => {
-      latencies.push(now - arrivedAt);
-      apply(admission.finish(now, id, work));
+    clock.schedule(work, () => {
+      latencies.push(clock.now - arrivedAt);
+      apply(admission.finish(clock.now, id, work));
     });
   };
   const refuse = (id: string, delay: number): void => {
     const call = calls.get(id) as Call;
     if (!call.isBack) {
-      after(delay, () => offer({...call, isBack: true}));
+      clock.schedule(delay, () => offer({...call, isBack: true}));
     }
   };
   const apply = ({started, expired}: DispatchResult): void => {
-    expired.forEach(({id}) => refuse(id, admission.waitForSlot(now)));
+    expired.forEach(({id}) => refuse(id, admission.waitForSlot(clock.now)));
     started.forEach(({id}) => start(id));
   };
   const offer = (call: Call): void => {
@@ -81,7 +76,7 @@
     const id = String(serial);
     const {customer, priority, workMilliseconds} = call.stream;
     calls.set(id, call);
-    const decision = admission.offer(now, {
+    const decision = admission.offer(clock.now, {
       id,
       customer,
       weight: 1,
@@ -94,29 +89,23 @@
     } else if (decision.kind === 'refused') {
       refuse(id, decision.retryAfterMilliseconds);
     } else if (decision.displaced !== undefined) {
-      refuse(decision.displaced.id, admission.waitForSlot(now));
+      refuse(decision.displaced.id, admission.waitForSlot(clock.now));
     }
   };
   const arrive = (stream: Stream, result: StreamResult): void =>
-    after(exponential(1000 / stream.callsPerSecond), () => {
+    clock.schedule(exponential(1000 / stream.callsPerSecond), () => {
       result.count += 1;
       const {latencies} = result;
-      offer({stream, latencies, arrivedAt: now, isBack: false});
+      offer({stream, latencies, arrivedAt: clock.now, isBack: false});
       arrive(stream, result);
     });
   const tick = (): void => {
-    apply(admission.expireAndStart(now));
-    after(TICK_MILLISECONDS, tick);
+    apply(admission.expireAndStart(clock.now));
+    clock.schedule(TICK_MILLISECONDS, tick);
   };
   const results = streams.map(() => ({count: 0, latencies: []}));
   streams.forEach((stream, i) => arrive(stream, results[i] as StreamResult));
   tick();
-  for (let next = events.pop(); next; next = events.pop()) {
-    now = next.at;
-    if (now > milliseconds) {
-      return results;
-    }
-    next.run();
-  }
+  clock.runUntil(milliseconds);
   return results;
 }
--- a/packages/node/src/__tests__/nestedCall.test.ts
+++ b/packages/node/src/__tests__/nestedCall.test.ts
@@ -1,5 +1,5 @@
 // Copyright (c) 2026 the lockpin contributors. MIT licence, see LICENSE.
-/** What nested calls inherit, and how they are ranked. */
+/** What nested calls inherit, and the priority of attempts. */
 
 import {describe, expect, it} from 'vitest';
 import type {Attempt, ParentCall} from '@lockpin/brain';
@@ -7,15 +7,8 @@
 import type {CallerRequest} from '../request/callerRequest.js';
 import {nestedCall} from '../request/nestedCall.js';
 
-const PARENT: ParentCall = {
-  service: 'own',
-  route: 'r',
-  customer: 'root',
-  weight: 3,
-  priority: 21,
-  deadline: 1500,
-  isRepeat: false,
-};
+const ROOT = {customer: 'root', weight: 3, priority: 21};
+const PARENT = {...ROOT, deadline: 1500} as ParentCall;
 
 const CALL = {
   customer: 'box',
@@ -23,11 +16,11 @@
   priority: 55,
   waitMilliseconds: 2000,
   parentRequestId: 'p',
-  keyOwner: undefined,
   view: {name: 'service'},
   route: {name: 'r', spec: {goalMilliseconds: 400}},
 } as CallerRequest;
 
+/** The call as it arrives at 1000. */
 const inherit = (
   call: Partial<CallerRequest>,
   parent: Partial<ParentCall> = {},
@@ -37,13 +30,10 @@
   );
 
 describe('a nested call', () => {
-  it('has its root as customer, with the weight and priority of the root', () => {
-    expect(inherit({})).toMatchObject({
-      customer: 'root',
-      weight: 3,
-      priority: 21,
-      isNested: true,
-    });
+  it('has the customer, weight and priority of its root', () => {
+    expect(inherit({})).toMatchObject({...ROOT, isNested: true});
+    // Waiting behind others would hold its late parent's slot for longer.
+    expect(inherit({}, {priority: 121}).priority).toBe(21);
   });
 
   it('ends with its parent, and not later than it would by itself', () => {
@@ -52,10 +42,6 @@
     expect(inherit({}, {deadline: 900}).waitMilliseconds).toBe(0);
   });
 
-  it('does not wait behind others because its parent is late', () => {
-    expect(inherit({}, {priority: 121}).priority).toBe(21);
-  });
-
   it('is a call of its own without a running parent, or with a key', () => {
     expect(inherit({parentRequestId: 'other'})).toMatchObject({priority: 55});
     const keyed = inherit({keyOwner: 'someone'});
@@ -63,21 +49,14 @@
   });
 });
 
-describe('the priority of an attempt', () => {
-  const attempt = (change: Partial<Attempt>): Attempt =>
-    ({number: 1, terms: 'immediate', ...change}) as Attempt;
-
-  it('is that of its call, also for a retry', () => {
-    expect(attemptPriority(CALL, 0, attempt({}))).toBe(55);
-    // A lower number would place it before the first attempts of other kinds.
-    expect(attemptPriority(CALL, 0, attempt({number: 2}))).toBe(55);
-  });
-
-  it('is behind all others when late, except for a nested call', () => {
-    const late = attempt({terms: 'may-be-late'});
-    expect(attemptPriority(CALL, 0, late)).toBe(155);
-    expect(attemptPriority(CALL, 500, attempt({}))).toBe(155);
-    // Its parent holds a slot and may still be in time.
-    expect(attemptPriority(inherit({}), 0, late)).toBe(21);
-  });
+it('attempts have the priority of their call, or if late one behind all others', () => {
+  const attempt = {number: 1, terms: 'immediate'} as Attempt;
+  const late = {...attempt, terms: 'may-be-late'} as const;
+  expect(attemptPriority(CALL, 0, attempt)).toBe(55);
+  // A lower number would place a retry before first attempts of other kinds.
+  expect(attemptPriority(CALL, 0, {...attempt, number: 2})).toBe(55);
+  expect(attemptPriority(CALL, 0, late)).toBe(155);
+  expect(attemptPriority(CALL, 500, attempt)).toBe(155);
+  // The parent of a nested call holds a slot and may still be in time.
+  expect(attemptPriority(inherit({}), 0, late)).toBe(21);
 });
