Nested calls of one call that are refused together count once

Cause: calls that make two nested calls at once had both refused together, and one such call was taken for a shortage.

Change: refusals of the same parent count once towards a shortage.

--- a/packages/brain/src/guard/callTree.ts
+++ b/packages/brain/src/guard/callTree.ts
@@ -87,7 +87,7 @@
     if (end === 'served') {
       this.capacity.served(service, priority);
     } else if (end === 'no-capacity') {
-      this.capacity.refused(now, service, priority);
+      this.capacity.refused(now, service, priority, parentRequestId);
     }
     if (end === 'no-capacity' || end === 'failed') {
       this.running
--- a/packages/brain/src/guard/nestedCapacity.ts
+++ b/packages/brain/src/guard/nestedCapacity.ts
@@ -33,8 +33,10 @@
 
 interface Shortage {
   readonly service: string;
-  /** Refusals since a nested call was last served. */
+  /** Calls with refused nested calls since a nested call was last served. */
   refusals: number;
+  /** The call whose nested call was refused last; it counts once. */
+  parent: string;
   /** The most urgent priority that was refused. */
   priority: number;
   refusedAt: number;
@@ -54,8 +56,16 @@
 export class NestedCapacity {
   private readonly shortages = new Map<string, Shortage>();
 
-  /** Records that a nested call was refused because no slot was free in time. */
-  refused(now: number, service: string, priority: number): void {
+  /**
+   * Records that a nested call was refused because no slot was free in time.
+   * @param parent Identifies the call that made it.
+   */
+  refused(
+    now: number,
+    service: string,
+    priority: number,
+    parent: string,
+  ): void {
     const known = this.shortages.get(service);
     const isFailedCheck = known?.checkId !== undefined;
     const interval = known?.interval ?? FIRST_INTERVAL_MILLISECONDS;
@@ -65,7 +75,8 @@
     this.shortages.set(service, {
       service,
       refusedAt: now,
-      refusals: (known?.refusals ?? 0) + 1,
+      refusals: (known?.refusals ?? 0) + (known?.parent === parent ? 0 : 1),
+      parent,
       priority: Math.min(priority, known?.priority ?? priority),
       until: now + next,
       interval: next,
