Tell the wait for a slot and the retries left in load hints

Cause: an entry learns only how many calls a guard holds. It cannot tell how long a further call would wait, nor whether the guard still pays for retries, and finds out by offers that fail.

Change: load hints get slotIn and retriesLeft. The guard of a declared fleet fills them from its admission and its retry budget; the mechanism shared-capacity switches them off. They are two values at the end of the row, absent when not known. The types of hints and the record of one upstream move out of upstreamLoads.ts into modules of their own.

--- a/packages/brain/src/guard/guardMessages.ts
+++ b/packages/brain/src/guard/guardMessages.ts
@@ -78,6 +78,8 @@
   readonly doubtReleasesQueue: boolean;
   /** Whether a suspect upstream announces a reduced limit. */
   readonly limitsSuspects: boolean;
+  /** Whether load hints tell the wait for a slot and the retries left. */
+  readonly announcesCapacity: boolean;
   /** Creates the retry budget of a service on this box. */
   readonly createRetryBudget: (service: string) => RetryAllowance;
   /**
@@ -100,6 +102,7 @@
   excusesFailures: true,
   doubtReleasesQueue: true,
   limitsSuspects: true,
+  announcesCapacity: false,
   createRetryBudget: () => new RetryBudget(),
   drainFinishesQueue: true,
   quarantinedFor: () => 0,
--- a/packages/brain/src/guard/upstreamGuard.ts
+++ b/packages/brain/src/guard/upstreamGuard.ts
@@ -144,7 +144,10 @@
       ? Math.max(1, this.admission.currentLimit * SUSPECT_LIMIT_SHARE)
       : this.admission.currentLimit;
     const {admission, doubt, notice, incarnationName: incarnation} = this;
-    const sources = {admission, doubt, notice, incarnation};
+    const announcedRetries = this.settings.announcesCapacity
+      ? this.retries
+      : undefined;
+    const sources = {admission, doubt, notice, incarnation, announcedRetries};
     return upstreamHint(now, this.announcedState(now), limit, sources);
   }
 
--- a/packages/brain/src/guard/upstreamHint.ts
+++ b/packages/brain/src/guard/upstreamHint.ts
@@ -2,7 +2,7 @@
 /** Builds the load hints of an upstream that entries get. */
 
 import type {Admission} from '@lockpin/admission';
-import type {LoadHint} from '@lockpin/routing';
+import type {LoadHint, RetryAllowance} from '@lockpin/routing';
 import type {QuickDoubt} from './quickDoubt.js';
 import type {StatedNotice} from './statedNotice.js';
 
@@ -13,6 +13,8 @@
   readonly notice: StatedNotice;
   /** See KnownNotice. */
   readonly incarnation: string;
+  /** The retries that the guard pays for; undefined when not to be announced. */
+  readonly announcedRetries: RetryAllowance | undefined;
 }
 
 /** The hint for an upstream in a state, with a number of concurrent calls. */
@@ -29,6 +31,23 @@
     limit,
     ...doubtPart(now, state, sources),
     ...noticePart(now, sources),
+    ...capacityPart(now, sources),
+  };
+}
+
+/** What a further call would find: its wait for a slot, and retries. */
+function capacityPart(
+  now: number,
+  {admission, announcedRetries}: HintSources,
+): Partial<LoadHint> {
+  if (announcedRetries === undefined) {
+    return {};
+  }
+  const slotIn = admission.waitForSlot(now);
+  const retriesLeft = announcedRetries.retriesLeft(now);
+  return {
+    ...(slotIn > 0 ? {slotIn} : {}),
+    ...(Number.isFinite(retriesLeft) ? {retriesLeft} : {}),
   };
 }
 
--- a/packages/node/src/__tests__/frames.test.ts
+++ b/packages/node/src/__tests__/frames.test.ts
@@ -196,6 +196,33 @@
       },
     },
   },
+  {
+    kind: 'news',
+    news: {
+      kind: 'standing',
+      upstream: 'claims/b',
+      hint: {
+        state: 'accepting',
+        occupied: 6,
+        limit: 4,
+        slotIn: 480,
+        retriesLeft: 3,
+      },
+    },
+  },
+  {
+    kind: 'news',
+    news: {
+      kind: 'standing',
+      upstream: 'claims/b',
+      hint: {
+        state: 'accepting',
+        occupied: 6,
+        limit: 4,
+        slotIn: Number.POSITIVE_INFINITY,
+      },
+    },
+  },
 ];
 
 /** Size limits: twice the names that an offer and its refusal must contain. */
--- a/packages/node/src/process/fleetGuardSettings.ts
+++ b/packages/node/src/process/fleetGuardSettings.ts
@@ -27,6 +27,7 @@
     excusesFailures: isOn('excused-failures'),
     doubtReleasesQueue: isOn('queue-release'),
     limitsSuspects: isOn('suspect-limit'),
+    announcesCapacity: isOn('shared-capacity'),
     createRetryBudget: isOn('paid-retries')
       ? fleet.createRetryBudget
       : () => NO_RETRIES,
--- a/packages/node/src/process/mechanisms.ts
+++ b/packages/node/src/process/mechanisms.ts
@@ -22,6 +22,8 @@
   exploration: 'cold upstreams get no call while others look less busy',
   holding: 'calls that find no slot are refused after one round of offers',
   quarantine: 'requests that end each upstream that runs them run again',
+  'shared-capacity':
+    'entries know upstreams only by the replies to their own calls',
   'paid-retries': 'nothing pays for second attempts',
 } as const;
 
--- a/packages/node/src/request/wireCodes.ts
+++ b/packages/node/src/request/wireCodes.ts
@@ -126,8 +126,16 @@
   probeIn?: number | null,
   availableIn?: number | null,
   notice?: NoticeRow | null,
+  slotIn?: number | null,
+  retriesLeft?: number | null,
 ];
 
+/** Longer waits for a slot, also infinite ones, are sent as this value. */
+const LONGEST_WAIT_MILLISECONDS = 0xffff;
+
+/** More retries are sent as this value, which takes one byte. */
+const MOST_RETRIES_SENT = 0x7f;
+
 /** Encodes a notice. */
 export function encodeNotice(notice: KnownNotice): NoticeRow {
   const {incarnation, requestsPerSecond, isLeaving} = notice;
@@ -151,17 +159,24 @@
 export function encodeLoadHint(hint: LoadHint): HintRow {
   const {state, occupied, limit} = hint;
   const {doubtedFor, probeIn = doubtedFor, availableIn, notice} = hint;
-  const load = [STATE_CODES.codeOf(state), occupied, Math.ceil(limit)] as const;
-  const doubt = [roundedUp(doubtedFor), roundedUp(probeIn)] as const;
-  if (notice !== undefined) {
-    return [...load, ...doubt, roundedUp(availableIn), encodeNotice(notice)];
-  }
-  return doubtedFor === undefined ? load : [...load, ...doubt];
+  return withoutTrailingNulls([
+    STATE_CODES.codeOf(state),
+    occupied,
+    Math.ceil(limit),
+    roundedUp(doubtedFor),
+    roundedUp(probeIn),
+    roundedUp(availableIn),
+    notice === undefined ? null : encodeNotice(notice),
+    encodeWait(hint.slotIn),
+    encodeRetries(hint.retriesLeft),
+  ]);
 }
 
 /** Decodes a load hint from its row. */
 export function decodeLoadHint(row: HintRow): LoadHint {
-  const [code, occupied, limit, doubtedFor, probeIn, availableIn, notice] = row;
+  const [code, occupied, limit, ...optional] = row;
+  const [doubtedFor, probeIn, availableIn, ...rest] = optional;
+  const [notice, slotIn, retriesLeft] = rest;
   return {
     state: STATE_CODES.nameOf(code),
     occupied,
@@ -172,9 +187,35 @@
     }),
     ...(typeof availableIn === 'number' && {availableIn}),
     ...(notice && {notice: decodeNotice(notice)}),
+    ...(typeof slotIn === 'number' && {slotIn: decodeWait(slotIn)}),
+    ...(typeof retriesLeft === 'number' && {retriesLeft}),
   };
 }
 
+/** Encodes a wait for a slot, in milliseconds; null when there is none. */
+export function encodeWait(milliseconds: number | undefined): number | null {
+  return milliseconds === undefined
+    ? null
+    : Math.min(LONGEST_WAIT_MILLISECONDS, Math.ceil(milliseconds));
+}
+
+/** Decodes a wait for a slot; the longest value stands for an infinite one. */
+export function decodeWait(milliseconds: number): number {
+  return milliseconds >= LONGEST_WAIT_MILLISECONDS
+    ? Number.POSITIVE_INFINITY
+    : milliseconds;
+}
+
+/** Encodes the retries that a guard has left; null when not limited. */
+export function encodeRetries(retries: number | undefined): number | null {
+  return retries === undefined ? null : Math.min(MOST_RETRIES_SENT, retries);
+}
+
+function withoutTrailingNulls(row: HintRow): HintRow {
+  const used = row.findLastIndex((value) => value !== null) + 1;
+  return row.slice(0, used) as unknown as HintRow;
+}
+
 function roundedUp(milliseconds: number | undefined): number | null {
   return milliseconds === undefined ? null : Math.ceil(milliseconds);
 }
--- a/packages/routing/src/upstreamLoads.ts
+++ b/packages/routing/src/upstreamLoads.ts
@@ -1,32 +1,16 @@
 // Copyright (c) 2026 the lockpin contributors. MIT licence, see LICENSE.
 /** Load and reachability of each upstream as seen by one entry. */
 
-import type {KnownNotice} from '@lockpin/types';
+import {isRefusing} from './loadHint.js';
+import type {AnnouncedState, LoadHint} from './loadHint.js';
 import {NoticeMemory} from './noticeMemory.js';
-
-/** State of an upstream as reported by its guard. */
-export type AnnouncedState =
-  'accepting' | 'doubted' | 'probation' | 'ejected' | 'draining';
-
-/** Load report that a guard attaches to every answer. */
-export interface LoadHint {
-  readonly state: AnnouncedState;
-  /** Calls running and queued at the guard. */
-  readonly occupied: number;
-  /** Calls that the guard currently runs concurrently. */
-  readonly limit: number;
-  /** While doubted: milliseconds for which ordinary calls go elsewhere. */
-  readonly doubtedFor?: number;
-  /** While doubted: milliseconds until a repeatable call may be a probe. */
-  readonly probeIn?: number;
-  /**
-   * Milliseconds until the upstream takes another call within the limit that it
-   * states; absent if it does now.
-   */
-  readonly availableIn?: number;
-  /** What the upstream states about itself; absent if it states nothing. */
-  readonly notice?: KnownNotice;
-}
+import {
+  createUpstreamLoad,
+  hintWeight,
+  hintedOccupation,
+  limitOccupation,
+} from './upstreamLoad.js';
+import type {UpstreamLoad} from './upstreamLoad.js';
 
 /** Why an entry currently sends no calls to an upstream. */
 export type UnusedReason =
@@ -39,28 +23,15 @@
   /** Nothing keeps calls away, but the entry has sent none for a while. */
   | 'not-called';
 
-/** States in which a guard refuses ordinary calls. */
-const REFUSING_STATES: ReadonlySet<AnnouncedState> = new Set<AnnouncedState>([
-  'doubted',
-  'ejected',
-  'draining',
-]);
-
 /** An upstream without a hint or an open call for this long is not in use. */
 const UNUSED_MILLISECONDS = 2000;
 
-/** Time constant of the exponential decay of the weight of a hint. */
-const HINT_DECAY_MILLISECONDS = 1000;
-
 /** Total weight that a mean needs: about that of one recent hint. */
 const MINIMUM_TOTAL_WEIGHT = 0.9;
 
 /** Time for a slot to become free if calls take a few hundred milliseconds. */
 const FULL_HINT_VALID_MILLISECONDS = 150;
 
-/** A wait for this long counts like a queue with one call for each slot. */
-const WAIT_PER_OCCUPATION_MILLISECONDS = 250;
-
 /**
  * Mean time after which an entry calls a cold upstream again whatever its
  * estimated load. Several entries call each upstream, so that together they do
@@ -92,27 +63,6 @@
   longestAvoidanceMilliseconds: 30_000,
 };
 
-interface UpstreamLoad {
-  outstanding: number;
-  hint: LoadHint | undefined;
-  hintedAt: number;
-  /** Its guard refuses ordinary calls until then. */
-  refusesUntil: number;
-  /** The limit that it states allows no call until then. */
-  limitedUntil: number;
-  /** Its guard refuses even repeatable calls as probes until then. */
-  refusesProbesUntil: number;
-  /** Its guard was unreachable and is not tried again until then. */
-  unreachableUntil: number;
-  /** When this entry last began to avoid the guard, or the upstream. */
-  avoidedSince: number;
-  linkFailures: number;
-  /** Consecutive reports of its guard that it does not exist. */
-  consecutiveMisses: number;
-  /** Whether the last call of this entry that ran there went well. */
-  lastCallSucceeded: boolean;
-}
-
 /** Tracks the loads of the upstreams that this entry has called. */
 export class UpstreamLoads {
   /** The latest notices that reached this entry. */
@@ -330,44 +280,8 @@
     if (existing !== undefined) {
       return existing;
     }
-    const created: UpstreamLoad = {
-      outstanding: 0,
-      hint: undefined,
-      hintedAt: 0,
-      refusesUntil: 0,
-      limitedUntil: 0,
-      refusesProbesUntil: 0,
-      unreachableUntil: 0,
-      avoidedSince: Number.NEGATIVE_INFINITY,
-      linkFailures: 0,
-      consecutiveMisses: 0,
-      lastCallSucceeded: true,
-    };
+    const created = createUpstreamLoad();
     this.loads.set(upstream, created);
     return created;
   }
 }
-
-function isRefusing(
-  state: AnnouncedState,
-): state is Exclude<AnnouncedState, 'accepting' | 'probation'> {
-  return REFUSING_STATES.has(state);
-}
-
-/**
- * Occupation that stands for the wait until the limit of an upstream allows a
- * call: 1 for all slots taken, and more for a longer wait.
- */
-function limitOccupation(load: UpstreamLoad | undefined, now: number): number {
-  const wait = (load?.limitedUntil ?? 0) - now;
-  return wait > 0 ? 1 + wait / WAIT_PER_OCCUPATION_MILLISECONDS : 0;
-}
-
-/** Weight of a hint: 1 when it arrives, decaying to 0. */
-function hintWeight({hintedAt}: UpstreamLoad, now: number): number {
-  return Math.exp((hintedAt - now) / HINT_DECAY_MILLISECONDS);
-}
-
-function hintedOccupation({occupied, limit}: LoadHint): number {
-  return occupied / Math.max(1, limit);
-}
