Tell other upstreams' capacity in replies between boxes

Cause: an entry knows an upstream only from the replies to its own calls. With a hundred boxes that knowledge is missing or stale for most upstreams.

Change: answers and refusals that cross the network carry up to six rows about other upstreams of the service, none older than a second. Refusals name those with spare capacity first. Entries keep the newest report on each upstream, with its age, whoever passed it on. Nothing decides by it yet. A row with an 11-byte name takes at most 20 bytes; peer.bytes counts it with its reply.

Result: tests of routing and brain and those of frames and rows pass.

--- a/packages/brain/src/entry/attemptFeedback.ts
+++ b/packages/brain/src/entry/attemptFeedback.ts
@@ -1,7 +1,7 @@
 // Copyright (c) 2026 the lockpin contributors. MIT licence, see LICENSE.
 /** Feeds the outcomes of attempts back into upstream loads and durations. */
 
-import type {LoadHint, UpstreamLoads} from '@lockpin/routing';
+import type {CapacityRow, LoadHint, UpstreamLoads} from '@lockpin/routing';
 import {FIRST_SERVER_ERROR_STATUS} from '@lockpin/utils';
 import type {AttemptTiming} from './attemptTiming.js';
 import type {CallState} from './callState.js';
@@ -16,7 +16,7 @@
 /** Metadata of an answer. */
 type AnswerFeedback = Pick<
   EntryEvent & {readonly kind: 'attempt-answered'},
-  'hint' | 'status' | 'ranMilliseconds'
+  'hint' | 'others' | 'status' | 'ranMilliseconds'
 >;
 
 /** Records load hints and durations that routing uses. */
@@ -32,8 +32,9 @@
     state: CallState,
     event: EntryEvent & {readonly kind: 'attempt-refused'},
   ): void {
-    const {upstream, hint, refusal} = event;
+    const {upstream, hint, others, refusal} = event;
     this.hintReceived(now, upstream, hint);
+    this.othersReceived(now, state, others);
     if (refusal.outcome === 'unknown') {
       this.loads.recordOutcome(state.upstream, false);
     }
@@ -46,15 +47,16 @@
   answerReceived(
     now: number,
     upstream: string,
-    {call}: CallState,
-    {hint, status, ranMilliseconds}: AnswerFeedback,
+    state: CallState,
+    {hint, others, status, ranMilliseconds}: AnswerFeedback,
   ): void {
     this.hintReceived(now, upstream, hint);
+    this.othersReceived(now, state, others);
     if (hint !== undefined) {
       this.loads.notices.answered(upstream, hint.notice);
     }
     const isSuccess = status < FIRST_SERVER_ERROR_STATUS;
-    const {name} = call.route;
+    const {name} = state.call.route;
     const typical = this.timing.typicalDuration(name) ?? ranMilliseconds ?? 0;
     const isSlow = (ranMilliseconds ?? 0) > SLOW_FACTOR * typical;
     this.loads.recordOutcome(upstream, isSuccess && !isSlow);
@@ -70,6 +72,16 @@
     }
   }
 
+  private othersReceived(
+    now: number,
+    {call}: CallState,
+    others: readonly CapacityRow[] | undefined,
+  ): void {
+    if (others !== undefined) {
+      this.loads.capacity.rowsReceived(call.view.name, now, others);
+    }
+  }
+
   private hintReceived(
     now: number,
     upstream: string,
--- a/packages/brain/src/entry/entryMessages.ts
+++ b/packages/brain/src/entry/entryMessages.ts
@@ -3,7 +3,7 @@
 
 import type {ServiceView} from '@lockpin/configuration';
 import type {OnceKey} from '@lockpin/once';
-import type {LoadHint} from '@lockpin/routing';
+import type {CapacityRow, LoadHint} from '@lockpin/routing';
 import type {KnownNotice, Refusal, Resource} from '@lockpin/types';
 
 /** A call as it arrives at the entry. */
@@ -55,6 +55,8 @@
       /** The answer is buffered completely; false when it is being streamed. */
       readonly isWhole: boolean;
       readonly hint: LoadHint | undefined;
+      /** What the guard's box knows of other upstreams of the service. */
+      readonly others?: readonly CapacityRow[] | undefined;
       /** Run time at the upstream; undefined when not reported. */
       readonly ranMilliseconds: number | undefined;
     }
@@ -64,6 +66,7 @@
       readonly refusal: Refusal;
       readonly upstream: string;
       readonly hint: LoadHint | undefined;
+      readonly others?: readonly CapacityRow[] | undefined;
     }
   | {
       readonly kind: 'attempt-lost';
@@ -83,6 +86,7 @@
       readonly callId: string;
       readonly status: number;
       readonly hint: LoadHint | undefined;
+      readonly others?: readonly CapacityRow[] | undefined;
       readonly ranMilliseconds: number | undefined;
     }
   /** The overdue attempt ended without an answer. */
--- a/packages/node/src/__tests__/__fixtures__/fleetCallSimulation.ts
+++ b/packages/node/src/__tests__/__fixtures__/fleetCallSimulation.ts
@@ -16,7 +16,7 @@
 } from '@lockpin/brain';
 import type {ServiceView} from '@lockpin/configuration';
 import {NO_RETRIES} from '@lockpin/routing';
-import type {LoadHint} from '@lockpin/routing';
+import type {CapacityRow, LoadHint} from '@lockpin/routing';
 import type {RandomSource, RefusalReason, UpstreamNotice} from '@lockpin/types';
 import {seededRandom} from '@lockpin/utils';
 import {VirtualClock} from '../../../../tools/src/measure/virtualClock.js';
@@ -450,6 +450,7 @@
         break;
       case 'refuse': {
         const {refusal, upstream, hint} = action;
+        const others = this.rowsFrom(box, action.callId, true);
         this.reply(box, action.callId, ({call: {id: callId}}, attempt) => {
           attempt.isAcknowledged = true;
           this.toEntry(callId, {
@@ -458,6 +459,7 @@
             refusal,
             upstream,
             hint,
+            others,
           });
         });
         break;
@@ -531,6 +533,7 @@
     });
     const name = this.allUpstreams[box]?.name ?? '';
     const hint = this.boxes[box]?.guard.hintOf(this.now, name);
+    const others = this.rowsFrom(box, attemptId, false);
     this.reply(box, attemptId, (open) => {
       const {id: callId} = open.call;
       open.lastStatus = 200;
@@ -541,11 +544,26 @@
         status: 200,
         isWhole: true,
         hint,
+        others,
         ranMilliseconds: this.options.workMilliseconds,
       });
     });
   }
 
+  /** What a box tells another with its reply about other upstreams. */
+  private rowsFrom(
+    box: number,
+    attemptId: string,
+    isRefusal: boolean,
+  ): readonly CapacityRow[] | undefined {
+    if (this.openCall(attemptId)?.box === box) {
+      return undefined;
+    }
+    const {entry} = this.boxes[box] as SimulatedBox;
+    const name = this.allUpstreams[box]?.name ?? '';
+    return entry.loads.capacity.rowsFor(SERVICE, name, this.now, isRefusal);
+  }
+
   private recordRelayed(
     box: number,
     upstream: number,
--- a/packages/node/src/__tests__/frames.test.ts
+++ b/packages/node/src/__tests__/frames.test.ts
@@ -1,9 +1,15 @@
 // Copyright (c) 2026 the lockpin contributors. MIT licence, see LICENSE.
 /** Encoding of frames between nodes: round trip and size. */
 
+import type {CapacityRow} from '@lockpin/routing';
 import {describe, expect, it} from 'vitest';
 import {decodeDocument, encodeDocument} from '../connection/codec.js';
-import type {CallHead, Frame} from '../request/frames.js';
+import type {
+  AnswerHead,
+  CallHead,
+  Frame,
+  RefusalFrame,
+} from '../request/frames.js';
 import {decodeFrame, encodeFrame} from '../request/frames.js';
 import {encodeNews} from '../request/newsEncoding.js';
 import {PeerTraffic} from '../process/peerTraffic.js';
@@ -225,10 +231,48 @@
   },
 ];
 
+const OTHERS: readonly CapacityRow[] = [
+  {
+    box: 'centre-b-17',
+    occupied: 36,
+    limit: 4,
+    slotIn: 4800,
+    retriesLeft: 127,
+    age: 1000,
+  },
+  {box: 'centre-b-18', occupied: 1, limit: 4, age: 8},
+  {box: 'centre-b-19', occupied: 1, limit: 4, retriesLeft: 0, age: 8},
+  {box: 'centre-b-20', occupied: 5, limit: 4, slotIn: 70, age: 0},
+];
+
+const ANSWER: AnswerHead = {
+  status: 200,
+  headers: [],
+  upstream: 'claims/b',
+  hint: undefined,
+  isUnframed: false,
+  ranMilliseconds: 5,
+  body: undefined,
+  hasMore: false,
+};
+
+const REFUSAL: RefusalFrame = {
+  refusal: {
+    reason: 'upstream-busy',
+    outcome: 'not-run',
+    retryAfterMilliseconds: 120,
+  },
+  upstream: 'claims/b',
+  hint: undefined,
+};
+
 /** Size limits: twice the names that an offer and its refusal must contain. */
 const OFFER_BYTES = 130;
 const REFUSAL_BYTES = 45;
 
+/** Size limit of a row about another upstream, whose name takes 11 bytes. */
+const ROW_BYTES = 20;
+
 describe('a frame', () => {
   it.each(FRAMES)('is unchanged by encoding and decoding: $kind', (frame) => {
     expect(decodeFrame(encodeFrame(frame))).toEqual(frame);
@@ -241,6 +285,24 @@
   });
 });
 
+describe.each<(others: readonly CapacityRow[] | undefined) => Frame>([
+  (others) => ({kind: 'answer', head: {...ANSWER, others}}),
+  (others) => ({kind: 'refusal', refusal: {...REFUSAL, others}}),
+])('a reply that tells about other upstreams (%#)', (reply) => {
+  it('is unchanged by encoding and decoding', () => {
+    const frame = reply(OTHERS);
+    expect(decodeFrame(encodeFrame(frame))).toEqual(frame);
+  });
+
+  it('is as long as without the field when it knows none', () => {
+    const size = (others: readonly CapacityRow[] | undefined): number =>
+      encodeFrame(reply(others)).length;
+    expect(size([])).toBe(size(undefined));
+    const added = size(OTHERS) - size([]);
+    expect(added).toBeLessThanOrEqual(1 + ROW_BYTES * OTHERS.length);
+  });
+});
+
 describe('a document between nodes', () => {
   it('is compressed when large and unchanged by a round trip', () => {
     const routes = Array.from({length: 300}, (_, i) => ({
--- a/packages/node/src/process/fleetComposition.ts
+++ b/packages/node/src/process/fleetComposition.ts
@@ -18,6 +18,7 @@
 import type {CallRecord} from '../request/attemptHistory.js';
 import type {PeerNews} from '../request/frames.js';
 import {EntryService} from '../request/entryService.js';
+import {withCapacityRows} from '../request/capacityRows.js';
 import type {BeginExchange} from '../request/exchange.js';
 import {serveExchangeStream} from '../request/exchangeStreamServer.js';
 import type {NewsHandlers} from '../request/exchangeStreamServer.js';
@@ -30,6 +31,7 @@
 import {DecisionLog} from './decisionLog.js';
 import {FleetHost} from './fleetHost.js';
 import type {FleetPorts} from './fleetPorts.js';
+import {mechanismSwitch} from './mechanisms.js';
 import {PeerTraffic} from './peerTraffic.js';
 import {createPrometheusMetrics} from './prometheusMetrics.js';
 import type {TextMetrics} from './prometheusMetrics.js';
@@ -299,7 +301,11 @@
   const host = dependencies.resolve(FLEET_TOKENS.host);
   const guard = dependencies.resolve(FLEET_TOKENS.guardService);
   const news = createNewsHandlers(dependencies);
-  const begin: BeginExchange = (head, handlers) => guard.begin(head, handlers);
+  const ownBegin: BeginExchange = (head, handlers) =>
+    guard.begin(head, handlers);
+  const begin = mechanismSwitch(host.settings.switchedOff)('shared-capacity')
+    ? withCapacityRows(ownBegin, steadyClock, host.entry.loads.capacity)
+    : ownBegin;
   return new PeerServer<PeerQuery, PeerQueryReply>(
     {
       call: (stream) => serveGuardStream(stream, begin),
--- a/packages/node/src/request/attemptRunner.ts
+++ b/packages/node/src/request/attemptRunner.ts
@@ -220,7 +220,7 @@
 
   private refused(
     exchange: CallerExchange,
-    {refusal, upstream, hint}: RefusalFrame,
+    {refusal, upstream, hint, others}: RefusalFrame,
   ): void {
     const callId = exchange.id;
     exchange.clearAttemptTimers();
@@ -231,13 +231,14 @@
       refusal,
       upstream,
       hint,
+      others,
     });
   }
 
   private answered(exchange: CallerExchange, head: AnswerHead): void {
     const callId = exchange.id;
     exchange.pendingAnswer = head;
-    const {status, hint, ranMilliseconds} = head;
+    const {status, hint, others, ranMilliseconds} = head;
     const isWhole = !head.hasMore;
     exchange.clearAttemptTimers();
     this.recordAttemptEnd(exchange, String(status));
@@ -247,6 +248,7 @@
       status,
       isWhole,
       hint,
+      others,
       ranMilliseconds,
     });
   }
@@ -261,7 +263,7 @@
       this.overdueEnded(exchange);
       return;
     }
-    const {status, hint, ranMilliseconds} = head;
+    const {status, hint, others, ranMilliseconds} = head;
     overdue.answer = head;
     if (status >= FIRST_SERVER_ERROR_STATUS) {
       exchange.overdue = undefined;
@@ -271,6 +273,7 @@
       callId,
       status,
       hint,
+      others,
       ranMilliseconds,
     });
   }
--- a/packages/node/src/request/frameEncoding.ts
+++ b/packages/node/src/request/frameEncoding.ts
@@ -7,6 +7,8 @@
   CallRequest,
   RefusalFrame,
 } from './frameTypes.js';
+import {decodeCapacityRows, encodeCapacityRows} from './capacityEncoding.js';
+import type {EncodedCapacityRow} from './capacityEncoding.js';
 import {decodeRow, encodeRow} from './rowEncoding.js';
 import {
   OUTCOME_CODES,
@@ -63,6 +65,7 @@
   'ranMilliseconds',
   'body',
   'hasMore',
+  'others',
 ] as const satisfies readonly (keyof AnswerHead)[];
 
 /** The field order of a request. */
@@ -81,9 +84,10 @@
   readonly knownNotice: NoticeRow | undefined;
 };
 
-/** An answer's head with its hint as a row. */
-type CodedAnswer = Omit<AnswerHead, 'hint'> & {
+/** An answer's head with its hint and other upstreams as rows. */
+type CodedAnswer = Omit<AnswerHead, 'hint' | 'others'> & {
   readonly hint: HintRow | undefined;
+  readonly others: readonly EncodedCapacityRow[] | undefined;
 };
 
 type RefusalRow = readonly [
@@ -92,6 +96,7 @@
   retryAfterMilliseconds: number,
   upstream: string,
   hint: HintRow | null,
+  others?: readonly EncodedCapacityRow[],
 ];
 
 /** Encodes a refusal as a row. */
@@ -99,20 +104,22 @@
   refusal,
   upstream,
   hint,
+  others = [],
 }: RefusalFrame): RefusalRow {
   const {reason, outcome, retryAfterMilliseconds} = refusal;
-  return [
+  const row = [
     REASON_CODES.codeOf(reason),
     OUTCOME_CODES.codeOf(outcome),
     Math.ceil(retryAfterMilliseconds),
     upstream,
     hint === undefined ? null : encodeLoadHint(hint),
-  ];
+  ] as const;
+  return others.length === 0 ? row : [...row, encodeCapacityRows(others)];
 }
 
 /** Decodes a refusal from its row. */
 export function decodeRefusal(row: RefusalRow): RefusalFrame {
-  const [reason, outcome, retryAfterMilliseconds, upstream, hint] = row;
+  const [reason, outcome, retryAfterMilliseconds, upstream, hint, others] = row;
   return {
     refusal: {
       reason: REASON_CODES.nameOf(reason),
@@ -121,6 +128,7 @@
     },
     upstream,
     hint: hint === null ? undefined : decodeLoadHint(hint),
+    ...(others !== undefined && {others: decodeCapacityRows(others)}),
   };
 }
 
@@ -149,13 +157,20 @@
 /** Encodes an answer's head as a row. */
 export function encodeAnswerHead(head: AnswerHead): readonly unknown[] {
   const hint = head.hint && encodeLoadHint(head.hint);
-  return encodeRow<CodedAnswer>(ANSWER_FIELDS, {...head, hint});
+  const {others: known = []} = head;
+  const others = known.length === 0 ? undefined : encodeCapacityRows(known);
+  const row = encodeRow<CodedAnswer>(ANSWER_FIELDS, {...head, hint, others});
+  return others === undefined ? row.slice(0, -1) : row;
 }
 
 /** Decodes an answer's head from its row. */
 export function decodeAnswerHead(row: readonly unknown[]): AnswerHead {
   const coded = decodeRow<CodedAnswer>(ANSWER_FIELDS, row);
-  return {...coded, hint: coded.hint && decodeLoadHint(coded.hint)};
+  return {
+    ...coded,
+    hint: coded.hint && decodeLoadHint(coded.hint),
+    others: coded.others && decodeCapacityRows(coded.others),
+  };
 }
 
 /** Encodes a request as a row. */
--- a/packages/node/src/request/frameTypes.ts
+++ b/packages/node/src/request/frameTypes.ts
@@ -4,7 +4,7 @@
 import type {OfferTerms} from '@lockpin/brain';
 import type {FleetUpdate} from '@lockpin/fleet';
 import type {LimitMessage} from '@lockpin/limits';
-import type {LoadHint} from '@lockpin/routing';
+import type {CapacityRow, LoadHint} from '@lockpin/routing';
 import type {KnownNotice, Refusal, Repetition} from '@lockpin/types';
 
 /** Header names and values in turn, as received. */
@@ -74,6 +74,8 @@
   /** The whole body, unless hasMore says that it follows in frames. */
   readonly body: Uint8Array | undefined;
   readonly hasMore: boolean;
+  /** What the guard's box knows of other upstreams of the service. */
+  readonly others?: readonly CapacityRow[] | undefined;
 }
 
 /** A refusal as a guard sends it. */
@@ -81,6 +83,8 @@
   readonly refusal: Refusal;
   readonly upstream: string;
   readonly hint: LoadHint | undefined;
+  /** What the guard's box knows of other upstreams of the service. */
+  readonly others?: readonly CapacityRow[] | undefined;
 }
 
 /** Unsolicited messages between nodes. */
--- /dev/null
+++ b/packages/routing/src/fleetCapacity.ts
@@ -0,0 +1,149 @@
+// Copyright (c) 2026 the lockpin contributors. MIT licence, see LICENSE.
+/** The newest knowledge of the spare capacity of upstreams, of any source. */
+
+import type {LoadHint} from './loadHint.js';
+
+/** What a guard said about the capacity of its upstream. */
+export interface CapacityReport {
+  /** Whether the guard takes ordinary calls. */
+  readonly isAccepting: boolean;
+  /** Calls running and queued. */
+  readonly occupied: number;
+  /** Calls that run concurrently. */
+  readonly limit: number;
+  /** Milliseconds until a usual call gets a slot; 0 when one is free. */
+  readonly slotIn: number;
+  /** Retries that the guard pays for; undefined when not limited or unknown. */
+  readonly retriesLeft: number | undefined;
+  /** When the guard said so, by the clock of this box. */
+  readonly at: number;
+}
+
+/** The capacity of one upstream as it is passed on from box to box. */
+export interface CapacityRow {
+  /** The last part of the upstream's name: in a declared fleet, its box. */
+  readonly box: string;
+  readonly occupied: number;
+  readonly limit: number;
+  readonly slotIn?: number;
+  readonly retriesLeft?: number;
+  /** Milliseconds since the guard said so. */
+  readonly age: number;
+}
+
+/** Knowledge that is older decides nothing and is not passed on. */
+export const FRESH_MILLISECONDS = 1000;
+
+/** Rows in a reply: some 120 bytes. */
+const MAXIMUM_ROWS = 6;
+
+/** Upstreams remembered of each service; the longest unchanged go first. */
+const MAXIMUM_REMEMBERED = 512;
+
+/** Keeps one report for each upstream, whoever passed it on. */
+export class FleetCapacity {
+  private readonly services = new Map<string, Map<string, CapacityReport>>();
+
+  /** Records what a guard said itself. */
+  hinted(upstream: string, now: number, hint: LoadHint): void {
+    const {occupied, limit, slotIn = 0, availableIn = 0, retriesLeft} = hint;
+    this.learn(serviceOf(upstream), upstream, {
+      isAccepting: hint.state === 'accepting',
+      occupied,
+      limit,
+      slotIn: Math.max(slotIn, availableIn),
+      retriesLeft,
+      at: now,
+    });
+  }
+
+  /** Records what another box passed on; older knowledge is ignored. */
+  rowsReceived(
+    service: string,
+    now: number,
+    rows: readonly CapacityRow[],
+  ): void {
+    for (const {box, occupied, limit, slotIn = 0, retriesLeft, age} of rows) {
+      this.learn(service, `${service}/${box}`, {
+        isAccepting: true,
+        occupied,
+        limit,
+        slotIn,
+        retriesLeft,
+        at: now - Math.max(0, age),
+      });
+    }
+  }
+
+  /** The newest report on an upstream, of whatever age. */
+  latest(upstream: string): CapacityReport | undefined {
+    return this.services.get(serviceOf(upstream))?.get(upstream);
+  }
+
+  /**
+   * What to pass on with a reply of an upstream: the newest knowledge of others
+   * of its service, and with a refusal first of those with spare capacity.
+   */
+  rowsFor(
+    service: string,
+    upstream: string,
+    now: number,
+    isRefusal: boolean,
+  ): readonly CapacityRow[] {
+    const known = [...(this.services.get(service) ?? [])].filter(
+      ([name, {at, isAccepting}]) =>
+        name !== upstream && isAccepting && now - at <= FRESH_MILLISECONDS,
+    );
+    const rank = ([, report]: (typeof known)[number]): number =>
+      isRefusal && hasSpare(report)
+        ? report.at + FRESH_MILLISECONDS
+        : report.at;
+    return known
+      .sort((a, b) => rank(b) - rank(a))
+      .slice(0, MAXIMUM_ROWS)
+      .map(([name, report]) => rowOf(name, report, now));
+  }
+
+  private learn(
+    service: string,
+    upstream: string,
+    report: CapacityReport,
+  ): void {
+    const reports = this.services.get(service) ?? new Map();
+    this.services.set(service, reports);
+    const known = reports.get(upstream);
+    if (known !== undefined && known.at > report.at) {
+      return;
+    }
+    reports.delete(upstream);
+    reports.set(upstream, report);
+    if (reports.size > MAXIMUM_REMEMBERED) {
+      const [oldest] = reports.keys();
+      reports.delete(oldest as string);
+    }
+  }
+}
+
+/** Whether a report tells of a free slot. */
+export function hasSpare({occupied, limit, slotIn}: CapacityReport): boolean {
+  return slotIn === 0 && occupied < limit;
+}
+
+function rowOf(
+  name: string,
+  {occupied, limit, slotIn, retriesLeft, at}: CapacityReport,
+  now: number,
+): CapacityRow {
+  return {
+    box: name.slice(name.lastIndexOf('/') + 1),
+    occupied,
+    limit,
+    ...(slotIn > 0 && {slotIn}),
+    ...(retriesLeft !== undefined && {retriesLeft}),
+    age: now - at,
+  };
+}
+
+function serviceOf(upstream: string): string {
+  return upstream.slice(0, upstream.lastIndexOf('/'));
+}
--- a/packages/routing/src/index.ts
+++ b/packages/routing/src/index.ts
@@ -2,6 +2,7 @@
 export * from './chooseByScore.js';
 export * from './chooseSubset.js';
 export * from './chooseUpstream.js';
+export * from './fleetCapacity.js';
 export * from './loadHint.js';
 export * from './retryBudget.js';
 export * from './typicalDurations.js';
--- a/packages/routing/src/upstreamLoads.ts
+++ b/packages/routing/src/upstreamLoads.ts
@@ -1,6 +1,7 @@
 // Copyright (c) 2026 the lockpin contributors. MIT licence, see LICENSE.
 /** Load and reachability of each upstream as seen by one entry. */
 
+import {FleetCapacity} from './fleetCapacity.js';
 import {isRefusing} from './loadHint.js';
 import type {AnnouncedState, LoadHint} from './loadHint.js';
 import {NoticeMemory} from './noticeMemory.js';
@@ -67,6 +68,8 @@
 export class UpstreamLoads {
   /** The latest notices that reached this entry. */
   readonly notices = new NoticeMemory();
+  /** The newest knowledge of the capacity of upstreams, of any source. */
+  readonly capacity = new FleetCapacity();
   private readonly loads = new Map<string, UpstreamLoad>();
 
   constructor(private readonly avoidance = DEFAULT_LINK_AVOIDANCE) {}
@@ -99,6 +102,7 @@
     const {doubtedFor, probeIn, availableIn = 0, notice} = hint;
     load.limitedUntil = now + availableIn;
     this.notices.hinted(upstream, notice);
+    this.capacity.hinted(upstream, now, hint);
     const pause = doubtedFor ?? REFUSED_PAUSE_MILLISECONDS;
     load.refusesUntil = refuses ? now + pause : 0;
     load.refusesProbesUntil = refuses ? now + (probeIn ?? pause) : 0;
