Offer calls where spare capacity is known

Cause: an entry made three offers that need a free slot, then three that may wait, then paused and began again, whatever it knew.

Change: the first offer goes to an upstream that is believed to have a free slot, the best of three random ones; if it is refused or none is believed to be free, the next asks for a place in a queue that starts the call in time. What nothing starts in time is refused: at once and without an offer if a guard has just refused a call of the same customer that was no less urgent. A call that waits must start early enough to be in time at 1.5 times its usual duration, and calls that neither run nor wait are held for a quarter of their goal at most. Offers that are out count as taken slots until newer knowledge arrives. What is known loses its weight within a second in favour of the mean of the data centre. The upstream of the own box is read from its guard and preferred unless it has lately been busier than the mean. planned-offers and bounded-holding switch the new behaviour off.

--- /dev/null
+++ b/packages/brain/src/__tests__/plannedOffers.test.ts
@@ -0,0 +1,192 @@
+// Copyright (c) 2026 the lockpin contributors. MIT licence, see LICENSE.
+/** Where an entry offers calls when it knows the capacity of upstreams. */
+
+import type {ServiceView} from '@lockpin/configuration';
+import type {CapacityRow} from '@lockpin/routing';
+import type {RefusalReason, Resource} from '@lockpin/types';
+import {seededRandom} from '@lockpin/utils';
+import {describe, expect, it} from 'vitest';
+import type {Attempt, EntryAction, EntryCall} from '../entry/entryMessages.js';
+import {DEFAULT_ENTRY_SETTINGS} from '../entry/entrySettings.js';
+import {EntryStateMachine} from '../entry/entryStateMachine.js';
+
+const NOW = 10_000;
+const FREE = {occupied: 0, limit: 4, age: 0};
+const FULL = {occupied: 4, limit: 4, slotIn: 200, age: 0};
+const HOPELESS = {occupied: 30, limit: 4, slotIn: 5000, age: 0};
+
+const ROUTE: Resource<'Route'> = {
+  kind: 'Route',
+  name: 'r',
+  version: 1,
+  spec: {
+    method: '*',
+    pathPrefix: '/',
+    repetition: 'at-most-once',
+    waitMilliseconds: 4000,
+    goalMilliseconds: 2000,
+    priority: 1,
+    retryShare: 0,
+    onceKeyHeader: '',
+  },
+};
+
+/** Upstreams by name; those that begin with f are in another data centre. */
+function createView(names: readonly string[]): ServiceView {
+  return {
+    name: 's',
+    customer: 's',
+    routes: [],
+    service: {} as ServiceView['service'],
+    upstreams: names.map((name) => ({
+      kind: 'Upstream',
+      name: `s/${name}`,
+      version: 1,
+      spec: {
+        address: '',
+        dataCentre: name.startsWith('f') ? 'far' : 'near',
+        box: name,
+        slots: 4,
+        connections: 4,
+        state: 'in-service',
+      },
+    })),
+  };
+}
+
+class EntryHarness {
+  readonly entry = new EntryStateMachine(
+    'own',
+    'near',
+    {isUsable: () => true, incarnation: () => undefined},
+    {
+      ...DEFAULT_ENTRY_SETTINGS,
+      initialTerms: 'immediate',
+      plansOffers: true,
+      freeRerouteRefusals: new Set(['upstream-busy', 'deadline-too-short']),
+    },
+  );
+  private readonly random = seededRandom(1);
+  private readonly view: ServiceView;
+  private serial = 0;
+
+  constructor(names: readonly string[]) {
+    this.view = createView(names);
+  }
+
+  knows(capacity: Readonly<Record<string, Omit<CapacityRow, 'box'>>>): void {
+    const rows = Object.entries(capacity).map(([box, row]) => ({box, ...row}));
+    this.entry.loads.capacity.rowsReceived('s', NOW, rows);
+  }
+
+  arrive(call: Partial<EntryCall> = {}): readonly EntryAction[] {
+    this.serial += 1;
+    return this.entry.handle(NOW, this.random, {
+      kind: 'call-arrived',
+      call: {
+        id: String(this.serial),
+        view: this.view,
+        route: ROUTE,
+        customer: 'c',
+        requestDigest: '',
+        bytes: 0,
+        deadline: NOW + 4000,
+        onceKey: undefined,
+        isFirstWithKey: false,
+        isReplayable: true,
+        isCallersRetry: false,
+        ...call,
+      },
+    });
+  }
+
+  refuse({callId, upstream = ''}: Attempt, reason: RefusalReason) {
+    return this.entry.handle(NOW, this.random, {
+      kind: 'attempt-refused',
+      callId,
+      refusal: {reason, outcome: 'not-run', retryAfterMilliseconds: 5000},
+      upstream,
+      hint: undefined,
+    });
+  }
+}
+
+function attemptOf(actions: readonly EntryAction[]): Attempt {
+  const [action] = actions;
+  if (action?.kind !== 'attempt') {
+    throw new Error(`no attempt but ${action?.kind}`);
+  }
+  return action.attempt;
+}
+
+const offered = (actions: readonly EntryAction[]): string => {
+  const {upstream, terms} = attemptOf(actions);
+  return `${upstream} ${terms}`;
+};
+
+describe('the first offer of a call', () => {
+  it('goes to an upstream of which another box has told a free slot', () => {
+    const harness = new EntryHarness(['a', 'b', 'c']);
+    harness.knows({a: FULL, b: FREE, c: FULL});
+    expect(offered(harness.arrive())).toBe('s/b immediate');
+  });
+
+  it('asks for the shortest queue at once if all are full', () => {
+    const harness = new EntryHarness(['a', 'b']);
+    harness.knows({a: {...FULL, occupied: 9, slotIn: 1200}, b: FULL});
+    expect(offered(harness.arrive())).toBe('s/b may-wait');
+  });
+
+  it('asks for no queue whose wait does not meet the goal', () => {
+    const harness = new EntryHarness(['a', 'b']);
+    harness.knows({a: HOPELESS, b: {...FULL, occupied: 8, slotIn: 1900}});
+    expect(offered(harness.arrive())).toBe('s/b may-wait');
+  });
+
+  it('leaves the data centre only for free slots that it lacks', () => {
+    const harness = new EntryHarness(['a', 'f']);
+    harness.knows({a: {...FREE, occupied: 3}, f: FREE});
+    expect(offered(harness.arrive())).toBe('s/a immediate');
+    harness.knows({a: FULL, f: FREE});
+    expect(offered(harness.arrive())).toBe('s/f immediate');
+    harness.knows({a: FULL, f: {...FULL, occupied: 4, slotIn: 100}});
+    expect(offered(harness.arrive())).toBe('s/a may-wait');
+  });
+
+  it('does not count twice on a slot that it has just asked for', () => {
+    const harness = new EntryHarness(['a', 'b']);
+    harness.knows({a: {...FREE, occupied: 3}, b: FULL});
+    expect(offered(harness.arrive())).toBe('s/a immediate');
+    expect(offered(harness.arrive())).toMatch(/may-wait/);
+  });
+});
+
+describe('a call that no queue starts in time', () => {
+  const refusedLike = (change: Partial<EntryCall>): EntryHarness => {
+    const harness = new EntryHarness(['a', 'b']);
+    harness.knows({a: HOPELESS, b: HOPELESS});
+    harness.refuse(attemptOf(harness.arrive(change)), 'deadline-too-short');
+    return harness;
+  };
+
+  it('is refused after one offer, and the next one like it without any', () => {
+    const harness = new EntryHarness(['a', 'b']);
+    harness.knows({a: HOPELESS, b: HOPELESS});
+    const first = attemptOf(harness.arrive());
+    const [refused] = harness.refuse(first, 'deadline-too-short');
+    expect(refused?.kind).toBe('refuse');
+    expect(harness.arrive()[0]).toMatchObject({
+      kind: 'refuse',
+      refusal: {reason: 'deadline-too-short', outcome: 'not-run'},
+    });
+  });
+
+  it('does not keep more urgent calls or other customers from being offered', () => {
+    const harness = refusedLike({priority: 5});
+    expect(harness.arrive({priority: 6})[0]?.kind).toBe('refuse');
+    expect(harness.arrive({priority: 4})[0]?.kind).toBe('attempt');
+    expect(harness.arrive({priority: 6, customer: 'd'})[0]?.kind).toBe(
+      'attempt',
+    );
+  });
+});
--- a/packages/brain/src/entry/attemptFeedback.ts
+++ b/packages/brain/src/entry/attemptFeedback.ts
@@ -6,6 +6,8 @@
 import type {AttemptTiming} from './attemptTiming.js';
 import type {CallState} from './callState.js';
 import type {EntryEvent} from './entryMessages.js';
+import {HOPELESS_REFUSALS} from './entrySettings.js';
+import type {HopelessCalls} from './hopelessCalls.js';
 
 /**
  * An answer that took this many times as long as is typical counts as a failure
@@ -24,6 +26,7 @@
   constructor(
     private readonly loads: UpstreamLoads,
     private readonly timing: AttemptTiming,
+    private readonly hopeless: HopelessCalls,
   ) {}
 
   /** Records the refusal of a guard. */
@@ -35,6 +38,9 @@
     const {upstream, hint, others, refusal} = event;
     this.hintReceived(now, upstream, hint);
     this.othersReceived(now, state, others);
+    if (HOPELESS_REFUSALS.has(refusal.reason)) {
+      this.hopeless.refused(now, state.call);
+    }
     if (refusal.outcome === 'unknown') {
       this.loads.recordOutcome(state.upstream, false);
     }
--- a/packages/brain/src/entry/attemptTiming.ts
+++ b/packages/brain/src/entry/attemptTiming.ts
@@ -2,6 +2,7 @@
 /** Time limits of attempts, derived from the durations of earlier calls. */
 
 import {TypicalDurations} from '@lockpin/routing';
+import {goalEnd} from './callState.js';
 import type {CallState} from './callState.js';
 import type {EntrySettings} from './entrySettings.js';
 import type {RetryPolicy} from './retryPolicy.js';
@@ -21,6 +22,13 @@
 /** The acknowledgement timeout grows up to eightfold within one call. */
 const MAXIMUM_ACKNOWLEDGEMENT_DOUBLINGS = 3;
 
+/**
+ * A call that waits starts so early that it is in time even if it takes this
+ * multiple of its typical duration. With 1, half of the calls that wait longest
+ * are late.
+ */
+const START_MARGIN = 1.5;
+
 /** Records durations of calls and computes the time limits of new attempts. */
 export class AttemptTiming {
   private readonly durations = new TypicalDurations();
@@ -53,6 +61,15 @@
     return this.settings.acknowledgementTimeoutMilliseconds * 2 ** doublings;
   }
 
+  /**
+   * Until when a call must start to be answered within its goal, in milliseconds
+   * since 1970.
+   */
+  latestStart(state: CallState): number {
+    const usual = this.typicalDuration(state.call.route.name) ?? 0;
+    return goalEnd(state) - usual * START_MARGIN;
+  }
+
   /** Time until an attempt is overdue; undefined if it cannot be hedged. */
   overdueAfter(state: CallState): number | undefined {
     const {hedgesOverdue} = this.settings;
--- a/packages/brain/src/entry/callOffers.ts
+++ b/packages/brain/src/entry/callOffers.ts
@@ -14,6 +14,7 @@
   EntryCall,
 } from './entryMessages.js';
 import type {EntrySettings} from './entrySettings.js';
+import type {OfferPlanner, PlannedOffer} from './offerPlanner.js';
 import type {UpstreamChooser} from './upstreamChooser.js';
 
 /** Retry-after of calls for which there is no upstream. */
@@ -30,6 +31,7 @@
   readonly chooser: UpstreamChooser;
   readonly calls: CallRegistry;
   readonly timing: AttemptTiming;
+  readonly planner: OfferPlanner;
 }
 
 /** Makes offers, and pauses or refuses a call when a round has failed. */
@@ -51,11 +53,38 @@
       const reason = 'request-quarantined';
       return this.context.calls.refuseCall(state, reason, quarantined);
     }
-    const chosen = this.context.chooser.next(now, random, state);
-    if (chosen === undefined) {
-      return this.pauseOrRefuse(now, state, reasonIfNone, retryAfter);
+    const planned = this.plan(now, random, state);
+    switch (planned.kind) {
+      case 'offer': {
+        const {name, box} = planned.candidate;
+        return [this.send(now, state, name, box, name)];
+      }
+      case 'hopeless':
+        return this.context.calls.refuseCall(
+          state,
+          'deadline-too-short',
+          Number.isFinite(planned.wait)
+            ? planned.wait
+            : NO_UPSTREAM_RETRY_MILLISECONDS,
+        );
+      case 'none':
+        return this.pauseOrRefuse(now, state, reasonIfNone, retryAfter);
     }
-    return [this.send(now, state, chosen.name, chosen.box, chosen.name)];
+  }
+
+  private plan(
+    now: number,
+    random: RandomSource,
+    state: CallState,
+  ): PlannedOffer {
+    const {settings, planner, chooser} = this.context;
+    if (settings.plansOffers) {
+      return planner.next(now, random, state);
+    }
+    const candidate = chooser.next(now, random, state);
+    return candidate === undefined
+      ? {kind: 'none'}
+      : {kind: 'offer', candidate};
   }
 
   /** Remaining quarantine of the call in milliseconds; 0 if it may run. */
@@ -103,6 +132,7 @@
     state: CallState,
   ): readonly EntryAction[] {
     state.reroutes = 0;
+    state.slotRefusals = 0;
     state.shortestWait = Number.POSITIVE_INFINITY;
     state.isOnlyLimited = true;
     setTerms(state, this.context.settings.initialTerms);
@@ -168,9 +198,13 @@
   }
 
   /** Limits the wait so that a refused caller still has time to try again. */
-  private startBy({mayHaveRun, heldUntil}: CallState): number | undefined {
-    const isHeld = this.context.settings.heldShare > 0 && !mayHaveRun;
-    return isHeld ? heldUntil : undefined;
+  private startBy(state: CallState): number | undefined {
+    const {settings, timing} = this.context;
+    const {mayHaveRun, heldUntil, terms} = state;
+    if (settings.plansOffers && terms === 'may-wait') {
+      return timing.latestStart(state);
+    }
+    return settings.heldShare > 0 && !mayHaveRun ? heldUntil : undefined;
   }
 }
 
--- a/packages/brain/src/entry/callState.ts
+++ b/packages/brain/src/entry/callState.ts
@@ -1,7 +1,9 @@
 // Copyright (c) 2026 the lockpin contributors. MIT licence, see LICENSE.
 /** State that an entry keeps of a call from its arrival to its end. */
 
+import type {Refusal} from '@lockpin/types';
 import type {EntryAction, EntryCall, OfferTerms} from './entryMessages.js';
+import {NO_SLOT_REFUSALS} from './entrySettings.js';
 import type {EntrySettings} from './entrySettings.js';
 import type {RetryState} from './retryPolicy.js';
 
@@ -16,12 +18,16 @@
   isShortOfTime: boolean;
   /** Only limits that upstreams state have kept it from a slot this round. */
   isOnlyLimited: boolean;
+  /** Offers of this round that were refused for want of a free slot. */
+  slotRefusals: number;
   /** Offers that were not acknowledged. */
   unacknowledgedOffers: number;
   /** Rounds of offers that were refused throughout. */
   pauses: number;
   /** Shortest wait for a slot reported in this round, in milliseconds. */
   shortestWait: number;
+  /** When the call arrived, in milliseconds since 1970. */
+  readonly arrivedAt: number;
   /** Until then the call may wait for a slot, in milliseconds since 1970. */
   readonly heldUntil: number;
   /** The upstream of the latest attempt. */
@@ -44,7 +50,7 @@
 export function createCallState(
   now: number,
   call: EntryCall,
-  {initialTerms, heldShare}: EntrySettings,
+  {initialTerms, heldShare, heldGoalShare}: EntrySettings,
 ): CallState {
   return {
     call,
@@ -53,10 +59,15 @@
     terms: initialTerms,
     isShortOfTime: false,
     isOnlyLimited: true,
+    slotRefusals: 0,
     unacknowledgedOffers: 0,
     pauses: 0,
     shortestWait: Number.POSITIVE_INFINITY,
-    heldUntil: now + (call.deadline - now) * heldShare,
+    arrivedAt: now,
+    heldUntil: Math.min(
+      now + (call.deadline - now) * heldShare,
+      now + goalOf(call) * heldGoalShare,
+    ),
     upstream: '',
     offeredAt: now,
     overdueUpstream: undefined,
@@ -69,6 +80,33 @@
   };
 }
 
+function goalOf({route}: EntryCall): number {
+  return route.spec.goalMilliseconds ?? route.spec.waitMilliseconds;
+}
+
+/** When the answer is due: the latency goal, or the deadline without one. */
+export function goalEnd({arrivedAt, call}: CallState): number {
+  const {goalMilliseconds} = call.route.spec;
+  return goalMilliseconds === undefined
+    ? call.deadline
+    : Math.min(call.deadline, arrivedAt + goalMilliseconds);
+}
+
+/** Records why the latest offer was refused. */
+export function recordRefusal(
+  state: CallState,
+  {reason, retryAfterMilliseconds}: Refusal,
+): void {
+  state.isShortOfTime ||=
+    reason === 'deadline-too-short' ||
+    (reason === 'upstream-over-limit' && state.terms !== 'immediate');
+  state.isOnlyLimited &&= reason === 'upstream-over-limit';
+  if (NO_SLOT_REFUSALS.has(reason)) {
+    state.slotRefusals += 1;
+    state.shortestWait = Math.min(state.shortestWait, retryAfterMilliseconds);
+  }
+}
+
 /** Changes the terms of a call; all upstreams may be offered it again. */
 export function setTerms(state: CallState, terms: OfferTerms): void {
   state.terms = terms;
--- a/packages/brain/src/entry/entryMessages.ts
+++ b/packages/brain/src/entry/entryMessages.ts
@@ -13,6 +13,8 @@
   readonly route: Resource<'Route'>;
   /** The calling customer; it need not own the service. */
   readonly customer: string;
+  /** 0 is the most urgent; that of the route when absent. */
+  readonly priority?: number;
   /** Equal for requests that look the same to an upstream; empty if unknown. */
   readonly requestDigest: string;
   /** Bytes of request body that the entry buffers. */
--- a/packages/brain/src/entry/entrySettings.ts
+++ b/packages/brain/src/entry/entrySettings.ts
@@ -6,10 +6,13 @@
   DEFAULT_SUBSET_SIZES,
   RetryBudget,
   chooseUpstream,
+  isInOwnDataCentre,
 } from '@lockpin/routing';
 import type {
   ChooseUpstream,
+  IsNear,
   LinkAvoidanceSettings,
+  LoadHint,
   RetryAllowance,
   SubsetSizes,
 } from '@lockpin/routing';
@@ -19,6 +22,12 @@
 /** Settings of an entry; a deployment chooses them. */
 export interface EntrySettings {
   readonly choose: ChooseUpstream;
+  /** Whether offers go where spare capacity is known; see OfferPlanner. */
+  readonly plansOffers: boolean;
+  /** Which upstreams with free slots come first if offers are planned. */
+  readonly isNear: IsNear;
+  /** The current load of an upstream on this box; undefined for any other. */
+  readonly ownHint: (now: number, upstream: string) => LoadHint | undefined;
   /** How many upstreams of each service an entry calls. */
   readonly subsetSizes: SubsetSizes;
   readonly linkAvoidance: LinkAvoidanceSettings;
@@ -37,6 +46,8 @@
   readonly pauseMilliseconds: number;
   /** Share of the time to its deadline for which a call waits for a slot. */
   readonly heldShare: number;
+  /** Share of its latency goal for which it waits at most. */
+  readonly heldGoalShare: number;
   /** Free reroutes of a call in each round of offers. */
   readonly maximumReroutes: number;
   /** Refusals after which a reroute costs no retry budget. */
@@ -63,6 +74,9 @@
 /** Defaults: immediate refusals, and a retry budget at the entry. */
 export const DEFAULT_ENTRY_SETTINGS: EntrySettings = {
   choose: chooseUpstream,
+  plansOffers: false,
+  isNear: isInOwnDataCentre,
+  ownHint: () => undefined,
   subsetSizes: DEFAULT_SUBSET_SIZES,
   linkAvoidance: DEFAULT_LINK_AVOIDANCE,
   createRetryBudget: () => new RetryBudget(),
@@ -71,6 +85,7 @@
   acknowledgementTimeoutMilliseconds: 100,
   pauseMilliseconds: 0,
   heldShare: 0,
+  heldGoalShare: Number.POSITIVE_INFINITY,
   maximumReroutes: 3,
   freeRerouteRefusals: new Set(UPSTREAM_STATE_REFUSALS),
   quarantinedFor: () => 0,
@@ -87,6 +102,12 @@
   'deadline-too-short',
 ]);
 
+/** Refusals of calls that no queue starts in time, at their priority. */
+export const HOPELESS_REFUSALS: ReadonlySet<RefusalReason> = new Set([
+  'queue-full',
+  'deadline-too-short',
+]);
+
 /** Refusals that every other upstream would repeat. */
 export const NON_RETRYABLE_REFUSALS: ReadonlySet<RefusalReason> = new Set([
   'deadline-passed',
--- a/packages/brain/src/entry/entryStateMachine.ts
+++ b/packages/brain/src/entry/entryStateMachine.ts
@@ -9,8 +9,7 @@
 import {AttemptTiming} from './attemptTiming.js';
 import {CallRegistry, refusalAction} from './callRegistry.js';
 import {CallOffers, NO_UPSTREAM_RETRY_MILLISECONDS} from './callOffers.js';
-import {createCallState} from './callState.js';
-import {isDelayed} from './callState.js';
+import {createCallState, isDelayed, recordRefusal} from './callState.js';
 import type {CallState} from './callState.js';
 import type {
   BoxAvailability,
@@ -18,8 +17,10 @@
   EntryCall,
   EntryEvent,
 } from './entryMessages.js';
-import {DEFAULT_ENTRY_SETTINGS, NO_SLOT_REFUSALS} from './entrySettings.js';
+import {DEFAULT_ENTRY_SETTINGS} from './entrySettings.js';
 import type {EntrySettings} from './entrySettings.js';
+import {HopelessCalls} from './hopelessCalls.js';
+import {OfferPlanner} from './offerPlanner.js';
 import {OverdueAttempts} from './overdueAttempts.js';
 import {RetryPolicy} from './retryPolicy.js';
 import {UpstreamChooser} from './upstreamChooser.js';
@@ -50,7 +51,9 @@
     const timing = new AttemptTiming(settings, retries);
     const environment = {box, dataCentre, boxes, loads};
     const chooser = new UpstreamChooser({...environment, settings});
-    const feedback = new AttemptFeedback(loads, timing);
+    const hopeless = new HopelessCalls();
+    const feedback = new AttemptFeedback(loads, timing, hopeless);
+    const planner = new OfferPlanner({settings, chooser, timing, hopeless});
     const overdueAttempts = new OverdueAttempts(loads, retries, chooser);
     const calls = new CallRegistry(loads, overdueAttempts);
     const dependencies = {
@@ -60,7 +63,13 @@
       calls,
       overdueAttempts,
     };
-    const offers = new CallOffers({...dependencies, boxes, settings, timing});
+    const offers = new CallOffers({
+      ...dependencies,
+      boxes,
+      settings,
+      timing,
+      planner,
+    });
     this.answers = new AnswerHandler({
       ...dependencies,
       offers,
@@ -210,13 +219,7 @@
     refusal: Refusal,
   ): readonly EntryAction[] {
     const {reason, outcome, retryAfterMilliseconds} = refusal;
-    state.isShortOfTime ||=
-      reason === 'deadline-too-short' ||
-      (reason === 'upstream-over-limit' && state.terms !== 'immediate');
-    state.isOnlyLimited &&= reason === 'upstream-over-limit';
-    if (NO_SLOT_REFUSALS.has(reason)) {
-      state.shortestWait = Math.min(state.shortestWait, retryAfterMilliseconds);
-    }
+    recordRefusal(state, refusal);
     if (outcome === 'unknown') {
       state.mayHaveRun = true;
       state.ran.add(state.upstream);
--- /dev/null
+++ b/packages/brain/src/entry/offerPlanner.ts
@@ -0,0 +1,176 @@
+// Copyright (c) 2026 the lockpin contributors. MIT licence, see LICENSE.
+/**
+ * Plans the next offer of a call from what is known of spare capacity: a free
+ * slot, else the queue with the shortest wait, else an immediate refusal.
+ */
+
+import {
+  chooseFree,
+  chooseLeastOccupied,
+  chooseQueue,
+  hasFreeSlot,
+  prospectsOf,
+} from '@lockpin/routing';
+import type {Prospect, RoutingCandidate} from '@lockpin/routing';
+import type {RandomSource} from '@lockpin/types';
+import type {AttemptTiming} from './attemptTiming.js';
+import {setTerms} from './callState.js';
+import type {CallState} from './callState.js';
+import type {EntrySettings} from './entrySettings.js';
+import type {HopelessCalls} from './hopelessCalls.js';
+import type {UpstreamChooser} from './upstreamChooser.js';
+
+/** Refusals for want of a slot after which a call is refused. */
+const SLOT_OFFERS = 3;
+
+/** What to do next with a call that is to be offered. */
+export type PlannedOffer =
+  | {readonly kind: 'offer'; readonly candidate: RoutingCandidate}
+  /** No slot is expected in time anywhere. */
+  | {readonly kind: 'hopeless'; readonly wait: number}
+  /** No upstream is left. */
+  | {readonly kind: 'none'};
+
+/** Dependencies of the planner. */
+export interface OfferPlannerContext {
+  readonly settings: EntrySettings;
+  readonly chooser: UpstreamChooser;
+  readonly timing: AttemptTiming;
+  readonly hopeless: HopelessCalls;
+}
+
+/** Chooses the upstream and the terms of a call's next offer. */
+export class OfferPlanner {
+  constructor(private readonly context: OfferPlannerContext) {}
+
+  /** Plans the next offer and sets its terms. */
+  next(now: number, random: RandomSource, state: CallState): PlannedOffer {
+    const {chooser} = this.context;
+    const available = chooser.available(now, state);
+    if (available.length === 0 || state.terms === 'last-resort') {
+      return offerOrNone(chooser.next(now, random, state));
+    }
+    if (state.slotRefusals >= SLOT_OFFERS) {
+      return {kind: 'none'};
+    }
+    const untried = available.filter(({name}) => !state.tried.has(name));
+    const cold = chooser.unexplored(now, random, state, untried);
+    if (cold.length > 0) {
+      return offerOrNone(cold[Math.floor(random() * cold.length)]);
+    }
+    chooser.readOwnLoads(now, available);
+    return state.terms === 'immediate'
+      ? this.offerFree(now, random, state, available, untried)
+      : this.offerQueue(now, random, state, untried);
+  }
+
+  private offerFree(
+    now: number,
+    random: RandomSource,
+    state: CallState,
+    available: readonly RoutingCandidate[],
+    untried: readonly RoutingCandidate[],
+  ): PlannedOffer {
+    const {chooser, settings} = this.context;
+    const routing = chooser.routingContext(now, random, state);
+    const prospects = this.prospects(now, random, state, untried);
+    const free =
+      state.slotRefusals === 0
+        ? chooseFree(routing, prospects, settings.isNear)
+        : undefined;
+    if (free !== undefined) {
+      return {kind: 'offer', candidate: free};
+    }
+    setTerms(state, 'may-wait');
+    return this.offerQueue(now, random, state, available);
+  }
+
+  /** Asks for a place in a queue, or refuses the call if none is in time. */
+  private offerQueue(
+    now: number,
+    random: RandomSource,
+    state: CallState,
+    candidates: readonly RoutingCandidate[],
+  ): PlannedOffer {
+    const {chooser, settings} = this.context;
+    const routing = chooser.routingContext(now, random, state);
+    const prospects = this.prospects(now, random, state, candidates);
+    const longest = this.longestWait(now, state);
+    const queueWithin = (limit: number): RoutingCandidate | undefined =>
+      chooseQueue(routing, prospects, settings.isNear, limit);
+    const queue = queueWithin(longest);
+    if (queue !== undefined) {
+      return {kind: 'offer', candidate: queue};
+    }
+    const late = settings.offersLate
+      ? queueWithin(this.longestLateWait(now, state))
+      : undefined;
+    if (late !== undefined) {
+      setTerms(state, 'may-be-late');
+      return {kind: 'offer', candidate: late};
+    }
+    return this.isHopeless(now, state, prospects, longest)
+      ? {kind: 'hopeless', wait: shortestWait(prospects)}
+      : offerOrNone(chooseLeastOccupied(routing, prospects));
+  }
+
+  /** How long a call may wait and still be answered in time. */
+  private longestWait(now: number, state: CallState): number {
+    return this.context.timing.latestStart(state) - now;
+  }
+
+  /** How long a call that misses its goal may wait for a slot. */
+  private longestLateWait(now: number, state: CallState): number {
+    const latest = state.call.deadline - this.usual(state);
+    return Math.min(state.heldUntil, latest) - now;
+  }
+
+  /**
+   * Queues serve urgent calls and customers with few calls first. So a long wait
+   * for usual calls only keeps a call from being offered if a guard has just
+   * refused one like it.
+   */
+  private isHopeless(
+    now: number,
+    {call, slotRefusals}: CallState,
+    prospects: readonly Prospect[],
+    longestWait: number,
+  ): boolean {
+    const isExpectedLate =
+      prospects.some(({wait}) => wait !== undefined) &&
+      prospects.every(
+        (prospect) =>
+          (prospect.wait ?? Number.POSITIVE_INFINITY) > longestWait &&
+          !hasFreeSlot(prospect),
+      );
+    return (
+      prospects.length > 0 &&
+      isExpectedLate &&
+      (slotRefusals > 0 || this.context.hopeless.isHopeless(now, call))
+    );
+  }
+
+  private prospects(
+    now: number,
+    random: RandomSource,
+    state: CallState,
+    candidates: readonly RoutingCandidate[],
+  ): readonly Prospect<RoutingCandidate>[] {
+    const routing = this.context.chooser.routingContext(now, random, state);
+    return prospectsOf(routing, candidates, this.usual(state));
+  }
+
+  private usual({call}: CallState): number {
+    return this.context.timing.typicalDuration(call.route.name) ?? 0;
+  }
+}
+
+function offerOrNone(candidate: RoutingCandidate | undefined): PlannedOffer {
+  return candidate === undefined ? {kind: 'none'} : {kind: 'offer', candidate};
+}
+
+function shortestWait(prospects: readonly Prospect[]): number {
+  return Math.min(
+    ...prospects.map(({wait = Number.POSITIVE_INFINITY}) => wait),
+  );
+}
--- a/packages/brain/src/entry/upstreamChooser.ts
+++ b/packages/brain/src/entry/upstreamChooser.ts
@@ -3,6 +3,7 @@
 
 import type {
   RoutingCandidate,
+  RoutingContext,
   UnusedReason,
   UpstreamLoads,
 } from '@lockpin/routing';
@@ -111,7 +112,7 @@
   }
 
   /** Cold local upstreams that a new call explores. */
-  private unexplored(
+  unexplored(
     now: number,
     random: RandomSource,
     {terms, tried, pauses, ran}: CallState,
@@ -161,28 +162,51 @@
     }
   }
 
+  /** Reads the current load of upstreams on the own box from its guard. */
+  readOwnLoads(now: number, candidates: readonly RoutingCandidate[]): void {
+    const {box: ownBox, loads, settings} = this.context;
+    for (const {name, box} of candidates) {
+      const hint = box === ownBox ? settings.ownHint(now, name) : undefined;
+      if (hint !== undefined) {
+        loads.capacity.ownHinted(name, now, hint);
+      }
+    }
+  }
+
   /** Upstreams of the service that this entry does not avoid. */
-  private available(
-    now: number,
-    state: CallState,
-  ): readonly RoutingCandidate[] {
+  available(now: number, state: CallState): readonly RoutingCandidate[] {
     const {loads} = this.context;
     return this.candidates(state.call, state.ran).filter(
       ({name}) => !loads.isAvoided(name, now, mayProbe(state)),
     );
   }
 
+  /** What routing needs to know of the entry and a call. */
+  routingContext(
+    now: number,
+    random: RandomSource,
+    state: CallState,
+  ): RoutingContext {
+    return this.contextFor(now, random, mayProbe(state));
+  }
+
+  private contextFor(
+    now: number,
+    random: RandomSource,
+    mayProbe: boolean,
+  ): RoutingContext {
+    const {box, dataCentre, loads} = this.context;
+    return {now, random, dataCentre, box, loads, mayProbe};
+  }
+
   private pick(
     now: number,
     random: RandomSource,
     mayProbe: boolean,
     candidates: readonly RoutingCandidate[],
   ): RoutingCandidate | undefined {
-    const {box, dataCentre, loads, settings} = this.context;
-    return settings.choose(
-      {now, random, dataCentre, box, loads, mayProbe},
-      candidates,
-    );
+    const context = this.contextFor(now, random, mayProbe);
+    return this.context.settings.choose(context, candidates);
   }
 
   private candidates(
--- a/packages/node/src/__tests__/__fixtures__/fleetCallSimulation.ts
+++ b/packages/node/src/__tests__/__fixtures__/fleetCallSimulation.ts
@@ -217,7 +217,10 @@
       spec.box,
       spec.dataCentre,
       {isUsable: () => true, incarnation: () => undefined},
-      fleetEntrySettings(isOn, {quarantinedFor}),
+      fleetEntrySettings(isOn, {
+        quarantinedFor,
+        ownHint: (now, upstream) => guard.hintOf(now, upstream),
+      }),
     );
     const guard = new GuardStateMachine(
       {box: spec.box, incarnation: 'a'},
--- a/packages/node/src/process/fleetEntrySettings.ts
+++ b/packages/node/src/process/fleetEntrySettings.ts
@@ -7,6 +7,7 @@
   UNLIMITED_RETRIES,
   chooseByScore,
   chooseByScoreWith,
+  isInOwnDataCentre,
 } from '@lockpin/routing';
 import type {MechanismSwitch} from './mechanisms.js';
 
@@ -33,6 +34,12 @@
  */
 const HELD_SHARE = 0.45;
 
+/**
+ * Share of its latency goal after which a call that neither runs nor waits in a
+ * queue is refused: what has found no slot by then would be late.
+ */
+const HELD_GOAL_SHARE = 0.25;
+
 /**
  * Longer than a round trip between data centres plus the response time of a
  * slow box.
@@ -58,12 +65,16 @@
  */
 export function fleetEntrySettings(
   isOn: MechanismSwitch,
-  fleet: Pick<EntrySettings, 'quarantinedFor'>,
+  fleet: Pick<EntrySettings, 'quarantinedFor'> &
+    Partial<Pick<EntrySettings, 'ownHint'>>,
 ): EntrySettings {
   return {
     choose: isOn('near-first')
       ? chooseByScore
       : chooseByScoreWith({otherDataCentre: 0}),
+    plansOffers: isOn('shared-capacity') && isOn('planned-offers'),
+    isNear: isOn('near-first') ? isInOwnDataCentre : () => true,
+    ownHint: fleet.ownHint ?? (() => undefined),
     subsetSizes: SUBSET_SIZES,
     linkAvoidance: LINK_AVOIDANCE,
     createRetryBudget: () => UNLIMITED_RETRIES,
@@ -72,6 +83,9 @@
     acknowledgementTimeoutMilliseconds: ACKNOWLEDGEMENT_TIMEOUT_MILLISECONDS,
     pauseMilliseconds: isOn('holding') ? PAUSE_MILLISECONDS : 0,
     heldShare: HELD_SHARE,
+    heldGoalShare: isOn('bounded-holding')
+      ? HELD_GOAL_SHARE
+      : Number.POSITIVE_INFINITY,
     maximumReroutes: MAXIMUM_REROUTES,
     freeRerouteRefusals: UNSENT_REFUSALS,
     quarantinedFor: fleet.quarantinedFor,
--- a/packages/node/src/process/fleetStateMachines.ts
+++ b/packages/node/src/process/fleetStateMachines.ts
@@ -63,9 +63,13 @@
     box,
     dataCentre,
     {isUsable: () => true, incarnation: () => undefined},
-    fleetEntrySettings(isOn, {quarantinedFor}),
+    fleetEntrySettings(isOn, {
+      quarantinedFor,
+      ownHint: (now, upstream) => guard.hintOf(now, upstream),
+    }),
   );
-  return {entry, guard: createGuard(context, entry, quarantinedFor)};
+  const guard = createGuard(context, entry, quarantinedFor);
+  return {entry, guard};
 }
 
 function createGuard(
--- a/packages/node/src/process/mechanisms.ts
+++ b/packages/node/src/process/mechanisms.ts
@@ -24,6 +24,9 @@
   quarantine: 'requests that end each upstream that runs them run again',
   'shared-capacity':
     'entries know upstreams only by the replies to their own calls',
+  'planned-offers':
+    'offers go out before it is known whether an upstream has a free slot',
+  'bounded-holding': 'calls without a slot are held for 0.45 of their time',
   'paid-retries': 'nothing pays for second attempts',
 } as const;
 
--- a/packages/node/src/request/entryCall.ts
+++ b/packages/node/src/request/entryCall.ts
@@ -39,12 +39,14 @@
   deadline: number,
   mayBeRepeat: boolean,
 ): EntryCall {
-  const {view, route, customer, onceKey, isFirstWithKey, isCallersRetry} = call;
+  const {view, route, customer, priority} = call;
+  const {onceKey, isFirstWithKey, isCallersRetry} = call;
   return {
     id,
     view,
     route,
     customer,
+    priority,
     requestDigest,
     bytes,
     deadline,
--- a/packages/routing/src/fleetCapacity.ts
+++ b/packages/routing/src/fleetCapacity.ts
@@ -40,8 +40,15 @@
 /** Upstreams remembered of each service; the longest unchanged go first. */
 const MAXIMUM_REMEMBERED = 512;
 
+/** Time constant of the average occupation of the upstream of the own box. */
+const AVERAGE_MILLISECONDS = 3000;
+
 /** Keeps one report for each upstream, whoever passed it on. */
 export class FleetCapacity {
+  private readonly averages = new Map<
+    string,
+    {readonly occupation: number; readonly at: number}
+  >();
   private readonly services = new Map<string, Map<string, CapacityReport>>();
 
   /** Records what a guard said itself. */
@@ -57,6 +64,42 @@
     });
   }
 
+  /** Records what the guard of this box says, and its average over time. */
+  ownHinted(upstream: string, now: number, hint: LoadHint): void {
+    this.hinted(upstream, now, hint);
+    const occupation = hint.occupied / Math.max(1, hint.limit);
+    const known = this.averages.get(upstream) ?? {occupation, at: now};
+    const weight = Math.exp((known.at - now) / AVERAGE_MILLISECONDS);
+    this.averages.set(upstream, {
+      occupation: known.occupation * weight + occupation * (1 - weight),
+      at: now,
+    });
+  }
+
+  /** Average share of its slots that are taken; only for the own box. */
+  averageOccupation(upstream: string): number | undefined {
+    return this.averages.get(upstream)?.occupation;
+  }
+
+  /**
+   * An offer was sent there: what is known does not include it. Until newer
+   * knowledge arrives, further calls must not count on the same slot.
+   */
+  sent(upstream: string): void {
+    const reports = this.services.get(serviceOf(upstream));
+    const known = reports?.get(upstream);
+    if (reports === undefined || known === undefined) {
+      return;
+    }
+    const {occupied, limit, slotIn} = known;
+    const turn = Math.max(1, occupied + 1 - limit);
+    reports.set(upstream, {
+      ...known,
+      occupied: occupied + 1,
+      slotIn: slotIn * (1 + 1 / turn),
+    });
+  }
+
   /** Records what another box passed on; older knowledge is ignored. */
   rowsReceived(
     service: string,
--- a/packages/routing/src/index.ts
+++ b/packages/routing/src/index.ts
@@ -1,9 +1,12 @@
 // Copyright (c) 2026 the lockpin contributors. MIT licence, see LICENSE.
+export * from './capacityProspects.js';
 export * from './chooseByScore.js';
 export * from './chooseSubset.js';
 export * from './chooseUpstream.js';
 export * from './fleetCapacity.js';
+export * from './linkAvoidance.js';
 export * from './loadHint.js';
+export * from './planOffer.js';
 export * from './retryBudget.js';
 export * from './typicalDurations.js';
 export * from './noticeMemory.js';
--- a/packages/routing/src/upstreamLoads.ts
+++ b/packages/routing/src/upstreamLoads.ts
@@ -4,6 +4,7 @@
 import {FleetCapacity} from './fleetCapacity.js';
 import {isRefusing} from './loadHint.js';
 import type {AnnouncedState, LoadHint} from './loadHint.js';
+import {DEFAULT_LINK_AVOIDANCE} from './linkAvoidance.js';
 import {NoticeMemory} from './noticeMemory.js';
 import {
   createUpstreamLoad,
@@ -49,21 +50,6 @@
 /** Pause after a refusal that did not state one. */
 const REFUSED_PAUSE_MILLISECONDS = 500;
 
-/** When, and how long, an entry avoids a guard that it cannot reach. */
-export interface LinkAvoidanceSettings {
-  /** Consecutive failures after which the guard is avoided. */
-  readonly failuresToAvoid: number;
-  readonly firstAvoidanceMilliseconds: number;
-  readonly longestAvoidanceMilliseconds: number;
-}
-
-/** A single failure is no proof when calls wait long for their answers. */
-export const DEFAULT_LINK_AVOIDANCE: LinkAvoidanceSettings = {
-  failuresToAvoid: 2,
-  firstAvoidanceMilliseconds: 1000,
-  longestAvoidanceMilliseconds: 30_000,
-};
-
 /** Tracks the loads of the upstreams that this entry has called. */
 export class UpstreamLoads {
   /** The latest notices that reached this entry. */
@@ -77,6 +63,7 @@
   /** Counts a call sent to an upstream. */
   sent(upstream: string): void {
     this.load(upstream).outstanding += 1;
+    this.capacity.sent(upstream);
   }
 
   /** Counts the end of a call, whatever its outcome. */
@@ -206,6 +193,16 @@
     return isFresh && hint.occupied >= hint.limit;
   }
 
+  /** Milliseconds until its stated limit allows a call, as known here. */
+  limitedFor(upstream: string, now: number): number {
+    return Math.max(0, (this.loads.get(upstream)?.limitedUntil ?? 0) - now);
+  }
+
+  /** Open attempts of this entry there. */
+  outstanding(upstream: string): number {
+    return this.loads.get(upstream)?.outstanding ?? 0;
+  }
+
   /** Why this entry sends no calls to an upstream; undefined if it does. */
   unusedReason(upstream: string, now: number): UnusedReason | undefined {
     const load = this.loads.get(upstream);
