Refuse at once what finds no place, and spread the callers that come back

Cause: a call without a slot paused and asked again until 0.45 of its time was over. All calls refused together were told the same time to come back.

Change: a call that no upstream has a slot or a queue for is refused instead of pausing; pauses remain for upstreams that are doubted, ejected or unreachable, within a quarter of the goal. A call that no guard has acknowledged by then is refused as well. The time to come back is the shortest known wait and a random part of the time that the service needs for the calls refused in the last second; it ends within the third of its time in which a caller comes back. spread-returns switches the latter off.

--- a/packages/brain/src/__tests__/plannedOffers.test.ts
+++ b/packages/brain/src/__tests__/plannedOffers.test.ts
@@ -8,7 +8,9 @@
 import {describe, expect, it} from 'vitest';
 import type {Attempt, EntryAction, EntryCall} from '../entry/entryMessages.js';
 import {DEFAULT_ENTRY_SETTINGS} from '../entry/entrySettings.js';
+import type {EntrySettings} from '../entry/entrySettings.js';
 import {EntryStateMachine} from '../entry/entryStateMachine.js';
+import {ReturnTimes} from '../entry/returnTimes.js';
 
 const NOW = 10_000;
 const FREE = {occupied: 0, limit: 4, age: 0};
@@ -55,23 +57,25 @@
 }
 
 class EntryHarness {
-  readonly entry = new EntryStateMachine(
-    'own',
-    'near',
-    {isUsable: () => true, incarnation: () => undefined},
-    {
-      ...DEFAULT_ENTRY_SETTINGS,
-      initialTerms: 'immediate',
-      plansOffers: true,
-      freeRerouteRefusals: new Set(['upstream-busy', 'deadline-too-short']),
-    },
-  );
+  readonly entry: EntryStateMachine;
   private readonly random = seededRandom(1);
   private readonly view: ServiceView;
   private serial = 0;
 
-  constructor(names: readonly string[]) {
+  constructor(names: readonly string[], settings: Partial<EntrySettings> = {}) {
     this.view = createView(names);
+    this.entry = new EntryStateMachine(
+      'own',
+      'near',
+      {isUsable: () => true, incarnation: () => undefined},
+      {
+        ...DEFAULT_ENTRY_SETTINGS,
+        initialTerms: 'immediate',
+        plansOffers: true,
+        freeRerouteRefusals: new Set(['upstream-busy', 'deadline-too-short']),
+        ...settings,
+      },
+    );
   }
 
   knows(capacity: Readonly<Record<string, Omit<CapacityRow, 'box'>>>): void {
@@ -100,7 +104,17 @@
     });
   }
 
-  refuse({callId, upstream = ''}: Attempt, reason: RefusalReason) {
+  unacknowledged({callId}: Attempt, after: number): readonly EntryAction[] {
+    return this.entry.handle(NOW + after, this.random, {
+      kind: 'attempt-unacknowledged',
+      callId,
+    });
+  }
+
+  refuse(
+    {callId, upstream = ''}: Attempt,
+    reason: RefusalReason,
+  ): readonly EntryAction[] {
     return this.entry.handle(NOW, this.random, {
       kind: 'attempt-refused',
       callId,
@@ -190,3 +204,65 @@
     );
   });
 });
+
+describe('a call that is held', () => {
+  const HELD: Partial<EntrySettings> = {
+    boundsHolding: true,
+    heldShare: 0.45,
+    heldGoalShare: 0.25,
+    pauseMilliseconds: 30,
+  };
+
+  it('is refused instead of pausing when no upstream has a place for it', () => {
+    const harness = new EntryHarness(['a'], HELD);
+    harness.knows({a: HOPELESS});
+    const offer = attemptOf(harness.arrive());
+    expect(harness.refuse(offer, 'queue-full')[0]?.kind).toBe('refuse');
+  });
+
+  it('still pauses while its upstreams are doubted, for a quarter of its goal', () => {
+    const doubted = new EntryHarness(['a'], {
+      ...HELD,
+      freeRerouteRefusals: new Set<RefusalReason>(['upstream-doubted']),
+      maximumReroutes: 0,
+    });
+    const offer = attemptOf(doubted.arrive());
+    expect(doubted.refuse(offer, 'upstream-doubted')[0]?.kind).toBe('pause');
+  });
+
+  it('goes to no further guard after a quarter of its goal without a reply', () => {
+    const harness = new EntryHarness(['a', 'b', 'c'], HELD);
+    const first = attemptOf(harness.arrive());
+    const [, second] = harness.unacknowledged(first, 499);
+    expect(second?.kind).toBe('attempt');
+    const [, last] = harness.unacknowledged(
+      attemptOf(second === undefined ? [] : [second]),
+      500,
+    );
+    expect(last?.kind).toBe('refuse');
+  });
+});
+
+describe('the time after which a refused call may come back', () => {
+  const call = {deadline: NOW + 6000, view: {name: 's'}} as EntryCall;
+  const timesAfter = (refused: number): readonly number[] => {
+    const times = new ReturnTimes();
+    const random = seededRandom(1);
+    times.completed(NOW, 's');
+    Array.from({length: refused}, () => times.refused(NOW, 's'));
+    return Array.from({length: 100}, () =>
+      times.after(NOW, random, {call}, 300),
+    );
+  };
+
+  it('is the known wait, spread by the calls refused in the last second', () => {
+    const [few, many] = [timesAfter(1), timesAfter(1000)];
+    expect(Math.min(...few, ...many)).toBeGreaterThanOrEqual(300);
+    expect(Math.max(...few)).toBeLessThanOrEqual(1300);
+    expect(Math.max(...many)).toBeGreaterThan(1900);
+  });
+
+  it('ends within the third of its time in which callers come back', () => {
+    expect(Math.max(...timesAfter(1000))).toBeLessThanOrEqual(2000);
+  });
+});
--- a/packages/brain/src/entry/attemptFeedback.ts
+++ b/packages/brain/src/entry/attemptFeedback.ts
@@ -8,6 +8,7 @@
 import type {EntryEvent} from './entryMessages.js';
 import {HOPELESS_REFUSALS} from './entrySettings.js';
 import type {HopelessCalls} from './hopelessCalls.js';
+import type {ReturnTimes} from './returnTimes.js';
 
 /**
  * An answer that took this many times as long as is typical counts as a failure
@@ -21,13 +22,17 @@
   'hint' | 'others' | 'status' | 'ranMilliseconds'
 >;
 
+/** What learns from the outcomes of attempts. */
+export interface AttemptFeedbackContext {
+  readonly loads: UpstreamLoads;
+  readonly timing: AttemptTiming;
+  readonly hopeless: HopelessCalls;
+  readonly returnTimes: ReturnTimes;
+}
+
 /** Records load hints and durations that routing uses. */
 export class AttemptFeedback {
-  constructor(
-    private readonly loads: UpstreamLoads,
-    private readonly timing: AttemptTiming,
-    private readonly hopeless: HopelessCalls,
-  ) {}
+  constructor(private readonly context: AttemptFeedbackContext) {}
 
   /** Records the refusal of a guard. */
   refusalReceived(
@@ -39,13 +44,13 @@
     this.hintReceived(now, upstream, hint);
     this.othersReceived(now, state, others);
     if (HOPELESS_REFUSALS.has(refusal.reason)) {
-      this.hopeless.refused(now, state.call);
+      this.context.hopeless.refused(now, state.call);
     }
     if (refusal.outcome === 'unknown') {
-      this.loads.recordOutcome(state.upstream, false);
+      this.context.loads.recordOutcome(state.upstream, false);
     }
     if (hint === undefined && refusal.reason === 'no-upstream') {
-      this.loads.reportedMissing(state.upstream, now, state.offeredAt);
+      this.context.loads.reportedMissing(state.upstream, now, state.offeredAt);
     }
   }
 
@@ -59,22 +64,24 @@
     this.hintReceived(now, upstream, hint);
     this.othersReceived(now, state, others);
     if (hint !== undefined) {
-      this.loads.notices.answered(upstream, hint.notice);
+      this.context.loads.notices.answered(upstream, hint.notice);
     }
+    this.context.returnTimes.completed(now, state.call.view.name);
     const isSuccess = status < FIRST_SERVER_ERROR_STATUS;
     const {name} = state.call.route;
-    const typical = this.timing.typicalDuration(name) ?? ranMilliseconds ?? 0;
+    const typical =
+      this.context.timing.typicalDuration(name) ?? ranMilliseconds ?? 0;
     const isSlow = (ranMilliseconds ?? 0) > SLOW_FACTOR * typical;
-    this.loads.recordOutcome(upstream, isSuccess && !isSlow);
+    this.context.loads.recordOutcome(upstream, isSuccess && !isSlow);
     if (ranMilliseconds !== undefined && isSuccess) {
-      this.timing.answered(name, ranMilliseconds);
+      this.context.timing.answered(name, ranMilliseconds);
     }
   }
 
   /** Records that an attempt ended without an answer, if it was sent. */
   attemptFailed({isAttempting, upstream}: CallState, wasSent: boolean): void {
     if (isAttempting && wasSent) {
-      this.loads.recordOutcome(upstream, false);
+      this.context.loads.recordOutcome(upstream, false);
     }
   }
 
@@ -84,7 +91,7 @@
     others: readonly CapacityRow[] | undefined,
   ): void {
     if (others !== undefined) {
-      this.loads.capacity.rowsReceived(call.view.name, now, others);
+      this.context.loads.capacity.rowsReceived(call.view.name, now, others);
     }
   }
 
@@ -94,7 +101,7 @@
     hint: LoadHint | undefined,
   ): void {
     if (hint !== undefined) {
-      this.loads.hintReceived(upstream, now, hint);
+      this.context.loads.hintReceived(upstream, now, hint);
     }
   }
 }
--- a/packages/brain/src/entry/callOffers.ts
+++ b/packages/brain/src/entry/callOffers.ts
@@ -13,8 +13,10 @@
   EntryAction,
   EntryCall,
 } from './entryMessages.js';
+import {NO_SLOT_REFUSALS} from './entrySettings.js';
 import type {EntrySettings} from './entrySettings.js';
 import type {OfferPlanner, PlannedOffer} from './offerPlanner.js';
+import type {ReturnTimes} from './returnTimes.js';
 import type {UpstreamChooser} from './upstreamChooser.js';
 
 /** Retry-after of calls for which there is no upstream. */
@@ -32,6 +34,7 @@
   readonly calls: CallRegistry;
   readonly timing: AttemptTiming;
   readonly planner: OfferPlanner;
+  readonly returnTimes: ReturnTimes;
 }
 
 /** Makes offers, and pauses or refuses a call when a round has failed. */
@@ -53,6 +56,9 @@
       const reason = 'request-quarantined';
       return this.context.calls.refuseCall(state, reason, quarantined);
     }
+    if (reasonIfNone === 'guard-silent' && this.isHeldTooLong(now, state)) {
+      return this.refuse(now, random, state, reasonIfNone, retryAfter);
+    }
     const planned = this.plan(now, random, state);
     switch (planned.kind) {
       case 'offer': {
@@ -60,15 +66,15 @@
         return [this.send(now, state, name, box, name)];
       }
       case 'hopeless':
-        return this.context.calls.refuseCall(
+        return this.refuse(
+          now,
+          random,
           state,
           'deadline-too-short',
-          Number.isFinite(planned.wait)
-            ? planned.wait
-            : NO_UPSTREAM_RETRY_MILLISECONDS,
+          planned.wait,
         );
       case 'none':
-        return this.pauseOrRefuse(now, state, reasonIfNone, retryAfter);
+        return this.pauseOrRefuse(now, random, state, reasonIfNone, retryAfter);
     }
   }
 
@@ -97,27 +103,55 @@
    */
   pauseOrRefuse(
     now: number,
+    random: RandomSource,
     state: CallState,
     reason: RefusalReason,
     retryAfter: number,
   ): readonly EntryAction[] {
-    const {pauseMilliseconds} = this.context.settings;
+    const {pauseMilliseconds, boundsHolding} = this.context.settings;
     const milliseconds = this.pauseBefore(state);
     if (
       pauseMilliseconds === 0 ||
       now + milliseconds > state.heldUntil ||
-      isKeptOutByLimits(state, reason)
+      isKeptOutByLimits(state, reason) ||
+      (boundsHolding && NO_SLOT_REFUSALS.has(reason))
     ) {
-      return this.context.calls.refuseCall(
-        state,
-        reason,
-        shortestRetryAfter(state, reason, retryAfter),
-      );
+      const after = shortestRetryAfter(state, reason, retryAfter);
+      return this.refuse(now, random, state, reason, after);
     }
     state.pauses += 1;
     return [{kind: 'pause', callId: state.call.id, milliseconds}];
   }
 
+  /** Refuses a call; for want of capacity with a time that spreads callers. */
+  private refuse(
+    now: number,
+    random: RandomSource,
+    state: CallState,
+    reason: RefusalReason,
+    retryAfter: number,
+  ): readonly EntryAction[] {
+    const {calls, loads, returnTimes, settings} = this.context;
+    const known = Number.isFinite(retryAfter)
+      ? retryAfter
+      : NO_UPSTREAM_RETRY_MILLISECONDS;
+    if (!settings.spreadsReturns || !NO_SLOT_REFUSALS.has(reason)) {
+      return calls.refuseCall(state, reason, known);
+    }
+    const service = state.call.view.name;
+    returnTimes.refused(now, service);
+    const wait = loads.capacity.shortestWait(service, now) ?? known;
+    const shortest = Math.min(wait, state.shortestWait, known);
+    const after = returnTimes.after(now, random, state, shortest);
+    return calls.refuseCall(state, reason, after);
+  }
+
+  /** Whether a call that no guard has acknowledged has been held long enough. */
+  private isHeldTooLong(now: number, state: CallState): boolean {
+    const {boundsHolding} = this.context.settings;
+    return boundsHolding && now >= state.heldUntil && !state.mayHaveRun;
+  }
+
   /** Asking again long before a slot is expected anywhere would be useless. */
   private pauseBefore({pauses, shortestWait}: CallState): number {
     const {pauseMilliseconds} = this.context.settings;
--- a/packages/brain/src/entry/entrySettings.ts
+++ b/packages/brain/src/entry/entrySettings.ts
@@ -48,6 +48,13 @@
   readonly heldShare: number;
   /** Share of its latency goal for which it waits at most. */
   readonly heldGoalShare: number;
+  /**
+   * Whether a call is refused at once when no upstream has a slot or queue for
+   * it, and when no guard acknowledges it while it may wait.
+   */
+  readonly boundsHolding: boolean;
+  /** Whether the times to come back spread callers; see ReturnTimes. */
+  readonly spreadsReturns: boolean;
   /** Free reroutes of a call in each round of offers. */
   readonly maximumReroutes: number;
   /** Refusals after which a reroute costs no retry budget. */
@@ -86,6 +93,8 @@
   pauseMilliseconds: 0,
   heldShare: 0,
   heldGoalShare: Number.POSITIVE_INFINITY,
+  boundsHolding: false,
+  spreadsReturns: false,
   maximumReroutes: 3,
   freeRerouteRefusals: new Set(UPSTREAM_STATE_REFUSALS),
   quarantinedFor: () => 0,
--- a/packages/brain/src/entry/entryStateMachine.ts
+++ b/packages/brain/src/entry/entryStateMachine.ts
@@ -1,16 +1,17 @@
 // Copyright (c) 2026 the lockpin contributors. MIT licence, see LICENSE.
 /** Routes and retries the calls of a node, or refuses them. */
 
-import {UpstreamLoads} from '@lockpin/routing';
-import type {RoutingCandidate} from '@lockpin/routing';
+import type {RoutingCandidate, UpstreamLoads} from '@lockpin/routing';
 import type {RandomSource, Refusal} from '@lockpin/types';
-import {AnswerHandler} from './answerHandler.js';
-import {AttemptFeedback} from './attemptFeedback.js';
-import {AttemptTiming} from './attemptTiming.js';
-import {CallRegistry, refusalAction} from './callRegistry.js';
-import {CallOffers, NO_UPSTREAM_RETRY_MILLISECONDS} from './callOffers.js';
+import type {AnswerHandler} from './answerHandler.js';
+import type {AttemptFeedback} from './attemptFeedback.js';
+import {refusalAction} from './callRegistry.js';
+import type {CallRegistry} from './callRegistry.js';
+import {NO_UPSTREAM_RETRY_MILLISECONDS} from './callOffers.js';
+import type {CallOffers} from './callOffers.js';
 import {createCallState, isDelayed, recordRefusal} from './callState.js';
 import type {CallState} from './callState.js';
+import {createEntryComponents} from './entryComponents.js';
 import type {
   BoxAvailability,
   EntryAction,
@@ -19,11 +20,9 @@
 } from './entryMessages.js';
 import {DEFAULT_ENTRY_SETTINGS} from './entrySettings.js';
 import type {EntrySettings} from './entrySettings.js';
-import {HopelessCalls} from './hopelessCalls.js';
-import {OfferPlanner} from './offerPlanner.js';
-import {OverdueAttempts} from './overdueAttempts.js';
-import {RetryPolicy} from './retryPolicy.js';
-import {UpstreamChooser} from './upstreamChooser.js';
+import type {OverdueAttempts} from './overdueAttempts.js';
+import type {RetryPolicy} from './retryPolicy.js';
+import type {UpstreamChooser} from './upstreamChooser.js';
 import type {RoutingRequest, UnusedUpstreams} from './upstreamChooser.js';
 
 /** Retry-after of calls whose customer is over its share. */
@@ -46,42 +45,18 @@
     boxes: BoxAvailability,
     private readonly settings: EntrySettings = DEFAULT_ENTRY_SETTINGS,
   ) {
-    const loads = new UpstreamLoads(settings.linkAvoidance);
-    const retries = new RetryPolicy(settings);
-    const timing = new AttemptTiming(settings, retries);
-    const environment = {box, dataCentre, boxes, loads};
-    const chooser = new UpstreamChooser({...environment, settings});
-    const hopeless = new HopelessCalls();
-    const feedback = new AttemptFeedback(loads, timing, hopeless);
-    const planner = new OfferPlanner({settings, chooser, timing, hopeless});
-    const overdueAttempts = new OverdueAttempts(loads, retries, chooser);
-    const calls = new CallRegistry(loads, overdueAttempts);
-    const dependencies = {
-      loads,
-      retries,
-      chooser,
-      calls,
-      overdueAttempts,
-    };
-    const offers = new CallOffers({
-      ...dependencies,
-      boxes,
+    const components = createEntryComponents(
+      {box, dataCentre, boxes},
       settings,
-      timing,
-      planner,
-    });
-    this.answers = new AnswerHandler({
-      ...dependencies,
-      offers,
-      feedback,
-    });
-    this.loads = loads;
-    this.retries = retries;
-    this.calls = calls;
-    this.chooser = chooser;
-    this.offers = offers;
-    this.feedback = feedback;
-    this.overdueAttempts = overdueAttempts;
+    );
+    this.loads = components.loads;
+    this.retries = components.retries;
+    this.calls = components.calls;
+    this.chooser = components.chooser;
+    this.offers = components.offers;
+    this.feedback = components.feedback;
+    this.overdueAttempts = components.overdueAttempts;
+    this.answers = components.answers;
   }
 
   /** Open calls that got no slot on the initial terms or are overdue. */
@@ -205,6 +180,7 @@
       ? this.offers.next(now, random, state, reason)
       : this.offers.pauseOrRefuse(
           now,
+          random,
           state,
           reason,
           NO_UPSTREAM_RETRY_MILLISECONDS,
@@ -242,7 +218,13 @@
       );
     }
     return this.settings.freeRerouteRefusals.has(reason)
-      ? this.offers.pauseOrRefuse(now, state, reason, retryAfterMilliseconds)
+      ? this.offers.pauseOrRefuse(
+          now,
+          random,
+          state,
+          reason,
+          retryAfterMilliseconds,
+        )
       : this.calls.refuseCall(state, reason, retryAfterMilliseconds);
   }
 
--- a/packages/node/src/process/fleetEntrySettings.ts
+++ b/packages/node/src/process/fleetEntrySettings.ts
@@ -68,11 +68,12 @@
   fleet: Pick<EntrySettings, 'quarantinedFor'> &
     Partial<Pick<EntrySettings, 'ownHint'>>,
 ): EntrySettings {
+  const plansOffers = isOn('shared-capacity') && isOn('planned-offers');
   return {
     choose: isOn('near-first')
       ? chooseByScore
       : chooseByScoreWith({otherDataCentre: 0}),
-    plansOffers: isOn('shared-capacity') && isOn('planned-offers'),
+    plansOffers,
     isNear: isOn('near-first') ? isInOwnDataCentre : () => true,
     ownHint: fleet.ownHint ?? (() => undefined),
     subsetSizes: SUBSET_SIZES,
@@ -86,6 +87,8 @@
     heldGoalShare: isOn('bounded-holding')
       ? HELD_GOAL_SHARE
       : Number.POSITIVE_INFINITY,
+    boundsHolding: plansOffers && isOn('bounded-holding'),
+    spreadsReturns: isOn('spread-returns'),
     maximumReroutes: MAXIMUM_REROUTES,
     freeRerouteRefusals: UNSENT_REFUSALS,
     quarantinedFor: fleet.quarantinedFor,
--- a/packages/node/src/process/mechanisms.ts
+++ b/packages/node/src/process/mechanisms.ts
@@ -27,6 +27,7 @@
   'planned-offers':
     'offers go out before it is known whether an upstream has a free slot',
   'bounded-holding': 'calls without a slot are held for 0.45 of their time',
+  'spread-returns': 'calls refused together are told to come back together',
   'paid-retries': 'nothing pays for second attempts',
 } as const;
 
--- a/packages/routing/src/fleetCapacity.ts
+++ b/packages/routing/src/fleetCapacity.ts
@@ -123,6 +123,20 @@
     return this.services.get(serviceOf(upstream))?.get(upstream);
   }
 
+  /**
+   * The shortest wait for a slot of a service in milliseconds, as fresh reports
+   * tell; undefined without any.
+   */
+  shortestWait(service: string, now: number): number | undefined {
+    let shortest: number | undefined;
+    for (const report of this.services.get(service)?.values() ?? []) {
+      if (report.isAccepting && now - report.at <= FRESH_MILLISECONDS) {
+        shortest = Math.min(shortest ?? report.slotIn, report.slotIn);
+      }
+    }
+    return shortest;
+  }
+
   /**
    * What to pass on with a reply of an upstream: the newest knowledge of others
    * of its service, and with a refusal first of those with spare capacity.
