--- a/packages/brain/src/entry/attemptFeedback.ts
+++ b/packages/brain/src/entry/attemptFeedback.ts
@@ -1,11 +1,14 @@
 // Copyright (c) 2026 the lockpin contributors. MIT licence, see LICENSE.
 /** Feeds the outcomes of attempts back into upstream loads and durations. */
 
-import type {LoadHint, UpstreamLoads} from '@lockpin/routing';
+import type {CapacityRow, LoadHint, UpstreamLoads} from '@lockpin/routing';
 import {FIRST_SERVER_ERROR_STATUS} from '@lockpin/utils';
 import type {AttemptTiming} from './attemptTiming.js';
 import type {CallState} from './callState.js';
 import type {EntryEvent} from './entryMessages.js';
+import {HOPELESS_REFUSALS} from './entrySettings.js';
+import type {HopelessCalls} from './hopelessCalls.js';
+import type {ReturnTimes} from './returnTimes.js';
 
 /**
  * An answer that took this many times as long as is typical counts as a failure
@@ -16,15 +19,20 @@
 /** Metadata of an answer. */
 type AnswerFeedback = Pick<
   EntryEvent & {readonly kind: 'attempt-answered'},
-  'hint' | 'status' | 'ranMilliseconds'
+  'hint' | 'others' | 'status' | 'ranMilliseconds'
 >;
 
+/** What learns from the outcomes of attempts. */
+export interface AttemptFeedbackContext {
+  readonly loads: UpstreamLoads;
+  readonly timing: AttemptTiming;
+  readonly hopeless: HopelessCalls;
+  readonly returnTimes: ReturnTimes;
+}
+
 /** Records load hints and durations that routing uses. */
 export class AttemptFeedback {
-  constructor(
-    private readonly loads: UpstreamLoads,
-    private readonly timing: AttemptTiming,
-  ) {}
+  constructor(private readonly context: AttemptFeedbackContext) {}
 
   /** Records the refusal of a guard. */
   refusalReceived(
@@ -32,13 +40,17 @@
     state: CallState,
     event: EntryEvent & {readonly kind: 'attempt-refused'},
   ): void {
-    const {upstream, hint, refusal} = event;
+    const {upstream, hint, others, refusal} = event;
     this.hintReceived(now, upstream, hint);
+    this.othersReceived(now, state, others);
+    if (HOPELESS_REFUSALS.has(refusal.reason)) {
+      this.context.hopeless.refused(now, state.call);
+    }
     if (refusal.outcome === 'unknown') {
-      this.loads.recordOutcome(state.upstream, false);
+      this.context.loads.recordOutcome(state.upstream, false);
     }
     if (hint === undefined && refusal.reason === 'no-upstream') {
-      this.loads.reportedMissing(state.upstream, now, state.offeredAt);
+      this.context.loads.reportedMissing(state.upstream, now, state.offeredAt);
     }
   }
 
@@ -46,27 +58,40 @@
   answerReceived(
     now: number,
     upstream: string,
-    {call}: CallState,
-    {hint, status, ranMilliseconds}: AnswerFeedback,
+    state: CallState,
+    {hint, others, status, ranMilliseconds}: AnswerFeedback,
   ): void {
     this.hintReceived(now, upstream, hint);
+    this.othersReceived(now, state, others);
     if (hint !== undefined) {
-      this.loads.notices.answered(upstream, hint.notice);
+      this.context.loads.notices.answered(upstream, hint.notice);
     }
+    this.context.returnTimes.completed(now, state.call.view.name);
     const isSuccess = status < FIRST_SERVER_ERROR_STATUS;
-    const {name} = call.route;
-    const typical = this.timing.typicalDuration(name) ?? ranMilliseconds ?? 0;
+    const {name} = state.call.route;
+    const typical =
+      this.context.timing.typicalDuration(name) ?? ranMilliseconds ?? 0;
     const isSlow = (ranMilliseconds ?? 0) > SLOW_FACTOR * typical;
-    this.loads.recordOutcome(upstream, isSuccess && !isSlow);
+    this.context.loads.recordOutcome(upstream, isSuccess && !isSlow);
     if (ranMilliseconds !== undefined && isSuccess) {
-      this.timing.answered(name, ranMilliseconds);
+      this.context.timing.answered(name, ranMilliseconds);
     }
   }
 
   /** Records that an attempt ended without an answer, if it was sent. */
   attemptFailed({isAttempting, upstream}: CallState, wasSent: boolean): void {
     if (isAttempting && wasSent) {
-      this.loads.recordOutcome(upstream, false);
+      this.context.loads.recordOutcome(upstream, false);
+    }
+  }
+
+  private othersReceived(
+    now: number,
+    {call}: CallState,
+    others: readonly CapacityRow[] | undefined,
+  ): void {
+    if (others !== undefined) {
+      this.context.loads.capacity.rowsReceived(call.view.name, now, others);
     }
   }
 
@@ -76,7 +101,7 @@
     hint: LoadHint | undefined,
   ): void {
     if (hint !== undefined) {
-      this.loads.hintReceived(upstream, now, hint);
+      this.context.loads.hintReceived(upstream, now, hint);
     }
   }
 }
--- a/packages/brain/src/entry/callOffers.ts
+++ b/packages/brain/src/entry/callOffers.ts
@@ -13,7 +13,10 @@
   EntryAction,
   EntryCall,
 } from './entryMessages.js';
+import {NO_SLOT_REFUSALS} from './entrySettings.js';
 import type {EntrySettings} from './entrySettings.js';
+import type {OfferPlanner, PlannedOffer} from './offerPlanner.js';
+import type {ReturnTimes} from './returnTimes.js';
 import type {UpstreamChooser} from './upstreamChooser.js';
 
 /** Retry-after of calls for which there is no upstream. */
@@ -30,6 +33,8 @@
   readonly chooser: UpstreamChooser;
   readonly calls: CallRegistry;
   readonly timing: AttemptTiming;
+  readonly planner: OfferPlanner;
+  readonly returnTimes: ReturnTimes;
 }
 
 /** Makes offers, and pauses or refuses a call when a round has failed. */
@@ -51,11 +56,41 @@
       const reason = 'request-quarantined';
       return this.context.calls.refuseCall(state, reason, quarantined);
     }
-    const chosen = this.context.chooser.next(now, random, state);
-    if (chosen === undefined) {
-      return this.pauseOrRefuse(now, state, reasonIfNone, retryAfter);
+    if (reasonIfNone === 'guard-silent' && this.isHeldTooLong(now, state)) {
+      return this.refuse(now, random, state, reasonIfNone, retryAfter);
+    }
+    const planned = this.plan(now, random, state);
+    switch (planned.kind) {
+      case 'offer': {
+        const {name, box} = planned.candidate;
+        return [this.send(now, state, name, box, name)];
+      }
+      case 'hopeless':
+        return this.refuse(
+          now,
+          random,
+          state,
+          'deadline-too-short',
+          planned.wait,
+        );
+      case 'none':
+        return this.pauseOrRefuse(now, random, state, reasonIfNone, retryAfter);
     }
-    return [this.send(now, state, chosen.name, chosen.box, chosen.name)];
+  }
+
+  private plan(
+    now: number,
+    random: RandomSource,
+    state: CallState,
+  ): PlannedOffer {
+    const {settings, planner, chooser} = this.context;
+    if (settings.plansOffers) {
+      return planner.next(now, random, state);
+    }
+    const candidate = chooser.next(now, random, state);
+    return candidate === undefined
+      ? {kind: 'none'}
+      : {kind: 'offer', candidate};
   }
 
   /** Remaining quarantine of the call in milliseconds; 0 if it may run. */
@@ -69,29 +104,57 @@
    */
   pauseOrRefuse(
     now: number,
+    random: RandomSource,
     state: CallState,
     reason: RefusalReason,
     retryAfter: number,
   ): readonly EntryAction[] {
-    const {pauseMilliseconds} = this.context.settings;
+    const {pauseMilliseconds, boundsHolding} = this.context.settings;
     const milliseconds = this.pauseBefore(state);
     if (
       pauseMilliseconds === 0 ||
       state.call.isNested === true ||
       reason === 'nested-busy' ||
       now + milliseconds > state.heldUntil ||
-      isKeptOutByLimits(state, reason)
+      isKeptOutByLimits(state, reason) ||
+      (boundsHolding && NO_SLOT_REFUSALS.has(reason))
     ) {
-      return this.context.calls.refuseCall(
-        state,
-        reason,
-        shortestRetryAfter(state, reason, retryAfter),
-      );
+      const after = shortestRetryAfter(state, reason, retryAfter);
+      return this.refuse(now, random, state, reason, after);
     }
     state.pauses += 1;
     return [{kind: 'pause', callId: state.call.id, milliseconds}];
   }
 
+  /** Refuses a call; for want of capacity with a time that spreads callers. */
+  private refuse(
+    now: number,
+    random: RandomSource,
+    state: CallState,
+    reason: RefusalReason,
+    retryAfter: number,
+  ): readonly EntryAction[] {
+    const {calls, loads, returnTimes, settings} = this.context;
+    const known = Number.isFinite(retryAfter)
+      ? retryAfter
+      : NO_UPSTREAM_RETRY_MILLISECONDS;
+    if (!settings.spreadsReturns || !NO_SLOT_REFUSALS.has(reason)) {
+      return calls.refuseCall(state, reason, known);
+    }
+    const service = state.call.view.name;
+    returnTimes.refused(now, service);
+    const wait = loads.capacity.shortestWait(service, now) ?? known;
+    const shortest = Math.min(wait, state.shortestWait, known);
+    const after = returnTimes.after(now, random, state, shortest);
+    return calls.refuseCall(state, reason, after);
+  }
+
+  /** Whether a call that no guard has acknowledged has been held long enough. */
+  private isHeldTooLong(now: number, state: CallState): boolean {
+    const {boundsHolding} = this.context.settings;
+    return boundsHolding && now >= state.heldUntil && !state.mayHaveRun;
+  }
+
   /** Asking again long before a slot is expected anywhere would be useless. */
   private pauseBefore({pauses, shortestWait}: CallState): number {
     const {pauseMilliseconds} = this.context.settings;
@@ -106,6 +169,7 @@
     state: CallState,
   ): readonly EntryAction[] {
     state.reroutes = 0;
+    state.slotRefusals = 0;
     state.shortestWait = Number.POSITIVE_INFINITY;
     state.isOnlyLimited = true;
     setTerms(state, this.context.settings.initialTerms);
@@ -171,9 +235,13 @@
   }
 
   /** Limits the wait so that a refused caller still has time to try again. */
-  private startBy({mayHaveRun, heldUntil}: CallState): number | undefined {
-    const isHeld = this.context.settings.heldShare > 0 && !mayHaveRun;
-    return isHeld ? heldUntil : undefined;
+  private startBy(state: CallState): number | undefined {
+    const {settings, timing} = this.context;
+    const {mayHaveRun, heldUntil, terms} = state;
+    if (settings.plansOffers && terms === 'may-wait') {
+      return timing.latestStart(state);
+    }
+    return settings.heldShare > 0 && !mayHaveRun ? heldUntil : undefined;
   }
 }
 
--- a/packages/brain/src/entry/entryMessages.ts
+++ b/packages/brain/src/entry/entryMessages.ts
@@ -3,7 +3,7 @@
 
 import type {ServiceView} from '@lockpin/configuration';
 import type {OnceKey} from '@lockpin/once';
-import type {LoadHint} from '@lockpin/routing';
+import type {CapacityRow, LoadHint} from '@lockpin/routing';
 import type {KnownNotice, Refusal, Resource} from '@lockpin/types';
 
 /** A call as it arrives at the entry. */
@@ -13,6 +13,8 @@
   readonly route: Resource<'Route'>;
   /** The calling customer; it need not own the service. */
   readonly customer: string;
+  /** 0 is the most urgent; that of the route when absent. */
+  readonly priority?: number;
   /** Equal for requests that look the same to an upstream; empty if unknown. */
   readonly requestDigest: string;
   /** Bytes of request body that the entry buffers. */
@@ -60,6 +62,8 @@
       /** The answer is buffered completely; false when it is being streamed. */
       readonly isWhole: boolean;
       readonly hint: LoadHint | undefined;
+      /** What the guard's box knows of other upstreams of the service. */
+      readonly others?: readonly CapacityRow[] | undefined;
       /** Run time at the upstream; undefined when not reported. */
       readonly ranMilliseconds: number | undefined;
     }
@@ -69,6 +73,7 @@
       readonly refusal: Refusal;
       readonly upstream: string;
       readonly hint: LoadHint | undefined;
+      readonly others?: readonly CapacityRow[] | undefined;
     }
   | {
       readonly kind: 'attempt-lost';
@@ -88,6 +93,7 @@
       readonly callId: string;
       readonly status: number;
       readonly hint: LoadHint | undefined;
+      readonly others?: readonly CapacityRow[] | undefined;
       readonly ranMilliseconds: number | undefined;
     }
   /** The overdue attempt ended without an answer. */
--- a/packages/brain/src/guard/guardMessages.ts
+++ b/packages/brain/src/guard/guardMessages.ts
@@ -97,6 +97,8 @@
   readonly limitsSuspects: boolean;
   /** Creates the limit of concurrent calls to an upstream. */
   readonly createLimit: CreateConcurrencyLimit;
+  /** Whether load hints tell the wait for a slot and the retries left. */
+  readonly announcesCapacity: boolean;
   /** Creates the retry budget of a service on this box. */
   readonly createRetryBudget: (service: string) => RetryAllowance;
   /**
@@ -129,6 +131,7 @@
   doubtReleasesQueue: true,
   limitsSuspects: true,
   createLimit: (slots, isCold) => new AdaptiveLimit(slots, isCold),
+  announcesCapacity: false,
   createRetryBudget: () => new RetryBudget(),
   drainFinishesQueue: true,
   quarantinedFor: () => 0,
--- a/packages/node/src/process/fleetGuardSettings.ts
+++ b/packages/node/src/process/fleetGuardSettings.ts
@@ -43,6 +43,7 @@
       ...(isOn('burst-credit') && {burstCallsFor: burstCalls}),
       removesHopeless: isOn('queue-review'),
     },
+    announcesCapacity: isOn('shared-capacity'),
     createRetryBudget: isOn('paid-retries')
       ? fleet.createRetryBudget
       : () => NO_RETRIES,
--- a/packages/node/src/process/mechanisms.ts
+++ b/packages/node/src/process/mechanisms.ts
@@ -27,6 +27,12 @@
   'nested-calls':
     'nested calls have the priority and deadline that their own request states',
   'nested-busy': 'calls start though services that they call are full',
+  'shared-capacity':
+    'entries know upstreams only by the replies to their own calls',
+  'planned-offers':
+    'offers go out before it is known whether an upstream has a free slot',
+  'bounded-holding': 'calls without a slot are held for 0.45 of their time',
+  'spread-returns': 'calls refused together are told to come back together',
   'paid-retries': 'nothing pays for second attempts',
   'rejection-limit':
     'calls that an upstream rejects do not change its limit of running calls',
--- a/packages/node/src/request/entryCall.ts
+++ b/packages/node/src/request/entryCall.ts
@@ -39,13 +39,14 @@
   deadline: number,
   mayBeRepeat: boolean,
 ): EntryCall {
-  const {view, route, customer, onceKey, isFirstWithKey, isCallersRetry} = call;
-  const {isNested} = call;
+  const {view, route, customer, priority, isNested} = call;
+  const {onceKey, isFirstWithKey, isCallersRetry} = call;
   return {
     id,
     view,
     route,
     customer,
+    priority,
     requestDigest,
     bytes,
     deadline,
--- a/packages/routing/src/upstreamLoads.ts
+++ b/packages/routing/src/upstreamLoads.ts
@@ -1,32 +1,18 @@
 // Copyright (c) 2026 the lockpin contributors. MIT licence, see LICENSE.
 /** Load and reachability of each upstream as seen by one entry. */
 
-import type {KnownNotice} from '@lockpin/types';
+import {FleetCapacity} from './fleetCapacity.js';
+import {isRefusing} from './loadHint.js';
+import type {AnnouncedState, LoadHint} from './loadHint.js';
+import {DEFAULT_LINK_AVOIDANCE} from './linkAvoidance.js';
 import {NoticeMemory} from './noticeMemory.js';
-
-/** State of an upstream as reported by its guard. */
-export type AnnouncedState =
-  'accepting' | 'doubted' | 'probation' | 'ejected' | 'draining';
-
-/** Load report that a guard attaches to every answer. */
-export interface LoadHint {
-  readonly state: AnnouncedState;
-  /** Calls running and queued at the guard. */
-  readonly occupied: number;
-  /** Calls that the guard currently runs concurrently. */
-  readonly limit: number;
-  /** While doubted: milliseconds for which ordinary calls go elsewhere. */
-  readonly doubtedFor?: number;
-  /** While doubted: milliseconds until a repeatable call may be a probe. */
-  readonly probeIn?: number;
-  /**
-   * Milliseconds until the upstream takes another call within the limit that it
-   * states; absent if it does now.
-   */
-  readonly availableIn?: number;
-  /** What the upstream states about itself; absent if it states nothing. */
-  readonly notice?: KnownNotice;
-}
+import {
+  createUpstreamLoad,
+  hintWeight,
+  hintedOccupation,
+  limitOccupation,
+} from './upstreamLoad.js';
+import type {UpstreamLoad} from './upstreamLoad.js';
 
 /** Why an entry currently sends no calls to an upstream. */
 export type UnusedReason =
@@ -39,28 +25,15 @@
   /** Nothing keeps calls away, but the entry has sent none for a while. */
   | 'not-called';
 
-/** States in which a guard refuses ordinary calls. */
-const REFUSING_STATES: ReadonlySet<AnnouncedState> = new Set<AnnouncedState>([
-  'doubted',
-  'ejected',
-  'draining',
-]);
-
 /** An upstream without a hint or an open call for this long is not in use. */
 const UNUSED_MILLISECONDS = 2000;
 
-/** Time constant of the exponential decay of the weight of a hint. */
-const HINT_DECAY_MILLISECONDS = 1000;
-
 /** Total weight that a mean needs: about that of one recent hint. */
 const MINIMUM_TOTAL_WEIGHT = 0.9;
 
 /** Time for a slot to become free if calls take a few hundred milliseconds. */
 const FULL_HINT_VALID_MILLISECONDS = 150;
 
-/** A wait for this long counts like a queue with one call for each slot. */
-const WAIT_PER_OCCUPATION_MILLISECONDS = 250;
-
 /**
  * Mean time after which an entry calls a cold upstream again whatever its
  * estimated load. Several entries call each upstream, so that together they do
@@ -77,46 +50,12 @@
 /** Pause after a refusal that did not state one. */
 const REFUSED_PAUSE_MILLISECONDS = 500;
 
-/** When, and how long, an entry avoids a guard that it cannot reach. */
-export interface LinkAvoidanceSettings {
-  /** Consecutive failures after which the guard is avoided. */
-  readonly failuresToAvoid: number;
-  readonly firstAvoidanceMilliseconds: number;
-  readonly longestAvoidanceMilliseconds: number;
-}
-
-/** A single failure is no proof when calls wait long for their answers. */
-export const DEFAULT_LINK_AVOIDANCE: LinkAvoidanceSettings = {
-  failuresToAvoid: 2,
-  firstAvoidanceMilliseconds: 1000,
-  longestAvoidanceMilliseconds: 30_000,
-};
-
-interface UpstreamLoad {
-  outstanding: number;
-  hint: LoadHint | undefined;
-  hintedAt: number;
-  /** Its guard refuses ordinary calls until then. */
-  refusesUntil: number;
-  /** The limit that it states allows no call until then. */
-  limitedUntil: number;
-  /** Its guard refuses even repeatable calls as probes until then. */
-  refusesProbesUntil: number;
-  /** Its guard was unreachable and is not tried again until then. */
-  unreachableUntil: number;
-  /** When this entry last began to avoid the guard, or the upstream. */
-  avoidedSince: number;
-  linkFailures: number;
-  /** Consecutive reports of its guard that it does not exist. */
-  consecutiveMisses: number;
-  /** Whether the last call of this entry that ran there went well. */
-  lastCallSucceeded: boolean;
-}
-
 /** Tracks the loads of the upstreams that this entry has called. */
 export class UpstreamLoads {
   /** The latest notices that reached this entry. */
   readonly notices = new NoticeMemory();
+  /** The newest knowledge of the capacity of upstreams, of any source. */
+  readonly capacity = new FleetCapacity();
   private readonly loads = new Map<string, UpstreamLoad>();
 
   constructor(private readonly avoidance = DEFAULT_LINK_AVOIDANCE) {}
@@ -124,6 +63,7 @@
   /** Counts a call sent to an upstream. */
   sent(upstream: string): void {
     this.load(upstream).outstanding += 1;
+    this.capacity.sent(upstream);
   }
 
   /** Counts the end of a call, whatever its outcome. */
@@ -149,6 +89,7 @@
     const {doubtedFor, probeIn, availableIn = 0, notice} = hint;
     load.limitedUntil = now + availableIn;
     this.notices.hinted(upstream, notice);
+    this.capacity.hinted(upstream, now, hint);
     const pause = doubtedFor ?? REFUSED_PAUSE_MILLISECONDS;
     load.refusesUntil = refuses ? now + pause : 0;
     load.refusesProbesUntil = refuses ? now + (probeIn ?? pause) : 0;
@@ -252,6 +193,16 @@
     return isFresh && hint.occupied >= hint.limit;
   }
 
+  /** Milliseconds until its stated limit allows a call, as known here. */
+  limitedFor(upstream: string, now: number): number {
+    return Math.max(0, (this.loads.get(upstream)?.limitedUntil ?? 0) - now);
+  }
+
+  /** Open attempts of this entry there. */
+  outstanding(upstream: string): number {
+    return this.loads.get(upstream)?.outstanding ?? 0;
+  }
+
   /** Why this entry sends no calls to an upstream; undefined if it does. */
   unusedReason(upstream: string, now: number): UnusedReason | undefined {
     const load = this.loads.get(upstream);
@@ -330,44 +281,8 @@
     if (existing !== undefined) {
       return existing;
     }
-    const created: UpstreamLoad = {
-      outstanding: 0,
-      hint: undefined,
-      hintedAt: 0,
-      refusesUntil: 0,
-      limitedUntil: 0,
-      refusesProbesUntil: 0,
-      unreachableUntil: 0,
-      avoidedSince: Number.NEGATIVE_INFINITY,
-      linkFailures: 0,
-      consecutiveMisses: 0,
-      lastCallSucceeded: true,
-    };
+    const created = createUpstreamLoad();
     this.loads.set(upstream, created);
     return created;
   }
 }
-
-function isRefusing(
-  state: AnnouncedState,
-): state is Exclude<AnnouncedState, 'accepting' | 'probation'> {
-  return REFUSING_STATES.has(state);
-}
-
-/**
- * Occupation that stands for the wait until the limit of an upstream allows a
- * call: 1 for all slots taken, and more for a longer wait.
- */
-function limitOccupation(load: UpstreamLoad | undefined, now: number): number {
-  const wait = (load?.limitedUntil ?? 0) - now;
-  return wait > 0 ? 1 + wait / WAIT_PER_OCCUPATION_MILLISECONDS : 0;
-}
-
-/** Weight of a hint: 1 when it arrives, decaying to 0. */
-function hintWeight({hintedAt}: UpstreamLoad, now: number): number {
-  return Math.exp((hintedAt - now) / HINT_DECAY_MILLISECONDS);
-}
-
-function hintedOccupation({occupied, limit}: LoadHint): number {
-  return occupied / Math.max(1, limit);
-}
