Entries know which services reject calls on most of their upstreams

Load hints and the rows of replies tell the share of its calls that an upstream rejected. A guard no longer doubts its upstream for rejections while 0.6 of the upstreams known in the last 3 s, three at least, reject 0.2 of their calls ('common-rejections').

--- a/packages/brain/src/guard/upstreamGuard.ts
+++ b/packages/brain/src/guard/upstreamGuard.ts
@@ -149,11 +149,6 @@
     return this.doubt.cause;
   }
 
-  /** Share of recent calls that the upstream rejected, from 0 to 1. */
-  rejectedShare(now: number): number {
-    return this.rejections.at(now);
-  }
-
   /** Why calls are refused as 'upstream-doubted'; undefined when none are. */
   doubtReason(now: number): DoubtReason | undefined {
     return this.doubt.reason(now, this.isIdle);
@@ -168,8 +163,15 @@
     const announcedRetries = this.settings.announcesCapacity
       ? this.retries
       : undefined;
-    const sources = {admission, doubt, notice, incarnation, announcedRetries};
-    return upstreamHint(now, this.announcedState(now), limit, sources);
+    const rejectedShare = this.rejections.at(now);
+    return upstreamHint(now, this.announcedState(now), limit, {
+      admission,
+      doubt,
+      notice,
+      incarnation,
+      announcedRetries,
+      rejectedShare,
+    });
   }
 
   /** What limits the calls to the upstream at this time. */
--- a/packages/brain/src/guard/upstreamHint.ts
+++ b/packages/brain/src/guard/upstreamHint.ts
@@ -15,8 +15,13 @@
   readonly incarnation: string;
   /** The retries that the guard pays for; undefined when not to be announced. */
   readonly announcedRetries: RetryAllowance | undefined;
+  /** Share of recent calls that the upstream rejected, from 0 to 1. */
+  readonly rejectedShare: number;
 }
 
+/** A smaller share of rejected calls is not announced. */
+const MINIMUM_ANNOUNCED_SHARE = 0.05;
+
 /** The hint for an upstream in a state, with a number of concurrent calls. */
 export function upstreamHint(
   now: number,
@@ -35,10 +40,10 @@
   };
 }
 
-/** What a further call would find: its wait for a slot, and retries. */
+/** What a further call would find: a wait, retries and rejections. */
 function capacityPart(
   now: number,
-  {admission, announcedRetries}: HintSources,
+  {admission, announcedRetries, rejectedShare}: HintSources,
 ): Partial<LoadHint> {
   if (announcedRetries === undefined) {
     return {};
@@ -48,6 +53,7 @@
   return {
     ...(slotIn > 0 ? {slotIn} : {}),
     ...(Number.isFinite(retriesLeft) ? {retriesLeft} : {}),
+    ...(rejectedShare >= MINIMUM_ANNOUNCED_SHARE ? {rejectedShare} : {}),
   };
 }
 
--- a/packages/node/src/__tests__/__fixtures__/fleetCallSimulation.ts
+++ b/packages/node/src/__tests__/__fixtures__/fleetCallSimulation.ts
@@ -227,6 +227,8 @@
       fleetGuardSettings(isOn, {
         createRetryBudget: () => NO_RETRIES,
         heldUpCalls: () => 0,
+        areRejectionsCommon: (now, service) =>
+          entry.loads.capacity.areRejectionsCommon(service, now),
         quarantinedFor,
       }),
     );
--- a/packages/node/src/__tests__/frames.test.ts
+++ b/packages/node/src/__tests__/frames.test.ts
@@ -245,6 +245,7 @@
   {box: 'centre-b-18', occupied: 1, limit: 4, age: 8},
   {box: 'centre-b-19', occupied: 1, limit: 4, retriesLeft: 0, age: 8},
   {box: 'centre-b-20', occupied: 5, limit: 4, slotIn: 70, age: 0},
+  {box: 'centre-b-21', occupied: 1, limit: 4, rejectedShare: 0.55, age: 0},
 ];
 
 const ANSWER: AnswerHead = {
--- a/packages/node/src/process/fleetGuardSettings.ts
+++ b/packages/node/src/process/fleetGuardSettings.ts
@@ -21,7 +21,10 @@
   isOn: MechanismSwitch,
   fleet: Pick<
     GuardSettings,
-    'createRetryBudget' | 'heldUpCalls' | 'quarantinedFor'
+    | 'createRetryBudget'
+    | 'heldUpCalls'
+    | 'areRejectionsCommon'
+    | 'quarantinedFor'
   >,
 ): GuardSettings {
   return {
@@ -29,6 +32,9 @@
     hasQuickDoubt: isOn('quick-doubt'),
     hasHangEvidence: isOn('hang-evidence'),
     heldUpCalls: fleet.heldUpCalls,
+    ...(isOn('common-rejections') && {
+      areRejectionsCommon: fleet.areRejectionsCommon,
+    }),
     quarantinedFor: fleet.quarantinedFor,
     isCautious: isOn('caution'),
     excusesFailures: isOn('excused-failures'),
--- a/packages/node/src/process/fleetStateMachines.ts
+++ b/packages/node/src/process/fleetStateMachines.ts
@@ -91,6 +91,8 @@
           upstreams: () => fleet.directory.countOf(service),
         }),
       heldUpCalls: () => entry.delayedCallCount,
+      areRejectionsCommon: (now, service) =>
+        entry.loads.capacity.areRejectionsCommon(service, now),
       quarantinedFor,
     }),
   );
--- a/packages/node/src/process/mechanisms.ts
+++ b/packages/node/src/process/mechanisms.ts
@@ -15,6 +15,8 @@
   'excused-failures':
     'failures count though a call that the upstream made has failed',
   'queue-release': 'calls wait on for upstreams that are doubted',
+  'common-rejections':
+    'upstreams are doubted for rejections that most of their service share',
   'suspect-limit': 'upstreams under suspicion announce all of their slots',
   'near-first': 'another data centre is as good as the own',
   'overdue-replacement': 'calls that take too long are not sent elsewhere',
--- a/packages/node/src/request/capacityEncoding.ts
+++ b/packages/node/src/request/capacityEncoding.ts
@@ -2,7 +2,12 @@
 /** Positional encoding of what a reply tells about other upstreams. */
 
 import type {CapacityRow} from '@lockpin/routing';
-import {decodeWait, encodeRetries, encodeWait} from './wireCodes.js';
+import {
+  decodeWait,
+  encodeRetries,
+  encodeShare,
+  encodeWait,
+} from './wireCodes.js';
 
 /** Ages up to a second then take one byte; rounded up, so none looks newer. */
 const AGE_UNIT_MILLISECONDS = 8;
@@ -15,15 +20,25 @@
   age: number,
   slotIn?: number | null,
   retriesLeft?: number | null,
+  rejectedPercent?: number | null,
 ];
 
 /** Encodes the rows of a reply. */
 export function encodeCapacityRows(
   rows: readonly CapacityRow[],
 ): readonly EncodedCapacityRow[] {
-  return rows.map(({box, occupied, limit, slotIn, retriesLeft, age}) => {
-    const units = Math.ceil(age / AGE_UNIT_MILLISECONDS);
+  return rows.map((row) => {
+    const {box, occupied, limit, slotIn, retriesLeft, rejectedShare} = row;
+    const units = Math.ceil(row.age / AGE_UNIT_MILLISECONDS);
     const load = [box, occupied, Math.ceil(limit), units] as const;
+    if (rejectedShare !== undefined) {
+      return [
+        ...load,
+        encodeWait(slotIn),
+        encodeRetries(retriesLeft),
+        encodeShare(rejectedShare),
+      ];
+    }
     if (retriesLeft !== undefined) {
       return [...load, encodeWait(slotIn), encodeRetries(retriesLeft)];
     }
@@ -35,12 +50,18 @@
 export function decodeCapacityRows(
   rows: readonly EncodedCapacityRow[],
 ): readonly CapacityRow[] {
-  return rows.map(([box, occupied, limit, units, slotIn, retriesLeft]) => ({
-    box,
-    occupied,
-    limit,
-    ...(typeof slotIn === 'number' && {slotIn: decodeWait(slotIn)}),
-    ...(typeof retriesLeft === 'number' && {retriesLeft}),
-    age: units * AGE_UNIT_MILLISECONDS,
-  }));
+  return rows.map(([box, occupied, limit, units, ...optional]) => {
+    const [slotIn, retriesLeft, rejectedPercent] = optional;
+    return {
+      box,
+      occupied,
+      limit,
+      ...(typeof slotIn === 'number' && {slotIn: decodeWait(slotIn)}),
+      ...(typeof retriesLeft === 'number' && {retriesLeft}),
+      ...(typeof rejectedPercent === 'number' && {
+        rejectedShare: rejectedPercent / 100,
+      }),
+      age: units * AGE_UNIT_MILLISECONDS,
+    };
+  });
 }
--- a/packages/node/src/request/wireCodes.ts
+++ b/packages/node/src/request/wireCodes.ts
@@ -129,6 +129,7 @@
   notice?: NoticeRow | null,
   slotIn?: number | null,
   retriesLeft?: number | null,
+  rejectedPercent?: number | null,
 ];
 
 /** Longer waits for a slot, also infinite ones, are sent as this value. */
@@ -170,6 +171,7 @@
     notice === undefined ? null : encodeNotice(notice),
     encodeWait(hint.slotIn),
     encodeRetries(hint.retriesLeft),
+    encodeShare(hint.rejectedShare),
   ]);
 }
 
@@ -177,7 +179,7 @@
 export function decodeLoadHint(row: HintRow): LoadHint {
   const [code, occupied, limit, ...optional] = row;
   const [doubtedFor, probeIn, availableIn, ...rest] = optional;
-  const [notice, slotIn, retriesLeft] = rest;
+  const [notice, slotIn, retriesLeft, rejectedPercent] = rest;
   return {
     state: STATE_CODES.nameOf(code),
     occupied,
@@ -190,6 +192,9 @@
     ...(notice && {notice: decodeNotice(notice)}),
     ...(typeof slotIn === 'number' && {slotIn: decodeWait(slotIn)}),
     ...(typeof retriesLeft === 'number' && {retriesLeft}),
+    ...(typeof rejectedPercent === 'number' && {
+      rejectedShare: rejectedPercent / 100,
+    }),
   };
 }
 
@@ -212,6 +217,11 @@
   return retries === undefined ? null : Math.min(MOST_RETRIES_SENT, retries);
 }
 
+/** Encodes a share as whole percents, which take one byte; null when absent. */
+export function encodeShare(share: number | undefined): number | null {
+  return share === undefined ? null : Math.round(share * 100);
+}
+
 function withoutTrailingNulls(row: HintRow): HintRow {
   const used = row.findLastIndex((value) => value !== null) + 1;
   return row.slice(0, used) as unknown as HintRow;
--- a/packages/routing/src/__tests__/fleetCapacity.test.ts
+++ b/packages/routing/src/__tests__/fleetCapacity.test.ts
@@ -59,3 +59,29 @@
     expect(capacity.latest('s/u')?.at).toBe(NOW);
   });
 });
+
+describe('rejections', () => {
+  function rejecting(shares: readonly number[]): FleetCapacity {
+    const capacity = new FleetCapacity();
+    shares.forEach((rejectedShare, box) =>
+      capacity.hinted(`s/${box}`, NOW, {...FREE, rejectedShare}),
+    );
+    return capacity;
+  }
+
+  it.each([
+    [[0.5, 0.4, 0.6, 0], true],
+    [[0.5, 0, 0, 0], false],
+    [[0.5, 0.5], false],
+  ])('of the shares %j are common: %s', (shares, areCommon) => {
+    expect(rejecting(shares).areRejectionsCommon('s', NOW)).toBe(areCommon);
+  });
+
+  it('are known from other boxes, and for three seconds only', () => {
+    const capacity = new FleetCapacity();
+    const rows = rejecting([0.5, 0.5, 0.5]).rowsFor('s', '', NOW, false);
+    capacity.rowsReceived('s', NOW, rows);
+    expect(capacity.areRejectionsCommon('s', NOW)).toBe(true);
+    expect(capacity.areRejectionsCommon('s', NOW + 3001)).toBe(false);
+  });
+});
--- a/packages/routing/src/fleetCapacity.ts
+++ b/packages/routing/src/fleetCapacity.ts
@@ -15,6 +15,8 @@
   readonly slotIn: number;
   /** Retries that the guard pays for; undefined when not limited or unknown. */
   readonly retriesLeft: number | undefined;
+  /** Share of recent calls that the upstream rejected, from 0 to 1. */
+  readonly rejectedShare: number;
   /** When the guard said so, by the clock of this box. */
   readonly at: number;
 }
@@ -27,6 +29,7 @@
   readonly limit: number;
   readonly slotIn?: number;
   readonly retriesLeft?: number;
+  readonly rejectedShare?: number;
   /** Milliseconds since the guard said so. */
   readonly age: number;
 }
@@ -43,6 +46,16 @@
 /** Time constant of the average occupation of the upstream of the own box. */
 const AVERAGE_MILLISECONDS = 3000;
 
+/** Rejections change slowly, unlike the number of running calls. */
+const REJECTIONS_VALID_MILLISECONDS = 3000;
+
+/** An upstream that rejects this share of its calls counts as rejecting. */
+const REJECTING_SHARE = 0.2;
+
+/** Upstreams that must be known, and the share of them that must reject. */
+const MINIMUM_KNOWN = 3;
+const COMMON_SHARE = 0.6;
+
 /** Keeps one report for each upstream, whoever passed it on. */
 export class FleetCapacity {
   private readonly averages = new Map<
@@ -53,13 +66,15 @@
 
   /** Records what a guard said itself. */
   hinted(upstream: string, now: number, hint: LoadHint): void {
-    const {occupied, limit, slotIn = 0, availableIn = 0, retriesLeft} = hint;
+    const {occupied, limit, slotIn = 0, availableIn = 0} = hint;
+    const {retriesLeft, rejectedShare = 0} = hint;
     this.learn(serviceOf(upstream), upstream, {
       isAccepting: hint.state === 'accepting',
       occupied,
       limit,
       slotIn: Math.max(slotIn, availableIn),
       retriesLeft,
+      rejectedShare,
       at: now,
     });
   }
@@ -106,13 +121,15 @@
     now: number,
     rows: readonly CapacityRow[],
   ): void {
-    for (const {box, occupied, limit, slotIn = 0, retriesLeft, age} of rows) {
+    for (const row of rows) {
+      const {box, occupied, limit, slotIn = 0, retriesLeft, age} = row;
       this.learn(service, `${service}/${box}`, {
         isAccepting: true,
         occupied,
         limit,
         slotIn,
         retriesLeft,
+        rejectedShare: row.rejectedShare ?? 0,
         at: now - Math.max(0, age),
       });
     }
@@ -137,6 +154,23 @@
     return shortest;
   }
 
+  /**
+   * Whether most upstreams of a service reject calls. A few are not enough to
+   * tell, since several upstreams may fail in the same way by themselves.
+   */
+  areRejectionsCommon(service: string, now: number): boolean {
+    let known = 0;
+    let rejecting = 0;
+    for (const {at, rejectedShare} of this.services.get(service)?.values() ??
+      []) {
+      if (now - at <= REJECTIONS_VALID_MILLISECONDS) {
+        known += 1;
+        rejecting += rejectedShare >= REJECTING_SHARE ? 1 : 0;
+      }
+    }
+    return known >= MINIMUM_KNOWN && rejecting >= known * COMMON_SHARE;
+  }
+
   /**
    * What to pass on with a reply of an upstream: the newest knowledge of others
    * of its service, and with a refusal first of those with spare capacity.
@@ -188,7 +222,7 @@
 
 function rowOf(
   name: string,
-  {occupied, limit, slotIn, retriesLeft, at}: CapacityReport,
+  {occupied, limit, slotIn, retriesLeft, rejectedShare, at}: CapacityReport,
   now: number,
 ): CapacityRow {
   return {
@@ -197,6 +231,7 @@
     limit,
     ...(slotIn > 0 && {slotIn}),
     ...(retriesLeft !== undefined && {retriesLeft}),
+    ...(rejectedShare > 0 && {rejectedShare}),
     age: now - at,
   };
 }
--- a/packages/routing/src/loadHint.ts
+++ b/packages/routing/src/loadHint.ts
@@ -30,6 +30,11 @@
   readonly slotIn?: number;
   /** Retries that the guard can still pay for; absent when not limited. */
   readonly retriesLeft?: number;
+  /**
+   * Share of its recent calls that the upstream rejected without running them,
+   * from 0 to 1; absent when it rejected none.
+   */
+  readonly rejectedShare?: number;
   /** What the upstream states about itself; absent if it states nothing. */
   readonly notice?: KnownNotice;
 }
