Let waiting calls leave only when they have little chance to be in time

Calls are queued when their expected wait is just short enough. A call now leaves only if a wait shorter than expected by two thirds of a deviation is too long. fleetOffers, limitedService and admission passed (155 tests).

--- a/packages/admission/src/hopelessCalls.ts
+++ b/packages/admission/src/hopelessCalls.ts
@@ -5,6 +5,14 @@
 import type {ExpectedWait} from './expectedWait.js';
 import type {WaitingCall} from './waitingCall.js';
 
+/**
+ * A call leaves only if its wait would be too long even if it were shorter than
+ * expected by this many standard deviations, as it is for about a quarter of the
+ * calls. Calls that are expected to be barely in time would otherwise leave at
+ * the next fluctuation, after having been held for nothing.
+ */
+const EARLY_DEVIATIONS = 2 / 3;
+
 /** What is expected of the calls of an upstream. */
 export interface Expectations {
   /** Expected duration of a call, in milliseconds. */
@@ -14,9 +22,8 @@
 }
 
 /**
- * The calls, out of those that wait, that would be refused if they arrived now
- * at their place in the queue: more urgent calls have come since, or the
- * upstream has slowed down. Calls that are left out make room for those behind.
+ * The calls, out of those that wait, that have little chance of starting in
+ * time: more urgent calls have come since, or the upstream has slowed down. Calls that are left out make room for those behind.
  */
 export function hopelessCalls(
   now: number,
@@ -25,8 +32,12 @@
 ): readonly WaitingCall[] {
   let turn = 1;
   return inOrder.filter((call) => {
-    const wait = waitFor(turn, call);
-    const isHopeless = isTooLateToWait(now, call, durationOf(call), wait);
+    const expected = waitFor(turn, call);
+    // Slots are freed at random: the deviation of the sum of equal waits.
+    const deviation = expected.milliseconds / Math.sqrt(turn);
+    const milliseconds = expected.milliseconds - EARLY_DEVIATIONS * deviation;
+    const early = {...expected, milliseconds};
+    const isHopeless = isTooLateToWait(now, call, durationOf(call), early);
     turn += isHopeless ? 0 : 1;
     return isHopeless;
   });
