Send retries to guards that have some left

Cause: a retry went to any upstream, and was refused by guards that had no retries left while others had some.

Change: a retry or a hedge goes only to upstreams whose guards are known to have retries left; without such knowledge to any, unless three guards have none or one has just refused the call for it. Then the call gets its final answer. The rows of a refusal that is followed by a retry begin with upstreams that have a free slot and a retry. A hedge needs a free slot. If most upstreams of a service are doubted, calls that the others have no place for go to doubted ones: the others cannot take the calls of all, and the calls would be refused. funded-retries switches off the choice by retries.

--- a/packages/brain/src/__tests__/plannedOffers.test.ts
+++ b/packages/brain/src/__tests__/plannedOffers.test.ts
@@ -2,6 +2,7 @@
 /** Where an entry offers calls when it knows the capacity of upstreams. */
 
 import type {ServiceView} from '@lockpin/configuration';
+import {UNLIMITED_RETRIES} from '@lockpin/routing';
 import type {CapacityRow} from '@lockpin/routing';
 import type {RefusalReason, Resource} from '@lockpin/types';
 import {seededRandom} from '@lockpin/utils';
@@ -205,6 +206,64 @@
   });
 });
 
+describe('a retry', () => {
+  const FUNDED: Partial<EntrySettings> = {
+    fundsRetries: true,
+    createRetryBudget: () => UNLIMITED_RETRIES,
+  };
+
+  /** A call whose first upstream rejected it; only that one had a free slot. */
+  const rejectedBy = (
+    capacity: Readonly<Record<string, Omit<CapacityRow, 'box'>>>,
+  ): readonly EntryAction[] => {
+    const harness = new EntryHarness(['a', 'b', 'c', 'd'], FUNDED);
+    harness.knows({a: FREE, b: FULL, c: FULL, d: FULL});
+    const first = attemptOf(harness.arrive());
+    harness.knows(capacity);
+    return harness.refuse(first, 'upstream-refused');
+  };
+
+  it('goes to an upstream whose guard has retries left, even if others have more slots', () => {
+    const actions = rejectedBy({
+      b: {...FREE, retriesLeft: 0},
+      c: {...FREE, occupied: 3, retriesLeft: 1},
+      d: {...FREE, retriesLeft: 0},
+    });
+    expect(attemptOf(actions)).toMatchObject({upstream: 's/c', number: 2});
+  });
+
+  it('is not offered when the guards that are known have none left', () => {
+    const none = {...FREE, retriesLeft: 0};
+    expect(rejectedBy({a: none, b: none, c: none, d: none})[0]).toMatchObject({
+      kind: 'refuse',
+      refusal: {reason: 'retries-exhausted', outcome: 'not-run'},
+    });
+  });
+
+  it('is still offered where nothing is known of retries', () => {
+    expect(rejectedBy({b: {...FREE, retriesLeft: 0}})[0]?.kind).toBe('attempt');
+  });
+});
+
+describe('a service most of whose upstreams are doubted', () => {
+  it('gets calls that the others cannot serve, instead of refusing them', () => {
+    const harness = new EntryHarness(['a', 'b', 'c']);
+    for (const name of ['s/b', 's/c']) {
+      harness.entry.loads.hintReceived(name, NOW, {
+        state: 'doubted',
+        occupied: 0,
+        limit: 4,
+        doubtedFor: 4000,
+      });
+    }
+    harness.knows({a: HOPELESS});
+    const first = attemptOf(harness.arrive());
+    const next = attemptOf(harness.refuse(first, 'deadline-too-short'));
+    expect(next.upstream).toMatch(/s\/[bc]/);
+    expect(next.terms).toBe('last-resort');
+  });
+});
+
 describe('a call that is held', () => {
   const HELD: Partial<EntrySettings> = {
     boundsHolding: true,
--- a/packages/brain/src/entry/answerHandler.ts
+++ b/packages/brain/src/entry/answerHandler.ts
@@ -10,13 +10,11 @@
 import type {EntryAction, EntryEvent} from './entryMessages.js';
 import type {OverdueAttempts} from './overdueAttempts.js';
 import type {RetryPolicy} from './retryPolicy.js';
-import type {UpstreamChooser} from './upstreamChooser.js';
 
 /** Dependencies of the answer handler. */
 export interface AnswerHandlerContext {
   readonly retries: RetryPolicy;
   readonly calls: CallRegistry;
-  readonly chooser: UpstreamChooser;
   readonly offers: CallOffers;
   readonly feedback: AttemptFeedback;
   readonly overdueAttempts: OverdueAttempts;
@@ -70,7 +68,7 @@
     state: CallState,
     event: EntryEvent & {readonly kind: 'attempt-answered'},
   ): readonly EntryAction[] {
-    const {feedback, calls, retries, chooser, offers} = this.context;
+    const {feedback, calls, retries, offers} = this.context;
     const {callId, status, isWhole} = event;
     calls.attemptEnded(state);
     feedback.answerReceived(now, state.upstream, state, event);
@@ -82,7 +80,7 @@
       retries.isRepeatable(state) &&
       retries.payRetry(now, state)
     ) {
-      const candidate = chooser.untried(now, random, state);
+      const candidate = offers.retryCandidate(now, random, state);
       if (candidate !== undefined) {
         state.hasFallbackAnswer = true;
         return [
--- a/packages/brain/src/entry/callOffers.ts
+++ b/packages/brain/src/entry/callOffers.ts
@@ -1,11 +1,11 @@
 // Copyright (c) 2026 the lockpin contributors. MIT licence, see LICENSE.
 /** Offers calls to upstreams in rounds, with pauses, until one takes them. */
 
-import type {UpstreamLoads} from '@lockpin/routing';
+import type {RoutingCandidate, UpstreamLoads} from '@lockpin/routing';
 import type {RandomSource, RefusalReason} from '@lockpin/types';
 import type {AttemptTiming} from './attemptTiming.js';
 import type {CallRegistry} from './callRegistry.js';
-import {setTerms} from './callState.js';
+import {isRetry, setTerms} from './callState.js';
 import type {CallState} from './callState.js';
 import type {
   Attempt,
@@ -13,7 +13,7 @@
   EntryAction,
   EntryCall,
 } from './entryMessages.js';
-import {NO_SLOT_REFUSALS} from './entrySettings.js';
+import {NO_CAPACITY_REFUSALS, NO_SLOT_REFUSALS} from './entrySettings.js';
 import type {EntrySettings} from './entrySettings.js';
 import type {OfferPlanner, PlannedOffer} from './offerPlanner.js';
 import type {ReturnTimes} from './returnTimes.js';
@@ -73,11 +73,25 @@
           'deadline-too-short',
           planned.wait,
         );
+      case 'exhausted':
+        return this.refuse(now, random, state, 'retries-exhausted', retryAfter);
       case 'none':
         return this.pauseOrRefuse(now, random, state, reasonIfNone, retryAfter);
     }
   }
 
+  /** An upstream for a further attempt of a call that was answered. */
+  retryCandidate(
+    now: number,
+    random: RandomSource,
+    state: CallState,
+  ): RoutingCandidate | undefined {
+    const {settings, planner, chooser} = this.context;
+    return settings.plansOffers
+      ? planner.retry(now, random, state)
+      : chooser.untried(now, random, state);
+  }
+
   private plan(
     now: number,
     random: RandomSource,
@@ -135,7 +149,7 @@
     const known = Number.isFinite(retryAfter)
       ? retryAfter
       : NO_UPSTREAM_RETRY_MILLISECONDS;
-    if (!settings.spreadsReturns || !NO_SLOT_REFUSALS.has(reason)) {
+    if (!settings.spreadsReturns || !NO_CAPACITY_REFUSALS.has(reason)) {
       return calls.refuseCall(state, reason, known);
     }
     const service = state.call.view.name;
@@ -202,7 +216,7 @@
     state.offeredAt = now;
     state.tried.add(loadKey);
     state.isAttempting = true;
-    this.context.loads.sent(loadKey);
+    this.context.loads.sent(loadKey, isRetry(state));
     return {
       kind: 'attempt',
       attempt: {
--- a/packages/brain/src/entry/callState.ts
+++ b/packages/brain/src/entry/callState.ts
@@ -20,6 +20,8 @@
   isOnlyLimited: boolean;
   /** Offers of this round that were refused for want of a free slot. */
   slotRefusals: number;
+  /** Offers that were refused because the guard had no retries left. */
+  exhaustedRefusals: number;
   /** Offers that were not acknowledged. */
   unacknowledgedOffers: number;
   /** Rounds of offers that were refused throughout. */
@@ -60,6 +62,7 @@
     isShortOfTime: false,
     isOnlyLimited: true,
     slotRefusals: 0,
+    exhaustedRefusals: 0,
     unacknowledgedOffers: 0,
     pauses: 0,
     shortestWait: Number.POSITIVE_INFINITY,
@@ -101,12 +104,18 @@
     reason === 'deadline-too-short' ||
     (reason === 'upstream-over-limit' && state.terms !== 'immediate');
   state.isOnlyLimited &&= reason === 'upstream-over-limit';
+  state.exhaustedRefusals += reason === 'retries-exhausted' ? 1 : 0;
   if (NO_SLOT_REFUSALS.has(reason)) {
     state.slotRefusals += 1;
     state.shortestWait = Math.min(state.shortestWait, retryAfterMilliseconds);
   }
 }
 
+/** Whether the next offer of a call is paid from the retry budget of a guard. */
+export function isRetry({call, paidAttempts}: CallState): boolean {
+  return paidAttempts > 1 || call.isCallersRetry;
+}
+
 /** Changes the terms of a call; all upstreams may be offered it again. */
 export function setTerms(state: CallState, terms: OfferTerms): void {
   state.terms = terms;
--- a/packages/brain/src/entry/entryComponents.ts
+++ b/packages/brain/src/entry/entryComponents.ts
@@ -41,8 +41,20 @@
   const returnTimes = new ReturnTimes();
   const learning = {loads, timing, hopeless, returnTimes};
   const feedback = new AttemptFeedback(learning);
-  const planner = new OfferPlanner({settings, chooser, timing, hopeless});
-  const overdueAttempts = new OverdueAttempts(loads, retries, chooser);
+  const planner = new OfferPlanner({
+    settings,
+    loads,
+    chooser,
+    timing,
+    hopeless,
+  });
+  const overdueAttempts = new OverdueAttempts({
+    settings,
+    loads,
+    retries,
+    chooser,
+    planner,
+  });
   const calls = new CallRegistry(loads, overdueAttempts);
   const shared = {loads, retries, chooser, calls, overdueAttempts};
   const {boxes} = place;
--- a/packages/brain/src/entry/entrySettings.ts
+++ b/packages/brain/src/entry/entrySettings.ts
@@ -24,6 +24,8 @@
   readonly choose: ChooseUpstream;
   /** Whether offers go where spare capacity is known; see OfferPlanner. */
   readonly plansOffers: boolean;
+  /** Whether planned retries go only where guards have retries left. */
+  readonly fundsRetries: boolean;
   /** Which upstreams with free slots come first if offers are planned. */
   readonly isNear: IsNear;
   /** The current load of an upstream on this box; undefined for any other. */
@@ -82,6 +84,7 @@
 export const DEFAULT_ENTRY_SETTINGS: EntrySettings = {
   choose: chooseUpstream,
   plansOffers: false,
+  fundsRetries: false,
   isNear: isInOwnDataCentre,
   ownHint: () => undefined,
   subsetSizes: DEFAULT_SUBSET_SIZES,
@@ -111,6 +114,13 @@
   'deadline-too-short',
 ]);
 
+/** Refusals of calls for which there was no slot or no retry. */
+export const NO_CAPACITY_REFUSALS: ReadonlySet<RefusalReason> = new Set([
+  ...NO_SLOT_REFUSALS,
+  'retries-exhausted',
+  'upstream-refused',
+]);
+
 /** Refusals of calls that no queue starts in time, at their priority. */
 export const HOPELESS_REFUSALS: ReadonlySet<RefusalReason> = new Set([
   'queue-full',
--- a/packages/brain/src/entry/offerPlanner.ts
+++ b/packages/brain/src/entry/offerPlanner.ts
@@ -10,11 +10,12 @@
   chooseQueue,
   hasFreeSlot,
   prospectsOf,
+  withRetriesLeft,
 } from '@lockpin/routing';
-import type {Prospect, RoutingCandidate} from '@lockpin/routing';
+import type {Prospect, RoutingCandidate, UpstreamLoads} from '@lockpin/routing';
 import type {RandomSource} from '@lockpin/types';
 import type {AttemptTiming} from './attemptTiming.js';
-import {setTerms} from './callState.js';
+import {isRetry, setTerms} from './callState.js';
 import type {CallState} from './callState.js';
 import type {EntrySettings} from './entrySettings.js';
 import type {HopelessCalls} from './hopelessCalls.js';
@@ -28,12 +29,15 @@
   | {readonly kind: 'offer'; readonly candidate: RoutingCandidate}
   /** No slot is expected in time anywhere. */
   | {readonly kind: 'hopeless'; readonly wait: number}
+  /** No guard that is known has a retry left for it. */
+  | {readonly kind: 'exhausted'}
   /** No upstream is left. */
   | {readonly kind: 'none'};
 
 /** Dependencies of the planner. */
 export interface OfferPlannerContext {
   readonly settings: EntrySettings;
+  readonly loads: UpstreamLoads;
   readonly chooser: UpstreamChooser;
   readonly timing: AttemptTiming;
   readonly hopeless: HopelessCalls;
@@ -45,11 +49,36 @@
 
   /** Plans the next offer and sets its terms. */
   next(now: number, random: RandomSource, state: CallState): PlannedOffer {
+    const planned = this.nextAccepting(now, random, state);
+    const doubted =
+      planned.kind === 'hopeless' || planned.kind === 'none'
+        ? this.context.chooser.mostlyDoubted(now, random, state)
+        : undefined;
+    if (doubted === undefined) {
+      return planned;
+    }
+    if (state.terms !== 'last-resort') {
+      setTerms(state, 'last-resort');
+    }
+    return {kind: 'offer', candidate: doubted};
+  }
+
+  private nextAccepting(
+    now: number,
+    random: RandomSource,
+    state: CallState,
+  ): PlannedOffer {
     const {chooser} = this.context;
-    const available = chooser.available(now, state);
-    if (available.length === 0 || state.terms === 'last-resort') {
+    const accepting = chooser.available(now, state);
+    if (accepting.length === 0 || state.terms === 'last-resort') {
       return offerOrNone(chooser.next(now, random, state));
     }
+    const available = isRetry(state)
+      ? this.funded(now, state, accepting)
+      : accepting;
+    if (available.length === 0) {
+      return {kind: 'exhausted'};
+    }
     if (state.slotRefusals >= SLOT_OFFERS) {
       return {kind: 'none'};
     }
@@ -64,6 +93,48 @@
       : this.offerQueue(now, random, state, untried);
   }
 
+  /** An upstream for a further attempt; undefined if none is suitable. */
+  retry(
+    now: number,
+    random: RandomSource,
+    state: CallState,
+  ): RoutingCandidate | undefined {
+    if (this.context.chooser.available(now, state).length === 0) {
+      return undefined;
+    }
+    const planned = this.next(now, random, state);
+    return planned.kind === 'offer' ? planned.candidate : undefined;
+  }
+
+  /** An upstream with a free slot for a second attempt beside a running one. */
+  hedge(
+    now: number,
+    random: RandomSource,
+    state: CallState,
+    excluded: ReadonlySet<string>,
+  ): RoutingCandidate | undefined {
+    const {chooser, settings} = this.context;
+    const others = chooser
+      .available(now, state)
+      .filter(({name}) => !excluded.has(name));
+    chooser.readOwnLoads(now, others);
+    const funded = this.funded(now, state, others);
+    const prospects = this.prospects(now, random, state, funded);
+    const routing = chooser.routingContext(now, random, state);
+    return chooseFree(routing, prospects, settings.isNear);
+  }
+
+  private funded(
+    now: number,
+    {exhaustedRefusals}: CallState,
+    candidates: readonly RoutingCandidate[],
+  ): readonly RoutingCandidate[] {
+    const {settings, loads} = this.context;
+    return settings.fundsRetries
+      ? withRetriesLeft(loads.capacity, now, candidates, exhaustedRefusals > 0)
+      : candidates;
+  }
+
   private offerFree(
     now: number,
     random: RandomSource,
@@ -122,7 +193,8 @@
   /** How long a call that misses its goal may wait for a slot. */
   private longestLateWait(now: number, state: CallState): number {
     const latest = state.call.deadline - this.usual(state);
-    return Math.min(state.heldUntil, latest) - now;
+    const isHeld = !state.mayHaveRun;
+    return (isHeld ? Math.min(state.heldUntil, latest) : latest) - now;
   }
 
   /**
--- a/packages/brain/src/entry/overdueAttempts.ts
+++ b/packages/brain/src/entry/overdueAttempts.ts
@@ -6,16 +6,23 @@
 import {setTerms} from './callState.js';
 import type {CallState} from './callState.js';
 import type {EntryAction} from './entryMessages.js';
+import type {EntrySettings} from './entrySettings.js';
+import type {OfferPlanner} from './offerPlanner.js';
 import type {RetryPolicy} from './retryPolicy.js';
 import type {UpstreamChooser} from './upstreamChooser.js';
 
+/** Dependencies of the overdue attempts. */
+export interface OverdueAttemptsContext {
+  readonly settings: EntrySettings;
+  readonly loads: UpstreamLoads;
+  readonly retries: RetryPolicy;
+  readonly chooser: UpstreamChooser;
+  readonly planner: OfferPlanner;
+}
+
 /** Keeps at most one overdue attempt running for each call. */
 export class OverdueAttempts {
-  constructor(
-    private readonly loads: UpstreamLoads,
-    private readonly retries: RetryPolicy,
-    private readonly chooser: UpstreamChooser,
-  ) {}
+  constructor(private readonly context: OverdueAttemptsContext) {}
 
   /**
    * Chooses where to send the second attempt of a repeatable call and pays for
@@ -31,19 +38,22 @@
     if (
       !state.isAttempting ||
       hasOverdue ||
-      !this.retries.isRepeatable(state)
+      !this.context.retries.isRepeatable(state)
     ) {
       return undefined;
     }
-    if (!this.retries.hasAttemptsLeft(state, 1)) {
+    if (!this.context.retries.hasAttemptsLeft(state, 1)) {
       return undefined;
     }
     const excluded = new Set([...state.ran, state.upstream]);
-    const candidate = this.chooser.choose(now, random, state.call, excluded);
-    if (candidate === undefined || !this.retries.payRetry(now, state)) {
+    const {settings, planner, chooser} = this.context;
+    const candidate = settings.plansOffers
+      ? planner.hedge(now, random, state, excluded)
+      : chooser.choose(now, random, state.call, excluded);
+    if (candidate === undefined || !this.context.retries.payRetry(now, state)) {
       return undefined;
     }
-    this.loads.recordOutcome(state.upstream, false);
+    this.context.loads.recordOutcome(state.upstream, false);
     state.mayHaveRun = true;
     state.ran.add(state.upstream);
     state.overdueUpstream = state.upstream;
@@ -55,7 +65,7 @@
   /** Stops counting the overdue attempt: it has ended or is cancelled. */
   clear(state: CallState): void {
     if (state.overdueUpstream !== undefined) {
-      this.loads.ended(state.overdueUpstream);
+      this.context.loads.ended(state.overdueUpstream);
       state.overdueUpstream = undefined;
     }
   }
--- a/packages/brain/src/entry/upstreamChooser.ts
+++ b/packages/brain/src/entry/upstreamChooser.ts
@@ -32,6 +32,12 @@
   Partial<Record<UnusedReason | 'box-unusable' | 'cold', number>>
 >;
 
+/** Share of the upstreams of a service that are doubted for a common cause. */
+const MOSTLY_DOUBTED = 0.5;
+
+/** Offers of a call on its terms after which no doubted upstream is asked. */
+const LAST_RESORT_OFFERS = 3;
+
 /** Chooses from the subset of upstreams that this entry calls. */
 export class UpstreamChooser {
   private readonly subsets: SubsetCache;
@@ -162,6 +168,28 @@
     }
   }
 
+  /**
+   * A doubted upstream that has not been offered the call, if most upstreams of
+   * the service are doubted: the cause then lies in the service, and those that
+   * are not doubted cannot take the calls of all.
+   */
+  mostlyDoubted(
+    now: number,
+    random: RandomSource,
+    state: CallState,
+  ): RoutingCandidate | undefined {
+    const {loads} = this.context;
+    const all = this.candidates(state.call, state.ran);
+    const doubted = all.filter(
+      ({name}) => loads.unusedReason(name, now) === 'doubted',
+    );
+    const untried = doubted.filter(({name}) => !state.tried.has(name));
+    return doubted.length >= all.length * MOSTLY_DOUBTED &&
+      state.tried.size < LAST_RESORT_OFFERS
+      ? this.pick(now, random, false, untried)
+      : undefined;
+  }
+
   /** Reads the current load of upstreams on the own box from its guard. */
   readOwnLoads(now: number, candidates: readonly RoutingCandidate[]): void {
     const {box: ownBox, loads, settings} = this.context;
--- a/packages/node/src/__tests__/__fixtures__/fleetCallSimulation.ts
+++ b/packages/node/src/__tests__/__fixtures__/fleetCallSimulation.ts
@@ -28,6 +28,7 @@
   startWithin,
   usefulFor,
 } from '../../request/attemptPriority.js';
+import {usableAfter} from '../../request/capacityRows.js';
 import type {CallerRequest} from '../../request/callerRequest.js';
 import {NO_NOTICE} from '../../request/upstreamNotice.js';
 import {createRoute, createServiceView, SERVICE} from './simulatedService.js';
@@ -96,6 +97,8 @@
   cutOffUntil: number;
   /** The upstream resets this share of its calls. */
   resetShare: number;
+  /** The upstream rejects this share of its calls, which then have not run. */
+  rejectShare: number;
   /** The upstream takes twice as long before this time. */
   coldUntil: number;
 }
@@ -127,6 +130,7 @@
       frozenUntil: 0,
       cutOffUntil: 0,
       resetShare: 0,
+      rejectShare: 0,
       coldUntil: 0,
     }));
     this.boxes.forEach((_, box) => this.tick(box));
@@ -210,7 +214,10 @@
   }
 
   private createNode(box: number): Pick<SimulatedBox, 'entry' | 'guard'> {
-    const isOn = (name: string): boolean => name !== 'overdue-replacement';
+    const {createRetryBudget = () => NO_RETRIES, switchedOff = []} =
+      this.options;
+    const isOn = (name: string): boolean =>
+      name !== 'overdue-replacement' && !switchedOff.includes(name);
     const quarantinedFor = (): number => 0;
     const {name, spec} = this.allUpstreams[box] as Resource<'Upstream'>;
     const entry = new EntryStateMachine(
@@ -225,7 +232,7 @@
     const guard = new GuardStateMachine(
       {box: spec.box, incarnation: 'a'},
       fleetGuardSettings(isOn, {
-        createRetryBudget: () => NO_RETRIES,
+        createRetryBudget,
         heldUpCalls: () => 0,
         quarantinedFor,
       }),
@@ -453,7 +460,11 @@
         break;
       case 'refuse': {
         const {refusal, upstream, hint} = action;
-        const others = this.rowsFrom(box, action.callId, true);
+        const others = this.rowsFrom(
+          box,
+          action.callId,
+          usableAfter(refusal.reason),
+        );
         this.reply(box, action.callId, ({call: {id: callId}}, attempt) => {
           attempt.isAcknowledged = true;
           this.toEntry(callId, {
@@ -498,7 +509,17 @@
       sentAt,
       at: this.now,
     });
-    const {resetShare, coldUntil} = this.boxes[box] as SimulatedBox;
+    const {resetShare, rejectShare, coldUntil} = this.boxes[
+      box
+    ] as SimulatedBox;
+    if (rejectShare > 0 && this.random() < rejectShare) {
+      this.toGuard(box, {
+        kind: 'upstream-refused',
+        callId: attemptId,
+        reason: 'upstream-refused',
+      });
+      return;
+    }
     this.running.set(attemptId, box);
     if (resetShare > 0 && this.random() < resetShare) {
       this.after(RESET_INTERVAL_MILLISECONDS, () => this.reset(attemptId));
@@ -536,7 +557,7 @@
     });
     const name = this.allUpstreams[box]?.name ?? '';
     const hint = this.boxes[box]?.guard.hintOf(this.now, name);
-    const others = this.rowsFrom(box, attemptId, false);
+    const others = this.rowsFrom(box, attemptId);
     this.reply(box, attemptId, (open) => {
       const {id: callId} = open.call;
       open.lastStatus = 200;
@@ -557,14 +578,14 @@
   private rowsFrom(
     box: number,
     attemptId: string,
-    isRefusal: boolean,
+    isUsable?: ReturnType<typeof usableAfter>,
   ): readonly CapacityRow[] | undefined {
     if (this.openCall(attemptId)?.box === box) {
       return undefined;
     }
     const {entry} = this.boxes[box] as SimulatedBox;
     const name = this.allUpstreams[box]?.name ?? '';
-    return entry.loads.capacity.rowsFor(SERVICE, name, this.now, isRefusal);
+    return entry.loads.capacity.rowsFor(SERVICE, name, this.now, isUsable);
   }
 
   private recordRelayed(
--- a/packages/node/src/__tests__/__fixtures__/simulatedService.ts
+++ b/packages/node/src/__tests__/__fixtures__/simulatedService.ts
@@ -2,6 +2,7 @@
 /** The service of a call simulation. */
 
 import type {ServiceView} from '@lockpin/configuration';
+import type {RetryAllowance} from '@lockpin/routing';
 import type {Repetition, Resource} from '@lockpin/types';
 
 /** The name of the service and of its customer. */
@@ -20,6 +21,10 @@
   readonly waitMilliseconds: number;
   /** Share of the calls that may be repeated. */
   readonly repeatableShare: number;
+  /** Creates the retry budget of a guard; there are no retries if omitted. */
+  readonly createRetryBudget?: () => RetryAllowance;
+  /** Mechanisms that are off in addition to the hedges. */
+  readonly switchedOff?: readonly string[];
   /** Number of boxes with callers; all if omitted. */
   readonly boxesWithCallers?: number;
 }
--- a/packages/node/src/__tests__/capacityRows.test.ts
+++ b/packages/node/src/__tests__/capacityRows.test.ts
@@ -28,7 +28,10 @@
   });
   capacity.hinted('s/b', 100, {state: 'accepting', occupied: 2, limit: 4});
   guard.onAnswer({upstream: 's/a'} as AnswerHead);
-  guard.onRefusal({upstream: 's/a'} as RefusalFrame);
+  guard.onRefusal({
+    upstream: 's/a',
+    refusal: {reason: 'upstream-busy'},
+  } as RefusalFrame);
   const row: CapacityRow = {box: 'b', occupied: 2, limit: 4, age: 50};
   expect(told).toEqual([[row], [row]]);
 });
--- a/packages/node/src/__tests__/fleetOffers.test.ts
+++ b/packages/node/src/__tests__/fleetOffers.test.ts
@@ -1,6 +1,7 @@
 // Copyright (c) 2026 the lockpin contributors. MIT licence, see LICENSE.
 /** How many offers the calls of a loaded fleet make, and how they end. */
 
+import {WindowedRetryBudget} from '@lockpin/routing';
 import {describe, expect, it} from 'vitest';
 import {FleetCallSimulation} from './__fixtures__/fleetCallSimulation.js';
 import type {SimulatedResult} from './__fixtures__/fleetCallSimulation.js';
@@ -87,3 +88,38 @@
     expect(inTime.length / results.length).toBeGreaterThan(0.72);
   });
 });
+
+describe.each([1, 2])(
+  'a service that rejects half of its calls (seed %i)',
+  (seed) => {
+    it('is sent the retries that are allowed, with few offers for them', () => {
+      const retriesOfGuard = 8;
+      const simulation = new FleetCallSimulation({
+        seed,
+        boxes: BOXES,
+        slots: SLOTS,
+        workMilliseconds: WORK_MILLISECONDS,
+        callsPerSecond: 100,
+        goalMilliseconds: GOAL_MILLISECONDS,
+        waitMilliseconds: 5000,
+        repeatableShare: 0.3,
+        createRetryBudget: () =>
+          new WindowedRetryBudget(() => ({
+            ratio: 0.2,
+            windowMilliseconds: 10_000,
+            extra: retriesOfGuard,
+          })),
+      });
+      simulation.run(10_000);
+      const from = simulation.now;
+      simulation.boxes.forEach((box) => (box.rejectShare = 0.5));
+      simulation.run(10_000);
+      const arrivals = simulation.arrivals.filter(({at}) => at >= from);
+      const calls = new Set(arrivals.map(({callId}) => callId)).size;
+      const allowed = 0.2 * calls + retriesOfGuard * BOXES;
+      expect((arrivals.length - calls) / allowed).toBeGreaterThan(0.9);
+      const results = simulation.results.filter(({sentAt}) => sentAt >= from);
+      expect(meanOffers(results)).toBeLessThan(3.5);
+    });
+  },
+);
--- a/packages/node/src/process/fleetEntrySettings.ts
+++ b/packages/node/src/process/fleetEntrySettings.ts
@@ -74,6 +74,7 @@
       ? chooseByScore
       : chooseByScoreWith({otherDataCentre: 0}),
     plansOffers,
+    fundsRetries: isOn('funded-retries'),
     isNear: isOn('near-first') ? isInOwnDataCentre : () => true,
     ownHint: fleet.ownHint ?? (() => undefined),
     subsetSizes: SUBSET_SIZES,
--- a/packages/node/src/process/mechanisms.ts
+++ b/packages/node/src/process/mechanisms.ts
@@ -28,6 +28,8 @@
     'offers go out before it is known whether an upstream has a free slot',
   'bounded-holding': 'calls without a slot are held for 0.45 of their time',
   'spread-returns': 'calls refused together are told to come back together',
+  'funded-retries':
+    'second attempts go to guards that are known to have no retries left',
   'paid-retries': 'nothing pays for second attempts',
 } as const;
 
--- a/packages/routing/src/__tests__/fleetCapacity.test.ts
+++ b/packages/routing/src/__tests__/fleetCapacity.test.ts
@@ -2,7 +2,7 @@
 /** What boxes pass on about the capacity of upstreams. */
 
 import {describe, expect, it} from 'vitest';
-import {FleetCapacity} from '../fleetCapacity.js';
+import {FleetCapacity, hasSpare} from '../fleetCapacity.js';
 import type {LoadHint} from '../loadHint.js';
 
 const NOW = 10_000;
@@ -10,7 +10,9 @@
 const FULL: LoadHint = {state: 'accepting', occupied: 6, limit: 4, slotIn: 300};
 
 function boxesIn(capacity: FleetCapacity, isRefusal: boolean): string[] {
-  return capacity.rowsFor('s', 's/own', NOW, isRefusal).map(({box}) => box);
+  return capacity
+    .rowsFor('s', 's/own', NOW, isRefusal ? hasSpare : undefined)
+    .map(({box}) => box);
 }
 
 describe('the rows of a reply', () => {
@@ -21,7 +23,7 @@
     capacity.hinted('s/old', NOW - 1001, FREE);
     capacity.hinted('t/other-service', NOW, FREE);
     capacity.hinted('s/known', NOW - 1000, FULL);
-    expect(capacity.rowsFor('s', 's/own', NOW, false)).toEqual([
+    expect(capacity.rowsFor('s', 's/own', NOW)).toEqual([
       {box: 'known', occupied: 6, limit: 4, slotIn: 300, age: 1000},
     ]);
   });
@@ -40,13 +42,13 @@
   it('ages on the way, so that it is not passed on for ever', () => {
     const [first, second] = [new FleetCapacity(), new FleetCapacity()];
     first.hinted('s/known', NOW - 900, {...FREE, retriesLeft: 2});
-    second.rowsReceived('s', NOW, first.rowsFor('s', '', NOW, false));
+    second.rowsReceived('s', NOW, first.rowsFor('s', '', NOW));
     expect(second.latest('s/known')).toMatchObject({
       occupied: 1,
       retriesLeft: 2,
       at: NOW - 900,
     });
-    expect(second.rowsFor('s', '', NOW + 101, false)).toEqual([]);
+    expect(second.rowsFor('s', '', NOW + 101)).toEqual([]);
   });
 
   it('never replaces newer knowledge, also if its age is negative', () => {
--- a/packages/routing/src/fleetCapacity.ts
+++ b/packages/routing/src/fleetCapacity.ts
@@ -85,18 +85,22 @@
    * An offer was sent there: what is known does not include it. Until newer
    * knowledge arrives, further calls must not count on the same slot.
    */
-  sent(upstream: string): void {
+  sent(upstream: string, isRetry: boolean): void {
     const reports = this.services.get(serviceOf(upstream));
     const known = reports?.get(upstream);
     if (reports === undefined || known === undefined) {
       return;
     }
-    const {occupied, limit, slotIn} = known;
+    const {occupied, limit, slotIn, retriesLeft} = known;
     const turn = Math.max(1, occupied + 1 - limit);
     reports.set(upstream, {
       ...known,
       occupied: occupied + 1,
       slotIn: slotIn * (1 + 1 / turn),
+      retriesLeft:
+        isRetry && retriesLeft !== undefined
+          ? Math.max(0, retriesLeft - 1)
+          : retriesLeft,
     });
   }
 
@@ -139,22 +143,20 @@
 
   /**
    * What to pass on with a reply of an upstream: the newest knowledge of others
-   * of its service, and with a refusal first of those with spare capacity.
+   * of its service, and first of those that the receiver can use.
    */
   rowsFor(
     service: string,
     upstream: string,
     now: number,
-    isRefusal: boolean,
+    isUsable: (report: CapacityReport) => boolean = () => false,
   ): readonly CapacityRow[] {
     const known = [...(this.services.get(service) ?? [])].filter(
       ([name, {at, isAccepting}]) =>
         name !== upstream && isAccepting && now - at <= FRESH_MILLISECONDS,
     );
     const rank = ([, report]: (typeof known)[number]): number =>
-      isRefusal && hasSpare(report)
-        ? report.at + FRESH_MILLISECONDS
-        : report.at;
+      isUsable(report) ? report.at + FRESH_MILLISECONDS : report.at;
     return known
       .sort((a, b) => rank(b) - rank(a))
       .slice(0, MAXIMUM_ROWS)
@@ -186,6 +188,11 @@
   return slotIn === 0 && occupied < limit;
 }
 
+/** Whether a report tells of a free slot and of a retry, if they are limited. */
+export function hasSpareRetry(report: CapacityReport): boolean {
+  return hasSpare(report) && report.retriesLeft !== 0;
+}
+
 function rowOf(
   name: string,
   {occupied, limit, slotIn, retriesLeft, at}: CapacityReport,
--- a/packages/routing/src/index.ts
+++ b/packages/routing/src/index.ts
@@ -7,6 +7,7 @@
 export * from './linkAvoidance.js';
 export * from './loadHint.js';
 export * from './planOffer.js';
+export * from './retriesLeft.js';
 export * from './retryBudget.js';
 export * from './typicalDurations.js';
 export * from './noticeMemory.js';
--- a/packages/routing/src/upstreamLoads.ts
+++ b/packages/routing/src/upstreamLoads.ts
@@ -61,9 +61,9 @@
   constructor(private readonly avoidance = DEFAULT_LINK_AVOIDANCE) {}
 
   /** Counts a call sent to an upstream. */
-  sent(upstream: string): void {
+  sent(upstream: string, isRetry = false): void {
     this.load(upstream).outstanding += 1;
-    this.capacity.sent(upstream);
+    this.capacity.sent(upstream, isRetry);
   }
 
   /** Counts the end of a call, whatever its outcome. */
