--- a/packages/brain/src/entry/entrySettings.ts
+++ b/packages/brain/src/entry/entrySettings.ts
@@ -154,7 +154,7 @@
  * Refusals of nested calls that show a lack of capacity of their service. Those
  * of upstreams that reject calls regardless of their load do not.
  */
-export const NO_CAPACITY_REFUSALS: ReadonlySet<RefusalReason> =
+export const NESTED_SHORTAGE_REFUSALS: ReadonlySet<RefusalReason> =
   new Set<RefusalReason>([
     ...NO_SLOT_REFUSALS,
     'customer-over-share',
--- a/packages/node/src/process/nestedCallEvents.ts
+++ b/packages/node/src/process/nestedCallEvents.ts
@@ -1,7 +1,7 @@
 // Copyright (c) 2026 the lockpin contributors. MIT licence, see LICENSE.
 /** Tells the guard how the nested calls of its box ended. */
 
-import {NO_CAPACITY_REFUSALS} from '@lockpin/brain';
+import {NESTED_SHORTAGE_REFUSALS} from '@lockpin/brain';
 import type {GuardEvent, NestedCallEnd} from '@lockpin/brain';
 import type {RefusalReason} from '@lockpin/types';
 import {FIRST_SERVER_ERROR_STATUS} from '@lockpin/utils';
@@ -32,6 +32,6 @@
   if (outcome === 'caller-left') {
     return 'given-up';
   }
-  const lacksCapacity = NO_CAPACITY_REFUSALS.has(reason as RefusalReason);
+  const lacksCapacity = NESTED_SHORTAGE_REFUSALS.has(reason as RefusalReason);
   return outcome === 'not-run' && lacksCapacity ? 'no-capacity' : 'failed';
 }
