Read long answers at the guard independently of their readers

Cause: a guard read an answer of more than 64 KB only as fast as its caller. The call kept its slot for as long, up to its time limit, and the upstream had to buffer the answer. Change: where a process has a memory for answers, the guard reads an answer in full as far as the bounds allow, ends the call and forwards the answer as its reader takes it. At a bound it suspends reading. A call that stays blocked for 1 s while all slots of its upstream are occupied is cut off; the reader sees an interrupted answer. Without such a memory nothing changes; nothing creates one yet. The guard-call line gets unreadBytes and blockedMilliseconds. The events for the ends of answers, and the state of an exchange, move to modules of their own.

--- a/packages/node/src/request/guardExchange.ts
+++ b/packages/node/src/request/guardExchange.ts
@@ -5,10 +5,18 @@
 import type {GuardCall} from '@lockpin/brain';
 import type {UpstreamNotice} from '@lockpin/types';
 import type {Dispatcher} from 'undici';
+import type {AnswerForwarder} from './answerForwarder.js';
 import type {ExchangeHandlers} from './exchange.js';
 import type {CallHead} from './frames.js';
+import type {CutReason} from './heldAnswer.js';
 import type {UpstreamAnswer} from './upstreamAnswer.js';
 
+/** The guard gives up this much before the entry, so that its reply arrives. */
+const HOP_ALLOWANCE_MILLISECONDS = 5;
+
+/** Calls with this much time or less get no allowance. */
+const SHORT_CALL_MILLISECONDS = 50;
+
 /** The mutable state of a call at its guard. */
 export interface GuardExchange {
   /** Assigned by the guard: the ids of different entries may collide. */
@@ -27,6 +35,10 @@
   requestBody: Readable | undefined;
   isAborted: boolean;
   answer: UpstreamAnswer | undefined;
+  /** Buffers a long answer for its reader. */
+  forwarder: AnswerForwarder | undefined;
+  /** Why the answer was cut off; undefined if it was not. */
+  cutReason: CutReason | undefined;
   /** Stated in the head of the answer. */
   notice: UpstreamNotice | undefined;
 }
@@ -42,6 +54,33 @@
   onLost: () => undefined,
 };
 
+/** Creates the state of a call that is offered now. */
+export function createGuardExchange(
+  id: string,
+  head: CallHead,
+  handlers: ExchangeHandlers,
+  now: number,
+): GuardExchange {
+  return {
+    id,
+    head,
+    handlers,
+    deadlineTimer: undefined,
+    offeredAt: now,
+    giveUpAt: now + guardTimeout(head),
+    deadline: now + head.remaining,
+    upstream: head.upstream ?? '',
+    sentAt: undefined,
+    controller: undefined,
+    requestBody: undefined,
+    isAborted: false,
+    answer: undefined,
+    forwarder: undefined,
+    cutReason: undefined,
+    notice: undefined,
+  };
+}
+
 /** Builds the call as the guard's decision logic receives it. */
 export function guardCall(
   id: string,
@@ -74,3 +113,10 @@
     knownNotice: head.knownNotice,
   };
 }
+
+/** How long the guard keeps an unfinished call, in milliseconds. */
+function guardTimeout({remaining}: CallHead): number {
+  const allowance =
+    remaining > SHORT_CALL_MILLISECONDS ? HOP_ALLOWANCE_MILLISECONDS : 0;
+  return Math.max(0, remaining - allowance);
+}
--- a/packages/node/src/request/guardRecord.ts
+++ b/packages/node/src/request/guardRecord.ts
@@ -24,4 +24,11 @@
   readonly waitedMilliseconds: number;
   /** From sending the call to its end; 0 when it was never sent. */
   readonly ranMilliseconds: number;
+  /**
+   * Bytes of the answer that were buffered for its reader when the call ended
+   * here; undefined for short answers, as the next.
+   */
+  readonly unreadBytes?: number | undefined;
+  /** How long the answer was not read on because of a bound on memory. */
+  readonly blockedMilliseconds?: number | undefined;
 }
--- a/packages/node/src/request/guardService.ts
+++ b/packages/node/src/request/guardService.ts
@@ -5,17 +5,22 @@
 import type {StoredAnswer} from '@lockpin/once';
 import type {Clock, RandomSource} from '@lockpin/types';
 import type {UpstreamPools} from '../connection/upstreamPools.js';
+import type {AnswerMemory} from './answerMemory.js';
 import type {Exchange, ExchangeHandlers} from './exchange.js';
 import type {CallHead} from './frames.js';
-import {guardCall, NOOP_HANDLERS} from './guardExchange.js';
+import {createGuardAnswers} from './guardAnswers.js';
+import type {GuardAnswers} from './guardAnswers.js';
+import {
+  createGuardExchange,
+  guardCall,
+  NOOP_HANDLERS,
+} from './guardExchange.js';
 import type {GuardExchange} from './guardExchange.js';
 import type {GuardRecord} from './guardRecord.js';
+import type {CutReason} from './heldAnswer.js';
 import {UpstreamDispatch} from './upstreamDispatch.js';
 import type {UpstreamProtocol} from './upstreamProtocol.js';
 
-/** The guard gives up this much before the entry, so that its reply arrives. */
-const HOP_ALLOWANCE_MILLISECONDS = 5;
-
 /**
  * Milliseconds between ticks while calls are active. That is frequent enough,
  * as reservations expire after 250 ms and hanging is detected after several
@@ -24,9 +29,6 @@
  */
 const BUSY_TICK_MILLISECONDS = 50;
 
-/** Calls with this much time or less get no allowance. */
-const SHORT_CALL_MILLISECONDS = 50;
-
 /** What the guard service needs from its process. */
 export interface GuardServiceDependencies {
   readonly clock: Clock;
@@ -38,6 +40,13 @@
   readonly onEnded?: (record: GuardRecord) => void;
   /** Calls back periodically; returns the function that stops it. */
   readonly every: (milliseconds: number, run: () => void) => () => void;
+  /**
+   * Memory for answers whose callers read slowly; absent where answers are read
+   * from upstreams only as fast as their callers read them.
+   */
+  readonly answerMemory?: AnswerMemory | undefined;
+  /** Called when an answer is cut off because of its reader. */
+  readonly onCut?: (exchange: GuardExchange, reason: CutReason) => void;
   /** Performs the actions that do not concern one exchange. */
   readonly onNodeAction: (action: GuardNodeAction) => void;
 }
@@ -59,12 +68,17 @@
 export class GuardService {
   private readonly exchanges = new Map<string, GuardExchange>();
   private readonly dispatch: UpstreamDispatch;
+  private readonly answers: GuardAnswers | undefined;
   private serial = 0;
   private stopTicking: (() => void) | undefined;
 
   constructor(private readonly dependencies: GuardServiceDependencies) {
+    this.answers = createGuardAnswers(dependencies, ({id}) =>
+      this.handle({kind: 'call-cancelled', callId: id}),
+    );
     this.dispatch = new UpstreamDispatch({
       ...dependencies,
+      answers: this.answers,
       handleEvent: (event) => this.handle(event),
       isUnderWay: ({id}) => this.exchanges.has(id),
       onAnswered: (exchange, status) => this.answered(exchange, status),
@@ -76,6 +90,11 @@
     return this.exchanges.size;
   }
 
+  /** Answers that have not been passed on completely. */
+  get unreadAnswerCount(): number {
+    return this.answers?.callCount ?? 0;
+  }
+
   /** Passes an event to the decision logic and performs its actions. */
   handle(event: GuardEvent): void {
     const {stateMachine, clock, random} = this.dependencies;
@@ -86,52 +105,22 @@
 
   /** Starts an exchange; each ends in an answer, a refusal or a loss. */
   begin(head: CallHead, handlers: ExchangeHandlers): Exchange {
-    const timeoutMilliseconds = guardTimeout(head);
     const now = this.dependencies.clock();
-    const exchange = this.createExchange(
-      head,
-      handlers,
-      now,
-      timeoutMilliseconds,
-    );
+    this.serial += 1;
+    const id = String(this.serial);
+    const exchange = createGuardExchange(id, head, handlers, now);
+    this.startDeadlineTimer(exchange, now);
     this.exchanges.set(exchange.id, exchange);
     this.stopTicking ??= this.dependencies.every(BUSY_TICK_MILLISECONDS, () =>
       this.busyTick(),
     );
     this.handle({
       kind: 'call-offered',
-      call: guardCall(exchange.id, head, now, now + timeoutMilliseconds),
+      call: guardCall(id, head, now, exchange.giveUpAt),
     });
     return this.controls(exchange);
   }
 
-  private createExchange(
-    head: CallHead,
-    handlers: ExchangeHandlers,
-    now: number,
-    timeoutMilliseconds: number,
-  ): GuardExchange {
-    this.serial += 1;
-    const exchange: GuardExchange = {
-      id: String(this.serial),
-      head,
-      handlers,
-      deadlineTimer: undefined,
-      offeredAt: now,
-      giveUpAt: now + timeoutMilliseconds,
-      deadline: now + head.remaining,
-      upstream: head.upstream ?? '',
-      sentAt: undefined,
-      controller: undefined,
-      requestBody: undefined,
-      isAborted: false,
-      answer: undefined,
-      notice: undefined,
-    };
-    this.startDeadlineTimer(exchange, now);
-    return exchange;
-  }
-
   /**
    * Restarts all deadline timers after a suspension of the machine, during
    * which the clock advances and timers do not; overdue calls end at once.
@@ -170,9 +159,13 @@
         const {requestDigest} = request;
         this.handle({kind: 'call-go', callId: exchange.id, requestDigest});
       },
-      resume: () => exchange.controller?.resume(),
+      resume: () =>
+        exchange.forwarder === undefined
+          ? exchange.controller?.resume()
+          : exchange.forwarder.resume(),
       cancel: () => {
         exchange.handlers = NOOP_HANDLERS;
+        exchange.forwarder?.drop();
         exchange.controller?.resume();
         this.handle({kind: 'call-cancelled', callId: exchange.id});
       },
@@ -235,12 +228,13 @@
     this.remove(exchange);
     const {reason, outcome} = action.refusal;
     const {doubtReason, limit} = action;
-    const wasCancelled = exchange.handlers === NOOP_HANDLERS;
+    const {cutReason} = exchange;
+    const wasCancelled =
+      exchange.handlers === NOOP_HANDLERS && cutReason === undefined;
     exchange.upstream = action.upstream;
-    this.recordEnd(exchange, wasCancelled ? 'cancelled' : outcome, reason, 0, {
-      doubtReason,
-      limit,
-    });
+    const end = wasCancelled ? 'cancelled' : outcome;
+    this.recordEnd(exchange, end, cutReason ?? reason, 0, {doubtReason, limit});
+    exchange.forwarder?.drop();
     if (exchange.answer?.hasBegun) {
       exchange.handlers.onLost(true);
       return;
@@ -280,7 +274,7 @@
     status: number,
     cause: RefusalCause = {},
   ): void {
-    const {head, upstream, offeredAt, sentAt, notice} = exchange;
+    const {head, upstream, offeredAt, sentAt, notice, forwarder} = exchange;
     const now = this.dependencies.clock();
     this.dependencies.onEnded?.({
       head,
@@ -293,6 +287,8 @@
       notice,
       waitedMilliseconds: (sentAt ?? now) - offeredAt,
       ranMilliseconds: sentAt === undefined ? 0 : now - sentAt,
+      unreadBytes: forwarder?.bytes,
+      blockedMilliseconds: forwarder?.blockedMilliseconds,
     });
   }
 
@@ -301,10 +297,3 @@
     this.exchanges.delete(exchange.id);
   }
 }
-
-/** How long the guard keeps an unfinished call, in milliseconds. */
-function guardTimeout({remaining}: CallHead): number {
-  const allowance =
-    remaining > SHORT_CALL_MILLISECONDS ? HOP_ALLOWANCE_MILLISECONDS : 0;
-  return Math.max(0, remaining - allowance);
-}
--- a/packages/node/src/request/upstreamDispatch.ts
+++ b/packages/node/src/request/upstreamDispatch.ts
@@ -7,9 +7,10 @@
 import type {Clock, UpstreamNotice} from '@lockpin/types';
 import type {Dispatcher} from 'undici';
 import type {UpstreamPools} from '../connection/upstreamPools.js';
+import {answeredEvent, failureEvent, interruptedEvent} from './answerEvents.js';
 import type {CallHead} from './frames.js';
+import type {GuardAnswers} from './guardAnswers.js';
 import type {GuardExchange} from './guardExchange.js';
-import {headerRecord} from './headers.js';
 import {UpstreamAnswer} from './upstreamAnswer.js';
 import {LOCKPIN_UPSTREAM_PROTOCOL} from './upstreamProtocol.js';
 import type {
@@ -29,6 +30,11 @@
   readonly isUnderWay: (exchange: GuardExchange) => boolean;
   /** Called for a complete answer, before the decision logic is notified. */
   readonly onAnswered: (exchange: GuardExchange, status: number) => void;
+  /**
+   * Buffers long answers for slow readers; absent where answers are read only
+   * as fast as their callers read them.
+   */
+  readonly answers?: GuardAnswers | undefined;
 }
 
 /** Answers that were certainly given by the intended upstream. */
@@ -90,6 +96,7 @@
   /** Aborts the request to the upstream, or prevents it from starting. */
   abort(exchange: GuardExchange): void {
     exchange.isAborted = true;
+    exchange.forwarder?.drop();
     exchange.requestBody?.destroy();
     exchange.controller?.abort(abortError());
   }
@@ -203,7 +210,9 @@
       this.sendHead(exchange, answer, exchange.upstream);
     }
     const bytes = isFirst ? answer.body() : chunk;
-    if (!exchange.handlers.onChunk(bytes)) {
+    const readsOn =
+      exchange.forwarder?.push(bytes) ?? exchange.handlers.onChunk(bytes);
+    if (!readsOn) {
       controller.pause();
     }
   }
@@ -225,8 +234,10 @@
     handleEvent(answeredEvent(exchange.id, answer));
     if (answer.isBuffered) {
       this.sendHead(exchange, answer, upstream);
-    } else {
+    } else if (exchange.forwarder === undefined) {
       exchange.handlers.onEnd();
+    } else {
+      exchange.forwarder.end();
     }
   }
 
@@ -237,6 +248,9 @@
   ): void {
     const now = this.dependencies.clock();
     answer.hasBegun = true;
+    if (!answer.isBuffered) {
+      this.dependencies.answers?.begin(exchange);
+    }
     exchange.handlers.onAnswer({
       status: answer.status,
       headers: answer.headers,
@@ -250,41 +264,6 @@
   }
 }
 
-/** The event for a response that is not an answer; undefined for others. */
-function failureEvent(
-  callId: string,
-  {classification}: UpstreamAnswer,
-): GuardEvent | undefined {
-  switch (classification) {
-    case 'not-run':
-      return {kind: 'upstream-refused', callId, reason: 'upstream-refused'};
-    case 'other-upstream':
-      return {kind: 'upstream-refused', callId, reason: 'upstream-replaced'};
-    case 'invalid':
-      return interruptedEvent(callId);
-    default:
-      return undefined;
-  }
-}
-
-function interruptedEvent(callId: string): GuardEvent {
-  return {kind: 'upstream-failed', callId, wasSent: true};
-}
-
-function answeredEvent(callId: string, answer: UpstreamAnswer): GuardEvent {
-  const stored = answer.stored();
-  return {
-    kind: 'upstream-answered',
-    callId,
-    status: answer.status,
-    isShed: answer.classification === 'overloaded',
-    answer:
-      stored === undefined
-        ? undefined
-        : {...stored, headers: headerRecord(answer.headers)},
-  };
-}
-
 function abortError(): Error {
   return new Error('request aborted by the guard');
 }
