Count the unsent bytes of answers at the entry, and deliver late answers

Cause: an entry did not know what it buffers for callers that do not read: up to 256 KB for each long answer, and whole answers of up to 64 KB without any limit in time. It cut an answer that had begun at the time limit of its call, however it progressed. An interrupted answer without a length ended with a closed connection and so looked complete. Change: with a memory for answers, the entry counts bytes that callers have not taken, resets the connection of a caller that takes nothing for 120 s, and, above 1.25 times the total, of the one that has waited longest. An answer that has begun goes on after the time limit while it progresses. The window of an answer between nodes can start at 64 KB; the entry enlarges it by a credit frame. An interrupted answer without a length resets the connection (in all fleets). Measured: unsentAnswers.test.ts, four tests. The last one, for an answer without a length, failed before the change: the connection ended instead of being reset.

--- a/packages/node/src/request/attemptRunner.ts
+++ b/packages/node/src/request/attemptRunner.ts
@@ -19,6 +19,8 @@
   readonly handleEvent: (event: EntryEvent) => void;
   /** The answer was passed on completely, or was interrupted on the way. */
   readonly onAnswerEnded: (exchange: CallerExchange) => void;
+  /** The caller has not taken all that was written to it. */
+  readonly onUnsent: (exchange: CallerExchange) => void;
 }
 
 /** Makes the attempts of calls and reports their results as events. */
@@ -290,6 +292,7 @@
     }
     const hasRoom = exchange.sendChunk(bytes);
     if (!hasRoom) {
+      this.dependencies.onUnsent(exchange);
       exchange.onDrain(() => exchange.exchange?.resume());
     }
     return hasRoom;
--- a/packages/node/src/request/callerExchange.ts
+++ b/packages/node/src/request/callerExchange.ts
@@ -16,6 +16,7 @@
 import type {AnswerHead, CallHead, FlatHeaders} from './frames.js';
 import type {CallerProtocol} from './callerProtocol.js';
 import {AttemptHistory} from './attemptHistory.js';
+import type {UnsentAnswers} from './unsentAnswers.js';
 
 /** Answers up to this size are written together with their headers. */
 const SINGLE_WRITE_LIMIT_BYTES = 8 * 1024;
@@ -79,6 +80,8 @@
   private isStreaming = false;
   private isEnded = false;
   private awaitsDrain = false;
+  private hasProgressed = false;
+  private isUnframed = false;
 
   constructor(
     readonly id: string,
@@ -189,10 +192,12 @@
     const headers = this.protocol.answerHeaders(head);
     if (head.isUnframed) {
       // Closing the connection marks the end of the answer here too.
+      this.isUnframed = true;
       this.response.useChunkedEncodingByDefault = false;
       this.response.shouldKeepAlive = false;
     }
     this.response.writeHead(head.status, [...headers]);
+    this.hasProgressed = true;
     if (!head.hasMore) {
       this.isEnded = true;
       this.endWith(head.body);
@@ -212,9 +217,23 @@
   }
 
   sendChunk(bytes: Buffer): boolean {
+    this.hasProgressed = true;
     return this.response.write(bytes);
   }
 
+  /** Counts the bytes of the answer that the caller has not taken yet. */
+  countUnsent(unsent: UnsentAnswers): void {
+    unsent.written(this.response, this.call.customer);
+  }
+
+  /** Whether a part of the answer arrived since the last check, or is unsent. */
+  takeProgress(): boolean {
+    const isProgressing =
+      this.hasBegun && (this.hasProgressed || this.response.writableLength > 0);
+    this.hasProgressed = false;
+    return isProgressing;
+  }
+
   sendEnd(): void {
     this.isEnded = true;
     this.response.end();
@@ -239,6 +258,10 @@
    */
   destroyResponse(): void {
     this.isEnded = true;
+    if (this.isUnframed) {
+      // A closed connection alone would look like the end of the answer.
+      this.response.socket?.resetAndDestroy();
+    }
     this.response.destroy();
   }
 
--- a/packages/node/src/request/entryService.ts
+++ b/packages/node/src/request/entryService.ts
@@ -9,6 +9,7 @@
 import {AttemptRunner} from './attemptRunner.js';
 import {CallAdmission, refusalFor} from './callAdmission.js';
 import {BODY_BUFFER_LIMIT_BYTES} from './bodyLimits.js';
+import {CallDeadlines} from './callDeadlines.js';
 import {CallerExchange} from './callerExchange.js';
 import {createCallRecord} from './callRecord.js';
 import type {CallRecord} from './attemptHistory.js';
@@ -17,6 +18,7 @@
 import {computeRequestDigest, entryCall} from './entryCall.js';
 import type {EntryServiceDependencies} from './entryServiceDependencies.js';
 import {freshKeyHeader, mintOnceKeyFor} from './freshOnceKeys.js';
+import {UnsentAnswers} from './unsentAnswers.js';
 
 export type {EntryServiceDependencies} from './entryServiceDependencies.js';
 
@@ -28,13 +30,23 @@
   private readonly attempts: AttemptRunner;
   private readonly admission: CallAdmission;
   private readonly receiver: CallReceiver;
+  private readonly deadlines: CallDeadlines;
+  private readonly unsent: UnsentAnswers | undefined;
   private serial = 0;
 
   constructor(private readonly dependencies: EntryServiceDependencies) {
     this.admission = new CallAdmission(dependencies);
     this.receiver = new CallReceiver(dependencies, this.admission);
+    const {clock, answerMemory, onCut} = dependencies;
+    this.deadlines = new CallDeadlines({
+      clock,
+      deliversLate: answerMemory !== undefined,
+      onPassed: (exchange) => this.abortCall(exchange, 'deadline-passed'),
+    });
+    this.unsent = answerMemory && new UnsentAnswers(answerMemory, onCut);
     this.attempts = new AttemptRunner({
       ...dependencies,
+      onUnsent: (exchange) => this.countUnsent(exchange),
       handleEvent: (event) => this.handle(event),
       onAnswerEnded: (exchange) => this.ended(exchange),
     });
@@ -106,7 +118,7 @@
     response.on('close', () => this.handleClose(exchange));
     this.watchConnection(request, response, exchange);
     const deadline = arrivedAt + call.waitMilliseconds;
-    this.startDeadlineTimer(exchange);
+    this.deadlines.start(exchange);
     const bytes =
       body.kind === 'held' ? body.bytes.length : BODY_BUFFER_LIMIT_BYTES;
     this.handle({
@@ -137,19 +149,13 @@
    * which the clock advances and timers do not; overdue calls end at once.
    */
   restartDeadlineTimers(): void {
-    this.exchanges.forEach((exchange) => {
-      clearTimeout(exchange.deadlineTimer);
-      this.startDeadlineTimer(exchange);
-    });
+    this.exchanges.forEach((exchange) => this.deadlines.start(exchange));
   }
 
-  private startDeadlineTimer(exchange: CallerExchange): void {
-    const {arrivedAt, call} = exchange;
-    const deadline = arrivedAt + call.waitMilliseconds;
-    exchange.deadlineTimer = setTimeout(
-      () => this.abortCall(exchange, 'deadline-passed'),
-      Math.max(0, deadline - this.dependencies.clock()),
-    );
+  private countUnsent(exchange: CallerExchange): void {
+    if (this.unsent !== undefined) {
+      exchange.countUnsent(this.unsent);
+    }
   }
 
   /**
@@ -240,6 +246,7 @@
     metrics.timing('calls.milliseconds', exchange.age(clock()));
     exchange.pendingAnswer = undefined;
     exchange.sendHead(head);
+    this.countUnsent(exchange);
     this.recordEnd(exchange, 'answered', '');
     if (!head.hasMore) {
       this.ended(exchange);
--- a/packages/node/src/request/entryServiceDependencies.ts
+++ b/packages/node/src/request/entryServiceDependencies.ts
@@ -6,10 +6,12 @@
 import type {Logger} from '@lockpin/logger';
 import type {Clock, RandomSource, Repetition} from '@lockpin/types';
 import type {NodeMetrics} from '../process/metrics.js';
+import type {AnswerMemory} from './answerMemory.js';
 import type {CallerProtocol} from './callerProtocol.js';
 import type {CallRecord} from './attemptHistory.js';
 import type {Exchange, ExchangeHandlers} from './exchange.js';
 import type {CallHead} from './frames.js';
+import type {CutReason} from './heldAnswer.js';
 import type {RefusedRequestRecord} from './refusedRecord.js';
 
 /** What the entry service needs from its process. */
@@ -43,6 +45,13 @@
   readonly needsGo: (box: string, repetition: Repetition) => boolean;
   /** Called when the guard of a box did not respond in time. */
   readonly onSilence?: (box: string) => void;
+  /**
+   * Memory for answers whose callers read slowly. Absent where answers end with
+   * the time of their calls.
+   */
+  readonly answerMemory?: AnswerMemory | undefined;
+  /** Called when an answer is cut off because of its reader. */
+  readonly onCut?: (reason: CutReason) => void;
   /** Called at the end of every call. */
   readonly onEnded?: (record: CallRecord) => void;
   /** Starts an exchange with the guard of a box. */
--- a/packages/node/src/request/exchangeStream.ts
+++ b/packages/node/src/request/exchangeStream.ts
@@ -38,6 +38,11 @@
     private readonly stream: grpc.ClientDuplexStream<Buffer, Buffer>,
     private readonly onNews: (news: PeerNews) => void,
     onFrameBytes?: OnFrameBytes,
+    /**
+     * Returns by how many bytes the window of an answer that has begun is
+     * enlarged.
+     */
+    private readonly additionalCredit: () => number = () => 0,
   ) {
     this.batch = new FrameBatch((bytes) => {
       if (!this.hasBroken) {
@@ -115,7 +120,10 @@
         handlers.onQueued();
         break;
       case 'answer':
-        if (!frame.head.hasMore) {
+        if (frame.head.hasMore) {
+          opened.uncreditedBytes += this.additionalCredit();
+          this.giveCredit(number, opened);
+        } else {
           this.close(number);
         }
         handlers.onAnswer(frame.head);
--- a/packages/node/src/request/exchangeStreamServer.ts
+++ b/packages/node/src/request/exchangeStreamServer.ts
@@ -13,6 +13,16 @@
  */
 const ANSWER_CREDIT_BYTES = 256 * 1024;
 
+/**
+ * Window towards entries that enlarge it as far as their memory allows. It
+ * limits what the readers of an entry make it buffer.
+ */
+export const INITIAL_CREDIT_BYTES = 64 * 1024;
+
+/** What such an entry adds to the window while it has ample memory. */
+export const ADDITIONAL_CREDIT_BYTES =
+  ANSWER_CREDIT_BYTES - INITIAL_CREDIT_BYTES;
+
 interface OpenExchange {
   exchange: Exchange | undefined;
   credit: number;
@@ -39,8 +49,14 @@
   stream: grpc.ServerDuplexStream<Buffer, Buffer>,
   begin: BeginExchange,
   newsHandlers?: NewsHandlers,
+  initialCredit = ANSWER_CREDIT_BYTES,
 ): void {
-  const server = new ExchangeStreamServer(stream, begin, newsHandlers);
+  const server = new ExchangeStreamServer(
+    stream,
+    begin,
+    newsHandlers,
+    initialCredit,
+  );
   const onClose = (): void => {
     unsubscribe?.();
     server.handleBreak();
@@ -67,6 +83,7 @@
     stream: grpc.ServerDuplexStream<Buffer, Buffer>,
     private readonly begin: BeginExchange,
     private readonly newsHandlers: NewsHandlers | undefined,
+    private readonly initialCredit: number,
   ) {
     this.batch = new FrameBatch((bytes) => stream.write(bytes));
   }
@@ -92,7 +109,7 @@
       case 'call': {
         const opened: OpenExchange = {
           exchange: undefined,
-          credit: ANSWER_CREDIT_BYTES,
+          credit: this.initialCredit,
         };
         this.openExchanges.set(number, opened);
         const handlers = this.handlersFor(number, opened);
--- a/packages/node/src/request/remoteExchanges.ts
+++ b/packages/node/src/request/remoteExchanges.ts
@@ -29,6 +29,8 @@
     private readonly counterFor: (
       address: string,
     ) => OnFrameBytes | undefined = () => undefined,
+    /** Returns by how many bytes the window of an answer is enlarged. */
+    private readonly additionalCredit?: () => number,
   ) {
     this.followed = new FollowedStreams(
       (address) => this.stream(address),
@@ -101,6 +103,7 @@
       (news) =>
         this.newsHandlers?.onNews(news, (answer) => opened.sendNews(answer)),
       this.counterFor(address),
+      this.additionalCredit,
     );
     this.streams.set(address, opened);
     if (this.newsHandlers !== undefined) {
