Buffer answers for slow callers in declared fleets

Cause: the memory for answers was not created by any process. Change: nodes of declared fleets create it from the memory limit of the process (Self.Limits.MemoryMb, 250 MB if absent), unless answer-buffering is switched off. A planned stop waits for answers that are not passed on yet. Metrics answers.bufferedBytes, answers.blocked and answers.cut; log line answer-cut. The upstream of the tests can give long answers and cuts off those that stay unread.

--- a/packages/node/src/process/fleetComposition.ts
+++ b/packages/node/src/process/fleetComposition.ts
@@ -16,10 +16,15 @@
 import {PeerServer} from '../connection/peerServer.js';
 import {UpstreamPools} from '../connection/upstreamPools.js';
 import type {CallRecord} from '../request/attemptHistory.js';
+import type {AnswerMemory} from '../request/answerMemory.js';
 import type {PeerNews} from '../request/frames.js';
 import {EntryService} from '../request/entryService.js';
 import type {BeginExchange} from '../request/exchange.js';
-import {serveExchangeStream} from '../request/exchangeStreamServer.js';
+import {
+  ADDITIONAL_CREDIT_BYTES,
+  INITIAL_CREDIT_BYTES,
+  serveExchangeStream,
+} from '../request/exchangeStreamServer.js';
 import type {NewsHandlers} from '../request/exchangeStreamServer.js';
 import {GuardService} from '../request/guardService.js';
 import {noticeKinds} from '../request/upstreamNotice.js';
@@ -28,6 +33,7 @@
 import {BoundedWriter} from './boundedWriter.js';
 import {ControlTraffic} from './controlTraffic.js';
 import {DecisionLog} from './decisionLog.js';
+import {createAnswerMemory} from './fleetAnswerMemory.js';
 import {FleetHost} from './fleetHost.js';
 import type {FleetPorts} from './fleetPorts.js';
 import {PeerTraffic} from './peerTraffic.js';
@@ -50,6 +56,9 @@
   log: Symbol('log') as InjectionToken<DecisionLog>,
   metrics: Symbol('metrics') as InjectionToken<TextMetrics>,
   host: Symbol('host') as InjectionToken<FleetHost>,
+  answerMemory: Symbol('answerMemory') as InjectionToken<
+    AnswerMemory | undefined
+  >,
   pools: Symbol('pools') as InjectionToken<UpstreamPools>,
   channels: Symbol('channels') as InjectionToken<
     PeerChannels<PeerQuery, PeerQueryReply>
@@ -77,6 +86,12 @@
   registerSingleton(FLEET_TOKENS.log, createLog);
   registerSingleton(FLEET_TOKENS.metrics, () => createPrometheusMetrics());
   registerSingleton(FLEET_TOKENS.host, createHost);
+  registerSingleton(FLEET_TOKENS.answerMemory, (dependencies) =>
+    createAnswerMemory(
+      ports.settings,
+      dependencies.resolve(FLEET_TOKENS.metrics),
+    ),
+  );
   registerSingleton(FLEET_TOKENS.pools, () => new UpstreamPools());
   registerSingleton(FLEET_TOKENS.channels, createChannels);
   registerSingleton(
@@ -150,11 +165,13 @@
   const channels = dependencies.resolve(FLEET_TOKENS.channels);
   const traffic = dependencies.resolve(FLEET_TOKENS.peerTraffic);
   const host = dependencies.resolve(FLEET_TOKENS.host);
+  const memory = dependencies.resolve(FLEET_TOKENS.answerMemory);
   return new RemoteExchanges(
     (address) => channels.client(address),
     createNewsHandlers(dependencies),
     (address) => channels.renew(address, 'stream-silent'),
     (address) => traffic.counter(host.placeOf(address)),
+    () => (memory?.isAmple === false ? 0 : ADDITIONAL_CREDIT_BYTES),
   );
 }
 
@@ -219,6 +236,12 @@
     stateMachine: host.guard,
     pools: dependencies.resolve(FLEET_TOKENS.pools),
     protocol: upstreamProtocol,
+    answerMemory: dependencies.resolve(FLEET_TOKENS.answerMemory),
+    onCut: ({head, upstream}, reason) => {
+      const {requestId, customer} = head;
+      log.event('answer-cut', {requestId, upstream, customer, reason});
+      metrics.increment('answers.cut', {side: 'guard', reason});
+    },
     onNodeAction: (action) => host.handleGuardAction(action),
     onEnded: (record) => {
       log.guardCall(record);
@@ -247,13 +270,17 @@
   const guard = dependencies.resolve(FLEET_TOKENS.guardService);
   const remote = dependencies.resolve(FLEET_TOKENS.remote);
   const log = dependencies.resolve(FLEET_TOKENS.log);
+  const metrics = dependencies.resolve(FLEET_TOKENS.metrics);
   const {callerProtocol, settings} = dependencies.resolve(FLEET_TOKENS.ports);
   return new EntryService({
     clock: steadyClock,
     random: Math.random,
     stateMachine: host.entry,
     logger: createDecisionLogger(log),
-    metrics: dependencies.resolve(FLEET_TOKENS.metrics),
+    metrics,
+    answerMemory: dependencies.resolve(FLEET_TOKENS.answerMemory),
+    onCut: (reason) =>
+      metrics.increment('answers.cut', {side: 'entry', reason}),
     largestBodyBytes: () =>
       host.routing?.configuration.limits.bodyBytes ?? INITIAL_BODY_LIMIT_BYTES,
     protocol: callerProtocol({
@@ -303,7 +330,8 @@
   return new PeerServer<PeerQuery, PeerQueryReply>(
     {
       call: (stream) => serveGuardStream(stream, begin),
-      exchanges: (stream) => serveExchangeStream(stream, begin, news),
+      exchanges: (stream) =>
+        serveExchangeStream(stream, begin, news, INITIAL_CREDIT_BYTES),
       exchange: (query, reply) =>
         reply(host.fleet.answer(steadyClock(), query)),
     },
--- a/packages/node/src/process/fleetOperators.ts
+++ b/packages/node/src/process/fleetOperators.ts
@@ -47,8 +47,10 @@
   const host = container.resolve(FLEET_TOKENS.host);
   const guard = container.resolve(FLEET_TOKENS.guardService);
   const writer = container.resolve(FLEET_TOKENS.writer);
+  const answerMemory = container.resolve(FLEET_TOKENS.answerMemory);
   return (_request, response) => {
     metrics.gauge('guard.occupied', guard.callCount);
+    metrics.gauge('answers.bufferedBytes', answerMemory?.used ?? 0);
     metrics.gauge('configuration.version', host.fleet.version);
     metrics.gauge('requests.suspected', host.fleet.suspects.count);
     metrics.gauge('records.wrong', host.fleet.invalidRecordCount);
--- a/packages/node/src/process/fleetPorts.ts
+++ b/packages/node/src/process/fleetPorts.ts
@@ -45,6 +45,8 @@
   readonly metricsAddress: string;
   /** Time from the stop signal until the process is killed, in milliseconds. */
   readonly stopLimitMilliseconds: number;
+  /** Memory limit of this process in MB; the default if absent. */
+  readonly memoryMegabytes?: number | undefined;
   readonly retries: FleetRetryLimit;
   readonly keys: KeyPolicy;
   /** Accuracy with which customers' limits are enforced. */
--- a/packages/node/src/process/mechanisms.ts
+++ b/packages/node/src/process/mechanisms.ts
@@ -23,6 +23,8 @@
   holding: 'calls that find no slot are refused after one round of offers',
   quarantine: 'requests that end each upstream that runs them run again',
   'paid-retries': 'nothing pays for second attempts',
+  'answer-buffering':
+    'answers are read only as fast as their callers read them',
 } as const;
 
 /** A mechanism that can be switched off. */
--- a/packages/node/src/process/metrics.ts
+++ b/packages/node/src/process/metrics.ts
@@ -6,6 +6,9 @@
 
 /** Names of all metrics. */
 export const METRIC_NAMES = [
+  'answers.blocked',
+  'answers.bufferedBytes',
+  'answers.cut',
   'calls.answered',
   'calls.refused',
   'calls.milliseconds',
--- a/packages/node/src/process/runFleetNode.ts
+++ b/packages/node/src/process/runFleetNode.ts
@@ -198,7 +198,16 @@
   host.refuseNewCalls();
   callers.close();
   callers.closeIdleConnections();
-  const result = await drainCalls([guard, entry], steadyClock, limit);
+  const unreadAnswers = {
+    get callCount() {
+      return guard.unreadAnswerCount;
+    },
+  };
+  const result = await drainCalls(
+    [guard, entry, unreadAnswers],
+    steadyClock,
+    limit,
+  );
   host.stop();
   if (result === 'limit-reached') {
     entry.endAllCalls();
