Soak: rejections, floods and slow readers; longer pauses of late answers

Cause: the soak had no hard load. Change: the fault set loaded has services whose upstreams reject calls at random, floods of a customer with a limit, and callers that read 6 MB at 1 MB/s or disconnect during it. None of them excuses a violation. A late answer is cut off after 5 s without a part, and every cut is logged with its request, also at the entry. npm run slow-readers measures slow readers at one node; its readers start one after another.

--- a/packages/node/src/process/fleetComposition.ts
+++ b/packages/node/src/process/fleetComposition.ts
@@ -27,6 +27,7 @@
 } from '../request/exchangeStreamServer.js';
 import type {NewsHandlers} from '../request/exchangeStreamServer.js';
 import {GuardService} from '../request/guardService.js';
+import type {OnCut} from '../request/heldAnswer.js';
 import {noticeKinds} from '../request/upstreamNotice.js';
 import {serveGuardStream} from '../request/guardStreams.js';
 import {RemoteExchanges} from '../request/remoteExchanges.js';
@@ -224,6 +225,18 @@
   };
 }
 
+function answerCut(
+  dependencies: DependencyContainer,
+  side: 'guard' | 'entry',
+): OnCut {
+  const log = dependencies.resolve(FLEET_TOKENS.log);
+  const metrics = dependencies.resolve(FLEET_TOKENS.metrics);
+  return ({requestId, customer}, reason) => {
+    log.event('answer-cut', {requestId, customer, side, reason});
+    metrics.increment('answers.cut', {side, reason});
+  };
+}
+
 function createGuardService(dependencies: DependencyContainer): GuardService {
   const host = dependencies.resolve(FLEET_TOKENS.host);
   const log = dependencies.resolve(FLEET_TOKENS.log);
@@ -237,11 +250,7 @@
     pools: dependencies.resolve(FLEET_TOKENS.pools),
     protocol: upstreamProtocol,
     answerMemory: dependencies.resolve(FLEET_TOKENS.answerMemory),
-    onCut: ({head, upstream}, reason) => {
-      const {requestId, customer} = head;
-      log.event('answer-cut', {requestId, upstream, customer, reason});
-      metrics.increment('answers.cut', {side: 'guard', reason});
-    },
+    onCut: answerCut(dependencies, 'guard'),
     onNodeAction: (action) => host.handleGuardAction(action),
     onEnded: (record) => {
       log.guardCall(record);
@@ -279,8 +288,7 @@
     logger: createDecisionLogger(log),
     metrics,
     answerMemory: dependencies.resolve(FLEET_TOKENS.answerMemory),
-    onCut: (reason) =>
-      metrics.increment('answers.cut', {side: 'entry', reason}),
+    onCut: answerCut(dependencies, 'entry'),
     largestBodyBytes: () =>
       host.routing?.configuration.limits.bodyBytes ?? INITIAL_BODY_LIMIT_BYTES,
     protocol: callerProtocol({
--- a/packages/node/src/request/callDeadlines.ts
+++ b/packages/node/src/request/callDeadlines.ts
@@ -6,9 +6,10 @@
 
 /**
  * Milliseconds between checks of an answer that is late. One of which no part
- * arrives for as long, though its caller takes more, ends with its call's time.
+ * arrives for as long, though its caller takes more, is cut off. With 1 s, a soak
+ * on a busy machine cut off answers that still arrived.
  */
-const LATE_CHECK_MILLISECONDS = 1000;
+const LATE_CHECK_MILLISECONDS = 5000;
 
 /** What the deadlines need from the entry service. */
 export interface CallDeadlinesDependencies {
--- a/packages/node/src/request/callerExchange.ts
+++ b/packages/node/src/request/callerExchange.ts
@@ -223,7 +223,8 @@
 
   /** Counts the bytes of the answer that the caller has not taken yet. */
   countUnsent(unsent: UnsentAnswers): void {
-    unsent.written(this.response, this.call.customer);
+    const {requestId, response, call} = this;
+    unsent.written(response, {requestId, customer: call.customer});
   }
 
   /** Whether a part of the answer arrived since the last check, or is unsent. */
--- a/packages/node/src/request/entryService.ts
+++ b/packages/node/src/request/entryService.ts
@@ -41,7 +41,7 @@
     this.deadlines = new CallDeadlines({
       clock,
       deliversLate: answerMemory !== undefined,
-      onPassed: (exchange) => this.abortCall(exchange, 'deadline-passed'),
+      onPassed: (exchange) => this.deadlinePassed(exchange),
     });
     this.unsent = answerMemory && new UnsentAnswers(answerMemory, onCut);
     this.attempts = new AttemptRunner({
@@ -152,6 +152,15 @@
     this.exchanges.forEach((exchange) => this.deadlines.start(exchange));
   }
 
+  private deadlinePassed(exchange: CallerExchange): void {
+    const {requestId, call, hasBegun} = exchange;
+    if (hasBegun) {
+      const {customer} = call;
+      this.dependencies.onCut?.({requestId, customer}, 'answer-stalled');
+    }
+    this.abortCall(exchange, 'deadline-passed');
+  }
+
   private countUnsent(exchange: CallerExchange): void {
     if (this.unsent !== undefined) {
       exchange.countUnsent(this.unsent);
--- a/packages/node/src/request/entryServiceDependencies.ts
+++ b/packages/node/src/request/entryServiceDependencies.ts
@@ -11,7 +11,7 @@
 import type {CallRecord} from './attemptHistory.js';
 import type {Exchange, ExchangeHandlers} from './exchange.js';
 import type {CallHead} from './frames.js';
-import type {CutReason} from './heldAnswer.js';
+import type {OnCut} from './heldAnswer.js';
 import type {RefusedRequestRecord} from './refusedRecord.js';
 
 /** What the entry service needs from its process. */
@@ -51,7 +51,7 @@
    */
   readonly answerMemory?: AnswerMemory | undefined;
   /** Called when an answer is cut off because of its reader. */
-  readonly onCut?: (reason: CutReason) => void;
+  readonly onCut?: OnCut;
   /** Called at the end of every call. */
   readonly onEnded?: (record: CallRecord) => void;
   /** Starts an exchange with the guard of a box. */
--- a/packages/node/src/request/guardAnswers.ts
+++ b/packages/node/src/request/guardAnswers.ts
@@ -8,7 +8,7 @@
 import type {GuardExchange} from './guardExchange.js';
 import {NOOP_HANDLERS} from './guardExchange.js';
 import {reasonToCut} from './heldAnswer.js';
-import type {CutReason} from './heldAnswer.js';
+import type {CutReason, OnCut} from './heldAnswer.js';
 
 /** Milliseconds between checks for answers to be cut off. */
 const CHECK_MILLISECONDS = 100;
@@ -22,7 +22,7 @@
   /** Calls back periodically; returns the function that stops it. */
   readonly every: (milliseconds: number, run: () => void) => () => void;
   /** Called when an answer is cut off because of its reader. */
-  readonly onCut?: (exchange: GuardExchange, reason: CutReason) => void;
+  readonly onCut?: OnCut;
 }
 
 /** Creates the answers of a guard; undefined if it buffers none. */
@@ -104,6 +104,6 @@
     exchange.forwarder?.drop();
     this.endCall(exchange);
     handlers.onLost(true);
-    this.dependencies.onCut?.(exchange, reason);
+    this.dependencies.onCut?.(exchange.head, reason);
   }
 }
--- a/packages/node/src/request/guardService.ts
+++ b/packages/node/src/request/guardService.ts
@@ -17,7 +17,7 @@
 } from './guardExchange.js';
 import type {GuardExchange} from './guardExchange.js';
 import type {GuardRecord} from './guardRecord.js';
-import type {CutReason} from './heldAnswer.js';
+import type {OnCut} from './heldAnswer.js';
 import {UpstreamDispatch} from './upstreamDispatch.js';
 import type {UpstreamProtocol} from './upstreamProtocol.js';
 
@@ -46,7 +46,7 @@
    */
   readonly answerMemory?: AnswerMemory | undefined;
   /** Called when an answer is cut off because of its reader. */
-  readonly onCut?: (exchange: GuardExchange, reason: CutReason) => void;
+  readonly onCut?: OnCut;
   /** Performs the actions that do not concern one exchange. */
   readonly onNodeAction: (action: GuardNodeAction) => void;
 }
--- a/packages/node/src/request/heldAnswer.ts
+++ b/packages/node/src/request/heldAnswer.ts
@@ -1,12 +1,23 @@
 // Copyright (c) 2026 the lockpin contributors. MIT licence, see LICENSE.
 /** Decides how long a guard holds an answer for a slow reader. */
 
+/** A call whose answer is cut off. */
+export interface CutCall {
+  readonly requestId: string;
+  readonly customer: string;
+}
+
+/** Called when an answer is cut off. */
+export type OnCut = (call: CutCall, reason: CutReason) => void;
+
 /** Why an answer is cut off. */
 export type CutReason =
   /** At a bound, it occupies a slot that other calls need. */
   | 'reader-holds-slot'
   /** Its reader takes nothing. */
   | 'reader-stalled'
+  /** After its call's time, no part arrives though its reader takes more. */
+  | 'answer-stalled'
   /** The bytes of all answers exceed the memory for them by far. */
   | 'memory-exhausted';
 
--- a/packages/node/src/request/unsentAnswers.ts
+++ b/packages/node/src/request/unsentAnswers.ts
@@ -4,7 +4,7 @@
 import type {ServerResponse} from 'node:http';
 import type {AnswerAccount} from '@lockpin/admission';
 import type {AnswerMemory} from './answerMemory.js';
-import type {CutReason} from './heldAnswer.js';
+import type {CutCall, CutReason, OnCut} from './heldAnswer.js';
 
 /**
  * A caller that takes nothing for this long is cut off. The progress of slow
@@ -13,24 +13,28 @@
  */
 const STALLED_MILLISECONDS = 120_000;
 
+interface UnsentAnswer {
+  readonly account: AnswerAccount;
+  readonly call: CutCall;
+}
+
 /** Counts unsent bytes and cuts off callers that do not take them. */
 export class UnsentAnswers {
   /** Ordered by the time since which callers have not taken everything. */
-  private readonly accounts = new Map<ServerResponse, AnswerAccount>();
+  private readonly answers = new Map<ServerResponse, UnsentAnswer>();
 
   constructor(
     private readonly memory: AnswerMemory,
-    private readonly onCut: (reason: CutReason) => void = () => undefined,
+    private readonly onCut: OnCut = () => undefined,
   ) {}
 
   /** Counts the bytes that the caller has not taken after a write. */
-  written(response: ServerResponse, customer: string): void {
+  written(response: ServerResponse, call: CutCall): void {
     const unsent = response.writableLength;
     if (unsent === 0) {
       return;
     }
-    const account =
-      this.accounts.get(response) ?? this.track(response, customer);
+    const {account} = this.answers.get(response) ?? this.track(response, call);
     if (unsent > account.bytes) {
       this.memory.add(account, unsent - account.bytes);
     }
@@ -39,28 +43,29 @@
     }
   }
 
-  private track(response: ServerResponse, customer: string): AnswerAccount {
-    const account = this.memory.open(customer);
+  private track(response: ServerResponse, call: CutCall): UnsentAnswer {
+    const account = this.memory.open(call.customer);
+    const answer = {account, call};
     const onTimeout = (): void => this.cut(response, 'reader-stalled');
     const onTaken = (): void => {
       response.off('drain', onTaken);
       response.off('finish', onTaken);
       response.off('close', onTaken);
       response.off('timeout', onTimeout);
-      this.accounts.delete(response);
+      this.answers.delete(response);
       this.memory.close(account);
     };
-    this.accounts.set(response, account);
+    this.answers.set(response, answer);
     response.on('drain', onTaken);
     response.on('finish', onTaken);
     response.on('close', onTaken);
     // Node.js restarts this timeout whenever the system takes some bytes.
     response.setTimeout(STALLED_MILLISECONDS, onTimeout);
-    return account;
+    return answer;
   }
 
   private cutLongestUnsent(): void {
-    const [longest] = this.accounts.keys();
+    const [longest] = this.answers.keys();
     if (longest !== undefined) {
       this.cut(longest, 'memory-exhausted');
     }
@@ -68,7 +73,10 @@
 
   /** Resets the connection, so that no cut answer looks complete. */
   private cut(response: ServerResponse, reason: CutReason): void {
-    this.onCut(reason);
+    const answer = this.answers.get(response);
+    if (answer !== undefined) {
+      this.onCut(answer.call, reason);
+    }
     response.socket?.resetAndDestroy();
     response.destroy();
   }
--- a/packages/tools/src/soak/__tests__/soak.test.ts
+++ b/packages/tools/src/soak/__tests__/soak.test.ts
@@ -51,6 +51,14 @@
     expect(calls).toBeGreaterThan(200);
   });
 
+  it('keeps them under rejections, floods and slow readers', async () => {
+    const folder = mkdtempSync(join(tmpdir(), 'lockpin-soak-'));
+    const size = {...SIZE, faults: 'loaded'} as const;
+    const {violations, calls} = await runSoak(SEED + 6, size, folder);
+    expect(violations).toEqual([]);
+    expect(calls).toBeGreaterThan(200);
+  });
+
   it('keeps them while the store is restored repeatedly', async () => {
     const folder = mkdtempSync(join(tmpdir(), 'lockpin-soak-'));
     const size = {...SIZE, faults: 'all'} as const;
--- a/packages/tools/src/soak/applyFault.ts
+++ b/packages/tools/src/soak/applyFault.ts
@@ -2,6 +2,8 @@
 /** Injects planned faults and records when each began and ended. */
 
 import {setTimeout as pause} from 'node:timers/promises';
+import {applyLoad} from './applyLoad.js';
+import type {PlannedLoad} from './applyLoad.js';
 import type {PlannedFault} from './plannedFault.js';
 import {HEALTHY_LINK} from './linkProxy.js';
 import type {SoakBox} from './soakBox.js';
@@ -13,6 +15,8 @@
   readonly boxes: readonly SoakBox[];
   readonly store: SoakStore;
   readonly recorder: SoakRecorder;
+  /** Returns a new request id. */
+  readonly nextId: () => string;
 }
 
 /** Applies one fault; resolves when it is over. */
@@ -32,6 +36,16 @@
         isolateBoxes(targets.boxes, fault.durationMilliseconds),
       );
       return;
+    case 'rejections':
+    case 'flood':
+    case 'slow-readers':
+      // No disruption is recorded: all guarantees hold under load.
+      await applyLoad(
+        targets.boxes,
+        {nextId: targets.nextId, record: (call) => recorder.calls.push(call)},
+        fault,
+      );
+      return;
     case 'store-history-dropped':
       store.dropHistory();
       return;
@@ -72,13 +86,14 @@
 /** Faults of a single box that count as disruptions. */
 type BoxFault = Exclude<
   PlannedFault & {readonly box: number},
-  {
-    readonly kind:
-      | 'modified-announcement'
-      | 'overwritten-record'
-      | 'stated-limit'
-      | 'stated-leaving';
-  }
+  | PlannedLoad
+  | {
+      readonly kind:
+        | 'modified-announcement'
+        | 'overwritten-record'
+        | 'stated-limit'
+        | 'stated-leaving';
+    }
 >;
 
 /** Operator actions, which are guaranteed to lose no call. */
--- a/packages/tools/src/soak/faultDraws.ts
+++ b/packages/tools/src/soak/faultDraws.ts
@@ -4,6 +4,7 @@
 import type {RandomSource} from '@lockpin/types';
 import type {StoreMode, UpstreamMode} from '@lockpin/platform-stand-ins';
 import type {LinkFault} from './linkProxy.js';
+import {SOAK_SERVICES} from './soakConfiguration.js';
 import type {LinkName, PlannedFault} from './plannedFault.js';
 
 /** Fault durations, with a distribution skewed towards the shortest. */
@@ -275,6 +276,39 @@
   },
 ];
 
+/** Rejections last as long as in the deployments of docs/design/hardLoad.md. */
+const REJECTIONS_MILLISECONDS = 8500;
+
+/** Faults of the `loaded` set: load and readers that are hard to serve. */
+export const LOAD_DRAWS: readonly DrawFault[] = [
+  (random, at) => [
+    {
+      at,
+      kind: 'rejections',
+      service: randomItem(random, SOAK_SERVICES),
+      share: 0.3 + 0.3 * random(),
+      durationMilliseconds: REJECTIONS_MILLISECONDS,
+    },
+  ],
+  (random, at, boxes) => [
+    {
+      at,
+      kind: 'flood',
+      box: randomIndex(random, boxes),
+      callers: 10 + randomIndex(random, 20),
+      durationMilliseconds: LONGEST_FAULT_MILLISECONDS,
+    },
+  ],
+  (random, at, boxes) => [
+    {
+      at,
+      kind: 'slow-readers',
+      box: randomIndex(random, boxes),
+      readers: 4 + randomIndex(random, 8),
+    },
+  ],
+];
+
 /** Draws a single fault with probability 0.5, otherwise two or more. */
 function inSeries(
   random: RandomSource,
--- a/packages/tools/src/soak/faultPlan.ts
+++ b/packages/tools/src/soak/faultPlan.ts
@@ -5,6 +5,7 @@
 import {
   BASE_DRAWS,
   ISOLATION_DRAWS,
+  LOAD_DRAWS,
   REPLACEMENT_DRAWS,
   RESTORE_DRAWS,
   SECOND_SET_DRAWS,
@@ -18,11 +19,11 @@
  * Which faults are drawn. `second` adds restarts under the same id and invalid
  * writes by others to `first`; `all` adds store restores, and `stated` adds what
  * upstreams state in their answers. `isolated` holds only times in which no box
- * hears another, and `replaced` only replacements of boxes. A regression seed keeps the set that it was recorded with, and
+ * hears another, `replaced` only replacements of boxes, and `loaded` only hard load. A regression seed keeps the set that it was recorded with, and
  * so replays the same schedule.
  */
 export type FaultSet =
-  'first' | 'second' | 'all' | 'stated' | 'isolated' | 'replaced';
+  'first' | 'second' | 'all' | 'stated' | 'isolated' | 'replaced' | 'loaded';
 
 /** Duration, fleet size and fault set of a soak. */
 export interface SoakSize {
@@ -49,10 +50,17 @@
  */
 const SINGLE_KIND_GAP = 12_000;
 
+/** Mean time between the faults of the `loaded` set; they overlap. */
+const LOAD_GAP_MILLISECONDS = 1500;
+
 /** The draws of fault sets that hold only one kind. */
 const SINGLE_KIND_DRAWS: Readonly<
-  Partial<Record<FaultSet, readonly DrawFault[]>>
-> = {isolated: ISOLATION_DRAWS, replaced: REPLACEMENT_DRAWS};
+  Partial<Record<FaultSet, readonly [readonly DrawFault[], number]>>
+> = {
+  isolated: [ISOLATION_DRAWS, SINGLE_KIND_GAP],
+  replaced: [REPLACEMENT_DRAWS, SINGLE_KIND_GAP],
+  loaded: [LOAD_DRAWS, LOAD_GAP_MILLISECONDS],
+};
 
 /** Restores are this many times less frequent than other faults. */
 const RESTORE_GAP_FACTOR = 4;
@@ -64,7 +72,7 @@
 ): readonly PlannedFault[] {
   const singleKind = SINGLE_KIND_DRAWS[size.faults];
   if (singleKind !== undefined) {
-    const faults = drawFaults(seed, size, singleKind, SINGLE_KIND_GAP);
+    const faults = drawFaults(seed, size, ...singleKind);
     return [...faults].sort((a, b) => a.at - b.at);
   }
   const baseFaults = drawFaults(seed, size, BASE_DRAWS);
--- a/packages/tools/src/soak/main.ts
+++ b/packages/tools/src/soak/main.ts
@@ -47,6 +47,7 @@
       'stated',
       'isolated',
       'replaced',
+      'loaded',
     ] as const,
     default: 'stated' as const,
     describe: 'Fault set of the given or fresh seeds',
@@ -71,6 +72,7 @@
   '-stated': 'stated',
   '-isolated': 'isolated',
   '-replaced': 'replaced',
+  '-loaded': 'loaded',
 };
 
 function readRegressionSeeds(): readonly SoakSeed[] {
--- a/packages/tools/src/soak/plannedFault.ts
+++ b/packages/tools/src/soak/plannedFault.ts
@@ -58,6 +58,26 @@
       readonly share: number;
       readonly durationMilliseconds: number;
     }
+  /** All upstreams of a service reject calls at random, whatever their load. */
+  | {
+      readonly kind: 'rejections';
+      readonly service: string;
+      readonly share: number;
+      readonly durationMilliseconds: number;
+    }
+  /** One customer sends many times its usual calls to a box. */
+  | {
+      readonly kind: 'flood';
+      readonly box: number;
+      readonly callers: number;
+      readonly durationMilliseconds: number;
+    }
+  /** Callers of a box that read long answers slowly, or stop reading. */
+  | {
+      readonly kind: 'slow-readers';
+      readonly box: number;
+      readonly readers: number;
+    }
   /** The upstream drains and leaves; one with a new id replaces it. */
   | {readonly kind: 'replace-upstream'; readonly box: number}
   /** The upstream disappears without notice; one with a new id replaces it. */
--- a/packages/tools/src/soak/runSoak.ts
+++ b/packages/tools/src/soak/runSoak.ts
@@ -13,6 +13,7 @@
 import type {SoakSize} from './faultPlan.js';
 import {SoakBox} from './soakBox.js';
 import {runCaller} from './soakCaller.js';
+import {FLOODING_CUSTOMER} from './soakConfiguration.js';
 import {isServed} from './soakHistory.js';
 import type {SoakBounds, Violation} from './soakHistory.js';
 import {SoakRecorder} from './soakRecorder.js';
@@ -59,15 +60,27 @@
   mkdirSync(folder, {recursive: true});
   const recorder = new SoakRecorder();
   const stallRecorder = new StallRecorder();
-  const store = new SoakStore((version) => recorder.versions.push(version));
+  const store = new SoakStore(
+    (version) => recorder.versions.push(version),
+    size.faults === 'loaded' ? [FLOODING_CUSTOMER] : [],
+  );
+  let requestNumber = 0;
+  const nextId = (): string => `q${seed}-${(requestNumber += 1)}`;
   const storeAddress = await store.start();
   const boxes = await startBoxes(seed, size, folder, storeAddress, recorder);
   let isOver = false;
-  const callers = startCallers(seed, boxes, store, recorder, () => isOver);
+  const callers = startCallers(
+    seed,
+    boxes,
+    store,
+    recorder,
+    nextId,
+    () => isOver,
+  );
   await waitUntil(() => isEveryBoxServed(recorder, boxes));
   const faults = planFaults(seed, size);
   await applyOnSchedule(faults, (fault) =>
-    applyFault({boxes, store, recorder}, fault),
+    applyFault({boxes, store, recorder, nextId}, fault),
   );
   await pause(RECOVERY_MILLISECONDS);
   const steadyStateFrom = Date.now();
@@ -124,10 +137,9 @@
   boxes: readonly SoakBox[],
   store: SoakStore,
   recorder: SoakRecorder,
+  nextId: () => string,
   isOver: () => boolean,
 ): readonly Promise<void>[] {
-  let requestNumber = 0;
-  const nextId = (): string => `q${seed}-${(requestNumber += 1)}`;
   return boxes.flatMap((box, index) => [
     ...Array.from({length: CALLERS_PER_BOX}, (_, i) =>
       runCaller(
--- a/packages/tools/src/soak/slowReaders.ts
+++ b/packages/tools/src/soak/slowReaders.ts
@@ -68,9 +68,6 @@
 
 const TIME_LIMIT_MILLISECONDS = 1200;
 
-/** Time between the starts of readers. */
-const READER_GAP_MILLISECONDS = 30;
-
 const READS_PER_SECOND = 10;
 
 /** Runs the measurement; nodes and logs use the given folder. */
@@ -89,8 +86,7 @@
       (_, i) => new SlowReader(box.callerAddress, `r${i}-${load.bytes}b`, load),
     );
     for (const reader of readers) {
-      reader.start();
-      await pause(READER_GAP_MILLISECONDS);
+      await reader.start();
     }
     const beside = await runPhase(box, agent, load);
     const ends = {
@@ -197,19 +193,32 @@
     private readonly load: SlowReaderLoad,
   ) {}
 
-  start(): void {
+  /** Resolves when the answer has begun, or the call has failed. */
+  start(): Promise<void> {
     const {requestId} = this;
-    const request = httpRequest(
-      {
-        ...parseAddress(this.address),
-        agent: false,
-        path: `/shop/look/${requestId}`,
-        headers: requestHeaders(SOAK_HOST, requestId, TIME_LIMIT_MILLISECONDS),
-      },
-      (response) => this.begin(response),
-    );
-    request.on('error', () => this.finish('interrupted'));
-    request.end();
+    return new Promise((resolve) => {
+      const request = httpRequest(
+        {
+          ...parseAddress(this.address),
+          agent: false,
+          path: `/shop/look/${requestId}`,
+          headers: requestHeaders(
+            SOAK_HOST,
+            requestId,
+            TIME_LIMIT_MILLISECONDS,
+          ),
+        },
+        (response) => {
+          this.begin(response);
+          resolve();
+        },
+      );
+      request.on('error', () => {
+        this.finish('interrupted');
+        resolve();
+      });
+      request.end();
+    });
   }
 
   stop(): void {
--- a/packages/tools/src/soak/soakCaller.ts
+++ b/packages/tools/src/soak/soakCaller.ts
@@ -26,14 +26,22 @@
   readonly method: string;
   readonly requestId: string;
   readonly remaining: number;
+  /** The key of a customer; none if absent. */
+  readonly key?: string | undefined;
+  /** Bytes of the answer taken per second; all at once if absent. */
+  readonly bytesPerSecond?: number | undefined;
+  /** How long the caller waits for the whole answer, in milliseconds. */
+  readonly patienceMilliseconds?: number;
 }
 
 /** Sends one request to a node; never rejects. */
 export function sendRequest(
   agent: Agent,
   address: string,
-  {path, method, requestId, remaining}: SoakRequest,
+  call: SoakRequest,
 ): Promise<CallEnd> {
+  const {path, method, requestId, remaining, key, bytesPerSecond} = call;
+  const {patienceMilliseconds = remaining + ABORT_GRACE_MILLISECONDS} = call;
   return new Promise((resolve) => {
     let hadBegun = false;
     let wasConnected = false;
@@ -47,13 +55,13 @@
         agent,
         path,
         method,
-        headers: requestHeaders(SOAK_HOST, requestId, remaining),
-        signal: AbortSignal.timeout(remaining + ABORT_GRACE_MILLISECONDS),
+        headers: requestHeaders(SOAK_HOST, requestId, remaining, key),
+        signal: AbortSignal.timeout(patienceMilliseconds),
       },
       (response) => {
         hadBegun = true;
         response.on('error', resolveBroken);
-        void readAnswer(response).then((end) =>
+        void readAnswer(response, bytesPerSecond).then((end) =>
           resolve(end ?? interruptedAnswer()),
         );
       },
@@ -72,11 +80,15 @@
 /** Reads the complete answer; undefined when the connection broke. */
 async function readAnswer(
   response: IncomingMessage,
+  bytesPerSecond = Number.POSITIVE_INFINITY,
 ): Promise<CallEnd | undefined> {
   const chunks: Buffer[] = [];
   try {
     for await (const chunk of response as AsyncIterable<Buffer>) {
       chunks.push(chunk);
+      if (Number.isFinite(bytesPerSecond)) {
+        await pause((1000 * chunk.length) / bytesPerSecond);
+      }
     }
   } catch {
     // Only the connection can fail here; the call is recorded as broken.
@@ -105,6 +117,12 @@
   readonly random: RandomSource;
   readonly nextId: () => string;
   readonly record: (call: CallRecord) => void;
+  /** Appended to the ids of requests, which ask for answers of a size. */
+  readonly idSuffix?: string;
+  readonly key?: string;
+  readonly bytesPerSecond?: number;
+  /** Waits longer than the time limit for answers, which are read slowly. */
+  readonly patienceMilliseconds?: number;
 }
 
 /** Sends calls one after another until the soak is over. */
@@ -129,24 +147,28 @@
   options: CallerOptions,
   agent: Agent,
 ): Promise<CallEnd> {
-  const {box, address, random, nextId, record} = options;
+  const {box, address, random, nextId, record, idSuffix = ''} = options;
+  const {key, bytesPerSecond, patienceMilliseconds} = options;
   const routes = soakRoutes();
   const route = routes[Math.floor(random() * routes.length)] as SoakRoute;
   const {service, isRepeatable, pathPrefix, timeoutMilliseconds} = route;
-  const requestId = nextId();
+  const requestId = `${nextId()}${idSuffix}`;
   const sentAt = Date.now();
   const end = await sendRequest(agent, address, {
     path: `${pathPrefix}${requestId}`,
     method: isRepeatable ? 'GET' : 'POST',
     requestId,
     remaining: timeoutMilliseconds,
+    key,
+    bytesPerSecond,
+    ...(patienceMilliseconds !== undefined && {patienceMilliseconds}),
   });
   record({
     requestId,
     box,
     service,
     isRepeatable,
-    timeoutMilliseconds,
+    timeoutMilliseconds: patienceMilliseconds ?? timeoutMilliseconds,
     sentAt,
     endedAt: Date.now(),
     end,
--- a/packages/tools/src/soak/soakConfiguration.ts
+++ b/packages/tools/src/soak/soakConfiguration.ts
@@ -2,11 +2,19 @@
 /** Generates the configuration versions of a soak. */
 
 import {configurationText} from '@lockpin/platform-stand-ins';
-import type {StandInRoute} from '@lockpin/platform-stand-ins';
+import type {StandInCustomer, StandInRoute} from '@lockpin/platform-stand-ins';
 
 /** The host of all routes. */
 export const SOAK_HOST = 'soak.example';
 
+/** A customer with a limit; calls without a key belong to no customer. */
+export const FLOODING_CUSTOMER: StandInCustomer = {
+  name: 'flooding',
+  keys: ['key-of-flooding'],
+  callsPerSecond: 40,
+  burst: 40,
+};
+
 /** The services, assigned to boxes round-robin. */
 export const SOAK_SERVICES = ['shop', 'desk'] as const;
 
@@ -36,21 +44,32 @@
 }
 
 /** Returns the configuration document of a version. */
-export function soakConfiguration(version: number): string {
+export function soakConfiguration(
+  version: number,
+  customers: readonly StandInCustomer[] = [],
+): string {
+  const isPublic = customers.length > 0;
   const marker: StandInRoute = {
     name: `marker-${version}`,
     host: SOAK_HOST,
     pathPrefix: markerPath(version),
     isRepeatable: true,
+    isPublic,
     timeoutMilliseconds: TIMEOUT_MILLISECONDS,
     destinations: [{service: SOAK_SERVICES[0], weight: 1}],
   };
   const routes = soakRoutes().map((item) => ({
     ...item,
     host: SOAK_HOST,
+    isPublic,
     destinations: [{service: item.service, weight: 1}],
   }));
-  return configurationText(version, SOAK_SERVICES, [...routes, marker]);
+  return configurationText(
+    version,
+    SOAK_SERVICES,
+    [...routes, marker],
+    customers,
+  );
 }
 
 function route(
--- a/packages/tools/src/soak/soakStore.ts
+++ b/packages/tools/src/soak/soakStore.ts
@@ -8,7 +8,7 @@
   CONFIGURATION_TOPIC,
   StoreStandIn,
 } from '@lockpin/platform-stand-ins';
-import type {StoreMode} from '@lockpin/platform-stand-ins';
+import type {StandInCustomer, StoreMode} from '@lockpin/platform-stand-ins';
 import {soakConfiguration} from './soakConfiguration.js';
 import type {ConfirmedVersion} from './soakHistory.js';
 
@@ -23,6 +23,7 @@
 
   constructor(
     private readonly onVersion: (version: ConfirmedVersion) => void,
+    private readonly customers: readonly StandInCustomer[] = [],
   ) {}
 
   /** The last version written. */
@@ -43,7 +44,7 @@
   /** Writes the next configuration version. */
   writeNextVersion(): void {
     this.newestVersion += 1;
-    const text = soakConfiguration(this.newestVersion);
+    const text = soakConfiguration(this.newestVersion, this.customers);
     this.standIn.put(CONFIGURATION_TOPIC, CONFIGURATION_KEY, text);
     this.onVersion({version: this.newestVersion, confirmedAt: Date.now()});
   }
@@ -65,7 +66,7 @@
     await this.applyMode('silent', unavailableMilliseconds);
     this.standIn.restore(lostMilliseconds + unavailableMilliseconds);
     await pause(REWRITE_DELAY_MILLISECONDS);
-    const text = soakConfiguration(this.newestVersion);
+    const text = soakConfiguration(this.newestVersion, this.customers);
     this.standIn.put(CONFIGURATION_TOPIC, CONFIGURATION_KEY, text);
   }
 
