--- a/packages/node/src/request/unsentAnswers.ts
+++ b/packages/node/src/request/unsentAnswers.ts
@@ -52,6 +52,7 @@
       response.off('finish', onTaken);
       response.off('close', onTaken);
       response.off('timeout', onTimeout);
+      response.setTimeout(0);
       this.answers.delete(response);
       this.memory.close(account);
     };
