--- a/packages/admission/src/index.ts
+++ b/packages/admission/src/index.ts
@@ -3,6 +3,7 @@
 export * from './admission.js';
 export * from './concurrencyLimit.js';
 export * from './admissionMessages.js';
+export * from './answerBytes.js';
 export * from './customerShares.js';
 export * from './fairQueue.js';
 export * from './rejectionLimit.js';
--- a/packages/node/src/process/mechanisms.ts
+++ b/packages/node/src/process/mechanisms.ts
@@ -43,6 +43,8 @@
   'strict-budget':
     'retries keep their budget in windows that end with a retry, not in all',
   'urgent-retries': 'the last retries go to whichever call asks first',
+  'answer-buffering':
+    'answers are read only as fast as their callers read them',
 } as const;
 
 /** A mechanism that can be switched off. */
