Do not offer a call again to an upstream that rejected it

When the terms of a call were relaxed, all upstreams could be offered it again, and the own box was preferred: two upstreams that reject everything then used up all attempts. They are left out while there are others. platformFleet 'goes elsewhere when an upstream sheds' failed on each run, and passes.

--- a/packages/brain/src/entry/callState.ts
+++ b/packages/brain/src/entry/callState.ts
@@ -13,6 +13,8 @@
   tried: Set<string>;
   /** Upstreams that may have run the call. */
   readonly ran: Set<string>;
+  /** Upstreams that rejected the call without running it. */
+  readonly rejectedBy: Set<string>;
   terms: OfferTerms;
   /** A guard refused it because no slot was expected in time. */
   isShortOfTime: boolean;
@@ -60,6 +62,7 @@
     call,
     tried: new Set(),
     ran: new Set(),
+    rejectedBy: new Set(),
     terms: initialTerms,
     isShortOfTime: false,
     isOnlyLimited: true,
@@ -103,6 +106,9 @@
   state: CallState,
   {reason, retryAfterMilliseconds}: Refusal,
 ): void {
+  if (reason === 'upstream-refused') {
+    state.rejectedBy.add(state.upstream);
+  }
   state.isShortOfTime ||=
     reason === 'deadline-too-short' ||
     (reason === 'upstream-over-limit' && state.terms !== 'immediate');
--- a/packages/brain/src/entry/upstreamChooser.ts
+++ b/packages/brain/src/entry/upstreamChooser.ts
@@ -201,12 +201,17 @@
     }
   }
 
-  /** Upstreams of the service that this entry does not avoid. */
+  /**
+   * Upstreams of the service that this entry does not avoid. Those that have
+   * rejected the call are left out as long as there are others.
+   */
   available(now: number, state: CallState): readonly RoutingCandidate[] {
     const {loads} = this.context;
-    return this.candidates(state.call, state.ran).filter(
+    const usable = this.candidates(state.call, state.ran).filter(
       ({name}) => !loads.isAvoided(name, now, mayProbe(state)),
     );
+    const others = usable.filter(({name}) => !state.rejectedBy.has(name));
+    return others.length > 0 ? others : usable;
   }
 
   /** What routing needs to know of the entry and a call. */
--- a/packages/routing/src/__tests__/fleetCapacity.test.ts
+++ b/packages/routing/src/__tests__/fleetCapacity.test.ts
@@ -81,7 +81,7 @@
 
   it('are known from other boxes, and for three seconds only', () => {
     const capacity = new FleetCapacity();
-    const rows = rejecting([0.5, 0.5, 0.5]).rowsFor('s', '', NOW, false);
+    const rows = rejecting([0.5, 0.5, 0.5]).rowsFor('s', '', NOW);
     capacity.rowsReceived('s', NOW, rows);
     expect(capacity.areRejectionsCommon('s', NOW)).toBe(true);
     expect(capacity.areRejectionsCommon('s', NOW + 3001)).toBe(false);
