Transport: three faults found on review

A message over the limit that a node writes itself broke its stream as never sent, though earlier messages may have been received: an at-most-once call with a streamed body could have run twice. A write with room took the announced drain away from an earlier one without, whose writer then waited forever. Connects to one peer that failed together each doubled the interval until the next try; they now count once.

--- a/packages/node/src/__tests__/peerConnections.test.ts
+++ b/packages/node/src/__tests__/peerConnections.test.ts
@@ -1,6 +1,7 @@
 // Copyright (c) 2026 the lockpin contributors. MIT licence, see LICENSE.
 /** Failures of the connections between nodes, on loopback. */
 
+import {EventEmitter} from 'node:events';
 import {Socket, connect, createServer} from 'node:net';
 import type {AddressInfo} from 'node:net';
 import {afterEach, beforeEach, describe, expect, it} from 'vitest';
@@ -10,6 +11,7 @@
 import type {PeerChannelsOptions} from '../connection/peerChannels.js';
 import type {StartTicks} from '../connection/peerProbes.js';
 import {PeerServer} from '../connection/peerServer.js';
+import {PeerSocket} from '../connection/peerSocket.js';
 import type {PeerStream} from '../connection/peerStream.js';
 import {ControlTraffic} from '../process/controlTraffic.js';
 
@@ -167,6 +169,30 @@
     await expect.poll(() => writer.events.length).toBe(3);
   });
 
+  // The writer of the first message would wait forever.
+  it('reports the drain though a later write has room', async () => {
+    const fake = {connecting: false, writableLength: 0, write: () => false};
+    const socket = Object.assign(new EventEmitter(), fake);
+    const ignore = (): void => undefined;
+    const events = {onPreface: ignore, onViolation: ignore, onClosed: ignore};
+    const target = socket as unknown as Socket;
+    const observed = observe(new PeerSocket(target, events, 'call'));
+    expect(observed.stream.write(Buffer.alloc(100_000))).toBe(false);
+    await new Promise((taken) => process.nextTick(taken));
+    expect(observed.stream.write(Buffer.from('small'))).toBe(true);
+    socket.emit('drain');
+    expect(observed.events).toEqual(['drain']);
+  });
+
+  // An at-most-once call that was written before would run twice.
+  it('may have been received before a message that is too long', async () => {
+    const {stream, events} = openCall();
+    stream.write(Buffer.from('one'));
+    await expect.poll(() => served[0]?.events).toEqual(['one']);
+    stream.write(Buffer.alloc(5 * 1024 * 1024));
+    expect(events).toEqual(['broken']);
+  });
+
   it('sends the writes of one turn at once, with the preface', async () => {
     const chunks: Buffer[] = [];
     const raw = await listen((socket) =>
--- a/packages/node/src/__tests__/peerProtocol.test.ts
+++ b/packages/node/src/__tests__/peerProtocol.test.ts
@@ -74,6 +74,7 @@
     const now = i * 10_000;
     failed = countFailedConnect(failed, now);
     expect(mayConnect(failed, failed.retryAt - 1)).toBe(false);
+    expect(countFailedConnect(failed, failed.retryAt - 1)).toBe(failed);
     expect(mayConnect(failed, failed.retryAt)).toBe(true);
     return failed.retryAt - now;
   });
--- a/packages/node/src/connection/peerReconnect.ts
+++ b/packages/node/src/connection/peerReconnect.ts
@@ -22,11 +22,14 @@
   return failed === undefined || now >= failed.retryAt;
 }
 
-/** Counts a connect that failed. */
+/** Counts a connect that failed; those that fail together count once. */
 export function countFailedConnect(
   failed: FailedConnects | undefined,
   now: number,
 ): FailedConnects {
+  if (failed !== undefined && now < failed.retryAt) {
+    return failed;
+  }
   const count = (failed?.count ?? 0) + 1;
   const interval = Math.min(
     LONGEST_INTERVAL_MILLISECONDS,
--- a/packages/node/src/connection/peerSocket.ts
+++ b/packages/node/src/connection/peerSocket.ts
@@ -72,16 +72,20 @@
   }
 
   write(message: Buffer): boolean {
-    if (message.length > MAXIMUM_MESSAGE_BYTES) {
-      this.fail('message-too-long');
-    }
     if (this.isClosed || this.hasEnded) {
       return true;
     }
+    if (message.length > MAXIMUM_MESSAGE_BYTES) {
+      // Earlier messages may have been received.
+      this.fail('message-too-long', this.isEstablished);
+      return true;
+    }
     this.send(message);
     const unsent = this.outgoing.bytes + this.socket.writableLength;
-    this.isDrainAwaited = unsent >= HIGH_WATER_BYTES;
-    return !this.isDrainAwaited;
+    const hasRoom = unsent < HIGH_WATER_BYTES;
+    // A later write that has room must not take the drain from an earlier one.
+    this.isDrainAwaited ||= !hasRoom;
+    return hasRoom;
   }
 
   pause(): void {
@@ -230,7 +234,11 @@
         this.events.onPreface(this.reader.method as PeerMethod);
         break;
       case 'violation':
-        this.fail(this.reader.violation as PeerViolation);
+        // A server of another protocol has handled no message.
+        this.fail(
+          this.reader.violation as PeerViolation,
+          this.reader.method !== undefined,
+        );
         break;
     }
   }
@@ -254,12 +262,9 @@
     }
   }
 
-  private fail(violation: PeerViolation): void {
-    if (!this.isClosed) {
-      this.events.onViolation(violation);
-      // A server of another protocol has handled no message.
-      this.close(this.reader.method !== undefined);
-    }
+  private fail(violation: PeerViolation, mayBeReceived: boolean): void {
+    this.events.onViolation(violation);
+    this.close(mayBeReceived);
   }
 
   private close(mayBeReceived = this.isEstablished): void {
