Keep slots for urgent calls that find none

Calls now leave as many slots as more urgent ones need, by the load offered in the last second, for 2 s after one of these found no slot; one slot always remains ('urgent-slots').

--- a/packages/admission/src/admission.ts
+++ b/packages/admission/src/admission.ts
@@ -19,6 +19,7 @@
 import {isTooLateFor} from './waitingCall.js';
 import type {WaitingCall} from './waitingCall.js';
 import {RequestRate} from './requestRate.js';
+import {UrgentReserve} from './urgentReserve.js';
 
 /** Weight of the latest call in the moving average of durations. */
 const DURATION_WEIGHT = 0.1;
@@ -57,6 +58,7 @@
   readonly limit: ConcurrencyLimit;
   private readonly queue: BoundedQueue;
   private readonly running = new Map<string, RunningEntry>();
+  private readonly urgentReserve = new UrgentReserve();
   private duration = FIRST_DURATION_MILLISECONDS;
 
   constructor(
@@ -103,10 +105,12 @@
 
   /** Decides on a new call. */
   offer(now: number, call: WaitingCall): AdmissionDecision {
-    if (this.mayStart(now) && this.queue.size === 0) {
+    const turn = this.queue.aheadOf(call) + 1;
+    const isNext = turn === 1 && this.mayStart(now, call.priority);
+    this.countOffered(now, call, isNext);
+    if (isNext) {
       return this.startOrRefuse(now, call);
     }
-    const turn = this.queue.aheadOf(call) + 1;
     const wait = this.waitOf(now, turn, call.priority);
     if (call.mayWait === false) {
       return this.refuse(now, 'upstream-busy', wait);
@@ -201,9 +205,36 @@
     return {kind: 'start'};
   }
 
-  private mayStart(now: number): boolean {
+  private mayStart(now: number, priority: number): boolean {
     this.limit.advance(now);
-    return this.running.size < this.limit.current && this.rate.hasToken(now);
+    const {current} = this.limit;
+    return (
+      this.running.size < current &&
+      this.rate.hasToken(now) &&
+      this.runningFrom(priority) < current - this.reservedFrom(now, priority)
+    );
+  }
+
+  private countOffered(now: number, call: WaitingCall, hasSlot: boolean): void {
+    if (this.options.keepsUrgentSlots === true) {
+      const duration = this.expectedOf(call);
+      this.urgentReserve.offered(now, call.priority, duration, hasSlot);
+    }
+  }
+
+  /** Slots that calls of a priority leave to more urgent ones. */
+  private reservedFrom(now: number, priority: number): number {
+    const {current} = this.limit;
+    return this.urgentReserve.reservedFrom(now, priority, current);
+  }
+
+  /** Running calls that are at most as urgent as a priority. */
+  private runningFrom(priority: number): number {
+    let count = 0;
+    this.running.forEach(({call}) => {
+      count += call.priority >= priority ? 1 : 0;
+    });
+    return count;
   }
 
   private start(now: number, call: WaitingCall): void {
@@ -236,11 +267,12 @@
   private fill(now: number): DispatchResult {
     const started: WaitingCall[] = [];
     const expired: WaitingCall[] = [];
-    while (this.mayStart(now)) {
-      const call = this.queue.take();
-      if (call === undefined) {
+    for (;;) {
+      const priority = this.queue.nextPriority;
+      if (priority === undefined || !this.mayStart(now, priority)) {
         break;
       }
+      const call = this.queue.take() as WaitingCall;
       if (isTooLateFor(call, now, this.expectedOf(call))) {
         expired.push(call);
         continue;
@@ -268,17 +300,20 @@
   /** Infinite when all slots are held by calls that may never end. */
   private waitOf(now: number, turn: number, priority: number): ExpectedWait {
     const forLimit = this.rate.waitForTurn(now, turn, priority);
-    const forSlot = this.waitForTurn(now, turn);
+    const reserved = this.reservedFrom(now, priority);
+    const forSlot = this.waitForTurn(now, turn, reserved);
     return {
       milliseconds: Math.max(forLimit, forSlot),
       isForLimit: forLimit > forSlot,
     };
   }
 
-  private waitForTurn(now: number, turn: number): number {
-    return this.running.size + turn <= this.limit.current
+  private waitForTurn(now: number, turn: number, reserved = 0): number {
+    const usable = this.limit.current - reserved;
+    return this.running.size + turn <= usable
       ? 0
-      : (turn / this.availableSlots(now)) * this.duration;
+      : (turn / Math.max(0, this.availableSlots(now) - reserved)) *
+          this.duration;
   }
 
   /**
--- a/packages/node/src/process/fleetGuardSettings.ts
+++ b/packages/node/src/process/fleetGuardSettings.ts
@@ -48,6 +48,7 @@
     admission: {
       ...(isOn('burst-credit') && {burstCallsFor: burstCalls}),
       removesHopeless: isOn('queue-review'),
+      keepsUrgentSlots: isOn('urgent-slots'),
     },
     announcesCapacity: isOn('shared-capacity'),
     createRetryBudget: isOn('paid-retries')
