Balance calls between own and other boxes; ask for shorter queues after a refusal

Cause: the own box got 0.45 to 0.52 of the calls at low load, and upstreams of boxes without callers half of their part. A retry could go again to the upstream that had rejected the call, which is the only one known to have retries left (platformFleet: goes elsewhere when an upstream sheds). Calls that just fitted filled the queues and were refused after they had waited: 0.27 to 0.31 of the refused calls at a load of 1.3. The choice among 24 upstreams took 140 us in cold code.

Change: the own box is preferred up to 0.9 of the mean occupation. A call does not return to an upstream that rejected it. Where a guard has refused a call like it within the last second, only queues with two thirds of the wait that is in time count. The assessment of upstreams uses plain loops.

--- a/packages/brain/src/entry/callOffers.ts
+++ b/packages/brain/src/entry/callOffers.ts
@@ -74,7 +74,7 @@
           planned.wait,
         );
       case 'exhausted':
-        return this.refuse(now, random, state, 'retries-exhausted', retryAfter);
+        return this.refuse(now, random, state, planned.reason, retryAfter);
       case 'none':
         return this.pauseOrRefuse(now, random, state, reasonIfNone, retryAfter);
     }
--- a/packages/brain/src/entry/callState.ts
+++ b/packages/brain/src/entry/callState.ts
@@ -13,6 +13,8 @@
   tried: Set<string>;
   /** Upstreams that may have run the call. */
   readonly ran: Set<string>;
+  /** Upstreams that rejected the call themselves; it has not run there. */
+  readonly rejectedBy: Set<string>;
   terms: OfferTerms;
   /** A guard refused it because no slot was expected in time. */
   isShortOfTime: boolean;
@@ -58,6 +60,7 @@
     call,
     tried: new Set(),
     ran: new Set(),
+    rejectedBy: new Set(),
     terms: initialTerms,
     isShortOfTime: false,
     isOnlyLimited: true,
@@ -104,6 +107,9 @@
     reason === 'deadline-too-short' ||
     (reason === 'upstream-over-limit' && state.terms !== 'immediate');
   state.isOnlyLimited &&= reason === 'upstream-over-limit';
+  if (reason === 'upstream-refused') {
+    state.rejectedBy.add(state.upstream);
+  }
   state.exhaustedRefusals += reason === 'retries-exhausted' ? 1 : 0;
   if (NO_SLOT_REFUSALS.has(reason)) {
     state.slotRefusals += 1;
--- a/packages/brain/src/entry/offerPlanner.ts
+++ b/packages/brain/src/entry/offerPlanner.ts
@@ -24,13 +24,24 @@
 /** Refusals for want of a slot after which a call is refused. */
 const SLOT_OFFERS = 3;
 
+/**
+ * Where a guard has just refused a call like it, a call asks only for queues that
+ * start it in time even if they take this multiple of the wait. More urgent calls
+ * that arrive later go first, so that calls that just fit are often refused after
+ * they have waited.
+ */
+const WAIT_MARGIN = 1.5;
+
 /** What to do next with a call that is to be offered. */
 export type PlannedOffer =
   | {readonly kind: 'offer'; readonly candidate: RoutingCandidate}
   /** No slot is expected in time anywhere. */
   | {readonly kind: 'hopeless'; readonly wait: number}
-  /** No guard that is known has a retry left for it. */
-  | {readonly kind: 'exhausted'}
+  /** All have rejected it, or no guard that is known has a retry left. */
+  | {
+      readonly kind: 'exhausted';
+      readonly reason: 'upstream-refused' | 'retries-exhausted';
+    }
   /** No upstream is left. */
   | {readonly kind: 'none'};
 
@@ -73,11 +84,12 @@
     if (accepting.length === 0 || state.terms === 'last-resort') {
       return offerOrNone(chooser.next(now, random, state));
     }
-    const available = isRetry(state)
-      ? this.funded(now, state, accepting)
-      : accepting;
+    const others = accepting.filter(({name}) => !state.rejectedBy.has(name));
+    const available = isRetry(state) ? this.funded(now, state, others) : others;
     if (available.length === 0) {
-      return {kind: 'exhausted'};
+      const reason =
+        others.length === 0 ? 'upstream-refused' : 'retries-exhausted';
+      return {kind: 'exhausted', reason};
     }
     if (state.slotRefusals >= SLOT_OFFERS) {
       return {kind: 'none'};
@@ -182,12 +194,16 @@
     }
     return this.isHopeless(now, state, prospects, longest)
       ? {kind: 'hopeless', wait: shortestWait(prospects)}
-      : offerOrNone(chooseLeastOccupied(routing, prospects));
+      : offerOrNone(chooseLeastOccupied(routing, prospects, settings.isNear));
   }
 
   /** How long a call may wait and still be answered in time. */
   private longestWait(now: number, state: CallState): number {
-    return this.context.timing.latestStart(state) - now;
+    const {timing, hopeless} = this.context;
+    const longest = timing.latestStart(state) - now;
+    return hopeless.isHopeless(now, state.call)
+      ? longest / WAIT_MARGIN
+      : longest;
   }
 
   /** How long a call that misses its goal may wait for a slot. */
--- a/packages/brain/src/entry/upstreamChooser.ts
+++ b/packages/brain/src/entry/upstreamChooser.ts
@@ -183,7 +183,9 @@
     const doubted = all.filter(
       ({name}) => loads.unusedReason(name, now) === 'doubted',
     );
-    const untried = doubted.filter(({name}) => !state.tried.has(name));
+    const untried = doubted.filter(
+      ({name}) => !state.tried.has(name) && !state.rejectedBy.has(name),
+    );
     return doubted.length >= all.length * MOSTLY_DOUBTED &&
       state.tried.size < LAST_RESORT_OFFERS
       ? this.pick(now, random, false, untried)
--- a/packages/routing/src/capacityProspects.ts
+++ b/packages/routing/src/capacityProspects.ts
@@ -2,7 +2,7 @@
 /** What an entry expects to find at each upstream of a service. */
 
 import type {RoutingCandidate, RoutingContext} from './chooseUpstream.js';
-import {FRESH_MILLISECONDS} from './fleetCapacity.js';
+import {FRESH_MILLISECONDS, serviceOf} from './fleetCapacity.js';
 import type {CapacityReport} from './fleetCapacity.js';
 
 /** Time constant of the exponential decay of the weight of a report. */
@@ -39,40 +39,33 @@
   readonly wait: number | undefined;
   /** The same as expected from the free slots, however old the knowledge. */
   readonly expectedWait: number;
-  /** Retries that its guard pays for; undefined when not known. */
-  readonly retriesLeft: number | undefined;
 }
 
-/** Assesses the upstreams of a service; those known to refuse are left out. */
+/**
+ * Assesses upstreams of one service; those known to refuse are left out. Uses
+ * plain loops, since it runs for every offer and, on a box that has just
+ * started, in code that is not compiled yet.
+ */
 export function prospectsOf<T extends RoutingCandidate>(
-  {now, loads}: RoutingContext,
+  context: RoutingContext,
   candidates: readonly T[],
   usualMilliseconds: number,
 ): readonly Prospect<T>[] {
-  const reports = candidates.map(({name}) => loads.capacity.latest(name));
+  const {now, loads} = context;
+  const service = serviceOf(candidates[0]?.name ?? '');
+  const reports = loads.capacity.ofService(service);
   const means = meanOccupations(now, candidates, reports);
-  return candidates.flatMap((candidate, i) => {
-    const report = reports[i];
-    const fresh = isFresh(report, now) ? report : undefined;
-    if (fresh?.isAccepting === false) {
-      return [];
+  const prospects: Prospect<T>[] = [];
+  for (const candidate of candidates) {
+    const report = reports.get(candidate.name);
+    if (!isFresh(report, now) || report.isAccepting) {
+      const mean = means.get(candidate.dataCentre) ?? 0;
+      prospects.push(
+        prospectOf(context, candidate, report, mean, usualMilliseconds),
+      );
     }
-    const {name, dataCentre, slots} = candidate;
-    const mean = means.get(dataCentre) ?? 0;
-    const outstanding = loads.outstanding(name);
-    const limitedFor = loads.limitedFor(name, now);
-    const load = expectedLoad(now, candidate, report, mean, outstanding);
-    const {free} = load;
-    const turn = usualMilliseconds / Math.max(1, slots);
-    return {
-      candidate,
-      ...load,
-      free: limitedFor > 0 ? Math.min(0, free) : free,
-      wait: fresh && Math.max(knownWait(fresh, turn), limitedFor),
-      expectedWait: Math.max((1 - free) * turn, limitedFor, 0),
-      retriesLeft: fresh?.retriesLeft,
-    };
-  });
+  }
+  return prospects;
 }
 
 /** Whether an upstream is believed to have a free slot. */
@@ -95,24 +88,35 @@
  * As a report ages, the expectation moves to the mean of the data centre: an
  * upstream without recent reports is assumed to be neither idle nor full.
  */
-function expectedLoad(
-  now: number,
-  {slots, coldUntil}: RoutingCandidate,
+function prospectOf<T extends RoutingCandidate>(
+  {now, loads}: RoutingContext,
+  candidate: T,
   report: CapacityReport | undefined,
   mean: number,
-  outstanding: number,
-): Pick<Prospect, 'free' | 'uncertainty' | 'occupation'> {
+  usualMilliseconds: number,
+): Prospect<T> {
+  const {name, slots, coldUntil} = candidate;
   const weight = report === undefined ? 0 : weightOf(report, now);
-  const {occupied = 0, limit: reported = slots} = report ?? {};
+  const reported = report === undefined ? slots : report.limit;
   const limit = Math.max(1, reported * weight + slots * (1 - weight));
-  const cold = now < coldUntil ? COLD_OCCUPATION : 0;
   const meanTaken = mean * limit;
-  const expected = occupied * weight + meanTaken * (1 - weight);
-  const taken = Math.max(outstanding, expected);
+  const expected =
+    (report === undefined ? 0 : report.occupied) * weight +
+    meanTaken * (1 - weight);
+  const taken = Math.max(loads.outstanding(name), expected);
+  const cold = now < coldUntil ? COLD_OCCUPATION : 0;
+  const free = limit * (1 - cold) - taken;
+  const limitedFor = loads.limitedFor(name, now);
+  const turn = usualMilliseconds / Math.max(1, slots);
   return {
-    free: limit * (1 - cold) - taken,
+    candidate,
+    free: limitedFor > 0 ? Math.min(0, free) : free,
     uncertainty: Math.sqrt(meanTaken) * (1 - weight),
     occupation: taken / limit,
+    wait: isFresh(report, now)
+      ? Math.max(knownWait(report, turn), limitedFor)
+      : undefined,
+    expectedWait: Math.max((1 - free) * turn, limitedFor, 0),
   };
 }
 
@@ -128,23 +132,23 @@
 function meanOccupations(
   now: number,
   candidates: readonly RoutingCandidate[],
-  reports: readonly (CapacityReport | undefined)[],
+  reports: ReadonlyMap<string, CapacityReport>,
 ): ReadonlyMap<string, number> {
-  const sums = new Map<string, {sum: number; weights: number}>();
-  candidates.forEach(({dataCentre}, i) => {
-    const report = reports[i];
-    if (report?.isAccepting === true) {
+  const weights = new Map<string, number>();
+  const means = new Map<string, number>();
+  for (const {name, dataCentre} of candidates) {
+    const report = reports.get(name);
+    if (report !== undefined && report.isAccepting) {
       const weight = weightOf(report, now);
-      const known = sums.get(dataCentre) ?? {sum: 0, weights: 0};
-      known.sum += (report.occupied / Math.max(1, report.limit)) * weight;
-      known.weights += weight;
-      sums.set(dataCentre, known);
+      const occupation = report.occupied / Math.max(1, report.limit);
+      const sum = (means.get(dataCentre) ?? 0) + occupation * weight;
+      means.set(dataCentre, sum);
+      weights.set(dataCentre, (weights.get(dataCentre) ?? 0) + weight);
     }
-  });
-  return new Map(
-    [...sums].map(([name, {sum, weights}]) => [
-      name,
-      sum / Math.max(MINIMUM_TOTAL_WEIGHT, weights),
-    ]),
-  );
+  }
+  for (const [name, weight] of weights) {
+    const total = Math.max(MINIMUM_TOTAL_WEIGHT, weight);
+    means.set(name, (means.get(name) ?? 0) / total);
+  }
+  return means;
 }
--- a/packages/routing/src/fleetCapacity.ts
+++ b/packages/routing/src/fleetCapacity.ts
@@ -31,6 +31,17 @@
   readonly age: number;
 }
 
+/** What an entry knows of the capacity of a service. */
+export interface CapacitySummary {
+  readonly service: string;
+  /** Upstreams with a fresh report of a guard that accepts calls. */
+  readonly upstreams: number;
+  /** Slots that are free on them. */
+  readonly freeSlots: number;
+  /** Retries that their guards still pay for; 0 if they are not limited. */
+  readonly retriesLeft: number;
+}
+
 /** Knowledge that is older decides nothing and is not passed on. */
 export const FRESH_MILLISECONDS = 1000;
 
@@ -43,6 +54,8 @@
 /** Time constant of the average occupation of the upstream of the own box. */
 const AVERAGE_MILLISECONDS = 3000;
 
+const NO_REPORTS: ReadonlyMap<string, CapacityReport> = new Map();
+
 /** Keeps one report for each upstream, whoever passed it on. */
 export class FleetCapacity {
   private readonly averages = new Map<
@@ -122,11 +135,37 @@
     }
   }
 
+  /** The newest reports on the upstreams of a service, by their names. */
+  ofService(service: string): ReadonlyMap<string, CapacityReport> {
+    return this.services.get(service) ?? NO_REPORTS;
+  }
+
   /** The newest report on an upstream, of whatever age. */
   latest(upstream: string): CapacityReport | undefined {
     return this.services.get(serviceOf(upstream))?.get(upstream);
   }
 
+  /** What is known of each service from fresh reports, for metrics. */
+  summaries(now: number): readonly CapacitySummary[] {
+    return [...this.services].map(([service, reports]) => {
+      const fresh = [...reports.values()].filter(
+        ({at, isAccepting}) => isAccepting && now - at <= FRESH_MILLISECONDS,
+      );
+      return {
+        service,
+        upstreams: fresh.length,
+        freeSlots: fresh.reduce(
+          (sum, {limit, occupied}) => sum + Math.max(0, limit - occupied),
+          0,
+        ),
+        retriesLeft: fresh.reduce(
+          (sum, {retriesLeft = 0}) => sum + retriesLeft,
+          0,
+        ),
+      };
+    });
+  }
+
   /**
    * The shortest wait for a slot of a service in milliseconds, as fresh reports
    * tell; undefined without any.
@@ -208,6 +247,7 @@
   };
 }
 
-function serviceOf(upstream: string): string {
+/** The service that an upstream belongs to: its name without the last part. */
+export function serviceOf(upstream: string): string {
   return upstream.slice(0, upstream.lastIndexOf('/'));
 }
--- a/packages/routing/src/planOffer.ts
+++ b/packages/routing/src/planOffer.ts
@@ -24,8 +24,11 @@
  */
 const ENOUGH_FREE_SHARE = 0.7;
 
-/** Up to this multiple of the mean an upstream counts as no busier. */
-const OWN_BOX_BUSIER = 1.1;
+/**
+ * Share of the mean up to which the own box is preferred. At the mean itself,
+ * upstreams on boxes without callers got half of their part of the calls.
+ */
+const OWN_BOX_BUSIER = 0.9;
 
 /** Upstreams that are near: the entry's own data centre, or any. */
 export type IsNear = (
@@ -65,12 +68,13 @@
   );
 }
 
-/** The upstream with most free slots expected, known or not. */
+/** An upstream with many free slots or few waiting calls, known or not. */
 export function chooseLeastOccupied<T extends RoutingCandidate>(
   context: RoutingContext,
   prospects: readonly Prospect<T>[],
+  isNear: IsNear,
 ): T | undefined {
-  return freestOfSample(context, prospects);
+  return nearFirst(context, prospects, isNear);
 }
 
 function nearFirst<T extends RoutingCandidate>(
@@ -107,11 +111,15 @@
       mostFree = value;
     }
   };
-  const rest = [...prospects];
-  for (let i = 0; i < SAMPLED && rest.length > 0; i += 1) {
-    rest.splice(Math.floor(random() * rest.length), 1).forEach(consider);
+  const start = Math.floor(random() * prospects.length);
+  const step = 1 + Math.floor(random() * (prospects.length - 1));
+  for (let i = 0; i < Math.min(SAMPLED, prospects.length); i += 1) {
+    consider(prospects[(start + i * step) % prospects.length] as Prospect<T>);
+  }
+  const own = prospects.find(({candidate}) => candidate.box === box);
+  if (own !== undefined) {
+    consider(own);
   }
-  rest.filter(({candidate}) => candidate.box === box).forEach(consider);
   return best;
 }
 
