Log and measure what offers are planned by

Cause: no line shows by which knowledge an upstream was chosen, and no metric the spare capacity of a service or the offers per call.

Change: each attempt of a call line gets knownCapacity, the report that the offer was planned by with its age. Metrics: calls.offers, capacity.freeSlots, capacity.retriesLeft, capacity.upstreams.

--- a/packages/brain/src/entry/entryStateMachine.ts
+++ b/packages/brain/src/entry/entryStateMachine.ts
@@ -1,7 +1,11 @@
 // Copyright (c) 2026 the lockpin contributors. MIT licence, see LICENSE.
 /** Routes and retries the calls of a node, or refuses them. */
 
-import type {RoutingCandidate, UpstreamLoads} from '@lockpin/routing';
+import type {
+  CapacityReport,
+  RoutingCandidate,
+  UpstreamLoads,
+} from '@lockpin/routing';
 import type {RandomSource, Refusal} from '@lockpin/types';
 import type {AnswerHandler} from './answerHandler.js';
 import type {AttemptFeedback} from './attemptFeedback.js';
@@ -95,6 +99,16 @@
     return this.chooser.choose(now, random, call, tried);
   }
 
+  /**
+   * What is known of the capacity of an upstream, with the offers sent since;
+   * undefined unless offers are planned by it.
+   */
+  knownCapacity(upstream: string): CapacityReport | undefined {
+    return this.settings.plansOffers
+      ? this.loads.capacity.latest(upstream)
+      : undefined;
+  }
+
   /** Counts the upstreams of a service that this entry does not use, for logs. */
   unusedUpstreams(now: number, view: EntryCall['view']): UnusedUpstreams {
     return this.chooser.unused(now, view);
--- a/packages/node/src/process/fleetComposition.ts
+++ b/packages/node/src/process/fleetComposition.ts
@@ -249,13 +249,14 @@
   const guard = dependencies.resolve(FLEET_TOKENS.guardService);
   const remote = dependencies.resolve(FLEET_TOKENS.remote);
   const log = dependencies.resolve(FLEET_TOKENS.log);
+  const metrics = dependencies.resolve(FLEET_TOKENS.metrics);
   const {callerProtocol, settings} = dependencies.resolve(FLEET_TOKENS.ports);
   return new EntryService({
     clock: steadyClock,
     random: Math.random,
     stateMachine: host.entry,
     logger: createDecisionLogger(log),
-    metrics: dependencies.resolve(FLEET_TOKENS.metrics),
+    metrics,
     largestBodyBytes: () =>
       host.routing?.configuration.limits.bodyBytes ?? INITIAL_BODY_LIMIT_BYTES,
     protocol: callerProtocol({
@@ -276,6 +277,7 @@
     onSilence: (box) => remote.countUnansweredOffer(host.peerAddress(box)),
     onEnded: (record) => {
       log.call(record);
+      metrics.count('calls.offers', record.attempts.length);
       if (hasFailed(record)) {
         guard.handle({kind: 'own-call-failed'});
       }
--- a/packages/node/src/process/fleetOperators.ts
+++ b/packages/node/src/process/fleetOperators.ts
@@ -73,6 +73,12 @@
       'readers.heard',
       readerRole.readers.hasActiveReader(now) ? 1 : 0,
     );
+    for (const known of host.entry.loads.capacity.summaries(now)) {
+      const {service, upstreams, freeSlots, retriesLeft} = known;
+      metrics.gauge('capacity.upstreams', upstreams, {service});
+      metrics.gauge('capacity.freeSlots', freeSlots, {service});
+      metrics.gauge('capacity.retriesLeft', retriesLeft, {service});
+    }
     metrics.gauge('log.dropped', writer.counts.dropped);
     for (const {upstream, ...standing} of host.guard.standings(now)) {
       const {requestsPerSecond = NO_LIMIT, isLeaving} = standing;
--- a/packages/node/src/process/metrics.ts
+++ b/packages/node/src/process/metrics.ts
@@ -8,7 +8,11 @@
 export const METRIC_NAMES = [
   'calls.answered',
   'calls.refused',
+  'calls.offers',
   'calls.milliseconds',
+  'capacity.freeSlots',
+  'capacity.retriesLeft',
+  'capacity.upstreams',
   'guard.calls',
   'guard.doubted',
   'guard.milliseconds',
--- a/packages/node/src/request/attemptHistory.ts
+++ b/packages/node/src/request/attemptHistory.ts
@@ -4,6 +4,18 @@
 import type {Attempt, OfferTerms, UnusedUpstreams} from '@lockpin/brain';
 import type {AnnouncedState} from '@lockpin/routing';
 
+/** Knowledge that an offer was planned by, from whichever box it came. */
+export interface KnownCapacity {
+  /** Calls running and queued, with this offer. */
+  readonly occupied: number;
+  readonly limit: number;
+  /** Expected wait for a slot in milliseconds. */
+  readonly slotIn: number;
+  readonly retriesLeft: number | undefined;
+  /** Its age in milliseconds. */
+  readonly age: number;
+}
+
 /** One offer of a call to a guard. */
 export interface AttemptRecord {
   readonly box: string;
@@ -14,6 +26,8 @@
   readonly knownState: AnnouncedState | 'unknown';
   /** Age of that state in milliseconds. */
   readonly knownAge: number;
+  /** What was known of its capacity; absent unless offers are planned by it. */
+  readonly knownCapacity?: KnownCapacity | undefined;
   /** The result: an HTTP status, or the reason of a refusal. */
   readonly end: string;
   /** Since the call arrived, in milliseconds. */
@@ -57,6 +71,7 @@
     now: number,
     attempt: Attempt,
     known: {readonly state: AnnouncedState; readonly age: number} | undefined,
+    knownCapacity: KnownCapacity | undefined,
   ): void {
     this.current = {
       box: attempt.box,
@@ -64,6 +79,7 @@
       offeredAt: Math.round(now),
       knownState: known?.state ?? 'unknown',
       knownAge: Math.round(known?.age ?? 0),
+      knownCapacity,
     };
   }
 
--- a/packages/node/src/request/attemptRunner.ts
+++ b/packages/node/src/request/attemptRunner.ts
@@ -8,6 +8,7 @@
 import type {CallerExchange} from './callerExchange.js';
 import type {EntryServiceDependencies} from './entryServiceDependencies.js';
 import type {ExchangeHandlers} from './exchange.js';
+import {knownCapacity} from './knownCapacity.js';
 import type {AnswerHead, RefusalFrame} from './frames.js';
 
 /** What the attempt runner needs from the entry service. */
@@ -56,6 +57,7 @@
       exchange.age(clock()),
       attempt,
       known && {state: known.hint.state, age: known.age},
+      knownCapacity(now, stateMachine.knownCapacity(attempt.upstream ?? '')),
     );
     exchange.isGoSent = !needsGo;
     exchange.hasReservedSlot = false;
