--- a/packages/brain/src/entry/callState.ts
+++ b/packages/brain/src/entry/callState.ts
@@ -13,7 +13,7 @@
   tried: Set<string>;
   /** Upstreams that may have run the call. */
   readonly ran: Set<string>;
-  /** Upstreams that rejected the call without running it. */
+  /** Upstreams that rejected the call themselves; it has not run there. */
   readonly rejectedBy: Set<string>;
   terms: OfferTerms;
   /** A guard refused it because no slot was expected in time. */
@@ -106,13 +106,13 @@
   state: CallState,
   {reason, retryAfterMilliseconds}: Refusal,
 ): void {
-  if (reason === 'upstream-refused') {
-    state.rejectedBy.add(state.upstream);
-  }
   state.isShortOfTime ||=
     reason === 'deadline-too-short' ||
     (reason === 'upstream-over-limit' && state.terms !== 'immediate');
   state.isOnlyLimited &&= reason === 'upstream-over-limit';
+  if (reason === 'upstream-refused') {
+    state.rejectedBy.add(state.upstream);
+  }
   state.exhaustedRefusals += reason === 'retries-exhausted' ? 1 : 0;
   if (NO_SLOT_REFUSALS.has(reason)) {
     state.slotRefusals += 1;
--- a/packages/brain/src/entry/upstreamChooser.ts
+++ b/packages/brain/src/entry/upstreamChooser.ts
@@ -183,7 +183,9 @@
     const doubted = all.filter(
       ({name}) => loads.unusedReason(name, now) === 'doubted',
     );
-    const untried = doubted.filter(({name}) => !state.tried.has(name));
+    const untried = doubted.filter(
+      ({name}) => !state.tried.has(name) && !state.rejectedBy.has(name),
+    );
     return doubted.length >= all.length * MOSTLY_DOUBTED &&
       state.tried.size < LAST_RESORT_OFFERS
       ? this.pick(now, random, false, untried)
@@ -201,17 +203,12 @@
     }
   }
 
-  /**
-   * Upstreams of the service that this entry does not avoid. Those that have
-   * rejected the call are left out as long as there are others.
-   */
+  /** Upstreams of the service that this entry does not avoid. */
   available(now: number, state: CallState): readonly RoutingCandidate[] {
     const {loads} = this.context;
-    const usable = this.candidates(state.call, state.ran).filter(
+    return this.candidates(state.call, state.ran).filter(
       ({name}) => !loads.isAvoided(name, now, mayProbe(state)),
     );
-    const others = usable.filter(({name}) => !state.rejectedBy.has(name));
-    return others.length > 0 ? others : usable;
   }
 
   /** What routing needs to know of the entry and a call. */
--- a/packages/node/src/process/fleetComposition.ts
+++ b/packages/node/src/process/fleetComposition.ts
@@ -351,6 +351,7 @@
         metrics.increment('calls.nested', {end: nestedEnd.end});
         guard.handle(nestedEnd);
       }
+      metrics.count('calls.offers', record.attempts.length);
       if (hasFailed(record)) {
         guard.handle({kind: 'own-call-failed'});
       }
