Check a nested service when its refused calls may come back

Guards refused calls as nested-busy for 1 s after two refused nested calls, and for 2 s after a check that was refused. The first check is now made when the refused nested call may come back, 100 ms to 1 s later, and the interval still doubles up to 2 s.

--- a/packages/brain/src/__tests__/callTree.test.ts
+++ b/packages/brain/src/__tests__/callTree.test.ts
@@ -54,10 +54,11 @@
   parent: string,
   end: NestedCallEnd,
   at = harness,
+  retryAfterMilliseconds?: number,
 ): readonly GuardAction[] {
   at.handle({kind: 'nested-call-began', parentRequestId: parent, service});
   const result = {parentRequestId: parent, service, priority: 1, end};
-  at.handle({kind: 'nested-call-ended', ...result});
+  at.handle({kind: 'nested-call-ended', ...result, retryAfterMilliseconds});
   return end === 'served' ? [] : answer(parent, 500, at);
 }
 
@@ -190,6 +191,31 @@
     expect(offered()).toEqual([]);
   });
 
+  // Guards against calls that are refused for longer than a service is full.
+  it.each([
+    {told: 250, first: 250, second: 500},
+    {told: 10, first: 100, second: 200},
+    {told: 5000, first: 1000, second: 2000},
+  ])(
+    'starts when its nested call may come back, after $told ms',
+    ({told, first, second}) => {
+      harness = createHarness(4);
+      run(3, 'served');
+      const calls = [begin(), begin()];
+      calls.forEach(({id}) => nestedEnded(id, 'no-capacity', harness, told));
+      harness.now += first - 1;
+      expect(offered()).toEqual(BUSY);
+      harness.now += 1;
+      const check = begin();
+      expect(check.refusals).toEqual([]);
+      nestedEnded(check.id, 'no-capacity', harness, told);
+      harness.now += second - 1;
+      expect(offered()).toEqual(BUSY);
+      harness.now += 1;
+      expect(offered()).toEqual([]);
+    },
+  );
+
   it('starts as the next check if the last one called nothing', () => {
     harness.now += 1000;
     answer(begin().id);
--- a/packages/brain/src/guard/callTree.ts
+++ b/packages/brain/src/guard/callTree.ts
@@ -25,6 +25,8 @@
   /** Inherited from the root, without lateness. */
   readonly priority: number;
   readonly end: NestedCallEnd;
+  /** When a refused call may come back, if known. */
+  readonly retryAfterMilliseconds?: number | undefined;
 }
 
 /** The parts of the call tree that are in use. */
@@ -84,10 +86,17 @@
   /** Records the end of a nested call. */
   nestedEnded(now: number, result: NestedCallResult): void {
     const {parentRequestId, service, priority, end} = result;
+    const {retryAfterMilliseconds} = result;
     if (end === 'served') {
       this.capacity.served(service, priority);
     } else if (end === 'no-capacity') {
-      this.capacity.refused(now, service, priority, parentRequestId);
+      this.capacity.refused(
+        now,
+        service,
+        priority,
+        parentRequestId,
+        retryAfterMilliseconds,
+      );
     }
     if (end === 'no-capacity' || end === 'failed') {
       this.running
--- a/packages/brain/src/guard/nestedCapacity.ts
+++ b/packages/brain/src/guard/nestedCapacity.ts
@@ -8,9 +8,15 @@
  */
 const REFUSALS_IN_A_ROW = 2;
 
-/** A refusal counts as the present state of a service for this long. */
+/**
+ * A refusal counts as the present state of a service until a call may come back,
+ * and for this long if it does not tell.
+ */
 const FIRST_INTERVAL_MILLISECONDS = 1000;
 
+/** Nested calls take about this long: an earlier check tells nothing new. */
+const SHORTEST_INTERVAL_MILLISECONDS = 100;
+
 /**
  * Longest interval between checks of a service that goes on refusing. The calls
  * of a box are to be served again within 3 s of the end of an overload.
@@ -59,16 +65,18 @@
   /**
    * Records that a nested call was refused because no slot was free in time.
    * @param parent Identifies the call that made it.
+   * @param retryAfter When the call may come back, in milliseconds.
    */
   refused(
     now: number,
     service: string,
     priority: number,
     parent: string,
+    retryAfter = FIRST_INTERVAL_MILLISECONDS,
   ): void {
     const known = this.shortages.get(service);
     const isFailedCheck = known?.checkId !== undefined;
-    const interval = known?.interval ?? FIRST_INTERVAL_MILLISECONDS;
+    const interval = known?.interval ?? firstInterval(retryAfter);
     const next = isFailedCheck
       ? Math.min(LONGEST_INTERVAL_MILLISECONDS, interval * 2)
       : interval;
@@ -156,3 +164,10 @@
     });
   }
 }
+
+function firstInterval(retryAfter: number): number {
+  return Math.max(
+    SHORTEST_INTERVAL_MILLISECONDS,
+    Math.min(FIRST_INTERVAL_MILLISECONDS, retryAfter),
+  );
+}
--- a/packages/node/src/process/nestedCallEvents.ts
+++ b/packages/node/src/process/nestedCallEvents.ts
@@ -21,6 +21,7 @@
       service,
       priority: nested.priority,
       end: endOf(record),
+      retryAfterMilliseconds: record.retryAfterMilliseconds,
     }
   );
 }
--- a/packages/node/src/request/attemptHistory.ts
+++ b/packages/node/src/request/attemptHistory.ts
@@ -62,6 +62,8 @@
    * did not use at its end.
    */
   readonly unusedUpstreams?: UnusedUpstreams | undefined;
+  /** When a refused call may come back, if its caller was told. */
+  readonly retryAfterMilliseconds?: number | undefined;
   /** Set if an upstream of this box made the call while it ran another. */
   readonly nested?: NestedCallRecord | undefined;
 }
--- a/packages/node/src/request/callRecord.ts
+++ b/packages/node/src/request/callRecord.ts
@@ -13,6 +13,7 @@
   reason: string,
   milliseconds: number,
   unusedUpstreams: UnusedUpstreams | undefined,
+  retryAfterMilliseconds?: number,
 ): CallRecord {
   return {
     requestId,
@@ -27,6 +28,7 @@
     nested: nestedRecord(call),
     attempts: attemptHistory.attempts,
     unusedUpstreams,
+    retryAfterMilliseconds,
   };
 }
 
--- a/packages/node/src/request/entryService.ts
+++ b/packages/node/src/request/entryService.ts
@@ -271,6 +271,7 @@
     exchange: CallerExchange,
     outcome: CallRecord['outcome'],
     reason: string,
+    retryAfterMilliseconds?: number,
   ): void {
     const {clock, onEnded, stateMachine} = this.dependencies;
     const now = clock();
@@ -279,7 +280,14 @@
         ? undefined
         : stateMachine.unusedUpstreams(now, exchange.call.view);
     onEnded?.(
-      createCallRecord(exchange, outcome, reason, exchange.age(now), unused),
+      createCallRecord(
+        exchange,
+        outcome,
+        reason,
+        exchange.age(now),
+        unused,
+        retryAfterMilliseconds,
+      ),
     );
   }
 
@@ -296,9 +304,16 @@
   }
 
   private reportRefusal(exchange: CallerExchange, refusal: Refusal): void {
-    const {reason, outcome} = refusal;
+    const {reason, outcome, retryAfterMilliseconds} = refusal;
     const {requestId, call} = exchange;
-    this.recordEnd(exchange, outcome, reason);
+    this.recordEnd(
+      exchange,
+      outcome,
+      reason,
+      retryAfterMilliseconds > 0
+        ? Math.round(retryAfterMilliseconds)
+        : undefined,
+    );
     if (outcome === 'not-run' && !exchange.isAdmissionPending) {
       this.admission.notRun(call);
     }
