--- a/packages/brain/src/__tests__/__fixtures__/guardHarness.ts
+++ b/packages/brain/src/__tests__/__fixtures__/guardHarness.ts
@@ -6,8 +6,9 @@
 import type {Resource} from '@lockpin/types';
 import {seededRandom} from '@lockpin/utils';
 import {GuardStateMachine} from '../../guard/guardStateMachine.js';
-import {DEFAULT_GUARD_SETTINGS} from '../../guard/guardMessages.js';
-import type {GuardAction, GuardCall} from '../../guard/guardMessages.js';
+import {DEFAULT_GUARD_SETTINGS} from '../../guard/guardSettings.js';
+import type {GuardCall} from '../../guard/guardCall.js';
+import type {GuardAction} from '../../guard/guardMessages.js';
 
 /** Name of the service. */
 export const SERVICE = 's';
--- a/packages/brain/src/__tests__/callTree.test.ts
+++ b/packages/brain/src/__tests__/callTree.test.ts
@@ -4,8 +4,9 @@
 import {beforeEach, describe, expect, it} from 'vitest';
 import {UNLIMITED_RETRIES} from '@lockpin/routing';
 import type {NestedCallEnd} from '../guard/callTree.js';
-import {DEFAULT_GUARD_SETTINGS} from '../guard/guardMessages.js';
-import type {GuardAction, GuardCall} from '../guard/guardMessages.js';
+import {DEFAULT_GUARD_SETTINGS} from '../guard/guardSettings.js';
+import type {GuardCall} from '../guard/guardCall.js';
+import type {GuardAction} from '../guard/guardMessages.js';
 import {GuardStateMachine} from '../guard/guardStateMachine.js';
 import {
   GuardHarness,
--- a/packages/brain/src/__tests__/capacityHints.test.ts
+++ b/packages/brain/src/__tests__/capacityHints.test.ts
@@ -3,7 +3,7 @@
 
 import {WindowedRetryBudget} from '@lockpin/routing';
 import {describe, expect, it} from 'vitest';
-import {DEFAULT_GUARD_SETTINGS} from '../guard/guardMessages.js';
+import {DEFAULT_GUARD_SETTINGS} from '../guard/guardSettings.js';
 import {GuardStateMachine} from '../guard/guardStateMachine.js';
 import {GuardHarness, UPSTREAM} from './__fixtures__/guardHarness.js';
 
--- a/packages/brain/src/__tests__/commonRejections.test.ts
+++ b/packages/brain/src/__tests__/commonRejections.test.ts
@@ -6,7 +6,7 @@
 
 import {describe, expect, it} from 'vitest';
 import {GuardStateMachine} from '../guard/guardStateMachine.js';
-import {DEFAULT_GUARD_SETTINGS} from '../guard/guardMessages.js';
+import {DEFAULT_GUARD_SETTINGS} from '../guard/guardSettings.js';
 import {GuardHarness, refusalsOf} from './__fixtures__/guardHarness.js';
 
 const SLOTS = 4;
--- a/packages/brain/src/__tests__/crashedUpstreams.test.ts
+++ b/packages/brain/src/__tests__/crashedUpstreams.test.ts
@@ -3,7 +3,7 @@
 
 import {describe, expect, it} from 'vitest';
 import {GuardStateMachine} from '../guard/guardStateMachine.js';
-import {DEFAULT_GUARD_SETTINGS} from '../guard/guardMessages.js';
+import {DEFAULT_GUARD_SETTINGS} from '../guard/guardSettings.js';
 import type {GuardAction} from '../guard/guardMessages.js';
 import {
   GuardHarness,
--- a/packages/brain/src/__tests__/guardBrain.test.ts
+++ b/packages/brain/src/__tests__/guardBrain.test.ts
@@ -7,8 +7,9 @@
 import type {Resource} from '@lockpin/types';
 import {WindowedRetryBudget} from '@lockpin/routing';
 import {GuardStateMachine} from '../guard/guardStateMachine.js';
-import {DEFAULT_GUARD_SETTINGS} from '../guard/guardMessages.js';
-import type {GuardCall, GuardEvent} from '../guard/guardMessages.js';
+import {DEFAULT_GUARD_SETTINGS} from '../guard/guardSettings.js';
+import type {GuardCall} from '../guard/guardCall.js';
+import type {GuardEvent} from '../guard/guardMessages.js';
 
 const SERVICE = 'customer/service';
 const HOME = {box: 'box', incarnation: 'a'};
--- a/packages/brain/src/__tests__/idleUpstreams.test.ts
+++ b/packages/brain/src/__tests__/idleUpstreams.test.ts
@@ -3,7 +3,8 @@
 
 import {describe, expect, it} from 'vitest';
 import {seededRandom} from '@lockpin/utils';
-import type {GuardAction, GuardCall} from '../guard/guardMessages.js';
+import type {GuardCall} from '../guard/guardCall.js';
+import type {GuardAction} from '../guard/guardMessages.js';
 import {GuardHarness} from './__fixtures__/guardHarness.js';
 
 /** A healthy upstream gets a call within this time while calls are offered. */
--- a/packages/brain/src/__tests__/probation.test.ts
+++ b/packages/brain/src/__tests__/probation.test.ts
@@ -5,7 +5,7 @@
 import {DETECTION_SETTINGS} from '@lockpin/detection';
 import type {PeerBaseline} from '@lockpin/detection';
 import type {HolderReply} from '@lockpin/floor';
-import {DEFAULT_GUARD_SETTINGS} from '../guard/guardMessages.js';
+import {DEFAULT_GUARD_SETTINGS} from '../guard/guardSettings.js';
 import {GuardStateMachine} from '../guard/guardStateMachine.js';
 import {
   GuardHarness,
--- a/packages/brain/src/__tests__/reservations.test.ts
+++ b/packages/brain/src/__tests__/reservations.test.ts
@@ -4,7 +4,7 @@
 import {describe, expect, it} from 'vitest';
 import {RejectionLimit} from '@lockpin/admission';
 import {RetryBudget} from '@lockpin/routing';
-import {DEFAULT_GUARD_SETTINGS} from '../guard/guardMessages.js';
+import {DEFAULT_GUARD_SETTINGS} from '../guard/guardSettings.js';
 import {GuardStateMachine} from '../guard/guardStateMachine.js';
 import {
   GuardHarness,
--- a/packages/brain/src/__tests__/statedLimit.test.ts
+++ b/packages/brain/src/__tests__/statedLimit.test.ts
@@ -4,11 +4,8 @@
 import {beforeEach, describe, expect, it} from 'vitest';
 import {UNLIMITED_RETRIES} from '@lockpin/routing';
 import type {UpstreamNotice} from '@lockpin/types';
-import type {
-  GuardAction,
-  GuardCall,
-  GuardEvent,
-} from '../guard/guardMessages.js';
+import type {GuardCall} from '../guard/guardCall.js';
+import type {GuardAction, GuardEvent} from '../guard/guardMessages.js';
 import {GuardStateMachine} from '../guard/guardStateMachine.js';
 import {GuardHarness, refusalsOf} from './__fixtures__/guardHarness.js';
 
--- a/packages/brain/src/guard/callLifecycle.ts
+++ b/packages/brain/src/guard/callLifecycle.ts
@@ -4,7 +4,9 @@
 import type {DispatchResult} from '@lockpin/admission';
 import type {RefusalReason} from '@lockpin/types';
 import type {CallTree} from './callTree.js';
-import type {GuardAction, GuardCall, GuardSettings} from './guardMessages.js';
+import type {GuardCall} from './guardCall.js';
+import type {GuardAction} from './guardMessages.js';
+import type {GuardSettings} from './guardSettings.js';
 import type {GuardedServices} from './guardedServices.js';
 import {refuse} from './guardRefusals.js';
 import type {RefuseAction} from './guardRefusals.js';
--- a/packages/brain/src/guard/callTree.ts
+++ b/packages/brain/src/guard/callTree.ts
@@ -1,7 +1,7 @@
 // Copyright (c) 2026 the lockpin contributors. MIT licence, see LICENSE.
 /** Which running calls of this box make which nested calls. */
 
-import type {GuardCall} from './guardMessages.js';
+import type {GuardCall} from './guardCall.js';
 import {NestedCapacity} from './nestedCapacity.js';
 import type {NestedShortage} from './nestedCapacity.js';
 import {NestedShares} from './nestedShares.js';
--- a/packages/brain/src/guard/chargeRetryBudget.ts
+++ b/packages/brain/src/guard/chargeRetryBudget.ts
@@ -2,7 +2,7 @@
 /** Charges calls that are sent to an upstream to the service's retry budget. */
 
 import type {RetryAllowance} from '@lockpin/routing';
-import type {GuardCall} from './guardMessages.js';
+import type {GuardCall} from './guardCall.js';
 
 /**
  * First attempts that are sent earn credit for retries. Returns false for a
--- a/packages/brain/src/guard/guardRefusals.ts
+++ b/packages/brain/src/guard/guardRefusals.ts
@@ -3,7 +3,8 @@
 
 import type {LoadHint} from '@lockpin/routing';
 import type {RefusalOutcome, RefusalReason} from '@lockpin/types';
-import type {GuardAction, GuardCall} from './guardMessages.js';
+import type {GuardCall} from './guardCall.js';
+import type {GuardAction} from './guardMessages.js';
 import type {UpstreamGuard} from './upstreamGuard.js';
 
 /** The action that refuses a call to its entry. */
--- a/packages/brain/src/guard/guardStateMachine.ts
+++ b/packages/brain/src/guard/guardStateMachine.ts
@@ -9,14 +9,14 @@
 import {CallLifecycle} from './callLifecycle.js';
 import {CallEndHandler} from './callEndHandler.js';
 import {CallTree} from './callTree.js';
-import {DEFAULT_GUARD_SETTINGS} from './guardMessages.js';
+import {DEFAULT_GUARD_SETTINGS} from './guardSettings.js';
 import type {
   GuardAction,
   GuardEvent,
   GuardLimits,
-  GuardSettings,
   GuardedService,
 } from './guardMessages.js';
+import type {GuardSettings} from './guardSettings.js';
 import {GuardedServices} from './guardedServices.js';
 import {leavingHint} from './guardRefusals.js';
 import {NoticeHandler} from './noticeHandler.js';
--- a/packages/brain/src/guard/guardedServices.ts
+++ b/packages/brain/src/guard/guardedServices.ts
@@ -8,11 +8,9 @@
 import {NO_FENCE} from '@lockpin/floor';
 import type {Fence} from '@lockpin/floor';
 import {isSameIncarnation} from '@lockpin/utils';
-import type {
-  GuardCall,
-  GuardedService,
-  GuardSettings,
-} from './guardMessages.js';
+import type {GuardCall} from './guardCall.js';
+import type {GuardedService} from './guardMessages.js';
+import type {GuardSettings} from './guardSettings.js';
 import {UpstreamGuard} from './upstreamGuard.js';
 
 /** State of one service. */
--- a/packages/brain/src/guard/noticeHandler.ts
+++ b/packages/brain/src/guard/noticeHandler.ts
@@ -2,7 +2,8 @@
 /** Handles what upstreams state about themselves in their answers. */
 
 import type {CallLifecycle} from './callLifecycle.js';
-import type {GuardAction, GuardCall, GuardEvent} from './guardMessages.js';
+import type {GuardCall} from './guardCall.js';
+import type {GuardAction, GuardEvent} from './guardMessages.js';
 import type {NoticeChange} from './statedNotice.js';
 import type {UpstreamGuard} from './upstreamGuard.js';
 
--- a/packages/brain/src/guard/presumedDuration.ts
+++ b/packages/brain/src/guard/presumedDuration.ts
@@ -1,7 +1,7 @@
 // Copyright (c) 2026 the lockpin contributors. MIT licence, see LICENSE.
 /** Estimated duration of calls of a kind that has not been answered yet. */
 
-import type {GuardCall} from './guardMessages.js';
+import type {GuardCall} from './guardCall.js';
 
 /**
  * Operators set the latency goal of a route to two to four times the usual
--- a/packages/brain/src/guard/quickDoubt.ts
+++ b/packages/brain/src/guard/quickDoubt.ts
@@ -3,7 +3,7 @@
 
 import {Doubt, HangEvidence} from '@lockpin/detection';
 import type {CallEvidenceKind} from '@lockpin/detection';
-import type {GuardSettings} from './guardMessages.js';
+import type {GuardSettings} from './guardSettings.js';
 
 /**
  * Announced duration of doubt for an uncertain upstream, after which entries
--- a/packages/brain/src/guard/runningCall.ts
+++ b/packages/brain/src/guard/runningCall.ts
@@ -1,7 +1,7 @@
 // Copyright (c) 2026 the lockpin contributors. MIT licence, see LICENSE.
 /** A call that holds a slot of its upstream, and whether it is late. */
 
-import type {GuardCall} from './guardMessages.js';
+import type {GuardCall} from './guardCall.js';
 
 /**
  * A call is late when it takes this many times the usual duration of its kind.
--- a/packages/brain/src/guard/runningCalls.ts
+++ b/packages/brain/src/guard/runningCalls.ts
@@ -1,7 +1,7 @@
 // Copyright (c) 2026 the lockpin contributors. MIT licence, see LICENSE.
 /** The calls that the upstreams of this box run, by the ids of their requests. */
 
-import type {GuardCall} from './guardMessages.js';
+import type {GuardCall} from './guardCall.js';
 
 /** A kind of call: a route of a service. */
 export type CallKind = Pick<GuardCall, 'service' | 'route'>;
--- a/packages/brain/src/guard/toWaitingCall.ts
+++ b/packages/brain/src/guard/toWaitingCall.ts
@@ -2,7 +2,7 @@
 /** Conversion of a guard's call for admission. */
 
 import type {Precedence, WaitingCall} from '@lockpin/admission';
-import type {GuardCall} from './guardMessages.js';
+import type {GuardCall} from './guardCall.js';
 
 /** The order of a call among those of its priority in a declared fleet. */
 export function precedenceOf({isNested, attempt}: GuardCall): Precedence {
--- a/packages/brain/src/guard/upstreamGuard.ts
+++ b/packages/brain/src/guard/upstreamGuard.ts
@@ -20,7 +20,9 @@
   UpstreamSpec,
 } from '@lockpin/types';
 import {FIRST_SERVER_ERROR_STATUS, incarnationText} from '@lockpin/utils';
-import type {GuardCall, GuardLimits, GuardSettings} from './guardMessages.js';
+import type {GuardCall} from './guardCall.js';
+import type {GuardLimits} from './guardMessages.js';
+import type {GuardSettings} from './guardSettings.js';
 import {OwnCallFailures} from './ownCallFailures.js';
 import {chargeRetryBudget} from './chargeRetryBudget.js';
 import {QuickDoubt} from './quickDoubt.js';
--- a/packages/brain/src/guard/upstreamRefusals.ts
+++ b/packages/brain/src/guard/upstreamRefusals.ts
@@ -3,7 +3,7 @@
 
 import type {RetryAllowance} from '@lockpin/routing';
 import type {RefusalReason} from '@lockpin/types';
-import type {GuardCall} from './guardMessages.js';
+import type {GuardCall} from './guardCall.js';
 import type {QuickDoubt} from './quickDoubt.js';
 import type {UpstreamStanding} from './upstreamStanding.js';
 
--- a/packages/brain/src/guard/upstreamStanding.ts
+++ b/packages/brain/src/guard/upstreamStanding.ts
@@ -10,7 +10,7 @@
 import type {CycleTransition, Verdict} from '@lockpin/detection';
 import type {Fence, GuardReport, HolderReply} from '@lockpin/floor';
 import type {Sensitivity} from '@lockpin/types';
-import type {GuardCall} from './guardMessages.js';
+import type {GuardCall} from './guardCall.js';
 import type {RunningCall} from './runningCall.js';
 
 /** A change of an upstream's standing, for the timeline. */
--- a/packages/brain/src/guard/usualDurations.ts
+++ b/packages/brain/src/guard/usualDurations.ts
@@ -2,7 +2,7 @@
 /** Usual durations of each kind of call on one upstream. */
 
 import {TypicalDurations} from '@lockpin/routing';
-import type {GuardCall} from './guardMessages.js';
+import type {GuardCall} from './guardCall.js';
 import {presumedDuration} from './presumedDuration.js';
 import {COLD_FACTOR, isLate} from './runningCall.js';
 import type {RunningCall} from './runningCall.js';
