Split avoidance of upstreams and its explanation from their loads

UpstreamLoads recorded loads, decided about avoidance and explained it. Both are functions of the record of one upstream now. Behaviour is unchanged; the tests of routing pass.

--- a/packages/routing/src/index.ts
+++ b/packages/routing/src/index.ts
@@ -13,5 +13,6 @@
 export * from './slidingMinimum.js';
 export * from './typicalDurations.js';
 export * from './noticeMemory.js';
+export type {UnusedReason} from './unusedReason.js';
 export * from './upstreamLoads.js';
 export * from './windowedRetryBudget.js';
--- a/packages/routing/src/upstreamLoads.ts
+++ b/packages/routing/src/upstreamLoads.ts
@@ -3,9 +3,12 @@
 
 import {FleetCapacity} from './fleetCapacity.js';
 import {isRefusing} from './loadHint.js';
-import type {AnnouncedState, LoadHint} from './loadHint.js';
+import type {LoadHint} from './loadHint.js';
 import {DEFAULT_LINK_AVOIDANCE} from './linkAvoidance.js';
 import {NoticeMemory} from './noticeMemory.js';
+import {isFull, unusedReason} from './unusedReason.js';
+import type {UnusedReason} from './unusedReason.js';
+import {avoidMissing, avoidSilent, isAvoided} from './upstreamAvoidance.js';
 import {
   createUpstreamLoad,
   hintWeight,
@@ -14,26 +17,9 @@
 } from './upstreamLoad.js';
 import type {UpstreamLoad} from './upstreamLoad.js';
 
-/** Why an entry currently sends no calls to an upstream. */
-export type UnusedReason =
-  /** Its guard refuses ordinary calls. */
-  | Exclude<AnnouncedState, 'accepting' | 'probation'>
-  /** Its guard has no such upstream. */
-  | 'missing'
-  | 'unreachable'
-  | 'full'
-  /** Nothing keeps calls away, but the entry has sent none for a while. */
-  | 'not-called';
-
-/** An upstream without a hint or an open call for this long is not in use. */
-const UNUSED_MILLISECONDS = 2000;
-
 /** Total weight that a mean needs: about that of one recent hint. */
 const MINIMUM_TOTAL_WEIGHT = 0.9;
 
-/** Time for a slot to become free if calls take a few hundred milliseconds. */
-const FULL_HINT_VALID_MILLISECONDS = 150;
-
 /**
  * Mean time after which an entry calls a cold upstream again whatever its
  * estimated load. Several entries call each upstream, so that together they do
@@ -41,12 +27,6 @@
  */
 const EXPLORATION_INTERVAL_MILLISECONDS = 2000;
 
-/** First pause after a guard reported that it has no such upstream. */
-const FIRST_MISSING_MILLISECONDS = 300;
-
-/** The longest such pause. */
-const LONGEST_MISSING_MILLISECONDS = 5000;
-
 /** Pause after a refusal that did not state one. */
 const REFUSED_PAUSE_MILLISECONDS = 500;
 
@@ -95,31 +75,14 @@
     load.refusesProbesUntil = refuses ? now + (probeIn ?? pause) : 0;
   }
 
-  /**
-   * The guard has no such upstream: its box has lost it, or has not received it
-   * yet after a restart. It is tried again after exponentially growing pauses.
-   * Reports on offers that were made before a pause do not prolong it.
-   */
+  /** The guard has no such upstream. */
   reportedMissing(upstream: string, now: number, offeredAt = now): void {
-    const load = this.load(upstream);
-    if (now < load.refusesUntil || offeredAt < load.avoidedSince) {
-      return;
-    }
-    const pause = Math.min(
-      LONGEST_MISSING_MILLISECONDS,
-      FIRST_MISSING_MILLISECONDS * 2 ** load.consecutiveMisses,
-    );
-    load.consecutiveMisses += 1;
-    load.avoidedSince = now;
-    load.refusesUntil = now + pause;
-    load.refusesProbesUntil = now + pause;
+    avoidMissing(this.load(upstream), now, offeredAt);
   }
 
   /**
    * The guard did not respond. This tells about the link between entry and
-   * guard, not about the upstream, so only this entry avoids it. Failures of
-   * offers that were made before it was avoided do not count again, even if they
-   * end later.
+   * guard, not about the upstream, so only this entry avoids it.
    */
   linkFailed(
     upstream: string,
@@ -128,34 +91,13 @@
     offeredAt = now,
   ): void {
     const load = this.load(upstream);
-    if (now < load.unreachableUntil || offeredAt < load.avoidedSince) {
-      return;
-    }
-    load.linkFailures += 1;
-    const {avoidance} = this;
-    const repeats = load.linkFailures - avoidance.failuresToAvoid;
-    if (repeats < 0) {
-      return;
-    }
-    const pause = Math.min(
-      avoidance.longestAvoidanceMilliseconds,
-      avoidance.firstAvoidanceMilliseconds * 2 ** repeats,
-    );
-    load.avoidedSince = now;
-    load.unreachableUntil = now + pause * (0.5 + random);
+    avoidSilent(load, this.avoidance, now, random, offeredAt);
   }
 
-  /**
-   * Whether this entry avoids an upstream for now. A repeatable call may be
-   * used to probe a doubted upstream.
-   */
+  /** Whether this entry avoids an upstream, also for a probe if it may probe. */
   isAvoided(upstream: string, now: number, mayProbe = false): boolean {
     const load = this.loads.get(upstream);
-    if (load === undefined) {
-      return false;
-    }
-    const refuses = mayProbe ? load.refusesProbesUntil : load.refusesUntil;
-    return Math.max(refuses, load.unreachableUntil) > now;
+    return load !== undefined && isAvoided(load, now, mayProbe);
   }
 
   /**
@@ -176,21 +118,10 @@
     return hint === undefined || now - hintedAt > interval;
   }
 
-  /**
-   * Whether the guard recently reported that no slot is free, or that the limit
-   * of the upstream allows no call yet.
-   */
+  /** Whether no slot is free there, or its limit allows no call yet. */
   isFull(upstream: string, now: number): boolean {
     const load = this.loads.get(upstream);
-    const hint = load?.hint;
-    if (load === undefined || hint === undefined) {
-      return false;
-    }
-    if (load.limitedUntil > now) {
-      return true;
-    }
-    const isFresh = now - load.hintedAt <= FULL_HINT_VALID_MILLISECONDS;
-    return isFresh && hint.occupied >= hint.limit;
+    return load !== undefined && isFull(load, now);
   }
 
   /** Milliseconds until its stated limit allows a call, as known here. */
@@ -206,22 +137,7 @@
   /** Why this entry sends no calls to an upstream; undefined if it does. */
   unusedReason(upstream: string, now: number): UnusedReason | undefined {
     const load = this.loads.get(upstream);
-    if (load === undefined) {
-      return 'not-called';
-    }
-    const {hint, hintedAt, outstanding, consecutiveMisses} = load;
-    if (load.unreachableUntil > now) {
-      return 'unreachable';
-    }
-    if (load.refusesUntil > now) {
-      const state = hint?.state ?? 'accepting';
-      return consecutiveMisses > 0 || !isRefusing(state) ? 'missing' : state;
-    }
-    if (this.isFull(upstream, now)) {
-      return 'full';
-    }
-    const isUnused = outstanding === 0 && now - hintedAt > UNUSED_MILLISECONDS;
-    return isUnused ? 'not-called' : undefined;
+    return load === undefined ? 'not-called' : unusedReason(load, now);
   }
 
   /** The latest hint of the guard with its age in milliseconds, for logs. */
