Remove the slots kept for urgent calls

Guards kept slots for urgent calls that had found none. The number of slots that urgent calls need was overestimated, since a call counts at each guard that it is offered to.

--- a/packages/admission/src/admission.ts
+++ b/packages/admission/src/admission.ts
@@ -19,7 +19,6 @@
 import {isTooLateFor} from './waitingCall.js';
 import type {WaitingCall} from './waitingCall.js';
 import {RequestRate} from './requestRate.js';
-import {UrgentReserve} from './urgentReserve.js';
 
 /** Weight of the latest call in the moving average of durations. */
 const DURATION_WEIGHT = 0.1;
@@ -58,7 +57,6 @@
   readonly limit: ConcurrencyLimit;
   private readonly queue: BoundedQueue;
   private readonly running = new Map<string, RunningEntry>();
-  private readonly urgentReserve = new UrgentReserve();
   private duration = FIRST_DURATION_MILLISECONDS;
 
   constructor(
@@ -105,12 +103,10 @@
 
   /** Decides on a new call. */
   offer(now: number, call: WaitingCall): AdmissionDecision {
-    const turn = this.queue.aheadOf(call) + 1;
-    const isNext = turn === 1 && this.mayStart(now, call.priority);
-    this.countOffered(now, call, isNext);
-    if (isNext) {
+    if (this.mayStart(now) && this.queue.size === 0) {
       return this.startOrRefuse(now, call);
     }
+    const turn = this.queue.aheadOf(call) + 1;
     const wait = this.waitOf(now, turn, call.priority);
     if (call.mayWait === false) {
       return this.refuse(now, 'upstream-busy', wait);
@@ -205,36 +201,9 @@
     return {kind: 'start'};
   }
 
-  private mayStart(now: number, priority: number): boolean {
+  private mayStart(now: number): boolean {
     this.limit.advance(now);
-    const {current} = this.limit;
-    return (
-      this.running.size < current &&
-      this.rate.hasToken(now) &&
-      this.runningFrom(priority) < current - this.reservedFrom(now, priority)
-    );
-  }
-
-  private countOffered(now: number, call: WaitingCall, hasSlot: boolean): void {
-    if (this.options.keepsUrgentSlots === true) {
-      const duration = this.expectedOf(call);
-      this.urgentReserve.offered(now, call.priority, duration, hasSlot);
-    }
-  }
-
-  /** Slots that calls of a priority leave to more urgent ones. */
-  private reservedFrom(now: number, priority: number): number {
-    const {current} = this.limit;
-    return this.urgentReserve.reservedFrom(now, priority, current);
-  }
-
-  /** Running calls that are at most as urgent as a priority. */
-  private runningFrom(priority: number): number {
-    let count = 0;
-    this.running.forEach(({call}) => {
-      count += call.priority >= priority ? 1 : 0;
-    });
-    return count;
+    return this.running.size < this.limit.current && this.rate.hasToken(now);
   }
 
   private start(now: number, call: WaitingCall): void {
@@ -267,12 +236,11 @@
   private fill(now: number): DispatchResult {
     const started: WaitingCall[] = [];
     const expired: WaitingCall[] = [];
-    for (;;) {
-      const priority = this.queue.nextPriority;
-      if (priority === undefined || !this.mayStart(now, priority)) {
+    while (this.mayStart(now)) {
+      const call = this.queue.take();
+      if (call === undefined) {
         break;
       }
-      const call = this.queue.take() as WaitingCall;
       if (isTooLateFor(call, now, this.expectedOf(call))) {
         expired.push(call);
         continue;
@@ -300,20 +268,17 @@
   /** Infinite when all slots are held by calls that may never end. */
   private waitOf(now: number, turn: number, priority: number): ExpectedWait {
     const forLimit = this.rate.waitForTurn(now, turn, priority);
-    const reserved = this.reservedFrom(now, priority);
-    const forSlot = this.waitForTurn(now, turn, reserved);
+    const forSlot = this.waitForTurn(now, turn);
     return {
       milliseconds: Math.max(forLimit, forSlot),
       isForLimit: forLimit > forSlot,
     };
   }
 
-  private waitForTurn(now: number, turn: number, reserved = 0): number {
-    const usable = this.limit.current - reserved;
-    return this.running.size + turn <= usable
+  private waitForTurn(now: number, turn: number): number {
+    return this.running.size + turn <= this.limit.current
       ? 0
-      : (turn / Math.max(0, this.availableSlots(now) - reserved)) *
-          this.duration;
+      : (turn / this.availableSlots(now)) * this.duration;
   }
 
   /**
--- a/packages/admission/src/admissionMessages.ts
+++ b/packages/admission/src/admissionMessages.ts
@@ -29,6 +29,4 @@
   readonly burstCallsFor?: (slots: number) => number;
   /** Whether calls leave the queue once their turn is expected too late. */
   readonly removesHopeless?: boolean;
-  /** Whether slots are kept for urgent calls that found none. */
-  readonly keepsUrgentSlots?: boolean;
 }
--- a/packages/admission/src/fairQueue.ts
+++ b/packages/admission/src/fairQueue.ts
@@ -68,12 +68,6 @@
     this.level(queueRank(call)).startedDirectly(call);
   }
 
-  /** The priority of the next call; undefined when none waits. */
-  get nextPriority(): number | undefined {
-    const rank = this.ranks().find((each) => this.level(each).size > 0);
-    return rank === undefined ? undefined : Math.floor(rank);
-  }
-
   /** Removes and returns the next call. */
   take(): WaitingCall | undefined {
     for (const rank of this.ranks()) {
--- a/packages/node/src/process/fleetGuardSettings.ts
+++ b/packages/node/src/process/fleetGuardSettings.ts
@@ -48,7 +48,6 @@
     admission: {
       ...(isOn('burst-credit') && {burstCallsFor: burstCalls}),
       removesHopeless: isOn('queue-review'),
-      keepsUrgentSlots: isOn('urgent-slots'),
     },
     announcesCapacity: isOn('shared-capacity'),
     createRetryBudget: isOn('paid-retries')
--- a/packages/node/src/process/mechanisms.ts
+++ b/packages/node/src/process/mechanisms.ts
@@ -25,8 +25,6 @@
   holding: 'calls that find no slot are refused after one round of offers',
   quarantine: 'requests that end each upstream that runs them run again',
   'burst-credit': 'customers with few calls wait for their turn among floods',
-  'urgent-slots':
-    'less urgent calls take all slots though urgent ones find none',
   'queue-review': 'calls that can no longer be in time wait on for a while',
   'nested-calls':
     'nested calls have the priority and deadline that their own request states',
