--- a/packages/brain/src/__tests__/plannedOffers.test.ts
+++ b/packages/brain/src/__tests__/plannedOffers.test.ts
@@ -304,6 +304,20 @@
     );
     expect(last?.kind).toBe('refuse');
   });
+
+  // Guards against refusals after a single guard that does not respond, which
+  // took longer to find out than a quarter of the goal.
+  it('goes to a third guard if the first two are silent, however short its goal', () => {
+    const harness = new EntryHarness(['a', 'b', 'c'], HELD);
+    const spec = {...ROUTE.spec, goalMilliseconds: 250, waitMilliseconds: 1500};
+    const route = {...ROUTE, spec};
+    let offer = attemptOf(harness.arrive({route, deadline: NOW + 1500}));
+    for (const after of [80, 240]) {
+      const [, next] = harness.unacknowledged(offer, after);
+      offer = attemptOf(next === undefined ? [] : [next]);
+    }
+    expect(harness.unacknowledged(offer, 560)[1]?.kind).toBe('refuse');
+  });
 });
 
 describe('the time after which a refused call may come back', () => {
--- a/packages/brain/src/entry/callState.ts
+++ b/packages/brain/src/entry/callState.ts
@@ -7,6 +7,12 @@
 import type {EntrySettings} from './entrySettings.js';
 import type {RetryState} from './retryPolicy.js';
 
+/**
+ * A call may wait this long even if that is much of its goal: two guards that do
+ * not respond take 240 ms, and tell nothing about the capacity of others.
+ */
+const MINIMUM_HELD_MILLISECONDS = 250;
+
 /** State of one open call. */
 export interface CallState extends RetryState {
   /** Upstreams that got an offer on the current terms. */
@@ -75,7 +81,7 @@
     arrivedAt: now,
     heldUntil: Math.min(
       now + (call.deadline - now) * heldShare,
-      now + goalOf(call) * heldGoalShare,
+      now + Math.max(MINIMUM_HELD_MILLISECONDS, goalOf(call) * heldGoalShare),
     ),
     upstream: '',
     offeredAt: now,
