Let calls go on after silent guards while they can be in time

Calls that met silent, doubted or unreachable upstreams were refused after a quarter of their goal, although silence says nothing about capacity.

--- a/packages/brain/src/entry/callOffers.ts
+++ b/packages/brain/src/entry/callOffers.ts
@@ -129,7 +129,7 @@
       pauseMilliseconds === 0 ||
       state.call.isNested === true ||
       reason === 'nested-busy' ||
-      now + milliseconds > state.heldUntil ||
+      now + milliseconds > this.mayPauseUntil(state) ||
       isKeptOutByLimits(state, reason) ||
       (boundsHolding && NO_SLOT_REFUSALS.has(reason))
     ) {
@@ -166,7 +166,25 @@
   /** Whether a call that no guard has acknowledged has been held long enough. */
   private isHeldTooLong(now: number, state: CallState): boolean {
     const {boundsHolding} = this.context.settings;
-    return boundsHolding && now >= state.heldUntil && !state.mayHaveRun;
+    const until = this.mayPauseUntil(state);
+    return boundsHolding && now >= until && !state.mayHaveRun;
+  }
+
+  /**
+   * Until when a call may wait for upstreams that are doubted or out of reach:
+   * as long as it can be answered in time, since that tells nothing about their
+   * capacity. Its caller still has time to try again.
+   */
+  private mayPauseUntil(state: CallState): number {
+    const {settings, timing} = this.context;
+    const {arrivedAt, call, heldUntil} = state;
+    const share = (call.deadline - arrivedAt) * settings.heldShare;
+    return settings.boundsHolding
+      ? Math.min(
+          arrivedAt + share,
+          Math.max(heldUntil, timing.latestStart(state)),
+        )
+      : heldUntil;
   }
 
   /** Asking again long before a slot is expected anywhere would be useless. */
