--- a/packages/admission/src/hopelessCalls.ts
+++ b/packages/admission/src/hopelessCalls.ts
@@ -22,8 +22,9 @@
 }
 
 /**
- * The calls, out of those that wait, that have little chance of starting in
- * time: more urgent calls have come since, or the upstream has slowed down. Calls that are left out make room for those behind.
+ * The waiting calls that have little chance of starting in time: more urgent
+ * calls have come since, or the upstream has slowed down. A call that leaves
+ * makes room for those behind it.
  */
 export function hopelessCalls(
   now: number,
