--- a/packages/tools/src/soak/faultPlan.ts
+++ b/packages/tools/src/soak/faultPlan.ts
@@ -19,8 +19,9 @@
  * Which faults are drawn. `second` adds restarts under the same id and invalid
  * writes by others to `first`; `all` adds store restores, and `stated` adds what
  * upstreams state in their answers. `isolated` holds only times in which no box
- * hears another, `replaced` only replacements of boxes, and `loaded` only hard load. A regression seed keeps the set that it was recorded with, and
- * so replays the same schedule.
+ * hears another, `replaced` only replacements of boxes, and `loaded` only hard
+ * load. A regression seed keeps the set that it was recorded with, and so replays
+ * the same schedule.
  */
 export type FaultSet =
   'first' | 'second' | 'all' | 'stated' | 'isolated' | 'replaced' | 'loaded';
