Simplify what was read again: one limit setting, one encoding of capacity

- The concurrency limit of a guard was set in GuardSettings and in AdmissionOptions, with the default written twice; AdmissionOptions remains.
- Load hints and rows about other upstreams encode capacity by the same module.
- Reports and hints share one decaying weight; refusal counters are a table.
- An entry assesses the upstreams of a call once instead of twice when no slot is free, which is each call under load.
- HopelessCalls of the entry is RecentRefusals, since admission has a module of the same name; three tests share the resource of a local upstream.
- Comments in plainer words.
The retry budget's test checks again the last moment at which a restarted guard has no retries.

--- a/packages/admission/src/__tests__/__fixtures__/admissionLoad.ts
+++ b/packages/admission/src/__tests__/__fixtures__/admissionLoad.ts
@@ -29,7 +29,7 @@
 interface Call extends Pick<StreamResult, 'latencies'> {
   readonly stream: Stream;
   readonly arrivedAt: number;
-  /** A refused call comes back once, after the time that it was told. */
+  /** A refused call is retried once, after its retry-after time. */
   readonly isBack: boolean;
 }
 
--- a/packages/admission/src/answerBytes.ts
+++ b/packages/admission/src/answerBytes.ts
@@ -30,9 +30,9 @@
 const CALL_SHARE = 1 / 16;
 
 /**
- * A customer may hold this many times the bytes that nobody holds. One customer
- * alone so gets 0.89 of the total, two get 0.47 each, and a further customer
- * always finds free bytes.
+ * A customer may use up to this multiple of the free bytes. A single customer
+ * then gets 0.89 of the total, two get 0.47 each, and a further customer always
+ * finds free bytes.
  */
 const CUSTOMER_FACTOR = 8;
 
--- a/packages/admission/src/rejectionRecord.ts
+++ b/packages/admission/src/rejectionRecord.ts
@@ -1,6 +1,6 @@
 // Copyright (c) 2026 the lockpin contributors. MIT licence, see LICENSE.
 /**
- * Tells rejections that follow from concurrency apart from others: an overloaded
+ * Distinguishes rejections caused by concurrency from others: an overloaded
  * upstream rejects calls that start beside many others, while one that rejects
  * for another reason does so at any concurrency.
  */
--- a/packages/brain/src/__tests__/capacityHints.test.ts
+++ b/packages/brain/src/__tests__/capacityHints.test.ts
@@ -1,5 +1,5 @@
 // Copyright (c) 2026 the lockpin contributors. MIT licence, see LICENSE.
-/** The wait for a slot and the retries left, as hints tell them. */
+/** The wait for a slot and the retries left in load hints. */
 
 import {WindowedRetryBudget} from '@lockpin/routing';
 import {describe, expect, it} from 'vitest';
--- a/packages/brain/src/__tests__/reservations.test.ts
+++ b/packages/brain/src/__tests__/reservations.test.ts
@@ -175,7 +175,9 @@
       {
         ...DEFAULT_GUARD_SETTINGS,
         hasQuickDoubt: true,
-        createLimit: (slots, isCold) => new RejectionLimit(slots, isCold),
+        admission: {
+          createLimit: (slots, cold) => new RejectionLimit(slots, cold),
+        },
       },
     );
     const harness = new GuardHarness(8, undefined, undefined, guard);
--- a/packages/brain/src/entry/attemptFeedback.ts
+++ b/packages/brain/src/entry/attemptFeedback.ts
@@ -7,7 +7,7 @@
 import type {CallState} from './callState.js';
 import type {EntryEvent} from './entryMessages.js';
 import {HOPELESS_REFUSALS} from './entrySettings.js';
-import type {HopelessCalls} from './hopelessCalls.js';
+import type {RecentRefusals} from './recentRefusals.js';
 import type {ReturnTimes} from './returnTimes.js';
 
 /**
@@ -26,7 +26,7 @@
 export interface AttemptFeedbackContext {
   readonly loads: UpstreamLoads;
   readonly timing: AttemptTiming;
-  readonly hopeless: HopelessCalls;
+  readonly recentRefusals: RecentRefusals;
   readonly returnTimes: ReturnTimes;
 }
 
@@ -44,7 +44,7 @@
     this.hintReceived(now, upstream, hint);
     this.othersReceived(now, state, others);
     if (HOPELESS_REFUSALS.has(refusal.reason)) {
-      this.context.hopeless.refused(now, state.call);
+      this.context.recentRefusals.refused(now, state.call);
     }
     if (refusal.outcome === 'unknown') {
       this.context.loads.recordOutcome(state.upstream, false);
--- a/packages/brain/src/entry/callOffers.ts
+++ b/packages/brain/src/entry/callOffers.ts
@@ -140,7 +140,7 @@
     return [{kind: 'pause', callId: state.call.id, milliseconds}];
   }
 
-  /** Refuses a call; for want of capacity with a time that spreads callers. */
+  /** Refuses a call; for lack of capacity with a retry-after that spreads callers. */
   private refuse(
     now: number,
     random: RandomSource,
@@ -171,9 +171,9 @@
   }
 
   /**
-   * Until when a call may wait for upstreams that are doubted or out of reach:
-   * as long as it can be answered in time, since that tells nothing about their
-   * capacity. Its caller still has time to try again.
+   * Until when a call may wait for upstreams that are doubted or unreachable. As
+   * that does not indicate a lack of capacity, it waits while it can be answered
+   * in time and its caller still has time to retry.
    */
   private mayPauseUntil(state: CallState): number {
     const {settings, timing} = this.context;
--- a/packages/brain/src/entry/callState.ts
+++ b/packages/brain/src/entry/callState.ts
@@ -8,8 +8,8 @@
 import type {RetryState} from './retryPolicy.js';
 
 /**
- * A call may wait this long even if that is much of its goal: two guards that do
- * not respond take 240 ms, and tell nothing about the capacity of others.
+ * A call may wait this long even if that is much of its goal. The timeouts of two
+ * guards that do not respond take 240 ms, and others may have capacity.
  */
 const MINIMUM_HELD_MILLISECONDS = 250;
 
@@ -26,7 +26,7 @@
   isShortOfTime: boolean;
   /** Only limits that upstreams state have kept it from a slot this round. */
   isOnlyLimited: boolean;
-  /** Offers of this round that were refused for want of a free slot. */
+  /** Offers of this round that were refused for lack of a free slot. */
   slotRefusals: number;
   /** Offers that were refused because the guard had no retries left. */
   exhaustedRefusals: number;
--- a/packages/brain/src/entry/entryComponents.ts
+++ b/packages/brain/src/entry/entryComponents.ts
@@ -8,7 +8,7 @@
 import {CallOffers} from './callOffers.js';
 import {CallRegistry} from './callRegistry.js';
 import type {EntrySettings} from './entrySettings.js';
-import {HopelessCalls} from './hopelessCalls.js';
+import {RecentRefusals} from './recentRefusals.js';
 import {OfferPlanner} from './offerPlanner.js';
 import {OverdueAttempts} from './overdueAttempts.js';
 import {RetryPolicy} from './retryPolicy.js';
@@ -37,16 +37,16 @@
   const retries = new RetryPolicy(settings);
   const timing = new AttemptTiming(settings, retries);
   const chooser = new UpstreamChooser({...place, loads, settings});
-  const hopeless = new HopelessCalls();
+  const recentRefusals = new RecentRefusals();
   const returnTimes = new ReturnTimes();
-  const learning = {loads, timing, hopeless, returnTimes};
+  const learning = {loads, timing, recentRefusals, returnTimes};
   const feedback = new AttemptFeedback(learning);
   const planner = new OfferPlanner({
     settings,
     loads,
     chooser,
     timing,
-    hopeless,
+    recentRefusals,
   });
   const overdueAttempts = new OverdueAttempts({
     settings,
--- a/packages/brain/src/entry/offerPlanner.ts
+++ b/packages/brain/src/entry/offerPlanner.ts
@@ -18,10 +18,10 @@
 import {isRetry, setTerms} from './callState.js';
 import type {CallState} from './callState.js';
 import type {EntrySettings} from './entrySettings.js';
-import type {HopelessCalls} from './hopelessCalls.js';
+import type {RecentRefusals} from './recentRefusals.js';
 import type {UpstreamChooser} from './upstreamChooser.js';
 
-/** Refusals for want of a slot after which a call is refused. */
+/** Refusals for lack of a slot after which a call is refused. */
 const SLOT_OFFERS = 3;
 
 /**
@@ -51,7 +51,7 @@
   readonly loads: UpstreamLoads;
   readonly chooser: UpstreamChooser;
   readonly timing: AttemptTiming;
-  readonly hopeless: HopelessCalls;
+  readonly recentRefusals: RecentRefusals;
 }
 
 /** Chooses the upstream and the terms of a call's next offer. */
@@ -102,7 +102,12 @@
     chooser.readOwnLoads(now, available);
     return state.terms === 'immediate'
       ? this.offerFree(now, random, state, available, untried)
-      : this.offerQueue(now, random, state, untried);
+      : this.offerQueue(
+          now,
+          random,
+          state,
+          this.prospects(now, random, state, untried),
+        );
   }
 
   /** An upstream for a further attempt; undefined if none is suitable. */
@@ -165,7 +170,11 @@
       return {kind: 'offer', candidate: free};
     }
     setTerms(state, 'may-wait');
-    return this.offerQueue(now, random, state, available);
+    const known =
+      untried.length === available.length
+        ? prospects
+        : this.prospects(now, random, state, available);
+    return this.offerQueue(now, random, state, known);
   }
 
   /** Asks for a place in a queue, or refuses the call if none is in time. */
@@ -173,11 +182,10 @@
     now: number,
     random: RandomSource,
     state: CallState,
-    candidates: readonly RoutingCandidate[],
+    prospects: readonly Prospect<RoutingCandidate>[],
   ): PlannedOffer {
     const {chooser, settings} = this.context;
     const routing = chooser.routingContext(now, random, state);
-    const prospects = this.prospects(now, random, state, candidates);
     const longest = this.longestWait(now, state);
     const queueWithin = (limit: number): RoutingCandidate | undefined =>
       chooseQueue(routing, prospects, settings.isNear, limit);
@@ -199,9 +207,9 @@
 
   /** How long a call may wait and still be answered in time. */
   private longestWait(now: number, state: CallState): number {
-    const {timing, hopeless} = this.context;
+    const {timing, recentRefusals} = this.context;
     const longest = timing.latestStart(state) - now;
-    return hopeless.isHopeless(now, state.call)
+    return recentRefusals.covers(now, state.call)
       ? longest / WAIT_MARGIN
       : longest;
   }
@@ -234,7 +242,7 @@
     return (
       prospects.length > 0 &&
       isExpectedLate &&
-      (slotRefusals > 0 || this.context.hopeless.isHopeless(now, call))
+      (slotRefusals > 0 || this.context.recentRefusals.covers(now, call))
     );
   }
 
--- a/packages/brain/src/entry/hopelessCalls.ts
+++ b/packages/brain/src/entry/recentRefusals.ts
@@ -1,9 +1,9 @@
 // Copyright (c) 2026 the lockpin contributors. MIT licence, see LICENSE.
-/** Remembers which kinds of calls guards have just refused for want of time. */
+/** Remembers calls that guards have just refused because no slot was in time. */
 
 import type {EntryCall} from './entryMessages.js';
 
-/** A refusal tells about later calls for this long. */
+/** A refusal applies to later calls for this long. */
 const VALID_MILLISECONDS = 1000;
 
 /** Kinds of calls remembered; the longest unchanged are dropped first. */
@@ -18,7 +18,7 @@
  * One refusal for each customer of a service: what its guard refused is refused
  * to equally or less urgent calls of the same customer as well.
  */
-export class HopelessCalls {
+export class RecentRefusals {
   private readonly refusals = new Map<string, KnownRefusal>();
 
   /** A guard expected no slot in time for a call. */
@@ -41,7 +41,7 @@
   }
 
   /** Whether a guard has just refused a call that was no less urgent. */
-  isHopeless(now: number, call: EntryCall): boolean {
+  covers(now: number, call: EntryCall): boolean {
     const known = this.refusals.get(keyOf(call));
     return (
       known !== undefined &&
--- a/packages/brain/src/entry/returnTimes.ts
+++ b/packages/brain/src/entry/returnTimes.ts
@@ -4,13 +4,13 @@
 import type {RandomSource} from '@lockpin/types';
 import type {CallState} from './callState.js';
 
-/** Time constant of the counts, so that they tell of about the last second. */
+/** Time constant of the counts, which cover about the last second. */
 const COUNT_MILLISECONDS = 1000;
 
 /** Share of its remaining time in which a caller still comes back. */
 const RETURN_SHARE = 1 / 3;
 
-/** A delay of 0 would say that none is known to help. */
+/** A retry-after of 0 means that no delay is known to help. */
 const SHORTEST_RETURN_MILLISECONDS = 50;
 
 /** An exponentially decaying count. */
@@ -26,7 +26,7 @@
   private readonly refusals = new Map<string, DecayingCount>();
   private readonly completions = new Map<string, DecayingCount>();
 
-  /** Counts a call that was refused for want of capacity. */
+  /** Counts a call that was refused for lack of capacity. */
   refused(now: number, service: string): void {
     increment(this.refusals, now, service);
   }
--- a/packages/brain/src/guard/callTree.ts
+++ b/packages/brain/src/guard/callTree.ts
@@ -25,7 +25,7 @@
   /** Inherited from the root, without lateness. */
   readonly priority: number;
   readonly end: NestedCallEnd;
-  /** When a refused call may come back, if known. */
+  /** Retry-after time of a refusal, if it has one. */
   readonly retryAfterMilliseconds?: number | undefined;
 }
 
--- a/packages/brain/src/guard/guardSettings.ts
+++ b/packages/brain/src/guard/guardSettings.ts
@@ -1,11 +1,7 @@
 // Copyright (c) 2026 the lockpin contributors. MIT licence, see LICENSE.
 /** Settings of a guard. */
 
-import {AdaptiveLimit} from '@lockpin/admission';
-import type {
-  AdmissionOptions,
-  CreateConcurrencyLimit,
-} from '@lockpin/admission';
+import type {AdmissionOptions} from '@lockpin/admission';
 import {RetryBudget} from '@lockpin/routing';
 import type {RetryAllowance} from '@lockpin/routing';
 
@@ -35,9 +31,7 @@
   readonly doubtReleasesQueue: boolean;
   /** Whether a suspect upstream announces a reduced limit. */
   readonly limitsSuspects: boolean;
-  /** Creates the limit of concurrent calls to an upstream. */
-  readonly createLimit: CreateConcurrencyLimit;
-  /** Whether load hints tell the wait for a slot and the retries left. */
+  /** Whether load hints contain the wait for a slot and the retries left. */
   readonly announcesCapacity: boolean;
   /** Creates the retry budget of a service on this box. */
   readonly createRetryBudget: (service: string) => RetryAllowance;
@@ -70,7 +64,6 @@
   excusesFailures: true,
   doubtReleasesQueue: true,
   limitsSuspects: true,
-  createLimit: (slots, isCold) => new AdaptiveLimit(slots, isCold),
   announcesCapacity: false,
   createRetryBudget: () => new RetryBudget(),
   drainFinishesQueue: true,
--- a/packages/brain/src/guard/nestedCapacity.ts
+++ b/packages/brain/src/guard/nestedCapacity.ts
@@ -9,12 +9,12 @@
 const REFUSALS_IN_A_ROW = 2;
 
 /**
- * A refusal counts as the present state of a service until a call may come back,
- * and for this long if it does not tell.
+ * A refusal counts as the present state of a service until its retry-after time,
+ * at most for this long, and for this long if it has none.
  */
 const FIRST_INTERVAL_MILLISECONDS = 1000;
 
-/** Nested calls take about this long: an earlier check tells nothing new. */
+/** Nested calls take about this long, so that an earlier check is no use. */
 const SHORTEST_INTERVAL_MILLISECONDS = 100;
 
 /**
@@ -55,7 +55,7 @@
 }
 
 /**
- * Tells whether a service has capacity for calls of a priority. After refusals
+ * Estimates whether a service has capacity for calls of a priority. After refusals
  * it has none for their priority and less urgent ones, until a call of such a
  * priority is served. One call per interval is admitted to check.
  */
@@ -65,7 +65,7 @@
   /**
    * Records that a nested call was refused because no slot was free in time.
    * @param parent Identifies the call that made it.
-   * @param retryAfter When the call may come back, in milliseconds.
+   * @param retryAfter Retry-after time of the refusal, in milliseconds.
    */
   refused(
     now: number,
--- a/packages/brain/src/guard/nestedShares.ts
+++ b/packages/brain/src/guard/nestedShares.ts
@@ -6,7 +6,7 @@
 
 /**
  * A kind of call needs a service if a call of that kind is more likely to call
- * it than not. Refusing calls of other kinds for want of that service would
+ * it than not. Refusing calls of other kinds for lack of that service would
  * refuse more calls than fail.
  */
 const NEEDED_SHARE = 0.5;
--- a/packages/brain/src/guard/upstreamGuard.ts
+++ b/packages/brain/src/guard/upstreamGuard.ts
@@ -48,7 +48,7 @@
   readonly change: StandingChange | undefined;
 }
 
-/** A complete answer, as far as it tells about the upstream. */
+/** What a complete answer shows of the upstream. */
 export interface UpstreamResult {
   readonly status: number;
   /** The upstream reported overload. */
@@ -88,7 +88,7 @@
     this.admission = new Admission(
       resource.spec.slots,
       !settings.hasQuickDoubt,
-      {...settings.admission, createLimit: settings.createLimit},
+      settings.admission,
     );
     this.notice = new StatedNotice(this.admission.rate);
     this.doubt = new QuickDoubt({
--- a/packages/node/src/__tests__/brokenAnswers.test.ts
+++ b/packages/node/src/__tests__/brokenAnswers.test.ts
@@ -5,12 +5,13 @@
 import type {AddressInfo, Server, Socket} from 'node:net';
 import {afterEach, beforeEach, describe, expect, it} from 'vitest';
 import {GuardStateMachine} from '@lockpin/brain';
-import type {Repetition, Resource} from '@lockpin/types';
+import type {Repetition} from '@lockpin/types';
 import {seededRandom} from '@lockpin/utils';
 import {UpstreamPools} from '../connection/upstreamPools.js';
 import type {CallHead} from '../request/frames.js';
 import {GuardService} from '../request/guardService.js';
 import {NO_NOTICE} from '../request/upstreamNotice.js';
+import {localUpstream} from './__fixtures__/localUpstream.js';
 
 const NAME = 's/box';
 
@@ -26,19 +27,7 @@
   });
   await new Promise<void>((done) => server.listen(0, '127.0.0.1', done));
   const {port} = server.address() as AddressInfo;
-  const upstream: Resource<'Upstream'> = {
-    kind: 'Upstream',
-    name: NAME,
-    version: 1,
-    spec: {
-      address: `127.0.0.1:${port}`,
-      dataCentre: 'd',
-      box: 'box',
-      slots: 4,
-      connections: 9,
-      state: 'in-service',
-    },
-  };
+  const upstream = localUpstream(NAME, `127.0.0.1:${port}`, {connections: 9});
   pools = new UpstreamPools();
   pools.configure([upstream]);
   service = new GuardService({
--- a/packages/node/src/__tests__/fleetRetryBudget.test.ts
+++ b/packages/node/src/__tests__/fleetRetryBudget.test.ts
@@ -49,6 +49,7 @@
   it('are none but its share of calls while an earlier process may have spent them', () => {
     expect(retriesAt(STARTED_AT, false)).toBe(0);
     expect(retriesAt(STARTED_AT + 9999, false)).toBe(0);
+    expect(retriesAt(STARTED_AT + 13_099, false)).toBe(0);
     expect(retriesAt(STARTED_AT + 13_100, false)).toBe(10);
   });
 
--- a/packages/node/src/__tests__/guardService.test.ts
+++ b/packages/node/src/__tests__/guardService.test.ts
@@ -5,11 +5,11 @@
 import {GuardStateMachine} from '@lockpin/brain';
 import {StandInUpstream} from '@lockpin/stand-ins';
 import {seededRandom} from '@lockpin/utils';
-import type {Resource} from '@lockpin/types';
 import {UpstreamPools} from '../connection/upstreamPools.js';
 import type {ExchangeHandlers} from '../request/exchange.js';
 import type {AnswerHead, CallHead, RefusalFrame} from '../request/frames.js';
 import {GuardService} from '../request/guardService.js';
+import {localUpstream} from './__fixtures__/localUpstream.js';
 
 const NAME = 'customer/service/upstream';
 
@@ -24,19 +24,7 @@
   const random = seededRandom(1);
   upstream = new StandInUpstream({name: NAME, slots: 4, random});
   const address = await upstream.start('127.0.0.1');
-  const resource: Resource<'Upstream'> = {
-    kind: 'Upstream',
-    name: NAME,
-    version: 1,
-    spec: {
-      address,
-      dataCentre: 'one',
-      box: 'box',
-      slots: 4,
-      connections: 10,
-      state: 'in-service',
-    },
-  };
+  const resource = localUpstream(NAME, address);
   pools = new UpstreamPools();
   pools.configure([resource]);
   const stateMachine = new GuardStateMachine({box: 'box', incarnation: 'a'});
--- a/packages/node/src/__tests__/slowReaders.test.ts
+++ b/packages/node/src/__tests__/slowReaders.test.ts
@@ -6,7 +6,6 @@
 import type {AddressInfo} from 'node:net';
 import {afterEach, beforeEach, describe, expect, it} from 'vitest';
 import {GuardStateMachine} from '@lockpin/brain';
-import type {Resource} from '@lockpin/types';
 import {seededRandom} from '@lockpin/utils';
 import {UpstreamPools} from '../connection/upstreamPools.js';
 import {AnswerMemory} from '../request/answerMemory.js';
@@ -15,6 +14,7 @@
 import type {GuardRecord} from '../request/guardRecord.js';
 import {GuardService} from '../request/guardService.js';
 import {reasonToCut} from '../request/heldAnswer.js';
+import {localUpstream} from './__fixtures__/localUpstream.js';
 
 const NAME = 's/box';
 const KILOBYTE = 1024;
@@ -88,19 +88,10 @@
 /** Creates a guard whose upstream has one slot. */
 function createGuard(memory: AnswerMemory | undefined): GuardService {
   const {port} = server.address() as AddressInfo;
-  const upstream: Resource<'Upstream'> = {
-    kind: 'Upstream',
-    name: NAME,
-    version: 1,
-    spec: {
-      address: `127.0.0.1:${port}`,
-      dataCentre: 'd',
-      box: 'box',
-      slots: 1,
-      connections: 1,
-      state: 'in-service',
-    },
-  };
+  const upstream = localUpstream(NAME, `127.0.0.1:${port}`, {
+    slots: 1,
+    connections: 1,
+  });
   pools = new UpstreamPools();
   pools.configure([upstream]);
   const service = new GuardService({
--- a/packages/node/src/connection/peerReconnect.ts
+++ b/packages/node/src/connection/peerReconnect.ts
@@ -1,5 +1,5 @@
 // Copyright (c) 2026 the lockpin contributors. MIT licence, see LICENSE.
-/** When a peer to which connects have failed is tried again. */
+/** Backoff of connects to a peer that could not be reached. */
 
 /** Interval after the first failed connect; each further one doubles it. */
 const FIRST_INTERVAL_MILLISECONDS = 100;
--- a/packages/node/src/connection/peerStream.ts
+++ b/packages/node/src/connection/peerStream.ts
@@ -11,7 +11,7 @@
    * nothing that was written can have been received.
    */
   readonly onError: (wasSent: boolean) => void;
-  /** All that was written before has left; follows a write that said false. */
+  /** All earlier writes were sent; follows a write that returned false. */
   readonly onDrain: () => void;
 }
 
--- a/packages/node/src/process/fleetComposition.ts
+++ b/packages/node/src/process/fleetComposition.ts
@@ -44,6 +44,7 @@
 import {PeerTraffic} from './peerTraffic.js';
 import {createPrometheusMetrics} from './prometheusMetrics.js';
 import type {TextMetrics} from './prometheusMetrics.js';
+import type {MetricName} from './metrics.js';
 import {createSingletonRegistrar} from './singletonRegistrar.js';
 import {Subscribers} from './subscribers.js';
 import {every} from './timers.js';
@@ -54,6 +55,13 @@
 /** Maximum body size before any configuration is in force. */
 const INITIAL_BODY_LIMIT_BYTES = 1024 * 1024;
 
+/** Counters of guard calls that were refused for some reasons. */
+const REFUSAL_METRICS: ReadonlyMap<string, MetricName> = new Map([
+  ['nested-busy', 'guard.nestedBusy'],
+  ['upstream-refused', 'guard.rejected'],
+  ['retries-exhausted', 'guard.retriesExhausted'],
+]);
+
 /** Injection tokens of the container. */
 export const FLEET_TOKENS = {
   ports: Symbol('ports') as InjectionToken<FleetPorts>,
@@ -282,17 +290,12 @@
       if (doubtReason !== undefined) {
         metrics.increment('guard.doubted', {reason: doubtReason});
       }
-      if (reason === 'nested-busy') {
-        metrics.increment('guard.nestedBusy');
-      }
       if (limit !== undefined) {
         metrics.increment('guard.overLimit');
       }
-      if (reason === 'upstream-refused') {
-        metrics.increment('guard.rejected');
-      }
-      if (reason === 'retries-exhausted') {
-        metrics.increment('guard.retriesExhausted');
+      const refusalMetric = REFUSAL_METRICS.get(reason);
+      if (refusalMetric !== undefined) {
+        metrics.increment(refusalMetric);
       }
       for (const kind of noticeKinds(notice)) {
         metrics.increment('guard.notices', {kind});
--- a/packages/node/src/process/fleetGuardSettings.ts
+++ b/packages/node/src/process/fleetGuardSettings.ts
@@ -2,6 +2,7 @@
 /** Guard settings of a declared fleet. */
 
 import {RejectionLimit} from '@lockpin/admission';
+import type {CreateConcurrencyLimit} from '@lockpin/admission';
 import {DEFAULT_GUARD_SETTINGS} from '@lockpin/brain';
 import type {GuardSettings} from '@lockpin/brain';
 import {NO_RETRIES} from '@lockpin/routing';
@@ -13,6 +14,9 @@
  */
 const burstCalls = (slots: number): number => slots;
 
+const createLimit: CreateConcurrencyLimit = (slots, isCold) =>
+  new RejectionLimit(slots, isCold);
+
 /**
  * Returns the settings of guards that reserve slots for entries and budget
  * retries.
@@ -40,12 +44,10 @@
     excusesFailures: isOn('excused-failures'),
     doubtReleasesQueue: isOn('queue-release'),
     limitsSuspects: isOn('suspect-limit'),
-    ...(isOn('rejection-limit') && {
-      createLimit: (slots, isCold) => new RejectionLimit(slots, isCold),
-    }),
     tracksNestedCalls: isOn('nested-calls'),
     refusesBusyParents: isOn('nested-calls') && isOn('nested-busy'),
     admission: {
+      ...(isOn('rejection-limit') && {createLimit}),
       ...(isOn('burst-credit') && {burstCallsFor: burstCalls}),
       removesHopeless: isOn('queue-review'),
     },
--- a/packages/node/src/process/fleetRetryBudget.ts
+++ b/packages/node/src/process/fleetRetryBudget.ts
@@ -59,7 +59,7 @@
 /**
  * Share of a guard's constant that is kept for repeats that upstreams make
  * while they run a repeated call (see mayBeRepeat). If a tenth of the calls are
- * such repeats, the fullest window of a trial held 0.94 of its limit.
+ * such repeats, the fullest window reaches 0.94 of its limit.
  */
 const REPEAT_SHARE = 0.15;
 
--- a/packages/node/src/process/nestedCallEvents.ts
+++ b/packages/node/src/process/nestedCallEvents.ts
@@ -1,5 +1,5 @@
 // Copyright (c) 2026 the lockpin contributors. MIT licence, see LICENSE.
-/** Tells the guard how the nested calls of its box ended. */
+/** Events for the guard about the ends of its box's nested calls. */
 
 import {NESTED_SHORTAGE_REFUSALS} from '@lockpin/brain';
 import type {GuardEvent, NestedCallEnd} from '@lockpin/brain';
--- a/packages/node/src/request/attemptHistory.ts
+++ b/packages/node/src/request/attemptHistory.ts
@@ -62,7 +62,7 @@
    * did not use at its end.
    */
   readonly unusedUpstreams?: UnusedUpstreams | undefined;
-  /** When a refused call may come back, if its caller was told. */
+  /** The retry-after time of a refusal, if it has one. */
   readonly retryAfterMilliseconds?: number | undefined;
   /** Set if an upstream of this box made the call while it ran another. */
   readonly nested?: NestedCallRecord | undefined;
--- a/packages/node/src/request/capacityEncoding.ts
+++ b/packages/node/src/request/capacityEncoding.ts
@@ -1,13 +1,13 @@
 // Copyright (c) 2026 the lockpin contributors. MIT licence, see LICENSE.
-/** Positional encoding of what a reply tells about other upstreams. */
+/** Positional encoding of what a reply contains about other upstreams. */
 
 import type {CapacityRow} from '@lockpin/routing';
 import {
-  decodeWait,
-  encodeRetries,
-  encodeShare,
-  encodeWait,
-} from './wireCodes.js';
+  decodeCapacity,
+  encodeCapacity,
+  withoutTrailingNulls,
+} from './capacityValues.js';
+import type {CapacityValues} from './capacityValues.js';
 
 /** Ages up to a second then take one byte; rounded up, so none looks newer. */
 const AGE_UNIT_MILLISECONDS = 8;
@@ -18,50 +18,33 @@
   occupied: number,
   limit: number,
   age: number,
-  slotIn?: number | null,
-  retriesLeft?: number | null,
-  rejectedPercent?: number | null,
+  ...capacity: CapacityValues,
 ];
 
 /** Encodes the rows of a reply. */
 export function encodeCapacityRows(
   rows: readonly CapacityRow[],
 ): readonly EncodedCapacityRow[] {
-  return rows.map((row) => {
-    const {box, occupied, limit, slotIn, retriesLeft, rejectedShare} = row;
-    const units = Math.ceil(row.age / AGE_UNIT_MILLISECONDS);
-    const load = [box, occupied, Math.ceil(limit), units] as const;
-    if (rejectedShare !== undefined) {
-      return [
-        ...load,
-        encodeWait(slotIn),
-        encodeRetries(retriesLeft),
-        encodeShare(rejectedShare),
-      ];
-    }
-    if (retriesLeft !== undefined) {
-      return [...load, encodeWait(slotIn), encodeRetries(retriesLeft)];
-    }
-    return slotIn === undefined ? load : [...load, encodeWait(slotIn)];
-  });
+  return rows.map((row) =>
+    withoutTrailingNulls<EncodedCapacityRow>([
+      row.box,
+      row.occupied,
+      Math.ceil(row.limit),
+      Math.ceil(row.age / AGE_UNIT_MILLISECONDS),
+      ...encodeCapacity(row),
+    ]),
+  );
 }
 
 /** Decodes the rows of a reply. */
 export function decodeCapacityRows(
   rows: readonly EncodedCapacityRow[],
 ): readonly CapacityRow[] {
-  return rows.map(([box, occupied, limit, units, ...optional]) => {
-    const [slotIn, retriesLeft, rejectedPercent] = optional;
-    return {
-      box,
-      occupied,
-      limit,
-      ...(typeof slotIn === 'number' && {slotIn: decodeWait(slotIn)}),
-      ...(typeof retriesLeft === 'number' && {retriesLeft}),
-      ...(typeof rejectedPercent === 'number' && {
-        rejectedShare: rejectedPercent / 100,
-      }),
-      age: units * AGE_UNIT_MILLISECONDS,
-    };
-  });
+  return rows.map(([box, occupied, limit, units, ...capacity]) => ({
+    box,
+    occupied,
+    limit,
+    ...decodeCapacity(capacity),
+    age: units * AGE_UNIT_MILLISECONDS,
+  }));
 }
--- a/packages/node/src/request/capacityRows.ts
+++ b/packages/node/src/request/capacityRows.ts
@@ -12,7 +12,7 @@
   'upstream-refused',
 ]);
 
-/** Starts exchanges whose replies tell about other upstreams of the service. */
+/** Starts exchanges whose replies report other upstreams of the service. */
 export function withCapacityRows(
   begin: BeginExchange,
   clock: Clock,
--- a/packages/node/src/request/wireCodes.ts
+++ b/packages/node/src/request/wireCodes.ts
@@ -13,6 +13,12 @@
   RefusalReason,
   Repetition,
 } from '@lockpin/types';
+import {
+  decodeCapacity,
+  encodeCapacity,
+  withoutTrailingNulls,
+} from './capacityValues.js';
+import type {CapacityValues} from './capacityValues.js';
 
 /** Translates between the values of an enum and their codes. */
 export interface WireCodes<Word extends string> {
@@ -127,17 +133,9 @@
   probeIn?: number | null,
   availableIn?: number | null,
   notice?: NoticeRow | null,
-  slotIn?: number | null,
-  retriesLeft?: number | null,
-  rejectedPercent?: number | null,
+  ...capacity: CapacityValues,
 ];
 
-/** Longer waits for a slot, also infinite ones, are sent as this value. */
-const LONGEST_WAIT_MILLISECONDS = 0xffff;
-
-/** More retries are sent as this value, which takes one byte. */
-const MOST_RETRIES_SENT = 0x7f;
-
 /** Encodes a notice. */
 export function encodeNotice(notice: KnownNotice): NoticeRow {
   const {incarnation, requestsPerSecond, isLeaving} = notice;
@@ -161,7 +159,7 @@
 export function encodeLoadHint(hint: LoadHint): HintRow {
   const {state, occupied, limit} = hint;
   const {doubtedFor, probeIn = doubtedFor, availableIn, notice} = hint;
-  return withoutTrailingNulls([
+  return withoutTrailingNulls<HintRow>([
     STATE_CODES.codeOf(state),
     occupied,
     Math.ceil(limit),
@@ -169,17 +167,14 @@
     roundedUp(probeIn),
     roundedUp(availableIn),
     notice === undefined ? null : encodeNotice(notice),
-    encodeWait(hint.slotIn),
-    encodeRetries(hint.retriesLeft),
-    encodeShare(hint.rejectedShare),
+    ...encodeCapacity(hint),
   ]);
 }
 
 /** Decodes a load hint from its row. */
 export function decodeLoadHint(row: HintRow): LoadHint {
   const [code, occupied, limit, ...optional] = row;
-  const [doubtedFor, probeIn, availableIn, ...rest] = optional;
-  const [notice, slotIn, retriesLeft, rejectedPercent] = rest;
+  const [doubtedFor, probeIn, availableIn, notice, ...capacity] = optional;
   return {
     state: STATE_CODES.nameOf(code),
     occupied,
@@ -190,43 +185,10 @@
     }),
     ...(typeof availableIn === 'number' && {availableIn}),
     ...(notice && {notice: decodeNotice(notice)}),
-    ...(typeof slotIn === 'number' && {slotIn: decodeWait(slotIn)}),
-    ...(typeof retriesLeft === 'number' && {retriesLeft}),
-    ...(typeof rejectedPercent === 'number' && {
-      rejectedShare: rejectedPercent / 100,
-    }),
+    ...decodeCapacity(capacity),
   };
 }
 
-/** Encodes a wait for a slot, in milliseconds; null when there is none. */
-export function encodeWait(milliseconds: number | undefined): number | null {
-  return milliseconds === undefined
-    ? null
-    : Math.min(LONGEST_WAIT_MILLISECONDS, Math.ceil(milliseconds));
-}
-
-/** Decodes a wait for a slot; the longest value stands for an infinite one. */
-export function decodeWait(milliseconds: number): number {
-  return milliseconds >= LONGEST_WAIT_MILLISECONDS
-    ? Number.POSITIVE_INFINITY
-    : milliseconds;
-}
-
-/** Encodes the retries that a guard has left; null when not limited. */
-export function encodeRetries(retries: number | undefined): number | null {
-  return retries === undefined ? null : Math.min(MOST_RETRIES_SENT, retries);
-}
-
-/** Encodes a share as whole percents, which take one byte; null when absent. */
-export function encodeShare(share: number | undefined): number | null {
-  return share === undefined ? null : Math.round(share * 100);
-}
-
-function withoutTrailingNulls(row: HintRow): HintRow {
-  const used = row.findLastIndex((value) => value !== null) + 1;
-  return row.slice(0, used) as unknown as HintRow;
-}
-
 function roundedUp(milliseconds: number | undefined): number | null {
   return milliseconds === undefined ? null : Math.ceil(milliseconds);
 }
--- a/packages/routing/src/capacityProspects.ts
+++ b/packages/routing/src/capacityProspects.ts
@@ -4,9 +4,7 @@
 import type {RoutingCandidate, RoutingContext} from './chooseUpstream.js';
 import {FRESH_MILLISECONDS, serviceOf} from './fleetCapacity.js';
 import type {CapacityReport} from './fleetCapacity.js';
-
-/** Time constant of the exponential decay of the weight of a report. */
-const DECAY_MILLISECONDS = 1000;
+import {reportWeight} from './upstreamLoad.js';
 
 /**
  * A cold upstream takes about twice as long, so that this share of its slots
@@ -27,13 +25,13 @@
   readonly free: number;
   /**
    * How many slots more or less may be free, as a standard deviation: none when
-   * just told, and that of independent arrivals without knowledge.
+   * just reported, and that of independent arrivals without knowledge.
    */
   readonly uncertainty: number;
   /** Expected share of its slots that are taken; above 1 when calls wait. */
   readonly occupation: number;
   /**
-   * Milliseconds until a usual call gets a slot, as its guard has just said;
+   * Milliseconds until a usual call gets a slot, as recently reported;
    * undefined without knowledge that is new enough.
    */
   readonly wait: number | undefined;
@@ -80,10 +78,6 @@
   return report !== undefined && now - report.at <= FRESH_MILLISECONDS;
 }
 
-function weightOf({at}: CapacityReport, now: number): number {
-  return Math.exp((at - now) / DECAY_MILLISECONDS);
-}
-
 /**
  * As a report ages, the expectation moves to the mean of the data centre: an
  * upstream without recent reports is assumed to be neither idle nor full.
@@ -96,7 +90,7 @@
   usualMilliseconds: number,
 ): Prospect<T> {
   const {name, slots, coldUntil} = candidate;
-  const weight = report === undefined ? 0 : weightOf(report, now);
+  const weight = report === undefined ? 0 : reportWeight(report.at, now);
   const reported = report === undefined ? slots : report.limit;
   const limit = Math.max(1, reported * weight + slots * (1 - weight));
   const meanTaken = mean * limit;
@@ -139,7 +133,7 @@
   for (const {name, dataCentre} of candidates) {
     const report = reports.get(name);
     if (report !== undefined && report.isAccepting) {
-      const weight = weightOf(report, now);
+      const weight = reportWeight(report.at, now);
       const occupation = report.occupied / Math.max(1, report.limit);
       const sum = (means.get(dataCentre) ?? 0) + occupation * weight;
       means.set(dataCentre, sum);
--- a/packages/routing/src/fleetCapacity.ts
+++ b/packages/routing/src/fleetCapacity.ts
@@ -3,7 +3,7 @@
 
 import type {LoadHint} from './loadHint.js';
 
-/** What a guard said about the capacity of its upstream. */
+/** The capacity of an upstream as its guard reported it. */
 export interface CapacityReport {
   /** Whether the guard takes ordinary calls. */
   readonly isAccepting: boolean;
@@ -17,7 +17,7 @@
   readonly retriesLeft: number | undefined;
   /** Share of recent calls that the upstream rejected, from 0 to 1. */
   readonly rejectedShare: number;
-  /** When the guard said so, by the clock of this box. */
+  /** When the guard reported it, by the clock of this box. */
   readonly at: number;
 }
 
@@ -30,7 +30,7 @@
   readonly slotIn?: number;
   readonly retriesLeft?: number;
   readonly rejectedShare?: number;
-  /** Milliseconds since the guard said so. */
+  /** Milliseconds since the guard reported it. */
   readonly age: number;
 }
 
@@ -76,7 +76,7 @@
   >();
   private readonly services = new Map<string, Map<string, CapacityReport>>();
 
-  /** Records what a guard said itself. */
+  /** Records a report of the guard itself. */
   hinted(upstream: string, now: number, hint: LoadHint): void {
     const {occupied, limit, slotIn = 0, availableIn = 0} = hint;
     const {retriesLeft, rejectedShare = 0} = hint;
@@ -91,7 +91,7 @@
     });
   }
 
-  /** Records what the guard of this box says, and its average over time. */
+  /** Records a report of this box's guard, and its average over time. */
   ownHinted(upstream: string, now: number, hint: LoadHint): void {
     this.hinted(upstream, now, hint);
     const occupation = hint.occupied / Math.max(1, hint.limit);
@@ -183,8 +183,8 @@
   }
 
   /**
-   * The shortest wait for a slot of a service in milliseconds, as fresh reports
-   * tell; undefined without any.
+   * The shortest wait for a slot of a service in milliseconds, from fresh
+   * reports; undefined without any.
    */
   shortestWait(service: string, now: number): number | undefined {
     let shortest: number | undefined;
@@ -255,12 +255,12 @@
   }
 }
 
-/** Whether a report tells of a free slot. */
+/** Whether an upstream has a free slot according to a report. */
 export function hasSpare({occupied, limit, slotIn}: CapacityReport): boolean {
   return slotIn === 0 && occupied < limit;
 }
 
-/** Whether a report tells of a free slot and of a retry, if they are limited. */
+/** The same, and its guard has retries left if they are limited. */
 export function hasSpareRetry(report: CapacityReport): boolean {
   return hasSpare(report) && report.retriesLeft !== 0;
 }
--- a/packages/routing/src/upstreamLoad.ts
+++ b/packages/routing/src/upstreamLoad.ts
@@ -3,8 +3,8 @@
 
 import type {LoadHint} from './loadHint.js';
 
-/** Time constant of the exponential decay of the weight of a hint. */
-const HINT_DECAY_MILLISECONDS = 1000;
+/** Time constant of the exponential decay of the weight of a report. */
+const DECAY_MILLISECONDS = 1000;
 
 /** A wait for this long counts like a queue with one call for each slot. */
 const WAIT_PER_OCCUPATION_MILLISECONDS = 250;
@@ -60,9 +60,9 @@
   return wait > 0 ? 1 + wait / WAIT_PER_OCCUPATION_MILLISECONDS : 0;
 }
 
-/** Weight of a hint: 1 when it arrives, decaying to 0. */
-export function hintWeight({hintedAt}: UpstreamLoad, now: number): number {
-  return Math.exp((hintedAt - now) / HINT_DECAY_MILLISECONDS);
+/** Weight of a report of a time: 1 when it is new, decaying to 0. */
+export function reportWeight(reportedAt: number, now: number): number {
+  return Math.exp((reportedAt - now) / DECAY_MILLISECONDS);
 }
 
 /** Occupation that a hint reports; 1 when all slots are taken. */
--- a/packages/routing/src/upstreamLoads.ts
+++ b/packages/routing/src/upstreamLoads.ts
@@ -11,9 +11,9 @@
 import {avoidMissing, avoidSilent, isAvoided} from './upstreamAvoidance.js';
 import {
   createUpstreamLoad,
-  hintWeight,
   hintedOccupation,
   limitOccupation,
+  reportWeight,
 } from './upstreamLoad.js';
 import type {UpstreamLoad} from './upstreamLoad.js';
 
@@ -161,7 +161,7 @@
     if (load === undefined || hint === undefined) {
       return Math.max(mean, (load?.outstanding ?? 0) / slots);
     }
-    const weight = hintWeight(load, now);
+    const weight = reportWeight(load.hintedAt, now);
     const limit = Math.max(1, hint.limit * weight + slots * (1 - weight));
     const hinted = (hint.occupied * weight) / limit;
     const expected = hinted + mean * (1 - weight);
@@ -175,7 +175,7 @@
     for (const upstream of upstreams) {
       const load = this.loads.get(upstream);
       if (load?.hint?.state === 'accepting') {
-        const weight = hintWeight(load, now);
+        const weight = reportWeight(load.hintedAt, now);
         sum += hintedOccupation(load.hint) * weight;
         weights += weight;
       }
