--- a/packages/node/src/__tests__/peerConnections.test.ts
+++ b/packages/node/src/__tests__/peerConnections.test.ts
@@ -11,6 +11,7 @@
 import {PeerChannels} from '../connection/peerChannels.js';
 import type {PeerChannelsOptions} from '../connection/peerChannels.js';
 import type {StartTicks} from '../connection/peerProbes.js';
+import {FIRST_BYTE, PROTOCOL_VERSION} from '../connection/peerProtocol.js';
 import {PeerServer} from '../connection/peerServer.js';
 import {PeerSocket} from '../connection/peerSocket.js';
 import type {PeerStream} from '../connection/peerStream.js';
@@ -200,6 +201,23 @@
     await expect.poll(() => events).toEqual(['two']);
   });
 
+  // Guards against a request that ends the process, as an uncaught error does.
+  it('by a request that cannot be decoded ends only its own connection', async () => {
+    const {stream, events} = openCall();
+    stream.write(Buffer.from('one'));
+    await expect.poll(() => served.length).toBe(1);
+    const raw = connect(parseAddress(address) as SocketAddress);
+    raw.on('error', () => undefined);
+    const closed = new Promise((done) => raw.once('close', done));
+    const preface = [FIRST_BYTE, PROTOCOL_VERSION, 2];
+    const emptyRequest = [0, 0, 0, 4, 0, 0, 0, 1];
+    raw.write(Buffer.from([...preface, ...emptyRequest]));
+    await closed;
+    expect(violations).toEqual(['malformed-message']);
+    served[0]?.stream.write(Buffer.from('two'));
+    await expect.poll(() => events).toEqual(['two']);
+  });
+
   // A node of a release with another transport has run nothing.
   it('by the server leaves what was written as never sent', async () => {
     const other = createServer((socket) => socket.end(Buffer.from([0, 0, 0])));
--- a/packages/node/src/connection/codec.ts
+++ b/packages/node/src/connection/codec.ts
@@ -58,3 +58,12 @@
   const rest = bytes.subarray(1);
   return decode(bytes[0] === DEFLATED ? inflateRawSync(rest) : rest);
 }
+
+/** The same; undefined if the bytes are not a document. */
+export function tryDecodeDocument<T>(bytes: Buffer): T | undefined {
+  try {
+    return decodeDocument<T>(bytes);
+  } catch {
+    return undefined;
+  }
+}
--- a/packages/node/src/connection/peerProtocol.ts
+++ b/packages/node/src/connection/peerProtocol.ts
@@ -49,7 +49,8 @@
   | 'unknown-version'
   | 'unknown-method'
   | 'unknown-packet'
-  | 'message-too-long';
+  | 'message-too-long'
+  | 'malformed-message';
 
 /** Writes the preface of a connection to the start of a buffer. */
 export function writePreface(target: Buffer, method: PeerMethod): void {
--- a/packages/node/src/connection/peerServer.ts
+++ b/packages/node/src/connection/peerServer.ts
@@ -8,7 +8,7 @@
 import type {PeerReply, PeerRequest} from '@lockpin/brain';
 import {parseAddress} from '@lockpin/utils';
 import type {ControlTraffic} from '../process/controlTraffic.js';
-import {decodeDocument, encodeDocument} from './codec.js';
+import {encodeDocument, tryDecodeDocument} from './codec.js';
 import {PeerSockets} from './peerProbes.js';
 import type {StartTicks} from './peerProbes.js';
 import type {PeerMethod, PeerViolation} from './peerProtocol.js';
@@ -120,27 +120,36 @@
   }
 
   private serve(
-    stream: PeerStream,
+    socket: PeerSocket,
     method: PeerMethod,
   ): ServedRequests | undefined {
     if (this.isDraining) {
       // The connection was accepted before, but no stream was opened on it.
-      stream.cancel();
+      socket.cancel();
     } else if (method === 'requests') {
-      const requests = new ServedRequests(stream, (bytes, reply) =>
-        this.answer(bytes, reply),
+      const requests = new ServedRequests(socket, (bytes, reply) =>
+        this.answer(socket, bytes, reply),
       );
       this.served.add(requests);
       return requests;
     } else {
-      this.handlers[method](stream);
+      this.handlers[method](socket);
     }
     return undefined;
   }
 
-  private answer(bytes: Buffer, reply: (bytes: Buffer) => void): void {
+  private answer(
+    socket: PeerSocket,
+    bytes: Buffer,
+    reply: (bytes: Buffer) => void,
+  ): void {
     this.traffic.received('exchanges', bytes.length);
-    this.handlers.exchange(decodeDocument<Request>(bytes), (message) => {
+    const request = tryDecodeDocument<Request>(bytes);
+    if (request === undefined) {
+      socket.reject();
+      return;
+    }
+    this.handlers.exchange(request, (message) => {
       const encoded = encodeDocument(message);
       this.traffic.sent('exchanges', encoded.length);
       reply(encoded);
--- a/packages/node/src/connection/peerSocket.ts
+++ b/packages/node/src/connection/peerSocket.ts
@@ -126,6 +126,11 @@
     }
   }
 
+  /** Closes the connection since a message of the other end is malformed. */
+  reject(): void {
+    this.fail('malformed-message', this.isEstablished);
+  }
+
   /** Called at equal intervals; probes a silent connection, then drops it. */
   tick(): void {
     if (this.isClosed || !this.isEstablished) {
