--- a/review/lib/fleet.mjs
+++ b/review/lib/fleet.mjs
@@ -84,7 +84,16 @@
 }
 
 /** Settings of a machine, with the bounds of the site dwc-campbook-grown. */
-function settings({name, host, zone, service, zones, store, isFirstStart}) {
+function settings({
+  name,
+  host,
+  zone,
+  service,
+  zones,
+  store,
+  isFirstStart,
+  memoryMb = 602,
+}) {
   return [
     `Self.Node=${name}`,
     'Self.Role=node',
@@ -97,7 +106,7 @@
     `Self.Bootstrap=${isFirstStart}`,
     'Self.Limits.CpuShare=0.675',
     'Self.Limits.Cores=2',
-    'Self.Limits.MemoryMb=602',
+    `Self.Limits.MemoryMb=${memoryMb}`,
     'Self.Limits.MaxFds=8192',
     'Self.Limits.LinkMbps=140.0',
     'Self.Limits.DiskMb=0',
@@ -357,7 +366,12 @@
   onRun = (run) => answerWell(run, 'ok');
   onNodeLine = () => undefined;
 
-  constructor({machines, routes, services, zones = ['cmb-hall1', 'cmb-hall2', 'gph-hall1']}) {
+  constructor({
+    machines,
+    routes,
+    services,
+    zones = ['cmb-hall1', 'cmb-hall2', 'gph-hall1'],
+  }) {
     Object.assign(this, {machines, routes, services, zones});
     this.folder = mkdtempSync(join(tmpdir(), 'lockpin-review-'));
     this.store = new StoreStandIn();
@@ -451,14 +465,22 @@
   }
 
   /** Sends a client's request at a machine. */
-  send(machine, {id = newId(), host = 'shop.example', deadline = 4000, ...rest}) {
+  send(
+    machine,
+    {id = newId(), host = 'shop.example', deadline = 4000, ...rest},
+  ) {
     const headers = {
       Host: host,
       'Attempt-Id': id,
       'Deadline-Ms': String(deadline),
       ...rest.headers,
     };
-    return call({timeout: deadline + 3000, ...rest, address: this.outbound(machine), headers});
+    return call({
+      timeout: deadline + 3000,
+      ...rest,
+      address: this.outbound(machine),
+      headers,
+    });
   }
 
   async stop() {
