--- a/review/lib/fleet.mjs
+++ b/review/lib/fleet.mjs
@@ -1,3 +1,4 @@
+// Copyright (c) 2026 the lockpin contributors. MIT licence, see LICENSE.
 /**
  * Starts a small fleet on loopback addresses: the project's stand-in of the
  * platform's store, one lockpin-node process per machine (with the command of
