--- a/review/lib/fleet.mjs
+++ b/review/lib/fleet.mjs
@@ -484,6 +484,15 @@
     });
   }
 
+  /** Ends all processes at once. */
+  killNodes() {
+    for (const child of this.nodes) {
+      if (child.exitCode === null && child.signalCode === null) {
+        child.kill('SIGKILL');
+      }
+    }
+  }
+
   async stop() {
     this.targets.forEach((target) => target.stop());
     for (const child of this.nodes) {
@@ -523,6 +532,14 @@
     return fleet;
   };
   let code = EXIT.couldNotRun;
+  process.on('exit', () => fleets.forEach((fleet) => fleet.killNodes()));
+  for (const signal of ['SIGINT', 'SIGTERM']) {
+    process.on(signal, () => process.exit(EXIT.couldNotRun));
+  }
+  process.on('uncaughtException', (error) => {
+    process.stderr.write(`${error.stack}\n`);
+    process.exit(EXIT.couldNotRun);
+  });
   try {
     const held = await Promise.race([
       run(record, keep),
