--- a/review/lib-2/case.mjs
+++ b/review/lib-2/case.mjs
@@ -8,6 +8,9 @@
 
 const LIMIT_MILLISECONDS = 110_000;
 
+/** Lines of the record that are printed at the end. */
+const LAST_LINES = 60;
+
 /** False with TROUBLE=0: the same events without the disruption. */
 export const hasTrouble = process.env.TROUBLE !== '0';
 
@@ -39,8 +42,8 @@
     record(`could not run: ${error.stack}`);
   }
   await Promise.all(cleanUps.map((cleanUp) => cleanUp()));
-  const text = `${lines.join('\n')}\n`;
-  writeFileSync(join(folder, 'record.txt'), text);
-  process.stdout.write(text);
-  process.exit(code);
+  writeFileSync(join(folder, 'record.txt'), `${lines.join('\n')}\n`);
+  process.stdout.write(`${lines.slice(-LAST_LINES).join('\n')}\n`, () =>
+    process.exit(code),
+  );
 }
