--- a/review/lib-2/fleet.mjs
+++ b/review/lib-2/fleet.mjs
@@ -34,7 +34,7 @@
   return `127.${random()}.${random()}`;
 }
 
-function settingsText({name, zone, ip, service, store}) {
+function settingsText({name, zone, ip, service, store}, isFirstStart) {
   return `${[
     `Self.Node=${name}`,
     'Self.Role=node',
@@ -44,7 +44,7 @@
     `Self.Zone=${zone}`,
     'Self.Region=muscat',
     'Self.InTolerance=false',
-    'Self.Bootstrap=true',
+    `Self.Bootstrap=${isFirstStart}`,
     'Self.Limits.CpuShare=0.54',
     'Self.Limits.Cores=1',
     'Self.Limits.MemoryMb=350',
@@ -171,7 +171,6 @@
 function startMachine(machine, store, folder, record) {
   const {name, ip} = machine;
   const path = join(folder, `${name}.conf`);
-  writeFileSync(path, settingsText({...machine, store: store.address}));
   const [program, ...words] = runCommand();
   const {PATH, HOME, LANG} = process.env;
   let child;
@@ -180,6 +179,9 @@
   const log = [];
 
   function start() {
+    const isFirstStart = exits.length === 0;
+    const settings = {...machine, store: store.address};
+    writeFileSync(path, settingsText(settings, isFirstStart));
     child = spawn(program, words, {
       cwd: ROOT,
       env: {PATH, HOME, LANG, LOCKPIN_SETTINGS: path},
--- a/review/lib-2/store.mjs
+++ b/review/lib-2/store.mjs
@@ -1,12 +1,13 @@
 // Copyright (c) 2026 the lockpin contributors. MIT licence, see LICENSE.
 // A stand-in for the platform's store: a log of keyed records, as PROTOCOL.md
-// describes it. It is always up and answers at once.
+// describes it. `mode` is 'well', or 'silent', 'busy' or 'reset' while it is down.
 
 import {createServer} from 'node:http';
 
 /** Starts the store at an address; `put` writes as the operator does. */
 export async function startStore(host, port) {
   const topics = new Map();
+  let mode = 'well';
   const waiters = new Set();
   const records = (topic) => {
     if (!topics.has(topic)) {
@@ -29,6 +30,15 @@
     for await (const chunk of request) {
       chunks.push(chunk);
     }
+    if (mode === 'silent') {
+      return undefined;
+    }
+    if (mode === 'busy') {
+      return response.writeHead(503).end();
+    }
+    if (mode === 'reset') {
+      return request.socket.resetAndDestroy();
+    }
     switch (url.pathname) {
       case '/log-append':
         return append(topic, Buffer.concat(chunks), response);
@@ -111,6 +121,9 @@
   return {
     address: `${host}:${port}`,
     put,
+    setMode: (next) => {
+      mode = next;
+    },
     stop: () => {
       server.closeAllConnections();
       server.close();
