--- a/review/lib-2/store.mjs
+++ b/review/lib-2/store.mjs
@@ -121,6 +121,8 @@
   return {
     address: `${host}:${port}`,
     put,
+    /** The records of a topic, oldest first. */
+    dump: (topic) => records(topic),
     setMode: (next) => {
       mode = next;
     },
