--- a/review/lib-2/case.mjs
+++ b/review/lib-2/case.mjs
@@ -30,6 +30,14 @@
       LIMIT_MILLISECONDS,
     ).unref();
   });
+  for (const signal of ['SIGINT', 'SIGTERM']) {
+    process.once(signal, () => process.exit(2));
+  }
+  process.on('uncaughtException', (error) => {
+    record(`could not run: ${error.stack}`);
+    writeFileSync(join(folder, 'record.txt'), `${lines.join('\n')}\n`);
+    process.exit(2);
+  });
   let code = 2;
   try {
     const held = await Promise.race([
--- a/review/lib-2/fleet.mjs
+++ b/review/lib-2/fleet.mjs
@@ -204,6 +204,8 @@
   }
 
   start();
+  // Whatever ends the case, no process stays.
+  process.on('exit', () => child.kill('SIGKILL'));
   return {
     ...machine,
     log,
