Soak: a stop may be excused only by an answer that passed its box

Cause: the check knew no box of an answer but its caller's. Change: an answer passes the box of its caller and those of the upstreams that its request reached; only a stop of one of these is excused, or excuses.

--- a/packages/tools/src/soak/__tests__/checkHistory.test.ts
+++ b/packages/tools/src/soak/__tests__/checkHistory.test.ts
@@ -136,6 +136,15 @@
     ]);
     const kill = {...disruption, isPlanned: false, what: 'kill'};
     expect(violatedGuarantees({...broken, disruptions: [kill]})).toEqual([]);
+    const cutElsewhere = {
+      box: 'box-3',
+      signalledAt: 10_040,
+      exitedAt: 10_160,
+      exitCode: 1,
+      wasKilled: false,
+    };
+    const unrelated = {...broken, stops: [cutElsewhere]};
+    expect(violatedGuarantees(unrelated)).toContain('no lost calls');
     const unbegun = withEnd(
       {kind: 'broken', hadBegun: false},
       {endedAt: 10_150},
@@ -170,6 +179,14 @@
     ];
     const cut = {...reading, disruptions};
     expect(violatedGuarantees({...cut, stops: [cutStop]})).toEqual([]);
+    const elsewhere = {...cutStop, box: 'box-3'};
+    expect(violatedGuarantees({...cut, stops: [elsewhere]})).toEqual([
+      'planned stops',
+    ]);
+    const upstream = {service: 'shop', readyFrom: 0, readyUntil: 1e9};
+    const upstreams = [{...upstream, lifetime: 'i-1', box: 'box-3'}];
+    const throughIt = {...cut, upstreams, stops: [elsewhere]};
+    expect(violatedGuarantees(throughIt)).toEqual([]);
     const crashed = {...cutStop, exitCode: 4};
     expect(violatedGuarantees({...cut, stops: [crashed]})).toEqual([
       'planned stops',
--- a/packages/tools/src/soak/checkHistory.ts
+++ b/packages/tools/src/soak/checkHistory.ts
@@ -149,15 +149,28 @@
 /** Longer answers are passed on before they are complete. */
 const BUFFERED_BYTES = 64 * 1024;
 
+/** Returns the boxes that an answer passes: its caller's and its upstreams'. */
+function boxesOfAnswers({
+  arrivals,
+  upstreams,
+}: SoakHistory): (call: CallRecord) => ReadonlySet<string> {
+  const boxes = new Map(upstreams.map(({lifetime, box}) => [lifetime, box]));
+  return ({requestId, box}) =>
+    new Set([
+      box,
+      ...arrivals
+        .filter((arrival) => arrival.requestId === requestId)
+        .flatMap(({lifetime}) => boxes.get(lifetime) ?? []),
+    ]);
+}
+
 /**
  * A planned stop must end in time and with exit code 0, unless a caller was still
  * reading the answer that it had begun to get, from this box or through it.
  */
-function checkStops({
-  stops,
-  calls,
-  disruptions,
-}: SoakHistory): readonly Violation[] {
+function checkStops(history: SoakHistory): readonly Violation[] {
+  const {stops, calls, disruptions} = history;
+  const boxesOf = boxesOfAnswers(history);
   return (
     stops
       // A process without a signal handler yet is ended by the signal itself.
@@ -165,14 +178,15 @@
         exitCode === null ? wasKilled : exitCode !== 0,
       )
       .filter(
-        ({exitCode, signalledAt, exitedAt}) =>
+        ({box, exitCode, signalledAt, exitedAt}) =>
           exitCode !== STOP_LIMIT_REACHED ||
           !calls.some(
             (call) =>
               call.sentAt < exitedAt &&
               call.endedAt > signalledAt &&
               call.end.kind === 'broken' &&
-              call.end.hadBegun,
+              call.end.hadBegun &&
+              boxesOf(call).has(box),
           ),
       )
       .filter(({box, signalledAt, exitedAt}) =>
@@ -190,11 +204,13 @@
  * that send it, too, and on a reader that takes it before the stop's limit.
  */
 function checkLosses(
-  {calls, disruptions, stops}: SoakHistory,
+  history: SoakHistory,
   runs: ReadonlyMap<string, number>,
   {settleMilliseconds, stopRaceMilliseconds}: SoakBounds,
   answerBody: (requestId: string) => string,
 ): readonly Violation[] {
+  const {calls, disruptions, stops} = history;
+  const boxesOf = boxesOfAnswers(history);
   const cutStops = stops.filter(
     ({exitCode}) => exitCode === STOP_LIMIT_REACHED,
   );
@@ -204,7 +220,8 @@
       const hasRun = (runs.get(requestId) ?? 0) > 0;
       return hasRun || endedAt - sentAt > stopRaceMilliseconds;
     })
-    .filter(({requestId, box, sentAt, endedAt, end}) => {
+    .filter((call) => {
+      const {requestId, box, sentAt, endedAt, end} = call;
       const from = sentAt - settleMilliseconds;
       const isStreamed =
         (end.kind === 'broken' && end.hadBegun) ||
@@ -213,7 +230,10 @@
         return isUndisrupted(disruptions, box, from, endedAt, isUnplanned);
       }
       const wasCut = cutStops.some(
-        (stop) => stop.signalledAt < endedAt && stop.exitedAt > sentAt,
+        (stop) =>
+          stop.signalledAt < endedAt &&
+          stop.exitedAt > sentAt &&
+          boxesOf(call).has(stop.box),
       );
       return (
         !wasCut && isFleetUndisrupted(disruptions, from, endedAt, isUnplanned)
