Upstreams: what is no answer in HTTP reaches no caller

Callers got answers with the statuses 600 and 999, sealed, and answers whose status line names another protocol or version (RTSP/1.0, ICE/1.0, HTTP/0.9, HTTP/2.0) or holds control bytes, whose body is in a transfer coding that nobody asked for (raw chunks as a body among them), 205 with a body and 204 with chunks. A status of 000, as reported, was refused as 502 before this too, by an assertion of undici that nothing here relied on.

Cause: undici's parser takes any three digits for a status, does not report version and reason, and reads unknown codings to the close; the guard classified by the platform's headers alone.

Change: the connection checks each status line before undici parses it (statusLines.ts), and answerSyntax.ts the status and the framing; what fails is 'no-answer' in the record of the call, as bytes that the parser rejects are now, counts as a failed call of its upstream and takes its connection along. An entry takes such an answer of a guard of an earlier release for lost; the connection between the nodes stays.

--- a/packages/node/src/__tests__/remoteExchange.test.ts
+++ b/packages/node/src/__tests__/remoteExchange.test.ts
@@ -93,6 +93,20 @@
     await expect.poll(() => events).toEqual(['status 200', 'part', 'lost']);
   });
 
+  it('loses an answer with a status of 600, which an earlier release passes on, alone', async () => {
+    const {events} = begin(hasMore);
+    await expect.poll(() => guardEvents).toEqual(['begun']);
+    const first = guard;
+    const others = begin(hasMore).events;
+    await expect.poll(() => guardEvents).toEqual(['begun', 'begun']);
+    first.onAnswer({...ANSWER, status: 600});
+    first.onChunk(Buffer.from('part'));
+    await expect.poll(() => guardEvents.at(-1)).toBe('cancelled');
+    guard.onAnswer(ANSWER);
+    await expect.poll(() => others).toEqual(['status 200']);
+    expect(events).toEqual(['lost']);
+  });
+
   // Otherwise the upstream would go on for a caller that has left.
   it('is cancelled at the guard', async () => {
     const {exchange, events} = begin(hasMore);
--- a/packages/node/src/connection/upstreamPools.ts
+++ b/packages/node/src/connection/upstreamPools.ts
@@ -28,8 +28,7 @@
 export class UpstreamPools {
   private readonly pools = new Map<string, PoolEntry>();
   private isReset = false;
-  /** The connection whose bytes undici parses, or parsed last. */
-  private lastRead: UpstreamSocket | undefined;
+  private parsed: UpstreamSocket | undefined;
   private readonly options = {
     pipelining: 1,
     headersTimeout: 0,
@@ -49,12 +48,17 @@
     return this.isReset;
   }
 
+  /** The connection whose bytes undici parses at present. */
+  get parsedConnection(): UpstreamSocket | undefined {
+    return this.parsed;
+  }
+
   /**
    * To be called while undici handles a part of an answer: stops reading from
    * its connection, and returns the function that reads on.
    */
   suspendReading(): () => void {
-    const socket = this.lastRead;
+    const socket = this.parsed;
     socket?.suspendReading();
     return () => socket?.resumeReading();
   }
@@ -109,9 +113,14 @@
     address: {readonly host: string; readonly port: number},
     done: (...result: [Error, null] | [null, Socket]) => void,
   ): void {
-    const socket = new UpstreamSocket((read) => {
-      this.lastRead = read;
-    });
+    const socket = new UpstreamSocket(
+      (read) => {
+        this.parsed = read;
+      },
+      () => {
+        this.parsed = undefined;
+      },
+    );
     const timer = setTimeout(
       () => socket.destroy(new Error('connection attempt timed out')),
       CONNECT_TIMEOUT_MILLISECONDS,
--- a/packages/node/src/connection/upstreamSocket.ts
+++ b/packages/node/src/connection/upstreamSocket.ts
@@ -2,14 +2,33 @@
 /** A connection to an upstream, from which undici reads answers. */
 
 import {Socket} from 'node:net';
+import {StatusLines} from './statusLines.js';
+
+/** The failure of a call whose upstream sent bytes that are no answer. */
+export const NO_ANSWER = 'no-answer';
+
+type Chunks = Parameters<NonNullable<Socket['_writev']>>[0];
+
+type WriteCallback = (error?: Error | null) => void;
+
+/** The upstream sent bytes that are no answer. */
+class NoAnswerError extends Error {
+  readonly code = NO_ANSWER;
+}
 
 /** A connection whose reading can be suspended. */
 export class UpstreamSocket extends Socket {
   private isSuspended = false;
+  /** Set while an answer is awaited; undefined from its head on. */
+  private statusLines: StatusLines | undefined;
+  /** A request was sent whose answer has not ended. */
+  private hasRequest = false;
 
   constructor(
-    /** Called before undici parses what it reads from this connection. */
+    /** Called with bytes of this connection before undici parses them. */
     private readonly onRead: (socket: UpstreamSocket) => void,
+    /** Called when undici has parsed what it read. */
+    private readonly onParsed: () => void,
   ) {
     super();
     this.setNoDelay();
@@ -34,12 +53,64 @@
     });
   }
 
+  /** The head of a final answer was parsed. */
+  answerBegan(): void {
+    this.statusLines = undefined;
+  }
+
+  /** The answer was parsed to its end. */
+  answerEnded(): void {
+    this.hasRequest = false;
+  }
+
+  override _write(
+    chunk: unknown,
+    encoding: BufferEncoding,
+    callback: WriteCallback,
+  ): void {
+    this.requestSent();
+    super._write(chunk, encoding, callback);
+  }
+
+  override _writev(chunks: Chunks, callback: WriteCallback): void {
+    this.requestSent();
+    super._writev?.(chunks, callback);
+  }
+
   override read(size?: number): unknown {
     // A size of 0 only makes the stream fill its buffer.
-    if (this.isSuspended && size !== 0) {
+    if (size === 0) {
+      return super.read(size);
+    }
+    const bytes = this.isSuspended ? null : (super.read(size) as Buffer | null);
+    if (bytes === null) {
+      this.onParsed();
+      return null;
+    }
+    if (!this.accept(bytes)) {
+      this.refuse();
+      this.onParsed();
       return null;
     }
     this.onRead(this);
-    return super.read(size);
+    return bytes;
+  }
+
+  /** Also called for the parts of a request after the first. */
+  private requestSent(): void {
+    if (!this.hasRequest) {
+      this.hasRequest = true;
+      this.statusLines = new StatusLines();
+    }
+  }
+
+  private accept(bytes: Buffer): boolean {
+    return this.statusLines?.accept(bytes) ?? true;
+  }
+
+  /** Without a call, undici would fail those that wait for the connection. */
+  private refuse(): void {
+    const error = new NoAnswerError('the upstream sent no answer');
+    this.destroy(this.hasRequest ? error : undefined);
   }
 }
--- a/packages/node/src/request/exchangeStream.ts
+++ b/packages/node/src/request/exchangeStream.ts
@@ -2,6 +2,7 @@
 /** Client side of a stream that multiplexes exchanges with one guard. */
 
 import type {PeerStream} from '../connection/peerStream.js';
+import {isFinalStatus} from './answerSyntax.js';
 import type {Exchange, ExchangeHandlers} from './exchange.js';
 import {writeBatch} from './exchangeStreamBatch.js';
 import {FrameBatch, decodeBatch} from './frameBatch.js';
@@ -81,12 +82,7 @@
       sendEnd: () => undefined,
       go: (request) => this.batch.add(number, {kind: 'go', request}),
       resume: () => this.giveCredit(number, opened),
-      cancel: () => {
-        if (this.openExchanges.has(number)) {
-          this.batch.add(number, {kind: 'cancel'});
-          this.close(number);
-        }
-      },
+      cancel: () => this.cancel(number),
     };
   }
 
@@ -124,6 +120,12 @@
         handlers.onQueued();
         break;
       case 'answer':
+        if (!isFinalStatus(frame.head.status)) {
+          // A guard of an earlier release passes on any status.
+          this.cancel(number);
+          handlers.onLost(true);
+          break;
+        }
         if (frame.head.hasMore) {
           opened.uncreditedBytes += this.additionalCredit();
           this.giveCredit(number, opened);
@@ -160,6 +162,13 @@
     }
   }
 
+  private cancel(number: number): void {
+    if (this.openExchanges.has(number)) {
+      this.batch.add(number, {kind: 'cancel'});
+      this.close(number);
+    }
+  }
+
   private close(number: number): void {
     this.openExchanges.delete(number);
   }
--- a/packages/node/src/request/frameChecks.ts
+++ b/packages/node/src/request/frameChecks.ts
@@ -15,7 +15,10 @@
   RefusalFrame,
 } from './frameTypes.js';
 
-/** Statuses of final answers. */
+/**
+ * Statuses that can be sent to a caller. Those that HTTP does not know end their
+ * call, not the connection: guards of earlier releases pass them on.
+ */
 const STATUSES = {first: 200, last: 999};
 
 /** Whether all values of a frame have the types that its kind declares. */
--- a/packages/node/src/request/guardRecord.ts
+++ b/packages/node/src/request/guardRecord.ts
@@ -40,8 +40,9 @@
   readonly unreadBytes?: number | undefined;
   /**
    * How the connection to the upstream failed: the code of its error, 'answer-reset'
-   * for a reset that arrived with the last bytes, or 'foreign-answer' for the
-   * answer of another call. Undefined unless it did.
+   * for a reset that arrived with the last bytes, 'foreign-answer' for the
+   * answer of another call, or 'no-answer' for bytes that are no answer in HTTP.
+   * Undefined unless it did.
    */
   readonly failure?: string | undefined;
   /** How long the answer was not read on because of a bound on memory. */
--- a/packages/node/src/request/remoteExchange.ts
+++ b/packages/node/src/request/remoteExchange.ts
@@ -2,6 +2,7 @@
 /** An exchange with a guard on another box, on a connection of its own. */
 
 import type {PeerClient} from '../connection/peerChannels.js';
+import {isFinalStatus} from './answerSyntax.js';
 import type {Exchange, ExchangeHandlers} from './exchange.js';
 import {decodeFrame, encodeFrame} from './frames.js';
 import type {CallHead, Frame} from './frames.js';
@@ -29,6 +30,12 @@
       stream.reject();
       return;
     }
+    if (frame.kind === 'answer' && !isFinalStatus(frame.head.status)) {
+      // A guard of an earlier release passes on any status.
+      lost(true);
+      stream.cancel();
+      return;
+    }
     isOver = isLastFrame(frame);
     if (deliver(frame, handlers) === 'congested') {
       stream.pause();
--- a/packages/node/src/request/upstreamAnswer.ts
+++ b/packages/node/src/request/upstreamAnswer.ts
@@ -2,6 +2,7 @@
 /** An answer while it is received from an upstream. */
 
 import type {IncomingHttpHeaders} from 'node:http';
+import {mustBeEmpty} from './answerSyntax.js';
 import {answerHeaders} from './headers.js';
 import type {AnswerClassification} from './upstreamProtocol.js';
 
@@ -14,6 +15,13 @@
   'overloaded',
 ]);
 
+/** Answers that were certainly given by the intended upstream. */
+const COMES_FROM_UPSTREAM: ReadonlySet<AnswerClassification> = new Set([
+  'answer',
+  'overloaded',
+  'not-run',
+]);
+
 /** Statuses whose answers have no body. */
 export const NO_BODY_STATUSES: ReadonlySet<number> = new Set([204, 304]);
 
@@ -45,9 +53,14 @@
       !this.isPassedOn ||
       length <= ANSWER_BUFFER_LIMIT_BYTES ||
       hasNoBody ||
+      mustBeEmpty(status) ||
       (isOpenEnded && buffersUnframed);
   }
 
+  get comesFromUpstream(): boolean {
+    return COMES_FROM_UPSTREAM.has(this.classification);
+  }
+
   /** Adds a part of the body; tells whether it is buffered. */
   addChunk(chunk: Buffer): 'held' | 'buffer-exceeded' | 'not-buffered' {
     this.bytes += chunk.length;
--- a/packages/node/src/request/upstreamDispatch.ts
+++ b/packages/node/src/request/upstreamDispatch.ts
@@ -7,16 +7,21 @@
 import type {Clock, UpstreamNotice} from '@lockpin/types';
 import type {Dispatcher} from 'undici';
 import type {UpstreamPools} from '../connection/upstreamPools.js';
-import {answeredEvent, failureEvent, interruptedEvent} from './answerEvents.js';
+import {NO_ANSWER} from '../connection/upstreamSocket.js';
+import {
+  answeredEvent,
+  connectionFailure,
+  failureEvent,
+  failureOf,
+  interruptedEvent,
+} from './answerEvents.js';
+import {FIRST_FINAL_STATUS, isAnswer, mustBeEmpty} from './answerSyntax.js';
 import type {CallHead} from './frames.js';
 import type {GuardAnswers} from './guardAnswers.js';
 import type {GuardExchange} from './guardExchange.js';
 import {UpstreamAnswer} from './upstreamAnswer.js';
 import {LOCKPIN_UPSTREAM_PROTOCOL} from './upstreamProtocol.js';
-import type {
-  AnswerClassification,
-  UpstreamProtocol,
-} from './upstreamProtocol.js';
+import type {UpstreamProtocol} from './upstreamProtocol.js';
 
 /** What the dispatch needs from the guard service. */
 export interface UpstreamDispatchDependencies {
@@ -37,16 +42,6 @@
   readonly answers?: GuardAnswers | undefined;
 }
 
-/** Answers that were certainly given by the intended upstream. */
-const COMES_FROM_UPSTREAM: ReadonlySet<AnswerClassification> = new Set([
-  'answer',
-  'overloaded',
-  'not-run',
-]);
-
-/** Statuses below this are interim responses. */
-const FIRST_FINAL_STATUS = 200;
-
 /**
  * Name of the server for TLS, which upstreams do not use. Without one, undici
  * checks whether the host header is an IPv6 address; compiling the regular
@@ -142,23 +137,25 @@
       onResponseStart: (controller, status, headers) => {
         if (status >= FIRST_FINAL_STATUS) {
           const answer = this.answerBegan(exchange, upstream, status, headers);
-          if (answer.classification === 'invalid') {
+          const failure = failureOf(answer);
+          if (failure !== undefined) {
             // What follows on this connection belongs to no call that is known.
-            exchange.failure = 'foreign-answer';
-            controller.abort(new Error('answer of another call'));
+            exchange.failure = failure;
+            controller.abort(new Error(failure));
           }
         }
       },
       onResponseData: (controller, chunk) =>
         this.received(exchange, controller, chunk),
       onResponseEnd: () => {
+        this.dependencies.pools.parsedConnection?.answerEnded();
         // The connection may serve the next call before this answer is taken.
         exchange.readOn?.();
         exchange.readOn = undefined;
         this.answered(exchange, upstream);
       },
       onResponseError: (_controller, error) => {
-        exchange.failure ??= (error as NodeJS.ErrnoException).code;
+        exchange.failure ??= connectionFailure(error);
         this.dependencies.handleEvent({
           kind: 'upstream-failed',
           callId,
@@ -175,11 +172,10 @@
     headers: IncomingHttpHeaders,
   ): UpstreamAnswer {
     const {protocol} = this;
-    const classification = protocol.classifyAnswer(
-      exchange.head,
-      status,
-      headers,
-    );
+    this.dependencies.pools.parsedConnection?.answerBegan();
+    const classification = isAnswer(status, headers)
+      ? protocol.classifyAnswer(exchange.head, status, headers)
+      : 'no-answer';
     const answer = new UpstreamAnswer(
       status,
       headers,
@@ -188,7 +184,7 @@
       protocol.buffersUnframed,
     );
     exchange.answer = answer;
-    if (COMES_FROM_UPSTREAM.has(classification)) {
+    if (answer.comesFromUpstream) {
       this.noticeReceived(exchange, protocol.readNotice(headers));
     }
     if (!answer.isBuffered) {
@@ -216,6 +212,11 @@
   ): void {
     const {answer} = exchange;
     const taken = answer?.addChunk(chunk) ?? 'held';
+    if (answer !== undefined && mustBeEmpty(answer.status)) {
+      exchange.failure = NO_ANSWER;
+      controller.abort(new Error(NO_ANSWER));
+      return;
+    }
     if (answer === undefined || taken === 'held') {
       return;
     }
--- a/packages/node/src/request/upstreamProtocol.ts
+++ b/packages/node/src/request/upstreamProtocol.ts
@@ -16,7 +16,9 @@
   /** Another process than the intended one; it did not run the call. */
   | 'other-upstream'
   /** Not an answer to this call; whether the call ran is unknown. */
-  | 'invalid';
+  | 'invalid'
+  /** Not an answer in HTTP, whatever it says. */
+  | 'no-answer';
 
 /** What is known of a call when it is sent to its upstream. */
 export interface UpstreamCall {
