Upstreams: bytes without an end are ended at a bound of bytes

Cause: undici bounds the headers of one answer only; nothing counted the bytes of a connection.

Change: a connection may deliver 64 KB besides bodies since the last part of an answer that the parser reported, with 16 bytes of framing for each byte of a body, and 100 interim answers; beyond that it is reset at once, the call ends as 'upstream-failed', and the upstream is charged for it. A connection without a call is closed without an error, since undici would fail the calls that wait for it.

--- a/packages/node/src/connection/statusLines.ts
+++ b/packages/node/src/connection/statusLines.ts
@@ -4,6 +4,9 @@
  * which undici accepts any status, some other versions and any reason.
  */
 
+/** Far more than an upstream sends to show that it works on a call. */
+const MAXIMUM_INTERIM_ANSWERS = 100;
+
 const MAXIMUM_STATUS_LINE_BYTES = 8 * 1024;
 
 const LINE_FEED = 0x0a;
@@ -19,6 +22,7 @@
   private part: 'status-line' | 'interim-fields' | 'rest' = 'status-line';
   /** The beginning of a line that is not complete. */
   private line = '';
+  private interimAnswers = 0;
 
   /** Returns false once the bytes are no beginning of an answer. */
   accept(bytes: Buffer): boolean {
@@ -56,6 +60,9 @@
     }
     const isInterim = INTERIM_LINE.test(line);
     this.part = isInterim ? 'interim-fields' : 'rest';
-    return STATUS_LINE.test(line);
+    this.interimAnswers += isInterim ? 1 : 0;
+    return (
+      STATUS_LINE.test(line) && this.interimAnswers <= MAXIMUM_INTERIM_ANSWERS
+    );
   }
 }
--- a/packages/node/src/connection/upstreamSocket.ts
+++ b/packages/node/src/connection/upstreamSocket.ts
@@ -4,6 +4,17 @@
 import {Socket} from 'node:net';
 import {StatusLines} from './statusLines.js';
 
+/**
+ * Bytes that a connection may deliver besides the bodies of answers, since its
+ * last part of an answer: status lines, headers, interim answers, the framing of
+ * chunks, trailers, and bytes that belong to no answer. undici limits the headers
+ * of one answer to a quarter of this, and nothing else.
+ */
+const MAXIMUM_OTHER_BYTES = 64 * 1024;
+
+/** Chunks may have this many bytes of framing for each byte of a body. */
+const FRAMING_BYTES_PER_BODY_BYTE = 16;
+
 /** The failure of a call whose upstream sent bytes that are no answer. */
 export const NO_ANSWER = 'no-answer';
 
@@ -11,7 +22,7 @@
 
 type WriteCallback = (error?: Error | null) => void;
 
-/** The upstream sent bytes that are no answer. */
+/** The upstream sent bytes that are no answer, or no end of one. */
 class NoAnswerError extends Error {
   readonly code = NO_ANSWER;
 }
@@ -19,6 +30,7 @@
 /** A connection whose reading can be suspended. */
 export class UpstreamSocket extends Socket {
   private isSuspended = false;
+  private otherBytes = 0;
   /** Set while an answer is awaited; undefined from its head on. */
   private statusLines: StatusLines | undefined;
   /** A request was sent whose answer has not ended. */
@@ -56,6 +68,13 @@
   /** The head of a final answer was parsed. */
   answerBegan(): void {
     this.statusLines = undefined;
+    this.otherBytes = 0;
+  }
+
+  /** A part of the body was parsed. */
+  bodyReceived(bytes: number): void {
+    const allowed = bytes * (1 + FRAMING_BYTES_PER_BODY_BYTE);
+    this.otherBytes = Math.max(0, this.otherBytes - allowed);
   }
 
   /** The answer was parsed to its end. */
@@ -105,7 +124,9 @@
   }
 
   private accept(bytes: Buffer): boolean {
-    return this.statusLines?.accept(bytes) ?? true;
+    const isWithinBound = this.otherBytes <= MAXIMUM_OTHER_BYTES;
+    this.otherBytes += bytes.length;
+    return isWithinBound && (this.statusLines?.accept(bytes) ?? true);
   }
 
   /** Without a call, undici would fail those that wait for the connection. */
--- a/packages/node/src/request/upstreamDispatch.ts
+++ b/packages/node/src/request/upstreamDispatch.ts
@@ -211,6 +211,7 @@
     chunk: Buffer,
   ): void {
     const {answer} = exchange;
+    this.dependencies.pools.parsedConnection?.bodyReceived(chunk.length);
     const taken = answer?.addChunk(chunk) ?? 'held';
     if (answer !== undefined && mustBeEmpty(answer.status)) {
       exchange.failure = NO_ANSWER;
