A start on the platform waits for what passes, and ends with a line

SIGTERM between the first accepted call and the end of the start cut calls and exited with 0. Cause: servers were started one after the other, each failure rejected the whole start, and the handlers of errors and stops came only after all of it. Now each address is tried again every 100 ms by itself, without end, and read anew from settings that change; metrics never keep a node from serving; ready means that callers and peers can reach it. An accept that fails is logged; at HTTP servers it had been uncaught. Each end has a line, which the limit of lines no longer drops for an unexpected error.

--- a/deploy/compile.mjs
+++ b/deploy/compile.mjs
@@ -106,6 +106,7 @@
   await runBundle(script, BUNDLE).startNode({
     ignoreHangup: none,
     endAtOnce: none,
+    endWithError: none,
   });
   await box.announcer.say(box.announcementAddress, 'ready');
   return box;
--- a/packages/node/src/connection/httpServer.ts
+++ b/packages/node/src/connection/httpServer.ts
@@ -4,7 +4,7 @@
 import {createServer} from 'node:http';
 import type {IncomingMessage, Server, ServerResponse} from 'node:http';
 import type {Duplex} from 'node:stream';
-import {parseAddress} from '@lockpin/utils';
+import {listenOn} from './addressListeners.js';
 
 const HEADERS_TIMEOUT_MILLISECONDS = 10_000;
 const KEEP_ALIVE_MILLISECONDS = 60_000;
@@ -20,12 +20,14 @@
   response: ServerResponse,
 ) => void;
 
-/** Listens on an address; rejects if the address is in use. */
-export async function startHttpServer(
-  address: string,
+/**
+ * Creates a server that does not listen yet. An accept that fails, as without a
+ * free file descriptor, ends nothing.
+ */
+export function createHttpServer(
   handler: RequestHandler,
-): Promise<Server> {
-  const {host, port} = parseAddress(address) ?? {host: '', port: 0};
+  onAcceptFailed: (error: Error) => void,
+): Server {
   const server = createServer(
     {
       maxHeaderSize: MAXIMUM_HEADERS_BYTES,
@@ -37,16 +39,26 @@
     handler,
   );
   server.on('clientError', answerBadRequest);
-  await new Promise<void>((resolve, reject) => {
-    server.once('error', reject);
-    server.listen(port, host, () => {
-      server.off('error', reject);
-      resolve();
-    });
+  server.on('error', (error) => {
+    // While it does not listen yet, listenOn rejects with the error.
+    if (server.listening) {
+      onAcceptFailed(error);
+    }
   });
   return server;
 }
 
+/** Listens on an address; rejects if the address is in use. */
+export async function startHttpServer(
+  address: string,
+  handler: RequestHandler,
+  onAcceptFailed: (error: Error) => void = () => undefined,
+): Promise<Server> {
+  const server = createHttpServer(handler, onAcceptFailed);
+  await listenOn(server, address);
+  return server;
+}
+
 /** Answers invalid HTTP with an error response and closes the connection. */
 function answerBadRequest(error: NodeJS.ErrnoException, socket: Duplex): void {
   if (error.code === 'ECONNRESET' || !socket.writable) {
--- a/packages/node/src/connection/peerServer.ts
+++ b/packages/node/src/connection/peerServer.ts
@@ -6,8 +6,8 @@
 import {createServer} from 'node:net';
 import type {AddressInfo, Server, Socket} from 'node:net';
 import type {PeerReply, PeerRequest} from '@lockpin/brain';
-import {parseAddress} from '@lockpin/utils';
 import type {ControlTraffic} from '../process/controlTraffic.js';
+import {listenOn} from './addressListeners.js';
 import {encodeDocument, tryDecodeDocument} from './codec.js';
 import {PeerSockets} from './peerProbes.js';
 import type {StartTicks} from './peerProbes.js';
@@ -33,6 +33,8 @@
   /** Called when a connection is closed since its client violated the protocol. */
   readonly onViolation?: (address: string, violation: PeerViolation) => void;
   readonly startTicks?: StartTicks;
+  /** Called when a connection could not be accepted. */
+  readonly onAcceptFailed?: (error: Error) => void;
 }
 
 /** The server of a node for other nodes. */
@@ -55,6 +57,12 @@
     this.server = createServer({noDelay: true}, (socket) =>
       this.accept(socket),
     );
+    // An accept may fail while the process has no file descriptor left.
+    this.server.on('error', (error) => {
+      if (this.server.listening) {
+        this.options.onAcceptFailed?.(error);
+      }
+    });
   }
 
   /**
@@ -62,19 +70,7 @@
    * Rejects if the address is in use.
    */
   async start(address: string): Promise<string> {
-    const {host, port} = parseAddress(address) ?? {};
-    if (host === undefined) {
-      throw new Error(`not an IP address and port: ${address}`);
-    }
-    await new Promise<void>((resolve, reject) => {
-      this.server.once('error', reject);
-      this.server.listen(port, host, () => {
-        this.server.off('error', reject);
-        // An accept may fail while the process has no file descriptor left.
-        this.server.on('error', () => undefined);
-        resolve();
-      });
-    });
+    await listenOn(this.server, address);
     const chosen = (this.server.address() as AddressInfo).port;
     return address.replace(/:0$/, `:${chosen}`);
   }
--- a/packages/node/src/index.ts
+++ b/packages/node/src/index.ts
@@ -1,4 +1,5 @@
 // Copyright (c) 2026 the lockpin contributors. MIT licence, see LICENSE.
+export * from './connection/addressListeners.js';
 export * from './connection/codec.js';
 export * from './connection/httpServer.js';
 export * from './connection/renewedPool.js';
@@ -7,6 +8,7 @@
 export * from './process/decisionLog.js';
 export * from './process/fleetComposition.js';
 export * from './process/fleetHost.js';
+export * from './process/fleetListeners.js';
 export * from './process/fleetPorts.js';
 export * from './process/mechanisms.js';
 export * from './process/nodeEnvironment.js';
--- a/packages/node/src/process/decisionLog.ts
+++ b/packages/node/src/process/decisionLog.ts
@@ -100,6 +100,14 @@
     this.write(this.notableLimiter, event, detail);
   }
 
+  /**
+   * Logs why the process ends; the limit of lines does not apply, as nothing
+   * else would tell.
+   */
+  lastEvent(event: string, detail: LogDetail): void {
+    this.writeEvent(this.dependencies.clock(), event, detail);
+  }
+
   private write(
     rateLimiter: LogRateLimiter,
     event: string,
--- a/packages/node/src/process/fleetComposition.ts
+++ b/packages/node/src/process/fleetComposition.ts
@@ -12,6 +12,7 @@
   onSuspension,
   steadyClock,
 } from '@lockpin/utils';
+import {AddressListeners} from '../connection/addressListeners.js';
 import {PeerChannels} from '../connection/peerChannels.js';
 import type {PeerViolation} from '../connection/peerProtocol.js';
 import {PeerServer} from '../connection/peerServer.js';
@@ -67,6 +68,7 @@
   ports: Symbol('ports') as InjectionToken<FleetPorts>,
   writer: Symbol('writer') as InjectionToken<BoundedWriter>,
   log: Symbol('log') as InjectionToken<DecisionLog>,
+  listeners: Symbol('listeners') as InjectionToken<AddressListeners>,
   metrics: Symbol('metrics') as InjectionToken<TextMetrics>,
   host: Symbol('host') as InjectionToken<FleetHost>,
   answerMemory: Symbol('answerMemory') as InjectionToken<
@@ -97,6 +99,7 @@
     () => new BoundedWriter(STANDARD_OUTPUT),
   );
   registerSingleton(FLEET_TOKENS.log, createLog);
+  registerSingleton(FLEET_TOKENS.listeners, createListeners);
   registerSingleton(FLEET_TOKENS.metrics, () => createPrometheusMetrics());
   registerSingleton(FLEET_TOKENS.host, createHost);
   registerSingleton(FLEET_TOKENS.answerMemory, (dependencies) =>
@@ -131,6 +134,20 @@
   });
 }
 
+function createListeners(dependencies: DependencyContainer): AddressListeners {
+  const log = dependencies.resolve(FLEET_TOKENS.log);
+  const {onAddressUnusable} = dependencies.resolve(FLEET_TOKENS.ports);
+  return new AddressListeners({
+    clock: steadyClock,
+    onReport: ({kind, ...report}) => {
+      log.event(`address-${kind}`, report);
+      if (kind === 'unusable') {
+        onAddressUnusable?.(report.purpose);
+      }
+    },
+  });
+}
+
 function createHost(dependencies: DependencyContainer): FleetHost {
   const {settings, store, readConfiguration} = dependencies.resolve(
     FLEET_TOKENS.ports,
@@ -379,6 +396,7 @@
 ): PeerServer<PeerQuery, PeerQueryReply> {
   const host = dependencies.resolve(FLEET_TOKENS.host);
   const guard = dependencies.resolve(FLEET_TOKENS.guardService);
+  const log = dependencies.resolve(FLEET_TOKENS.log);
   const news = createNewsHandlers(dependencies);
   const ownBegin: BeginExchange = (head, handlers) =>
     guard.begin(head, handlers);
@@ -394,7 +412,11 @@
         reply(host.fleet.answer(steadyClock(), query)),
     },
     new ControlTraffic(),
-    {onViolation: violationReporter(dependencies)},
+    {
+      onViolation: violationReporter(dependencies),
+      onAcceptFailed: ({message}) =>
+        log.event('accept-failed', {purpose: 'peers', problem: message}),
+    },
   );
 }
 
--- /dev/null
+++ b/packages/node/src/process/fleetListeners.ts
@@ -0,0 +1,60 @@
+// Copyright (c) 2026 the lockpin contributors. MIT licence, see LICENSE.
+/** The servers of a node in a declared fleet, and where they listen. */
+
+import type {Server} from 'node:http';
+import type {DependencyContainer} from 'tsyringe';
+import {listenOn} from '../connection/addressListeners.js';
+import type {AddressListener} from '../connection/addressListeners.js';
+import {createHttpServer} from '../connection/httpServer.js';
+import type {RequestHandler} from '../connection/httpServer.js';
+import {FLEET_TOKENS} from './fleetComposition.js';
+import {fleetOperatorHandler} from './fleetOperators.js';
+
+/** What the metrics' address is for, in reports on it. */
+export const METRICS_PURPOSE = 'metrics';
+
+/** Creates a server whose failed accepts are logged. */
+export function createFleetHttpServer(
+  container: DependencyContainer,
+  purpose: string,
+  handler: RequestHandler,
+): Server {
+  const log = container.resolve(FLEET_TOKENS.log);
+  return createHttpServer(handler, ({message}) =>
+    log.event('accept-failed', {purpose, problem: message}),
+  );
+}
+
+/**
+ * Listens for other nodes. The peer address is this node's identity and stays as
+ * it was composed.
+ */
+export function listenForPeers(
+  container: DependencyContainer,
+): AddressListener {
+  const {settings} = container.resolve(FLEET_TOKENS.ports);
+  const peerServer = container.resolve(FLEET_TOKENS.peerServer);
+  return container.resolve(FLEET_TOKENS.listeners).listen({
+    purpose: 'peers',
+    address: () => settings.peerListenAddress,
+    listen: (address) => peerServer.start(address),
+  });
+}
+
+/** Listens for metrics; the node serves without them meanwhile. */
+export function listenForMetrics(container: DependencyContainer): void {
+  const host = container.resolve(FLEET_TOKENS.host);
+  if (host.settings.metricsAddress === '') {
+    return;
+  }
+  const server = createFleetHttpServer(
+    container,
+    METRICS_PURPOSE,
+    fleetOperatorHandler(container),
+  );
+  container.resolve(FLEET_TOKENS.listeners).listen({
+    purpose: METRICS_PURPOSE,
+    address: () => host.settings.metricsAddress,
+    listen: (address) => listenOn(server, address),
+  });
+}
--- a/packages/node/src/process/fleetOperators.ts
+++ b/packages/node/src/process/fleetOperators.ts
@@ -48,6 +48,7 @@
   const guard = container.resolve(FLEET_TOKENS.guardService);
   const writer = container.resolve(FLEET_TOKENS.writer);
   const answerMemory = container.resolve(FLEET_TOKENS.answerMemory);
+  const listeners = container.resolve(FLEET_TOKENS.listeners);
   return (_request, response) => {
     metrics.gauge('guard.occupied', guard.callCount);
     metrics.gauge('answers.bufferedBytes', answerMemory?.used ?? 0);
@@ -81,6 +82,7 @@
       metrics.gauge('capacity.freeSlots', freeSlots, {service});
       metrics.gauge('capacity.retriesLeft', retriesLeft, {service});
     }
+    metrics.gauge('addresses.waiting', listeners.waitingCount);
     metrics.gauge('log.dropped', writer.counts.dropped);
     for (const {upstream, ...standing} of host.guard.standings(now)) {
       const {requestsPerSecond = NO_LIMIT, isLeaving} = standing;
--- a/packages/node/src/process/fleetPorts.ts
+++ b/packages/node/src/process/fleetPorts.ts
@@ -87,4 +87,6 @@
    * requests.
    */
   readonly operatorTokenHash?: string;
+  /** Called for an address on which this process can never listen. */
+  readonly onAddressUnusable?: (purpose: string) => void;
 }
--- a/packages/node/src/process/metrics.ts
+++ b/packages/node/src/process/metrics.ts
@@ -6,6 +6,7 @@
 
 /** Names of all metrics. */
 export const METRIC_NAMES = [
+  'addresses.waiting',
   'answers.blocked',
   'answers.bufferedBytes',
   'answers.cut',
--- a/packages/node/src/process/runFleetNode.ts
+++ b/packages/node/src/process/runFleetNode.ts
@@ -7,21 +7,27 @@
 import {setTimeout as delay} from 'node:timers/promises';
 import type {DependencyContainer} from 'tsyringe';
 import {steadyClock} from '@lockpin/utils';
-import {startHttpServer} from '../connection/httpServer.js';
+import {listenOn} from '../connection/addressListeners.js';
 import type {RequestHandler} from '../connection/httpServer.js';
 import {LAST_ANSWERS_MILLISECONDS, drainCalls} from './drainCalls.js';
 import type {StopResult} from './drainCalls.js';
 import {FLEET_TOKENS, versionNews} from './fleetComposition.js';
-import {fleetOperatorHandler} from './fleetOperators.js';
+import type {FleetHost} from './fleetHost.js';
+import {
+  createFleetHttpServer,
+  listenForMetrics,
+  listenForPeers,
+} from './fleetListeners.js';
 import {every} from './timers.js';
 
 /** A running node. */
 export interface RunningFleetNode {
   /**
-   * Whether callers should use this node. A box is taken away soon after its
-   * upstream: a long call that arrives after the upstream began to leave might
-   * outlast the node, so that callers are sent elsewhere from then on. Calls
-   * that arrive nevertheless are served.
+   * Whether callers should use this node: not before callers and other nodes
+   * can reach it. A box is taken away soon after its upstream: a long call that
+   * arrives after the upstream began to leave might outlast the node, so that
+   * callers are sent elsewhere from then on. Calls that arrive nevertheless are
+   * served.
    */
   readonly isReady: () => boolean;
   /**
@@ -29,6 +35,8 @@
    * idempotent.
    */
   readonly stop: () => Promise<StopResult>;
+  /** Resolves once the attempts to listen for callers and nodes have ended. */
+  readonly listening: Promise<unknown>;
 }
 
 /**
@@ -60,10 +68,73 @@
 /** Interval between log lines on the traffic between data centres. */
 const TRAFFIC_LOG_INTERVAL_MILLISECONDS = 5000;
 
-/** Starts all components of a composed node. */
+/** Starts all components of a composed node, and waits for its addresses. */
 export async function runFleetNode(
   container: DependencyContainer,
 ): Promise<RunningFleetNode> {
+  const node = startFleetNode(container);
+  await node.listening;
+  return node;
+}
+
+/**
+ * Starts all components of a composed node. It can be stopped at once, and
+ * listens on each of its addresses as soon as that is free.
+ */
+export function startFleetNode(
+  container: DependencyContainer,
+): RunningFleetNode {
+  const host = container.resolve(FLEET_TOKENS.host);
+  const remote = container.resolve(FLEET_TOKENS.remote);
+  const listeners = container.resolve(FLEET_TOKENS.listeners);
+  const stopping: StopState = {isStopping: false, closesConnections: false};
+  const callers = createFleetHttpServer(
+    container,
+    'callers',
+    callerHandler(container, stopping),
+  );
+  startHost(container, callers);
+  const peerListener = listenForPeers(container);
+  const callerListener = listeners.listen({
+    purpose: 'callers',
+    address: () => host.settings.callerAddress,
+    listen: (address) => listenOn(callers, address),
+  });
+  listenForMetrics(container);
+  const stopFollowing = every(REFOLLOW_INTERVAL_MILLISECONDS, () =>
+    remote.reopenFollowed(),
+  );
+  every(TRAFFIC_LOG_INTERVAL_MILLISECONDS, () => logTraffic(container));
+  const isReachable = (): boolean =>
+    callerListener.isListening && peerListener.isListening;
+  let result: Promise<StopResult> | undefined;
+  return {
+    isReady: () =>
+      isReachable() &&
+      host.isReady &&
+      !host.isUpstreamLeaving &&
+      !stopping.isStopping,
+    stop: () => {
+      stopFollowing();
+      listeners.stop();
+      result ??=
+        callerListener.isListening || peerListener.isListening
+          ? stopFleetNode(container, callers, stopping)
+          : stopUnreachedNode(host);
+      return result;
+    },
+    listening: Promise.all([callerListener.ended, peerListener.ended]),
+  };
+}
+
+/** Stops a node that nobody could reach yet: nothing is in progress. */
+async function stopUnreachedNode(host: FleetHost): Promise<StopResult> {
+  host.leave();
+  host.stop();
+  return 'finished';
+}
+
+function startHost(container: DependencyContainer, callers: Server): void {
   const {settings} = container.resolve(FLEET_TOKENS.ports);
   const host = container.resolve(FLEET_TOKENS.host);
   const guard = container.resolve(FLEET_TOKENS.guardService);
@@ -72,19 +143,6 @@
   const subscribers = container.resolve(FLEET_TOKENS.news);
   const remote = container.resolve(FLEET_TOKENS.remote);
   const followers = container.resolve(FLEET_TOKENS.followers);
-  const stopping: StopState = {isStopping: false, closesConnections: false};
-  const peerServer = container.resolve(FLEET_TOKENS.peerServer);
-  await peerServer.start(settings.peerListenAddress);
-  const callers = await startHttpServer(
-    settings.callerAddress,
-    callerHandler(container, stopping),
-  );
-  if (settings.metricsAddress !== '') {
-    await startHttpServer(
-      settings.metricsAddress,
-      fleetOperatorHandler(container),
-    );
-  }
   host.start({
     onGuardEvent: (event) => guard.handle(event),
     onUpstreams: (upstreams) => pools.configure(upstreams),
@@ -117,20 +175,6 @@
     },
     onQuarantined: (digest) => entry.refuseQuarantined(digest),
   });
-  const stopFollowing = every(REFOLLOW_INTERVAL_MILLISECONDS, () =>
-    remote.reopenFollowed(),
-  );
-  every(TRAFFIC_LOG_INTERVAL_MILLISECONDS, () => logTraffic(container));
-  let result: Promise<StopResult> | undefined;
-  return {
-    isReady: () =>
-      host.isReady && !host.isUpstreamLeaving && !stopping.isStopping,
-    stop: () => {
-      stopFollowing();
-      result ??= stopFleetNode(container, callers, stopping);
-      return result;
-    },
-  };
 }
 
 /**
