lockpin-node waits for held addresses, and its signals and errors end it in order

Operators saw lockpin-node give up at once (code 3) at an address that the process before still held, be ended by SIGTERM itself while it started, and end without its log for an uncaught error; a reader of its log that was gone was such an error. Now all addresses are tried together, for 10 s (LISTEN_LIMIT_MILLISECONDS) as an operator waits at the terminal, with a line at once; then code 3 as before, naming the address.

--- a/packages/node/src/main.ts
+++ b/packages/node/src/main.ts
@@ -12,6 +12,7 @@
   stopLimitReached: 1,
   settingsWrong: 2,
   cannotListen: 3,
+  failed: 4,
 } as const;
 
 const {settings, isCheck} = await readSettings(process.argv.slice(2));
@@ -27,6 +28,20 @@
 }
 const container = composeNode(settings.value);
 const logger = container.resolve(TOKENS.logger);
+// A log without a reader ends nothing.
+process.stderr.on('error', () => undefined);
+process.on('uncaughtException', (error: unknown) => {
+  const {stack = String(error)} = (error ?? {}) as Partial<Error>;
+  logger.error('unexpected error', {detail: stack});
+  process.exit(EXIT.failed);
+});
+/** Until the node runs, nothing is in progress that has to be finished. */
+let stop = async (): Promise<void> => {
+  logger.info('node stopped before it had started');
+  process.exit(EXIT.finished);
+};
+process.on('SIGTERM', () => void stop());
+process.on('SIGINT', () => void stop());
 const node = await runNode(container).catch((error: unknown) => {
   const {message} = error as Error;
   logger.error('cannot listen on an address; it may already be in use', {
@@ -34,11 +49,8 @@
   });
   process.exit(EXIT.cannotListen);
 });
-logger.info('node started', {...settings.value, bootstrapTokenHash: '***'});
-const entry = container.resolve(TOKENS.entryService);
-process.on('exit', () => entry.resetUnfinishedAnswers());
 let isStopping = false;
-const stop = async (): Promise<void> => {
+stop = async () => {
   if (isStopping) {
     return;
   }
@@ -48,5 +60,6 @@
   logger.info('node stopped', {result});
   process.exit(result === 'finished' ? EXIT.finished : EXIT.stopLimitReached);
 };
-process.on('SIGTERM', () => void stop());
-process.on('SIGINT', () => void stop());
+logger.info('node started', {...settings.value, bootstrapTokenHash: '***'});
+const entry = container.resolve(TOKENS.entryService);
+process.on('exit', () => entry.resetUnfinishedAnswers());
--- a/packages/node/src/process/runNode.ts
+++ b/packages/node/src/process/runNode.ts
@@ -5,10 +5,16 @@
 
 import type {Server} from 'node:http';
 import {setTimeout as delay} from 'node:timers/promises';
-import type {DependencyContainer} from 'tsyringe';
+import type {DependencyContainer, InjectionToken} from 'tsyringe';
 import {isUsable} from '@lockpin/membership';
 import {steadyClock} from '@lockpin/utils';
-import {startHttpServer} from '../connection/httpServer.js';
+import {AddressListeners, listenOn} from '../connection/addressListeners.js';
+import type {
+  ListenOutcome,
+  ListenReport,
+} from '../connection/addressListeners.js';
+import {createHttpServer} from '../connection/httpServer.js';
+import type {RequestHandler} from '../connection/httpServer.js';
 import {TOKENS} from './composition.js';
 import {LAST_ANSWERS_MILLISECONDS, drainCalls} from './drainCalls.js';
 import type {StopResult} from './drainCalls.js';
@@ -22,10 +28,16 @@
 /** Interval between updates of the gauges. */
 const GAUGE_INTERVAL_MILLISECONDS = 10_000;
 
+/**
+ * Time after which a start gives up at an address that stays held. Its operator
+ * is told of it at once, and an earlier process of the box may still be ending.
+ */
+const LISTEN_LIMIT_MILLISECONDS = 10_000;
+
 /** Time for other nodes to learn that this node leaves. */
 const ANNOUNCE_MILLISECONDS = 500;
 
-/** Starts all components of a composed node. */
+/** Starts all components of a composed node; rejects without its addresses. */
 export async function runNode(
   container: DependencyContainer,
 ): Promise<RunningNode> {
@@ -39,16 +51,20 @@
   const {every} = container.resolve(TOKENS.environment);
   const peerServer = container.resolve(TOKENS.peerServer);
   const datagrams = container.resolve(TOKENS.datagrams);
-  await peerServer.start(settings.peerAddress);
-  await datagrams.start();
-  const callers = await startHttpServer(
-    settings.callerAddress,
-    container.resolve(TOKENS.callerApp),
-  );
-  const operators = await startHttpServer(
-    settings.operatorAddress,
-    container.resolve(TOKENS.operatorApp),
-  );
+  const callers = createNodeHttpServer(container, TOKENS.callerApp);
+  const operators = createNodeHttpServer(container, TOKENS.operatorApp);
+  await listenOnAll(container, {
+    peers: [settings.peerAddress, (address) => peerServer.start(address)],
+    datagrams: [settings.peerAddress, () => datagrams.start()],
+    callers: [settings.callerAddress, (address) => listenOn(callers, address)],
+    operators: [
+      settings.operatorAddress,
+      (address) => listenOn(operators, address),
+    ],
+  }).catch((error: unknown) => {
+    closeServers(container, callers, operators);
+    throw error;
+  });
   host.start({
     onGuardEvent: (event) => guard.handle(event),
     onUpstreams: (upstreams) => pools.configure(upstreams),
@@ -77,6 +93,55 @@
   return {stop: () => (stopping ??= stop())};
 }
 
+/** The addresses of a node by purpose, and how it listens on each. */
+type NodeAddresses = Readonly<
+  Record<string, readonly [string, (address: string) => Promise<unknown>]>
+>;
+
+/** Listens on all addresses; rejects if one of them cannot be had in time. */
+async function listenOnAll(
+  container: DependencyContainer,
+  addresses: NodeAddresses,
+): Promise<void> {
+  const logger = container.resolve(TOKENS.logger);
+  const listeners = new AddressListeners({
+    clock: steadyClock,
+    giveUpMilliseconds: LISTEN_LIMIT_MILLISECONDS,
+    onReport: ({kind, ...report}) =>
+      logger.warn(`address ${kind}`, {...report}),
+  });
+  const outcomes = await Promise.all(
+    Object.entries(addresses).map(
+      ([purpose, [address, listen]]) =>
+        listeners.listen({purpose, address: () => address, listen}).ended,
+    ),
+  );
+  const failure = outcomes.find(hasFailed)?.report;
+  if (failure !== undefined) {
+    throw new Error(describeFailure(failure));
+  }
+}
+
+function hasFailed(
+  outcome: ListenOutcome,
+): outcome is ListenOutcome & {readonly kind: 'failed'} {
+  return outcome.kind === 'failed';
+}
+
+function describeFailure({purpose, problem, attempts}: ListenReport): string {
+  return `address for ${purpose}: ${problem}, after ${attempts} attempts`;
+}
+
+function createNodeHttpServer(
+  container: DependencyContainer,
+  app: InjectionToken<RequestHandler>,
+): Server {
+  const logger = container.resolve(TOKENS.logger);
+  return createHttpServer(container.resolve(app), ({message}) =>
+    logger.warn('a connection could not be accepted', {detail: message}),
+  );
+}
+
 async function stopNode(
   container: DependencyContainer,
   callers: Server,
@@ -96,12 +161,7 @@
     await delay(LAST_ANSWERS_MILLISECONDS);
   }
   container.resolve(TOKENS.watches).stop();
-  callers.close();
-  callers.closeIdleConnections();
-  operators.close();
-  operators.closeAllConnections();
-  container.resolve(TOKENS.datagrams).stop();
-  container.resolve(TOKENS.peerServer).stop();
+  closeServers(container, callers, operators);
   container.resolve(TOKENS.channels).close();
   container.resolve(TOKENS.pools).close();
   container.resolve(TOKENS.metrics).close();
@@ -110,3 +170,17 @@
   callers.closeAllConnections();
   return result;
 }
+
+/** Accepts nothing more; calls of callers go on. */
+function closeServers(
+  container: DependencyContainer,
+  callers: Server,
+  operators: Server,
+): void {
+  callers.close();
+  callers.closeIdleConnections();
+  operators.close();
+  operators.closeAllConnections();
+  container.resolve(TOKENS.datagrams).stop();
+  container.resolve(TOKENS.peerServer).stop();
+}
