A box offers its upstream to other nodes only once they can reach it

While something else still held the address for peers, a box that had been told of its upstream wrote a record that offered it. Other nodes would then have sent calls to whatever holds the address, for as long as it does. Cause: the record said only what the upstream announced. Its node takes announcements now before its address for peers is free.

--- a/packages/fleet/src/announcementHandler.ts
+++ b/packages/fleet/src/announcementHandler.ts
@@ -64,6 +64,15 @@
       : this.applied(now, this.context.tracker.leaving(incarnation));
   }
 
+  /** Other nodes can reach this box from now on, or cannot. */
+  reachabilityChanged(
+    now: number,
+    isReachable: boolean,
+  ): readonly FleetAction[] {
+    this.context.record.reachabilityChanged(now, isReachable);
+    return [...this.notifyReaders(now), ...this.write(now)];
+  }
+
   /** Learns from the record of this box which processes of the upstream left. */
   ownRecordRead(
     now: number,
--- a/packages/fleet/src/fleetMessages.ts
+++ b/packages/fleet/src/fleetMessages.ts
@@ -90,6 +90,11 @@
       readonly kind: 'upstream-announced';
       readonly announcement: UpstreamAnnouncement;
     }
+  /**
+   * Whether other nodes can reach this box; it offers its upstream to them only
+   * then. True until the first of these events.
+   */
+  | {readonly kind: 'reachability-changed'; readonly isReachable: boolean}
   /** A process of this box's upstream states that it is leaving. */
   | {
       readonly kind: 'upstream-leaving';
--- a/packages/fleet/src/fleetStateMachine.ts
+++ b/packages/fleet/src/fleetStateMachine.ts
@@ -132,6 +132,11 @@
           now,
           event.announcement,
         );
+      case 'reachability-changed':
+        return this.components.announcementHandler.reachabilityChanged(
+          now,
+          event.isReachable,
+        );
       case 'upstream-leaving':
         return this.components.announcementHandler.upstreamLeaving(
           now,
--- a/packages/fleet/src/ownRecord.ts
+++ b/packages/fleet/src/ownRecord.ts
@@ -45,6 +45,9 @@
   private runs: readonly RunReport[] = [];
   private lifts: readonly QuarantineLift[] = [];
   private left: readonly string[] = [];
+  /** Whether the upstream takes work, if nodes can reach this box. */
+  private upstreamTakesWork = false;
+  private isReachable = true;
 
   constructor(
     private readonly identity: NodeIdentity,
@@ -81,12 +84,13 @@
     left: readonly string[],
   ): void {
     this.left = left;
-    const {service, slots, takesWork, coldUntil, program} = upstream;
+    const {service, slots, coldUntil, program} = upstream;
+    this.upstreamTakesWork = upstream.takesWork;
     this.publish(Math.max(now, (this.stored?.statedAt ?? 0) + 1), {
       ...this.identity,
       service,
       slots,
-      takesWork,
+      takesWork: this.takesWork,
       coldUntil,
       statedAt: 0,
       ...(program === undefined ? {} : {program}),
@@ -106,6 +110,15 @@
     }
   }
 
+  /** Other nodes can reach this box from now on, or cannot. */
+  reachabilityChanged(now: number, isReachable: boolean): void {
+    this.isReachable = isReachable;
+    const {desired, takesWork} = this;
+    if (desired !== undefined && desired.takesWork !== takesWork) {
+      this.publish(now, {...desired, takesWork});
+    }
+  }
+
   /** The processes of the upstream that have left are these now. */
   leftChanged(now: number, left: readonly string[]): void {
     this.left = left;
@@ -196,6 +209,10 @@
     }
   }
 
+  private get takesWork(): boolean {
+    return this.upstreamTakesWork && this.isReachable;
+  }
+
   /** Makes a new version of the record, newer than any before. */
   private publish(at: number, record: BoxRecord): void {
     const before = this.desired?.statedAt ?? this.lastStatedAt;
--- a/packages/node/src/process/fleetHost.ts
+++ b/packages/node/src/process/fleetHost.ts
@@ -251,6 +251,11 @@
       : success(undefined);
   }
 
+  /** Sets whether other nodes can reach this one. */
+  setReachable(isReachable: boolean): void {
+    this.handle({kind: 'reachability-changed', isReachable});
+  }
+
   /** Sets the number of nodes that follow this one. */
   setFollowerCount(followers: number): void {
     const hasGrown = followers > this.followers;
--- a/packages/node/src/process/fleetListeners.ts
+++ b/packages/node/src/process/fleetListeners.ts
@@ -26,7 +26,8 @@
 }
 
 /**
- * Listens for other nodes. The peer address is this node's identity and stays as
+ * Listens for other nodes, which are not offered the upstream of this box before.
+ * The peer address is this node's identity and stays as
  * it was composed.
  */
 export function listenForPeers(
@@ -34,10 +35,15 @@
 ): AddressListener {
   const {settings} = container.resolve(FLEET_TOKENS.ports);
   const peerServer = container.resolve(FLEET_TOKENS.peerServer);
+  const host = container.resolve(FLEET_TOKENS.host);
+  host.setReachable(false);
   return container.resolve(FLEET_TOKENS.listeners).listen({
     purpose: 'peers',
     address: () => settings.peerListenAddress,
-    listen: (address) => peerServer.start(address),
+    listen: async (address) => {
+      await peerServer.start(address);
+      host.setReachable(true);
+    },
   });
 }
 
