HTTP servers: what goes wrong with one connection ends only that one

Cause: five ways of one class, that a connection reaches beyond itself. Seen with real processes under the role's flags: 20 connections that ask for the metrics without reading them ended a node with signal 6 (heap limit) within 2 s, as Node.js reads on while answers wait; the same to the callers' address grew a node from 99 to 182 MB in 10 s. A body to the readiness or metrics address was read without end (17 GB in 6 s, half of the sound calls beside it). 1000 connections with junk that never close kept their descriptors. An error of a handler, or of an accept, had no listener (the server for peers has one) and would end the process with code 4; those two were shown by unit tests only, the kernel here closes connections for want of descriptors without an error. Change: guardRequests wraps the handler of each server: 128 requests of a connection may wait (8 at the metrics), a further one closes it; an error of a handler closes its connection; servers that read no bodies close a connection that sends one. Servers log and count failed accepts (server-problem, server.problems); after junk a connection is closed within a second.

--- a/packages/node/src/connection/httpServer.ts
+++ b/packages/node/src/connection/httpServer.ts
@@ -2,9 +2,16 @@
 /** Starts HTTP servers. */
 
 import {createServer} from 'node:http';
-import type {IncomingMessage, Server, ServerResponse} from 'node:http';
+import type {Server} from 'node:http';
 import type {Duplex} from 'node:stream';
 import {parseAddress} from '@lockpin/utils';
+import {guardRequests} from './guardedRequests.js';
+import type {
+  GuardedRequestsOptions,
+  RequestHandler,
+} from './guardedRequests.js';
+
+export type {RequestHandler} from './guardedRequests.js';
 
 const HEADERS_TIMEOUT_MILLISECONDS = 10_000;
 const KEEP_ALIVE_MILLISECONDS = 60_000;
@@ -14,16 +21,24 @@
  */
 const MAXIMUM_HEADERS_BYTES = 32 * 1024;
 
-/** Handles an HTTP request. */
-export type RequestHandler = (
-  request: IncomingMessage,
-  response: ServerResponse,
-) => void;
+/** Time for the other end of invalid HTTP to read its answer and close. */
+const LINGER_MILLISECONDS = 1000;
+
+/** Options of a server; by default, its problems are not reported. */
+export interface HttpServerOptions extends Partial<GuardedRequestsOptions> {
+  /** Connections beyond this many are closed at once; by default, none is. */
+  readonly maximumConnections?: number;
+}
 
 /** Listens on an address; rejects if the address is in use. */
 export async function startHttpServer(
   address: string,
   handler: RequestHandler,
+  {
+    maximumConnections,
+    onProblem = () => undefined,
+    ...options
+  }: HttpServerOptions = {},
 ): Promise<Server> {
   const {host, port} = parseAddress(address) ?? {host: '', port: 0};
   const server = createServer(
@@ -34,13 +49,19 @@
       requestTimeout: 0,
       noDelay: true,
     },
-    handler,
+    guardRequests(handler, {...options, onProblem}),
   );
   server.on('clientError', answerBadRequest);
+  if (maximumConnections !== undefined) {
+    server.maxConnections = maximumConnections;
+  }
   await new Promise<void>((resolve, reject) => {
     server.once('error', reject);
     server.listen(port, host, () => {
       server.off('error', reject);
+      server.on('error', ({message: detail}) =>
+        onProblem({kind: 'accept-failed', detail}),
+      );
       resolve();
     });
   });
@@ -69,4 +90,7 @@
       `lockpin-outcome: not-run\r\nlockpin-reason: request-malformed\r\n` +
       `content-length: ${Buffer.byteLength(body)}\r\nconnection: close\r\n\r\n${body}`,
   );
+  // The other end may never close its side.
+  const linger = setTimeout(() => socket.destroy(), LINGER_MILLISECONDS);
+  socket.once('close', () => clearTimeout(linger));
 }
--- a/packages/node/src/index.ts
+++ b/packages/node/src/index.ts
@@ -1,5 +1,6 @@
 // Copyright (c) 2026 the lockpin contributors. MIT licence, see LICENSE.
 export * from './connection/codec.js';
+export * from './connection/guardedRequests.js';
 export * from './connection/httpServer.js';
 export * from './connection/renewedPool.js';
 export * from './operators/quarantineApi.js';
@@ -13,6 +14,7 @@
 export * from './process/nodeHost.js';
 export * from './process/runFleetNode.js';
 export * from './process/runNode.js';
+export * from './process/serverProblems.js';
 export * from './request/callerProtocol.js';
 export * from './request/callerRequest.js';
 export * from './request/frames.js';
--- a/packages/node/src/process/fleetOperators.ts
+++ b/packages/node/src/process/fleetOperators.ts
@@ -35,7 +35,7 @@
     const path = request.url ?? '';
     const api = path.startsWith(STATUS_PATH) ? status : quarantines;
     const isApi = API_PATHS.some((prefix) => path.startsWith(prefix));
-    (isApi ? api : metrics)(request, response);
+    return (isApi ? api : metrics)(request, response);
   };
 }
 
@@ -48,7 +48,7 @@
   const guard = container.resolve(FLEET_TOKENS.guardService);
   const writer = container.resolve(FLEET_TOKENS.writer);
   const answerMemory = container.resolve(FLEET_TOKENS.answerMemory);
-  return (_request, response) => {
+  return async (_request, response) => {
     metrics.gauge('guard.occupied', guard.callCount);
     metrics.gauge('answers.bufferedBytes', answerMemory?.used ?? 0);
     metrics.gauge('configuration.version', host.fleet.version);
@@ -90,6 +90,6 @@
       metrics.gauge('upstream.limit', requestsPerSecond, {upstream});
       metrics.gauge('upstream.leaving', isLeaving ? 1 : 0, {upstream});
     }
-    void metrics.text().then((text) => response.end(text));
+    response.end(await metrics.text());
   };
 }
--- a/packages/node/src/process/metrics.ts
+++ b/packages/node/src/process/metrics.ts
@@ -42,6 +42,7 @@
   'readers.heard',
   'records.wrong',
   'requests.suspected',
+  'server.problems',
   'store.era',
   'store.newsAgeMilliseconds',
   'store.pollers',
--- a/packages/node/src/process/runFleetNode.ts
+++ b/packages/node/src/process/runFleetNode.ts
@@ -13,6 +13,10 @@
 import type {StopResult} from './drainCalls.js';
 import {FLEET_TOKENS, versionNews} from './fleetComposition.js';
 import {fleetOperatorHandler} from './fleetOperators.js';
+import {
+  METRICS_SERVER_LIMITS,
+  serverProblemReporter,
+} from './serverProblems.js';
 import {every} from './timers.js';
 
 /** A running node. */
@@ -75,14 +79,17 @@
   const stopping: StopState = {isStopping: false, closesConnections: false};
   const peerServer = container.resolve(FLEET_TOKENS.peerServer);
   await peerServer.start(settings.peerListenAddress);
+  const onProblem = serverProblemReporter(container);
   const callers = await startHttpServer(
     settings.callerAddress,
     callerHandler(container, stopping),
+    {onProblem},
   );
   if (settings.metricsAddress !== '') {
     await startHttpServer(
       settings.metricsAddress,
       fleetOperatorHandler(container),
+      {onProblem, ...METRICS_SERVER_LIMITS},
     );
   }
   host.start({
