Messages of peers: too many values are refused before they are decoded

Cause: a peer's message could end a node for want of memory: the five bytes that begin a MessagePack list make room for as many values as they name (256 MB for one, on a box with 350), and 4 MB of empty lists or tables, or a few KB inflated to 64 MB of them, take several hundred MB of heap (limit 128). With 4,000,000 empty lists in one message the node ended with signal 6. Inflated documents have 16 MB at most, of 64.

--- a/packages/node/src/connection/codec.ts
+++ b/packages/node/src/connection/codec.ts
@@ -3,6 +3,7 @@
 
 import {deflateRawSync, inflateRawSync} from 'node:zlib';
 import {FLOAT32_OPTIONS, Packr} from 'msgpackr';
+import {hasBoundedValues} from './messageValues.js';
 
 /** Field names that recur in a message are encoded once. */
 const packr = new Packr({
@@ -15,16 +16,25 @@
   return Buffer.from(packr.pack(message));
 }
 
-/** Decodes a message encoded by a node of the same release. */
+/**
+ * Decodes a message encoded by a node of the same release.
+ * @throws If the bytes are none, or would take too much memory.
+ */
 export function decode<T>(bytes: Uint8Array): T {
+  if (!hasBoundedValues(bytes)) {
+    throw new RangeError('a message with too many values');
+  }
   return packr.unpack(bytes) as T;
 }
 
 /** Smaller messages are not worth the processor time of compression. */
 const MINIMUM_COMPRESSED_BYTES = 1024;
 
-/** A larger document is none: a few bytes can be inflated to gigabytes. */
-const MAXIMUM_DOCUMENT_BYTES = 64 * 1024 * 1024;
+/**
+ * A larger document is none: a few bytes can be inflated to gigabytes. A
+ * configuration and the records of a thousand boxes take less than a megabyte.
+ */
+const MAXIMUM_DOCUMENT_BYTES = 16 * 1024 * 1024;
 
 /** The first byte of a document gives the encoding of the rest. */
 const PLAIN = 0;
