--- a/packages/node/src/__tests__/addressListeners.test.ts
+++ b/packages/node/src/__tests__/addressListeners.test.ts
@@ -10,6 +10,7 @@
   listenOn,
 } from '../connection/addressListeners.js';
 import type {ListenReport} from '../connection/addressListeners.js';
+import type {ServerProblem} from '../connection/guardedRequests.js';
 import {createHttpServer} from '../connection/httpServer.js';
 
 const ADDRESS = '127.0.0.1:7000';
@@ -139,11 +140,10 @@
 
   // Guards against a process that ends since it has no file descriptor left.
   it('outlives an accept that fails', async () => {
-    const problems: Error[] = [];
-    const server = createHttpServer(
-      () => undefined,
-      (error) => problems.push(error),
-    );
+    const problems: ServerProblem[] = [];
+    const server = createHttpServer(() => undefined, {
+      onProblem: (problem) => problems.push(problem),
+    });
     servers.push(server);
     await listenOn(server, '127.0.0.1:0');
     server.emit('error', errorWith('EMFILE'));
--- a/packages/node/src/connection/httpServer.ts
+++ b/packages/node/src/connection/httpServer.ts
@@ -2,9 +2,16 @@
 /** Starts HTTP servers. */
 
 import {createServer} from 'node:http';
-import type {IncomingMessage, Server, ServerResponse} from 'node:http';
+import type {Server} from 'node:http';
 import type {Duplex} from 'node:stream';
 import {listenOn} from './addressListeners.js';
+import {guardRequests} from './guardedRequests.js';
+import type {
+  GuardedRequestsOptions,
+  RequestHandler,
+} from './guardedRequests.js';
+
+export type {RequestHandler} from './guardedRequests.js';
 
 const HEADERS_TIMEOUT_MILLISECONDS = 10_000;
 const KEEP_ALIVE_MILLISECONDS = 60_000;
@@ -14,11 +21,14 @@
  */
 const MAXIMUM_HEADERS_BYTES = 32 * 1024;
 
-/** Handles an HTTP request. */
-export type RequestHandler = (
-  request: IncomingMessage,
-  response: ServerResponse,
-) => void;
+/** Time for the other end of invalid HTTP to read its answer and close. */
+const LINGER_MILLISECONDS = 1000;
+
+/** Options of a server; by default, its problems are not reported. */
+export interface HttpServerOptions extends Partial<GuardedRequestsOptions> {
+  /** Connections beyond this many are closed at once; by default, none is. */
+  readonly maximumConnections?: number;
+}
 
 /**
  * Creates a server that does not listen yet. An accept that fails, as without a
@@ -26,7 +36,11 @@
  */
 export function createHttpServer(
   handler: RequestHandler,
-  onAcceptFailed: (error: Error) => void,
+  {
+    maximumConnections,
+    onProblem = () => undefined,
+    ...options
+  }: HttpServerOptions = {},
 ): Server {
   const server = createServer(
     {
@@ -36,13 +50,16 @@
       requestTimeout: 0,
       noDelay: true,
     },
-    handler,
+    guardRequests(handler, {...options, onProblem}),
   );
   server.on('clientError', answerBadRequest);
+  if (maximumConnections !== undefined) {
+    server.maxConnections = maximumConnections;
+  }
   server.on('error', (error) => {
     // While it does not listen yet, listenOn rejects with the error.
     if (server.listening) {
-      onAcceptFailed(error);
+      onProblem({kind: 'accept-failed', detail: error.message});
     }
   });
   return server;
@@ -52,9 +69,9 @@
 export async function startHttpServer(
   address: string,
   handler: RequestHandler,
-  onAcceptFailed: (error: Error) => void = () => undefined,
+  options?: HttpServerOptions,
 ): Promise<Server> {
-  const server = createHttpServer(handler, onAcceptFailed);
+  const server = createHttpServer(handler, options);
   await listenOn(server, address);
   return server;
 }
@@ -81,4 +98,7 @@
       `lockpin-outcome: not-run\r\nlockpin-reason: request-malformed\r\n` +
       `content-length: ${Buffer.byteLength(body)}\r\nconnection: close\r\n\r\n${body}`,
   );
+  // The other end may never close its side.
+  const linger = setTimeout(() => socket.destroy(), LINGER_MILLISECONDS);
+  socket.once('close', () => clearTimeout(linger));
 }
--- a/packages/node/src/process/fleetComposition.ts
+++ b/packages/node/src/process/fleetComposition.ts
@@ -414,8 +414,12 @@
     new ControlTraffic(),
     {
       onViolation: violationReporter(dependencies),
-      onAcceptFailed: ({message}) =>
-        log.event('accept-failed', {purpose: 'peers', problem: message}),
+      onAcceptFailed: ({message: detail}) =>
+        log.event('server-problem', {
+          purpose: 'peers',
+          kind: 'accept-failed',
+          detail,
+        }),
     },
   );
 }
--- a/packages/node/src/process/fleetListeners.ts
+++ b/packages/node/src/process/fleetListeners.ts
@@ -6,23 +6,29 @@
 import {listenOn} from '../connection/addressListeners.js';
 import type {AddressListener} from '../connection/addressListeners.js';
 import {createHttpServer} from '../connection/httpServer.js';
-import type {RequestHandler} from '../connection/httpServer.js';
+import type {
+  HttpServerOptions,
+  RequestHandler,
+} from '../connection/httpServer.js';
 import {FLEET_TOKENS} from './fleetComposition.js';
 import {fleetOperatorHandler} from './fleetOperators.js';
+import {
+  METRICS_SERVER_LIMITS,
+  serverProblemReporter,
+} from './serverProblems.js';
 
 /** What the metrics' address is for, in reports on it. */
 export const METRICS_PURPOSE = 'metrics';
 
-/** Creates a server whose failed accepts are logged. */
+/** Creates a server whose problems are logged and counted. */
 export function createFleetHttpServer(
   container: DependencyContainer,
   purpose: string,
   handler: RequestHandler,
+  limits: HttpServerOptions = {},
 ): Server {
-  const log = container.resolve(FLEET_TOKENS.log);
-  return createHttpServer(handler, ({message}) =>
-    log.event('accept-failed', {purpose, problem: message}),
-  );
+  const onProblem = serverProblemReporter(container, purpose);
+  return createHttpServer(handler, {...limits, onProblem});
 }
 
 /**
@@ -57,6 +63,7 @@
     container,
     METRICS_PURPOSE,
     fleetOperatorHandler(container),
+    METRICS_SERVER_LIMITS,
   );
   container.resolve(FLEET_TOKENS.listeners).listen({
     purpose: METRICS_PURPOSE,
--- a/packages/node/src/process/metrics.ts
+++ b/packages/node/src/process/metrics.ts
@@ -43,6 +43,7 @@
   'readers.heard',
   'records.wrong',
   'requests.suspected',
+  'server.problems',
   'store.era',
   'store.newsAgeMilliseconds',
   'store.pollers',
--- a/packages/node/src/process/runNode.ts
+++ b/packages/node/src/process/runNode.ts
@@ -137,9 +137,10 @@
   app: InjectionToken<RequestHandler>,
 ): Server {
   const logger = container.resolve(TOKENS.logger);
-  return createHttpServer(container.resolve(app), ({message}) =>
-    logger.warn('a connection could not be accepted', {detail: message}),
-  );
+  return createHttpServer(container.resolve(app), {
+    onProblem: (problem) =>
+      logger.warn('a connection of a server failed', {...problem}),
+  });
 }
 
 async function stopNode(
