A streamed body goes to one guard only, from its beginning

Cause: retries and reroutes asked whether the body is held, the pause before the next round did not; and the entry could not tell a body that has begun from one that has not. Chunks that arrived in the pause, or went to an attempt that had just ended, were dropped. Class: a way to a second attempt that does not ask whether the whole body can be sent.

Now the entry's decision logic is told when the first part of a streamed body goes out ('body-begun') and bodyReplay.ts alone decides; retries, reroutes, pauses, lost and unanswered offers and overdue attempts ask it, for any reason. A body that has begun is refused at once and truthfully, with a time to return if it has not run. One that has not begun waits for the next guard, and is now rerouted at once like a held one. BodySender binds a body that has begun to its exchange, so that no other can get a part of it. CallerExchange (317 lines, fifteen public mutable fields) is split: attempts (CallAttempt), body (BodySender) and answer (CallerAnswer) own their state; two such fields are left. unsentAnswers.test builds the CallerAnswer instead of the exchange around it; its checks are the same.

--- a/packages/brain/src/entry/callOffers.ts
+++ b/packages/brain/src/entry/callOffers.ts
@@ -4,6 +4,7 @@
 import type {RoutingCandidate, UpstreamLoads} from '@lockpin/routing';
 import type {RandomSource, RefusalReason} from '@lockpin/types';
 import type {AttemptTiming} from './attemptTiming.js';
+import {canBeSentAgain} from './bodyReplay.js';
 import type {CallRegistry} from './callRegistry.js';
 import {isRetry, setTerms} from './callState.js';
 import type {CallState} from './callState.js';
@@ -22,6 +23,12 @@
 /** Retry-after of calls for which there is no upstream. */
 export const NO_UPSTREAM_RETRY_MILLISECONDS = 500;
 
+/**
+ * Retry-after of calls that have not run but cannot be offered again: another
+ * upstream may take the caller's next request at once.
+ */
+const BODY_SPENT_RETRY_MILLISECONDS = 100;
+
 /** Share of the shortest wait reported by guards after which to ask again. */
 const WAIT_SHARE = 0.5;
 
@@ -51,6 +58,9 @@
     reasonIfNone: RefusalReason,
     retryAfter = NO_UPSTREAM_RETRY_MILLISECONDS,
   ): readonly EntryAction[] {
+    if (!canBeSentAgain(state)) {
+      return this.refuseSpent(state, reasonIfNone, retryAfter);
+    }
     const quarantined = this.quarantinedFor(now, state);
     if (quarantined > 0) {
       const reason = 'request-quarantined';
@@ -123,6 +133,9 @@
     reason: RefusalReason,
     retryAfter: number,
   ): readonly EntryAction[] {
+    if (!canBeSentAgain(state)) {
+      return this.refuseSpent(state, reason, retryAfter);
+    }
     const {pauseMilliseconds, boundsHolding} = this.context.settings;
     const milliseconds = this.pauseBefore(state);
     if (
@@ -140,6 +153,19 @@
     return [{kind: 'pause', callId: state.call.id, milliseconds}];
   }
 
+  /** Refuses a call of whose body a part is gone, at once. */
+  refuseSpent(
+    state: CallState,
+    reason: RefusalReason,
+    retryAfter: number,
+  ): readonly EntryAction[] {
+    const after =
+      retryAfter > 0 || state.mayHaveRun
+        ? retryAfter
+        : BODY_SPENT_RETRY_MILLISECONDS;
+    return this.context.calls.refuseCall(state, reason, after);
+  }
+
   /** Refuses a call; for lack of capacity with a retry-after that spreads callers. */
   private refuse(
     now: number,
--- a/packages/brain/src/entry/callState.ts
+++ b/packages/brain/src/entry/callState.ts
@@ -89,6 +89,7 @@
     pending: undefined,
     paidAttempts: 1,
     reroutes: 0,
+    hasBodyBegun: false,
     mayHaveRun: false,
     hasFallbackAnswer: false,
     isAttempting: false,
--- a/packages/brain/src/entry/entryMessages.ts
+++ b/packages/brain/src/entry/entryMessages.ts
@@ -25,7 +25,7 @@
   readonly onceKey: OnceKey | undefined;
   /** The caller states that it never sent a call with this key before. */
   readonly isFirstWithKey: boolean;
-  /** The body is still buffered, so the call can be sent again. */
+  /** The whole body is held; otherwise it is streamed, once. */
   readonly isReplayable: boolean;
   /** The caller, itself called through lockpin, is handling a retry. */
   readonly isCallersRetry: boolean;
@@ -81,6 +81,8 @@
       /** False only when the guard cannot have received it. */
       readonly wasSent: boolean;
     }
+  /** The first part of a streamed body was given to the guard. */
+  | {readonly kind: 'body-begun'; readonly callId: string}
   /** The pause after a round of refused offers has ended. */
   | {readonly kind: 'pause-ended'; readonly callId: string}
   /** The guard neither started nor queued the call within the time allowed. */
--- a/packages/brain/src/entry/entryStateMachine.ts
+++ b/packages/brain/src/entry/entryStateMachine.ts
@@ -9,6 +9,7 @@
 import type {RandomSource, Refusal} from '@lockpin/types';
 import type {AnswerHandler} from './answerHandler.js';
 import type {AttemptFeedback} from './attemptFeedback.js';
+import {canBeSentAgain} from './bodyReplay.js';
 import {refusalAction} from './callRegistry.js';
 import type {CallRegistry} from './callRegistry.js';
 import {NO_UPSTREAM_RETRY_MILLISECONDS} from './callOffers.js';
@@ -152,6 +153,9 @@
         this.calls.attemptEnded(state);
         this.loads.linkFailed(state.upstream, now, random(), state.offeredAt);
         return this.handleLostAttempt(now, random, state, event.wasSent);
+      case 'body-begun':
+        state.hasBodyBegun ||= !state.call.isReplayable;
+        return [];
       case 'pause-ended':
         return this.offers.pauseEnded(now, random, state);
       case 'attempt-unacknowledged':
@@ -222,6 +226,9 @@
         retryAfterMilliseconds,
       );
     }
+    if (!canBeSentAgain(state)) {
+      return this.offers.refuseSpent(state, reason, retryAfterMilliseconds);
+    }
     if (reason === 'nested-busy' && this.isBusyElsewhere(state)) {
       return this.calls.refuseCall(state, reason, retryAfterMilliseconds);
     }
--- a/packages/brain/src/entry/retryPolicy.ts
+++ b/packages/brain/src/entry/retryPolicy.ts
@@ -3,6 +3,8 @@
 
 import type {RetryAllowance} from '@lockpin/routing';
 import type {Refusal} from '@lockpin/types';
+import {canBeSentAgain, canBeSentTwice} from './bodyReplay.js';
+import type {BodyState} from './bodyReplay.js';
 import type {EntryCall} from './entryMessages.js';
 import {NON_RETRYABLE_REFUSALS} from './entrySettings.js';
 import type {EntrySettings} from './entrySettings.js';
@@ -11,10 +13,11 @@
 const MAXIMUM_PAID_ATTEMPTS = 3;
 
 /** Retry state of a call. */
-export interface RetryState {
+export interface RetryState extends BodyState {
   readonly call: EntryCall;
   /** Upstreams that may have run the call. */
   readonly ran: ReadonlySet<string>;
+  hasBodyBegun: boolean;
   paidAttempts: number;
   reroutes: number;
 }
@@ -41,7 +44,7 @@
     refusal: Refusal,
   ): boolean {
     const {reason, outcome} = refusal;
-    if (!state.call.isReplayable) {
+    if (!canBeSentAgain(state)) {
       return false;
     }
     if (
@@ -58,13 +61,14 @@
   }
 
   /** Whether a call may run more than once. */
-  isRepeatable({call}: RetryState): boolean {
-    return call.isReplayable && call.route.spec.repetition === 'repeatable';
+  isRepeatable(state: RetryState): boolean {
+    const {repetition} = state.call.route.spec;
+    return canBeSentTwice(state) && repetition === 'repeatable';
   }
 
   /** Takes one of the free reroutes of a call; false if none is left. */
   takeReroute(state: RetryState): boolean {
-    if (!state.call.isReplayable || this.isRerouteLimitReached(state)) {
+    if (!canBeSentAgain(state) || this.isRerouteLimitReached(state)) {
       return false;
     }
     state.reroutes += 1;
--- a/packages/node/src/__tests__/unsentAnswers.test.ts
+++ b/packages/node/src/__tests__/unsentAnswers.test.ts
@@ -8,7 +8,7 @@
 import type {AddressInfo, Socket} from 'node:net';
 import {afterEach, beforeEach, describe, expect, it} from 'vitest';
 import {AnswerMemory} from '../request/answerMemory.js';
-import {CallerExchange} from '../request/callerExchange.js';
+import {CallerAnswer} from '../request/callerAnswer.js';
 import {CloseDelimitedAnswers} from '../request/closeDelimitedAnswers.js';
 import type {AnswerHead} from '../request/frames.js';
 import {FinishingAnswers} from '../request/finishingAnswers.js';
@@ -132,7 +132,7 @@
   let socket: Socket;
   let received: string;
   let end: Promise<string>;
-  let exchange: CallerExchange;
+  let answer: CallerAnswer;
   let closeDelimited: CloseDelimitedAnswers;
 
   async function connectCaller(method = 'GET'): Promise<void> {
@@ -147,23 +147,23 @@
     await until(() => responses.length === 1);
     const [response] = responses;
     closeDelimited = new CloseDelimitedAnswers();
-    exchange = new CallerExchange(
-      'id',
-      {request: {method}, response, call: {}, body: {kind: 'held'}} as never,
-      '',
-      {
+    answer = new CallerAnswer({
+      response: response as ServerResponse,
+      method,
+      protocol: {
         answerHeaders: ({headers}: AnswerHead) => [
           ...headers,
           'connection',
           'close',
         ],
       } as never,
-      (added) => closeDelimited.add(added),
-    );
+      onCloseDelimited: (added) => closeDelimited.add(added),
+      closesRefused: false,
+    });
   }
 
   function sendHead(head: Partial<AnswerHead>): void {
-    exchange.sendHead({
+    answer.sendHead({
       status: 200,
       headers: [],
       upstream: '',
@@ -178,9 +178,9 @@
   it('sees that an answer without a length was interrupted', async () => {
     await connectCaller();
     sendHead({hasMore: true});
-    exchange.sendChunk(Buffer.alloc(1000));
+    answer.sendChunk(Buffer.alloc(1000));
     await once(socket, 'data');
-    exchange.destroyResponse();
+    answer.destroy();
     if (version === 'HTTP/1.0') {
       expect(await end).toContain('ECONNRESET');
     } else {
@@ -193,10 +193,10 @@
   it('gets an answer without a length as it arrives', async () => {
     await connectCaller();
     sendHead({hasMore: true});
-    exchange.sendChunk(Buffer.from('first'));
+    answer.sendChunk(Buffer.from('first'));
     await until(() => received.includes('first'));
-    exchange.sendChunk(Buffer.from('last'));
-    exchange.sendEnd();
+    answer.sendChunk(Buffer.from('last'));
+    answer.sendEnd();
     expect(await end).toBe('end');
     expect(received).toContain('last');
     expect(received.endsWith('\r\n0\r\n\r\n')).toBe(version === 'HTTP/1.1');
@@ -227,11 +227,11 @@
   it('sees that an answer was interrupted by the exit of the process', async () => {
     await connectCaller();
     sendHead({hasMore: true});
-    exchange.sendChunk(Buffer.alloc(ANSWER_BYTES));
+    answer.sendChunk(Buffer.alloc(ANSWER_BYTES));
     await once(socket, 'data');
     closeDelimited.reset();
     socket.resume();
-    exchange.destroyResponse();
+    answer.destroy();
     expect(await end).toContain(version === 'HTTP/1.0' ? 'ECONNRESET' : 'end');
     expect(received).not.toMatch(/\r\n0\r\n/);
   });
--- a/packages/node/src/request/attemptRunner.ts
+++ b/packages/node/src/request/attemptRunner.ts
@@ -5,6 +5,7 @@
 
 import type {Attempt, EntryEvent} from '@lockpin/brain';
 import {FIRST_SERVER_ERROR_STATUS} from '@lockpin/utils';
+import {CallAttempt} from './callAttempt.js';
 import type {CallerExchange} from './callerExchange.js';
 import type {EntryServiceDependencies} from './entryServiceDependencies.js';
 import type {ExchangeHandlers} from './exchange.js';
@@ -30,92 +31,70 @@
 
   /** Delays the next round of attempts. */
   pause(exchange: CallerExchange, milliseconds: number): void {
-    exchange.attemptSerial += 1;
-    exchange.exchange = undefined;
-    exchange.hasReservedSlot = false;
-    exchange.mayHaveBegun = false;
-    exchange.clearAttemptTimers();
-    exchange.silenceTimer = setTimeout(
-      () =>
-        this.dependencies.handleEvent({
-          kind: 'pause-ended',
-          callId: exchange.id,
-        }),
-      milliseconds,
+    exchange.pause(milliseconds, () =>
+      this.dependencies.handleEvent({
+        kind: 'pause-ended',
+        callId: exchange.id,
+      }),
     );
   }
 
   /** Offers a call to the guard of a box. */
-  attempt(exchange: CallerExchange, attempt: Attempt): void {
-    exchange.attemptSerial += 1;
-    exchange.fallbackAnswer = exchange.pendingAnswer ?? exchange.fallbackAnswer;
-    exchange.pendingAnswer = undefined;
+  attempt(exchange: CallerExchange, offer: Attempt): void {
     const {clock, stateMachine} = this.dependencies;
     const now = clock();
-    const needsGo = this.needsGo(exchange, attempt);
-    const head = exchange.head(now, attempt, needsGo);
-    const known = stateMachine.loads.lastHint(attempt.upstream ?? '', now);
+    const needsGo = this.needsGo(exchange, offer);
+    // Only a guard in this process, or one that waits for the go signal,
+    // reports reliably whether the call has started.
+    const tellsStart = needsGo || this.dependencies.isOwnBox(offer.box);
+    const head = exchange.head(now, offer, needsGo);
+    const attempt = new CallAttempt({
+      head,
+      mayStartUnseen: !tellsStart || !exchange.isReplayable,
+      overdueMilliseconds: offer.overdueMilliseconds,
+    });
+    exchange.beginAttempt(attempt);
+    const known = stateMachine.loads.lastHint(offer.upstream ?? '', now);
     exchange.attemptHistory.recordOffer(
       exchange.age(clock()),
-      attempt,
+      offer,
       known && {state: known.hint.state, age: known.age},
-      knownCapacity(now, stateMachine.knownCapacity(attempt.upstream ?? '')),
+      knownCapacity(now, stateMachine.knownCapacity(offer.upstream ?? '')),
     );
-    exchange.isGoSent = !needsGo;
-    exchange.hasReservedSlot = false;
-    // Only a guard in this process, or one that waits for the go signal,
-    // reports reliably whether the call has started.
-    const tellsStart = needsGo || this.dependencies.isOwnBox(attempt.box);
-    exchange.mayHaveBegun = !tellsStart || !exchange.isReplayable;
-    this.setAttemptTimers(exchange, attempt, needsGo);
-    const serial = exchange.attemptSerial;
-    const handlers = this.handlersFor(exchange, serial);
-    const begun = this.dependencies.begin(attempt.box, head, handlers);
-    // A guard in this process may already have refused, and the next attempt
-    // may have started.
-    if (exchange.attemptSerial === serial) {
-      exchange.exchange = begun;
+    if (needsGo) {
+      this.awaitReply(exchange, attempt, offer);
     }
+    // A guard in this process may refuse at once; the next attempt then begins
+    // before this one has its exchange.
+    const handlers = this.handlersFor(exchange, attempt);
+    attempt.offered(this.dependencies.begin(offer.box, head, handlers));
   }
 
   /** The call may run: uses the slot that a guard has reserved for it. */
   admitted(exchange: CallerExchange): void {
     exchange.isAdmissionPending = false;
-    if (exchange.hasReservedSlot) {
-      exchange.hasReservedSlot = false;
-      this.slotReserved(exchange);
+    const attempt = exchange.currentAttempt;
+    if (attempt?.hasReservedSlot === true) {
+      this.start(exchange, attempt);
     }
   }
 
   /** Cancels the current attempt; its later callbacks are ignored. */
   cancel(exchange: CallerExchange): void {
-    exchange.attemptSerial += 1;
-    exchange.hasReservedSlot = false;
-    exchange.clearAttemptTimers();
-    exchange.exchange?.cancel();
-    exchange.exchange = undefined;
+    const attempt = exchange.currentAttempt;
+    exchange.endAttempt();
+    attempt?.exchange?.cancel();
   }
 
   /** Keeps the current attempt running alongside the next one. */
   keepOverdueAttempt(exchange: CallerExchange): void {
     this.recordAttemptEnd(exchange, 'overdue');
-    exchange.overdue = {
-      serial: exchange.attemptSerial,
-      exchange: exchange.exchange,
-      answer: undefined,
-    };
+    exchange.keepOverdueAttempt();
   }
 
   /** Cancels the overdue attempt that runs alongside the current one. */
   cancelOverdueAttempt(exchange: CallerExchange): void {
-    exchange.overdue?.exchange?.cancel();
-    exchange.overdue = undefined;
-  }
-
-  /** Makes the answer of the overdue attempt the one to pass on. */
-  takeOverdueAnswer(exchange: CallerExchange): void {
-    exchange.pendingAnswer = exchange.overdue?.answer;
-    exchange.overdue = undefined;
+    exchange.dropOverdueAttempt()?.exchange?.cancel();
   }
 
   /** Records in the call's history how the current attempt ended. */
@@ -133,78 +112,63 @@
     return exchange.isReplayable && isAsked;
   }
 
-  private setAttemptTimers(
+  private awaitReply(
     exchange: CallerExchange,
-    {box, overdueMilliseconds, acknowledgementTimeoutMilliseconds}: Attempt,
-    needsGo: boolean,
+    attempt: CallAttempt,
+    {box, acknowledgementTimeoutMilliseconds}: Attempt,
   ): void {
-    const {onSilence} = this.dependencies;
-    const callId = exchange.id;
-    exchange.clearAttemptTimers();
-    if (needsGo) {
-      exchange.silenceTimer = setTimeout(() => {
-        this.recordAttemptEnd(exchange, 'guard-silent');
-        onSilence?.(box);
-        this.dependencies.handleEvent({kind: 'attempt-unacknowledged', callId});
-      }, acknowledgementTimeoutMilliseconds);
-    }
-    exchange.overdueMilliseconds = overdueMilliseconds;
+    const {onSilence, handleEvent} = this.dependencies;
+    attempt.awaitReply(acknowledgementTimeoutMilliseconds, () => {
+      this.recordAttemptEnd(exchange, 'guard-silent');
+      onSilence?.(box);
+      handleEvent({kind: 'attempt-unacknowledged', callId: exchange.id});
+    });
   }
 
-  /** Starts when the slot is reserved: queueing at the guard does not count. */
-  private startOverdueTimer(exchange: CallerExchange): void {
-    const {id: callId, overdueMilliseconds} = exchange;
-    if (overdueMilliseconds !== undefined) {
-      exchange.overdueTimer = setTimeout(
-        () => this.dependencies.handleEvent({kind: 'attempt-overdue', callId}),
-        overdueMilliseconds,
-      );
+  /** The guard has reserved a slot for the call, or takes more of its body. */
+  private continued(exchange: CallerExchange, attempt: CallAttempt): void {
+    attempt.replied();
+    if (attempt.hasStarted) {
+      exchange.continueBody();
+    } else if (exchange.isAdmissionPending) {
+      attempt.reserve();
+    } else {
+      this.start(exchange, attempt);
     }
   }
 
-  /** The guard has reserved a slot for the call. */
-  private slotReserved(exchange: CallerExchange): void {
-    clearTimeout(exchange.silenceTimer);
-    if (exchange.isAdmissionPending) {
-      exchange.hasReservedSlot = true;
-      return;
-    }
-    exchange.mayHaveBegun = true;
-    this.startOverdueTimer(exchange);
-    if (exchange.isGoSent) {
-      exchange.streamBody();
-      return;
-    }
-    exchange.isGoSent = true;
-    exchange.go();
+  private start(exchange: CallerExchange, attempt: CallAttempt): void {
+    const {handleEvent} = this.dependencies;
+    attempt.start(() =>
+      handleEvent({kind: 'attempt-overdue', callId: exchange.id}),
+    );
+    exchange.continueBody();
   }
 
   private handlersFor(
     exchange: CallerExchange,
-    serial: number,
+    attempt: CallAttempt,
   ): ExchangeHandlers {
-    const isCurrent = (): boolean =>
-      exchange.attemptSerial === serial && !exchange.isOver;
     const ifCurrent = (act: () => void): void => {
-      if (isCurrent()) {
+      if (exchange.isCurrent(attempt)) {
         act();
       }
     };
     const ifOverdue = (act: () => void): void => {
-      if (exchange.overdue?.serial === serial && !exchange.isOver) {
+      if (exchange.isOverdue(attempt)) {
         act();
       }
     };
     const overdueEnded = (): void =>
       ifOverdue(() => this.overdueEnded(exchange));
     return {
-      onContinue: () => ifCurrent(() => this.slotReserved(exchange)),
-      onQueued: () => ifCurrent(() => clearTimeout(exchange.silenceTimer)),
+      onContinue: () => ifCurrent(() => this.continued(exchange, attempt)),
+      onQueued: () => ifCurrent(() => attempt.replied()),
       onAnswer: (head) => {
         ifOverdue(() => this.overdueAnswered(exchange, head));
         ifCurrent(() => this.answered(exchange, head));
       },
-      onChunk: (bytes) => this.chunk(exchange, isCurrent(), bytes),
+      onChunk: (bytes) => this.chunk(exchange, attempt, bytes),
       onEnd: () => ifCurrent(() => this.answerEnded(exchange)),
       onRefusal: (refusal) => {
         overdueEnded();
@@ -212,13 +176,13 @@
       },
       onLost: (wasSent) => {
         overdueEnded();
-        ifCurrent(() => this.lost(exchange, wasSent && exchange.mayHaveBegun));
+        ifCurrent(() => this.lost(exchange, wasSent && attempt.mayHaveBegun));
       },
     };
   }
 
   private answerEnded(exchange: CallerExchange): void {
-    exchange.sendEnd();
+    exchange.answer.sendEnd();
     this.dependencies.onAnswerEnded(exchange);
   }
 
@@ -227,7 +191,7 @@
     {refusal, upstream, hint, others}: RefusalFrame,
   ): void {
     const callId = exchange.id;
-    exchange.clearAttemptTimers();
+    exchange.clearTimers();
     this.recordAttemptEnd(exchange, refusal.reason);
     this.dependencies.handleEvent({
       kind: 'attempt-refused',
@@ -241,10 +205,10 @@
 
   private answered(exchange: CallerExchange, head: AnswerHead): void {
     const callId = exchange.id;
-    exchange.pendingAnswer = head;
+    exchange.answered(head);
     const {status, hint, others, ranMilliseconds} = head;
     const isWhole = !head.hasMore;
-    exchange.clearAttemptTimers();
+    exchange.clearTimers();
     this.recordAttemptEnd(exchange, String(status));
     this.dependencies.handleEvent({
       kind: 'attempt-answered',
@@ -261,16 +225,17 @@
    * Only a complete answer can replace another; a streamed one is cancelled.
    */
   private overdueAnswered(exchange: CallerExchange, head: AnswerHead): void {
-    const {id: callId, overdue} = exchange;
-    if (overdue === undefined || head.hasMore) {
-      overdue?.exchange?.cancel();
-      this.overdueEnded(exchange);
+    const {id: callId} = exchange;
+    if (head.hasMore) {
+      this.cancelOverdueAttempt(exchange);
+      this.dependencies.handleEvent({kind: 'overdue-ended', callId});
       return;
     }
     const {status, hint, others, ranMilliseconds} = head;
-    overdue.answer = head;
     if (status >= FIRST_SERVER_ERROR_STATUS) {
-      exchange.overdue = undefined;
+      exchange.dropOverdueAttempt();
+    } else {
+      exchange.overdueAnswered(head);
     }
     this.dependencies.handleEvent({
       kind: 'overdue-answered',
@@ -283,33 +248,33 @@
   }
 
   private overdueEnded(exchange: CallerExchange): void {
-    exchange.overdue = undefined;
+    exchange.dropOverdueAttempt();
     this.dependencies.handleEvent({kind: 'overdue-ended', callId: exchange.id});
   }
 
   private chunk(
     exchange: CallerExchange,
-    isCurrent: boolean,
+    attempt: CallAttempt,
     bytes: Buffer,
   ): boolean {
-    if (!isCurrent) {
+    if (!exchange.isCurrent(attempt)) {
       return true;
     }
-    const hasRoom = exchange.sendChunk(bytes);
+    const hasRoom = exchange.answer.sendChunk(bytes);
     if (!hasRoom) {
       this.dependencies.onUnsent(exchange);
-      exchange.onDrain(() => exchange.exchange?.resume());
+      exchange.answer.onDrain(() => attempt.exchange?.resume());
     }
     return hasRoom;
   }
 
   private lost(exchange: CallerExchange, wasSent: boolean): void {
-    if (exchange.hasBegun) {
-      exchange.destroyResponse();
+    if (exchange.answer.hasBegun) {
+      exchange.answer.destroy();
       this.dependencies.onAnswerEnded(exchange);
       return;
     }
-    exchange.clearAttemptTimers();
+    exchange.clearTimers();
     this.recordAttemptEnd(exchange, 'guard-lost');
     this.dependencies.handleEvent({
       kind: 'attempt-lost',
--- a/packages/node/src/request/callRecord.ts
+++ b/packages/node/src/request/callRecord.ts
@@ -8,7 +8,7 @@
 
 /** Builds the log record of a call from its exchange and outcome. */
 export function createCallRecord(
-  {requestId, requestDigest, call, attemptHistory, status}: CallerExchange,
+  {requestId, requestDigest, call, attemptHistory, answer}: CallerExchange,
   outcome: CallRecord['outcome'],
   reason: string,
   milliseconds: number,
@@ -23,7 +23,7 @@
     version: call.version,
     outcome,
     reason,
-    status,
+    status: answer.status,
     milliseconds: Math.round(milliseconds),
     nested: nestedRecord(call),
     attempts: attemptHistory.attempts,
--- a/packages/node/src/request/callerExchange.ts
+++ b/packages/node/src/request/callerExchange.ts
@@ -3,25 +3,20 @@
 
 import type {IncomingMessage, ServerResponse} from 'node:http';
 import type {Attempt} from '@lockpin/brain';
-import type {Refusal} from '@lockpin/types';
+import {AttemptHistory} from './attemptHistory.js';
 import {
+  attemptPriority,
   roundMilliseconds,
   startWithin,
-  attemptPriority,
   usefulFor,
 } from './attemptPriority.js';
+import {BodySender} from './bodySender.js';
+import type {CallAttempt} from './callAttempt.js';
+import {CallerAnswer} from './callerAnswer.js';
 import type {CallerBody} from './callerBody.js';
+import type {CallerProtocol} from './callerProtocol.js';
 import type {CallerRequest} from './callerRequest.js';
-import type {Exchange} from './exchange.js';
 import type {AnswerHead, CallHead, FlatHeaders} from './frames.js';
-import type {CallerProtocol} from './callerProtocol.js';
-import {hasLength, lengthOfWhole} from './answerLength.js';
-import {AttemptHistory} from './attemptHistory.js';
-import type {FinishingAnswers} from './finishingAnswers.js';
-import type {UnsentAnswers} from './unsentAnswers.js';
-
-/** Answers up to this size are written together with their headers. */
-const SINGLE_WRITE_LIMIT_BYTES = 8 * 1024;
 
 /** A request that became a call. */
 export interface ArrivedRequest {
@@ -34,76 +29,90 @@
   readonly arrivedAt: number;
 }
 
+/** What a call needs from the entry service. */
+export interface CallerExchangeOptions {
+  readonly protocol: CallerProtocol;
+  /** Called for an answer that only the end of its connection ends. */
+  readonly onCloseDelimited: (response: ServerResponse) => void;
+  /** The first part of a streamed body is about to be sent. */
+  readonly onBodyBegun: (id: string) => void;
+}
+
+/** An attempt that runs alongside the current one, and its answer. */
+interface OverdueAttempt {
+  readonly attempt: CallAttempt;
+  readonly answer: AnswerHead | undefined;
+}
+
 /** A call's body, attempts and answer, from its arrival to its end. */
 export class CallerExchange {
   readonly requestId: string;
   readonly call: CallerRequest;
   readonly arrivedAt: number;
-  /** Number of the current attempt; callbacks of earlier ones are ignored. */
-  attemptSerial = 0;
-  exchange: Exchange | undefined;
-  /** An overdue attempt that runs alongside the current one. */
-  overdue:
-    | {
-        readonly serial: number;
-        readonly exchange: Exchange | undefined;
-        answer: AnswerHead | undefined;
-      }
-    | undefined;
-  /** An answer that was received and may still be discarded for a retry. */
-  pendingAnswer: AnswerHead | undefined;
-  /**
-   * A complete answer of an earlier attempt, used when no later one succeeds.
-   */
-  fallbackAnswer: AnswerHead | undefined;
+  readonly attemptHistory = new AttemptHistory();
+  readonly answer: CallerAnswer;
+  /** Set by the deadlines of the entry. */
   deadlineTimer: NodeJS.Timeout | undefined;
-  /** Runs until the guard reserves a slot, queues the call or refuses it. */
-  silenceTimer: NodeJS.Timeout | undefined;
-  overdueTimer: NodeJS.Timeout | undefined;
-  /** Time limit of the current attempt, counted from its slot reservation. */
-  overdueMilliseconds: number | undefined;
-  /**
-   * The current attempt may run: it needs no go signal, or has been sent it.
-   */
-  isGoSent = true;
   /** The admission check against the customer's limit is still pending. */
   isAdmissionPending = false;
-  /**
-   * A guard holds a slot for the current attempt until admission is decided.
-   */
-  hasReservedSlot = false;
-  /** The current attempt may have reached its upstream. */
-  mayHaveBegun = false;
   private readonly request: IncomingMessage;
-  private readonly response: ServerResponse;
+  /** Undefined if the whole body is held. */
+  private readonly sender: BodySender | undefined;
   private readonly body: Buffer | undefined;
-  private lastHead: CallHead | undefined;
-  readonly attemptHistory = new AttemptHistory();
-  private isStreaming = false;
-  private isEnded = false;
-  private awaitsDrain = false;
-  private hasProgressed = false;
-  /** Only the end of the connection shows the caller the end of the answer. */
-  private isCloseDelimited = false;
+  private current: CallAttempt | undefined;
+  private overdue: OverdueAttempt | undefined;
+  private pauseTimer: NodeJS.Timeout | undefined;
+  /** An answer that was received and may still be discarded for a retry. */
+  private pendingAnswer: AnswerHead | undefined;
+  /**
+   * A complete answer of an earlier attempt, used when no later one succeeds.
+   */
+  private fallbackAnswer: AnswerHead | undefined;
 
   constructor(
     readonly id: string,
     arrived: ArrivedRequest,
     readonly requestDigest: string,
-    private readonly protocol: CallerProtocol,
-    /** Called for an answer that only the end of its connection ends. */
-    private readonly onCloseDelimited: (response: ServerResponse) => void,
+    private readonly options: CallerExchangeOptions,
   ) {
+    const {request, response, body} = arrived;
     this.requestId = arrived.requestId;
     this.call = arrived.call;
-    this.request = arrived.request;
-    this.response = arrived.response;
-    this.body = arrived.body.kind === 'held' ? arrived.body.bytes : undefined;
     this.arrivedAt = arrived.arrivedAt;
+    this.request = request;
+    this.body = body.kind === 'held' ? body.bytes : undefined;
+    const sender =
+      body.kind === 'held'
+        ? undefined
+        : new BodySender(request, () => options.onBodyBegun(id));
+    this.sender = sender;
+    this.answer = new CallerAnswer({
+      ...options,
+      response,
+      method: request.method,
+      // The rest of the body is not read, so the connection cannot be reused.
+      closesRefused: sender !== undefined,
+    });
   }
 
+  /** Whether the whole body is held. */
   get isReplayable(): boolean {
-    return this.body !== undefined;
+    return this.sender === undefined;
+  }
+
+  /** The attempt whose guard is waited for. */
+  get currentAttempt(): CallAttempt | undefined {
+    return this.current;
+  }
+
+  /** The current attempt may have reached its upstream. */
+  get mayHaveBegun(): boolean {
+    return this.current?.mayHaveBegun === true;
+  }
+
+  /** Whether nothing more is sent to the caller. */
+  get isOver(): boolean {
+    return this.answer.isOver;
   }
 
   /** Milliseconds since the call arrived. */
@@ -111,30 +120,100 @@
     return now - this.arrivedAt;
   }
 
-  /** Clears the timers of the current attempt. */
-  clearAttemptTimers(): void {
-    clearTimeout(this.silenceTimer);
-    clearTimeout(this.overdueTimer);
+  /** Whether a part of the answer arrived since the last check, or is unsent. */
+  takeProgress(): boolean {
+    return this.answer.takeProgress();
   }
 
-  /** The HTTP status sent to the caller; 0 when none was sent. */
-  get status(): number {
-    return this.hasBegun ? this.response.statusCode : 0;
+  /** Whether the replies of an attempt count. */
+  isCurrent(attempt: CallAttempt): boolean {
+    return this.current === attempt && !this.isOver;
   }
 
-  /** Whether any part of the answer was sent to the caller. */
-  get hasBegun(): boolean {
-    return this.response.headersSent;
+  /** Whether an attempt is overdue and runs on; its answer counts. */
+  isOverdue(attempt: CallAttempt): boolean {
+    return this.overdue?.attempt === attempt && !this.isOver;
   }
 
-  get isOver(): boolean {
-    return this.isEnded;
+  /** Begins an attempt; a failed answer of an earlier one is kept. */
+  beginAttempt(attempt: CallAttempt): void {
+    this.endAttempt();
+    this.fallbackAnswer = this.pendingAnswer ?? this.fallbackAnswer;
+    this.pendingAnswer = undefined;
+    this.current = attempt;
+  }
+
+  /** Ignores the current attempt from now on. */
+  endAttempt(): void {
+    this.clearTimers();
+    this.sender?.detach();
+    this.current = undefined;
+  }
+
+  /** Clears the timers of the current attempt or pause. */
+  clearTimers(): void {
+    clearTimeout(this.pauseTimer);
+    this.current?.clearTimers();
+  }
+
+  /** Calls back after a pause in which the call is offered to no guard. */
+  pause(milliseconds: number, onOver: () => void): void {
+    this.endAttempt();
+    this.pauseTimer = setTimeout(onOver, milliseconds);
+  }
+
+  /** Lets the current attempt run on beside the next one. */
+  keepOverdueAttempt(): void {
+    this.overdue = this.current && {attempt: this.current, answer: undefined};
+  }
+
+  /** The overdue attempt counts no longer; returns it. */
+  dropOverdueAttempt(): CallAttempt | undefined {
+    const attempt = this.overdue?.attempt;
+    this.overdue = undefined;
+    return attempt;
+  }
+
+  /** Keeps the answer of the overdue attempt until it is passed on or dropped. */
+  overdueAnswered(answer: AnswerHead): void {
+    this.overdue = this.overdue && {...this.overdue, answer};
+  }
+
+  /** Makes the answer of the overdue attempt the one to pass on. */
+  useOverdueAnswer(): void {
+    this.pendingAnswer = this.overdue?.answer;
+    this.overdue = undefined;
+  }
+
+  /** Makes the answer of an earlier attempt the one to pass on. */
+  useFallbackAnswer(): void {
+    this.pendingAnswer = this.fallbackAnswer;
+  }
+
+  /** The current attempt was answered. */
+  answered(head: AnswerHead): void {
+    this.pendingAnswer = head;
+  }
+
+  /** Takes the answer to pass on. */
+  takeAnswer(): AnswerHead | undefined {
+    const head = this.pendingAnswer;
+    this.pendingAnswer = undefined;
+    return head;
+  }
+
+  /** Sends a streamed body, or more of it, to the guard of the attempt. */
+  continueBody(): void {
+    const exchange = this.current?.exchange;
+    if (exchange !== undefined) {
+      this.sender?.continueTo(exchange);
+    }
   }
 
   /** Builds the first frame of an attempt. */
   head(now: number, attempt: Attempt, needsGo: boolean): CallHead {
     const {route, customer, weight, path, onceKey, view} = this.call;
-    this.lastHead = {
+    return {
       requestId: this.requestId,
       service: view.name,
       upstream: attempt.upstream,
@@ -153,7 +232,7 @@
       path,
       headers: this.callHeaders(attempt),
       body: this.body,
-      hasMore: this.body === undefined,
+      hasMore: this.sender !== undefined,
       needsGo,
       terms: attempt.terms,
       usefulFor: usefulFor(this.call, this.age(now), attempt),
@@ -162,142 +241,17 @@
       knownNotice: attempt.knownNotice,
       isNested: this.call.isNested === true,
     };
-    return this.lastHead;
-  }
-
-  /**
-   * Sends the go signal, which uses the slot reserved for the current attempt.
-   */
-  go(): void {
-    if (this.lastHead !== undefined) {
-      const {method, path, headers, body, requestDigest} = this.lastHead;
-      this.exchange?.go({method, path, headers, body, requestDigest});
-    }
-  }
-
-  /** Streams the caller's body to the guard, once it has reserved a slot. */
-  streamBody(): void {
-    if (this.body !== undefined || this.exchange === undefined) {
-      return;
-    }
-    if (this.isStreaming) {
-      this.request.resume();
-      return;
-    }
-    this.isStreaming = true;
-    this.request.on('data', (chunk: Buffer) => {
-      if (this.exchange?.sendChunk(chunk) === false) {
-        this.request.pause();
-      }
-    });
-    this.request.on('end', () => this.exchange?.sendEnd());
-  }
-
-  /** Sends the head of an answer, with the body when it is complete. */
-  sendHead(head: AnswerHead): void {
-    const {response} = this;
-    const headers = [
-      ...this.protocol.answerHeaders(head),
-      ...lengthOfWhole(head, this.request.method),
-    ];
-    response.writeHead(head.status, headers);
-    this.hasProgressed = true;
-    if (!head.hasMore) {
-      this.isEnded = true;
-      this.endWith(head.body);
-      return;
-    }
-    // Without a length, Node.js answers in chunks, but not to HTTP/1.0.
-    this.isCloseDelimited =
-      !response.chunkedEncoding && !hasLength(head.headers);
-    if (this.isCloseDelimited) {
-      this.onCloseDelimited(response);
-    }
-  }
-
-  /**
-   * Sends short bodies as text: Node.js writes text together with the headers.
-   */
-  private endWith(body: Uint8Array | undefined): void {
-    if (body !== undefined && body.length <= SINGLE_WRITE_LIMIT_BYTES) {
-      const bytes = Buffer.from(body.buffer, body.byteOffset, body.length);
-      this.response.end(bytes.toString('latin1'), 'latin1');
-    } else {
-      this.response.end(body);
-    }
-  }
-
-  sendChunk(bytes: Buffer): boolean {
-    this.hasProgressed = true;
-    return this.response.write(bytes);
-  }
-
-  /** Counts the bytes of the answer that the caller has not taken yet. */
-  countUnsent(unsent: UnsentAnswers): void {
-    const {requestId, response, call} = this;
-    unsent.written(response, {requestId, customer: call.customer});
-  }
-
-  /** Whether a part of the answer arrived since the last check, or is unsent. */
-  takeProgress(): boolean {
-    const isProgressing =
-      this.hasBegun && (this.hasProgressed || this.response.writableLength > 0);
-    this.hasProgressed = false;
-    return isProgressing;
-  }
-
-  sendEnd(): void {
-    this.isEnded = true;
-    this.response.end();
-  }
-
-  /** Counts the answer, which has ended, until all of it is sent. */
-  countUnfinished(finishing: FinishingAnswers): void {
-    finishing.ended(this.response);
-  }
-
-  /**
-   * Calls back once when the caller can take more, however often it is called.
-   */
-  onDrain(resume: () => void): void {
-    if (this.awaitsDrain) {
-      return;
-    }
-    this.awaitsDrain = true;
-    this.response.once('drain', () => {
-      this.awaitsDrain = false;
-      resume();
-    });
-  }
-
-  /**
-   * Destroys the response, so that the caller sees the answer as incomplete.
-   */
-  destroyResponse(): void {
-    this.isEnded = true;
-    if (this.isCloseDelimited) {
-      // A closed connection alone would look like the end of the answer.
-      this.response.socket?.resetAndDestroy();
-    }
-    this.response.destroy();
-  }
-
-  refuse(
-    refusal: Refusal,
-    extraHeaders: Readonly<Record<string, string>>,
-  ): void {
-    this.isEnded = true;
-    if (this.body === undefined) {
-      // The rest of the body is not read, so the connection cannot be reused.
-      this.response.shouldKeepAlive = false;
-    }
-    this.protocol.refuse(this.response, refusal, this.requestId, extraHeaders);
   }
 
   private callHeaders(attempt: Attempt): FlatHeaders {
-    const {request, requestId, protocol, call} = this;
+    const {request, requestId, call} = this;
     return [
-      ...protocol.callHeaders(request, requestId, attempt.number, call),
+      ...this.options.protocol.callHeaders(
+        request,
+        requestId,
+        attempt.number,
+        call,
+      ),
       ...this.lengthHeader(),
     ];
   }
@@ -305,7 +259,7 @@
   /** undici checks a streamed body against the declared content length. */
   private lengthHeader(): readonly string[] {
     const length = this.request.headers['content-length'];
-    return this.body === undefined && length !== undefined
+    return this.sender !== undefined && length !== undefined
       ? ['content-length', length]
       : [];
   }
--- a/packages/node/src/request/entryService.ts
+++ b/packages/node/src/request/entryService.ts
@@ -113,13 +113,11 @@
     const digest = computeRequestDigest(request, call, body);
     this.serial += 1;
     const id = String(this.serial);
-    const exchange = new CallerExchange(
-      id,
-      arrived,
-      digest,
+    const exchange = new CallerExchange(id, arrived, digest, {
       protocol,
-      (closeDelimited) => this.closeDelimited.add(closeDelimited),
-    );
+      onCloseDelimited: (answer) => this.closeDelimited.add(answer),
+      onBodyBegun: (callId) => this.handle({kind: 'body-begun', callId}),
+    });
     this.exchanges.set(id, exchange);
     if (pending !== undefined) {
       exchange.isAdmissionPending = true;
@@ -168,8 +166,8 @@
   }
 
   private deadlinePassed(exchange: CallerExchange): void {
-    const {requestId, call, hasBegun} = exchange;
-    if (hasBegun) {
+    const {requestId, call, answer} = exchange;
+    if (answer.hasBegun) {
       const {customer} = call;
       this.dependencies.onCut?.({requestId, customer}, 'answer-stalled');
     }
@@ -178,7 +176,8 @@
 
   private countUnsent(exchange: CallerExchange): void {
     if (this.unsent !== undefined) {
-      exchange.countUnsent(this.unsent);
+      const {requestId, call, answer} = exchange;
+      answer.countUnsent(this.unsent, {requestId, customer: call.customer});
     }
   }
 
@@ -246,7 +245,7 @@
         break;
       case 'pass-fallback-answer':
         this.attempts.cancel(exchange);
-        exchange.pendingAnswer = exchange.fallbackAnswer;
+        exchange.useFallbackAnswer();
         this.passAnswer(exchange);
         break;
       case 'pause':
@@ -259,7 +258,7 @@
         this.attempts.cancelOverdueAttempt(exchange);
         break;
       case 'pass-overdue-answer':
-        this.attempts.takeOverdueAnswer(exchange);
+        exchange.useOverdueAnswer();
         this.passAnswer(exchange);
         break;
       case 'cancel-attempt':
@@ -269,15 +268,14 @@
   }
 
   private passAnswer(exchange: CallerExchange): void {
-    const head = exchange.pendingAnswer;
+    const head = exchange.takeAnswer();
     if (head === undefined) {
       return;
     }
     const {metrics, clock} = this.dependencies;
     metrics.increment('calls.answered');
     metrics.timing('calls.milliseconds', exchange.age(clock()));
-    exchange.pendingAnswer = undefined;
-    exchange.sendHead(head);
+    exchange.answer.sendHead(head);
     this.countUnsent(exchange);
     this.recordEnd(exchange, 'answered', '');
     if (!head.hasMore) {
@@ -310,13 +308,13 @@
   }
 
   private refuse(exchange: CallerExchange, refusal: Refusal): void {
-    if (exchange.hasBegun) {
-      exchange.destroyResponse();
+    if (exchange.answer.hasBegun) {
+      exchange.answer.destroy();
       this.ended(exchange);
       return;
     }
     const keyHeader = freshKeyHeader(this.dependencies, exchange.call, refusal);
-    exchange.refuse(refusal, keyHeader);
+    exchange.answer.refuse(refusal, exchange.requestId, keyHeader);
     this.reportRefusal(exchange, refusal);
     this.ended(exchange);
   }
@@ -354,14 +352,14 @@
   }
 
   private ended(exchange: CallerExchange): void {
-    exchange.countUnfinished(this.finishing);
+    exchange.answer.countUnfinished(this.finishing);
     this.handle({kind: 'answer-ended', callId: exchange.id});
     this.remove(exchange);
   }
 
   private remove(exchange: CallerExchange): void {
     clearTimeout(exchange.deadlineTimer);
-    exchange.clearAttemptTimers();
+    exchange.clearTimers();
     this.exchanges.delete(exchange.id);
   }
 }
