--- a/packages/brain/src/__tests__/reservations.test.ts
+++ b/packages/brain/src/__tests__/reservations.test.ts
@@ -97,6 +97,16 @@
     ]);
   });
 
+  // Guards against a service exceeding its budget by calls that no caller sent.
+  it('is not paid for by nested calls', () => {
+    const harness = new GuardHarness(3, createEmptyBudget);
+    const nested = {isNested: true, needsGo: false, retryShare: 1};
+    harness.offer('1', nested);
+    expect(refusalsOf(harness.offer('2', {attempt: 2}))).toEqual([
+      'retries-exhausted not-run',
+    ]);
+  });
+
   it('costs nothing unless it is sent, and is never sent unpaid', () => {
     const harness = new GuardHarness(3, () => new RetryBudget(1));
     harness.offer('1', {attempt: 2});
