Soak: a fault set of what may happen to starts and ends

No fault set held an address over a restart or signalled a node while it started, so that the soak did not show the starts that gave up. `--faults starting` restarts nodes on addresses that another process holds for a time, starts the next process while the last still ends, tells starting nodes to stop, sends SIGHUP and SIGTERM in a row and rewrites settings in place, also during a start; kills and stops overlap with these. The checks are unchanged. A box may have a second process while its first one ends.

--- a/packages/tools/src/soak/applyFault.ts
+++ b/packages/tools/src/soak/applyFault.ts
@@ -4,6 +4,8 @@
 import {setTimeout as pause} from 'node:timers/promises';
 import {applyLoad} from './applyLoad.js';
 import type {PlannedLoad} from './applyLoad.js';
+import {applyStarting} from './applyStarting.js';
+import type {PlannedStart} from './applyStarting.js';
 import type {PlannedFault} from './plannedFault.js';
 import {HEALTHY_LINK} from './linkProxy.js';
 import type {SoakBox} from './soakBox.js';
@@ -74,6 +76,17 @@
       // would relax the checks.
       await targets.boxes[fault.box]?.upstreams.announceModified(fault.fields);
       return;
+    case 'held-addresses':
+    case 'overlapping-start':
+    case 'stops-in-starts':
+    case 'signals':
+    case 'settings-rewritten': {
+      const box = targets.boxes[fault.box];
+      if (box !== undefined) {
+        await applyStarting(recorder, box, fault);
+      }
+      return;
+    }
     default: {
       const box = targets.boxes[fault.box];
       if (box !== undefined) {
@@ -87,6 +100,7 @@
 type BoxFault = Exclude<
   PlannedFault & {readonly box: number},
   | PlannedLoad
+  | PlannedStart
   | {
       readonly kind:
         | 'modified-announcement'
--- a/packages/tools/src/soak/boxProcess.ts
+++ b/packages/tools/src/soak/boxProcess.ts
@@ -36,14 +36,22 @@
   readonly onUnexpectedExit: (exit: ExitRecord) => void;
 }
 
-/** Runs at most one process of its box at a time. */
+/** A started process. */
+interface BoxRun {
+  readonly child: ChildProcess;
+  readonly spawnedAt: number;
+  /** Resolves to the exit code; null after a signal. */
+  readonly exit: Promise<number | null>;
+  /** Whether the process was killed or asked to stop. */
+  isEnding: boolean;
+}
+
+/** Runs one process of its box at a time, except for one that is ending. */
 export class BoxProcess {
   private starts = 0;
-  private process: ChildProcess | undefined;
-  private spawnedAt = 0;
-  private exit: Promise<number | null> = Promise.resolve(null);
-  /** Whether the process was killed or asked to stop. */
-  private isEnding = false;
+  private current: BoxRun | undefined;
+  /** All processes that have not exited. */
+  private readonly runs = new Set<BoxRun>();
 
   constructor(private readonly options: BoxProcessOptions) {}
 
@@ -54,60 +62,71 @@
 
   /** Process id of the running process. */
   get pid(): number | undefined {
-    return this.process?.pid;
+    return this.current?.child.pid;
   }
 
   /** Starts the node unless it is already running. */
   start(): void {
-    if (this.process !== undefined || this.options.isOver()) {
+    if (this.current !== undefined || this.options.isOver()) {
       return;
     }
     const child = this.spawn();
     this.starts += 1;
-    this.spawnedAt = Date.now();
-    this.process = child;
     killOnExit(child);
-    this.isEnding = false;
-    this.exit = new Promise((resolve) =>
+    const exit = new Promise<number | null>((resolve) =>
       child.once('exit', (code, signal) => {
-        this.process = undefined;
-        this.handleExit(code, signal);
+        this.handleExit(run, code, signal);
         resolve(code);
       }),
     );
+    const run: BoxRun = {child, spawnedAt: Date.now(), exit, isEnding: false};
+    this.current = run;
+    this.runs.add(run);
   }
 
   /** Kills the node; resolves when it has exited. */
   async kill(): Promise<void> {
-    this.isEnding = true;
-    this.process?.kill('SIGKILL');
-    await this.exit;
+    const run = this.current;
+    if (run !== undefined) {
+      run.isEnding = true;
+      run.child.kill('SIGKILL');
+      await run.exit;
+    }
   }
 
   /** Performs a planned stop; undefined when the node is not running. */
   async stop(): Promise<StopRecord | undefined> {
-    const child = this.process;
-    if (child === undefined) {
+    const run = this.current;
+    if (run === undefined) {
       return undefined;
     }
+    const {child} = run;
     const signalledAt = Date.now();
-    this.isEnding = true;
+    run.isEnding = true;
     child.kill('SIGTERM');
     let wasKilled = false;
     const killTimer = setTimeout(() => {
       wasKilled = true;
       child.kill('SIGKILL');
     }, STOP_LIMIT_MILLISECONDS);
-    const exitCode = await this.exit;
+    const exitCode = await run.exit;
     clearTimeout(killTimer);
     const exitedAt = Date.now();
     const {box} = this.options;
     return {box, signalledAt, exitedAt, exitCode, wasKilled};
   }
 
+  /** Performs a planned stop, and starts the next process meanwhile. */
+  async replace(): Promise<StopRecord | undefined> {
+    const stopped = this.stop();
+    this.current = undefined;
+    this.start();
+    return stopped;
+  }
+
   /** Suspends the node with SIGSTOP for a time. */
   async pause(milliseconds: number): Promise<void> {
-    const child = this.process;
+    const child = this.current?.child;
     child?.kill('SIGSTOP');
     await pause(milliseconds);
     child?.kill('SIGCONT');
@@ -120,15 +139,18 @@
   signalReload(): void {
     const {pid} = this;
     if (pid !== undefined && catchesHangup(pid)) {
-      this.process?.kill('SIGHUP');
+      this.current?.child.kill('SIGHUP');
     }
   }
 
   /** Kills the node at the end of the soak, even when it is suspended. */
   async end(): Promise<void> {
-    this.process?.kill('SIGCONT');
-    this.process?.kill('SIGKILL');
-    await this.exit;
+    const runs = [...this.runs];
+    for (const {child} of runs) {
+      child.kill('SIGCONT');
+      child.kill('SIGKILL');
+    }
+    await Promise.all(runs.map(({exit}) => exit));
   }
 
   private spawn(): ChildProcess {
@@ -145,15 +167,20 @@
 
   /** Restarts a process that exited unexpectedly, as on a real box. */
   private handleExit(
+    run: BoxRun,
     exitCode: number | null,
     signal: NodeJS.Signals | null,
   ): void {
     const {box, isOver, onUnexpectedExit} = this.options;
-    if (this.isEnding || isOver()) {
+    this.runs.delete(run);
+    if (this.current === run) {
+      this.current = undefined;
+    }
+    if (run.isEnding || isOver()) {
       return;
     }
     const at = Date.now();
-    const age = at - this.spawnedAt;
+    const age = at - run.spawnedAt;
     onUnexpectedExit({box, at, exitCode, signal, age});
     setTimeout(() => this.start(), RESTART_DELAY_MILLISECONDS);
   }
--- a/packages/tools/src/soak/faultDraws.ts
+++ b/packages/tools/src/soak/faultDraws.ts
@@ -8,14 +8,14 @@
 import type {LinkName, PlannedFault} from './plannedFault.js';
 
 /** Fault durations, with a distribution skewed towards the shortest. */
-const SHORTEST_FAULT_MILLISECONDS = 300;
+export const SHORTEST_FAULT_MILLISECONDS = 300;
 const LONGEST_FAULT_MILLISECONDS = 4000;
 
 /** Maximum delay of a delayed link. */
 const LONGEST_DELAY_MILLISECONDS = 300;
 
 /** Maximum number of repetitions when a fault occurs in a series. */
-const MAXIMUM_SERIES_LENGTH = 4;
+export const MAXIMUM_SERIES_LENGTH = 4;
 
 /** Time between the repetitions of a series. */
 const SERIES_GAP_MILLISECONDS = 350;
@@ -353,7 +353,7 @@
 ];
 
 /** Draws a single fault with probability 0.5, otherwise two or more. */
-function inSeries(
+export function inSeries(
   random: RandomSource,
   at: number,
   draw: (at: number) => PlannedFault,
@@ -377,12 +377,14 @@
     : {kind};
 }
 
-function randomDuration(random: RandomSource): number {
+/** Draws the duration of a fault. */
+export function randomDuration(random: RandomSource): number {
   const range = LONGEST_FAULT_MILLISECONDS - SHORTEST_FAULT_MILLISECONDS;
   return Math.round(SHORTEST_FAULT_MILLISECONDS + range * random() ** 2);
 }
 
-function randomIndex(random: RandomSource, count: number): number {
+/** Draws an index below a count. */
+export function randomIndex(random: RandomSource, count: number): number {
   return Math.floor(random() * count);
 }
 
--- a/packages/tools/src/soak/faultPlan.ts
+++ b/packages/tools/src/soak/faultPlan.ts
@@ -15,14 +15,16 @@
 } from './faultDraws.js';
 import type {DrawFault} from './faultDraws.js';
 import type {PlannedFault} from './plannedFault.js';
+import {STARTING_DRAWS} from './startingDraws.js';
 
 /**
  * Which faults are drawn. `second` adds restarts under the same id and invalid
  * writes by others to `first`; `all` adds store restores, and `stated` adds what
  * upstreams state in their answers. `isolated` holds only times in which no box
  * hears another, `replaced` only replacements of boxes, `loaded` only hard load,
- * and `broken` only answers that upstreams break. A regression seed keeps the set that it was recorded with, and so replays
- * the same schedule.
+ * `broken` only answers that upstreams break, and `starting` only what may happen
+ * to a process that starts or ends. A regression seed keeps the set that it was
+ * recorded with, and so replays the same schedule.
  */
 export type FaultSet =
   | 'first'
@@ -32,7 +34,8 @@
   | 'isolated'
   | 'replaced'
   | 'loaded'
-  | 'broken';
+  | 'broken'
+  | 'starting';
 
 /** Duration, fleet size and fault set of a soak. */
 export interface SoakSize {
@@ -65,6 +68,9 @@
 /** Mean time between the faults of the `broken` set; they overlap. */
 const BREAKING_GAP_MILLISECONDS = 700;
 
+/** Mean time between the faults of the `starting` set; they overlap. */
+const STARTING_GAP_MILLISECONDS = 900;
+
 /** The draws of fault sets that hold only one kind. */
 const SINGLE_KIND_DRAWS: Readonly<
   Partial<Record<FaultSet, readonly [readonly DrawFault[], number]>>
@@ -73,6 +79,7 @@
   replaced: [REPLACEMENT_DRAWS, SINGLE_KIND_GAP],
   loaded: [LOAD_DRAWS, LOAD_GAP_MILLISECONDS],
   broken: [BREAKING_DRAWS, BREAKING_GAP_MILLISECONDS],
+  starting: [STARTING_DRAWS, STARTING_GAP_MILLISECONDS],
 };
 
 /** Restores are this many times less frequent than other faults. */
--- a/packages/tools/src/soak/plannedFault.ts
+++ b/packages/tools/src/soak/plannedFault.ts
@@ -7,6 +7,10 @@
 /** The connections of a box that link faults can affect. */
 export type LinkName = 'peers' | 'store' | 'upstream';
 
+/** The addresses of a box that something else can hold. */
+export type HeldAddress =
+  'caller' | 'peer' | 'readiness' | 'announcements' | 'metrics';
+
 /** A scheduled fault; `at` is in milliseconds from the start of the faults. */
 export type PlannedFault = {readonly at: number} & (
   | {
@@ -24,6 +28,39 @@
       readonly box: number;
       readonly durationMilliseconds: number;
     }
+  /** Another process holds addresses of the box while its node restarts. */
+  | {
+      readonly kind: 'held-addresses';
+      readonly box: number;
+      readonly addresses: readonly HeldAddress[];
+      /** Whether the node is stopped as planned; otherwise it is killed. */
+      readonly isStopped: boolean;
+      readonly durationMilliseconds: number;
+    }
+  /** The node is stopped, and the next one starts while it ends. */
+  | {readonly kind: 'overlapping-start'; readonly box: number}
+  /** The node is stopped, and each next one while it starts. */
+  | {
+      readonly kind: 'stops-in-starts';
+      readonly box: number;
+      /** Ages at which the starting processes are told to stop. */
+      readonly ages: readonly number[];
+    }
+  /** Signals in a row; SIGTERM begins a planned stop. */
+  | {
+      readonly kind: 'signals';
+      readonly box: number;
+      readonly signals: readonly ('SIGHUP' | 'SIGTERM')[];
+      readonly gapMilliseconds: number;
+    }
+  /** The settings file is rewritten in place, in steps, or while a node starts. */
+  | {
+      readonly kind: 'settings-rewritten';
+      readonly box: number;
+      readonly stepMilliseconds: number;
+      readonly sendsSignal: boolean;
+      readonly restarts: boolean;
+    }
   /** Changes the settings file, with or without a signal to the node. */
   | {
       readonly kind: 'reload';
--- a/packages/tools/src/soak/runSoak.ts
+++ b/packages/tools/src/soak/runSoak.ts
@@ -106,7 +106,7 @@
 
 async function startBoxes(
   seed: number,
-  {boxes: count}: SoakSize,
+  {boxes: count, faults}: SoakSize,
   folder: string,
   storeAddress: string,
   recorder: SoakRecorder,
@@ -115,10 +115,11 @@
   for (let index = 0; index < count; index += 1) {
     const [caller = '', peer = '', readiness = '', announcements = ''] =
       await freeAddresses(4);
+    const [metrics = ''] = faults === 'starting' ? await freeAddresses(1) : [];
     boxes.push(
       new SoakBox({
         index,
-        addresses: {caller, peer, readiness, announcements},
+        addresses: {caller, peer, readiness, announcements, metrics},
         storeAddress,
         folder,
         random: seededRandom(seed * 1000 + index),
--- a/packages/tools/src/soak/soakBox.ts
+++ b/packages/tools/src/soak/soakBox.ts
@@ -3,15 +3,21 @@
 
 import {writeFileSync} from 'node:fs';
 import {join} from 'node:path';
+import {setTimeout as pause} from 'node:timers/promises';
 import {
   changedSettingsText,
   settingsEnvironment,
 } from '@lockpin/platform-stand-ins';
 import type {BoxSettings} from '@lockpin/platform-stand-ins';
 import type {RandomSource} from '@lockpin/types';
-import {BoxProcess, STOP_LIMIT_MILLISECONDS} from './boxProcess.js';
+import {parseAddress} from '@lockpin/utils';
+import {
+  BoxProcess,
+  NODE_BUNDLE,
+  STOP_LIMIT_MILLISECONDS,
+} from './boxProcess.js';
 import {BoxUpstreams} from './boxUpstreams.js';
-import type {LinkName} from './plannedFault.js';
+import type {HeldAddress, LinkName} from './plannedFault.js';
 import {LinkProxy} from './linkProxy.js';
 import {SOAK_SERVICES} from './soakConfiguration.js';
 import type {DrainRecord, ExitRecord, SoakBounds} from './soakHistory.js';
@@ -25,6 +31,8 @@
   readonly peer: string;
   readonly readiness: string;
   readonly announcements: string;
+  /** The node serves no metrics if absent. */
+  readonly metrics?: string;
 }
 
 /** Options of a box. */
@@ -80,6 +88,11 @@
     return join(this.options.folder, `${this.name}.log`);
   }
 
+  /** An address on which the node listens; empty if it does not. */
+  addressFor(name: HeldAddress): string {
+    return this.options.addresses[name] ?? '';
+  }
+
   link(name: LinkName): LinkProxy {
     return this.links[name];
   }
@@ -109,10 +122,35 @@
     }
   }
 
+  /**
+   * Rewrites the settings file in place: it is empty first, then partly written
+   * for a time each.
+   */
+  async rewriteSettings(
+    stepMilliseconds: number,
+    sendsSignal: boolean,
+  ): Promise<void> {
+    const text = changedSettingsText(this.settings(), this.reloads);
+    for (const share of [0, 1 / 3, 2 / 3]) {
+      writeFileSync(this.settingsFile, text.slice(0, text.length * share));
+      if (sendsSignal) {
+        this.process.signalReload();
+      }
+      await pause(stepMilliseconds);
+    }
+    this.reload(sendsSignal);
+  }
+
+  private get settingsFile(): string {
+    return join(this.options.folder, `${this.name}.conf`);
+  }
+
   private createProcess(): BoxProcess {
-    const {command} = this.options;
+    const {addresses} = this.options;
+    const metricsPort = parseAddress(addresses.metrics ?? '')?.port ?? 0;
+    const {command = [NODE_BUNDLE, String(metricsPort)]} = this.options;
     return new BoxProcess({
-      ...(command === undefined ? {} : {command}),
+      command,
       box: this.name,
       logFile: this.logFile,
       prepareEnvironment: () => ({
@@ -139,9 +177,9 @@
   }
 
   private writeSettings(): string {
-    const file = join(this.options.folder, `${this.name}.conf`);
-    writeFileSync(file, changedSettingsText(this.settings(), this.reloads));
-    return file;
+    const text = changedSettingsText(this.settings(), this.reloads);
+    writeFileSync(this.settingsFile, text);
+    return this.settingsFile;
   }
 
   private settings(): BoxSettings {
