Start no call that can't end before the node stops

What was seen: in planned stops in calm, calls were passed on that could not end in the grace, and were answered 502 (unknown) at its end; the node ended with code 1. Worst with stops beside each other: calls that were sent 1.2 to 2.5 s after the signal waited for the last upstream, started 4.3 s after it and were given up 5.4 s after it, three of four of them not repeatable (trial with real nodes, three of four boxes stopped, upstreams of 0.2 to 3.5 s). No call was passed on and cut without any answer in these trials.

Cause: the end of the stop is known from the signal on, but nothing that begins work looked at it: not arrivals, nor calls whose bodies come in late, offers after a refusal or a pause, hedges and retries, slots that other guards reserve late, nor the queue of the stopping node's own guard.

Change: a pure decision (plannedStop.ts) gives the latest start of a call: any time if its deadline comes before the limit, else the limit less the 0.95 quantile (0.9 if repeatable) of the last 32 durations of its route, and a tenth. Half of the route's goal stands in for unknown durations; with nothing known only repeatable calls start. Entries apply it to each offer, hedge and retry, to reserved slots and, every 50 ms, to waiting calls; guards of stopping nodes to each call that gets a slot. The refusal is not-run, with the time until callers are elsewhere as Retry-After and Connection: close, unless requests that came behind on the connection may run; what comes after that is not run.

By measured durations only calls longer than the time left are refused: of a call each 100 ms to a single stopping node, none of 0.2 s, and ones of 3 s only late.

Result: the three tests with real processes fail before (in the one with waiting calls five calls are given up at the limit) and pass; the exit codes are 0. Both tests in stopsWhileReading.test.ts fail before (502 instead of 503). Before a margin was presumed for repeatable calls too, two of them were given up. 734 tests of brain, node, platformFleet and stops pass.

--- a/packages/brain/src/entry/answerHandler.ts
+++ b/packages/brain/src/entry/answerHandler.ts
@@ -31,7 +31,9 @@
     state: CallState,
   ): readonly EntryAction[] {
     const {overdueAttempts, offers} = this.context;
-    const candidate = overdueAttempts.startHedge(now, random, state);
+    const candidate = offers.mayStart(now, state)
+      ? overdueAttempts.startHedge(now, random, state)
+      : undefined;
     if (candidate === undefined) {
       return [];
     }
@@ -78,6 +80,7 @@
     if (
       isWorthRetry &&
       retries.isRepeatable(state) &&
+      offers.mayStart(now, state) &&
       retries.payRetry(now, state)
     ) {
       const candidate = offers.retryCandidate(now, random, state);
--- a/packages/brain/src/entry/attemptTiming.ts
+++ b/packages/brain/src/entry/attemptTiming.ts
@@ -1,7 +1,7 @@
 // Copyright (c) 2026 the lockpin contributors. MIT licence, see LICENSE.
 /** Time limits of attempts, derived from the durations of earlier calls. */
 
-import {TypicalDurations} from '@lockpin/routing';
+import {RecentDurations, TypicalDurations} from '@lockpin/routing';
 import {goalEnd} from './callState.js';
 import type {CallState} from './callState.js';
 import type {EntrySettings} from './entrySettings.js';
@@ -31,6 +31,8 @@
 
 /** Records durations of calls and computes the time limits of new attempts. */
 export class AttemptTiming {
+  /** The last durations of each route. */
+  readonly recent = new RecentDurations();
   private readonly durations = new TypicalDurations();
 
   constructor(
@@ -41,6 +43,7 @@
   /** Records the duration of a successful call. */
   answered(route: string, milliseconds: number): void {
     this.durations.add(route, milliseconds);
+    this.recent.add(route, milliseconds);
   }
 
   /** Typical duration of the calls of a route; undefined when not yet known. */
--- a/packages/brain/src/entry/callOffers.ts
+++ b/packages/brain/src/entry/callOffers.ts
@@ -15,6 +15,7 @@
 } from './entryMessages.js';
 import {NO_CAPACITY_REFUSALS, NO_SLOT_REFUSALS} from './entrySettings.js';
 import type {EntrySettings} from './entrySettings.js';
+import type {EntryStop} from './entryStop.js';
 import type {OfferPlanner, PlannedOffer} from './offerPlanner.js';
 import type {ReturnTimes} from './returnTimes.js';
 import type {UpstreamChooser} from './upstreamChooser.js';
@@ -35,6 +36,7 @@
   readonly timing: AttemptTiming;
   readonly planner: OfferPlanner;
   readonly returnTimes: ReturnTimes;
+  readonly stop: EntryStop;
 }
 
 /** Makes offers, and pauses or refuses a call when a round has failed. */
@@ -56,6 +58,10 @@
       const reason = 'request-quarantined';
       return this.context.calls.refuseCall(state, reason, quarantined);
     }
+    if (!this.mayStart(now, state)) {
+      const after = this.context.stop.returnAfter(now);
+      return this.context.calls.refuseCall(state, 'node-leaving', after);
+    }
     if (reasonIfNone === 'guard-silent' && this.isHeldTooLong(now, state)) {
       return this.refuse(now, random, state, reasonIfNone, retryAfter);
     }
@@ -92,6 +98,11 @@
       : chooser.untried(now, random, state);
   }
 
+  /** Whether an attempt that starts now can end before this node stops. */
+  mayStart(now: number, state: CallState): boolean {
+    return this.context.stop.mayStart(now, state);
+  }
+
   private plan(
     now: number,
     random: RandomSource,
@@ -266,8 +277,17 @@
     };
   }
 
-  /** Limits the wait so that a refused caller still has time to try again. */
+  /**
+   * Limits the wait so that a refused caller still has time to try again, and the
+   * call ends before this node stops.
+   */
   private startBy(state: CallState): number | undefined {
+    const usual = this.usualStartBy(state) ?? Number.POSITIVE_INFINITY;
+    const latest = Math.min(usual, this.context.stop.latestStart(state));
+    return Number.isFinite(latest) ? latest : undefined;
+  }
+
+  private usualStartBy(state: CallState): number | undefined {
     const {settings, timing} = this.context;
     const {mayHaveRun, heldUntil, terms} = state;
     if (settings.plansOffers && terms === 'may-wait') {
--- a/packages/brain/src/entry/entryComponents.ts
+++ b/packages/brain/src/entry/entryComponents.ts
@@ -7,6 +7,7 @@
 import {AttemptTiming} from './attemptTiming.js';
 import {CallOffers} from './callOffers.js';
 import {CallRegistry} from './callRegistry.js';
+import {EntryStop} from './entryStop.js';
 import type {EntrySettings} from './entrySettings.js';
 import {RecentRefusals} from './recentRefusals.js';
 import {OfferPlanner} from './offerPlanner.js';
@@ -26,6 +27,7 @@
   readonly feedback: AttemptFeedback;
   readonly overdueAttempts: OverdueAttempts;
   readonly answers: AnswerHandler;
+  readonly stop: EntryStop;
 }
 
 /** Creates the parts of one entry, which share its knowledge. */
@@ -58,8 +60,9 @@
   const calls = new CallRegistry(loads, overdueAttempts);
   const shared = {loads, retries, chooser, calls, overdueAttempts};
   const {boxes} = place;
-  const offering = {boxes, settings, timing, planner, returnTimes};
+  const stop = new EntryStop(timing);
+  const offering = {boxes, settings, timing, planner, returnTimes, stop};
   const offers = new CallOffers({...shared, ...offering});
   const answers = new AnswerHandler({...shared, offers, feedback});
-  return {...shared, offers, feedback, answers};
+  return {...shared, offers, feedback, answers, stop};
 }
--- a/packages/brain/src/entry/entryMessages.ts
+++ b/packages/brain/src/entry/entryMessages.ts
@@ -5,6 +5,7 @@
 import type {OnceKey} from '@lockpin/once';
 import type {CapacityRow, LoadHint} from '@lockpin/routing';
 import type {KnownNotice, Refusal, Resource} from '@lockpin/types';
+import type {PlannedStop} from '../plannedStop.js';
 
 /** A call as it arrives at the entry. */
 export interface EntryCall {
@@ -55,6 +56,8 @@
 /** An event of a call. */
 export type EntryEvent =
   | {readonly kind: 'call-arrived'; readonly call: EntryCall}
+  /** The node stops: calls that can't end before it does are refused. */
+  | {readonly kind: 'stopping'; readonly stop: PlannedStop}
   | {
       readonly kind: 'attempt-answered';
       readonly callId: string;
--- a/packages/brain/src/entry/entryStateMachine.ts
+++ b/packages/brain/src/entry/entryStateMachine.ts
@@ -24,6 +24,7 @@
 } from './entryMessages.js';
 import {DEFAULT_ENTRY_SETTINGS} from './entrySettings.js';
 import type {EntrySettings} from './entrySettings.js';
+import type {EntryStop} from './entryStop.js';
 import type {OverdueAttempts} from './overdueAttempts.js';
 import type {RetryPolicy} from './retryPolicy.js';
 import type {UpstreamChooser} from './upstreamChooser.js';
@@ -42,6 +43,7 @@
   private readonly feedback: AttemptFeedback;
   private readonly overdueAttempts: OverdueAttempts;
   private readonly answers: AnswerHandler;
+  private readonly stop: EntryStop;
 
   constructor(
     box: string,
@@ -61,6 +63,7 @@
     this.feedback = components.feedback;
     this.overdueAttempts = components.overdueAttempts;
     this.answers = components.answers;
+    this.stop = components.stop;
   }
 
   /** Open calls that got no slot on the initial terms or are overdue. */
@@ -83,12 +86,27 @@
     if (event.kind === 'call-arrived') {
       return this.handleArrival(now, random, event.call);
     }
+    if (event.kind === 'stopping') {
+      this.stop.begin(event.stop);
+      return [];
+    }
     const state = this.calls.get(event.callId);
     return state === undefined
       ? []
       : this.handleCallEvent(now, random, state, event);
   }
 
+  /**
+   * Whether an open call that runs nowhere yet may still start: it can end before
+   * this node stops.
+   */
+  mayStart(now: number, callId: string): boolean {
+    const state = this.calls.get(callId);
+    return (
+      state === undefined || state.mayHaveRun || this.stop.mayStart(now, state)
+    );
+  }
+
   /** Chooses an upstream without sending a call; used to issue once keys. */
   chooseFor(
     now: number,
@@ -138,7 +156,7 @@
     now: number,
     random: RandomSource,
     state: CallState,
-    event: Exclude<EntryEvent, {readonly kind: 'call-arrived'}>,
+    event: Exclude<EntryEvent, {readonly kind: 'call-arrived' | 'stopping'}>,
   ): readonly EntryAction[] {
     switch (event.kind) {
       case 'attempt-answered':
@@ -296,7 +314,10 @@
     const {onceKey} = state.call;
     const cancels = this.overdueAttempts.cancelAll(state);
     this.overdueAttempts.clear(state);
-    const after = this.offers.quarantinedFor(now, state);
+    const after =
+      reason === 'node-leaving'
+        ? this.stop.returnAfter(now)
+        : this.offers.quarantinedFor(now, state);
     const refusal =
       onceKey === undefined
         ? this.calls.refuseCall(state, reason, after)
--- a/packages/brain/src/guard/callLifecycle.ts
+++ b/packages/brain/src/guard/callLifecycle.ts
@@ -8,8 +8,9 @@
 import type {GuardAction} from './guardMessages.js';
 import type {GuardSettings} from './guardSettings.js';
 import type {GuardedServices} from './guardedServices.js';
-import {refuse} from './guardRefusals.js';
+import {leavingHint, refuse} from './guardRefusals.js';
 import type {RefuseAction} from './guardRefusals.js';
+import type {GuardStop} from './guardStop.js';
 import type {ReportSchedule} from './reportSchedule.js';
 import {doubtChangeActions, standingEvent} from './standingActions.js';
 import type {CallEnd, UpstreamGuard} from './upstreamGuard.js';
@@ -33,6 +34,7 @@
     private readonly reports: ReportSchedule,
     private readonly settings: GuardSettings,
     private readonly callTree: CallTree,
+    private readonly stop: GuardStop,
   ) {}
 
   /** Number of accepted calls that have not ended. */
@@ -61,7 +63,11 @@
     retryAfter = upstream.retryAfter(now),
   ): RefuseAction {
     this.services.ledgerOf(call)?.refused(call.onceKey ?? '');
-    return refuse(now, call, reason, 'not-run', upstream, retryAfter);
+    const refusal = refuse(now, call, reason, 'not-run', upstream, retryAfter);
+    const {hint} = refusal;
+    return this.stop.isLeaving
+      ? {...refusal, hint: hint && leavingHint(hint)}
+      : refusal;
   }
 
   /** Refuses a waiting call; no action if it has already ended. */
@@ -103,8 +109,9 @@
   }
 
   /**
-   * Sends the call to its upstream. A quarantined request, or a retry beyond
-   * the retry budget, releases its slot instead.
+   * Sends the call to its upstream. A quarantined request, a call that can't end
+   * before this node stops, or a retry beyond the retry budget releases its slot
+   * instead.
    */
   send(now: number, known: AcceptedCall): readonly GuardAction[] {
     const {call, upstream} = known;
@@ -113,6 +120,9 @@
       const reason = 'request-quarantined';
       return this.releaseReservation(now, known, reason, quarantined);
     }
+    if (!this.stop.mayStart(now, call, upstream.recentDurations)) {
+      return this.releaseReservation(now, known, 'node-leaving');
+    }
     if (!upstream.send(now, call)) {
       return this.releaseReservation(now, known, 'retries-exhausted');
     }
--- a/packages/brain/src/guard/callOfferHandler.ts
+++ b/packages/brain/src/guard/callOfferHandler.ts
@@ -9,7 +9,8 @@
 import type {GuardCall} from './guardCall.js';
 import type {GuardAction} from './guardMessages.js';
 import type {GuardedServices, ServiceState} from './guardedServices.js';
-import {leavingHint, refuse} from './guardRefusals.js';
+import {refuse} from './guardRefusals.js';
+import type {GuardStop} from './guardStop.js';
 import type {NestedShortage} from './nestedCapacity.js';
 import type {NoticeHandler} from './noticeHandler.js';
 import {onceRefusal} from './onceRefusals.js';
@@ -22,7 +23,7 @@
     private readonly lifecycle: CallLifecycle,
     private readonly notices: NoticeHandler,
     private readonly callTree: CallTree,
-    private readonly isLeaving: () => boolean,
+    private readonly stop: GuardStop,
   ) {}
 
   /** Runs the call, queues it, answers it from the ledger, or refuses it. */
@@ -79,8 +80,9 @@
     call: GuardCall,
     upstream: UpstreamGuard,
   ): readonly GuardAction[] {
-    if (this.isLeaving()) {
-      return [this.refuseLeaving(now, call, upstream)];
+    if (this.stop.isLeaving) {
+      const reason = 'node-leaving';
+      return [this.lifecycle.refusePermanently(now, call, upstream, reason)];
     }
     const reason = upstream.refusalReason(now, call);
     if (reason !== undefined) {
@@ -133,20 +135,4 @@
       shortage,
     };
   }
-
-  private refuseLeaving(
-    now: number,
-    call: GuardCall,
-    upstream: UpstreamGuard,
-  ): GuardAction {
-    const reason = 'node-leaving';
-    const refusal = this.lifecycle.refusePermanently(
-      now,
-      call,
-      upstream,
-      reason,
-    );
-    const {hint} = refusal;
-    return {...refusal, hint: hint && leavingHint(hint)};
-  }
 }
--- a/packages/brain/src/guard/guardMessages.ts
+++ b/packages/brain/src/guard/guardMessages.ts
@@ -5,6 +5,7 @@
 import type {StoredAnswer} from '@lockpin/once';
 import type {Fence, GuardReport, HolderReply} from '@lockpin/floor';
 import type {AddressState} from '@lockpin/quarantine';
+import type {PlannedStop} from '../plannedStop.js';
 import type {NestedCallResult} from './callTree.js';
 import type {GuardCall} from './guardCall.js';
 import type {NestedShortage} from './nestedCapacity.js';
@@ -96,7 +97,8 @@
       readonly fence: Fence;
     }
   | {readonly kind: 'holders-read'}
-  | {readonly kind: 'leaving'}
+  /** The node stops; calls that can't end before it does don't start any more. */
+  | {readonly kind: 'leaving'; readonly stop?: PlannedStop}
   /** The clock jumped ahead, by time that may not have passed. */
   | {readonly kind: 'clock-gained'; readonly milliseconds: number}
   | {readonly kind: 'tick'};
--- a/packages/brain/src/guard/guardStateMachine.ts
+++ b/packages/brain/src/guard/guardStateMachine.ts
@@ -19,6 +19,7 @@
 import type {GuardSettings} from './guardSettings.js';
 import {GuardedServices} from './guardedServices.js';
 import {leavingHint} from './guardRefusals.js';
+import {GuardStop} from './guardStop.js';
 import {NoticeHandler} from './noticeHandler.js';
 import {CallOfferHandler} from './callOfferHandler.js';
 import {ReportSchedule} from './reportSchedule.js';
@@ -35,7 +36,7 @@
   private readonly callEndHandler: CallEndHandler;
   private readonly exitHandler: UpstreamExitHandler;
   private readonly notices: NoticeHandler;
-  private isLeaving = false;
+  private readonly stop = new GuardStop();
   /** Permits are only accepted once the holders stream was read to its end. */
   private mayTakePermits = false;
 
@@ -51,6 +52,7 @@
       this.reports,
       settings,
       this.callTree,
+      this.stop,
     );
     this.notices = new NoticeHandler(this.lifecycle);
     this.offers = new CallOfferHandler(
@@ -58,7 +60,7 @@
       this.lifecycle,
       this.notices,
       this.callTree,
-      () => this.isLeaving,
+      this.stop,
     );
     this.exitHandler = new UpstreamExitHandler(this.services, this.lifecycle);
     this.callEndHandler = new CallEndHandler(
@@ -98,7 +100,7 @@
   /** The load hint of an upstream, which entries get with each answer. */
   hintOf(now: number, upstream: string): LoadHint | undefined {
     const hint = this.services.upstream(upstream)?.hint(now);
-    return hint && this.isLeaving ? leavingHint(hint) : hint;
+    return hint && this.stop.isLeaving ? leavingHint(hint) : hint;
   }
 
   /** What limits the calls to an upstream, for logs. */
@@ -196,7 +198,7 @@
         this.mayTakePermits = true;
         return [];
       case 'leaving':
-        this.isLeaving = true;
+        this.stop.begin(event.stop);
         return this.announceLeaving(now);
       case 'clock-gained':
         this.clockGained(event.milliseconds);
--- a/packages/brain/src/guard/presumedDuration.ts
+++ b/packages/brain/src/guard/presumedDuration.ts
@@ -8,7 +8,7 @@
  * duration of its calls. Half of the goal is more than the usual duration,
  * so that healthy calls do not count as late.
  */
-const PRESUMED_SHARE_OF_GOAL = 0.5;
+export const PRESUMED_SHARE_OF_GOAL = 0.5;
 
 /**
  * Estimates the duration from the time left until the latency goal. A node that
--- a/packages/brain/src/guard/upstreamGuard.ts
+++ b/packages/brain/src/guard/upstreamGuard.ts
@@ -11,7 +11,7 @@
 import type {Fence, GuardReport} from '@lockpin/floor';
 import {RejectionShare} from '@lockpin/detection';
 import {CrashDetector} from '@lockpin/quarantine';
-import type {LoadHint, RetryAllowance} from '@lockpin/routing';
+import type {LoadHint, RecentDurations, RetryAllowance} from '@lockpin/routing';
 import type {
   RefusalReason,
   Resource,
@@ -190,6 +190,11 @@
     };
   }
 
+  /** The last durations of each kind of call. */
+  get recentDurations(): RecentDurations {
+    return this.durations.recent;
+  }
+
   /** Why calls of this kind are refused now; undefined if they are accepted. */
   refusalReason(now: number, call: GuardCall): RefusalReason | undefined {
     const {isDraining, isReplaced, isIdle} = this;
--- a/packages/brain/src/guard/usualDurations.ts
+++ b/packages/brain/src/guard/usualDurations.ts
@@ -1,7 +1,7 @@
 // Copyright (c) 2026 the lockpin contributors. MIT licence, see LICENSE.
 /** Usual durations of each kind of call on one upstream. */
 
-import {TypicalDurations} from '@lockpin/routing';
+import {RecentDurations, TypicalDurations} from '@lockpin/routing';
 import type {GuardCall} from './guardCall.js';
 import {presumedDuration} from './presumedDuration.js';
 import {COLD_FACTOR, isLate} from './runningCall.js';
@@ -9,6 +9,8 @@
 
 /** Uses local measurements; while there are too few, those of the entry. */
 export class UsualDurations {
+  /** The last durations of each kind. */
+  readonly recent = new RecentDurations();
   private readonly durations = new TypicalDurations();
 
   /** @param coldUntil End of the upstream's warm-up, in milliseconds since 1970. */
@@ -17,7 +19,9 @@
   /** Records a successful call. */
   add(now: number, ended: RunningCall | undefined): void {
     if (ended !== undefined) {
-      this.durations.add(ended.call.route, now - ended.startedAt);
+      const {route} = ended.call;
+      this.durations.add(route, now - ended.startedAt);
+      this.recent.add(route, now - ended.startedAt);
     }
   }
 
--- a/packages/brain/src/index.ts
+++ b/packages/brain/src/index.ts
@@ -1,4 +1,5 @@
 // Copyright (c) 2026 the lockpin contributors. MIT licence, see LICENSE.
+export type {PlannedStop} from './plannedStop.js';
 export * from './entry/entryStateMachine.js';
 export * from './entry/entryMessages.js';
 export * from './entry/entrySettings.js';
--- a/packages/node/src/process/fleetHost.ts
+++ b/packages/node/src/process/fleetHost.ts
@@ -1,7 +1,11 @@
 // Copyright (c) 2026 the lockpin contributors. MIT licence, see LICENSE.
 /** Drives the state machines of a node in a declared fleet. */
 
-import type {EntryStateMachine, GuardStateMachine} from '@lockpin/brain';
+import type {
+  EntryStateMachine,
+  GuardStateMachine,
+  PlannedStop,
+} from '@lockpin/brain';
 import {FleetRouting} from '@lockpin/fleet';
 import type {
   AnnouncementProblem,
@@ -227,9 +231,9 @@
   /**
    * Makes the guard refuse new calls, so that entries use other boxes at once.
    */
-  leave(): void {
+  leave(stop: PlannedStop): void {
     this.handle({kind: 'leaving'});
-    this.listeners?.onGuardEvent({kind: 'leaving'});
+    this.listeners?.onGuardEvent({kind: 'leaving', stop});
   }
 
   /** Applies settings that may change while the process runs. */
--- a/packages/node/src/process/runFleetNode.ts
+++ b/packages/node/src/process/runFleetNode.ts
@@ -6,6 +6,7 @@
 import type {Server} from 'node:http';
 import {setTimeout as delay} from 'node:timers/promises';
 import type {DependencyContainer} from 'tsyringe';
+import type {PlannedStop} from '@lockpin/brain';
 import {steadyClock} from '@lockpin/utils';
 import {startHttpServer} from '../connection/httpServer.js';
 import type {RequestHandler} from '../connection/httpServer.js';
@@ -57,6 +58,9 @@
  */
 const REFOLLOW_INTERVAL_MILLISECONDS = 300;
 
+/** Interval between checks for waiting calls that the stop comes too soon for. */
+const UNSTARTED_CHECK_MILLISECONDS = 50;
+
 /** Interval between log lines on the traffic between data centres. */
 const TRAFFIC_LOG_INTERVAL_MILLISECONDS = 5000;
 
@@ -184,39 +188,57 @@
   stopping: StopState,
 ): Promise<StopResult> {
   const host = container.resolve(FLEET_TOKENS.host);
-  const guard = container.resolve(FLEET_TOKENS.guardService);
   const entry = container.resolve(FLEET_TOKENS.entryService);
-  const {stopLimitMilliseconds} = host.settings;
-  const startedAt = steadyClock();
-  const limit = startedAt + stopLimitMilliseconds - EXIT_RESERVE_MILLISECONDS;
+  const stop = planStop(host.settings.stopLimitMilliseconds);
   stopping.isStopping = true;
+  entry.planStop(stop);
+  const stopChecks = every(UNSTARTED_CHECK_MILLISECONDS, () =>
+    entry.refuseUnstarted(),
+  );
   await delay(LEAVE_DELAY_MILLISECONDS);
-  host.leave();
-  await delay(stopLimitMilliseconds * SERVE_SHARE - LEAVE_DELAY_MILLISECONDS);
+  host.leave(stop);
+  await delay(Math.max(0, stop.callersGoneAt - steadyClock()));
   stopping.closesConnections = true;
   // A connection without a request yet counts as busy and stays open.
   host.refuseNewCalls();
   callers.close();
   callers.closeIdleConnections();
+  const result = await endCalls(container, stop);
+  stopChecks();
+  // Immediately after the last call, so that no new call can arrive.
+  callers.closeAllConnections();
+  container.resolve(FLEET_TOKENS.peerServer).stop();
+  container.resolve(FLEET_TOKENS.channels).close();
+  container.resolve(FLEET_TOKENS.pools).close();
+  return result;
+}
+
+function planStop(stopLimitMilliseconds: number): PlannedStop {
+  const startedAt = steadyClock();
+  return {
+    endsAt: startedAt + stopLimitMilliseconds - EXIT_RESERVE_MILLISECONDS,
+    callersGoneAt: startedAt + stopLimitMilliseconds * SERVE_SHARE,
+  };
+}
+
+/** Waits for all calls; ends those that still run at the limit. */
+async function endCalls(
+  container: DependencyContainer,
+  {endsAt}: PlannedStop,
+): Promise<StopResult> {
+  const guard = container.resolve(FLEET_TOKENS.guardService);
+  const entry = container.resolve(FLEET_TOKENS.entryService);
   const unreadAnswers = {
     get callCount() {
       return guard.unreadAnswerCount;
     },
   };
-  const result = await drainCalls(
-    [guard, entry, unreadAnswers],
-    steadyClock,
-    limit,
-  );
-  host.stop();
-  if (result === 'limit-reached') {
+  const counters = [guard, entry, unreadAnswers];
+  const drained = await drainCalls(counters, steadyClock, endsAt);
+  container.resolve(FLEET_TOKENS.host).stop();
+  if (drained === 'limit-reached') {
     entry.endAllCalls();
     await delay(LAST_ANSWERS_MILLISECONDS);
   }
-  // Immediately after the last call, so that no new call can arrive.
-  callers.closeAllConnections();
-  container.resolve(FLEET_TOKENS.peerServer).stop();
-  container.resolve(FLEET_TOKENS.channels).close();
-  container.resolve(FLEET_TOKENS.pools).close();
-  return result;
+  return drained;
 }
--- a/packages/node/src/request/attemptRunner.ts
+++ b/packages/node/src/request/attemptRunner.ts
@@ -162,6 +162,24 @@
     }
   }
 
+  /** Whether a call that runs nowhere can still end before this node stops. */
+  mayStart({id}: CallerExchange): boolean {
+    const {clock, stateMachine} = this.dependencies;
+    return stateMachine.mayStart(clock(), id);
+  }
+
+  /** Refuses a call that runs nowhere and comes too late for this node's stop. */
+  refuseUnstarted(exchange: CallerExchange): void {
+    const reason = 'node-leaving';
+    this.recordAttemptEnd(exchange, reason);
+    this.dependencies.handleEvent({
+      kind: 'call-aborted',
+      callId: exchange.id,
+      reason,
+      wasSent: false,
+    });
+  }
+
   /** The guard has reserved a slot for the call. */
   private slotReserved(exchange: CallerExchange): void {
     clearTimeout(exchange.silenceTimer);
@@ -169,6 +187,10 @@
       exchange.hasReservedSlot = true;
       return;
     }
+    if (!exchange.isGoSent && !this.mayStart(exchange)) {
+      this.refuseUnstarted(exchange);
+      return;
+    }
     exchange.mayHaveBegun = true;
     this.startOverdueTimer(exchange);
     if (exchange.isGoSent) {
--- /dev/null
+++ b/packages/node/src/request/callerConnections.ts
@@ -0,0 +1,34 @@
+// Copyright (c) 2026 the lockpin contributors. MIT licence, see LICENSE.
+/** Ends connections of callers without losing requests that came behind others. */
+
+import type {IncomingMessage, ServerResponse} from 'node:http';
+import type {Socket} from 'node:net';
+
+/**
+ * Knows which connections end after an answer. Requests may be pipelined: what
+ * came behind such an answer is never answered, so that it must not run.
+ */
+export class CallerConnections {
+  private readonly newest = new WeakMap<Socket, ServerResponse>();
+  private readonly ending = new WeakSet<Socket>();
+
+  /** Counts a request; false if its connection ends before its answer. */
+  received({socket}: IncomingMessage, response: ServerResponse): boolean {
+    if (this.ending.has(socket)) {
+      return false;
+    }
+    this.newest.set(socket, response);
+    return true;
+  }
+
+  /**
+   * Ends a connection after an answer that has not begun, unless requests behind
+   * it may run already.
+   */
+  endAfter({socket}: IncomingMessage, response: ServerResponse): void {
+    if (this.newest.get(socket) === response) {
+      this.ending.add(socket);
+      response.shouldKeepAlive = false;
+    }
+  }
+}
--- a/packages/node/src/request/callerExchange.ts
+++ b/packages/node/src/request/callerExchange.ts
@@ -17,6 +17,7 @@
 import type {CallerProtocol} from './callerProtocol.js';
 import {hasLength, lengthOfWhole} from './answerLength.js';
 import {AttemptHistory} from './attemptHistory.js';
+import type {CallerConnections} from './callerConnections.js';
 import type {FinishingAnswers} from './finishingAnswers.js';
 import type {UnsentAnswers} from './unsentAnswers.js';
 
@@ -294,6 +295,11 @@
     this.protocol.refuse(this.response, refusal, this.requestId, extraHeaders);
   }
 
+  /** Ends the connection after the answer; see CallerConnections. */
+  endConnection(connections: CallerConnections): void {
+    connections.endAfter(this.request, this.response);
+  }
+
   private callHeaders(attempt: Attempt): FlatHeaders {
     const {request, requestId, protocol, call} = this;
     return [
--- a/packages/node/src/request/entryService.ts
+++ b/packages/node/src/request/entryService.ts
@@ -2,11 +2,12 @@
 /** The entry's side of a call, from the caller's request to its answer. */
 
 import type {IncomingMessage, ServerResponse} from 'node:http';
-import type {EntryAction, EntryEvent} from '@lockpin/brain';
+import type {EntryAction, EntryEvent, PlannedStop} from '@lockpin/brain';
 import type {ServiceView} from '@lockpin/configuration';
 import type {Admission} from '@lockpin/limits';
 import type {Refusal} from '@lockpin/types';
 import {AttemptRunner} from './attemptRunner.js';
+import {CallerConnections} from './callerConnections.js';
 import {CallAdmission, refusalFor} from './callAdmission.js';
 import {BODY_BUFFER_LIMIT_BYTES} from './bodyLimits.js';
 import {CallDeadlines} from './callDeadlines.js';
@@ -16,6 +17,7 @@
 import type {CallRecord} from './attemptHistory.js';
 import {CallReceiver} from './callReceiver.js';
 import type {ReceivedCall} from './callReceiver.js';
+import {refuseRequest} from './earlyRefusals.js';
 import {computeRequestDigest, entryCall} from './entryCall.js';
 import type {EntryServiceDependencies} from './entryServiceDependencies.js';
 import {FinishingAnswers} from './finishingAnswers.js';
@@ -36,6 +38,8 @@
   private readonly receiver: CallReceiver;
   private readonly deadlines: CallDeadlines;
   private readonly unsent: UnsentAnswers | undefined;
+  private readonly connections = new CallerConnections();
+  private isStopping = false;
   private serial = 0;
 
   constructor(private readonly dependencies: EntryServiceDependencies) {
@@ -66,6 +70,12 @@
     request: IncomingMessage,
     response: ServerResponse,
   ): Promise<void> {
+    if (!this.connections.received(request, response)) {
+      const requestId = this.dependencies.protocol.requestId(request);
+      const unread = {request, response, requestId};
+      refuseRequest(this.dependencies, unread, 'node-leaving');
+      return;
+    }
     try {
       const received = await this.receiver.receive(request, response);
       if (received !== undefined) {
@@ -182,17 +192,34 @@
     }
   }
 
+  /** Refuses calls that can't end before the process does, from now on. */
+  planStop(stop: PlannedStop): void {
+    this.isStopping = true;
+    this.handle({kind: 'stopping', stop});
+  }
+
   /**
    * Ends all calls because the process is stopping. Each is refused with the
    * outcome known here; a closed connection would leave the outcome unclear to
    * the caller.
    */
   endAllCalls(): void {
+    this.isStopping = true;
     [...this.exchanges.values()].forEach((exchange) =>
       this.abortCall(exchange, 'node-leaving'),
     );
   }
 
+  /** Refuses calls that run nowhere and can't end before this node stops. */
+  refuseUnstarted(): void {
+    [...this.exchanges.values()]
+      .filter(
+        (exchange) =>
+          !exchange.mayHaveBegun && !this.attempts.mayStart(exchange),
+      )
+      .forEach((exchange) => this.attempts.refuseUnstarted(exchange));
+  }
+
   /**
    * To be called when the process exits: no answer that has not been sent whole
    * may look complete.
@@ -310,6 +337,10 @@
   }
 
   private refuse(exchange: CallerExchange, refusal: Refusal): void {
+    // Guards of other nodes that stop give the same reason.
+    if (this.isStopping && refusal.reason === 'node-leaving') {
+      exchange.endConnection(this.connections);
+    }
     if (exchange.hasBegun) {
       exchange.destroyResponse();
       this.ended(exchange);
--- a/packages/routing/src/index.ts
+++ b/packages/routing/src/index.ts
@@ -8,6 +8,7 @@
 export * from './linkAvoidance.js';
 export * from './loadHint.js';
 export * from './planOffer.js';
+export * from './recentDurations.js';
 export * from './retriesLeft.js';
 export * from './retryBudget.js';
 export * from './slidingMinimum.js';
