--- a/packages/node/src/request/attemptRunner.ts
+++ b/packages/node/src/request/attemptRunner.ts
@@ -137,7 +137,29 @@
     }
   }
 
+  /** Whether a call that runs nowhere can still end before this node stops. */
+  mayStart({id}: CallerExchange): boolean {
+    const {clock, stateMachine} = this.dependencies;
+    return stateMachine.mayStart(clock(), id);
+  }
+
+  /** Refuses a call that runs nowhere and comes too late for this node's stop. */
+  refuseUnstarted(exchange: CallerExchange): void {
+    const reason = 'node-leaving';
+    this.recordAttemptEnd(exchange, reason);
+    this.dependencies.handleEvent({
+      kind: 'call-aborted',
+      callId: exchange.id,
+      reason,
+      wasSent: false,
+    });
+  }
+
   private start(exchange: CallerExchange, attempt: CallAttempt): void {
+    if (attempt.awaitsGo && !this.mayStart(exchange)) {
+      this.refuseUnstarted(exchange);
+      return;
+    }
     const {handleEvent} = this.dependencies;
     attempt.start(() =>
       handleEvent({kind: 'attempt-overdue', callId: exchange.id}),
--- a/packages/node/src/request/callAttempt.ts
+++ b/packages/node/src/request/callAttempt.ts
@@ -41,6 +41,11 @@
     return this.phase === 'started';
   }
 
+  /** Whether it runs only after a go signal that was not sent yet. */
+  get awaitsGo(): boolean {
+    return this.options.head.needsGo && this.phase !== 'started';
+  }
+
   /** Whether the guard holds a slot until the call is admitted. */
   get hasReservedSlot(): boolean {
     return this.phase === 'reserved';
--- a/packages/node/src/request/callerAnswer.ts
+++ b/packages/node/src/request/callerAnswer.ts
@@ -1,9 +1,10 @@
 // Copyright (c) 2026 the lockpin contributors. MIT licence, see LICENSE.
 /** The answer to one caller's request, as it is sent. */
 
-import type {ServerResponse} from 'node:http';
+import type {IncomingMessage, ServerResponse} from 'node:http';
 import type {Refusal} from '@lockpin/types';
 import {hasLength, lengthOfWhole} from './answerLength.js';
+import type {CallerConnections} from './callerConnections.js';
 import type {CallerProtocol} from './callerProtocol.js';
 import type {FinishingAnswers} from './finishingAnswers.js';
 import type {AnswerHead} from './frames.js';
@@ -95,6 +96,14 @@
     protocol.refuse(response, refusal, requestId, extraHeaders);
   }
 
+  /** Ends the connection after the answer; see CallerConnections. */
+  endConnection(
+    connections: CallerConnections,
+    request: IncomingMessage,
+  ): void {
+    connections.endAfter(request, this.options.response);
+  }
+
   /** Breaks off the answer, so that the caller sees it as incomplete. */
   destroy(): void {
     const {response} = this.options;
--- a/packages/node/src/request/callerExchange.ts
+++ b/packages/node/src/request/callerExchange.ts
@@ -15,6 +15,7 @@
 import {CallerAnswer} from './callerAnswer.js';
 import type {CallerBody} from './callerBody.js';
 import type {CallerProtocol} from './callerProtocol.js';
+import type {CallerConnections} from './callerConnections.js';
 import type {CallerRequest} from './callerRequest.js';
 import type {AnswerHead, CallHead, FlatHeaders} from './frames.js';
 
@@ -243,6 +244,11 @@
     };
   }
 
+  /** Ends the connection after the answer; see CallerConnections. */
+  endConnection(connections: CallerConnections): void {
+    this.answer.endConnection(connections, this.request);
+  }
+
   private callHeaders(attempt: Attempt): FlatHeaders {
     const {request, requestId, call} = this;
     return [
