Store: answers are bounded in bytes, values, records and pages

Cause: an answer of the store could end a node, or keep it reading. 15 MB of empty tables in a page of newest records, or of records of one byte in a read, ended a process at the heap limit (signal 6); pages without end grew one to 885 MB (a box has 350) in 4 s; in a reason, 103 answers, the size or the extension of a chunk it read on to the call's deadline, up to 3 GB, as undici bounds only fields and bodies. Change: a connection to the store ends as soon as an answer has more than 4 MB, wherever they stand (BoundedSocket; the store's pages have 1 MB of records); JSON from outside is refused before it is parsed if it has more than 200,000 values; 10,000 records are read from an answer, those behind them with the next read; newest records beyond 20,000 or 16 MB are reported as pages without end.

--- a/packages/fleet/src/checkBoxRecord.ts
+++ b/packages/fleet/src/checkBoxRecord.ts
@@ -7,7 +7,7 @@
 
 import {MAXIMUM_LIFTS, MAXIMUM_REPORTS} from '@lockpin/quarantine';
 import type {Result} from '@lockpin/types';
-import {failure, parseAddress, success} from '@lockpin/utils';
+import {failure, parseAddress, parseBoundedJson, success} from '@lockpin/utils';
 import type {BoxRecord} from './boxRecord.js';
 import {MAXIMUM_LEFT} from './ownUpstream.js';
 
@@ -124,7 +124,7 @@
 
 function parse(bytes: Buffer): unknown {
   try {
-    return JSON.parse(bytes.toString('utf8'));
+    return parseBoundedJson(bytes);
   } catch (error) {
     // Deeply nested brackets cause a RangeError.
     if (error instanceof SyntaxError || error instanceof RangeError) {
--- a/packages/node/src/index.ts
+++ b/packages/node/src/index.ts
@@ -1,4 +1,5 @@
 // Copyright (c) 2026 the lockpin contributors. MIT licence, see LICENSE.
+export * from './connection/boundedSocket.js';
 export * from './connection/codec.js';
 export * from './connection/guardedRequests.js';
 export * from './connection/httpServer.js';
--- a/packages/utils/src/index.ts
+++ b/packages/utils/src/index.ts
@@ -1,5 +1,6 @@
 // Copyright (c) 2026 the lockpin contributors. MIT licence, see LICENSE.
 export * from './addresses.js';
+export * from './boundedJson.js';
 export * from './canonicalJson.js';
 export * from './suspendAwareClock.js';
 export * from './tickMonitor.js';
