A connection is read on when its request has its answer early

When such a request was refused, the connection was closed with bytes unread, so that it was reset and the caller could lose the refusal. Between nodes, the guard's end of a streamed body stayed paused after the exchange: it read neither its end nor the entry's close.

Cause: a body is paused until its upstream takes more, and nobody resumed it when the answer had come and the upstream's end was gone. Class: a pause that waits for somebody who may be gone.

All refusals, also those before a request becomes a call, go the same way. At the guard, a body whose upstream's connection has ended is dropped instead of paused, and the stream of a body is read on once its exchange is over.

Open: a caller or an entry that closes while its body is paused is noticed only when the upstream reads on, by the probe (5 s, between nodes) or at the deadline.

--- a/packages/node/src/__tests__/__fixtures__/entryFixture.ts
+++ b/packages/node/src/__tests__/__fixtures__/entryFixture.ts
@@ -64,6 +64,8 @@
 /** An entry of four boxes; each attempt waits for the test to reply. */
 export class EntryFixture {
   readonly attempts: PlayedAttempt[] = [];
+  /** Whether the entry serves requests. */
+  isReady = true;
   private readonly clients: EntryClient[] = [];
   private server: Server | undefined;
 
@@ -118,7 +120,7 @@
         answerHeaders: ({headers}) => headers,
         refuse: sendProblem,
       },
-      isReady: () => true,
+      isReady: () => this.isReady,
       isLeaving: () => false,
       mayBeRepeat: () => false,
       incarnation: () => undefined,
--- a/packages/node/src/__tests__/unsentAnswers.test.ts
+++ b/packages/node/src/__tests__/unsentAnswers.test.ts
@@ -158,7 +158,8 @@
         ],
       } as never,
       onCloseDelimited: (added) => closeDelimited.add(added),
-      closesRefused: false,
+      onHead: () => undefined,
+      onEnded: () => undefined,
     });
   }
 
--- a/packages/node/src/request/callReceiver.ts
+++ b/packages/node/src/request/callReceiver.ts
@@ -12,6 +12,7 @@
 import {unavailabilityReason, refuseRequest} from './earlyRefusals.js';
 import type {EntryServiceDependencies} from './entryServiceDependencies.js';
 import {nestedCall} from './nestedCall.js';
+import {isClosing} from './requestRest.js';
 
 /** A request accepted as a call. */
 export interface ReceivedCall {
@@ -29,11 +30,18 @@
     private readonly admission: CallAdmission,
   ) {}
 
-  /** Undefined when the request was refused or its caller has disconnected. */
+  /**
+   * Undefined when the request was refused, its caller has disconnected or its
+   * connection closes after an earlier answer.
+   */
   async receive(
     request: IncomingMessage,
     response: ServerResponse,
   ): Promise<ReceivedCall | undefined> {
+    if (isClosing(request)) {
+      request.resume();
+      return undefined;
+    }
     const {clock, protocol} = this.dependencies;
     const arrivedAt = clock();
     const requestId = protocol.requestId(request);
@@ -107,8 +115,8 @@
     const {largestBodyBytes} = this.dependencies;
     const body = await readBodyFor(request, call, largestBodyBytes());
     if (body.kind === 'too-large') {
-      const partlyRead = {response, requestId};
-      refuseRequest(this.dependencies, partlyRead, 'body-too-large');
+      const unread = {request, response, requestId};
+      refuseRequest(this.dependencies, unread, 'body-too-large');
       return undefined;
     }
     return body.kind === 'cut' || response.destroyed ? undefined : body;
--- a/packages/node/src/request/callerAnswer.ts
+++ b/packages/node/src/request/callerAnswer.ts
@@ -21,8 +21,10 @@
   readonly protocol: CallerProtocol;
   /** Called for an answer that only the end of its connection ends. */
   readonly onCloseDelimited: (response: ServerResponse) => void;
-  /** Whether the connection closes after a refusal. */
-  readonly closesRefused: boolean;
+  /** The head is about to be written. */
+  readonly onHead: () => void;
+  /** The answer was written whole. */
+  readonly onEnded: () => void;
 }
 
 /** Writes the head, the parts and the end of an answer, or a refusal. */
@@ -52,11 +54,12 @@
 
   /** Sends the head of an answer, with the body when it is complete. */
   sendHead(head: AnswerHead): void {
-    const {response, method, protocol, onCloseDelimited} = this.options;
+    const {response, method, protocol, onHead, onCloseDelimited} = this.options;
     const headers = [
       ...protocol.answerHeaders(head),
       ...lengthOfWhole(head, method),
     ];
+    onHead();
     response.writeHead(head.status, headers);
     this.hasProgressed = true;
     if (!head.hasMore) {
@@ -80,6 +83,7 @@
   sendEnd(): void {
     this.isEnded = true;
     this.options.response.end();
+    this.options.onEnded();
   }
 
   /** Sends a refusal instead of an answer. */
@@ -88,12 +92,11 @@
     requestId: string,
     extraHeaders: Readonly<Record<string, string>>,
   ): void {
-    const {response, protocol, closesRefused} = this.options;
+    const {response, protocol, onHead, onEnded} = this.options;
     this.isEnded = true;
-    if (closesRefused) {
-      response.shouldKeepAlive = false;
-    }
+    onHead();
     protocol.refuse(response, refusal, requestId, extraHeaders);
+    onEnded();
   }
 
   /** Ends the connection after the answer; see CallerConnections. */
@@ -151,7 +154,7 @@
    * Sends short bodies as text: Node.js writes text together with the headers.
    */
   private endWith(body: Uint8Array | undefined): void {
-    const {response} = this.options;
+    const {response, onEnded} = this.options;
     this.isEnded = true;
     if (body !== undefined && body.length <= SINGLE_WRITE_LIMIT_BYTES) {
       const bytes = Buffer.from(body.buffer, body.byteOffset, body.length);
@@ -159,5 +162,6 @@
     } else {
       response.end(body);
     }
+    onEnded();
   }
 }
--- a/packages/node/src/request/callerExchange.ts
+++ b/packages/node/src/request/callerExchange.ts
@@ -18,6 +18,7 @@
 import type {CallerConnections} from './callerConnections.js';
 import type {CallerRequest} from './callerRequest.js';
 import type {AnswerHead, CallHead, FlatHeaders} from './frames.js';
+import {dropRest, prepareAnswer} from './requestRest.js';
 
 /** A request that became a call. */
 export interface ArrivedRequest {
@@ -91,8 +92,17 @@
       ...options,
       response,
       method: request.method,
-      // The rest of the body is not read, so the connection cannot be reused.
-      closesRefused: sender !== undefined,
+      onHead: () => {
+        if (sender !== undefined) {
+          prepareAnswer(request, response, sender.takenBytes);
+        }
+      },
+      onEnded: () => {
+        if (sender !== undefined) {
+          sender.detach();
+          dropRest(request, response);
+        }
+      },
     });
   }
 
--- a/packages/node/src/request/earlyRefusals.ts
+++ b/packages/node/src/request/earlyRefusals.ts
@@ -3,8 +3,8 @@
 
 import type {IncomingMessage, ServerResponse} from 'node:http';
 import type {Refusal, RefusalReason} from '@lockpin/types';
-import {BODY_BUFFER_LIMIT_BYTES} from './bodyLimits.js';
 import type {EntryServiceDependencies} from './entryServiceDependencies.js';
+import {dropRest, prepareAnswer} from './requestRest.js';
 
 /** Retry delay given while the node is not ready, in milliseconds. */
 const NOT_READY_RETRY_MILLISECONDS = 500;
@@ -22,8 +22,7 @@
 export interface RefusedRequest {
   readonly response: ServerResponse;
   readonly requestId: string;
-  /** Present when its body has not been read yet. */
-  readonly request?: IncomingMessage;
+  readonly request: IncomingMessage;
 }
 
 /** Why this node accepts no requests now; undefined when it does. */
@@ -38,7 +37,7 @@
   return isReady() ? undefined : 'not-ready';
 }
 
-/** Refuses a request; keeps the connection if the unread body is short. */
+/** Refuses a request and drops its body, as far as it was not read. */
 export function refuseRequest(
   dependencies: Pick<
     EntryServiceDependencies,
@@ -54,17 +53,9 @@
     outcome: 'not-run',
     retryAfterMilliseconds,
   };
-  if (request === undefined || !hasShortBody(request)) {
-    response.shouldKeepAlive = false;
-  }
+  prepareAnswer(request, response);
   protocol.refuse(response, refusal, requestId, {});
-  request?.resume();
+  dropRest(request, response);
   metrics.increment('calls.refused', {reason});
   logger.debug('call refused', {requestId, reason});
 }
-
-/** Whether the unread body is short enough to be read and discarded. */
-function hasShortBody({headers}: IncomingMessage): boolean {
-  const length = Number(headers['content-length'] ?? 0);
-  return !('transfer-encoding' in headers) && length <= BODY_BUFFER_LIMIT_BYTES;
-}
--- a/packages/node/src/request/guardService.ts
+++ b/packages/node/src/request/guardService.ts
@@ -154,8 +154,8 @@
 
   private controls(exchange: GuardExchange): Exchange {
     return {
-      sendChunk: (bytes) => exchange.requestBody?.push(bytes) ?? true,
-      sendEnd: () => void exchange.requestBody?.push(null),
+      sendChunk: (bytes) => sendBody(exchange, bytes),
+      sendEnd: () => void sendBody(exchange, null),
       go: (request) => {
         exchange.head = {...exchange.head, ...request};
         const {requestDigest} = request;
@@ -305,3 +305,12 @@
     this.exchanges.delete(exchange.id);
   }
 }
+
+/**
+ * Sends a part of a body; false to pause. The upstream of a body that is no
+ * longer sent will ask for nothing, so that what follows is dropped.
+ */
+function sendBody({requestBody}: GuardExchange, bytes: Buffer | null): boolean {
+  const isTaken = requestBody !== undefined && !requestBody.destroyed;
+  return isTaken ? requestBody.push(bytes) : true;
+}
--- a/packages/node/src/request/guardStreams.ts
+++ b/packages/node/src/request/guardStreams.ts
@@ -14,9 +14,14 @@
   let isOver = false;
   const markOver = (): void => {
     isOver = true;
+    // Otherwise the end of the stream would never be read.
+    stream.resume();
   };
   const handlers = streamHandlers(stream, markOver);
   const receive = (bytes: Buffer): void => {
+    if (isOver) {
+      return;
+    }
     const frame = decodeFrame(bytes);
     if (frame === undefined) {
       stream.reject();
