Between nodes, no part of a body goes before the guard asks for it

Not seen by callers: the head of a call would have to be longer than 64 KiB on the wire, and callers' heads are limited to 32 KiB.

Cause: an entry took the drain of its connection for the guard's wish for the body. The body went ahead before the call had its upstream, and the guard dropped it: the upstream would have got the body without its beginning.

Now a drain counts only once the guard has asked, and a guard that gets a part of a body before it has asked breaks the exchange off as malformed instead of dropping the part.

--- a/packages/node/src/__tests__/remoteExchange.test.ts
+++ b/packages/node/src/__tests__/remoteExchange.test.ts
@@ -7,7 +7,7 @@
 import {ControlTraffic} from '../process/controlTraffic.js';
 import type {Exchange, ExchangeHandlers} from '../request/exchange.js';
 import {serveExchangeStream} from '../request/exchangeStreamServer.js';
-import type {AnswerHead} from '../request/frames.js';
+import type {AnswerHead, CallHead} from '../request/frames.js';
 import {serveGuardStream} from '../request/guardStreams.js';
 import {RemoteExchanges} from '../request/remoteExchanges.js';
 import {EXAMPLE_HEAD} from './__fixtures__/exampleFrames.js';
@@ -52,9 +52,12 @@
 });
 
 /** Begins a call, with or without a streamed body; the entry's events. */
-function begin(hasMore: boolean): {exchange: Exchange; events: string[]} {
+function begin(
+  hasMore: boolean,
+  change: Partial<CallHead> = {},
+): {exchange: Exchange; events: string[]} {
   const events: string[] = [];
-  const head = {...EXAMPLE_HEAD, hasMore, needsGo: true};
+  const head = {...EXAMPLE_HEAD, hasMore, needsGo: true, ...change};
   const exchange = remote.begin(address, head, {
     onContinue: () => events.push('continue'),
     onQueued: () => events.push('queued'),
@@ -123,3 +126,20 @@
     await expect.poll(() => events).toEqual(['never sent']);
   });
 });
+
+// A guard has no place for a body before its upstream asks for it.
+it('asks for no body before the guard does, however long its head is', async () => {
+  const {events} = begin(true, {headers: ['x', 'y'.repeat(200_000)]});
+  await expect.poll(() => guardEvents).toEqual(['begun']);
+  expect(events).toEqual([]);
+  guard.onContinue();
+  await expect.poll(() => events).toEqual(['continue']);
+});
+
+it('is broken off when a part of the body comes before the guard asks', async () => {
+  const {exchange, events} = begin(true);
+  await expect.poll(() => guardEvents).toEqual(['begun']);
+  exchange.sendChunk(Buffer.from('early'));
+  await expect.poll(() => guardEvents).toEqual(['begun', 'cancelled']);
+  await expect.poll(() => events).toEqual(['lost']);
+});
--- a/packages/node/src/request/guardStreams.ts
+++ b/packages/node/src/request/guardStreams.ts
@@ -12,18 +12,24 @@
 ): void {
   let exchange: Exchange | undefined;
   let isOver = false;
+  // Whether the upstream has asked for the body.
+  let isAsked = false;
+  const markAsked = (): void => {
+    isAsked = true;
+  };
   const markOver = (): void => {
     isOver = true;
     // Otherwise the end of the stream would never be read.
     stream.resume();
   };
-  const handlers = streamHandlers(stream, markOver);
+  const handlers = streamHandlers(stream, markAsked, markOver);
   const receive = (bytes: Buffer): void => {
     if (isOver) {
       return;
     }
     const frame = decodeFrame(bytes);
-    if (frame === undefined) {
+    // A part that comes too early would be missing at the upstream.
+    if (frame === undefined || (frame.kind === 'chunk' && !isAsked)) {
       stream.reject();
       return;
     }
@@ -51,6 +57,7 @@
 
 function streamHandlers(
   stream: PeerStream,
+  markAsked: () => void,
   markOver: () => void,
 ): ExchangeHandlers {
   const endWith = (bytes: Buffer): void => {
@@ -60,6 +67,7 @@
   };
   return {
     onContinue: () => {
+      markAsked();
       stream.resume();
       stream.write(encodeFrame({kind: 'continue'}));
     },
--- a/packages/node/src/request/remoteExchange.ts
+++ b/packages/node/src/request/remoteExchange.ts
@@ -15,6 +15,8 @@
 ): Exchange {
   const stream = client.call();
   let isOver = false;
+  // Whether the guard has asked for the body.
+  let isAsked = false;
   const lost = (wasSent: boolean): void => {
     if (!isOver) {
       isOver = true;
@@ -37,6 +39,7 @@
       return;
     }
     isOver = isLastFrame(frame);
+    isAsked ||= frame.kind === 'continue';
     if (deliver(frame, handlers) === 'congested') {
       stream.pause();
     }
@@ -45,7 +48,11 @@
     onMessage: receive,
     onEnd: () => lost(true),
     onError: lost,
-    onDrain: handlers.onContinue,
+    onDrain: () => {
+      if (isAsked) {
+        handlers.onContinue();
+      }
+    },
   });
   stream.write(encodeFrame({kind: 'call', head}));
   return {
