End a stop with code 1 only if calls were given up, and answer what is still read

What was seen: a planned stop that reached its limit ended with code 1 and `node-stopped` named no reason, whatever was left. Nor did the drain count it, so that it could be closed right after its last byte.

Cause: what is being read is not a call yet, and only calls were counted, ended and answered.

Change: requests that are read count as work of the stop. At the limit they are refused as not run, with Connection: close, before the connections are closed. The limit counts as reached, and the code is 1, only if something was given up: calls that may have run without an answer of their upstream, answers cut off, calls of other nodes, unread answers. `node-stopped` has the counts (`givenUp`).

--- a/packages/node/src/process/runFleetNode.ts
+++ b/packages/node/src/process/runFleetNode.ts
@@ -10,6 +10,7 @@
 import {steadyClock} from '@lockpin/utils';
 import {startHttpServer} from '../connection/httpServer.js';
 import type {RequestHandler} from '../connection/httpServer.js';
+import type {GivenUpCalls} from '../request/givenUpCalls.js';
 import {LAST_ANSWERS_MILLISECONDS, drainCalls} from './drainCalls.js';
 import type {StopResult} from './drainCalls.js';
 import {FLEET_TOKENS, versionNews} from './fleetComposition.js';
@@ -29,7 +30,22 @@
    * Redirects callers to other nodes, finishes calls in flight and closes;
    * idempotent.
    */
-  readonly stop: () => Promise<StopResult>;
+  readonly stop: () => Promise<FleetStopResult>;
+}
+
+/** How a stop ended, with counts of what was given up at its limit. */
+export interface FleetStopResult {
+  /** The limit counts as reached only if something was given up. */
+  readonly result: StopResult;
+  readonly givenUp: GivenUpAtStop | undefined;
+}
+
+/** What was given up at the limit of a stop. */
+export interface GivenUpAtStop extends Readonly<GivenUpCalls> {
+  /** Calls of other nodes that the upstream of this box was running. */
+  readonly ofOtherNodes: number;
+  /** Answers that their readers had not taken whole. */
+  readonly unread: number;
 }
 
 /**
@@ -125,7 +141,7 @@
     remote.reopenFollowed(),
   );
   every(TRAFFIC_LOG_INTERVAL_MILLISECONDS, () => logTraffic(container));
-  let result: Promise<StopResult> | undefined;
+  let result: Promise<FleetStopResult> | undefined;
   return {
     isReady: () =>
       host.isReady && !host.isUpstreamLeaving && !stopping.isStopping,
@@ -186,7 +202,7 @@
   container: DependencyContainer,
   callers: Server,
   stopping: StopState,
-): Promise<StopResult> {
+): Promise<FleetStopResult> {
   const host = container.resolve(FLEET_TOKENS.host);
   const entry = container.resolve(FLEET_TOKENS.entryService);
   const stop = planStop(host.settings.stopLimitMilliseconds);
@@ -225,7 +241,7 @@
 async function endCalls(
   container: DependencyContainer,
   {endsAt}: PlannedStop,
-): Promise<StopResult> {
+): Promise<FleetStopResult> {
   const guard = container.resolve(FLEET_TOKENS.guardService);
   const entry = container.resolve(FLEET_TOKENS.entryService);
   const unreadAnswers = {
@@ -236,9 +252,17 @@
   const counters = [guard, entry, unreadAnswers];
   const drained = await drainCalls(counters, steadyClock, endsAt);
   container.resolve(FLEET_TOKENS.host).stop();
-  if (drained === 'limit-reached') {
-    entry.endAllCalls();
-    await delay(LAST_ANSWERS_MILLISECONDS);
+  if (drained === 'finished') {
+    return {result: drained, givenUp: undefined};
   }
-  return drained;
+  const unsent = entry.unsentCount;
+  const ofCallers = entry.endAllCalls();
+  const givenUp: GivenUpAtStop = {
+    ...ofCallers,
+    ofOtherNodes: guard.callCount,
+    unread: unsent + guard.unreadAnswerCount,
+  };
+  await delay(LAST_ANSWERS_MILLISECONDS);
+  const isAny = Object.values(givenUp).some((count) => count > 0);
+  return {result: isAny ? 'limit-reached' : 'finished', givenUp};
 }
--- a/packages/node/src/request/earlyRefusals.ts
+++ b/packages/node/src/request/earlyRefusals.ts
@@ -38,7 +38,10 @@
   return isReady() ? undefined : 'not-ready';
 }
 
-/** Refuses a request; keeps the connection if the unread body is short. */
+/**
+ * Refuses a request unless it was answered while it was read; keeps the connection
+ * if the unread body is short.
+ */
 export function refuseRequest(
   dependencies: Pick<
     EntryServiceDependencies,
@@ -49,6 +52,9 @@
   retryAfterMilliseconds = RETRY_MILLISECONDS[reason] ?? 0,
 ): void {
   const {protocol, metrics, logger} = dependencies;
+  if (response.writableEnded) {
+    return;
+  }
   const refusal: Refusal = {
     reason,
     outcome: 'not-run',
--- a/packages/node/src/request/entryService.ts
+++ b/packages/node/src/request/entryService.ts
@@ -18,10 +18,13 @@
 import {CallReceiver} from './callReceiver.js';
 import type {ReceivedCall} from './callReceiver.js';
 import {refuseRequest} from './earlyRefusals.js';
+import type {RefusedRequest} from './earlyRefusals.js';
 import {computeRequestDigest, entryCall} from './entryCall.js';
 import type {EntryServiceDependencies} from './entryServiceDependencies.js';
 import {FinishingAnswers} from './finishingAnswers.js';
 import {freshKeyHeader, mintOnceKeyFor} from './freshOnceKeys.js';
+import {countGivenUp, nothingGivenUp} from './givenUpCalls.js';
+import type {GivenUpCalls} from './givenUpCalls.js';
 import {UnsentAnswers} from './unsentAnswers.js';
 
 export type {EntryServiceDependencies} from './entryServiceDependencies.js';
@@ -38,7 +41,11 @@
   private readonly receiver: CallReceiver;
   private readonly deadlines: CallDeadlines;
   private readonly unsent: UnsentAnswers | undefined;
+  /** Requests that are being read. */
+  private readonly receiving = new Set<Required<RefusedRequest>>();
   private readonly connections = new CallerConnections();
+  /** Counted while all calls are ended; see endAllCalls. */
+  private readonly givenUp = nothingGivenUp();
   private isStopping = false;
   private serial = 0;
 
@@ -62,7 +69,13 @@
 
   /** Calls that have no answer yet, or whose callers have not been sent all. */
   get callCount(): number {
-    return this.exchanges.size + this.finishing.callCount;
+    const {exchanges, receiving, finishing} = this;
+    return exchanges.size + receiving.size + finishing.callCount;
+  }
+
+  /** Answers that have ended, but that their callers have not been sent. */
+  get unsentCount(): number {
+    return this.finishing.callCount;
   }
 
   /** Serves one request to its end. */
@@ -70,15 +83,17 @@
     request: IncomingMessage,
     response: ServerResponse,
   ): Promise<void> {
+    const requestId = this.dependencies.protocol.requestId(request);
+    const unread: Required<RefusedRequest> = {request, response, requestId};
     if (!this.connections.received(request, response)) {
-      const requestId = this.dependencies.protocol.requestId(request);
-      const unread = {request, response, requestId};
       refuseRequest(this.dependencies, unread, 'node-leaving');
       return;
     }
+    this.receiving.add(unread);
     try {
       const received = await this.receiver.receive(request, response);
-      if (received !== undefined) {
+      // It was refused meanwhile if the stop limit came first.
+      if (received !== undefined && !response.writableEnded) {
         this.startCall(received);
       }
     } catch (error) {
@@ -89,6 +104,8 @@
         {detail},
       );
       response.destroy();
+    } finally {
+      this.receiving.delete(unread);
     }
   }
 
@@ -203,11 +220,16 @@
    * outcome known here; a closed connection would leave the outcome unclear to
    * the caller.
    */
-  endAllCalls(): void {
+  endAllCalls(): GivenUpCalls {
     this.isStopping = true;
     [...this.exchanges.values()].forEach((exchange) =>
       this.abortCall(exchange, 'node-leaving'),
     );
+    this.receiving.forEach((unread) => {
+      this.connections.endAfter(unread.request, unread.response);
+      refuseRequest(this.dependencies, unread, 'node-leaving');
+    });
+    return this.givenUp;
   }
 
   /** Refuses calls that run nowhere and can't end before this node stops. */
@@ -339,6 +361,8 @@
   private refuse(exchange: CallerExchange, refusal: Refusal): void {
     // Guards of other nodes that stop give the same reason.
     if (this.isStopping && refusal.reason === 'node-leaving') {
+      const {repetition} = exchange.call.route.spec;
+      countGivenUp(this.givenUp, refusal, repetition, exchange.hasBegun);
       exchange.endConnection(this.connections);
     }
     if (exchange.hasBegun) {
