--- a/packages/node/src/process/runFleetNode.ts
+++ b/packages/node/src/process/runFleetNode.ts
@@ -10,6 +10,7 @@
 import {steadyClock} from '@lockpin/utils';
 import {listenOn} from '../connection/addressListeners.js';
 import type {RequestHandler} from '../connection/httpServer.js';
+import type {GivenUpCalls} from '../request/givenUpCalls.js';
 import {LAST_ANSWERS_MILLISECONDS, drainCalls} from './drainCalls.js';
 import type {StopResult} from './drainCalls.js';
 import {FLEET_TOKENS, versionNews} from './fleetComposition.js';
@@ -35,11 +36,26 @@
    * Redirects callers to other nodes, finishes calls in flight and closes;
    * idempotent.
    */
-  readonly stop: () => Promise<StopResult>;
+  readonly stop: () => Promise<FleetStopResult>;
   /** Resolves once the attempts to listen for callers and nodes have ended. */
   readonly listening: Promise<unknown>;
 }
 
+/** How a stop ended, with counts of what was given up at its limit. */
+export interface FleetStopResult {
+  /** The limit counts as reached only if something was given up. */
+  readonly result: StopResult;
+  readonly givenUp: GivenUpAtStop | undefined;
+}
+
+/** What was given up at the limit of a stop. */
+export interface GivenUpAtStop extends Readonly<GivenUpCalls> {
+  /** Calls of other nodes that the upstream of this box was running. */
+  readonly ofOtherNodes: number;
+  /** Answers that their readers had not taken whole. */
+  readonly unread: number;
+}
+
 /**
  * Delay from the stop signal until the guard of this box refuses new calls.
  * Guards of other boxes then take over at once.
@@ -111,7 +127,7 @@
   every(TRAFFIC_LOG_INTERVAL_MILLISECONDS, () => logTraffic(container));
   const isReachable = (): boolean =>
     callerListener.isListening && peerListener.isListening;
-  let result: Promise<StopResult> | undefined;
+  let result: Promise<FleetStopResult> | undefined;
   return {
     isReady: () =>
       isReachable() &&
@@ -132,10 +148,10 @@
 }
 
 /** Stops a node that nobody could reach yet: nothing is in progress. */
-async function stopUnreachedNode(host: FleetHost): Promise<StopResult> {
+async function stopUnreachedNode(host: FleetHost): Promise<FleetStopResult> {
   host.leave(planStop(host.settings.stopLimitMilliseconds));
   host.stop();
-  return 'finished';
+  return {result: 'finished', givenUp: undefined};
 }
 
 function startHost(container: DependencyContainer, callers: Server): void {
@@ -230,7 +246,7 @@
   container: DependencyContainer,
   callers: Server,
   stopping: StopState,
-): Promise<StopResult> {
+): Promise<FleetStopResult> {
   const host = container.resolve(FLEET_TOKENS.host);
   const entry = container.resolve(FLEET_TOKENS.entryService);
   const stop = planStop(host.settings.stopLimitMilliseconds);
@@ -269,7 +285,7 @@
 async function endCalls(
   container: DependencyContainer,
   {endsAt}: PlannedStop,
-): Promise<StopResult> {
+): Promise<FleetStopResult> {
   const guard = container.resolve(FLEET_TOKENS.guardService);
   const entry = container.resolve(FLEET_TOKENS.entryService);
   const unreadAnswers = {
@@ -280,9 +296,17 @@
   const counters = [guard, entry, unreadAnswers];
   const drained = await drainCalls(counters, steadyClock, endsAt);
   container.resolve(FLEET_TOKENS.host).stop();
-  if (drained === 'limit-reached') {
-    entry.endAllCalls();
-    await delay(LAST_ANSWERS_MILLISECONDS);
+  if (drained === 'finished') {
+    return {result: drained, givenUp: undefined};
   }
-  return drained;
+  const unsent = entry.unsentCount;
+  const ofCallers = entry.endAllCalls();
+  const givenUp: GivenUpAtStop = {
+    ...ofCallers,
+    ofOtherNodes: guard.callCount,
+    unread: unsent + guard.unreadAnswerCount,
+  };
+  await delay(LAST_ANSWERS_MILLISECONDS);
+  const isAny = Object.values(givenUp).some((count) => count > 0);
+  return {result: isAny ? 'limit-reached' : 'finished', givenUp};
 }
--- a/packages/node/src/request/earlyRefusals.ts
+++ b/packages/node/src/request/earlyRefusals.ts
@@ -37,7 +37,10 @@
   return isReady() ? undefined : 'not-ready';
 }
 
-/** Refuses a request and drops its body, as far as it was not read. */
+/**
+ * Refuses a request, unless it was answered while it was read, and drops its
+ * body, as far as it was not read.
+ */
 export function refuseRequest(
   dependencies: Pick<
     EntryServiceDependencies,
@@ -48,6 +51,9 @@
   retryAfterMilliseconds = RETRY_MILLISECONDS[reason] ?? 0,
 ): void {
   const {protocol, metrics, logger} = dependencies;
+  if (response.writableEnded) {
+    return;
+  }
   const refusal: Refusal = {
     reason,
     outcome: 'not-run',
