Soak: a set of upstreams that send what is no answer or has no end

The soak's upstreams never answered with a status that HTTP does not know, and sent bodies only without an end; its checks took a status of 600 for a refusal.

The set `endless` draws them, several upstreams at a time. A status outside 200 to 599 breaks the new guarantee `answers in HTTP`.

--- a/packages/tools/src/soak/__tests__/checkHistory.test.ts
+++ b/packages/tools/src/soak/__tests__/checkHistory.test.ts
@@ -96,6 +96,7 @@
   it.each([
     ['a truncated body', {...SERVED, body: 'answ'}, 'complete answers'],
     ['a missing proof', {...SERVED, hasProof: false}, 'complete answers'],
+    ['a status of 600', {...SERVED, status: 600}, 'answers in HTTP'],
     [
       'the answer to another request',
       {...SERVED, requestId: 'q2'},
--- a/packages/tools/src/soak/__tests__/soak.test.ts
+++ b/packages/tools/src/soak/__tests__/soak.test.ts
@@ -67,6 +67,14 @@
     expect(calls).toBeGreaterThan(200);
   });
 
+  it('keeps them while upstreams send what is no answer or has no end', async () => {
+    const folder = mkdtempSync(join(tmpdir(), 'lockpin-soak-'));
+    const size = {...SIZE, faults: 'endless'} as const;
+    const {violations, calls} = await runSoak(SEED + 8, size, folder);
+    expect(violations).toEqual([]);
+    expect(calls).toBeGreaterThan(200);
+  });
+
   it('keeps them while the store is restored repeatedly', async () => {
     const folder = mkdtempSync(join(tmpdir(), 'lockpin-soak-'));
     const size = {...SIZE, faults: 'all'} as const;
--- a/packages/tools/src/soak/checkHistory.ts
+++ b/packages/tools/src/soak/checkHistory.ts
@@ -24,6 +24,9 @@
 const SUCCESS_STATUS_START = 200;
 const SUCCESS_STATUS_END = 300;
 
+/** The last status that HTTP knows. */
+const LAST_STATUS = 599;
+
 /** Returns every violation; empty when all guarantees hold. */
 export function checkHistory(
   history: SoakHistory,
@@ -106,6 +109,11 @@
       ),
     );
   }
+  if (status < SUCCESS_STATUS_START || status > LAST_STATUS) {
+    violations.push(
+      createViolation('answers in HTTP', requestId, `status ${status}`),
+    );
+  }
   if (end.requestId !== undefined && end.requestId !== requestId) {
     violations.push(
       createViolation(
--- a/packages/tools/src/soak/faultDraws.ts
+++ b/packages/tools/src/soak/faultDraws.ts
@@ -2,6 +2,7 @@
 /** Draws the faults of each fault set at random. */
 
 import type {RandomSource} from '@lockpin/types';
+import {NO_ANSWER_MODES} from '@lockpin/platform-stand-ins';
 import type {StoreMode, UpstreamMode} from '@lockpin/platform-stand-ins';
 import type {LinkFault} from './linkProxy.js';
 import {SOAK_SERVICES} from './soakConfiguration.js';
@@ -352,6 +353,26 @@
   ],
 ];
 
+/** How upstreams fail to answer, or to end, in the `endless` set. */
+const NO_ANSWERS: readonly UpstreamMode[] = [...NO_ANSWER_MODES, 'endless'];
+
+/**
+ * Faults of the `endless` set: several upstreams at a time send what is no answer
+ * or has no end. Drawn apart from `broken`, whose schedules so do not change.
+ */
+export const ENDLESS_DRAWS: readonly DrawFault[] = [
+  (random, at, boxes) => [
+    {
+      at,
+      kind: 'upstream',
+      box: randomIndex(random, boxes),
+      mode: randomItem(random, NO_ANSWERS),
+      share: MINIMUM_AFFECTED_SHARE + (1 - MINIMUM_AFFECTED_SHARE) * random(),
+      durationMilliseconds: LONGEST_FAULT_MILLISECONDS,
+    },
+  ],
+];
+
 /** Draws a single fault with probability 0.5, otherwise two or more. */
 function inSeries(
   random: RandomSource,
--- a/packages/tools/src/soak/faultPlan.ts
+++ b/packages/tools/src/soak/faultPlan.ts
@@ -5,6 +5,7 @@
 import {
   BASE_DRAWS,
   BREAKING_DRAWS,
+  ENDLESS_DRAWS,
   ISOLATION_DRAWS,
   LOAD_DRAWS,
   REPLACEMENT_DRAWS,
@@ -21,8 +22,9 @@
  * writes by others to `first`; `all` adds store restores, and `stated` adds what
  * upstreams state in their answers. `isolated` holds only times in which no box
  * hears another, `replaced` only replacements of boxes, `loaded` only hard load,
- * and `broken` only answers that upstreams break. A regression seed keeps the set that it was recorded with, and so replays
- * the same schedule.
+ * `broken` only answers that upstreams break, and `endless` only upstreams that
+ * send what is no answer or has no end. A regression seed keeps the set that it
+ * was recorded with, and so replays the same schedule.
  */
 export type FaultSet =
   | 'first'
@@ -32,7 +34,8 @@
   | 'isolated'
   | 'replaced'
   | 'loaded'
-  | 'broken';
+  | 'broken'
+  | 'endless';
 
 /** Duration, fleet size and fault set of a soak. */
 export interface SoakSize {
@@ -62,7 +65,7 @@
 /** Mean time between the faults of the `loaded` set; they overlap. */
 const LOAD_GAP_MILLISECONDS = 1500;
 
-/** Mean time between the faults of the `broken` set; they overlap. */
+/** Mean time between the faults of `broken` and `endless`; they overlap. */
 const BREAKING_GAP_MILLISECONDS = 700;
 
 /** The draws of fault sets that hold only one kind. */
@@ -73,6 +76,7 @@
   replaced: [REPLACEMENT_DRAWS, SINGLE_KIND_GAP],
   loaded: [LOAD_DRAWS, LOAD_GAP_MILLISECONDS],
   broken: [BREAKING_DRAWS, BREAKING_GAP_MILLISECONDS],
+  endless: [ENDLESS_DRAWS, BREAKING_GAP_MILLISECONDS],
 };
 
 /** Restores are this many times less frequent than other faults. */
--- a/packages/tools/src/soak/main.ts
+++ b/packages/tools/src/soak/main.ts
@@ -49,6 +49,7 @@
       'replaced',
       'loaded',
       'broken',
+      'endless',
     ] as const,
     default: 'stated' as const,
     describe: 'Fault set of the given or fresh seeds',
@@ -75,6 +76,7 @@
   '-replaced': 'replaced',
   '-loaded': 'loaded',
   '-broken': 'broken',
+  '-endless': 'endless',
 };
 
 function readRegressionSeeds(): readonly SoakSeed[] {
