--- a/packages/node/src/__tests__/__fixtures__/rawUpstream.ts
+++ b/packages/node/src/__tests__/__fixtures__/rawUpstream.ts
@@ -3,7 +3,8 @@
 
 import {createServer} from 'node:net';
 import type {AddressInfo, Server, Socket} from 'node:net';
-import {GuardStateMachine} from '@lockpin/brain';
+import {DEFAULT_GUARD_SETTINGS, GuardStateMachine} from '@lockpin/brain';
+import type {OfferTerms} from '@lockpin/brain';
 import type {Repetition} from '@lockpin/types';
 import {seededRandom} from '@lockpin/utils';
 import {UpstreamPools} from '../../connection/upstreamPools.js';
@@ -19,6 +20,7 @@
 export interface RawCall {
   readonly method?: string;
   readonly repetition?: Repetition;
+  readonly terms?: OfferTerms;
   /** Milliseconds until its deadline. */
   readonly remaining?: number;
 }
@@ -44,7 +46,10 @@
     this.service = new GuardService({
       clock: Date.now,
       random: seededRandom(1),
-      stateMachine: new GuardStateMachine({box: 'box', incarnation: 'a'}),
+      stateMachine: new GuardStateMachine(
+        {box: 'box', incarnation: 'a'},
+        {...DEFAULT_GUARD_SETTINGS, hasQuickDoubt: true},
+      ),
       pools: this.pools,
       protocol: {
         callHeaders: ({head}) => head.headers,
@@ -125,7 +130,7 @@
     body: undefined,
     hasMore: false,
     needsGo: false,
-    terms: 'last-resort',
+    terms: options.terms ?? 'last-resort',
     usefulFor: undefined,
     startWithin: undefined,
     expectedMilliseconds: undefined,
--- a/packages/node/src/__tests__/noAnswers.test.ts
+++ b/packages/node/src/__tests__/noAnswers.test.ts
@@ -152,7 +152,32 @@
   });
 });
 
+describe('an upstream', () => {
+  it.each([
+    ['a status of 000', 'HTTP/1.1 000 x\r\ncontent-length: 4\r\n\r\nwell'],
+    ['a status of 600', 'HTTP/1.1 600 x\r\ncontent-length: 4\r\n\r\nwell'],
+    ['another version', 'HTTP/2.0 200 x\r\ncontent-length: 4\r\n\r\nwell'],
+    ['empty lines without an end', '\r\n'.repeat(200_000)],
+    ['interim answers', 'HTTP/1.1 103 x\r\n\r\n'.repeat(20_000)],
+  ])(
+    'gets no ordinary calls for a while after it sent %s',
+    async (_what, text) => {
+      upstream.answer = (socket) => socket.write(text);
+      expect(await upstream.call()).toBe(FAILED);
+      expect(await upstream.call({terms: 'may-wait'})).toBe(
+        'upstream-doubted not-run',
+      );
+    },
+  );
+});
+
 describe('an answer', () => {
+  it('reaches its caller: to a HEAD request', async () => {
+    upstream.answer = (socket) =>
+      socket.write(`${OK}\r\ncontent-length: 4\r\n\r\n`);
+    expect(await upstream.call({method: 'HEAD'})).toBe('200 ');
+  });
+
   it.each([
     [
       'of HTTP/1.0',
