--- a/packages/tools/src/soak/main.ts
+++ b/packages/tools/src/soak/main.ts
@@ -50,6 +50,7 @@
       'loaded',
       'broken',
       'starting',
+      'endless',
     ] as const,
     default: 'stated' as const,
     describe: 'Fault set of the given or fresh seeds',
@@ -77,6 +78,7 @@
   '-loaded': 'loaded',
   '-broken': 'broken',
   '-starting': 'starting',
+  '-endless': 'endless',
 };
 
 function readRegressionSeeds(): readonly SoakSeed[] {
