--- a/packages/node/src/connection/addressListeners.ts
+++ b/packages/node/src/connection/addressListeners.ts
@@ -85,6 +85,11 @@
     return this.waiting.size;
   }
 
+  /** Whether a target for this purpose does not listen yet. */
+  isWaiting(purpose: string): boolean {
+    return [...this.waiting].some((target) => target.purpose === purpose);
+  }
+
   /** Starts to listen, as soon as the address can be had. */
   listen(target: ListenTarget): AddressListener {
     let isListening = false;
