Start no call too late in stops of fleets with their own log

What was seen: in a fleet with its own log, calls that wait for a slot as their node stops get it later, start, and are given up at the limit with the outcome unknown.

Change: nodes with their own log plan their stops, too; callers are told to come back at once, since these nodes refuse new calls from the signal on.

--- a/packages/node/src/process/drainCalls.ts
+++ b/packages/node/src/process/drainCalls.ts
@@ -10,6 +10,9 @@
 /** Time to send the last answers before connections are closed. */
 export const LAST_ANSWERS_MILLISECONDS = 50;
 
+/** Interval between checks for waiting calls that the stop comes too soon for. */
+export const UNSTARTED_CHECK_MILLISECONDS = 50;
+
 /** Interval between checks for calls in flight. */
 const POLL_INTERVAL_MILLISECONDS = 20;
 
--- a/packages/node/src/process/nodeHost.ts
+++ b/packages/node/src/process/nodeHost.ts
@@ -14,6 +14,7 @@
   GuardedService,
   PeerReply,
   PeerRequest,
+  PlannedStop,
   StreamName,
 } from '@lockpin/brain';
 import {isUsable} from '@lockpin/membership';
@@ -92,9 +93,9 @@
   }
 
   /** Announces that this node leaves, and makes it refuse new calls. */
-  leave(): void {
+  leave(stop: PlannedStop): void {
     this.hasLeft = true;
-    this.listeners?.onGuardEvent({kind: 'leaving'});
+    this.listeners?.onGuardEvent({kind: 'leaving', stop});
     this.handle({kind: 'leaving'});
     this.timeline('node-leaving', this.box, {});
   }
--- a/packages/node/src/process/runFleetNode.ts
+++ b/packages/node/src/process/runFleetNode.ts
@@ -11,7 +11,11 @@
 import {startHttpServer} from '../connection/httpServer.js';
 import type {RequestHandler} from '../connection/httpServer.js';
 import type {GivenUpCalls} from '../request/givenUpCalls.js';
-import {LAST_ANSWERS_MILLISECONDS, drainCalls} from './drainCalls.js';
+import {
+  LAST_ANSWERS_MILLISECONDS,
+  UNSTARTED_CHECK_MILLISECONDS,
+  drainCalls,
+} from './drainCalls.js';
 import type {StopResult} from './drainCalls.js';
 import {FLEET_TOKENS, versionNews} from './fleetComposition.js';
 import {fleetOperatorHandler} from './fleetOperators.js';
@@ -74,9 +78,6 @@
  */
 const REFOLLOW_INTERVAL_MILLISECONDS = 300;
 
-/** Interval between checks for waiting calls that the stop comes too soon for. */
-const UNSTARTED_CHECK_MILLISECONDS = 50;
-
 /** Interval between log lines on the traffic between data centres. */
 const TRAFFIC_LOG_INTERVAL_MILLISECONDS = 5000;
 
--- a/packages/node/src/process/runNode.ts
+++ b/packages/node/src/process/runNode.ts
@@ -10,7 +10,11 @@
 import {steadyClock} from '@lockpin/utils';
 import {startHttpServer} from '../connection/httpServer.js';
 import {TOKENS} from './composition.js';
-import {LAST_ANSWERS_MILLISECONDS, drainCalls} from './drainCalls.js';
+import {
+  LAST_ANSWERS_MILLISECONDS,
+  UNSTARTED_CHECK_MILLISECONDS,
+  drainCalls,
+} from './drainCalls.js';
 import type {StopResult} from './drainCalls.js';
 
 /** A running node. */
@@ -86,10 +90,18 @@
   const host = container.resolve(TOKENS.host);
   const guard = container.resolve(TOKENS.guardService);
   const entry = container.resolve(TOKENS.entryService);
-  const limit = steadyClock() + settings.stopLimitMilliseconds;
-  host.leave();
+  const {every} = container.resolve(TOKENS.environment);
+  const now = steadyClock();
+  const endsAt = now + settings.stopLimitMilliseconds;
+  const stop = {endsAt, callersGoneAt: now};
+  entry.planStop(stop);
+  const stopChecks = every(UNSTARTED_CHECK_MILLISECONDS, () =>
+    entry.refuseUnstarted(),
+  );
+  host.leave(stop);
   await delay(ANNOUNCE_MILLISECONDS);
-  const result = await drainCalls([guard, entry], steadyClock, limit);
+  const result = await drainCalls([guard, entry], steadyClock, endsAt);
+  stopChecks();
   host.stop();
   if (result === 'limit-reached') {
     entry.endAllCalls();
--- a/packages/tools/src/__tests__/stopLimit.test.ts
+++ b/packages/tools/src/__tests__/stopLimit.test.ts
@@ -9,6 +9,9 @@
 
 const HOUR_MILLISECONDS = 3_600_000;
 
+/** Slots of each upstream of the deployment. */
+const SLOTS = 4;
+
 let fleet: SmallFleet;
 
 async function startNode(stopLimitMilliseconds: number): Promise<void> {
@@ -21,12 +24,12 @@
 });
 
 /** Starts a call that takes some time at its upstream. */
-function startCall(workMilliseconds: number) {
+function startCall(workMilliseconds: number, path = '/readings') {
   fleet.platform.upstreams.forEach(({standIn}) =>
     standIn.setBehaviour({workMilliseconds}),
   );
   const {callerAddress} = fleet.nodes[0] as SmallNode;
-  return request(`http://${callerAddress}/readings`, {
+  return request(`http://${callerAddress}${path}`, {
     headers: {'lockpin-service': 'barid/telemetry'},
   });
 }
@@ -61,4 +64,27 @@
     expect(headers['lockpin-outcome']).toBe('answered');
     expect(await stopped).toBe('finished');
   });
+
+  // Guards against calls that get a slot when they can't end any more.
+  it('starts no waiting call that could not end before the limit', async () => {
+    await startNode(1500);
+    const outcomes = (count: number) =>
+      Promise.all(
+        Array.from({length: count}, async () => {
+          const {headers, body} = await startCall(1000, '/calibration');
+          await body.dump();
+          return headers['lockpin-outcome'];
+        }),
+      );
+    const slots = fleet.platform.upstreams.length * SLOTS;
+    await outcomes(slots);
+    const before = fleet.executedRequestIds().length;
+    const answers = outcomes(2 * slots);
+    await waitUntil(() => fleet.executedRequestIds().length > before);
+    await fleet.nodes[0]?.running.stop();
+    const ends = await answers;
+    expect(ends).toContain('answered');
+    expect(ends).toContain('not-run');
+    expect(ends).not.toContain('unknown');
+  });
 });
