Tell no caller of a stopping node to wait longer than it would

Callers wait for a third of the time that they have left: one that is told more might not come back.

Cause: the delay was taken from the stop alone. Other refusals end it in that time (ReturnTimes).

Change: the shorter of the two.

--- a/packages/brain/src/__tests__/plannedStop.test.ts
+++ b/packages/brain/src/__tests__/plannedStop.test.ts
@@ -199,6 +199,14 @@
     ]);
   });
 
+  // Guards against a delay so long that the caller does not come back.
+  it('tells no caller to wait for more than a third of its time', () => {
+    const harness = new EntryHarness().learn(4900).stopAt(200);
+    expect(harness.arrive(5300)).toMatchObject([
+      {refusal: {reason: 'node-leaving', retryAfterMilliseconds: 1700}},
+    ]);
+  });
+
   it('serves a call whose deadline comes before the end', () => {
     const harness = new EntryHarness().learn(4000).stopAt(1500);
     expect(kinds(harness.arrive(STOP.endsAt))).toEqual(['attempt']);
--- a/packages/brain/src/entry/callOffers.ts
+++ b/packages/brain/src/entry/callOffers.ts
@@ -17,6 +17,7 @@
 import type {EntrySettings} from './entrySettings.js';
 import type {EntryStop} from './entryStop.js';
 import type {OfferPlanner, PlannedOffer} from './offerPlanner.js';
+import {isKeptOutByLimits, shortestRetryAfter} from './refusedOffers.js';
 import type {ReturnTimes} from './returnTimes.js';
 import type {UpstreamChooser} from './upstreamChooser.js';
 
@@ -59,7 +60,7 @@
       return this.context.calls.refuseCall(state, reason, quarantined);
     }
     if (!this.mayStart(now, state)) {
-      const after = this.context.stop.returnAfter(now);
+      const after = this.context.stop.returnAfter(now, state);
       return this.context.calls.refuseCall(state, 'node-leaving', after);
     }
     if (reasonIfNone === 'guard-silent' && this.isHeldTooLong(now, state)) {
@@ -296,27 +297,3 @@
     return settings.heldShare > 0 && !mayHaveRun ? heldUntil : undefined;
   }
 }
-
-/** For a call that limits refuse, the shortest wait that a guard reported. */
-function shortestRetryAfter(
-  {shortestWait}: CallState,
-  reason: RefusalReason,
-  retryAfter: number,
-): number {
-  const isReported = reason === 'upstream-over-limit' && shortestWait > 0;
-  return isReported ? Math.min(retryAfter, shortestWait) : retryAfter;
-}
-
-/**
- * Whether only limits keep the call out, and guards have refused to let it wait
- * for them. Unlike a slot, a limit does not become free early, so a pause would
- * not help.
- */
-function isKeptOutByLimits(
-  {isOnlyLimited, terms}: CallState,
-  reason: RefusalReason,
-): boolean {
-  return (
-    reason === 'upstream-over-limit' && isOnlyLimited && terms !== 'immediate'
-  );
-}
--- a/packages/brain/src/entry/entryStateMachine.ts
+++ b/packages/brain/src/entry/entryStateMachine.ts
@@ -316,7 +316,7 @@
     this.overdueAttempts.clear(state);
     const after =
       reason === 'node-leaving'
-        ? this.stop.returnAfter(now)
+        ? this.stop.returnAfter(now, state)
         : this.offers.quarantinedFor(now, state);
     const refusal =
       onceKey === undefined
--- a/packages/brain/src/entry/entryStop.ts
+++ b/packages/brain/src/entry/entryStop.ts
@@ -6,6 +6,7 @@
 import type {PlannedStop} from '../plannedStop.js';
 import type {AttemptTiming} from './attemptTiming.js';
 import type {CallState} from './callState.js';
+import {RETURN_SHARE} from './returnTimes.js';
 
 /** Decides which calls may still start; all may until a stop is planned. */
 export class EntryStop {
@@ -38,8 +39,13 @@
     return this.stop === undefined || now <= this.latestStart(state);
   }
 
-  /** Milliseconds until callers use other nodes. */
-  returnAfter(now: number): number {
-    return Math.max(0, Math.ceil((this.stop?.callersGoneAt ?? now) - now));
+  /**
+   * Milliseconds until the caller of a call uses other nodes, or as many as it
+   * waits at the most.
+   */
+  returnAfter(now: number, {call}: Pick<CallState, 'call'>): number {
+    const gone = (this.stop?.callersGoneAt ?? now) - now;
+    const longest = (call.deadline - now) * RETURN_SHARE;
+    return Math.max(0, Math.ceil(Math.min(gone, longest)));
   }
 }
--- a/packages/brain/src/entry/returnTimes.ts
+++ b/packages/brain/src/entry/returnTimes.ts
@@ -8,7 +8,7 @@
 const COUNT_MILLISECONDS = 1000;
 
 /** Share of its remaining time in which a caller still comes back. */
-const RETURN_SHARE = 1 / 3;
+export const RETURN_SHARE = 1 / 3;
 
 /** A retry-after of 0 means that no delay is known to help. */
 const SHORTEST_RETURN_MILLISECONDS = 50;
