Serve the calls of a call that runs on a stopping node's box

Cause: the stop finished calls in flight, but not what they consist of.

Change: a stopping node listens until its last call has ended.

--- a/packages/node/src/process/runFleetNode.ts
+++ b/packages/node/src/process/runFleetNode.ts
@@ -93,12 +93,12 @@
   const subscribers = container.resolve(FLEET_TOKENS.news);
   const remote = container.resolve(FLEET_TOKENS.remote);
   const followers = container.resolve(FLEET_TOKENS.followers);
-  const stopping: StopState = {isStopping: false, closesConnections: false};
+  const stopping: StopState = {isStopping: false};
   const peerServer = container.resolve(FLEET_TOKENS.peerServer);
   await peerServer.start(settings.peerListenAddress);
   const callers = await startHttpServer(
     settings.callerAddress,
-    callerHandler(container, stopping),
+    callerHandler(container),
   );
   if (settings.metricsAddress !== '') {
     await startHttpServer(
@@ -169,21 +169,11 @@
 interface StopState {
   /** Whether callers are told to use other nodes. */
   isStopping: boolean;
-  /** Whether each answer closes its connection. */
-  closesConnections: boolean;
 }
 
-function callerHandler(
-  container: DependencyContainer,
-  stopping: Readonly<StopState>,
-): RequestHandler {
+function callerHandler(container: DependencyContainer): RequestHandler {
   const entry = container.resolve(FLEET_TOKENS.entryService);
-  return (request, response) => {
-    if (stopping.closesConnections) {
-      response.shouldKeepAlive = false;
-    }
-    void entry.serve(request, response);
-  };
+  return (request, response) => void entry.serve(request, response);
 }
 
 /**
@@ -215,14 +205,12 @@
   await delay(LEAVE_DELAY_MILLISECONDS);
   host.leave(stop);
   await delay(Math.max(0, stop.callersGoneAt - steadyClock()));
-  stopping.closesConnections = true;
-  // A connection without a request yet counts as busy and stays open.
+  // The calls that run on this box may still make calls of their own here.
   host.refuseNewCalls();
-  callers.close();
-  callers.closeIdleConnections();
   const result = await endCalls(container, stop);
   stopChecks();
   // Immediately after the last call, so that no new call can arrive.
+  callers.close();
   callers.closeAllConnections();
   container.resolve(FLEET_TOKENS.peerServer).stop();
   container.resolve(FLEET_TOKENS.channels).close();
--- a/packages/node/src/request/callReceiver.ts
+++ b/packages/node/src/request/callReceiver.ts
@@ -7,6 +7,7 @@
 import {failure} from '@lockpin/utils';
 import type {CallAdmission} from './callAdmission.js';
 import {readBodyFor} from './callerBody.js';
+import type {CallerConnections} from './callerConnections.js';
 import type {ArrivedRequest} from './callerExchange.js';
 import type {CallerRequest, UnroutedRequest} from './callerRequest.js';
 import {unavailabilityReason, refuseRequest} from './earlyRefusals.js';
@@ -27,6 +28,7 @@
   constructor(
     private readonly dependencies: EntryServiceDependencies,
     private readonly admission: CallAdmission,
+    private readonly connections: CallerConnections,
   ) {}
 
   /** Undefined when the request was refused or its caller has disconnected. */
@@ -38,11 +40,10 @@
     const arrivedAt = clock();
     const requestId = protocol.requestId(request);
     const unread = {request, response, requestId};
-    const read = await this.readCall(unread);
-    if (read === undefined) {
+    const call = await this.readCall(unread, arrivedAt);
+    if (call === undefined) {
       return undefined;
     }
-    const call = nestedCall(arrivedAt, read, this.dependencies.parentCall);
     const admission = this.admission.check(call);
     if (!(admission instanceof Promise) && admission.kind !== 'admitted') {
       this.admission.refuse(unread, call, admission);
@@ -58,20 +59,46 @@
 
   private async readCall(
     unread: UnreadRequest,
+    arrivedAt: number,
   ): Promise<CallerRequest | undefined> {
+    const {parentCall} = this.dependencies;
     const reason = unavailabilityReason(this.dependencies);
+    if (reason === 'node-leaving') {
+      return this.readNested(unread, arrivedAt);
+    }
     if (reason !== undefined) {
       refuseRequest(this.dependencies, unread, reason);
       return undefined;
     }
     const read = await this.readConfirmed(unread.request);
     if (read.ok) {
-      return read.value;
+      return nestedCall(arrivedAt, read.value, parentCall);
     }
     this.refuseUnrouted(unread, read.failure);
     return undefined;
   }
 
+  /**
+   * A node that takes no more calls still takes those of a call that runs on its
+   * box: that one could not end without them.
+   */
+  private readNested(
+    unread: UnreadRequest,
+    arrivedAt: number,
+  ): CallerRequest | undefined {
+    const {protocol, parentCall} = this.dependencies;
+    const read = protocol.read(unread.request);
+    const call = read.ok
+      ? nestedCall(arrivedAt, read.value, parentCall)
+      : undefined;
+    if (call?.isNested === true) {
+      return call;
+    }
+    this.connections.endAfter(unread.request, unread.response);
+    refuseRequest(this.dependencies, unread, 'node-leaving');
+    return undefined;
+  }
+
   /** Refuses a key as unknown only after a check against the newest keys. */
   private async readConfirmed(
     request: IncomingMessage,
--- a/packages/node/src/request/entryService.ts
+++ b/packages/node/src/request/entryService.ts
@@ -51,7 +51,11 @@
 
   constructor(private readonly dependencies: EntryServiceDependencies) {
     this.admission = new CallAdmission(dependencies);
-    this.receiver = new CallReceiver(dependencies, this.admission);
+    this.receiver = new CallReceiver(
+      dependencies,
+      this.admission,
+      this.connections,
+    );
     const {clock, answerMemory, onCut} = dependencies;
     this.deadlines = new CallDeadlines({
       clock,
