--- a/packages/node/src/process/runFleetNode.ts
+++ b/packages/node/src/process/runFleetNode.ts
@@ -11,7 +11,11 @@
 import {listenOn} from '../connection/addressListeners.js';
 import type {RequestHandler} from '../connection/httpServer.js';
 import type {GivenUpCalls} from '../request/givenUpCalls.js';
-import {LAST_ANSWERS_MILLISECONDS, drainCalls} from './drainCalls.js';
+import {
+  LAST_ANSWERS_MILLISECONDS,
+  UNSTARTED_CHECK_MILLISECONDS,
+  drainCalls,
+} from './drainCalls.js';
 import type {StopResult} from './drainCalls.js';
 import {FLEET_TOKENS, versionNews} from './fleetComposition.js';
 import type {FleetHost} from './fleetHost.js';
@@ -82,9 +86,6 @@
  */
 const REFOLLOW_INTERVAL_MILLISECONDS = 300;
 
-/** Interval between checks for waiting calls that the stop comes too soon for. */
-const UNSTARTED_CHECK_MILLISECONDS = 50;
-
 /** Interval between log lines on the traffic between data centres. */
 const TRAFFIC_LOG_INTERVAL_MILLISECONDS = 5000;
 
@@ -107,11 +108,11 @@
   const host = container.resolve(FLEET_TOKENS.host);
   const remote = container.resolve(FLEET_TOKENS.remote);
   const listeners = container.resolve(FLEET_TOKENS.listeners);
-  const stopping: StopState = {isStopping: false, closesConnections: false};
+  const stopping: StopState = {isStopping: false};
   const callers = createFleetHttpServer(
     container,
     'callers',
-    callerHandler(container, stopping),
+    callerHandler(container),
   );
   startHost(container, callers);
   const peerListener = listenForPeers(container);
@@ -212,21 +213,11 @@
 interface StopState {
   /** Whether callers are told to use other nodes. */
   isStopping: boolean;
-  /** Whether each answer closes its connection. */
-  closesConnections: boolean;
 }
 
-function callerHandler(
-  container: DependencyContainer,
-  stopping: Readonly<StopState>,
-): RequestHandler {
+function callerHandler(container: DependencyContainer): RequestHandler {
   const entry = container.resolve(FLEET_TOKENS.entryService);
-  return (request, response) => {
-    if (stopping.closesConnections) {
-      response.shouldKeepAlive = false;
-    }
-    void entry.serve(request, response);
-  };
+  return (request, response) => void entry.serve(request, response);
 }
 
 /**
@@ -258,14 +249,12 @@
   await delay(LEAVE_DELAY_MILLISECONDS);
   host.leave(stop);
   await delay(Math.max(0, stop.callersGoneAt - steadyClock()));
-  stopping.closesConnections = true;
-  // A connection without a request yet counts as busy and stays open.
+  // The calls that run on this box may still make calls of their own here.
   host.refuseNewCalls();
-  callers.close();
-  callers.closeIdleConnections();
   const result = await endCalls(container, stop);
   stopChecks();
   // Immediately after the last call, so that no new call can arrive.
+  callers.close();
   callers.closeAllConnections();
   container.resolve(FLEET_TOKENS.peerServer).stop();
   container.resolve(FLEET_TOKENS.channels).close();
