Malformed bytes of a caller never stand in the place of an answer

Seen by callers: a caller whose bytes behind a request were no HTTP got "400, not-run" in the place of the answer to the request before, which ran; if that answer had begun, the 400 stood in its middle, where a body of a known length takes it for its own bytes. The same within a body in chunks whose call ran, and, by reading, for the time limit of a head that arrives behind a long answer. A caller that sent a lot of such bytes was reset and could lose the 400.

Cause: the handler of invalid input wrote its answer whatever was in progress on the connection.

Now, behind requests in progress, the connection closes after their answers, and says so if the last has not begun; within a body it closes, and the call ends as one whose caller has left; alone, the 400 is sent and the connection is ended and read within the same bounds as after an early answer. These moved to closingConnections.ts.

--- a/packages/node/src/__tests__/requestRest.test.ts
+++ b/packages/node/src/__tests__/requestRest.test.ts
@@ -11,9 +11,9 @@
   DROPPED_REST_MILLISECONDS,
   bytesToCome,
   dropRest,
-  isClosing,
   prepareAnswer,
 } from '../request/requestRest.js';
+import {isClosing} from '../connection/closingConnections.js';
 import {EntryClient, until} from './__fixtures__/entryFixture.js';
 
 /** Longer than any connection that is being closed is read. */
--- a/packages/node/src/connection/httpServer.ts
+++ b/packages/node/src/connection/httpServer.ts
@@ -2,9 +2,15 @@
 /** Starts HTTP servers. */
 
 import {createServer} from 'node:http';
-import type {Server} from 'node:http';
+import type {Server, ServerResponse} from 'node:http';
+import type {Socket} from 'node:net';
 import type {Duplex} from 'node:stream';
 import {listenOn} from './addressListeners.js';
+import {
+  closeAfterAnswer,
+  closeWhenRead,
+  isClosing,
+} from './closingConnections.js';
 import {guardRequests} from './guardedRequests.js';
 import type {
   GuardedRequestsOptions,
@@ -21,8 +27,8 @@
  */
 const MAXIMUM_HEADERS_BYTES = 32 * 1024;
 
-/** Time for the other end of invalid HTTP to read its answer and close. */
-const LINGER_MILLISECONDS = 1000;
+/** The latest response on each connection; answers are sent in order. */
+type LatestResponses = WeakMap<Socket, ServerResponse>;
 
 /** Options of a server; by default, its problems are not reported. */
 export interface HttpServerOptions extends Partial<GuardedRequestsOptions> {
@@ -42,6 +48,8 @@
     ...options
   }: HttpServerOptions = {},
 ): Server {
+  const latest: LatestResponses = new WeakMap();
+  const serve = guardRequests(handler, {...options, onProblem});
   const server = createServer(
     {
       maxHeaderSize: MAXIMUM_HEADERS_BYTES,
@@ -50,9 +58,14 @@
       requestTimeout: 0,
       noDelay: true,
     },
-    guardRequests(handler, {...options, onProblem}),
+    (request, response) => {
+      latest.set(request.socket, response);
+      serve(request, response);
+    },
+  );
+  server.on('clientError', (error, socket: Duplex) =>
+    answerBadRequest(error, socket as Socket, latest.get(socket as Socket)),
   );
-  server.on('clientError', answerBadRequest);
   if (maximumConnections !== undefined) {
     server.maxConnections = maximumConnections;
   }
@@ -76,12 +89,42 @@
   return server;
 }
 
-/** Answers invalid HTTP with an error response and closes the connection. */
-function answerBadRequest(error: NodeJS.ErrnoException, socket: Duplex): void {
-  if (error.code === 'ECONNRESET' || !socket.writable) {
+/**
+ * Answers invalid HTTP with an error response and closes the connection. What
+ * is invalid behind requests that are in progress only closes it, after their
+ * answers.
+ */
+function answerBadRequest(
+  error: NodeJS.ErrnoException,
+  socket: Socket,
+  latest: ServerResponse | undefined,
+): void {
+  if (error.code === 'ECONNRESET' || socket.destroyed) {
     socket.destroy();
+  } else if (isClosing({socket})) {
+    // What still arrives is only read until the client has closed.
     return;
+  } else if (latest !== undefined && !latest.writableFinished) {
+    closeBehind(socket, latest);
+  } else {
+    sendBadRequest(error, socket);
+    closeWhenRead(socket);
+  }
+}
+
+/** Closes a connection after its latest answer, which is not sent yet. */
+function closeBehind(socket: Socket, latest: ServerResponse): void {
+  if (!latest.req.complete) {
+    // The invalid part is that of its body.
+    socket.destroy();
+  } else {
+    latest.shouldKeepAlive = false;
+    closeAfterAnswer(socket);
+    latest.once('finish', () => socket.destroySoon());
   }
+}
+
+function sendBadRequest(error: NodeJS.ErrnoException, socket: Socket): void {
   const isTooLarge = error.code === 'HPE_HEADER_OVERFLOW';
   const status = isTooLarge
     ? '431 Request Header Fields Too Large'
@@ -93,12 +136,9 @@
     reason: 'request-malformed',
     outcome: 'not-run',
   });
-  socket.end(
+  socket.write(
     `HTTP/1.1 ${status}\r\ncontent-type: application/problem+json\r\n` +
       `lockpin-outcome: not-run\r\nlockpin-reason: request-malformed\r\n` +
       `content-length: ${Buffer.byteLength(body)}\r\nconnection: close\r\n\r\n${body}`,
   );
-  // The other end may never close its side.
-  const linger = setTimeout(() => socket.destroy(), LINGER_MILLISECONDS);
-  socket.once('close', () => clearTimeout(linger));
 }
--- a/packages/node/src/request/callReceiver.ts
+++ b/packages/node/src/request/callReceiver.ts
@@ -5,6 +5,7 @@
 import type {Admission} from '@lockpin/limits';
 import type {Result} from '@lockpin/types';
 import {failure} from '@lockpin/utils';
+import {isClosing} from '../connection/closingConnections.js';
 import type {CallAdmission} from './callAdmission.js';
 import {readBodyFor} from './callerBody.js';
 import type {CallerConnections} from './callerConnections.js';
@@ -13,7 +14,6 @@
 import {unavailabilityReason, refuseRequest} from './earlyRefusals.js';
 import type {EntryServiceDependencies} from './entryServiceDependencies.js';
 import {nestedCall} from './nestedCall.js';
-import {isClosing} from './requestRest.js';
 
 /** A request accepted as a call. */
 export interface ReceivedCall {
