Peers: a connection holds a bounded number of bytes, both ways

Cause: a peer that sends requests or probes and reads no reply was read on without end, and the replies waited in memory: four such connections grew a node by 300 MB a second (2486 MB after 8 s; a box has 350), also when they read more slowly than they sent (1567 MB). Each connection may also hold the beginning of a message of 4 MB: a hundred of them held 472 MB. Change: a server reads no more from a client for which 2 MB are unsent, until that has read them; clients always read, so that two nodes can't wait for each other. A connection with 32 MB unsent is closed (messages-unread). While all connections hold more than 32 MB of incomplete messages, the one that holds the most is closed (memory-exhausted), so that sound ones stay.

--- a/packages/node/src/connection/peerChannels.ts
+++ b/packages/node/src/connection/peerChannels.ts
@@ -152,6 +152,7 @@
         onPreface: () => void this.failedConnects.delete(address),
         onConnectFailed: () => this.connectFailed(address),
         onViolation: (violation) => onViolation?.(address, violation),
+        onHeld: () => this.sockets.boundHeldBytes(),
         onClosed: () => this.sockets.delete(socket),
       },
       method,
--- a/packages/node/src/connection/peerPacketReader.ts
+++ b/packages/node/src/connection/peerPacketReader.ts
@@ -31,6 +31,11 @@
   private waiting: Buffer[] = [];
   private waitingBytes = 0;
 
+  /** Size of the bytes that were received and not read. */
+  get heldBytes(): number {
+    return this.current.length - this.offset + this.waitingBytes;
+  }
+
   /** Adds received bytes. */
   push(bytes: Buffer): void {
     if (this.offset === this.current.length) {
--- a/packages/node/src/connection/peerProbes.ts
+++ b/packages/node/src/connection/peerProbes.ts
@@ -20,6 +20,12 @@
   return silentTicks >= DROP_TICKS ? 'drop' : 'none';
 }
 
+/**
+ * Bytes of incomplete messages that all connections hold together: eight of the
+ * longest messages.
+ */
+export const MAXIMUM_HELD_BYTES = 32 * 1024 * 1024;
+
 /** Calls a function periodically; returns a function that stops it. */
 export type StartTicks = (tick: () => void) => () => void;
 
@@ -56,6 +62,19 @@
     this.sockets.delete(socket);
   }
 
+  /** Closes the connection that holds the most bytes while all hold too many. */
+  boundHeldBytes(): void {
+    let held = 0;
+    let most: PeerSocket | undefined;
+    for (const socket of this.sockets) {
+      held += socket.heldBytes;
+      most = (most?.heldBytes ?? 0) >= socket.heldBytes ? most : socket;
+    }
+    if (held > MAXIMUM_HELD_BYTES) {
+      most?.rejectHeld();
+    }
+  }
+
   /** Ends all connections. */
   stop(): void {
     this.stopTicks?.();
--- a/packages/node/src/connection/peerProtocol.ts
+++ b/packages/node/src/connection/peerProtocol.ts
@@ -50,7 +50,11 @@
   | 'unknown-method'
   | 'unknown-packet'
   | 'message-too-long'
-  | 'malformed-message';
+  | 'malformed-message'
+  /** It does not read what is sent to it. */
+  | 'messages-unread'
+  /** All connections hold too many bytes of messages, and it holds the most. */
+  | 'memory-exhausted';
 
 /** Writes the preface of a connection to the start of a buffer. */
 export function writePreface(target: Buffer, method: PeerMethod): void {
--- a/packages/node/src/connection/peerServer.ts
+++ b/packages/node/src/connection/peerServer.ts
@@ -108,6 +108,7 @@
       },
       onViolation: (violation) =>
         this.options.onViolation?.(`${remoteAddress}:${remotePort}`, violation),
+      onHeld: () => this.sockets.boundHeldBytes(),
       onClosed: () => {
         this.sockets.delete(opened);
         if (requests !== undefined) {
--- a/packages/node/src/connection/peerSocket.ts
+++ b/packages/node/src/connection/peerSocket.ts
@@ -17,6 +17,15 @@
 /** Unsent bytes from which writers are asked to pause. */
 const HIGH_WATER_BYTES = 64 * 1024;
 
+/**
+ * Unsent bytes from which a server reads no more from a client: what it would
+ * reply to that would have to wait, too. Clients read on in any case.
+ */
+const HOLD_BACK_BYTES = 2 * 1024 * 1024;
+
+/** Unsent bytes from which a connection is closed: its other end reads nothing. */
+const MAXIMUM_UNSENT_BYTES = 32 * 1024 * 1024;
+
 /** Events of the connection under a stream. */
 export interface PeerSocketEvents {
   /** The preface of the other end was read; a server then sets the handlers. */
@@ -24,6 +33,8 @@
   /** No connection was established, or to a server of another protocol. */
   readonly onConnectFailed?: () => void;
   readonly onViolation: (violation: PeerViolation) => void;
+  /** Bytes of a message were received that is not complete. */
+  readonly onHeld?: () => void;
   /** The stream is over; its connection may still send what was written. */
   readonly onClosed: () => void;
 }
@@ -37,6 +48,8 @@
   private isFlushScheduled = false;
   private isDrainAwaited = false;
   private isPaused = false;
+  /** Nothing is read since too much is unsent. */
+  private isHeldBack = false;
   private isDelivering = false;
   private isEstablished: boolean;
   private hasEnded = false;
@@ -54,7 +67,7 @@
   ) {
     this.isEstablished = !socket.connecting;
     socket.on('data', (bytes: Buffer) => this.receiveBytes(bytes));
-    socket.on('drain', () => this.reportDrain());
+    socket.on('drain', () => this.handleSent());
     socket.on('error', () => undefined); // followed by 'close'
     socket.on('close', () => this.close());
     if (!this.isEstablished) {
@@ -67,6 +80,11 @@
     }
   }
 
+  /** Size of what was received of messages that are not complete. */
+  get heldBytes(): number {
+    return this.reader.heldBytes;
+  }
+
   handle(handlers: PeerStreamHandlers): void {
     this.handlers = handlers;
   }
@@ -81,8 +99,7 @@
       return true;
     }
     this.send(message);
-    const unsent = this.outgoing.bytes + this.socket.writableLength;
-    const hasRoom = unsent < HIGH_WATER_BYTES;
+    const hasRoom = this.unsentBytes < HIGH_WATER_BYTES;
     // A later write that has room must not take the drain from an earlier one.
     this.isDrainAwaited ||= !hasRoom;
     return hasRoom;
@@ -96,10 +113,7 @@
   resume(): void {
     if (this.isPaused && !this.isClosed) {
       this.isPaused = false;
-      this.deliver();
-      if (!this.isPaused) {
-        this.socket.resume();
-      }
+      this.readOn();
     }
   }
 
@@ -130,6 +144,11 @@
     this.fail('malformed-message', this.isEstablished);
   }
 
+  /** Closes the connection, which holds too many bytes of messages. */
+  rejectHeld(): void {
+    this.fail('memory-exhausted', this.isEstablished);
+  }
+
   /** Called at equal intervals; probes a silent connection, then drops it. */
   tick(): void {
     if (this.isClosed || !this.isEstablished) {
@@ -164,6 +183,10 @@
   /** Queues a packet; all packets of an event-loop turn are written at once. */
   private send(packet: OutgoingPacket): void {
     this.outgoing.add(packet);
+    if (this.unsentBytes > MAXIMUM_UNSENT_BYTES) {
+      this.fail('messages-unread', this.isEstablished);
+      return;
+    }
     if (!this.isFlushScheduled) {
       this.isFlushScheduled = true;
       process.nextTick(this.flushNow);
@@ -183,10 +206,44 @@
     }
     // A write that succeeds at once is not followed by 'drain'.
     if (this.socket.write(this.outgoing.take(method))) {
-      this.reportDrain();
+      this.handleSent();
+    }
+  }
+
+  /** Size of what was written and is not with the system yet. */
+  private get unsentBytes(): number {
+    return this.outgoing.bytes + this.socket.writableLength;
+  }
+
+  private handleSent(): void {
+    this.reportDrain();
+    if (this.isHeldBack && this.unsentBytes < HOLD_BACK_BYTES) {
+      this.isHeldBack = false;
+      this.readOn();
+    }
+  }
+
+  /** Delivers what was received, then reads on. */
+  private readOn(): void {
+    this.deliver();
+    if (!this.isPaused && !this.isHeldBack) {
+      this.socket.resume();
     }
   }
 
+  /** Holds a client back that does not read what is sent to it. */
+  private holdBack(): boolean {
+    if (
+      this.clientMethod === undefined &&
+      this.unsentBytes >= HOLD_BACK_BYTES &&
+      !this.isHeldBack
+    ) {
+      this.isHeldBack = true;
+      this.socket.pause();
+    }
+    return this.isHeldBack;
+  }
+
   private reportDrain(): void {
     if (this.isDrainAwaited && !this.hasEnded && !this.isClosed) {
       this.isDrainAwaited = false;
@@ -200,6 +257,9 @@
       this.reader.push(bytes);
       this.deliver();
     }
+    if (!this.isClosed && this.reader.heldBytes > bytes.length) {
+      this.events.onHeld?.();
+    }
   }
 
   /** Delivers what was received until a handler pauses the stream. */
@@ -209,7 +269,7 @@
     }
     this.isDelivering = true;
     try {
-      while (!this.isPaused && !this.isClosed) {
+      while (!this.isPaused && !this.isClosed && !this.holdBack()) {
         const read = this.reader.next();
         if (read === undefined) {
           break;
