Callers: bodies that arrive in part hold a bounded number of bytes

Change: HeldBodies counts the bytes of bodies that have not arrived whole; beyond 64 MB the body that has been arriving for the longest is refused (memory-exhausted, 503, not run), which closes its connection. Sound callers send such a body within milliseconds and are not reached.

--- a/packages/node/src/request/callReceiver.ts
+++ b/packages/node/src/request/callReceiver.ts
@@ -11,6 +11,7 @@
 import type {CallerRequest, UnroutedRequest} from './callerRequest.js';
 import {unavailabilityReason, refuseRequest} from './earlyRefusals.js';
 import type {EntryServiceDependencies} from './entryServiceDependencies.js';
+import {HeldBodies} from './heldBodies.js';
 import {nestedCall} from './nestedCall.js';
 
 /** A request accepted as a call. */
@@ -24,6 +25,8 @@
 
 /** Reads requests and refuses those that cannot become calls. */
 export class CallReceiver {
+  private readonly bodies = new HeldBodies();
+
   constructor(
     private readonly dependencies: EntryServiceDependencies,
     private readonly admission: CallAdmission,
@@ -105,10 +108,17 @@
     call: CallerRequest,
   ): Promise<ArrivedRequest['body'] | undefined> {
     const {largestBodyBytes} = this.dependencies;
-    const body = await readBodyFor(request, call, largestBodyBytes());
-    if (body.kind === 'too-large') {
+    const body = await readBodyFor(
+      request,
+      call,
+      largestBodyBytes(),
+      this.bodies,
+    );
+    if (body.kind === 'too-large' || body.kind === 'slow') {
       const partlyRead = {response, requestId};
-      refuseRequest(this.dependencies, partlyRead, 'body-too-large');
+      const reason =
+        body.kind === 'slow' ? 'memory-exhausted' : 'body-too-large';
+      refuseRequest(this.dependencies, partlyRead, reason);
       return undefined;
     }
     return body.kind === 'cut' || response.destroyed ? undefined : body;
--- a/packages/node/src/request/callerBody.ts
+++ b/packages/node/src/request/callerBody.ts
@@ -4,6 +4,7 @@
 import type {IncomingMessage} from 'node:http';
 import {BODY_BUFFER_LIMIT_BYTES, ONCE_BODY_LIMIT_BYTES} from './bodyLimits.js';
 import type {CallerRequest} from './callerRequest.js';
+import type {HeldBodies} from './heldBodies.js';
 import {peekBody} from './peekBody.js';
 import {readBody} from './readBody.js';
 
@@ -25,6 +26,8 @@
   /** Passed on as it arrives; no beginning when that did not arrive in time. */
   | {readonly kind: 'streamed'; readonly beginning: Buffer | undefined}
   | {readonly kind: 'too-large'}
+  /** Others need the memory for it, and it arrives the most slowly. */
+  | {readonly kind: 'slow'}
   | {readonly kind: 'cut'};
 
 /** Reads the whole body when it is short enough to be buffered. */
@@ -32,13 +35,14 @@
   request: IncomingMessage,
   call: CallerRequest,
   largestBodyBytes: number,
+  bodies: HeldBodies,
 ): Promise<CallerBody> {
   const length = Number(request.headers['content-length'] ?? Number.NaN);
   if (length > largestBodyBytes) {
     return {kind: 'too-large'};
   }
   if (call.onceKey !== undefined) {
-    return held(await readBody(request, ONCE_BODY_LIMIT_BYTES));
+    return held(await readBody(request, ONCE_BODY_LIMIT_BYTES, bodies));
   }
   if ('transfer-encoding' in request.headers) {
     return peeked(request, BODY_BUFFER_LIMIT_BYTES + 1);
@@ -47,11 +51,11 @@
     return {kind: 'held', bytes: EMPTY};
   }
   return length <= BODY_BUFFER_LIMIT_BYTES
-    ? held(await readBody(request, BODY_BUFFER_LIMIT_BYTES))
+    ? held(await readBody(request, BODY_BUFFER_LIMIT_BYTES, bodies))
     : peeked(request, BEGINNING_BYTES);
 }
 
-function held(read: Buffer | 'too-large' | 'cut'): CallerBody {
+function held(read: Buffer | 'too-large' | 'cut' | 'slow'): CallerBody {
   return typeof read === 'string' ? {kind: read} : {kind: 'held', bytes: read};
 }
 
--- a/packages/node/src/request/wireCodes.ts
+++ b/packages/node/src/request/wireCodes.ts
@@ -88,6 +88,7 @@
     'request-quarantined': 41,
     'upstream-over-limit': 42,
     'nested-busy': 43,
+    'memory-exhausted': 44,
   },
   'guard-lost',
 );
--- a/packages/types/src/refusals.ts
+++ b/packages/types/src/refusals.ts
@@ -38,6 +38,8 @@
   /** A service that the call is likely to call has no capacity for it. */
   | 'nested-busy'
   | 'queue-full'
+  /** Its body arrived more slowly than others that needed the memory. */
+  | 'memory-exhausted'
   | 'customer-over-share'
   | 'retries-exhausted'
   | 'deadline-too-short'
