Requests wait behind an answer that may break off

Cause: every request of a connection began at once, also behind one whose answer is passed on as it arrives; such an answer can only break off by closing the connection. The same for one that breaks off before its turn, and for requests that arrive between that and the close.

Now a request is let in once no answer before it on its connection can break off any more (ConnectionTurns): one that is held until it is whole cannot; whether the next one will be is told by the route's answers so far (RouteAnswers), and a route without any counts as one with long answers. Its time counts from its arrival.

Open: requests that began behind the first long answer of a route whose answers had been short.

--- a/packages/node/src/__tests__/__fixtures__/entryFixture.ts
+++ b/packages/node/src/__tests__/__fixtures__/entryFixture.ts
@@ -66,6 +66,8 @@
   readonly attempts: PlayedAttempt[] = [];
   /** Whether the entry serves requests. */
   isReady = true;
+  /** The time limit of calls. */
+  waitMilliseconds = 5000;
   private readonly clients: EntryClient[] = [];
   private server: Server | undefined;
 
@@ -152,7 +154,7 @@
         method: '*',
         pathPrefix: '/',
         repetition: this.repetition,
-        waitMilliseconds: 5000,
+        waitMilliseconds: this.waitMilliseconds,
         priority: 1,
         retryShare: 0.2,
         onceKeyHeader: '',
@@ -174,7 +176,7 @@
       keyOwner: undefined,
       caller: '',
       path: request.url ?? '/',
-      waitMilliseconds: 5000,
+      waitMilliseconds: this.waitMilliseconds,
       onceKey: undefined,
       isFirstWithKey: false,
       isCallersRetry: false,
--- a/packages/node/src/request/callReceiver.ts
+++ b/packages/node/src/request/callReceiver.ts
@@ -42,13 +42,13 @@
   async receive(
     request: IncomingMessage,
     response: ServerResponse,
+    arrivedAt: number,
   ): Promise<ReceivedCall | undefined> {
-    if (isClosing(request)) {
+    if (isClosing(request) || request.socket.destroyed) {
       request.resume();
       return undefined;
     }
-    const {clock, protocol} = this.dependencies;
-    const arrivedAt = clock();
+    const {protocol} = this.dependencies;
     const requestId = protocol.requestId(request);
     const unread = {request, response, requestId};
     const call = await this.readCall(unread, arrivedAt);
--- a/packages/node/src/request/callerAnswer.ts
+++ b/packages/node/src/request/callerAnswer.ts
@@ -3,6 +3,7 @@
 
 import type {IncomingMessage, ServerResponse} from 'node:http';
 import type {Refusal} from '@lockpin/types';
+import {closeAfterAnswer} from '../connection/closingConnections.js';
 import {hasLength, lengthOfWhole} from './answerLength.js';
 import type {CallerConnections} from './callerConnections.js';
 import type {CallerProtocol} from './callerProtocol.js';
@@ -111,6 +112,8 @@
   destroy(): void {
     const {response} = this.options;
     this.isEnded = true;
+    // The connection may close later, after answers to earlier requests.
+    closeAfterAnswer(response.req.socket);
     if (this.isCloseDelimited) {
       // A closed connection alone would look like the end of the answer.
       response.socket?.resetAndDestroy();
--- a/packages/node/src/request/callerExchange.ts
+++ b/packages/node/src/request/callerExchange.ts
@@ -18,6 +18,7 @@
 import type {CallerConnections} from './callerConnections.js';
 import type {CallerRequest} from './callerRequest.js';
 import type {AnswerHead, CallHead, FlatHeaders} from './frames.js';
+import type {Turn} from './connectionTurns.js';
 import {dropRest, prepareAnswer} from './requestRest.js';
 
 /** A request that became a call. */
@@ -34,6 +35,8 @@
 /** What a call needs from the entry service. */
 export interface CallerExchangeOptions {
   readonly protocol: CallerProtocol;
+  /** Its turn among the requests of its connection. */
+  readonly turn: Turn;
   /** Called for an answer that only the end of its connection ends. */
   readonly onCloseDelimited: (response: ServerResponse) => void;
   /** The first part of a streamed body is about to be sent. */
@@ -111,6 +114,10 @@
     return this.sender === undefined;
   }
 
+  get turn(): Turn {
+    return this.options.turn;
+  }
+
   /** The attempt whose guard is waited for. */
   get currentAttempt(): CallAttempt | undefined {
     return this.current;
--- a/packages/node/src/request/entryService.ts
+++ b/packages/node/src/request/entryService.ts
@@ -17,6 +17,8 @@
 import type {CallRecord} from './attemptHistory.js';
 import {CallReceiver} from './callReceiver.js';
 import type {ReceivedCall} from './callReceiver.js';
+import {ConnectionTurns} from './connectionTurns.js';
+import type {Turn} from './connectionTurns.js';
 import {refuseRequest} from './earlyRefusals.js';
 import type {RefusedRequest} from './earlyRefusals.js';
 import {computeRequestDigest, entryCall} from './entryCall.js';
@@ -25,6 +27,7 @@
 import {freshKeyHeader, mintOnceKeyFor} from './freshOnceKeys.js';
 import {countGivenUp, nothingGivenUp} from './givenUpCalls.js';
 import type {GivenUpCalls} from './givenUpCalls.js';
+import {RouteAnswers} from './routeAnswers.js';
 import {UnsentAnswers} from './unsentAnswers.js';
 
 export type {EntryServiceDependencies} from './entryServiceDependencies.js';
@@ -34,6 +37,8 @@
 /** Serves callers' calls, each until its answer or refusal. */
 export class EntryService {
   private readonly exchanges = new Map<string, CallerExchange>();
+  private readonly turns = new ConnectionTurns();
+  private readonly routeAnswers = new RouteAnswers();
   private readonly closeDelimited = new CloseDelimitedAnswers();
   private readonly finishing = new FinishingAnswers();
   private readonly attempts: AttemptRunner;
@@ -82,25 +87,46 @@
     return this.finishing.callCount;
   }
 
-  /** Serves one request to its end. */
-  async serve(
+  /** Serves one request to its end, once it may be. */
+  serve(request: IncomingMessage, response: ServerResponse): Promise<void> {
+    const arrivedAt = this.dependencies.clock();
+    return new Promise((resolve) =>
+      this.turns.enter(request.socket, (turn) =>
+        resolve(this.serveInTurn(request, response, arrivedAt, turn)),
+      ),
+    );
+  }
+
+  private async serveInTurn(
     request: IncomingMessage,
     response: ServerResponse,
+    arrivedAt: number,
+    turn: Turn,
   ): Promise<void> {
     const requestId = this.dependencies.protocol.requestId(request);
     const unread: Required<RefusedRequest> = {request, response, requestId};
     if (!this.connections.received(request, response)) {
       refuseRequest(this.dependencies, unread, 'node-leaving');
+      turn.settled();
       return;
     }
     this.receiving.add(unread);
     try {
-      const received = await this.receiver.receive(request, response);
+      const received = await this.receiver.receive(
+        request,
+        response,
+        arrivedAt,
+      );
       // It was refused meanwhile if the stop limit came first.
-      if (received !== undefined && !response.writableEnded) {
-        this.startCall(received);
+      if (received === undefined || response.writableEnded) {
+        turn.settled();
+      } else {
+        const {route} = received.arrived.call;
+        this.startCall(received, turn);
+        turn.started(this.routeAnswers.mayBreakOff(route.name));
       }
     } catch (error) {
+      turn.settled();
       // An internal error ends only this call: its connection is closed.
       const detail = String((error as Error).stack);
       this.dependencies.logger.error(
@@ -138,7 +164,7 @@
     return mintOnceKeyFor(this.dependencies, view);
   }
 
-  private startCall({arrived, pending}: ReceivedCall): void {
+  private startCall({arrived, pending}: ReceivedCall, turn: Turn): void {
     const {protocol, mayBeRepeat} = this.dependencies;
     const {request, response, call, body, arrivedAt} = arrived;
     const digest = computeRequestDigest(request, call, body);
@@ -146,6 +172,7 @@
     const id = String(this.serial);
     const exchange = new CallerExchange(id, arrived, digest, {
       protocol,
+      turn,
       onCloseDelimited: (answer) => this.closeDelimited.add(answer),
       onBodyBegun: (callId) => this.handle({kind: 'body-begun', callId}),
     });
@@ -328,6 +355,11 @@
     const {metrics, clock} = this.dependencies;
     metrics.increment('calls.answered');
     metrics.timing('calls.milliseconds', exchange.age(clock()));
+    const {name} = exchange.call.route;
+    this.routeAnswers.answered(name, !head.hasMore);
+    if (head.hasMore) {
+      exchange.turn.begun();
+    }
     exchange.answer.sendHead(head);
     this.countUnsent(exchange);
     this.recordEnd(exchange, 'answered', '');
@@ -420,5 +452,6 @@
     clearTimeout(exchange.deadlineTimer);
     exchange.clearTimers();
     this.exchanges.delete(exchange.id);
+    exchange.turn.settled();
   }
 }
