One place knows which connections of callers are closing

Cause: planned stops and early answers each had a set of connections that end after an answer, merged from two parts; a request on one of them was refused as node-leaving though its answer is never sent. Change: CallerConnections asks and marks closingConnections; what comes on such a connection is read and dropped, without a refusal. Result: 717 tests of node and of the platform's stops pass, as before.

--- a/packages/node/src/request/callReceiver.ts
+++ b/packages/node/src/request/callReceiver.ts
@@ -5,7 +5,6 @@
 import type {Admission} from '@lockpin/limits';
 import type {Result} from '@lockpin/types';
 import {failure} from '@lockpin/utils';
-import {isClosing} from '../connection/closingConnections.js';
 import type {CallAdmission} from './callAdmission.js';
 import {readBodyFor} from './callerBody.js';
 import type {CallerConnections} from './callerConnections.js';
@@ -35,19 +34,12 @@
     private readonly connections: CallerConnections,
   ) {}
 
-  /**
-   * Undefined when the request was refused, its caller has disconnected or its
-   * connection closes after an earlier answer.
-   */
+  /** Undefined when the request was refused or its caller has disconnected. */
   async receive(
     request: IncomingMessage,
     response: ServerResponse,
     arrivedAt: number,
   ): Promise<ReceivedCall | undefined> {
-    if (isClosing(request) || request.socket.destroyed) {
-      request.resume();
-      return undefined;
-    }
     const {protocol} = this.dependencies;
     const requestId = protocol.requestId(request);
     const unread = {request, response, requestId};
--- a/packages/node/src/request/callerConnections.ts
+++ b/packages/node/src/request/callerConnections.ts
@@ -3,6 +3,7 @@
 
 import type {IncomingMessage, ServerResponse} from 'node:http';
 import type {Socket} from 'node:net';
+import {closeAfterAnswer, isClosing} from '../connection/closingConnections.js';
 
 /**
  * Knows which connections end after an answer. Requests may be pipelined: what
@@ -10,11 +11,11 @@
  */
 export class CallerConnections {
   private readonly newest = new WeakMap<Socket, ServerResponse>();
-  private readonly ending = new WeakSet<Socket>();
 
   /** Counts a request; false if its connection ends before its answer. */
-  received({socket}: IncomingMessage, response: ServerResponse): boolean {
-    if (this.ending.has(socket)) {
+  received(request: IncomingMessage, response: ServerResponse): boolean {
+    const {socket} = request;
+    if (isClosing(request) || socket.destroyed) {
       return false;
     }
     this.newest.set(socket, response);
@@ -27,8 +28,8 @@
    */
   endAfter({socket}: IncomingMessage, response: ServerResponse): void {
     if (this.newest.get(socket) === response) {
-      this.ending.add(socket);
       response.shouldKeepAlive = false;
+      closeAfterAnswer(socket);
     }
   }
 }
--- a/packages/node/src/request/entryService.ts
+++ b/packages/node/src/request/entryService.ts
@@ -103,13 +103,13 @@
     arrivedAt: number,
     turn: Turn,
   ): Promise<void> {
-    const requestId = this.dependencies.protocol.requestId(request);
-    const unread: Required<RefusedRequest> = {request, response, requestId};
     if (!this.connections.received(request, response)) {
-      refuseRequest(this.dependencies, unread, 'node-leaving');
+      request.resume();
       turn.settled();
       return;
     }
+    const requestId = this.dependencies.protocol.requestId(request);
+    const unread: Required<RefusedRequest> = {request, response, requestId};
     this.receiving.add(unread);
     try {
       const received = await this.receiver.receive(
