A log that nobody reads no longer keeps a node from ending

Operators whose runner starts nodes with a pipe as standard output and doesn't read it saw processes that had to be killed: the node serves, logs node-stopped after SIGTERM, closes its addresses and then never ends.

Cause: the log was written in the runtime's thread pool. A write to a full pipe blocks its thread, and process.exit waits for the threads (seen in a process of 5 lines: the main thread in pthread_join, one thread in anon_pipe_write). Every exit was affected: planned stops, and ends with code 3 or 4, which should be followed by a new start.

Pipes and sockets are now written by the event loop, which waits for room without a thread; files are written as before. If the output is of a kind that the event loop can't take, it is written as before too.

--- a/packages/node/src/process/boundedWriter.ts
+++ b/packages/node/src/process/boundedWriter.ts
@@ -1,7 +1,8 @@
 // Copyright (c) 2026 the lockpin contributors. MIT licence, see LICENSE.
 /** Writes lines to a file descriptor without blocking the event loop. */
 
-import {write} from 'node:fs';
+import {createOutput} from './logOutput.js';
+import type {Output} from './logOutput.js';
 
 /** Maximum size of the buffer for a slow reader; further lines are dropped. */
 const MAXIMUM_BUFFERED_BYTES = 256 * 1024;
@@ -17,7 +18,7 @@
   readonly dropped: number;
 }
 
-/** Writes one batch at a time, in the thread pool of the runtime. */
+/** Writes one batch at a time. */
 export class BoundedWriter {
   private pendingLines: string[] = [];
   private pendingBytes = 0;
@@ -25,6 +26,7 @@
   private timer: NodeJS.Timeout | undefined;
   private written = 0;
   private dropped = 0;
+  private output: Output | undefined;
 
   constructor(private readonly fileDescriptor: number) {}
 
@@ -60,8 +62,8 @@
   }
 
   /**
-   * Starts to write all buffered lines, for a process that is about to exit: the
-   * thread pool writes them even if no more events are handled.
+   * Starts to write all buffered lines, for a process that is about to exit: what
+   * the output takes now is written even if no more events are handled.
    */
   startLastWrite(): void {
     this.isWriting = false;
@@ -69,11 +71,8 @@
   }
 
   private writeAll(bytes: Buffer): void {
-    write(this.fileDescriptor, bytes, (error, count) => {
-      if (error === null && count < bytes.length) {
-        this.writeAll(bytes.subarray(count));
-        return;
-      }
+    this.output ??= createOutput(this.fileDescriptor);
+    this.output(bytes, (error) => {
       if (error !== null) {
         // The log itself cannot be written; only this counter shows it.
         this.dropped += 1;
