Lines of a start don't wait for a reader of the log

A node whose standard output is a pipe that is full, such as that of the processes before it with a reader that doesn't read, stood still at the first line of its start, e.g. for settings that came late: it never became ready, and took no signal but SIGKILL.

Lines to pipes and sockets now go through the stream of the process, as those of the decision log do: one stream for a descriptor, as the event loop watches it once. Lines to files are written as before.

Measured on x86-64: "starts although its settings are late" failed before ("timed out after 15 s", the process had to be killed) and passes after, with the end by SIGTERM during a start; 61 tests of 9 files around starts, stops and the log pass.

--- a/packages/node/src/process/logOutput.ts
+++ b/packages/node/src/process/logOutput.ts
@@ -27,15 +27,26 @@
   return fileOutput(fileDescriptor);
 }
 
-/** Waits for room in the event loop. */
+/**
+ * Waits for room in the event loop, which takes one stream for a descriptor: that
+ * of the process where it has one.
+ */
 function pipeOutput(fd: number): Output {
-  const socket = new Socket({fd, readable: false, writable: true});
-  // Each write is called back with its error.
-  socket.on('error', () => undefined);
-  socket.unref();
+  const socket =
+    fd === process.stdout.fd
+      ? process.stdout
+      : new Socket({fd, readable: false, writable: true}).unref();
+  if (!socket.listeners('error').includes(ignoreError)) {
+    socket.on('error', ignoreError);
+  }
   return (bytes, done) => socket.write(bytes, (error) => done(error ?? null));
 }
 
+/** Each write is called back with its error, too. */
+function ignoreError(): void {
+  return undefined;
+}
+
 /** Writes in the thread pool, as files can be slow, but always take bytes. */
 function fileOutput(fd: number): Output {
   const writeAll: Output = (bytes, done) =>
