Callers: a body in chunks ends at the largest size

Cause: a bound on what a message says of itself, not on its bytes; the class of the answers without end.

--- a/packages/brain/src/entry/entryMessages.ts
+++ b/packages/brain/src/entry/entryMessages.ts
@@ -106,9 +106,12 @@
   | {
       readonly kind: 'call-aborted';
       readonly callId: string;
-      /** Deadline passed, node shutting down, or request in quarantine. */
+      /** 'body-too-large': a streamed body, of which a part may have gone out. */
       readonly reason:
-        'deadline-passed' | 'node-leaving' | 'request-quarantined';
+        | 'body-too-large'
+        | 'deadline-passed'
+        | 'node-leaving'
+        | 'request-quarantined';
       /** False only when the current attempt cannot have started to run. */
       readonly wasSent: boolean;
     }
--- a/packages/brain/src/entry/entryStateMachine.ts
+++ b/packages/brain/src/entry/entryStateMachine.ts
@@ -313,11 +313,10 @@
     state: CallState,
     {reason, wasSent}: EntryEvent & {readonly kind: 'call-aborted'},
   ): readonly EntryAction[] {
-    this.feedback.attemptFailed(state, wasSent);
-    if (state.isAttempting) {
-      this.loads.linkFailed(state.upstream, now, random(), state.offeredAt);
-      state.mayHaveRun ||= wasSent;
+    if (reason !== 'body-too-large') {
+      this.attemptAborted(now, random, state, wasSent);
     }
+    state.mayHaveRun ||= state.isAttempting && wasSent;
     const {onceKey} = state.call;
     const cancels = this.overdueAttempts.cancelAll(state);
     this.overdueAttempts.clear(state);
@@ -331,4 +330,17 @@
         : this.calls.refuseOnceCall(state, reason);
     return [...cancels, ...refusal];
   }
+
+  /** An attempt had no result when its call ended, which its box answers for. */
+  private attemptAborted(
+    now: number,
+    random: RandomSource,
+    state: CallState,
+    wasSent: boolean,
+  ): void {
+    this.feedback.attemptFailed(state, wasSent);
+    if (state.isAttempting) {
+      this.loads.linkFailed(state.upstream, now, random(), state.offeredAt);
+    }
+  }
 }
--- a/packages/node/src/__tests__/__fixtures__/entryFixture.ts
+++ b/packages/node/src/__tests__/__fixtures__/entryFixture.ts
@@ -68,6 +68,8 @@
   isReady = true;
   /** The time limit of calls. */
   waitMilliseconds = 5000;
+  /** The largest body that callers may send. */
+  largestBodyBytes = 100_000_000;
   private readonly clients: EntryClient[] = [];
   private server: Server | undefined;
 
@@ -114,7 +116,7 @@
       ),
       logger: createLogger('error', {}),
       metrics: {increment: () => undefined, timing: () => undefined} as never,
-      largestBodyBytes: () => 100_000_000,
+      largestBodyBytes: () => this.largestBodyBytes,
       protocol: {
         requestId: () => 'id',
         read: (request) => success(this.callOf(request)),
--- a/packages/node/src/__tests__/bodySender.test.ts
+++ b/packages/node/src/__tests__/bodySender.test.ts
@@ -65,10 +65,12 @@
       const guards = [createGuard(), createGuard(), createGuard()];
       let begun = 0;
       let sent = '';
-      const sender = new BodySender(
-        request as unknown as IncomingMessage,
-        () => (begun += 1),
-      );
+      const sender = new BodySender({
+        request: request as unknown as IncomingMessage,
+        largestBytes: Number.POSITIVE_INFINITY,
+        onBegun: () => (begun += 1),
+        onTooLarge: () => undefined,
+      });
       for (const next of steps) {
         if (next.kind === 'arrive' && !request.writableEnded) {
           const part = String(sent.length).padEnd(next.bytes, '.');
--- a/packages/node/src/request/bodySender.ts
+++ b/packages/node/src/request/bodySender.ts
@@ -7,6 +7,17 @@
 /** Where a body goes. */
 type BodyExchange = Pick<Exchange, 'sendChunk' | 'sendEnd'>;
 
+/** The body of a request, and what becomes of it. */
+export interface BodySenderOptions {
+  readonly request: IncomingMessage;
+  /** Largest body that callers may send, also in chunks. */
+  readonly largestBytes: number;
+  /** The first part is about to go out. */
+  readonly onBegun: () => void;
+  /** The body is larger than it may be; nothing more of it goes out. */
+  readonly onTooLarge: () => void;
+}
+
 /**
  * The part of a body that was sent stays with the exchange that got it: another
  * exchange gets the whole body or nothing of it.
@@ -20,11 +31,7 @@
   private exchange: BodyExchange | undefined;
   private bytes = 0;
 
-  constructor(
-    private readonly request: IncomingMessage,
-    /** The first part is about to go out. */
-    private readonly onBegun: () => void,
-  ) {}
+  constructor(private readonly options: BodySenderOptions) {}
 
   /** Bytes of the body that were read from the caller. */
   get takenBytes(): number {
@@ -37,22 +44,23 @@
     if (this.phase === 'over' || (this.phase === 'sending' && isOther)) {
       return;
     }
+    const {request} = this.options;
     if (this.exchange === undefined) {
-      this.request.on('data', this.send);
-      this.request.on('end', this.sendEnd);
+      request.on('data', this.send);
+      request.on('end', this.sendEnd);
     }
     this.exchange = exchange;
-    if (this.request.readableEnded) {
+    if (request.readableEnded) {
       this.sendEnd();
     } else {
-      this.request.resume();
+      request.resume();
     }
   }
 
   /** The exchange has ended; a body that is unsent waits for another one. */
   detach(): void {
     if (this.exchange !== undefined) {
-      this.request.pause();
+      this.options.request.pause();
       this.stopListening();
     }
     if (this.phase === 'sending') {
@@ -61,10 +69,16 @@
   }
 
   private readonly send = (chunk: Buffer): void => {
-    this.begin();
+    const {request, largestBytes, onTooLarge} = this.options;
     this.bytes += chunk.length;
+    if (this.bytes > largestBytes) {
+      this.detach();
+      onTooLarge();
+      return;
+    }
+    this.begin();
     if (this.exchange?.sendChunk(chunk) === false) {
-      this.request.pause();
+      request.pause();
     }
   };
 
@@ -78,13 +92,14 @@
   private begin(): void {
     if (this.phase === 'unsent') {
       this.phase = 'sending';
-      this.onBegun();
+      this.options.onBegun();
     }
   }
 
   private stopListening(): void {
-    this.request.off('data', this.send);
-    this.request.off('end', this.sendEnd);
+    const {request} = this.options;
+    request.off('data', this.send);
+    request.off('end', this.sendEnd);
     this.exchange = undefined;
   }
 }
--- a/packages/node/src/request/callerExchange.ts
+++ b/packages/node/src/request/callerExchange.ts
@@ -41,6 +41,9 @@
   readonly onCloseDelimited: (response: ServerResponse) => void;
   /** The first part of a streamed body is about to be sent. */
   readonly onBodyBegun: (id: string) => void;
+  readonly largestBodyBytes: number;
+  /** A streamed body has more bytes than that. */
+  readonly onBodyTooLarge: (id: string) => void;
 }
 
 /** An attempt that runs alongside the current one, and its answer. */
@@ -89,7 +92,12 @@
     const sender =
       body.kind === 'held'
         ? undefined
-        : new BodySender(request, () => options.onBodyBegun(id));
+        : new BodySender({
+            request,
+            largestBytes: options.largestBodyBytes,
+            onBegun: () => options.onBodyBegun(id),
+            onTooLarge: () => options.onBodyTooLarge(id),
+          });
     this.sender = sender;
     this.answer = new CallerAnswer({
       ...options,
--- a/packages/node/src/request/entryService.ts
+++ b/packages/node/src/request/entryService.ts
@@ -175,6 +175,8 @@
       turn,
       onCloseDelimited: (answer) => this.closeDelimited.add(answer),
       onBodyBegun: (callId) => this.handle({kind: 'body-begun', callId}),
+      largestBodyBytes: this.dependencies.largestBodyBytes(),
+      onBodyTooLarge: (callId) => this.refuseTooLarge(callId),
     });
     this.exchanges.set(id, exchange);
     if (pending !== undefined) {
@@ -232,6 +234,13 @@
     this.abortCall(exchange, 'deadline-passed');
   }
 
+  private refuseTooLarge(callId: string): void {
+    const exchange = this.exchanges.get(callId);
+    if (exchange !== undefined) {
+      this.abortCall(exchange, 'body-too-large');
+    }
+  }
+
   private countUnsent(exchange: CallerExchange): void {
     if (this.unsent !== undefined) {
       const {requestId, call, answer} = exchange;
