Announcements and messages of peers may come byte by byte

The same as for bodies of callers: 300 connections to the address for announcements, or to that for peers, that sent a body or a message one byte at a time ended a node for want of heap (signal 6).

Cause: both kept the list of the pieces. They now hold them as bodies of callers are held; the class for that moves to utils. A message of a peer that comes in one piece is still not copied.

--- a/packages/node/src/connection/peerPacketReader.ts
+++ b/packages/node/src/connection/peerPacketReader.ts
@@ -1,6 +1,7 @@
 // Copyright (c) 2026 the lockpin contributors. MIT licence, see LICENSE.
 /** Splits the bytes received on a connection between nodes into packets. */
 
+import {HeldBytes} from '@lockpin/utils';
 import {
   FIRST_BYTE,
   HEADER_BYTES,
@@ -28,8 +29,7 @@
   private current: Buffer = NO_BYTES;
   private offset = 0;
   /** Received after the current bytes; joined when a packet is complete. */
-  private waiting: Buffer[] = [];
-  private waitingBytes = 0;
+  private waiting = new HeldBytes();
 
   /** Size of the bytes that were received and not read. */
   get heldBytes(): number {
@@ -42,8 +42,7 @@
       this.current = bytes;
       this.offset = 0;
     } else {
-      this.waiting.push(bytes);
-      this.waitingBytes += bytes.length;
+      this.waiting.add(bytes);
     }
   }
 
@@ -106,14 +105,13 @@
     if (available >= count) {
       return true;
     }
-    if (available + this.waitingBytes < count) {
+    if (available + this.waiting.length < count) {
       return false;
     }
     const rest = this.current.subarray(this.offset);
-    this.current = Buffer.concat([rest, ...this.waiting]);
+    this.current = Buffer.concat([rest, this.waiting.whole()]);
     this.offset = 0;
-    this.waiting = [];
-    this.waitingBytes = 0;
+    this.waiting = new HeldBytes();
     return true;
   }
 
--- a/packages/node/src/request/readBody.ts
+++ b/packages/node/src/request/readBody.ts
@@ -2,8 +2,8 @@
 /** Reads a body that is buffered completely. */
 
 import type {IncomingMessage} from 'node:http';
+import {HeldBytes} from '@lockpin/utils';
 import {HeldBodies} from './heldBodies.js';
-import {HeldBytes} from './heldBytes.js';
 
 /**
  * Reads a body; 'too-large' above the limit, 'cut' if the caller disconnects,
--- a/packages/utils/src/index.ts
+++ b/packages/utils/src/index.ts
@@ -5,6 +5,7 @@
 export * from './suspendAwareClock.js';
 export * from './tickMonitor.js';
 export * from './hashing.js';
+export * from './heldBytes.js';
 export * from './hybridClock.js';
 export * from './incarnations.js';
 export * from './positions.js';
