Count the bytes of incomplete messages after the merge of two parts

Cause: the merge of bounds of all incomplete messages with parts that are copied together left a name that is gone; the count was no number, and no connection was closed (peerExcess.test.ts failed). Change: the count comes from the held bytes. Result: the test fails on the commit before, passes now.

--- a/packages/node/src/connection/peerPacketReader.ts
+++ b/packages/node/src/connection/peerPacketReader.ts
@@ -33,7 +33,7 @@
 
   /** Size of the bytes that were received and not read. */
   get heldBytes(): number {
-    return this.current.length - this.offset + this.waitingBytes;
+    return this.current.length - this.offset + this.waiting.length;
   }
 
   /** Adds received bytes. */
