--- a/packages/brain/src/entry/refusedOffers.ts
+++ b/packages/brain/src/entry/refusedOffers.ts
@@ -1,5 +1,5 @@
 // Copyright (c) 2026 the lockpin contributors. MIT licence, see LICENSE.
-/** What the refused offers of a round tell about further ones. */
+/** What follows from the refused offers of a round for further ones. */
 
 import type {RefusalReason} from '@lockpin/types';
 import type {CallState} from './callState.js';
--- a/packages/brain/src/plannedStop.ts
+++ b/packages/brain/src/plannedStop.ts
@@ -12,7 +12,7 @@
   readonly callersGoneAt: number;
 }
 
-/** What tells how long a call may take. */
+/** What determines how long a call may take. */
 export interface StoppableCall {
   /** The call ends by then in any case. */
   readonly deadline: number;
--- a/packages/node/src/__tests__/__fixtures__/entryFixture.ts
+++ b/packages/node/src/__tests__/__fixtures__/entryFixture.ts
@@ -235,7 +235,7 @@
   }
 }
 
-/** A body whose every part can be told from the others. */
+/** A body in which no two parts are alike. */
 export function bodyOf(bytes: number): Buffer {
   const lines = Array.from({length: Math.ceil(bytes / 10)}, (_, i) =>
     `${i}\n`.padStart(10, '0'),
--- a/packages/node/src/__tests__/earlyAnswers.test.ts
+++ b/packages/node/src/__tests__/earlyAnswers.test.ts
@@ -50,7 +50,7 @@
   client.sendHead('/long', framing === 'in chunks' ? 'chunked' : length);
   sendPart(framing, bodyOf(FIRST_PART_BYTES));
   const attempt = await fixture.attempt(1);
-  // As with an upstream that reads no more: nobody asks for the rest.
+  // As with an upstream that reads no more.
   attempt.hasRoom = false;
   attempt.handlers.onContinue();
   await until(() => attempt.chunks.length > 0);
--- a/packages/node/src/connection/closingConnections.ts
+++ b/packages/node/src/connection/closingConnections.ts
@@ -30,7 +30,7 @@
 }
 
 /**
- * Lets a connection close after the answer that tells its client so. Node.js
+ * Lets a connection close after the answer that announces it. Node.js
  * calls `destroySoon` after such an answer.
  */
 export function closeAfterAnswer(socket: Socket): void {
--- a/packages/node/src/connection/messageValues.ts
+++ b/packages/node/src/connection/messageValues.ts
@@ -18,7 +18,7 @@
 const LENGTH_MASK = 0x1f;
 const COUNT_MASK = 0x0f;
 
-/** Bytes that follow the first byte of a value, if that alone tells them. */
+/** Bytes that follow the first byte of a value, if that alone determines them. */
 const FOLLOWING_BYTES: Readonly<Record<number, number>> = {
   0xca: 4,
   0xcb: 8,
@@ -65,7 +65,7 @@
   0xdf: 4,
 };
 
-/** Marks the first bytes of values whose size the next bytes tell. */
+/** Marks the first bytes of values whose size the next bytes state. */
 const HAS_HEADER = 0xff;
 
 /** Size of a value by its first byte; that of a list or table is one byte. */
--- a/packages/node/src/process/decisionLog.ts
+++ b/packages/node/src/process/decisionLog.ts
@@ -102,7 +102,7 @@
 
   /**
    * Logs why the process ends; the limit of lines does not apply, as nothing
-   * else would tell.
+   * else shows it.
    */
   lastEvent(event: string, detail: LogDetail): void {
     this.writeEvent(this.dependencies.clock(), event, detail);
