--- a/packages/tools/src/harness/ports.ts
+++ b/packages/tools/src/harness/ports.ts
@@ -6,8 +6,11 @@
 /** The host on which the tools listen. */
 export const LOOPBACK = '127.0.0.1';
 
-/** The range lies below the ephemeral ports of outgoing connections. */
-const FIRST_PORT = 10_000;
+/**
+ * The range lies below the ephemeral ports of outgoing connections, and above the
+ * ports that fetch refuses, of which 10,080 is the last.
+ */
+const FIRST_PORT = 10_100;
 const PORT_COUNT = 20_000;
 
 /** Makes processes that search at the same time start at different ports. */
