Connections leave descriptors for upstreams, the store and new callers

Cause: connections were accepted, and opened to other nodes, without a bound on their number. Class: a resource of the whole process that any one purpose can use up.

Change: the descriptors that the platform states (4,096 if none) are divided: callers, nodes (each way) and the addresses for the box itself have bounds of their own, and what remains is for upstreams and the store. At its bound a server closes the connection that has been idle the longest, whose client may be gone; a new one only if none is idle. server-problem tells connections-full, once a second.

--- a/packages/node/src/__tests__/peerConnections.test.ts
+++ b/packages/node/src/__tests__/peerConnections.test.ts
@@ -328,3 +328,16 @@
   await drained;
   expect(events).toContain('drained');
 });
+
+it('connects to no further node while as many connections are open as may be', async () => {
+  const by = createChannels({maximumConnections: 1});
+  const first = openCall(address, by);
+  first.stream.write(Buffer.from('one'));
+  await expect.poll(() => served.length).toBe(1);
+  const second = openCall(address, by);
+  await expect.poll(() => second.events).toEqual(['never sent']);
+  first.stream.cancel();
+  const third = openCall(address, by);
+  third.stream.write(Buffer.from('two'));
+  await expect.poll(() => served.length).toBe(2);
+});
--- a/packages/node/src/connection/guardedRequests.ts
+++ b/packages/node/src/connection/guardedRequests.ts
@@ -24,7 +24,9 @@
   /** An internal error; the connection of its request was closed. */
   | {readonly kind: 'handler-failed'; readonly detail: string}
   /** A connection was closed: more requests wait on it than may. */
-  | {readonly kind: 'requests-without-end'; readonly detail: string};
+  | {readonly kind: 'requests-without-end'; readonly detail: string}
+  /** Connections were closed: more are open than may be. */
+  | {readonly kind: 'connections-full'; readonly detail: string};
 
 /** Called with each problem. */
 export type OnServerProblem = (problem: ServerProblem) => void;
@@ -36,6 +38,10 @@
   readonly maximumWaiting?: number;
   /** A request with a body closes its connection, as nothing reads the body. */
   readonly readsBodies?: boolean;
+  /** Called when the first request of an idle connection arrives. */
+  readonly onUsed?: (socket: Socket) => void;
+  /** Called when all requests of a connection have their answers. */
+  readonly onUnused?: (socket: Socket) => void;
 }
 
 /** Wraps a handler so that its errors end only the connection of the request. */
@@ -45,6 +51,8 @@
     onProblem,
     maximumWaiting = MAXIMUM_WAITING_REQUESTS,
     readsBodies = true,
+    onUsed,
+    onUnused,
   }: GuardedRequestsOptions,
 ): (request: IncomingMessage, response: ServerResponse) => void {
   const waiting = new WeakMap<Socket, number>();
@@ -62,9 +70,16 @@
       return;
     }
     waiting.set(socket, count + 1);
-    response.once('close', () =>
-      waiting.set(socket, (waiting.get(socket) ?? 1) - 1),
-    );
+    if (count === 0) {
+      onUsed?.(socket);
+    }
+    response.once('close', () => {
+      const left = (waiting.get(socket) ?? 1) - 1;
+      waiting.set(socket, left);
+      if (left === 0) {
+        onUnused?.(socket);
+      }
+    });
     if (!readsBodies && hasBody(request)) {
       response.shouldKeepAlive = false;
     }
--- a/packages/node/src/connection/httpServer.ts
+++ b/packages/node/src/connection/httpServer.ts
@@ -6,6 +6,7 @@
 import type {Socket} from 'node:net';
 import type {Duplex} from 'node:stream';
 import {listenOn} from './addressListeners.js';
+import {BoundedConnections} from './boundedConnections.js';
 import {
   closeAfterAnswer,
   closeWhenRead,
@@ -32,7 +33,7 @@
 
 /** Options of a server; by default, its problems are not reported. */
 export interface HttpServerOptions extends Partial<GuardedRequestsOptions> {
-  /** Connections beyond this many are closed at once; by default, none is. */
+  /** Idle connections are closed beyond this many, then new ones; see BoundedConnections. */
   readonly maximumConnections?: number;
 }
 
@@ -43,13 +44,23 @@
 export function createHttpServer(
   handler: RequestHandler,
   {
-    maximumConnections,
+    maximumConnections = Number.POSITIVE_INFINITY,
     onProblem = () => undefined,
     ...options
   }: HttpServerOptions = {},
 ): Server {
   const latest: LatestResponses = new WeakMap();
-  const serve = guardRequests(handler, {...options, onProblem});
+  const connections = new BoundedConnections({
+    maximum: maximumConnections,
+    onFull: (closed) =>
+      onProblem({kind: 'connections-full', detail: JSON.stringify(closed)}),
+  });
+  const serve = guardRequests(handler, {
+    ...options,
+    onProblem,
+    onUsed: (socket) => connections.used(socket),
+    onUnused: (socket) => connections.unused(socket),
+  });
   const server = createServer(
     {
       maxHeaderSize: MAXIMUM_HEADERS_BYTES,
@@ -66,9 +77,7 @@
   server.on('clientError', (error, socket: Duplex) =>
     answerBadRequest(error, socket as Socket, latest.get(socket as Socket)),
   );
-  if (maximumConnections !== undefined) {
-    server.maxConnections = maximumConnections;
-  }
+  server.on('connection', (socket) => connections.opened(socket));
   server.on('error', (error) => {
     // While it does not listen yet, listenOn rejects with the error.
     if (server.listening) {
--- a/packages/node/src/connection/peerChannels.ts
+++ b/packages/node/src/connection/peerChannels.ts
@@ -48,6 +48,8 @@
   readonly clock?: () => number;
   readonly startTicks?: StartTicks;
   readonly openSocket?: (target: SocketAddress) => Socket;
+  /** While so many connections are open, no further node can be reached. */
+  readonly maximumConnections?: number;
 }
 
 interface Channel extends PeerClient {
@@ -142,10 +144,18 @@
   private open(address: string, method: PeerMethod): PeerStream {
     const target = parseAddress(address);
     const failed = this.failedConnects.get(address);
-    if (target === undefined || !mayConnect(failed, this.now())) {
+    const {
+      openSocket = openTcpSocket,
+      onViolation,
+      maximumConnections = Number.POSITIVE_INFINITY,
+    } = this.options;
+    if (
+      target === undefined ||
+      !mayConnect(failed, this.now()) ||
+      this.sockets.size >= maximumConnections
+    ) {
       return unreachableStream();
     }
-    const {openSocket = openTcpSocket, onViolation} = this.options;
     const socket: PeerSocket = new PeerSocket(
       openSocket(target),
       {
--- a/packages/node/src/connection/peerServer.ts
+++ b/packages/node/src/connection/peerServer.ts
@@ -8,6 +8,8 @@
 import type {PeerReply, PeerRequest} from '@lockpin/brain';
 import type {ControlTraffic} from '../process/controlTraffic.js';
 import {listenOn} from './addressListeners.js';
+import {BoundedConnections} from './boundedConnections.js';
+import type {ClosedConnections} from './boundedConnections.js';
 import {encodeDocument, tryDecodeDocument} from './codec.js';
 import {PeerSockets} from './peerProbes.js';
 import type {StartTicks} from './peerProbes.js';
@@ -35,6 +37,9 @@
   readonly startTicks?: StartTicks;
   /** Called when a connection could not be accepted. */
   readonly onAcceptFailed?: (error: Error) => void;
+  /** Connections without a stream are closed beyond this many, then new ones. */
+  readonly maximumConnections?: number;
+  readonly onFull?: (closed: ClosedConnections) => void;
 }
 
 /** The server of a node for other nodes. */
@@ -44,6 +49,7 @@
 > {
   private readonly server: Server;
   private readonly sockets: PeerSockets;
+  private readonly connections: BoundedConnections;
   private readonly served = new Set<ServedRequests>();
   private isDraining = false;
   private onDrained: (() => void) | undefined;
@@ -54,6 +60,10 @@
     private readonly options: PeerServerOptions = {},
   ) {
     this.sockets = new PeerSockets(options.startTicks);
+    this.connections = new BoundedConnections({
+      maximum: options.maximumConnections ?? Number.POSITIVE_INFINITY,
+      onFull: (closed) => options.onFull?.(closed),
+    });
     this.server = createServer({noDelay: true}, (socket) =>
       this.accept(socket),
     );
@@ -96,10 +106,15 @@
   }
 
   private accept(socket: Socket): void {
+    this.connections.opened(socket);
+    if (socket.destroyed) {
+      return;
+    }
     const {remoteAddress = '', remotePort = 0} = socket;
     let requests: ServedRequests | undefined;
     const opened: PeerSocket = new PeerSocket(socket, {
       onPreface: (method) => {
+        this.connections.used(socket);
         requests = this.serve(opened, method);
       },
       onViolation: (violation) =>
--- a/packages/node/src/process/fleetComposition.ts
+++ b/packages/node/src/process/fleetComposition.ts
@@ -13,6 +13,7 @@
   steadyClock,
 } from '@lockpin/utils';
 import {AddressListeners} from '../connection/addressListeners.js';
+import {connectionBounds} from '../connection/connectionBounds.js';
 import {PeerChannels} from '../connection/peerChannels.js';
 import type {PeerViolation} from '../connection/peerProtocol.js';
 import {PeerServer} from '../connection/peerServer.js';
@@ -46,6 +47,7 @@
 import {createPrometheusMetrics} from './prometheusMetrics.js';
 import type {TextMetrics} from './prometheusMetrics.js';
 import type {MetricName} from './metrics.js';
+import {serverProblemReporter} from './serverProblems.js';
 import {createSingletonRegistrar} from './singletonRegistrar.js';
 import {Subscribers} from './subscribers.js';
 import {every} from './timers.js';
@@ -176,7 +178,9 @@
 ): PeerChannels<PeerQuery, PeerQueryReply> {
   const log = dependencies.resolve(FLEET_TOKENS.log);
   const metrics = dependencies.resolve(FLEET_TOKENS.metrics);
+  const {settings} = dependencies.resolve(FLEET_TOKENS.ports);
   return new PeerChannels(new ControlTraffic(), {
+    maximumConnections: connectionBounds(settings.descriptors).peers,
     onRenewed: (peer, cause) => {
       log.event('peer-connection-renewed', {peer, cause});
       metrics.increment('peer.renewed', {cause});
@@ -396,7 +400,11 @@
 ): PeerServer<PeerQuery, PeerQueryReply> {
   const host = dependencies.resolve(FLEET_TOKENS.host);
   const guard = dependencies.resolve(FLEET_TOKENS.guardService);
-  const log = dependencies.resolve(FLEET_TOKENS.log);
+  const onProblem = serverProblemReporter(
+    dependencies.resolve(FLEET_TOKENS.log),
+    dependencies.resolve(FLEET_TOKENS.metrics),
+    'peers',
+  );
   const news = createNewsHandlers(dependencies);
   const ownBegin: BeginExchange = (head, handlers) =>
     guard.begin(head, handlers);
@@ -415,11 +423,10 @@
     {
       onViolation: violationReporter(dependencies),
       onAcceptFailed: ({message: detail}) =>
-        log.event('server-problem', {
-          purpose: 'peers',
-          kind: 'accept-failed',
-          detail,
-        }),
+        onProblem({kind: 'accept-failed', detail}),
+      maximumConnections: connectionBounds(host.settings.descriptors).peers,
+      onFull: (closed) =>
+        onProblem({kind: 'connections-full', detail: JSON.stringify(closed)}),
     },
   );
 }
--- a/packages/node/src/process/fleetListeners.ts
+++ b/packages/node/src/process/fleetListeners.ts
@@ -5,6 +5,7 @@
 import type {DependencyContainer} from 'tsyringe';
 import {listenOn} from '../connection/addressListeners.js';
 import type {AddressListener} from '../connection/addressListeners.js';
+import {connectionBounds} from '../connection/connectionBounds.js';
 import {createHttpServer} from '../connection/httpServer.js';
 import type {
   HttpServerOptions,
@@ -20,15 +21,31 @@
 /** What the metrics' address is for, in reports on it. */
 export const METRICS_PURPOSE = 'metrics';
 
-/** Creates a server whose problems are logged and counted. */
+/** Who connects to a server; see ConnectionBounds. */
+export type ServerClients = 'callers' | 'local';
+
+/** Creates a server with bounded connections, whose problems are logged. */
 export function createFleetHttpServer(
   container: DependencyContainer,
   purpose: string,
+  clients: ServerClients,
   handler: RequestHandler,
   limits: HttpServerOptions = {},
 ): Server {
-  const onProblem = serverProblemReporter(container, purpose);
-  return createHttpServer(handler, {...limits, onProblem});
+  const {descriptors} = container.resolve(FLEET_TOKENS.host).settings;
+  const {maximumConnections = Number.POSITIVE_INFINITY} = limits;
+  return createHttpServer(handler, {
+    ...limits,
+    maximumConnections: Math.min(
+      maximumConnections,
+      connectionBounds(descriptors)[clients],
+    ),
+    onProblem: serverProblemReporter(
+      container.resolve(FLEET_TOKENS.log),
+      container.resolve(FLEET_TOKENS.metrics),
+      purpose,
+    ),
+  });
 }
 
 /**
@@ -62,6 +79,7 @@
   const server = createFleetHttpServer(
     container,
     METRICS_PURPOSE,
+    'local',
     fleetOperatorHandler(container),
     METRICS_SERVER_LIMITS,
   );
--- a/packages/node/src/process/fleetPorts.ts
+++ b/packages/node/src/process/fleetPorts.ts
@@ -47,6 +47,8 @@
   readonly stopLimitMilliseconds: number;
   /** Memory limit of this process in MB; the default if absent. */
   readonly memoryMegabytes?: number | undefined;
+  /** Limit of file descriptors of this process; the default if absent. */
+  readonly descriptors?: number | undefined;
   readonly retries: FleetRetryLimit;
   readonly keys: KeyPolicy;
   /** Accuracy with which customers' limits are enforced. */
--- a/packages/node/src/process/runFleetNode.ts
+++ b/packages/node/src/process/runFleetNode.ts
@@ -112,6 +112,7 @@
   const callers = createFleetHttpServer(
     container,
     'callers',
+    'callers',
     callerHandler(container),
   );
   startHost(container, callers);
--- a/packages/node/src/process/serverProblems.ts
+++ b/packages/node/src/process/serverProblems.ts
@@ -1,10 +1,10 @@
 // Copyright (c) 2026 the lockpin contributors. MIT licence, see LICENSE.
 /** Reports the problems of a node's HTTP servers. */
 
-import type {DependencyContainer} from 'tsyringe';
 import type {HttpServerOptions} from '../connection/httpServer.js';
 import type {OnServerProblem} from '../connection/guardedRequests.js';
-import {FLEET_TOKENS} from './fleetComposition.js';
+import type {DecisionLog} from './decisionLog.js';
+import type {NodeMetrics} from './metrics.js';
 
 /** Far more connections than read the metrics of a node. */
 const MAXIMUM_LOCAL_CONNECTIONS = 64;
@@ -24,11 +24,10 @@
 
 /** Returns the function that logs and counts the problems of a server. */
 export function serverProblemReporter(
-  container: DependencyContainer,
+  log: Pick<DecisionLog, 'event'>,
+  metrics: Pick<NodeMetrics, 'increment'>,
   purpose: string,
 ): OnServerProblem {
-  const log = container.resolve(FLEET_TOKENS.log);
-  const metrics = container.resolve(FLEET_TOKENS.metrics);
   return ({kind, detail}) => {
     log.event('server-problem', {purpose, kind, detail});
     metrics.increment('server.problems', {kind});
