Log an event loop that does not wait

Change: every five seconds the turns that libuv counts are compared; beyond 10,000 a second the node logs event-loop-busy with the open resources by kind.

What it doesn't show: a loop in JavaScript or in the garbage collector, in which no turn ends; a node then writes nothing more.

--- a/packages/node/src/process/runFleetNode.ts
+++ b/packages/node/src/process/runFleetNode.ts
@@ -17,6 +17,11 @@
   drainCalls,
 } from './drainCalls.js';
 import type {StopResult} from './drainCalls.js';
+import {
+  EventLoopLoad,
+  countResources,
+  readLoopCounts,
+} from './eventLoopLoad.js';
 import {FLEET_TOKENS, versionNews} from './fleetComposition.js';
 import type {FleetHost} from './fleetHost.js';
 import {
@@ -89,6 +94,9 @@
 /** Interval between log lines on the traffic between data centres. */
 const TRAFFIC_LOG_INTERVAL_MILLISECONDS = 5000;
 
+/** Interval between checks of whether the event loop waits. */
+const LOOP_CHECK_INTERVAL_MILLISECONDS = 5000;
+
 /** Starts all components of a composed node, and waits for its addresses. */
 export async function runFleetNode(
   container: DependencyContainer,
@@ -127,6 +135,8 @@
     remote.reopenFollowed(),
   );
   every(TRAFFIC_LOG_INTERVAL_MILLISECONDS, () => logTraffic(container));
+  const load = new EventLoopLoad();
+  every(LOOP_CHECK_INTERVAL_MILLISECONDS, () => logBusyLoop(container, load));
   const isReachable = (): boolean =>
     callerListener.isListening && peerListener.isListening;
   let result: Promise<FleetStopResult> | undefined;
@@ -210,6 +220,19 @@
     .event('bytes-between-data-centres', {...betweenDataCentres});
 }
 
+/** Logs an event loop that turns without waiting, with what may keep it busy. */
+function logBusyLoop(
+  container: DependencyContainer,
+  load: EventLoopLoad,
+): void {
+  const busy = load.update(steadyClock(), readLoopCounts());
+  if (busy !== undefined) {
+    container
+      .resolve(FLEET_TOKENS.log)
+      .event('event-loop-busy', {...busy, resources: countResources()});
+  }
+}
+
 /** Progress of a node's stop. */
 interface StopState {
   /** Whether callers are told to use other nodes. */
