Soak: nodes with more connections than descriptors

Change: the set crowded: nodes with 500 descriptors, enforced by the system, and 600 idle connections at a time to one of their five addresses, beside kills, stops in series and pauses. In all sets a node that logs event-loop-busy is a violation.

--- a/packages/tools/src/soak/__tests__/soak.test.ts
+++ b/packages/tools/src/soak/__tests__/soak.test.ts
@@ -83,6 +83,14 @@
     expect(calls).toBeGreaterThan(200);
   });
 
+  it('keeps them while nodes have more connections than descriptors', async () => {
+    const folder = mkdtempSync(join(tmpdir(), 'lockpin-soak-'));
+    const size = {...SIZE, faults: 'crowded'} as const;
+    const {violations, calls} = await runSoak(SEED + 9, size, folder);
+    expect(violations).toEqual([]);
+    expect(calls).toBeGreaterThan(200);
+  });
+
   it('keeps them while the store is restored repeatedly', async () => {
     const folder = mkdtempSync(join(tmpdir(), 'lockpin-soak-'));
     const size = {...SIZE, faults: 'all'} as const;
--- a/packages/tools/src/soak/__tests__/stalls.test.ts
+++ b/packages/tools/src/soak/__tests__/stalls.test.ts
@@ -5,6 +5,7 @@
 import {tmpdir} from 'node:os';
 import {join} from 'node:path';
 import {describe, expect, it} from 'vitest';
+import {checkBusyLoops} from '../checkBusyLoops.js';
 import {describeStalls} from '../describeStalls.js';
 import {readNodeStalls} from '../stallRecorder.js';
 
@@ -43,3 +44,12 @@
     expect(describeStalls(stalls, 1600, 1800, ['box-1'])).toBe('');
   });
 });
+
+it('finds event loops that did not wait', () => {
+  const file = join(mkdtempSync(join(tmpdir(), 'lockpin-')), 'box-1.log');
+  const line = '{"event":"event-loop-busy","turnsPerSecond":100000}';
+  writeFileSync(file, `{"event":"node-started"}\n${line}\n`);
+  expect(checkBusyLoops('box-1', file)).toEqual([
+    {guarantee: 'event loops wait for work', subject: 'box-1', detail: line},
+  ]);
+});
--- a/packages/tools/src/soak/applyFault.ts
+++ b/packages/tools/src/soak/applyFault.ts
@@ -41,6 +41,7 @@
     case 'rejections':
     case 'flood':
     case 'slow-readers':
+    case 'idle-connections':
       // No disruption is recorded: all guarantees hold under load.
       await applyLoad(
         targets.boxes,
--- a/packages/tools/src/soak/applyLoad.ts
+++ b/packages/tools/src/soak/applyLoad.ts
@@ -1,8 +1,10 @@
 // Copyright (c) 2026 the lockpin contributors. MIT licence, see LICENSE.
 /** Creates planned hard load: rejections, floods and slow readers. */
 
+import {connect} from 'node:net';
+import type {Socket} from 'node:net';
 import {setTimeout as pause} from 'node:timers/promises';
-import {seededRandom} from '@lockpin/utils';
+import {parseAddress, seededRandom} from '@lockpin/utils';
 import type {PlannedFault} from './plannedFault.js';
 import type {SoakBox} from './soakBox.js';
 import {runCaller} from './soakCaller.js';
@@ -11,7 +13,7 @@
 
 /** Hard load, as opposed to faults. */
 export type PlannedLoad = PlannedFault & {
-  readonly kind: 'rejections' | 'flood' | 'slow-readers';
+  readonly kind: 'rejections' | 'flood' | 'slow-readers' | 'idle-connections';
 };
 
 /** More than a connection on loopback holds outside the processes. */
@@ -22,6 +24,9 @@
 
 const READER_PATIENCE_MILLISECONDS = 30_000;
 
+/** Interval at which closed idle connections are opened again. */
+const RECONNECT_MILLISECONDS = 100;
+
 /** A reader that disconnects has taken a part of its answer. */
 const DISCONNECT_MILLISECONDS = 1500;
 
@@ -39,6 +44,10 @@
   if (box === undefined) {
     return;
   }
+  if (load.kind === 'idle-connections') {
+    await holdConnections(box, load);
+    return;
+  }
   const optionsOf = (index: number): CallerOptions => ({
     ...callers,
     box: box.name,
@@ -62,6 +71,34 @@
   );
 }
 
+/** Holds connections that send nothing, and opens those again that are closed. */
+async function holdConnections(
+  box: SoakBox,
+  {
+    address,
+    connections,
+    durationMilliseconds,
+  }: PlannedLoad & {readonly kind: 'idle-connections'},
+): Promise<void> {
+  const target = parseAddress(box.addressFor(address));
+  if (target === undefined) {
+    return;
+  }
+  const open = new Set<Socket>();
+  const end = Date.now() + durationMilliseconds;
+  while (Date.now() < end) {
+    while (open.size < connections) {
+      const socket = connect(target);
+      open.add(socket);
+      // The node closes idle connections, and may not run.
+      socket.on('error', () => undefined);
+      socket.once('close', () => open.delete(socket));
+    }
+    await pause(RECONNECT_MILLISECONDS);
+  }
+  open.forEach((socket) => socket.destroy());
+}
+
 /** Every other reader disconnects before it has the whole answer. */
 function readSlowly(options: CallerOptions, index: number): Promise<void> {
   const disconnects = index % 2 === 1;
--- a/packages/tools/src/soak/boxProcess.ts
+++ b/packages/tools/src/soak/boxProcess.ts
@@ -30,6 +30,8 @@
   readonly logFile: string;
   /** Arguments of the Node.js runtime; by default, the built bundle. */
   readonly command?: readonly string[];
+  /** Limit of file descriptors; that of this process if absent. */
+  readonly descriptors?: number | undefined;
   /** Writes the settings of a start; returns the environment variables. */
   readonly prepareEnvironment: () => Readonly<Record<string, string>>;
   readonly isOver: () => boolean;
@@ -154,10 +156,19 @@
   }
 
   private spawn(): ChildProcess {
-    const {logFile, prepareEnvironment, command = [NODE_BUNDLE]} = this.options;
+    const {
+      logFile,
+      prepareEnvironment,
+      descriptors,
+      command = [NODE_BUNDLE],
+    } = this.options;
     const variables = prepareEnvironment();
     const log = openSync(logFile, 'a');
-    const child = spawn(process.execPath, [...command], {
+    const [file, ...words] = withDescriptorLimit(
+      [process.execPath, ...command],
+      descriptors,
+    );
+    const child = spawn(file, words, {
       stdio: ['ignore', log, log],
       env: {...process.env, ...variables},
     });
@@ -185,3 +196,13 @@
     setTimeout(() => this.start(), RESTART_DELAY_MILLISECONDS);
   }
 }
+
+/** Only a shell can lower the limit; it then becomes the process. */
+function withDescriptorLimit(
+  [file, ...words]: readonly [string, ...string[]],
+  descriptors: number | undefined,
+): readonly [string, ...string[]] {
+  return descriptors === undefined
+    ? [file, ...words]
+    : ['sh', '-c', `ulimit -n ${descriptors}; exec "$0" "$@"`, file, ...words];
+}
--- a/packages/tools/src/soak/faultDraws.ts
+++ b/packages/tools/src/soak/faultDraws.ts
@@ -6,12 +6,15 @@
 import type {StoreMode, UpstreamMode} from '@lockpin/platform-stand-ins';
 import type {LinkFault} from './linkProxy.js';
 import {SOAK_SERVICES} from './soakConfiguration.js';
-import type {LinkName, PlannedFault} from './plannedFault.js';
+import type {HeldAddress, LinkName, PlannedFault} from './plannedFault.js';
 
 /** Fault durations, with a distribution skewed towards the shortest. */
 export const SHORTEST_FAULT_MILLISECONDS = 300;
 const LONGEST_FAULT_MILLISECONDS = 4000;
 
+/** Limit of file descriptors of the nodes of the `crowded` set. */
+export const CROWDED_DESCRIPTORS = 500;
+
 /** Maximum delay of a delayed link. */
 const LONGEST_DELAY_MILLISECONDS = 300;
 
@@ -373,6 +376,58 @@
   ],
 ];
 
+const CROWDED_ADDRESSES: readonly HeldAddress[] = [
+  'caller',
+  'peer',
+  'readiness',
+  'announcements',
+  'metrics',
+];
+
+/** Connections beyond what a node of the `crowded` set has descriptors for. */
+const CROWD = CROWDED_DESCRIPTORS + 100;
+
+function drawCrowd(
+  random: RandomSource,
+  at: number,
+  boxes: number,
+): readonly PlannedFault[] {
+  return [
+    {
+      at,
+      kind: 'idle-connections',
+      box: randomIndex(random, boxes),
+      address: randomItem(random, CROWDED_ADDRESSES),
+      connections: CROWD,
+      durationMilliseconds: LONGEST_FAULT_MILLISECONDS,
+    },
+  ];
+}
+
+/**
+ * Faults of the `crowded` set: more connections than nodes have descriptors, while
+ * callers call and nodes end, stand still and start.
+ */
+export const CROWDED_DRAWS: readonly DrawFault[] = [
+  drawCrowd,
+  drawCrowd,
+  (random, at, boxes) =>
+    inSeries(random, at, (time) => ({
+      at: time,
+      kind: random() < 0.5 ? 'kill' : 'stop',
+      box: randomIndex(random, boxes),
+      downMilliseconds: SHORTEST_FAULT_MILLISECONDS,
+    })),
+  (random, at, boxes) => [
+    {
+      at,
+      kind: 'pause',
+      box: randomIndex(random, boxes),
+      durationMilliseconds: randomDuration(random),
+    },
+  ],
+];
+
 /** Draws a single fault with probability 0.5, otherwise two or more. */
 export function inSeries(
   random: RandomSource,
--- a/packages/tools/src/soak/faultPlan.ts
+++ b/packages/tools/src/soak/faultPlan.ts
@@ -5,6 +5,7 @@
 import {
   BASE_DRAWS,
   BREAKING_DRAWS,
+  CROWDED_DRAWS,
   ENDLESS_DRAWS,
   ISOLATION_DRAWS,
   LOAD_DRAWS,
@@ -24,8 +25,8 @@
  * upstreams state in their answers. `isolated` holds only times in which no box
  * hears another, `replaced` only replacements of boxes, `loaded` only hard load,
  * `broken` only answers that upstreams break, `starting` only what may happen to a
- * process that starts or ends, and `endless` only upstreams that send what is no
- * answer or has no end. A regression seed keeps the set that it was recorded with,
+ * process that starts or ends, `endless` only upstreams that send what is no
+ * answer or has no end, and `crowded` more connections than nodes can have. A regression seed keeps the set that it was recorded with,
  * and so replays the same schedule.
  */
 export type FaultSet =
@@ -38,7 +39,8 @@
   | 'loaded'
   | 'broken'
   | 'starting'
-  | 'endless';
+  | 'endless'
+  | 'crowded';
 
 /** Duration, fleet size and fault set of a soak. */
 export interface SoakSize {
@@ -71,7 +73,7 @@
 /** Mean time between the faults of `broken` and `endless`; they overlap. */
 const BREAKING_GAP_MILLISECONDS = 700;
 
-/** Mean time between the faults of the `starting` set; they overlap. */
+/** Mean time between the faults of `starting` and `crowded`; they overlap. */
 const STARTING_GAP_MILLISECONDS = 900;
 
 /** The draws of fault sets that hold only one kind. */
@@ -84,6 +86,7 @@
   broken: [BREAKING_DRAWS, BREAKING_GAP_MILLISECONDS],
   starting: [STARTING_DRAWS, STARTING_GAP_MILLISECONDS],
   endless: [ENDLESS_DRAWS, BREAKING_GAP_MILLISECONDS],
+  crowded: [CROWDED_DRAWS, STARTING_GAP_MILLISECONDS],
 };
 
 /** Restores are this many times less frequent than other faults. */
--- a/packages/tools/src/soak/main.ts
+++ b/packages/tools/src/soak/main.ts
@@ -51,6 +51,7 @@
       'broken',
       'starting',
       'endless',
+      'crowded',
     ] as const,
     default: 'stated' as const,
     describe: 'Fault set of the given or fresh seeds',
@@ -79,6 +80,7 @@
   '-broken': 'broken',
   '-starting': 'starting',
   '-endless': 'endless',
+  '-crowded': 'crowded',
 };
 
 function readRegressionSeeds(): readonly SoakSeed[] {
--- a/packages/tools/src/soak/plannedFault.ts
+++ b/packages/tools/src/soak/plannedFault.ts
@@ -115,6 +115,14 @@
       readonly box: number;
       readonly readers: number;
     }
+  /** Clients connect to an address of a box and send nothing. */
+  | {
+      readonly kind: 'idle-connections';
+      readonly box: number;
+      readonly address: HeldAddress;
+      readonly connections: number;
+      readonly durationMilliseconds: number;
+    }
   /** The upstream drains and leaves; one with a new id replaces it. */
   | {readonly kind: 'replace-upstream'; readonly box: number}
   /** The upstream disappears without notice; one with a new id replaces it. */
--- a/packages/tools/src/soak/runSoak.ts
+++ b/packages/tools/src/soak/runSoak.ts
@@ -9,6 +9,8 @@
 import {waitUntil} from '../harness/waitUntil.js';
 import {applyFault} from './applyFault.js';
 import {checkHistory} from './checkHistory.js';
+import {checkBusyLoops} from './checkBusyLoops.js';
+import {CROWDED_DESCRIPTORS} from './faultDraws.js';
 import {planFaults} from './faultPlan.js';
 import type {SoakSize} from './faultPlan.js';
 import {SoakBox} from './soakBox.js';
@@ -100,7 +102,10 @@
     calls: history.calls.length,
     served: history.calls.filter(({end}) => isServed(end)).length,
     faults: faults.length,
-    violations: checkHistory({...history, stalls}, SOAK_BOUNDS, answerBody),
+    violations: [
+      ...checkHistory({...history, stalls}, SOAK_BOUNDS, answerBody),
+      ...boxes.flatMap(({name, logFile}) => checkBusyLoops(name, logFile)),
+    ],
   };
 }
 
@@ -115,7 +120,8 @@
   for (let index = 0; index < count; index += 1) {
     const [caller = '', peer = '', readiness = '', announcements = ''] =
       await freeAddresses(4);
-    const [metrics = ''] = faults === 'starting' ? await freeAddresses(1) : [];
+    const hasMetrics = faults === 'starting' || faults === 'crowded';
+    const [metrics = ''] = hasMetrics ? await freeAddresses(1) : [];
     boxes.push(
       new SoakBox({
         index,
@@ -124,6 +130,7 @@
         folder,
         random: seededRandom(seed * 1000 + index),
         bounds: SOAK_BOUNDS,
+        descriptors: faults === 'crowded' ? CROWDED_DESCRIPTORS : undefined,
         onDrained: (drain) => recorder.drains.push(drain),
         onUnexpectedExit: (exit) => recorder.unexpectedExits.push(exit),
       }),
--- a/packages/tools/src/soak/soakBox.ts
+++ b/packages/tools/src/soak/soakBox.ts
@@ -46,6 +46,8 @@
   readonly bounds: SoakBounds;
   /** Memory limit of the node in MB; its default if absent. */
   readonly memoryMegabytes?: number;
+  /** Limit of file descriptors of the node; that of this process if absent. */
+  readonly descriptors?: number | undefined;
   /** Additional environment variables of the node. */
   readonly environment?: Readonly<Record<string, string>>;
   /** Arguments of the Node.js runtime; by default, the built bundle. */
@@ -151,6 +153,7 @@
     const {command = [NODE_BUNDLE, String(metricsPort)]} = this.options;
     return new BoxProcess({
       command,
+      descriptors: this.options.descriptors,
       box: this.name,
       logFile: this.logFile,
       prepareEnvironment: () => ({
@@ -183,9 +186,11 @@
   }
 
   private settings(): BoxSettings {
-    const {index, addresses, bounds, memoryMegabytes} = this.options;
+    const {index, addresses, bounds, memoryMegabytes, descriptors} =
+      this.options;
     return {
       memoryMegabytes,
+      descriptors,
       box: this.name,
       dataCentre: `d${(index % DATA_CENTRE_COUNT) + 1}`,
       service: this.service,
