A fleet of its own bounds its connections by descriptors, too

Cause: the same as on the users' platform: callers, operators and other nodes could use up all descriptors.

--- a/packages/node/src/connection/connectionBounds.ts
+++ b/packages/node/src/connection/connectionBounds.ts
@@ -6,7 +6,7 @@
  */
 
 /** Where no limit is set; the smallest boxes have about this many. */
-const DEFAULT_DESCRIPTORS = 4096;
+export const DEFAULT_DESCRIPTORS = 4096;
 
 /** Descriptors that are not for connections: files, pipes, the event loop. */
 const OTHER_DESCRIPTORS = 200;
--- a/packages/node/src/process/composition.ts
+++ b/packages/node/src/process/composition.ts
@@ -11,6 +11,7 @@
 import {BoxListClient} from '../connection/boxListClient.js';
 import {DatagramSocket} from '../connection/datagramSocket.js';
 import {LogClient} from '../connection/logClient.js';
+import {connectionBounds} from '../connection/connectionBounds.js';
 import {PeerChannels} from '../connection/peerChannels.js';
 import type {PeerViolation} from '../connection/peerProtocol.js';
 import {PeerServer} from '../connection/peerServer.js';
@@ -83,6 +84,7 @@
     TOKENS.channels,
     (dependencies) =>
       new PeerChannels(dependencies.resolve(TOKENS.traffic), {
+        maximumConnections: connectionBounds(settings.descriptors).peers,
         onViolation: violationReporter(dependencies),
       }),
   );
@@ -288,7 +290,12 @@
     exchanges: (stream) => serveExchangeStream(stream, begin),
     exchange: (request, reply) => host.exchangeReceived(request, reply),
   };
+  const {descriptors} = dependencies.resolve(TOKENS.settings);
+  const logger = dependencies.resolve(TOKENS.logger);
   return new PeerServer(handlers, dependencies.resolve(TOKENS.traffic), {
+    maximumConnections: connectionBounds(descriptors).peers,
+    onFull: (closed) =>
+      logger.warn('connections of other nodes were closed', {...closed}),
     onViolation: violationReporter(dependencies),
   });
 }
--- a/packages/node/src/process/runNode.ts
+++ b/packages/node/src/process/runNode.ts
@@ -13,6 +13,7 @@
   ListenOutcome,
   ListenReport,
 } from '../connection/addressListeners.js';
+import {connectionBounds} from '../connection/connectionBounds.js';
 import {createHttpServer} from '../connection/httpServer.js';
 import type {RequestHandler} from '../connection/httpServer.js';
 import {TOKENS} from './composition.js';
@@ -55,8 +56,17 @@
   const {every} = container.resolve(TOKENS.environment);
   const peerServer = container.resolve(TOKENS.peerServer);
   const datagrams = container.resolve(TOKENS.datagrams);
-  const callers = createNodeHttpServer(container, TOKENS.callerApp);
-  const operators = createNodeHttpServer(container, TOKENS.operatorApp);
+  const bounds = connectionBounds(settings.descriptors);
+  const callers = createNodeHttpServer(
+    container,
+    TOKENS.callerApp,
+    bounds.callers,
+  );
+  const operators = createNodeHttpServer(
+    container,
+    TOKENS.operatorApp,
+    bounds.local,
+  );
   await listenOnAll(container, {
     peers: [settings.peerAddress, (address) => peerServer.start(address)],
     datagrams: [settings.peerAddress, () => datagrams.start()],
@@ -139,9 +149,11 @@
 function createNodeHttpServer(
   container: DependencyContainer,
   app: InjectionToken<RequestHandler>,
+  maximumConnections: number,
 ): Server {
   const logger = container.resolve(TOKENS.logger);
   return createHttpServer(container.resolve(app), {
+    maximumConnections,
     onProblem: (problem) =>
       logger.warn('a connection of a server failed', {...problem}),
   });
--- a/packages/node/src/settings/settingsSchema.ts
+++ b/packages/node/src/settings/settingsSchema.ts
@@ -6,6 +6,7 @@
 import {LOG_LEVELS} from '@lockpin/logger';
 import {parseAddress} from '@lockpin/utils';
 import {z} from 'zod';
+import {DEFAULT_DESCRIPTORS} from '../connection/connectionBounds.js';
 
 const address = z.string().refine((text) => parseAddress(text) !== undefined, {
   message: 'give an IP number and port, such as 127.0.0.1:7000, not a name',
@@ -32,6 +33,7 @@
     .string()
     .regex(/^$|^[0-9a-f]{32}:[0-9a-f]{64}$/, 'give salt:hash or leave empty'),
   largestBodyBytes: z.number().int().min(1024).max(1_073_741_824),
+  descriptors: z.number().int().min(300).max(1_048_576),
   stopLimitMilliseconds: z.number().int().min(100).max(600_000),
   snapshotEveryRecords: z.number().int().min(1).max(1_000_000),
   snapshotEveryMilliseconds: z.number().int().min(1000),
@@ -46,6 +48,7 @@
   logLevel: 'info',
   bootstrapTokenHash: '',
   largestBodyBytes: 16 * 1024 * 1024,
+  descriptors: DEFAULT_DESCRIPTORS,
   stopLimitMilliseconds: 30_000,
   snapshotEveryRecords: 500,
   snapshotEveryMilliseconds: 21_600_000,
@@ -67,6 +70,7 @@
   bootstrapTokenHash:
     'salt:hash of a fleet-wide operator token named bootstrap; empty for none',
   largestBodyBytes: 'Largest body of a request, in bytes',
+  descriptors: 'File descriptors that the process may have',
   stopLimitMilliseconds: 'Longest planned stop, in milliseconds',
   snapshotEveryRecords: 'Configuration records after which a snapshot is due',
   snapshotEveryMilliseconds:
