New connections are not closed before they can have been read

Cause: a connection that had just been accepted counted as idle, and the next ones of the same turn of the event loop took its place before its request was read.

Change: it counts as idle two turns later, if no request was read. Waiting 100 ms or 1 s instead was tried: descriptorLimit.test then failed in 1 or 2 of 7, as new callers found no room.

--- a/packages/node/src/__tests__/boundedConnections.test.ts
+++ b/packages/node/src/__tests__/boundedConnections.test.ts
@@ -7,13 +7,14 @@
 import type {ClosedConnections} from '../connection/boundedConnections.js';
 import {connectionBounds} from '../connection/connectionBounds.js';
 
-function openThree() {
+function openThree(afterReading = (done: () => void): void => done()) {
   const reports: ClosedConnections[] = [];
   const time = {now: 0};
   const connections = new BoundedConnections({
     maximum: 3,
     onFull: (closed) => reports.push(closed),
     clock: () => time.now,
+    afterReading,
   });
   const sockets = [new Socket(), new Socket(), new Socket()];
   sockets.forEach((socket) => connections.opened(socket));
@@ -37,6 +38,19 @@
     expect(closed()).toEqual([false, true, false]);
   });
 
+  it('closes no connection whose request may not have been read', () => {
+    const unread: (() => void)[] = [];
+    const {connections, sockets, open, closed} = openThree((done) =>
+      unread.push(done),
+    );
+    const [first] = sockets as [Socket, Socket, Socket];
+    expect(open().destroyed).toBe(true);
+    connections.used(first);
+    unread.forEach((done) => done());
+    expect(open().destroyed).toBe(false);
+    expect(closed()).toEqual([false, true, false]);
+  });
+
   it('closes no connection that is in use', () => {
     const {connections, sockets, open, closed} = openThree();
     sockets.forEach((socket) => connections.used(socket));
--- a/packages/node/src/connection/boundedConnections.ts
+++ b/packages/node/src/connection/boundedConnections.ts
@@ -22,14 +22,19 @@
   readonly onFull: (closed: ClosedConnections) => void;
   /** Milliseconds. */
   readonly clock?: () => number;
+  /** Calls back once what came with a new connection has been read. */
+  readonly afterReading?: (done: () => void) => void;
 }
 
 /**
  * Closes the connection that has been idle the longest when there are too many,
  * since its client may be gone without having closed it; a new one if none is idle.
+ * A connection whose request may not have been read yet is not idle.
  */
 export class BoundedConnections {
   private readonly open = new Set<Socket>();
+  /** Connections in use. */
+  private readonly busy = new Set<Socket>();
   /** The one that has been idle the longest comes first. */
   private readonly idle = new Set<Socket>();
   private closedIdle = 0;
@@ -38,10 +43,15 @@
 
   constructor(private readonly options: BoundedConnectionsOptions) {}
 
-  /** Counts a new connection, which is idle, and closes one if there are too many. */
+  /** Counts a new connection, and closes one if there are too many. */
   opened(socket: Socket): void {
+    const {afterReading = afterNextPoll} = this.options;
     this.open.add(socket);
-    this.idle.add(socket);
+    afterReading(() => {
+      if (!this.busy.has(socket)) {
+        this.unused(socket);
+      }
+    });
     socket.once('close', () => this.forget(socket));
     if (this.open.size > this.options.maximum) {
       this.closeLongestIdle(socket);
@@ -51,10 +61,12 @@
   /** The connection is in use, and is not closed. */
   used(socket: Socket): void {
     this.idle.delete(socket);
+    this.busy.add(socket);
   }
 
   /** The connection is idle from now on. */
   unused(socket: Socket): void {
+    this.busy.delete(socket);
     if (this.open.has(socket)) {
       this.idle.add(socket);
     }
@@ -75,6 +87,7 @@
   private forget(socket: Socket): void {
     this.open.delete(socket);
     this.idle.delete(socket);
+    this.busy.delete(socket);
   }
 
   private report(): void {
@@ -89,3 +102,11 @@
     this.refused = 0;
   }
 }
+
+/**
+ * A new connection is first polled in the next turn of the event loop, maybe behind
+ * the socket that accepts others.
+ */
+function afterNextPoll(done: () => void): void {
+  setImmediate(() => setImmediate(done));
+}
