A connection that has closed leaves nothing in BoundedConnections

Cause: the set of connections in use kept one that was used after it had been forgotten. No caller does so today, as requests of destroyed sockets are turned away before.

Change: the set is one of new connections of which nothing was read yet, from which things are only taken; those in use are in neither set.

Measured: the tests of the bound and of the limit of descriptors pass, with one for a connection that is used before what came with it counts as read.

--- a/packages/node/src/__tests__/boundedConnections.test.ts
+++ b/packages/node/src/__tests__/boundedConnections.test.ts
@@ -51,6 +51,17 @@
     expect(closed()).toEqual([false, true, false]);
   });
 
+  it('closes no connection that was used before it counted as read', () => {
+    const unread: (() => void)[] = [];
+    const {connections, sockets, open, closed} = openThree((done) =>
+      unread.push(done),
+    );
+    sockets.forEach((socket) => connections.used(socket));
+    unread.forEach((done) => done());
+    expect(open().destroyed).toBe(true);
+    expect(closed()).toEqual([false, false, false]);
+  });
+
   it('closes no connection that is in use', () => {
     const {connections, sockets, open, closed} = openThree();
     sockets.forEach((socket) => connections.used(socket));
--- a/packages/node/src/connection/boundedConnections.ts
+++ b/packages/node/src/connection/boundedConnections.ts
@@ -33,8 +33,8 @@
  */
 export class BoundedConnections {
   private readonly open = new Set<Socket>();
-  /** Connections in use. */
-  private readonly busy = new Set<Socket>();
+  /** New ones of which nothing may have been read yet. */
+  private readonly unread = new Set<Socket>();
   /** The one that has been idle the longest comes first. */
   private readonly idle = new Set<Socket>();
   private closedIdle = 0;
@@ -47,8 +47,9 @@
   opened(socket: Socket): void {
     const {afterReading = afterNextPoll} = this.options;
     this.open.add(socket);
+    this.unread.add(socket);
     afterReading(() => {
-      if (!this.busy.has(socket)) {
+      if (this.unread.has(socket)) {
         this.unused(socket);
       }
     });
@@ -60,13 +61,13 @@
 
   /** The connection is in use, and is not closed. */
   used(socket: Socket): void {
+    this.unread.delete(socket);
     this.idle.delete(socket);
-    this.busy.add(socket);
   }
 
   /** The connection is idle from now on. */
   unused(socket: Socket): void {
-    this.busy.delete(socket);
+    this.unread.delete(socket);
     if (this.open.has(socket)) {
       this.idle.add(socket);
     }
@@ -86,8 +87,8 @@
 
   private forget(socket: Socket): void {
     this.open.delete(socket);
+    this.unread.delete(socket);
     this.idle.delete(socket);
-    this.busy.delete(socket);
   }
 
   private report(): void {
