A full node answers clients whose requests it has not read, and keeps its callers

Callers on a box that hundreds of silent connections kept full lost their connections without an answer: the soak's crowded set.

Cause, traced in the soak's callers beside six busy processes: connections were closed in the order of their last use, whoever had them. At 6,000 new ones a second and room for 120, each is closed after 20 ms. A caller's open connection (socket hang up, reused true) went for silent ones, and one that the caller's machine needed 9 ms to write its request to was closed with the request unread (reused false). Neither call ran; those that took 200 ms to fail broke the promise of the soak.

Change: connections that carried a request keep up to half of the room, and those that carried none give way among themselves; while the former have more than half, they go first, since their clients may be gone. One without a request is told 503 connections-full, not run, come back in 1 s.

Measured: of the three tests of a full server, two fail before (no answer; a connection of a caller closed) and pass now.

--- a/packages/node/src/__tests__/boundedConnections.test.ts
+++ b/packages/node/src/__tests__/boundedConnections.test.ts
@@ -78,6 +78,32 @@
     expect(closed()).toEqual([true, false, false]);
   });
 
+  it('keeps used connections in half of the room while others come', () => {
+    const {connections, sockets, open, closed} = openThree();
+    const [first, second] = sockets as [Socket, Socket, Socket];
+    connections.used(first);
+    connections.unused(first);
+    const others = [open(), open(), open()];
+    expect(closed()).toEqual([false, true, true]);
+    expect(others.map(({destroyed}) => destroyed)).toEqual([
+      true,
+      false,
+      false,
+    ]);
+    expect(second.destroyed).toBe(true);
+  });
+
+  it('closes used connections first while they have more than half', () => {
+    const {connections, sockets, open, closed} = openThree();
+    const [first, second] = sockets as [Socket, Socket, Socket];
+    [first, second].forEach((socket) => {
+      connections.used(socket);
+      connections.unused(socket);
+    });
+    expect(open().destroyed).toBe(false);
+    expect(closed()).toEqual([true, false, false]);
+  });
+
   it('reports closed connections at once, then once a second', () => {
     const {connections, sockets, open, reports, time} = openThree();
     open();
--- a/packages/node/src/connection/boundedConnections.ts
+++ b/packages/node/src/connection/boundedConnections.ts
@@ -20,6 +20,8 @@
   readonly maximum: number;
   /** Called at the first connection that is closed, then once a second at most. */
   readonly onFull: (closed: ClosedConnections) => void;
+  /** Closes a connection that carried no request; it is only closed by default. */
+  readonly refuse?: (socket: Socket) => void;
   /** Milliseconds. */
   readonly clock?: () => number;
   /** Calls back once what came with a new connection has been read. */
@@ -27,15 +29,19 @@
 }
 
 /**
- * Closes the connection that has been idle the longest when there are too many,
- * since its client may be gone without having closed it; a new one if none is idle.
- * A connection whose request may not have been read yet is not idle.
+ * Closes an idle connection when there are too many, since its client may be gone
+ * without having closed it; the new one if none is idle. Connections that carried a
+ * request keep up to half of the room, as many that carry none may come; of either
+ * kind, the one that has been idle the longest is closed. A connection whose first
+ * request may not have been read yet is not idle.
  */
 export class BoundedConnections {
   private readonly open = new Set<Socket>();
   /** New ones of which nothing may have been read yet. */
   private readonly unread = new Set<Socket>();
-  /** The one that has been idle the longest comes first. */
+  /** Idle ones without a request so far; the oldest comes first. */
+  private readonly fresh = new Set<Socket>();
+  /** Others; the one that has been idle the longest comes first. */
   private readonly idle = new Set<Socket>();
   private closedIdle = 0;
   private refused = 0;
@@ -49,35 +55,40 @@
     this.open.add(socket);
     this.unread.add(socket);
     afterReading(() => {
-      if (this.unread.has(socket)) {
-        this.unused(socket);
+      if (this.unread.delete(socket)) {
+        this.fresh.add(socket);
       }
     });
     socket.once('close', () => this.forget(socket));
     if (this.open.size > this.options.maximum) {
-      this.closeLongestIdle(socket);
+      this.makeRoom(socket);
     }
   }
 
   /** The connection is in use, and is not closed. */
   used(socket: Socket): void {
     this.unread.delete(socket);
+    this.fresh.delete(socket);
     this.idle.delete(socket);
   }
 
   /** The connection is idle from now on. */
   unused(socket: Socket): void {
-    this.unread.delete(socket);
     if (this.open.has(socket)) {
       this.idle.add(socket);
     }
   }
 
-  private closeLongestIdle(newest: Socket): void {
-    const [longest = newest] = this.idle;
-    this.forget(longest);
-    longest.destroy();
-    if (longest === newest) {
+  private makeRoom(newest: Socket): void {
+    const {maximum, refuse = destroy} = this.options;
+    const [fresh] = this.fresh;
+    const [idle] = this.idle;
+    const used = this.open.size - this.unread.size - this.fresh.size;
+    const closed =
+      (used > maximum / 2 ? (idle ?? fresh) : (fresh ?? idle)) ?? newest;
+    this.forget(closed);
+    (closed === idle ? destroy : refuse)(closed);
+    if (closed === newest) {
       this.refused += 1;
     } else {
       this.closedIdle += 1;
@@ -88,6 +99,7 @@
   private forget(socket: Socket): void {
     this.open.delete(socket);
     this.unread.delete(socket);
+    this.fresh.delete(socket);
     this.idle.delete(socket);
   }
 
@@ -104,6 +116,10 @@
   }
 }
 
+function destroy(socket: Socket): void {
+  socket.destroy();
+}
+
 /**
  * A new connection is first polled in the next turn of the event loop, maybe behind
  * the socket that accepts others.
--- a/packages/node/src/connection/httpServer.ts
+++ b/packages/node/src/connection/httpServer.ts
@@ -5,6 +5,7 @@
 import type {Server, ServerResponse} from 'node:http';
 import type {Socket} from 'node:net';
 import type {Duplex} from 'node:stream';
+import type {RefusalReason} from '@lockpin/types';
 import {listenOn} from './addressListeners.js';
 import {BoundedConnections} from './boundedConnections.js';
 import {
@@ -28,6 +29,13 @@
  */
 const MAXIMUM_HEADERS_BYTES = 32 * 1024;
 
+/** Answer on a connection that makes room for others. */
+const CONNECTIONS_FULL = refusalText(
+  '503 Service Unavailable',
+  'connections-full',
+  'retry-after: 1\r\n',
+);
+
 /** The latest response on each connection; answers are sent in order. */
 type LatestResponses = WeakMap<Socket, ServerResponse>;
 
@@ -52,6 +60,7 @@
   const latest: LatestResponses = new WeakMap();
   const connections = new BoundedConnections({
     maximum: maximumConnections,
+    refuse: refuseConnection,
     onFull: (closed) =>
       onProblem({kind: 'connections-full', detail: JSON.stringify(closed)}),
   });
@@ -138,16 +147,34 @@
   const status = isTooLarge
     ? '431 Request Header Fields Too Large'
     : '400 Bad Request';
+  socket.write(refusalText(status, 'request-malformed'));
+}
+
+/** Tells a client whose request has not been read that it will not run. */
+function refuseConnection(socket: Socket): void {
+  socket.write(CONNECTIONS_FULL);
+  socket.destroySoon();
+}
+
+/**
+ * An answer to a request that has not been read whole, and closes its connection.
+ * Each further header has its line end.
+ */
+function refusalText(
+  status: string,
+  reason: RefusalReason,
+  headers = '',
+): string {
   const body = JSON.stringify({
-    type: 'urn:lockpin:refusal:request-malformed',
-    title: 'request malformed',
-    status: isTooLarge ? 431 : 400,
-    reason: 'request-malformed',
+    type: `urn:lockpin:refusal:${reason}`,
+    title: reason.replaceAll('-', ' '),
+    status: Number.parseInt(status, 10),
+    reason,
     outcome: 'not-run',
   });
-  socket.write(
+  return (
     `HTTP/1.1 ${status}\r\ncontent-type: application/problem+json\r\n` +
-      `lockpin-outcome: not-run\r\nlockpin-reason: request-malformed\r\n` +
-      `content-length: ${Buffer.byteLength(body)}\r\nconnection: close\r\n\r\n${body}`,
+    `lockpin-outcome: not-run\r\nlockpin-reason: ${reason}\r\n${headers}` +
+    `content-length: ${Buffer.byteLength(body)}\r\nconnection: close\r\n\r\n${body}`
   );
 }
--- a/packages/node/src/request/wireCodes.ts
+++ b/packages/node/src/request/wireCodes.ts
@@ -89,6 +89,7 @@
     'upstream-over-limit': 42,
     'nested-busy': 43,
     'memory-exhausted': 44,
+    'connections-full': 45,
   },
   'guard-lost',
 );
--- a/packages/types/src/refusals.ts
+++ b/packages/types/src/refusals.ts
@@ -38,6 +38,8 @@
   /** A service that the call is likely to call has no capacity for it. */
   | 'nested-busy'
   | 'queue-full'
+  /** The node has as many connections of callers as it may. */
+  | 'connections-full'
   /** Its body arrived more slowly than others that needed the memory. */
   | 'memory-exhausted'
   | 'customer-over-share'
