An answer behind a 100 that was not asked for reaches its caller

Callers got 502 for calls whose upstream sent 100 Continue before its answer without having been asked, which HTTP allows (RFC 9110, section 15.2).

Cause: undici ends a connection at a 100, as it never asks for one. It passes over the other interim answers.

Change: the reader of status lines, which sees each byte before undici, makes the status 102, also where it comes byte by byte. The bound of interim answers counts it as before.

--- a/packages/node/src/connection/statusLines.ts
+++ b/packages/node/src/connection/statusLines.ts
@@ -1,7 +1,8 @@
 // Copyright (c) 2026 the lockpin contributors. MIT licence, see LICENSE.
 /**
  * Checks the status lines of one answer and of the interim ones before it, of
- * which undici accepts any status, some other versions and any reason.
+ * which undici accepts any status, some other versions and any reason, but no 100
+ * that was not asked for, which HTTP allows (RFC 9110, section 15.2).
  */
 
 /** Far more than an upstream sends to show that it works on a call. */
@@ -17,6 +18,15 @@
 
 const INTERIM_LINE = /^.{9}1/;
 
+const CONTINUE_STATUS = '100';
+
+/** Where the status stands in its line. */
+const STATUS_START = 9;
+const STATUS_END = 12;
+
+/** Last digit of 102, which undici passes over. */
+const PROCESSING_DIGIT = 0x32;
+
 /** What a connection has received since a request was sent on it. */
 export class StatusLines {
   private part: 'status-line' | 'interim-fields' | 'rest' = 'status-line';
@@ -24,14 +34,21 @@
   private line = '';
   private interimAnswers = 0;
 
-  /** Returns false once the bytes are no beginning of an answer. */
+  /**
+   * Returns false once the bytes are no beginning of an answer. Makes a status of
+   * 100 one of 102 in the bytes.
+   */
   accept(bytes: Buffer): boolean {
     let at = 0;
     while (this.part !== 'rest' && at < bytes.length) {
       const feed = bytes.indexOf(LINE_FEED, at);
       const end = feed === -1 ? bytes.length : feed;
-      const room = MAXIMUM_STATUS_LINE_BYTES + 1 - this.line.length;
+      const before = this.line.length;
+      const room = MAXIMUM_STATUS_LINE_BYTES + 1 - before;
       this.line += bytes.toString('latin1', at, Math.min(end, at + room));
+      if (before < STATUS_END && this.isContinue) {
+        bytes[at + STATUS_END - 1 - before] = PROCESSING_DIGIT;
+      }
       at = end + 1;
       if (this.isTooLong || (feed !== -1 && !this.acceptLine())) {
         return false;
@@ -40,6 +57,13 @@
     return true;
   }
 
+  private get isContinue(): boolean {
+    return (
+      this.part === 'status-line' &&
+      this.line.slice(STATUS_START, STATUS_END) === CONTINUE_STATUS
+    );
+  }
+
   private get isTooLong(): boolean {
     return (
       this.part === 'status-line' &&
