A 304 that states a length reaches its caller

Callers got 502 for a GET or POST that its upstream answered with 304 and the length of the answer that it stands for, which HTTP allows (RFC 9110, 8.6).

Cause: undici parses the answer to its end, then compares the length with the body, of which there is none, and fails the request.

Change: that failure of a 304 ends the call as answered. The connection is closed, as undici closes it.

Measured: the test fails before for repeatable and for other calls (upstream-failed unknown) and passes now; those for a 304 without a length or in chunks passed before, too. On the whole path it was not run.

--- a/packages/node/src/__tests__/legalAnswers.test.ts
+++ b/packages/node/src/__tests__/legalAnswers.test.ts
@@ -6,6 +6,7 @@
 
 const WHOLE = 'HTTP/1.1 200 OK\r\ncontent-length: 4\r\n\r\nwell';
 const CONTINUE = 'HTTP/1.1 100 Continue\r\n\r\n';
+const NOT_MODIFIED = 'HTTP/1.1 304 Not Modified\r\netag: "a"\r\n';
 
 let upstream: RawUpstream;
 
@@ -37,4 +38,23 @@
     };
     expect(await upstream.call({repetition})).toBe('200 well');
   });
+
+  it('may be 304 with the length of the body that it does not have', async () => {
+    upstream.answer = (socket) =>
+      socket.write(`${NOT_MODIFIED}content-length: 4\r\n\r\n`);
+    expect(await upstream.call({repetition})).toBe('304 ');
+    upstream.answer = (socket) => socket.write(WHOLE);
+    expect(await upstream.call({repetition})).toBe('200 well');
+  });
+
+  it('may be 304 with the framing of the body that it does not have', async () => {
+    upstream.answer = (socket) =>
+      socket.write(`${NOT_MODIFIED}transfer-encoding: chunked\r\n\r\n`);
+    expect(await upstream.call({repetition})).toBe('304 ');
+  });
+
+  it('may be 304 without a length', async () => {
+    upstream.answer = (socket) => socket.write(`${NOT_MODIFIED}\r\n`);
+    expect(await upstream.call({repetition})).toBe('304 ');
+  });
 });
--- a/packages/node/src/request/answerEvents.ts
+++ b/packages/node/src/request/answerEvents.ts
@@ -15,6 +15,23 @@
   'UND_ERR_HEADERS_OVERFLOW',
 ]);
 
+const NOT_MODIFIED = 304;
+
+/** Code of undici for a body of another length than the answer states. */
+const LENGTH_MISMATCH = 'UND_ERR_RES_CONTENT_LENGTH_MISMATCH';
+
+/**
+ * Whether undici took a 304 for incomplete that states the length of the answer it
+ * stands for, as HTTP allows (RFC 9110, section 8.6).
+ */
+export function isWholeNotModified(
+  answer: UpstreamAnswer | undefined,
+  error: Error,
+): boolean {
+  const {code} = error as NodeJS.ErrnoException;
+  return answer?.status === NOT_MODIFIED && code === LENGTH_MISMATCH;
+}
+
 /** The event for a response that is not an answer; undefined for others. */
 export function failureEvent(
   callId: string,
--- a/packages/node/src/request/upstreamDispatch.ts
+++ b/packages/node/src/request/upstreamDispatch.ts
@@ -14,6 +14,7 @@
   failureEvent,
   failureOf,
   interruptedEvent,
+  isWholeNotModified,
 } from './answerEvents.js';
 import {FIRST_FINAL_STATUS, isAnswer, mustBeEmpty} from './answerSyntax.js';
 import type {CallHead} from './frames.js';
@@ -155,6 +156,10 @@
         this.answered(exchange, upstream);
       },
       onResponseError: (_controller, error) => {
+        if (isWholeNotModified(exchange.answer, error)) {
+          this.answered(exchange, upstream);
+          return;
+        }
         exchange.failure ??= connectionFailure(error);
         this.dependencies.handleEvent({
           kind: 'upstream-failed',
