Requests of callers that have left are not sent on by a node that reads them late

Cause, from the node's log: sidecar-cmb-hall1-4 read a request 1.5 s after it had been sent, as thousands of connections waited to be accepted when it woke, and offered it in the same turn. The close of its connection came with the next poll: the call ended as caller-left after 7 ms, and had run.

Change: a request becomes a call once the event loop has polled its connection again. One whose connection has ended by then is dropped.

--- a/packages/node/src/connection/boundedConnections.ts
+++ b/packages/node/src/connection/boundedConnections.ts
@@ -3,6 +3,7 @@
 
 import type {Socket} from 'node:net';
 import {steadyClock} from '@lockpin/utils';
+import {afterNextPoll} from './afterNextPoll.js';
 
 /** Interval between reports; a flood closes thousands of connections a second. */
 const REPORT_INTERVAL_MILLISECONDS = 1000;
@@ -119,11 +120,3 @@
 function destroy(socket: Socket): void {
   socket.destroy();
 }
-
-/**
- * A new connection is first polled in the next turn of the event loop, maybe behind
- * the socket that accepts others.
- */
-function afterNextPoll(done: () => void): void {
-  setImmediate(() => setImmediate(done));
-}
--- a/packages/node/src/request/callReceiver.ts
+++ b/packages/node/src/request/callReceiver.ts
@@ -5,6 +5,7 @@
 import type {Admission} from '@lockpin/limits';
 import type {Result} from '@lockpin/types';
 import {failure} from '@lockpin/utils';
+import {afterNextPoll} from '../connection/afterNextPoll.js';
 import type {CallAdmission} from './callAdmission.js';
 import {readBodyFor} from './callerBody.js';
 import type {CallerConnections} from './callerConnections.js';
@@ -148,7 +149,10 @@
       refuseRequest(this.dependencies, unread, reason);
       return undefined;
     }
-    return body.kind === 'cut' || response.destroyed ? undefined : body;
+    // A caller may have left long before a busy node reads its request.
+    await new Promise<void>(afterNextPoll);
+    const hasLeft = response.destroyed || request.socket.writableEnded;
+    return body.kind === 'cut' || hasLeft ? undefined : body;
   }
 
   /**
