--- a/packages/node/src/connection/boundedSocket.ts
+++ b/packages/node/src/connection/boundedSocket.ts
@@ -3,6 +3,7 @@
 
 import {Socket} from 'node:net';
 import type {buildConnector} from 'undici';
+import {connectSocket} from './connectSocket.js';
 
 /** A server that accepts no connection in this time is not reachable. */
 const CONNECT_TIMEOUT_MILLISECONDS = 10_000;
@@ -47,20 +48,17 @@
 ): buildConnector.connector {
   return ({hostname, port}, done) => {
     const socket = new BoundedSocket(maximumAnswerBytes);
-    const timer = setTimeout(
-      () => socket.destroy(new Error('connection attempt timed out')),
-      CONNECT_TIMEOUT_MILLISECONDS,
-    );
-    const failed = (error: Error): void => {
-      clearTimeout(timer);
-      done(error, null);
+    const target = {
+      host: hostname,
+      port: Number(port),
+      timeoutMilliseconds: CONNECT_TIMEOUT_MILLISECONDS,
     };
-    socket.once('error', failed);
-    socket.once('connect', () => {
-      clearTimeout(timer);
-      socket.off('error', failed);
-      done(null, socket);
+    connectSocket(socket, target, (error) => {
+      if (error === undefined) {
+        done(null, socket);
+      } else {
+        done(error, null);
+      }
     });
-    socket.connect({host: hostname, port: Number(port)});
   };
 }
--- a/packages/node/src/connection/upstreamPools.ts
+++ b/packages/node/src/connection/upstreamPools.ts
@@ -8,6 +8,8 @@
 import type {Resource, UpstreamIncarnation} from '@lockpin/types';
 import {isSameIncarnation, wasReset} from '@lockpin/utils';
 import {checkAddress} from './checkAddress.js';
+import {connectSocket} from './connectSocket.js';
+import type {ConnectTarget} from './connectSocket.js';
 import {UpstreamSocket} from './upstreamSocket.js';
 
 /**
@@ -34,8 +36,12 @@
     headersTimeout: 0,
     bodyTimeout: 0,
     connect: ((options, done) => {
-      const address = {host: options.hostname, port: Number(options.port)};
-      this.connect(address, done);
+      const target = {
+        host: options.hostname,
+        port: Number(options.port),
+        timeoutMilliseconds: CONNECT_TIMEOUT_MILLISECONDS,
+      };
+      this.connect(target, done);
     }) as buildConnector.connector,
   };
 
@@ -110,7 +116,7 @@
   }
 
   private connect(
-    address: {readonly host: string; readonly port: number},
+    target: ConnectTarget,
     done: (...result: [Error, null] | [null, Socket]) => void,
   ): void {
     const socket = new UpstreamSocket(
@@ -121,18 +127,11 @@
         this.parsed = undefined;
       },
     );
-    const timer = setTimeout(
-      () => socket.destroy(new Error('connection attempt timed out')),
-      CONNECT_TIMEOUT_MILLISECONDS,
-    );
-    const failed = (error: Error): void => {
-      clearTimeout(timer);
-      done(error, null);
-    };
-    socket.once('error', failed);
-    socket.once('connect', () => {
-      clearTimeout(timer);
-      socket.off('error', failed);
+    connectSocket(socket, target, (error) => {
+      if (error !== undefined) {
+        done(error, null);
+        return;
+      }
       socket.on('error', () => this.markReset());
       socket.on('end', () => {
         if (wasReset(socket)) {
@@ -141,7 +140,6 @@
       });
       done(null, socket);
     });
-    socket.connect(address);
   }
 
   /**
