--- a/packages/tools/src/soak/faultDraws.ts
+++ b/packages/tools/src/soak/faultDraws.ts
@@ -9,7 +9,7 @@
 import type {HeldAddress, LinkName, PlannedFault} from './plannedFault.js';
 
 /** Fault durations, with a distribution skewed towards the shortest. */
-export const SHORTEST_FAULT_MILLISECONDS = 300;
+const SHORTEST_FAULT_MILLISECONDS = 300;
 const LONGEST_FAULT_MILLISECONDS = 4000;
 
 /** Limit of file descriptors of the nodes of the `crowded` set. */
@@ -54,6 +54,35 @@
   boxes: number,
 ) => readonly PlannedFault[];
 
+function drawPause(
+  random: RandomSource,
+  at: number,
+  boxes: number,
+): readonly PlannedFault[] {
+  return [
+    {
+      at,
+      kind: 'pause',
+      box: randomIndex(random, boxes),
+      durationMilliseconds: randomDuration(random),
+    },
+  ];
+}
+
+/** Draws nodes that end one after another, and soon start again. */
+export function drawShortEnds(
+  random: RandomSource,
+  at: number,
+  boxes: number,
+): readonly PlannedFault[] {
+  return inSeries(random, at, (time) => ({
+    at: time,
+    kind: random() < 0.5 ? 'kill' : 'stop',
+    box: randomIndex(random, boxes),
+    downMilliseconds: SHORTEST_FAULT_MILLISECONDS,
+  }));
+}
+
 /** The `first` fault set; all entries are equally likely. */
 export const BASE_DRAWS: readonly DrawFault[] = [
   (random, at, boxes) =>
@@ -70,14 +99,7 @@
       box: randomIndex(random, boxes),
       downMilliseconds: randomDuration(random) / 2,
     })),
-  (random, at, boxes) => [
-    {
-      at,
-      kind: 'pause',
-      box: randomIndex(random, boxes),
-      durationMilliseconds: randomDuration(random),
-    },
-  ],
+  drawPause,
   (random, at, boxes) => [
     {
       at,
@@ -376,7 +398,8 @@
   ],
 ];
 
-const CROWDED_ADDRESSES: readonly HeldAddress[] = [
+/** Addresses on which a node listens. */
+export const HELD_ADDRESSES: readonly HeldAddress[] = [
   'caller',
   'peer',
   'readiness',
@@ -397,7 +420,7 @@
       at,
       kind: 'idle-connections',
       box: randomIndex(random, boxes),
-      address: randomItem(random, CROWDED_ADDRESSES),
+      address: randomItem(random, HELD_ADDRESSES),
       connections: CROWD,
       durationMilliseconds: LONGEST_FAULT_MILLISECONDS,
     },
@@ -411,21 +434,8 @@
 export const CROWDED_DRAWS: readonly DrawFault[] = [
   drawCrowd,
   drawCrowd,
-  (random, at, boxes) =>
-    inSeries(random, at, (time) => ({
-      at: time,
-      kind: random() < 0.5 ? 'kill' : 'stop',
-      box: randomIndex(random, boxes),
-      downMilliseconds: SHORTEST_FAULT_MILLISECONDS,
-    })),
-  (random, at, boxes) => [
-    {
-      at,
-      kind: 'pause',
-      box: randomIndex(random, boxes),
-      durationMilliseconds: randomDuration(random),
-    },
-  ],
+  drawShortEnds,
+  drawPause,
 ];
 
 /** Draws a single fault with probability 0.5, otherwise two or more. */
--- a/packages/tools/src/soak/startingDraws.ts
+++ b/packages/tools/src/soak/startingDraws.ts
@@ -2,22 +2,13 @@
 /** Draws the faults of the `starting` set at random. */
 
 import {
+  HELD_ADDRESSES,
   MAXIMUM_SERIES_LENGTH,
-  SHORTEST_FAULT_MILLISECONDS,
-  inSeries,
+  drawShortEnds,
   randomDuration,
   randomIndex,
 } from './faultDraws.js';
 import type {DrawFault} from './faultDraws.js';
-import type {HeldAddress} from './plannedFault.js';
-
-const HELD_ADDRESSES: readonly HeldAddress[] = [
-  'caller',
-  'peer',
-  'readiness',
-  'announcements',
-  'metrics',
-];
 
 /** Oldest process that is told to stop while it starts; some already serve. */
 const OLDEST_START_MILLISECONDS = 600;
@@ -78,11 +69,5 @@
       restarts: random() < 0.5,
     },
   ],
-  (random, at, boxes) =>
-    inSeries(random, at, (time) => ({
-      at: time,
-      kind: random() < 0.5 ? 'kill' : 'stop',
-      box: randomIndex(random, boxes),
-      downMilliseconds: SHORTEST_FAULT_MILLISECONDS,
-    })),
+  drawShortEnds,
 ];
