--- a/packages/tools/src/soak/boxProcess.ts
+++ b/packages/tools/src/soak/boxProcess.ts
@@ -8,6 +8,7 @@
 import {fileURLToPath} from 'node:url';
 import {catchesHangup} from '../harness/catchesHangup.js';
 import {killOnExit} from '../harness/killOnExit.js';
+import {withDescriptorLimit} from '../harness/withDescriptorLimit.js';
 import type {ExitRecord, StopRecord} from './soakHistory.js';
 
 /** Path of the built node bundle. */
@@ -196,13 +197,3 @@
     setTimeout(() => this.start(), RESTART_DELAY_MILLISECONDS);
   }
 }
-
-/** Only a shell can lower the limit; it then becomes the process. */
-function withDescriptorLimit(
-  [file, ...words]: readonly [string, ...string[]],
-  descriptors: number | undefined,
-): readonly [string, ...string[]] {
-  return descriptors === undefined
-    ? [file, ...words]
-    : ['sh', '-c', `ulimit -n ${descriptors}; exec "$0" "$@"`, file, ...words];
-}
