A node of a fleet of its own reports an event loop that turns in vain, too

Only nodes of declared fleets did. watchEventLoop holds the interval and what is reported for both; runFleetNode loses its own. The tests of the watch and of cli and tools that were run pass; the line itself was not provoked in a fleet of its own.

--- a/packages/node/src/process/eventLoopWatch.ts
+++ b/packages/node/src/process/eventLoopWatch.ts
@@ -7,6 +7,7 @@
 import {createHook, executionAsyncResource} from 'node:async_hooks';
 import {performance} from 'node:perf_hooks';
 import {setTimeout as delay} from 'node:timers/promises';
+import {steadyClock} from '@lockpin/utils';
 
 /** Turns of the event loop of this process, and events that it has handled. */
 export interface LoopCounts {
@@ -35,6 +36,9 @@
 /** Input may cause further turns without any, by setImmediate. */
 const TURNS_PER_INPUT = 3;
 
+/** Interval between checks, which are cheap. */
+const CHECK_INTERVAL_MILLISECONDS = 250;
+
 /** Time for which turns are sampled; callbacks cost more meanwhile. */
 const SAMPLE_MILLISECONDS = 25;
 
@@ -154,8 +158,27 @@
   return Math.round((count * 1000) / milliseconds);
 }
 
+/**
+ * Watches the event loop of this process, and tells what may keep it busy; returns
+ * a function that stops the watch.
+ */
+export function watchEventLoop(
+  every: (milliseconds: number, run: () => void) => () => void,
+  onBusy: (
+    loop: BusyLoop & {readonly resources: Readonly<Record<string, number>>},
+  ) => void,
+): () => void {
+  const watch = new EventLoopWatch({
+    clock: steadyClock,
+    readCounts: readLoopCounts,
+    sample: sampleTurns,
+    onBusy: (loop) => onBusy({...loop, resources: countResources()}),
+  });
+  return every(CHECK_INTERVAL_MILLISECONDS, () => void watch.check());
+}
+
 /** The open resources of this process by kind, such as sockets and timers. */
-export function countResources(): Readonly<Record<string, number>> {
+function countResources(): Readonly<Record<string, number>> {
   const counts: Record<string, number> = {};
   for (const kind of process.getActiveResourcesInfo()) {
     counts[kind] = (counts[kind] ?? 0) + 1;
--- a/packages/node/src/process/runFleetNode.ts
+++ b/packages/node/src/process/runFleetNode.ts
@@ -17,12 +17,7 @@
   drainCalls,
 } from './drainCalls.js';
 import type {StopResult} from './drainCalls.js';
-import {
-  EventLoopWatch,
-  countResources,
-  readLoopCounts,
-  sampleTurns,
-} from './eventLoopWatch.js';
+import {watchEventLoop} from './eventLoopWatch.js';
 import {FLEET_TOKENS, versionNews} from './fleetComposition.js';
 import type {FleetHost} from './fleetHost.js';
 import {
@@ -95,9 +90,6 @@
 /** Interval between log lines on the traffic between data centres. */
 const TRAFFIC_LOG_INTERVAL_MILLISECONDS = 5000;
 
-/** Interval between checks of whether the event loop waits, which are cheap. */
-const LOOP_CHECK_INTERVAL_MILLISECONDS = 250;
-
 /** Starts all components of a composed node, and waits for its addresses. */
 export async function runFleetNode(
   container: DependencyContainer,
@@ -136,7 +128,9 @@
     remote.reopenFollowed(),
   );
   every(TRAFFIC_LOG_INTERVAL_MILLISECONDS, () => logTraffic(container));
-  watchEventLoop(container);
+  watchEventLoop(every, (loop) =>
+    container.resolve(FLEET_TOKENS.log).event('event-loop-busy', {...loop}),
+  );
   const isReachable = (): boolean =>
     callerListener.isListening && peerListener.isListening;
   let result: Promise<FleetStopResult> | undefined;
@@ -220,19 +214,6 @@
     .event('bytes-between-data-centres', {...betweenDataCentres});
 }
 
-/** Logs an event loop that turns without waiting, with what may keep it busy. */
-function watchEventLoop(container: DependencyContainer): void {
-  const log = container.resolve(FLEET_TOKENS.log);
-  const watch = new EventLoopWatch({
-    clock: steadyClock,
-    readCounts: readLoopCounts,
-    sample: sampleTurns,
-    onBusy: (loop) =>
-      log.event('event-loop-busy', {...loop, resources: countResources()}),
-  });
-  every(LOOP_CHECK_INTERVAL_MILLISECONDS, () => void watch.check());
-}
-
 /** Progress of a node's stop. */
 interface StopState {
   /** Whether callers are told to use other nodes. */
--- a/packages/node/src/process/runNode.ts
+++ b/packages/node/src/process/runNode.ts
@@ -23,6 +23,7 @@
   drainCalls,
 } from './drainCalls.js';
 import type {StopResult} from './drainCalls.js';
+import {watchEventLoop} from './eventLoopWatch.js';
 
 /** A running node. */
 export interface RunningNode {
@@ -99,9 +100,16 @@
     const members = host.control.membership.all();
     metrics.gauge('members.usable', members.filter(isUsable).length);
   });
+  const stopWatch = watchEventLoop(every, ({resources, ...rates}) =>
+    container.resolve(TOKENS.logger).warn('event loop busy', {
+      ...rates,
+      resources: JSON.stringify(resources),
+    }),
+  );
   let stopping: Promise<StopResult> | undefined;
   const stop = (): Promise<StopResult> => {
     stopGauges();
+    stopWatch();
     return stopNode(container, callers, operators);
   };
   return {stop: () => (stopping ??= stop())};
