--- a/packages/node/src/__tests__/fullServer.test.ts
+++ b/packages/node/src/__tests__/fullServer.test.ts
@@ -12,7 +12,10 @@
 
 const MAXIMUM_CONNECTIONS = 8;
 
+const REQUEST = 'GET / HTTP/1.1\r\nhost: a\r\nconnection: close\r\n\r\n';
+
 const opened: Socket[] = [];
+let served = 0;
 let server: Server | undefined;
 
 afterEach(() => {
@@ -22,9 +25,13 @@
 });
 
 async function start(): Promise<number> {
+  served = 0;
   server = await startHttpServer(
     '127.0.0.1:0',
-    (_request, response) => void response.end('served'),
+    (_request, response) => {
+      served += 1;
+      response.end('served');
+    },
     {maximumConnections: MAXIMUM_CONNECTIONS},
   );
   return (server.address() as AddressInfo).port;
@@ -63,6 +70,25 @@
     );
   });
 
+  it('does not serve a request that comes once it has told so', async () => {
+    const port = await start();
+    const first = await openIdle(port);
+    const answer = text(first);
+    let connections = 1;
+    server?.on('connection', () => {
+      connections += 1;
+      if (connections > MAXIMUM_CONNECTIONS) {
+        first.write(REQUEST);
+      }
+    });
+    for (let index = 0; index < MAXIMUM_CONNECTIONS; index += 1) {
+      await openIdle(port);
+    }
+    expect(await answer).toMatch(/^HTTP\/1\.1 503 /);
+    await delay(50);
+    expect(served).toBe(0);
+  });
+
   it('keeps the connections of clients that have called', async () => {
     const port = await start();
     const agent = new Agent({keepAlive: true, maxSockets: 1});
@@ -92,9 +118,7 @@
     await delay(50);
     expect(fresh.map(({destroyed}) => destroyed)).not.toContain(true);
     const answers = fresh.map((socket) => text(socket));
-    fresh.forEach((socket) =>
-      socket.write('GET / HTTP/1.1\r\nhost: a\r\nconnection: close\r\n\r\n'),
-    );
+    fresh.forEach((socket) => socket.write(REQUEST));
     for (const answer of answers) {
       expect(await answer).toMatch(/^HTTP\/1\.1 200 /);
     }
