--- a/deploy/build.mjs
+++ b/deploy/build.mjs
@@ -21,7 +21,12 @@
 );
 
 /** Code compiled under other flags is refused; these are those of deploy/system.toml. */
-const FLAGS = ['--max-old-space-size=128', '--max-semi-space-size=4'];
+const FLAGS = [
+  '--max-old-space-size=128',
+  '--max-semi-space-size=4',
+  '--single-threaded-gc',
+  '--no-incremental-marking-task',
+];
 
 const OPTIONS = {
   bundle: true,
--- a/packages/tools/src/cost/main.ts
+++ b/packages/tools/src/cost/main.ts
@@ -7,6 +7,7 @@
 import {setTimeout as pause} from 'node:timers/promises';
 import yargs from 'yargs';
 import {hideBin} from 'yargs/helpers';
+import {deployedFlags} from '../harness/deployedFlags.js';
 import {NODE_BUNDLE} from '../soak/boxProcess.js';
 import {CostFleet} from './costFleet.js';
 import type {CostVariant} from './costFleet.js';
@@ -14,9 +15,6 @@
 
 const IDLE_MILLISECONDS = 5000;
 
-/** Flags of the runtime, as in deploy/system.toml; others refuse the code cache. */
-const DEPLOYED_FLAGS = '--max-old-space-size=128 --max-semi-space-size=4';
-
 /** Cost of one fleet, in milliseconds of processor time. */
 interface Cost {
   /** Start of one node. */
@@ -40,7 +38,7 @@
   .option('variant', {
     type: 'string',
     array: true,
-    default: [`this=${DEPLOYED_FLAGS} ${NODE_BUNDLE}`],
+    default: [`this=${[...deployedFlags(), NODE_BUNDLE].join(' ')}`],
     describe: 'NAME=ARGUMENTS of the runtime, the bundle among them',
   })
   .strict()
--- a/packages/tools/src/soak/slowReaders.ts
+++ b/packages/tools/src/soak/slowReaders.ts
@@ -10,6 +10,7 @@
 import {setTimeout as pause} from 'node:timers/promises';
 import {answerBody, requestHeaders} from '@lockpin/platform-stand-ins';
 import {parseAddress, seededRandom} from '@lockpin/utils';
+import {deployedFlags} from '../harness/deployedFlags.js';
 import {freeAddresses} from '../harness/ports.js';
 import {waitUntil} from '../harness/waitUntil.js';
 import {NODE_BUNDLE} from './boxProcess.js';
@@ -59,12 +60,8 @@
   /** The answer looked complete and was not; must never happen. */
   | 'truncated';
 
-/** As on the platform, see deploy/system.toml. */
-const NODE_COMMAND = [
-  '--max-old-space-size=128',
-  '--max-semi-space-size=4',
-  NODE_BUNDLE,
-];
+/** As on the platform. */
+const NODE_COMMAND = [...deployedFlags(), NODE_BUNDLE];
 
 const TIME_LIMIT_MILLISECONDS = 1200;
 
--- a/packages/tools/src/soak/soakBox.ts
+++ b/packages/tools/src/soak/soakBox.ts
@@ -11,6 +11,7 @@
 import type {BoxSettings} from '@lockpin/platform-stand-ins';
 import type {RandomSource} from '@lockpin/types';
 import {parseAddress} from '@lockpin/utils';
+import {deployedFlags} from '../harness/deployedFlags.js';
 import {
   BoxProcess,
   NODE_BUNDLE,
@@ -50,7 +51,7 @@
   readonly descriptors?: number | undefined;
   /** Additional environment variables of the node. */
   readonly environment?: Readonly<Record<string, string>>;
-  /** Arguments of the Node.js runtime; by default, the built bundle. */
+  /** Arguments of the Node.js runtime; by default, the bundle as it is deployed. */
   readonly command?: readonly string[];
   readonly onDrained: (drain: DrainRecord) => void;
   readonly onUnexpectedExit: (exit: ExitRecord) => void;
@@ -150,7 +151,8 @@
   private createProcess(): BoxProcess {
     const {addresses} = this.options;
     const metricsPort = parseAddress(addresses.metrics ?? '')?.port ?? 0;
-    const {command = [NODE_BUNDLE, String(metricsPort)]} = this.options;
+    const {command = [...deployedFlags(), NODE_BUNDLE, String(metricsPort)]} =
+      this.options;
     return new BoxProcess({
       command,
       descriptors: this.options.descriptors,
