--- a/packages/node/src/connection/connectionBounds.ts
+++ b/packages/node/src/connection/connectionBounds.ts
@@ -5,8 +5,6 @@
  * pause, as the listening socket stays ready.
  */
 
-import {openFilesLimit} from './openFilesLimit.js';
-
 /** Where no limit is set; the smallest boxes have about this many. */
 export const DEFAULT_DESCRIPTORS = 4096;
 
@@ -30,15 +28,11 @@
   readonly local: number;
 }
 
-/**
- * Returns the bounds of a process that is stated to have so many descriptors; the
- * system may allow it fewer.
- */
+/** Returns the bounds of a process with so many descriptors. */
 export function connectionBounds(
   descriptors = DEFAULT_DESCRIPTORS,
-  systemLimit = openFilesLimit(),
 ): ConnectionBounds {
-  const connections = Math.min(descriptors, systemLimit) - OTHER_DESCRIPTORS;
+  const connections = descriptors - OTHER_DESCRIPTORS;
   const share = (part: number): number =>
     Math.max(MINIMUM_CONNECTIONS, Math.floor(connections * part));
   return {
