--- a/deploy/build.mjs
+++ b/deploy/build.mjs
@@ -25,7 +25,6 @@
   '--max-old-space-size=128',
   '--max-semi-space-size=4',
   '--single-threaded-gc',
-  '--no-incremental-marking-task',
 ];
 
 const OPTIONS = {
--- a/packages/tools/src/fleet/main.ts
+++ b/packages/tools/src/fleet/main.ts
@@ -142,7 +142,6 @@
     '--max-semi-space-size=1',
     '--max-old-space-size=128',
     '--single-threaded-gc',
-    '--no-incremental-marking-task',
   ];
   const node = new NodeProcess(
     {box, dataCentre, logAddress, boxListAddress, extra, nodeFlags},
