--- a/deploy/build.mjs
+++ b/deploy/build.mjs
@@ -21,11 +21,7 @@
 );
 
 /** Code compiled under other flags is refused; these are those of deploy/system.toml. */
-const FLAGS = [
-  '--max-old-space-size=128',
-  '--max-semi-space-size=4',
-  '--single-threaded-gc',
-];
+const FLAGS = ['--max-old-space-size=128', '--max-semi-space-size=4'];
 
 const OPTIONS = {
   bundle: true,
--- a/packages/tools/src/fleet/main.ts
+++ b/packages/tools/src/fleet/main.ts
@@ -138,11 +138,7 @@
   const dataCentre = `data-centre-${i % options['data-centres']}`;
   const addresses = await freeNodeAddresses();
   const extra = ['--log-level=error', '--snapshot-every-records=15'];
-  const nodeFlags = [
-    '--max-semi-space-size=1',
-    '--max-old-space-size=128',
-    '--single-threaded-gc',
-  ];
+  const nodeFlags = ['--max-semi-space-size=1', '--max-old-space-size=128'];
   const node = new NodeProcess(
     {box, dataCentre, logAddress, boxListAddress, extra, nodeFlags},
     addresses,
