--- a/packages/node/src/__tests__/eventLoopWatch.test.ts
+++ b/packages/node/src/__tests__/eventLoopWatch.test.ts
@@ -1,5 +1,5 @@
 // Copyright (c) 2026 the lockpin contributors. MIT licence, see LICENSE.
-/** An event loop that does not wait is told from one with much input. */
+/** Distinguishes an event loop that does not wait from one with much input. */
 
 import {connect, createServer} from 'node:net';
 import type {AddressInfo, Server} from 'node:net';
--- a/packages/node/src/connection/httpServer.ts
+++ b/packages/node/src/connection/httpServer.ts
@@ -150,7 +150,7 @@
   socket.write(refusalText(status, 'request-malformed'));
 }
 
-/** Tells a client whose request has not been read that it will not run. */
+/** Refuses the request that a client may send on its new connection. */
 function refuseConnection(socket: Socket): void {
   socket.write(CONNECTIONS_FULL);
   socket.destroySoon();
--- a/packages/node/src/process/eventLoopWatch.ts
+++ b/packages/node/src/process/eventLoopWatch.ts
@@ -159,8 +159,8 @@
 }
 
 /**
- * Watches the event loop of this process, and tells what may keep it busy; returns
- * a function that stops the watch.
+ * Watches the event loop of this process, and reports it with the open resources;
+ * returns a function that stops the watch.
  */
 export function watchEventLoop(
   every: (milliseconds: number, run: () => void) => () => void,
--- a/packages/tools/src/soak/faultPlan.ts
+++ b/packages/tools/src/soak/faultPlan.ts
@@ -26,8 +26,9 @@
  * hears another, `replaced` only replacements of boxes, `loaded` only hard load,
  * `broken` only answers that upstreams break, `starting` only what may happen to a
  * process that starts or ends, `endless` only upstreams that send what is no
- * answer or has no end, and `crowded` more connections than nodes can have. A regression seed keeps the set that it was recorded with,
- * and so replays the same schedule.
+ * answer or has no end, and `crowded` more connections than nodes can have. A
+ * regression seed keeps the set that it was recorded with, and so replays the same
+ * schedule.
  */
 export type FaultSet =
   | 'first'
