--- a/packages/node/src/__tests__/__fixtures__/fleetCallSimulation.ts
+++ b/packages/node/src/__tests__/__fixtures__/fleetCallSimulation.ts
@@ -85,6 +85,8 @@
   rejectShare: number;
   /** The upstream takes twice as long before this time. */
   coldUntil: number;
+  /** Whether callers use the node. */
+  hasCallers: boolean;
 }
 
 /** Runs the calls of one service. */
@@ -116,6 +118,7 @@
       resetShare: 0,
       rejectShare: 0,
       coldUntil: 0,
+      hasCallers: box < (options.boxesWithCallers ?? options.boxes),
     }));
     this.boxes.forEach((_, box) => this.tick(box));
     this.scheduleNextCall();
@@ -239,13 +242,20 @@
   private scheduleNextCall(): void {
     const mean = 1000 / this.options.callsPerSecond;
     this.clock.schedule(-Math.log(1 - this.random()) * mean, () => {
-      const {boxesWithCallers = this.boxes.length} = this.options;
-      this.startCall(Math.floor(this.random() * boxesWithCallers));
+      this.startCall();
       this.scheduleNextCall();
     });
   }
 
-  private startCall(box: number): void {
+  /** Starts a call at a random box that callers use, if there is any. */
+  private startCall(): void {
+    const used = this.boxes.flatMap(({hasCallers}, i) =>
+      hasCallers ? [i] : [],
+    );
+    const box = used[Math.floor(this.random() * used.length)];
+    if (box === undefined) {
+      return;
+    }
     this.serial += 1;
     const id = `call-${this.serial}`;
     const {repeatableShare, waitMilliseconds} = this.options;
@@ -411,7 +421,8 @@
     };
   }
 
-  private toGuard(box: number, event: GuardEvent): void {
+  /** Passes an event to the guard of a box and performs its actions. */
+  toGuard(box: number, event: GuardEvent): void {
     const {guard, frozenUntil} = this.boxes[box] as SimulatedBox;
     if (frozenUntil > this.now) {
       this.after(frozenUntil - this.now, () => this.toGuard(box, event));
