Upstreams of stopping nodes take calls that have no free slot elsewhere

Class: a protection of one node that takes no account of how many others it applies to at the same time.

The guard now takes new calls that end, by their known durations, while callers use the node. It lets none wait, so that the stop takes no longer. Load hints say for how long (fallbackFor), and entries plan such offers only where no other upstream has a free slot. A stop that comes alone moves calls at once, as before.

--- a/packages/brain/src/__tests__/plannedOffers.test.ts
+++ b/packages/brain/src/__tests__/plannedOffers.test.ts
@@ -105,6 +105,17 @@
     });
   }
 
+  /** The node of an upstream announces that it is stopping. */
+  isStopping(name: string, fallbackFor: number): void {
+    const hint = {
+      state: 'draining',
+      occupied: 0,
+      limit: 4,
+      fallbackFor,
+    } as const;
+    this.entry.loads.hintReceived(`s/${name}`, NOW, hint);
+  }
+
   unacknowledged({callId}: Attempt, after: number): readonly EntryAction[] {
     return this.entry.handle(NOW + after, this.random, {
       kind: 'attempt-unacknowledged',
@@ -176,6 +187,47 @@
   });
 });
 
+describe('an upstream whose node is stopping', () => {
+  const STILL = 1500;
+
+  it('gets no call while another has a free slot', () => {
+    const harness = new EntryHarness(['a', 'b', 'f']);
+    harness.knows({b: FULL, f: FREE});
+    harness.isStopping('a', STILL);
+    expect(offered(harness.arrive())).toBe('s/f immediate');
+  });
+
+  it('gets a call that would have to wait elsewhere', () => {
+    const harness = new EntryHarness(['a', 'b']);
+    harness.knows({b: FULL});
+    harness.isStopping('a', STILL);
+    expect(offered(harness.arrive())).toBe('s/a immediate');
+  });
+
+  it('gets a call that would be refused', () => {
+    const harness = new EntryHarness(['a']);
+    harness.isStopping('a', STILL);
+    expect(offered(harness.arrive())).toBe('s/a immediate');
+  });
+
+  it('gets no call that it no longer takes', () => {
+    const harness = new EntryHarness(['a', 'b']);
+    harness.knows({b: FULL});
+    harness.isStopping('a', 0);
+    expect(offered(harness.arrive())).toBe('s/b may-wait');
+  });
+
+  it('gets no second offer of a call that waits for a slot', () => {
+    const harness = new EntryHarness(['a', 'b']);
+    harness.knows({b: FULL});
+    harness.isStopping('a', STILL);
+    const first = attemptOf(harness.arrive());
+    expect(offered(harness.refuse(first, 'upstream-busy'))).toBe(
+      's/b may-wait',
+    );
+  });
+});
+
 describe('a call that no queue starts in time', () => {
   const refusedLike = (change: Partial<EntryCall>): EntryHarness => {
     const harness = new EntryHarness(['a', 'b']);
--- a/packages/brain/src/__tests__/plannedStop.test.ts
+++ b/packages/brain/src/__tests__/plannedStop.test.ts
@@ -39,12 +39,18 @@
 
   it('is any time if its deadline comes before the end', () => {
     const call = {...CALL, deadline: STOP.endsAt};
-    expect(latestStart(STOP, call, durationsOf(9, 9, 9, 9, 9))).toBe(Infinity);
-    expect(latestStart(STOP, call, unknown)).toBe(Infinity);
+    expect(latestStart(STOP.endsAt, call, durationsOf(9, 9, 9, 9, 9))).toBe(
+      Infinity,
+    );
+    expect(latestStart(STOP.endsAt, call, unknown)).toBe(Infinity);
   });
 
   it('leaves the time that such calls take, and a margin', () => {
-    const start = latestStart(STOP, CALL, durationsOf(900, 1e3, 1e3, 1e3, 800));
+    const start = latestStart(
+      STOP.endsAt,
+      CALL,
+      durationsOf(900, 1e3, 1e3, 1e3, 800),
+    );
     expect(start).toBeLessThan(4000);
     expect(start).toBeGreaterThan(3500);
   });
@@ -52,22 +58,22 @@
   it('leaves more time to a call that may not be repeated', () => {
     const spread = durationsOf(...Array.from({length: 32}, (_, i) => 50 * i));
     const repeatable = {...CALL, repetition: 'repeatable' as const};
-    expect(latestStart(STOP, CALL, spread)).toBeLessThan(
-      latestStart(STOP, repeatable, spread),
+    expect(latestStart(STOP.endsAt, CALL, spread)).toBeLessThan(
+      latestStart(STOP.endsAt, repeatable, spread),
     );
   });
 
   it('leaves the presumed time while no durations are known', () => {
     const call = {...CALL, presumedMilliseconds: 1000};
-    const start = latestStart(STOP, call, unknown);
+    const start = latestStart(STOP.endsAt, call, unknown);
     expect(start).toBeLessThan(4000);
     expect(start).toBeGreaterThan(3500);
   });
 
   it('is never for a call that may not be repeated if nothing is known', () => {
-    expect(latestStart(STOP, CALL, unknown)).toBe(-Infinity);
+    expect(latestStart(STOP.endsAt, CALL, unknown)).toBe(-Infinity);
     const repeatable = {...CALL, repetition: 'repeatable' as const};
-    expect(latestStart(STOP, repeatable, unknown)).toBe(STOP.endsAt);
+    expect(latestStart(STOP.endsAt, repeatable, unknown)).toBe(STOP.endsAt);
   });
 });
 
@@ -292,6 +298,56 @@
     ).toContainEqual({kind: 'run', callId: '2', upstream: UPSTREAM});
   });
 
+  const leaving = (slots: number): GuardHarness => {
+    const harness = new GuardHarness(slots);
+    harness.run('0', 200);
+    harness.handle({kind: 'leaving', stop: STOP});
+    harness.now = 500;
+    return harness;
+  };
+
+  it('takes a new call that ends before callers are gone, and no longer one', () => {
+    const harness = leaving(2);
+    expect(harness.offer('1', {...once, expectedMilliseconds: 600})).toEqual([
+      {kind: 'reserve', callId: '1'},
+    ]);
+    expect(refusalsOf(harness.offer('2', once))).toEqual([
+      'node-leaving not-run',
+    ]);
+  });
+
+  it('takes no new call once callers are gone', () => {
+    const harness = leaving(1);
+    harness.now = STOP.callersGoneAt;
+    const call = {...once, expectedMilliseconds: 1};
+    expect(refusalsOf(harness.offer('1', call))).toEqual([
+      'node-leaving not-run',
+    ]);
+  });
+
+  it('lets no new call wait for a slot', () => {
+    const harness = leaving(1);
+    const call = {...once, expectedMilliseconds: 600};
+    harness.offer('1', call);
+    expect(refusalsOf(harness.offer('2', call))).toEqual([
+      'upstream-busy not-run',
+    ]);
+  });
+
+  it('announces for how long its upstream is a fallback, if it is healthy', () => {
+    const harness = new GuardHarness();
+    const hintAfterStop = (): unknown =>
+      harness.handle({kind: 'leaving', stop: STOP});
+    expect(hintAfterStop()).toMatchObject([
+      {hint: {state: 'draining', fallbackFor: STOP.callersGoneAt}},
+    ]);
+    harness.offer('1', {needsGo: false});
+    harness.handle({kind: 'upstream-failed', callId: '1', wasSent: true});
+    expect(hintAfterStop()).toMatchObject([
+      {hint: expect.not.objectContaining({fallbackFor: expect.anything()})},
+    ]);
+  });
+
   it('refuses a late go signal, and says that its upstream is out of reach', () => {
     const harness = new GuardHarness();
     harness.run('0', 200);
--- a/packages/brain/src/entry/entryStop.ts
+++ b/packages/brain/src/entry/entryStop.ts
@@ -28,7 +28,7 @@
     return this.stop === undefined
       ? Number.POSITIVE_INFINITY
       : latestStart(
-          this.stop,
+          this.stop.endsAt,
           {deadline, repetition, kind, presumedMilliseconds},
           this.timing.recent,
         );
--- a/packages/brain/src/entry/offerPlanner.ts
+++ b/packages/brain/src/entry/offerPlanner.ts
@@ -61,10 +61,14 @@
   /** Plans the next offer and sets its terms. */
   next(now: number, random: RandomSource, state: CallState): PlannedOffer {
     const planned = this.nextAccepting(now, random, state);
-    const doubted =
-      planned.kind === 'hopeless' || planned.kind === 'none'
-        ? this.context.chooser.mostlyDoubted(now, random, state)
-        : undefined;
+    if (planned.kind !== 'hopeless' && planned.kind !== 'none') {
+      return planned;
+    }
+    const fallback = this.fallback(now, random, state, chooseLeastOccupied);
+    if (fallback !== undefined) {
+      return {kind: 'offer', candidate: fallback};
+    }
+    const doubted = this.context.chooser.mostlyDoubted(now, random, state);
     if (doubted === undefined) {
       return planned;
     }
@@ -81,9 +85,13 @@
   ): PlannedOffer {
     const {chooser} = this.context;
     const accepting = chooser.available(now, state);
-    if (accepting.length === 0 || state.terms === 'last-resort') {
+    if (state.terms === 'last-resort') {
       return offerOrNone(chooser.next(now, random, state));
     }
+    if (accepting.length === 0) {
+      const fallback = this.fallback(now, random, state, chooseLeastOccupied);
+      return offerOrNone(fallback ?? chooser.next(now, random, state));
+    }
     const others = accepting.filter(({name}) => !state.rejectedBy.has(name));
     const available = isRetry(state) ? this.funded(now, state, others) : others;
     if (available.length === 0) {
@@ -166,8 +174,9 @@
       state.slotRefusals === 0
         ? chooseFree(routing, prospects, settings.isNear)
         : undefined;
-    if (free !== undefined) {
-      return {kind: 'offer', candidate: free};
+    const candidate = free ?? this.fallback(now, random, state, chooseFree);
+    if (candidate !== undefined) {
+      return {kind: 'offer', candidate};
     }
     setTerms(state, 'may-wait');
     const known =
@@ -177,6 +186,32 @@
     return this.offerQueue(now, random, state, known);
   }
 
+  /**
+   * An upstream on a node that is stopping. It is healthy, but calls go there
+   * only for want of a free slot elsewhere. Its guard lets no call wait, so that
+   * one offer of a call is left for a queue.
+   */
+  private fallback(
+    now: number,
+    random: RandomSource,
+    state: CallState,
+    choose: typeof chooseFree,
+  ): RoutingCandidate | undefined {
+    const {chooser, settings} = this.context;
+    if (state.slotRefusals >= SLOT_OFFERS - 1) {
+      return undefined;
+    }
+    const candidates = chooser.fallbacks(now, state, this.usual(state));
+    const routing = chooser.routingContext(now, random, state);
+    const prospects = prospectsOf(
+      routing,
+      candidates,
+      this.usual(state),
+      () => true,
+    );
+    return choose(routing, prospects, settings.isNear);
+  }
+
   /** Asks for a place in a queue, or refuses the call if none is in time. */
   private offerQueue(
     now: number,
--- a/packages/brain/src/entry/upstreamChooser.ts
+++ b/packages/brain/src/entry/upstreamChooser.ts
@@ -211,6 +211,24 @@
     );
   }
 
+  /**
+   * Upstreams on nodes that are stopping, which still take a call that ends
+   * within some milliseconds.
+   */
+  fallbacks(
+    now: number,
+    state: CallState,
+    milliseconds: number,
+  ): readonly RoutingCandidate[] {
+    const {loads} = this.context;
+    return this.candidates(state.call, state.ran).filter(
+      ({name}) =>
+        !state.tried.has(name) &&
+        !state.rejectedBy.has(name) &&
+        loads.isFallback(name, now, milliseconds),
+    );
+  }
+
   /** What routing needs to know of the entry and a call. */
   routingContext(
     now: number,
--- a/packages/brain/src/guard/callLifecycle.ts
+++ b/packages/brain/src/guard/callLifecycle.ts
@@ -66,7 +66,10 @@
     const refusal = refuse(now, call, reason, 'not-run', upstream, retryAfter);
     const {hint} = refusal;
     return this.stop.isLeaving
-      ? {...refusal, hint: hint && leavingHint(hint)}
+      ? {
+          ...refusal,
+          hint: hint && leavingHint(hint, this.stop.fallbackFor(now)),
+        }
       : refusal;
   }
 
--- a/packages/brain/src/guard/callOfferHandler.ts
+++ b/packages/brain/src/guard/callOfferHandler.ts
@@ -80,7 +80,10 @@
     call: GuardCall,
     upstream: UpstreamGuard,
   ): readonly GuardAction[] {
-    if (this.stop.isLeaving) {
+    if (
+      this.stop.isLeaving &&
+      !this.stop.mayTake(now, call, upstream.recentDurations)
+    ) {
       const reason = 'node-leaving';
       return [this.lifecycle.refusePermanently(now, call, upstream, reason)];
     }
@@ -92,7 +95,11 @@
     if (shortage !== undefined) {
       return [this.refuseBusyParent(now, call, upstream, shortage)];
     }
-    const offer = upstream.offer(now, call);
+    const {isLeaving} = this.stop;
+    const offer = upstream.offer(
+      now,
+      isLeaving ? {...call, mayWait: false} : call,
+    );
     if (offer.kind === 'refused') {
       const after = offer.retryAfterMilliseconds;
       return [
--- a/packages/brain/src/guard/guardRefusals.ts
+++ b/packages/brain/src/guard/guardRefusals.ts
@@ -36,9 +36,18 @@
 
 /**
  * The hint for an upstream on a node that is leaving. The upstream may be
- * healthy, but is no longer reachable through this node. Doubt is left out,
- * since a probe would be refused as well.
+ * healthy, and is then a fallback for some milliseconds. Doubt is left out, since
+ * a probe would be refused.
  */
-export function leavingHint({occupied, limit, notice}: LoadHint): LoadHint {
-  return {state: 'draining', occupied, limit, ...(notice && {notice})};
+export function leavingHint(
+  {state, occupied, limit, notice}: LoadHint,
+  fallbackFor: number,
+): LoadHint {
+  return {
+    state: 'draining',
+    occupied,
+    limit,
+    ...(notice && {notice}),
+    ...(state === 'accepting' && fallbackFor > 0 && {fallbackFor}),
+  };
 }
--- a/packages/brain/src/guard/guardStateMachine.ts
+++ b/packages/brain/src/guard/guardStateMachine.ts
@@ -100,7 +100,9 @@
   /** The load hint of an upstream, which entries get with each answer. */
   hintOf(now: number, upstream: string): LoadHint | undefined {
     const hint = this.services.upstream(upstream)?.hint(now);
-    return hint && this.stop.isLeaving ? leavingHint(hint) : hint;
+    return hint && this.stop.isLeaving
+      ? leavingHint(hint, this.stop.fallbackFor(now))
+      : hint;
   }
 
   /** What limits the calls to an upstream, for logs. */
@@ -284,7 +286,7 @@
     return [...this.services.upstreams()].map((upstream) => ({
       kind: 'standing',
       upstream: upstream.name,
-      hint: leavingHint(upstream.hint(now)),
+      hint: leavingHint(upstream.hint(now), this.stop.fallbackFor(now)),
     }));
   }
 
--- a/packages/brain/src/plannedStop.ts
+++ b/packages/brain/src/plannedStop.ts
@@ -38,11 +38,10 @@
 const DURATION_MARGIN = 1.1;
 
 /**
- * Until when a call has to run to end before the stop does; Infinity if it always
- * does. Of a kind of which nothing is known, only repeatable calls may run.
+ * Until when a call has to start to end by some time; Infinity if it always does. Of a kind of which nothing is known, only repeatable calls may run.
  */
 export function latestStart(
-  {endsAt}: PlannedStop,
+  endsAt: number,
   {deadline, repetition, kind, presumedMilliseconds}: StoppableCall,
   durations: RecentDurations,
 ): number {
--- a/packages/node/src/__tests__/__fixtures__/exampleFrames.ts
+++ b/packages/node/src/__tests__/__fixtures__/exampleFrames.ts
@@ -221,4 +221,12 @@
       },
     },
   },
+  {
+    kind: 'news',
+    news: {
+      kind: 'standing',
+      upstream: 'claims/b',
+      hint: {state: 'draining', occupied: 1, limit: 4, fallbackFor: 2400},
+    },
+  },
 ];
--- a/packages/node/src/request/wireCodes.ts
+++ b/packages/node/src/request/wireCodes.ts
@@ -135,7 +135,10 @@
   probeIn?: number | null,
   availableIn?: number | null,
   notice?: NoticeRow | null,
-  ...capacity: CapacityValues,
+  slotIn?: CapacityValues[0],
+  retriesLeft?: CapacityValues[1],
+  rejectedPercent?: CapacityValues[2],
+  fallbackFor?: number | null,
 ];
 
 /** Encodes a notice. */
@@ -161,6 +164,7 @@
 export function encodeLoadHint(hint: LoadHint): HintRow {
   const {state, occupied, limit} = hint;
   const {doubtedFor, probeIn = doubtedFor, availableIn, notice} = hint;
+  const [slotIn, retriesLeft, rejectedPercent] = encodeCapacity(hint);
   return withoutTrailingNulls<HintRow>([
     STATE_CODES.codeOf(state),
     occupied,
@@ -169,14 +173,18 @@
     roundedUp(probeIn),
     roundedUp(availableIn),
     notice === undefined ? null : encodeNotice(notice),
-    ...encodeCapacity(hint),
+    slotIn,
+    retriesLeft,
+    rejectedPercent,
+    roundedUp(hint.fallbackFor),
   ]);
 }
 
 /** Decodes a load hint from its row. */
 export function decodeLoadHint(row: HintRow): LoadHint {
   const [code, occupied, limit, ...optional] = row;
-  const [doubtedFor, probeIn, availableIn, notice, ...capacity] = optional;
+  const [doubtedFor, probeIn, availableIn, notice, ...last] = optional;
+  const [slotIn, retriesLeft, rejectedPercent, fallbackFor] = last;
   return {
     state: STATE_CODES.nameOf(code),
     occupied,
@@ -187,7 +195,8 @@
     }),
     ...(typeof availableIn === 'number' && {availableIn}),
     ...(notice && {notice: decodeNotice(notice)}),
-    ...decodeCapacity(capacity),
+    ...decodeCapacity([slotIn, retriesLeft, rejectedPercent]),
+    ...(typeof fallbackFor === 'number' && {fallbackFor}),
   };
 }
 
--- a/packages/routing/src/capacityProspects.ts
+++ b/packages/routing/src/capacityProspects.ts
@@ -39,15 +39,21 @@
   readonly expectedWait: number;
 }
 
+/** Whether upstreams with a recent report are assessed. */
+export type IsAssessed = (report: CapacityReport) => boolean;
+
+const isAccepting: IsAssessed = (report) => report.isAccepting;
+
 /**
- * Assesses upstreams of one service; those known to refuse are left out. Uses
- * plain loops, since it runs for every offer and, on a box that has just
+ * Assesses upstreams of one service; those known to refuse ordinary calls are
+ * left out unless the caller decides otherwise. Uses plain loops, since it runs for every offer and, on a box that has just
  * started, in code that is not compiled yet.
  */
 export function prospectsOf<T extends RoutingCandidate>(
   context: RoutingContext,
   candidates: readonly T[],
   usualMilliseconds: number,
+  isAssessed: IsAssessed = isAccepting,
 ): readonly Prospect<T>[] {
   const {now, loads} = context;
   const service = serviceOf(candidates[0]?.name ?? '');
@@ -56,7 +62,7 @@
   const prospects: Prospect<T>[] = [];
   for (const candidate of candidates) {
     const report = reports.get(candidate.name);
-    if (!isFresh(report, now) || report.isAccepting) {
+    if (!isFresh(report, now) || isAssessed(report)) {
       const mean = means.get(candidate.dataCentre) ?? 0;
       prospects.push(
         prospectOf(context, candidate, report, mean, usualMilliseconds),
--- a/packages/routing/src/loadHint.ts
+++ b/packages/routing/src/loadHint.ts
@@ -18,6 +18,11 @@
   readonly doubtedFor?: number;
   /** While doubted: milliseconds until a repeatable call may be a probe. */
   readonly probeIn?: number;
+  /**
+   * While draining: milliseconds for which the guard still takes calls that end
+   * within that time, for want of a free slot elsewhere; absent if it takes none.
+   */
+  readonly fallbackFor?: number;
   /**
    * Milliseconds until the upstream takes another call within the limit that it
    * states; absent if it does now.
--- a/packages/routing/src/upstreamLoad.ts
+++ b/packages/routing/src/upstreamLoad.ts
@@ -16,6 +16,8 @@
   hintedAt: number;
   /** Its guard refuses ordinary calls until then. */
   refusesUntil: number;
+  /** Its guard, although draining, takes calls that end by then. */
+  fallbackUntil: number;
   /** The limit that it states allows no call until then. */
   limitedUntil: number;
   /** Its guard refuses even repeatable calls as probes until then. */
@@ -38,6 +40,7 @@
     hint: undefined,
     hintedAt: 0,
     refusesUntil: 0,
+    fallbackUntil: 0,
     limitedUntil: 0,
     refusesProbesUntil: 0,
     unreachableUntil: 0,
--- a/packages/routing/src/upstreamLoads.ts
+++ b/packages/routing/src/upstreamLoads.ts
@@ -67,10 +67,13 @@
     load.unreachableUntil = 0;
     const refuses = isRefusing(hint.state);
     const {doubtedFor, probeIn, availableIn = 0, notice} = hint;
+    const {fallbackFor = 0} = hint;
+    load.fallbackUntil = now + fallbackFor;
     load.limitedUntil = now + availableIn;
     this.notices.hinted(upstream, notice);
     this.capacity.hinted(upstream, now, hint);
-    const pause = doubtedFor ?? REFUSED_PAUSE_MILLISECONDS;
+    const pause =
+      doubtedFor ?? Math.max(REFUSED_PAUSE_MILLISECONDS, fallbackFor);
     load.refusesUntil = refuses ? now + pause : 0;
     load.refusesProbesUntil = refuses ? now + (probeIn ?? pause) : 0;
   }
@@ -100,6 +103,19 @@
     return load !== undefined && isAvoided(load, now, mayProbe);
   }
 
+  /**
+   * Whether an upstream whose node is stopping takes a call that ends within some
+   * milliseconds.
+   */
+  isFallback(upstream: string, now: number, milliseconds: number): boolean {
+    const load = this.loads.get(upstream);
+    return (
+      load !== undefined &&
+      now + milliseconds < load.fallbackUntil &&
+      now >= load.unreachableUntil
+    );
+  }
+
   /**
    * Whether a cold upstream is to be called whatever its estimated load. Only a
    * call brings a hint, so an estimate alone could keep calls away. An upstream
