Doubted upstreams get a call at intervals instead of a refusal

An upstream that failed is doubted for 2 to 4 s; only probes by repeatable calls end that earlier, and they are few where most nodes stop. Class: an estimate that only a call can correct keeps the calls away.

A call that would be refused is now offered to at most two doubted upstreams, on the new terms 'trial'. A guard takes one if its upstream has had no call for 1 s, or 1.5 s if the call cannot be repeated. Nodes of earlier releases read the terms as 'immediate' and refuse.

--- a/packages/brain/src/__tests__/plannedOffers.test.ts
+++ b/packages/brain/src/__tests__/plannedOffers.test.ts
@@ -116,6 +116,18 @@
     this.entry.loads.hintReceived(`s/${name}`, NOW, hint);
   }
 
+  /** The guards of upstreams announce that these are doubted. */
+  isDoubted(...names: readonly string[]): void {
+    for (const name of names) {
+      this.entry.loads.hintReceived(`s/${name}`, NOW, {
+        state: 'doubted',
+        occupied: 0,
+        limit: 4,
+        doubtedFor: 4000,
+      });
+    }
+  }
+
   unacknowledged({callId}: Attempt, after: number): readonly EntryAction[] {
     return this.entry.handle(NOW + after, this.random, {
       kind: 'attempt-unacknowledged',
@@ -301,17 +313,46 @@
   });
 });
 
+describe('a call that would be refused', () => {
+  const withDoubted = (): EntryHarness => {
+    const harness = new EntryHarness(['a', 'b', 'c', 'd', 'e', 'f', 'g'], {
+      freeRerouteRefusals: new Set(['deadline-too-short', 'upstream-doubted']),
+    });
+    harness.isDoubted('a', 'b', 'c');
+    harness.knows({d: HOPELESS, e: HOPELESS, f: HOPELESS, g: HOPELESS});
+    return harness;
+  };
+
+  it('is offered to two doubted upstreams as a trial', () => {
+    const harness = withDoubted();
+    const first = attemptOf(harness.arrive());
+    expect(first.terms).toBe('may-wait');
+    let trial = attemptOf(harness.refuse(first, 'deadline-too-short'));
+    expect(trial).toMatchObject({
+      upstream: expect.stringMatching(/s\/[abc]/),
+      terms: 'trial',
+    });
+    trial = attemptOf(harness.refuse(trial, 'upstream-doubted'));
+    expect(trial).toMatchObject({
+      upstream: expect.stringMatching(/s\/[abc]/),
+      terms: 'trial',
+    });
+    expect(harness.refuse(trial, 'upstream-doubted')).toMatchObject([
+      {kind: 'refuse', refusal: {reason: 'deadline-too-short'}},
+    ]);
+  });
+
+  it('gets no trial while another upstream has a place for it', () => {
+    const harness = withDoubted();
+    harness.knows({g: FULL});
+    expect(offered(harness.arrive())).toBe('s/g may-wait');
+  });
+});
+
 describe('a service most of whose upstreams are doubted', () => {
   it('gets calls that the others cannot serve, instead of refusing them', () => {
     const harness = new EntryHarness(['a', 'b', 'c']);
-    for (const name of ['s/b', 's/c']) {
-      harness.entry.loads.hintReceived(name, NOW, {
-        state: 'doubted',
-        occupied: 0,
-        limit: 4,
-        doubtedFor: 4000,
-      });
-    }
+    harness.isDoubted('b', 'c');
     harness.knows({a: HOPELESS});
     const first = attemptOf(harness.arrive());
     const next = attemptOf(harness.refuse(first, 'deadline-too-short'));
--- a/packages/brain/src/__tests__/reservations.test.ts
+++ b/packages/brain/src/__tests__/reservations.test.ts
@@ -242,6 +242,28 @@
     ]);
   });
 
+  it.each([
+    ['repeatable', 1000],
+    ['at-most-once', 1500],
+  ] as const)(
+    'gets a %s call as a trial after %i ms without one',
+    (repetition, wait) => {
+      const harness = createDoubted();
+      const call = {repetition, attempt: 2, isTrial: true} as const;
+      harness.now = wait - 1;
+      expect(refusalsOf(harness.offer('1', call))).toEqual([
+        'upstream-doubted not-run',
+      ]);
+      harness.now = wait;
+      expect(harness.offer('2', call)).toEqual([
+        {kind: 'reserve', callId: '2'},
+      ]);
+      expect(refusalsOf(harness.offer('3', call))).toEqual([
+        'upstream-doubted not-run',
+      ]);
+    },
+  );
+
   it('includes the doubt reason when it refuses an at-most-once call', () => {
     const atMostOnce = {repetition: 'at-most-once'} as const;
     const doubtReasonsOf = (harness: GuardHarness) =>
--- a/packages/brain/src/entry/entryMessages.ts
+++ b/packages/brain/src/entry/entryMessages.ts
@@ -50,6 +50,8 @@
   | 'may-wait'
   /** Also when the answer will be late; calls that can be in time go first. */
   | 'may-be-late'
+  /** On a doubted upstream that has had no call for a while; else refused. */
+  | 'trial'
   /** Whatever the state of the upstream, because no other is left. */
   | 'last-resort';
 
--- a/packages/brain/src/entry/offerPlanner.ts
+++ b/packages/brain/src/entry/offerPlanner.ts
@@ -17,6 +17,7 @@
 import type {AttemptTiming} from './attemptTiming.js';
 import {isRetry, setTerms} from './callState.js';
 import type {CallState} from './callState.js';
+import type {OfferTerms} from './entryMessages.js';
 import type {EntrySettings} from './entrySettings.js';
 import type {RecentRefusals} from './recentRefusals.js';
 import type {UpstreamChooser} from './upstreamChooser.js';
@@ -68,14 +69,13 @@
     if (fallback !== undefined) {
       return {kind: 'offer', candidate: fallback};
     }
-    const doubted = this.context.chooser.mostlyDoubted(now, random, state);
-    if (doubted === undefined) {
-      return planned;
-    }
-    if (state.terms !== 'last-resort') {
-      setTerms(state, 'last-resort');
+    const {chooser} = this.context;
+    const doubted = chooser.mostlyDoubted(now, random, state);
+    if (doubted !== undefined) {
+      return offerOn('last-resort', state, doubted);
     }
-    return {kind: 'offer', candidate: doubted};
+    const trial = chooser.trial(now, random, state);
+    return trial === undefined ? planned : offerOn('trial', state, trial);
   }
 
   private nextAccepting(
@@ -88,6 +88,9 @@
     if (state.terms === 'last-resort') {
       return offerOrNone(chooser.next(now, random, state));
     }
+    if (state.terms === 'trial') {
+      return {kind: 'hopeless', wait: state.shortestWait};
+    }
     if (accepting.length === 0) {
       const fallback = this.fallback(now, random, state, chooseLeastOccupied);
       return offerOrNone(fallback ?? chooser.next(now, random, state));
@@ -296,6 +299,17 @@
   }
 }
 
+function offerOn(
+  terms: OfferTerms,
+  state: CallState,
+  candidate: RoutingCandidate,
+): PlannedOffer {
+  if (state.terms !== terms) {
+    setTerms(state, terms);
+  }
+  return {kind: 'offer', candidate};
+}
+
 function offerOrNone(candidate: RoutingCandidate | undefined): PlannedOffer {
   return candidate === undefined ? {kind: 'none'} : {kind: 'offer', candidate};
 }
--- a/packages/brain/src/entry/upstreamChooser.ts
+++ b/packages/brain/src/entry/upstreamChooser.ts
@@ -38,6 +38,9 @@
 /** Offers of a call on its terms after which no doubted upstream is asked. */
 const LAST_RESORT_OFFERS = 3;
 
+/** Doubted upstreams that a call is offered to as a trial, at most. */
+const TRIAL_OFFERS = 2;
+
 /** Chooses from the subset of upstreams that this entry calls. */
 export class UpstreamChooser {
   private readonly subsets: SubsetCache;
@@ -163,6 +166,7 @@
           ? 'may-be-late'
           : undefined;
       case 'may-be-late':
+      case 'trial':
       case 'last-resort':
         return undefined;
     }
@@ -178,20 +182,49 @@
     random: RandomSource,
     state: CallState,
   ): RoutingCandidate | undefined {
-    const {loads} = this.context;
     const all = this.candidates(state.call, state.ran);
-    const doubted = all.filter(
-      ({name}) => loads.unusedReason(name, now) === 'doubted',
-    );
-    const untried = doubted.filter(
-      ({name}) => !state.tried.has(name) && !state.rejectedBy.has(name),
-    );
+    const doubted = this.doubted(now, all);
     return doubted.length >= all.length * MOSTLY_DOUBTED &&
       state.tried.size < LAST_RESORT_OFFERS
-      ? this.pick(now, random, false, untried)
+      ? this.pickUntried(now, random, state, doubted)
       : undefined;
   }
 
+  /** A doubted upstream that a call may try instead of being refused. */
+  trial(
+    now: number,
+    random: RandomSource,
+    state: CallState,
+  ): RoutingCandidate | undefined {
+    if (state.terms === 'trial' && state.tried.size >= TRIAL_OFFERS) {
+      return undefined;
+    }
+    const all = this.candidates(state.call, state.ran);
+    return this.pickUntried(now, random, state, this.doubted(now, all));
+  }
+
+  private doubted(
+    now: number,
+    candidates: readonly RoutingCandidate[],
+  ): readonly RoutingCandidate[] {
+    const {loads} = this.context;
+    return candidates.filter(
+      ({name}) => loads.unusedReason(name, now) === 'doubted',
+    );
+  }
+
+  private pickUntried(
+    now: number,
+    random: RandomSource,
+    {tried, rejectedBy}: CallState,
+    candidates: readonly RoutingCandidate[],
+  ): RoutingCandidate | undefined {
+    const untried = candidates.filter(
+      ({name}) => !tried.has(name) && !rejectedBy.has(name),
+    );
+    return this.pick(now, random, false, untried);
+  }
+
   /** Reads the current load of upstreams on the own box from its guard. */
   readOwnLoads(now: number, candidates: readonly RoutingCandidate[]): void {
     const {box: ownBox, loads, settings} = this.context;
--- a/packages/brain/src/guard/guardCall.ts
+++ b/packages/brain/src/guard/guardCall.ts
@@ -40,6 +40,11 @@
   readonly mayWait?: boolean;
   /** The entry has no better upstream, and accepts a doubted one. */
   readonly mayRunDoubted?: boolean;
+  /**
+   * No upstream has a place for the call in time, and the entry accepts a doubted
+   * one that has had no call for a while.
+   */
+  readonly isTrial?: boolean;
   /** Usual duration of such calls, as observed by the entry. */
   readonly expectedMilliseconds?: number;
   /** The latest notice of the upstream that reached the entry, if any. */
--- a/packages/brain/src/guard/quickDoubt.ts
+++ b/packages/brain/src/guard/quickDoubt.ts
@@ -3,6 +3,7 @@
 
 import {Doubt, HangEvidence} from '@lockpin/detection';
 import type {CallEvidenceKind} from '@lockpin/detection';
+import type {Repetition} from '@lockpin/types';
 import type {GuardSettings} from './guardSettings.js';
 
 /**
@@ -37,6 +38,17 @@
  */
 const MAXIMUM_CALL_INTERVAL_MILLISECONDS = 1000;
 
+/**
+ * Time without a call after which a doubted upstream gets one that would be
+ * refused otherwise. Calls that cannot be repeated come second, as a failure costs
+ * their callers more than a refusal.
+ */
+const TRIAL_INTERVAL_MILLISECONDS: Readonly<Record<Repetition, number>> = {
+  repeatable: 1000,
+  'at-most-once': 1500,
+  'once-only': 1500,
+};
+
 /** The guard settings that short-term doubt uses. */
 export type QuickDoubtSettings = Pick<
   GuardSettings,
@@ -137,6 +149,15 @@
       : UNCERTAIN_RETRY_MILLISECONDS;
   }
 
+  /**
+   * Whether a call that would be refused otherwise may run in spite of doubt. The
+   * cause of doubt may have ended, which only a call can show.
+   */
+  isTrialDue(now: number, repetition: Repetition): boolean {
+    const idleFor = now - this.lastStartedAt;
+    return idleFor >= TRIAL_INTERVAL_MILLISECONDS[repetition];
+  }
+
   /** Milliseconds until the next probe is allowed. */
   millisecondsUntilProbe(now: number): number {
     return this.doubt.millisecondsUntilProbe(now);
--- a/packages/brain/src/guard/upstreamRefusals.ts
+++ b/packages/brain/src/guard/upstreamRefusals.ts
@@ -54,13 +54,19 @@
     );
   }
 
-  /** Repeatable calls serve as probes; others run only if all are doubted. */
+  /**
+   * Repeatable calls serve as probes. Others run if all are doubted, or as a trial
+   * instead of being refused.
+   */
   private mayRunDoubted(now: number, call: GuardCall): boolean {
+    const {repetition} = call;
     const isProbe =
-      call.repetition === 'repeatable' &&
+      repetition === 'repeatable' &&
       call.attempt === 1 &&
       this.doubt.millisecondsUntilProbe(now) === 0;
-    return isProbe || call.mayRunDoubted === true;
+    const isTrial =
+      call.isTrial === true && this.doubt.isTrialDue(now, repetition);
+    return isProbe || isTrial || call.mayRunDoubted === true;
   }
 
   /** Whether an ejection refuses the call; probes run one at a time. */
--- a/packages/node/src/__tests__/__fixtures__/fleetCallSimulation.ts
+++ b/packages/node/src/__tests__/__fixtures__/fleetCallSimulation.ts
@@ -30,6 +30,7 @@
 } from '../../request/attemptPriority.js';
 import {usableAfter} from '../../request/capacityRows.js';
 import type {CallerRequest} from '../../request/callerRequest.js';
+import {guardTerms} from '../../request/guardTerms.js';
 import {NO_NOTICE} from '../../request/upstreamNotice.js';
 import {createRoute, createServiceView, SERVICE} from './simulatedService.js';
 import type {
@@ -414,8 +415,7 @@
       usefulUntil: useful === undefined ? undefined : this.now + useful,
       startBy: start === undefined ? undefined : this.now + start,
       needsGo,
-      mayWait: attempt.terms !== 'immediate',
-      mayRunDoubted: attempt.terms === 'last-resort',
+      ...guardTerms(attempt.terms),
       expectedMilliseconds: attempt.expectedMilliseconds,
       knownNotice: attempt.knownNotice,
     };
--- a/packages/node/src/request/guardExchange.ts
+++ b/packages/node/src/request/guardExchange.ts
@@ -8,6 +8,7 @@
 import type {AnswerForwarder} from './answerForwarder.js';
 import type {ExchangeHandlers} from './exchange.js';
 import type {CallHead} from './frames.js';
+import {guardTerms} from './guardTerms.js';
 import type {CutReason} from './heldAnswer.js';
 import type {UpstreamAnswer} from './upstreamAnswer.js';
 
@@ -114,8 +115,7 @@
     usefulUntil: usefulFor === undefined ? undefined : now + usefulFor,
     startBy: startWithin === undefined ? undefined : now + startWithin,
     needsGo: head.needsGo,
-    mayWait: terms !== 'immediate',
-    mayRunDoubted: terms === 'last-resort',
+    ...guardTerms(terms),
     expectedMilliseconds: head.expectedMilliseconds,
     knownNotice: head.knownNotice,
     isNested: head.isNested,
--- a/packages/node/src/request/wireCodes.ts
+++ b/packages/node/src/request/wireCodes.ts
@@ -110,7 +110,7 @@
 
 /** The terms of an offer. */
 export const TERMS_CODES = wireCodes<OfferTerms>(
-  {immediate: 1, 'may-wait': 2, 'may-be-late': 3, 'last-resort': 4},
+  {immediate: 1, 'may-wait': 2, 'may-be-late': 3, 'last-resort': 4, trial: 5},
   'immediate',
 );
 
