--- a/packages/tools/src/soak/faultPlan.ts
+++ b/packages/tools/src/soak/faultPlan.ts
@@ -17,6 +17,7 @@
 } from './faultDraws.js';
 import type {DrawFault} from './faultDraws.js';
 import type {PlannedFault} from './plannedFault.js';
+import {RESTART_DRAWS} from './restartDraws.js';
 import {STARTING_DRAWS} from './startingDraws.js';
 
 /**
@@ -26,8 +27,8 @@
  * hears another, `replaced` only replacements of boxes, `loaded` only hard load,
  * `broken` only answers that upstreams break, `starting` only what may happen to a
  * process that starts or ends, `endless` only upstreams that send what is no
- * answer or has no end, and `crowded` more connections than nodes can have. A
- * regression seed keeps the set that it was recorded with, and so replays the same
+ * answer or has no end, `crowded` more connections than nodes can have, and
+ * `restarted` rolling restarts that overlap, beside other faults. A regression seed keeps the set that it was recorded with, and so replays the same
  * schedule.
  */
 export type FaultSet =
@@ -41,7 +42,8 @@
   | 'broken'
   | 'starting'
   | 'endless'
-  | 'crowded';
+  | 'crowded'
+  | 'restarted';
 
 /** Duration, fleet size and fault set of a soak. */
 export interface SoakSize {
@@ -77,6 +79,9 @@
 /** Mean time between the faults of `starting` and `crowded`; they overlap. */
 const STARTING_GAP_MILLISECONDS = 900;
 
+/** Mean time between the rolling restarts of `restarted`; a stop takes seconds. */
+const RESTART_GAP_MILLISECONDS = 5000;
+
 /** The draws of fault sets that hold only one kind. */
 const SINGLE_KIND_DRAWS: Readonly<
   Partial<Record<FaultSet, readonly [readonly DrawFault[], number]>>
@@ -88,6 +93,7 @@
   starting: [STARTING_DRAWS, STARTING_GAP_MILLISECONDS],
   endless: [ENDLESS_DRAWS, BREAKING_GAP_MILLISECONDS],
   crowded: [CROWDED_DRAWS, STARTING_GAP_MILLISECONDS],
+  restarted: [RESTART_DRAWS, RESTART_GAP_MILLISECONDS],
 };
 
 /** Restores are this many times less frequent than other faults. */
--- a/packages/tools/src/soak/main.ts
+++ b/packages/tools/src/soak/main.ts
@@ -52,6 +52,7 @@
       'starting',
       'endless',
       'crowded',
+      'restarted',
     ] as const,
     default: 'stated' as const,
     describe: 'Fault set of the given or fresh seeds',
@@ -81,6 +82,7 @@
   '-starting': 'starting',
   '-endless': 'endless',
   '-crowded': 'crowded',
+  '-restarted': 'restarted',
 };
 
 function readRegressionSeeds(): readonly SoakSeed[] {
