--- a/packages/tools/src/faults/platformGuarantees.ts
+++ b/packages/tools/src/faults/platformGuarantees.ts
@@ -48,6 +48,8 @@
 const IDLE_UPSTREAMS = 'packages/brain/src/__tests__/idleUpstreams.test.ts';
 const FLEET_USES_UPSTREAMS =
   'packages/node/src/__tests__/fleetUsesUpstreams.test.ts';
+const OVERLAPPING_STOPS =
+  'packages/node/src/__tests__/overlappingStops.test.ts';
 const UPSTREAM_LIMIT = 'platform/src/__tests__/upstreamLimit.test.ts';
 const UPSTREAM_LEAVING = 'platform/src/__tests__/upstreamLeaving.test.ts';
 const LIMITED_SERVICE = 'packages/node/src/__tests__/limitedService.test.ts';
@@ -295,6 +297,14 @@
         FLEET_USES_UPSTREAMS,
         'are in use again soon after half of them reset most calls for 5 s (%f repeatable)',
       ],
+      [
+        OVERLAPPING_STOPS,
+        'serves nine of ten calls, since the upstreams of these nodes are healthy',
+      ],
+      [
+        OVERLAPPING_STOPS,
+        'uses upstreams that recover from failures, rather than refuse calls',
+      ],
     ],
     'upstreams of a data centre without callers wait until the others are full',
   ),
--- a/packages/tools/src/soak/__tests__/soak.test.ts
+++ b/packages/tools/src/soak/__tests__/soak.test.ts
@@ -91,6 +91,14 @@
     expect(calls).toBeGreaterThan(200);
   });
 
+  it('keeps them while rolling restarts overlap', async () => {
+    const folder = mkdtempSync(join(tmpdir(), 'lockpin-soak-'));
+    const size = {...SIZE, boxes: 6, faults: 'restarted'} as const;
+    const {violations, calls} = await runSoak(SEED + 10, size, folder);
+    expect(violations).toEqual([]);
+    expect(calls).toBeGreaterThan(200);
+  });
+
   it('keeps them while the store is restored repeatedly', async () => {
     const folder = mkdtempSync(join(tmpdir(), 'lockpin-soak-'));
     const size = {...SIZE, faults: 'all'} as const;
