Entries make fewer fallback and trial offers in vain

A call without a place was offered to doubted upstreams that had just refused a trial to another one, and to stopping nodes up to the usual duration before these take no more; their guards want the duration of 95 of 100 such calls. Each vain offer takes one of the free reroutes of a call and processor time, in a shortage.

An entry now asks for no trial within 0.5 s of a guard's last hint, and counts on twice the usual duration, as guards do for calls of which they know no more.

--- a/packages/brain/src/__tests__/plannedOffers.test.ts
+++ b/packages/brain/src/__tests__/plannedOffers.test.ts
@@ -116,10 +116,10 @@
     this.entry.loads.hintReceived(`s/${name}`, NOW, hint);
   }
 
-  /** The guards of upstreams announce that these are doubted. */
-  isDoubted(...names: readonly string[]): void {
+  /** The guards of upstreams have announced that these are doubted. */
+  isDoubted(names: readonly string[], age: number): void {
     for (const name of names) {
-      this.entry.loads.hintReceived(`s/${name}`, NOW, {
+      this.entry.loads.hintReceived(`s/${name}`, NOW - age, {
         state: 'doubted',
         occupied: 0,
         limit: 4,
@@ -314,17 +314,17 @@
 });
 
 describe('a call that would be refused', () => {
-  const withDoubted = (): EntryHarness => {
+  const withDoubted = (age: number): EntryHarness => {
     const harness = new EntryHarness(['a', 'b', 'c', 'd', 'e', 'f', 'g'], {
       freeRerouteRefusals: new Set(['deadline-too-short', 'upstream-doubted']),
     });
-    harness.isDoubted('a', 'b', 'c');
+    harness.isDoubted(['a', 'b', 'c'], age);
     harness.knows({d: HOPELESS, e: HOPELESS, f: HOPELESS, g: HOPELESS});
     return harness;
   };
 
   it('is offered to two doubted upstreams as a trial', () => {
-    const harness = withDoubted();
+    const harness = withDoubted(500);
     const first = attemptOf(harness.arrive());
     expect(first.terms).toBe('may-wait');
     let trial = attemptOf(harness.refuse(first, 'deadline-too-short'));
@@ -342,8 +342,16 @@
     ]);
   });
 
+  it('gets no trial where doubt has just been announced', () => {
+    const harness = withDoubted(499);
+    const first = attemptOf(harness.arrive());
+    expect(harness.refuse(first, 'deadline-too-short')).toMatchObject([
+      {kind: 'refuse', refusal: {reason: 'deadline-too-short'}},
+    ]);
+  });
+
   it('gets no trial while another upstream has a place for it', () => {
-    const harness = withDoubted();
+    const harness = withDoubted(500);
     harness.knows({g: FULL});
     expect(offered(harness.arrive())).toBe('s/g may-wait');
   });
@@ -352,7 +360,7 @@
 describe('a service most of whose upstreams are doubted', () => {
   it('gets calls that the others cannot serve, instead of refusing them', () => {
     const harness = new EntryHarness(['a', 'b', 'c']);
-    harness.isDoubted('b', 'c');
+    harness.isDoubted(['b', 'c'], 0);
     harness.knows({a: HOPELESS});
     const first = attemptOf(harness.arrive());
     const next = attemptOf(harness.refuse(first, 'deadline-too-short'));
--- a/packages/brain/src/entry/offerPlanner.ts
+++ b/packages/brain/src/entry/offerPlanner.ts
@@ -14,6 +14,7 @@
 } from '@lockpin/routing';
 import type {Prospect, RoutingCandidate, UpstreamLoads} from '@lockpin/routing';
 import type {RandomSource} from '@lockpin/types';
+import {USUAL_FACTOR} from '../plannedStop.js';
 import type {AttemptTiming} from './attemptTiming.js';
 import {isRetry, setTerms} from './callState.js';
 import type {CallState} from './callState.js';
@@ -204,14 +205,13 @@
     if (state.slotRefusals >= SLOT_OFFERS - 1) {
       return undefined;
     }
-    const candidates = chooser.fallbacks(now, state, this.usual(state));
+    const usual = this.usual(state);
+    const candidates = chooser.fallbacks(now, state, usual * USUAL_FACTOR);
+    if (candidates.length === 0) {
+      return undefined;
+    }
     const routing = chooser.routingContext(now, random, state);
-    const prospects = prospectsOf(
-      routing,
-      candidates,
-      this.usual(state),
-      () => true,
-    );
+    const prospects = prospectsOf(routing, candidates, usual, () => true);
     return choose(routing, prospects, settings.isNear);
   }
 
--- a/packages/brain/src/entry/upstreamChooser.ts
+++ b/packages/brain/src/entry/upstreamChooser.ts
@@ -41,6 +41,9 @@
 /** Doubted upstreams that a call is offered to as a trial, at most. */
 const TRIAL_OFFERS = 2;
 
+/** A doubted upstream is not asked for a trial this soon after its last hint. */
+const TRIAL_PAUSE_MILLISECONDS = 500;
+
 /** Chooses from the subset of upstreams that this entry calls. */
 export class UpstreamChooser {
   private readonly subsets: SubsetCache;
@@ -199,8 +202,13 @@
     if (state.terms === 'trial' && state.tried.size >= TRIAL_OFFERS) {
       return undefined;
     }
+    const {loads} = this.context;
     const all = this.candidates(state.call, state.ran);
-    return this.pickUntried(now, random, state, this.doubted(now, all));
+    const due = this.doubted(now, all).filter(
+      ({name}) =>
+        (loads.lastHint(name, now)?.age ?? 0) >= TRIAL_PAUSE_MILLISECONDS,
+    );
+    return this.pickUntried(now, random, state, due);
   }
 
   private doubted(
--- a/packages/brain/src/guard/guardStop.ts
+++ b/packages/brain/src/guard/guardStop.ts
@@ -2,17 +2,14 @@
 /** The stop of a guard's node, and the accepted calls that it comes too soon for. */
 
 import type {RecentDurations} from '@lockpin/routing';
-import {latestStart} from '../plannedStop.js';
+import {USUAL_FACTOR, latestStart} from '../plannedStop.js';
 import type {PlannedStop} from '../plannedStop.js';
 import type {GuardCall} from './guardCall.js';
 import {presumedDuration} from './presumedDuration.js';
 
-/** A call whose entry knows only its usual duration may take this multiple. */
-const USUAL_FACTOR = 2;
-
 /** Whether the node of a guard stops, and which calls may still start. */
 export class GuardStop {
-  /** Whether new calls are refused, except those that the guard may take. */
+  /** Whether new calls are refused, except as a fallback. */
   isLeaving = false;
   private stop: PlannedStop | undefined;
 
--- a/packages/brain/src/plannedStop.ts
+++ b/packages/brain/src/plannedStop.ts
@@ -37,8 +37,12 @@
 /** Upstreams get slower while those of the stopping node are missing. */
 const DURATION_MARGIN = 1.1;
 
+/** A call of which only the usual duration is known may take this multiple. */
+export const USUAL_FACTOR = 2;
+
 /**
- * Until when a call has to start to end by some time; Infinity if it always does. Of a kind of which nothing is known, only repeatable calls may run.
+ * Until when a call has to start to end by some time; Infinity if it always does.
+ * Of a kind of which nothing is known, only repeatable calls may run.
  */
 export function latestStart(
   endsAt: number,
--- a/packages/routing/src/capacityProspects.ts
+++ b/packages/routing/src/capacityProspects.ts
@@ -46,8 +46,9 @@
 
 /**
  * Assesses upstreams of one service; those known to refuse ordinary calls are
- * left out unless the caller decides otherwise. Uses plain loops, since it runs for every offer and, on a box that has just
- * started, in code that is not compiled yet.
+ * left out unless the caller decides otherwise. Uses plain loops, since it runs
+ * for every offer and, on a box that has just started, in code that is not
+ * compiled yet.
  */
 export function prospectsOf<T extends RoutingCandidate>(
   context: RoutingContext,
--- a/packages/routing/src/upstreamLoads.ts
+++ b/packages/routing/src/upstreamLoads.ts
@@ -66,8 +66,8 @@
     load.consecutiveMisses = 0;
     load.unreachableUntil = 0;
     const refuses = isRefusing(hint.state);
-    const {doubtedFor, probeIn, availableIn = 0, notice} = hint;
-    const {fallbackFor = 0} = hint;
+    const {doubtedFor, probeIn, notice} = hint;
+    const {availableIn = 0, fallbackFor = 0} = hint;
     load.fallbackUntil = now + fallbackFor;
     load.limitedUntil = now + availableIn;
     this.notices.hinted(upstream, notice);
@@ -156,7 +156,7 @@
     return load === undefined ? 'not-called' : unusedReason(load, now);
   }
 
-  /** The latest hint of the guard with its age in milliseconds, for logs. */
+  /** The latest hint of the guard with its age in milliseconds. */
   lastHint(
     upstream: string,
     now: number,
